--- /dev/null
+++ b/internal/platform/fleet/fleet.go
@@ -0,0 +1,223 @@
+// Package fleet describes the workers of the platform and provides their HTTP client.
+//
+// All deadlines in messages to a worker are expressed in the worker's own clock, as read
+// from its last status, so that clocks of two machines are never compared.
+package fleet
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrRefused is returned when the worker confirmed that it did not and will not carry out the message.
+// Any other error of Start or Call leaves it open whether the worker carried it out.
+var ErrRefused = errors.New("fleet: worker refused the message")
+
+// ErrHeld is returned by Lease when another holder has an unexpired lease.
+var ErrHeld = errors.New("fleet: worker is held by another host")
+
+// Size is an amount of resources.
+type Size struct {
+	// Cores is in thousandths of a core.
+	Cores int64 `json:"cores"`
+	// Memory is in MiB.
+	Memory int64 `json:"memory"`
+	// Accelerators is a count of whole devices.
+	Accelerators int64 `json:"accelerators,omitempty"`
+}
+
+// Add returns the sum of both sizes.
+func (s Size) Add(o Size) Size {
+	return Size{Cores: s.Cores + o.Cores, Memory: s.Memory + o.Memory, Accelerators: s.Accelerators + o.Accelerators}
+}
+
+// Sub returns s less o. Fields may become negative.
+func (s Size) Sub(o Size) Size {
+	return Size{Cores: s.Cores - o.Cores, Memory: s.Memory - o.Memory, Accelerators: s.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether s is at most o in every dimension.
+func (s Size) Fits(o Size) bool {
+	return s.Cores <= o.Cores && s.Memory <= o.Memory && s.Accelerators <= o.Accelerators
+}
+
+// Negative reports whether any dimension is below zero.
+func (s Size) Negative() bool {
+	return s.Cores < 0 || s.Memory < 0 || s.Accelerators < 0
+}
+
+// TaskState is the state of a task attempt at a worker.
+type TaskState string
+
+// The states of a task attempt at a worker. All but TaskRunning are final.
+const (
+	TaskRunning TaskState = "running"
+	TaskDone    TaskState = "done"
+	TaskFailed  TaskState = "failed"
+	// TaskStopped means stopped by the holder or because the task lease lapsed.
+	TaskStopped TaskState = "stopped"
+)
+
+// Task is a task attempt as its worker reports it.
+type Task struct {
+	ID      string    `json:"id"`
+	Attempt int       `json:"attempt"`
+	Class   string    `json:"class"`
+	Size    Size      `json:"size"`
+	State   TaskState `json:"state"`
+	// Share is the throttle in percent; 100 is unthrottled.
+	Share int `json:"share"`
+	// Checkpoint is the newest checkpoint, empty if there is none.
+	Checkpoint []byte `json:"checkpoint,omitempty"`
+	// Output is the result of a done task or the reason of a failed one.
+	Output []byte `json:"output,omitempty"`
+}
+
+// Running is an urgent call in progress, as its worker reports it.
+type Running struct {
+	Request string `json:"request"`
+	Attempt int    `json:"attempt"`
+	Class   string `json:"class"`
+}
+
+// Usage is one lagging usage report. It describes the window that ended Lag before the status was made.
+type Usage struct {
+	// Class is the class of the urgent calls or of the tasks that the report is about.
+	Class string `json:"class"`
+	// Lag is the age of the end of the window.
+	Lag time.Duration `json:"lag"`
+	// Window is the length of the window.
+	Window time.Duration `json:"window"`
+	// Used is the average use of all tasks of the class in the window.
+	Used Size `json:"used"`
+	// Calls and Mean are the number of urgent calls finished in the window and their mean execution time.
+	Calls int           `json:"calls,omitempty"`
+	Mean  time.Duration `json:"mean,omitempty"`
+}
+
+// Status is the state of a worker.
+type Status struct {
+	Worker string `json:"worker"`
+	// Boot changes with every restart of the worker.
+	Boot string `json:"boot"`
+	// Clock is the worker's monotonic clock when the status was made.
+	Clock time.Duration `json:"clock"`
+	// Holder is the host that has the lease, empty if none is unexpired.
+	Holder string `json:"holder,omitempty"`
+	// Grant grows by one with each new holder. Messages with another grant are refused.
+	Grant uint64 `json:"grant"`
+	// Until is the end of the holder's lease in the worker's clock.
+	Until time.Duration `json:"until"`
+	// Capacity is what the worker holds in all.
+	Capacity    Size `json:"capacity"`
+	Slots       int  `json:"slots"`
+	Connections int  `json:"connections"`
+	// Leaving is set once the worker is to get no new work.
+	Leaving bool `json:"leaving,omitempty"`
+	// Change is the change number of this status, to be sent as LeaseRequest.Seen next time.
+	Change uint64 `json:"change"`
+	// Tasks holds the task attempts that changed after LeaseRequest.Seen (all, if that was 0),
+	// finished ones included until they are forgotten.
+	Tasks []Task `json:"tasks,omitempty"`
+	// Calls are all urgent calls in progress.
+	Calls []Running `json:"calls,omitempty"`
+	Usage []Usage   `json:"usage,omitempty"`
+}
+
+// LeaseRequest asks for the lease of a worker or renews it.
+type LeaseRequest struct {
+	Holder string `json:"holder"`
+	// Boot must be the boot id that Until and Tasks were derived from.
+	Boot string `json:"boot"`
+	// Until is the wanted end of the holder's lease, Tasks that of all task leases, in the worker's clock.
+	Until time.Duration `json:"until"`
+	Tasks time.Duration `json:"tasks"`
+	// Seen is the change number of the last status the holder has processed, 0 for a full list.
+	Seen uint64 `json:"seen,omitempty"`
+}
+
+// Fence identifies the lease under which a message is sent. The worker refuses a message with another boot
+// or grant, or one that arrives after Before.
+type Fence struct {
+	Boot  string `json:"boot"`
+	Grant uint64 `json:"grant"`
+	// Before is in the worker's clock.
+	Before time.Duration `json:"before"`
+}
+
+// Order starts a task attempt.
+type Order struct {
+	Fence
+	Task       string `json:"task"`
+	Attempt    int    `json:"attempt"`
+	Class      string `json:"class"`
+	Size       Size   `json:"size"`
+	Checkpoint []byte `json:"checkpoint,omitempty"`
+	Body       []byte `json:"body,omitempty"`
+}
+
+// Action is what a holder may do to a running task attempt.
+type Action string
+
+// The actions of Control.
+const (
+	// ActionThrottle sets the share of a task.
+	ActionThrottle Action = "throttle"
+	// ActionCheckpoint makes the task write a checkpoint and go on.
+	ActionCheckpoint Action = "checkpoint"
+	// ActionStop makes the task write a checkpoint, if it can, and stop.
+	ActionStop Action = "stop"
+)
+
+// Control acts on a running task attempt.
+type Control struct {
+	Fence
+	Task    string `json:"task"`
+	Attempt int    `json:"attempt"`
+	Action  Action `json:"action"`
+	// Share is in percent, for ActionThrottle.
+	Share int `json:"share,omitempty"`
+}
+
+// Call runs an urgent request.
+type Call struct {
+	Fence
+	Request string `json:"request"`
+	Attempt int    `json:"attempt"`
+	Class   string `json:"class"`
+	Body    []byte `json:"body,omitempty"`
+}
+
+// Answer is the answer to a Call.
+type Answer struct {
+	Request string `json:"request"`
+	Attempt int    `json:"attempt"`
+	Body    []byte `json:"body"`
+	// Digest is the xxhash64 of Body.
+	Digest uint64 `json:"digest"`
+	// Took is the execution time at the worker.
+	Took time.Duration `json:"took"`
+	// Failed is set when the backend server ran the call and it ended in an error, described by Body.
+	Failed bool `json:"failed,omitempty"`
+}
+
+// CallState is what a worker knows of a call.
+type CallState string
+
+// The states of a call.
+const (
+	// CallNever means that the worker, since its boot, has not started the call.
+	// It is final once the worker's clock has passed the call's Before.
+	CallNever   CallState = "never"
+	CallRunning CallState = "running"
+	CallDone    CallState = "done"
+)
+
+// CallStatus answers a look-up of a call.
+type CallStatus struct {
+	Boot   string        `json:"boot"`
+	Clock  time.Duration `json:"clock"`
+	State  CallState     `json:"state"`
+	Answer *Answer       `json:"answer,omitempty"`
+}
--- /dev/null
+++ b/internal/platform/journal/journal.go
@@ -0,0 +1,31 @@
+// Package journal describes the platform's append-only log and provides its HTTP client.
+package journal
+
+import (
+	"github.com/cockroachdb/errors"
+)
+
+// ErrExpired is returned by a read that starts before the oldest retained record.
+var ErrExpired = errors.New("journal: offset is older than the oldest retained record")
+
+// ErrRejected is returned by an append that the log certainly did not carry out.
+// Any other append error leaves it open whether the append took effect.
+var ErrRejected = errors.New("journal: append was rejected")
+
+// Record is one stored record of a stream.
+type Record struct {
+	// Offset is the position in the stream. Offsets grow by one per record.
+	Offset uint64 `json:"offset"`
+	// Data is the payload, opaque to the log.
+	Data []byte `json:"data"`
+}
+
+// Page is the result of one read.
+type Page struct {
+	// First is the offset of the oldest retained record.
+	First uint64 `json:"first"`
+	// Next is the offset that the next append gets. A reader whose position equals Next has reached the end.
+	Next uint64 `json:"next"`
+	// Records are in offset order without gaps, starting at the offset that was asked for.
+	Records []Record `json:"records"`
+}
--- /dev/null
+++ b/internal/stream/record/record_test.go
@@ -0,0 +1,77 @@
+package record
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+type sample struct {
+	Name string `msgpack:"name"`
+	N    int    `msgpack:"n"`
+}
+
+// Guards against items that change on their way through the log.
+func TestEnvelopeRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := sample{Name: rapid.String().Draw(t, "name"), N: rapid.Int().Draw(t, "n")}
+		item, err := Seal("sample", v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := Encode(Envelope{Writer: "w", Seq: 1, Items: []Item{item}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		e, err := Decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Open[sample](e.Items[0])
+		if err != nil || got != v {
+			t.Fatalf("got %+v, %v; want %+v", got, err, v)
+		}
+	})
+}
+
+// Guards against a reader that applies a record of a newer format as if it understood it.
+func TestDecodeRefusesNewerVersion(t *testing.T) {
+	Convey("A newer envelope version is an error of its own", t, func() {
+		data, err := Encode(Envelope{Writer: "w", Seq: 1})
+		So(err, ShouldBeNil)
+		i := indexOf(data, "version")
+		data[i] = Version + 1
+		_, err = Decode(data)
+		So(errors.Is(err, ErrVersion), ShouldBeTrue)
+	})
+}
+
+// indexOf returns the index of the byte after the given map key.
+func indexOf(data []byte, key string) int {
+	for i := range data {
+		if i+len(key) < len(data) && string(data[i:i+len(key)]) == key {
+			return i + len(key)
+		}
+	}
+	return -1
+}
+
+// FuzzDecode guards against input from the log that crashes a reader.
+func FuzzDecode(f *testing.F) {
+	item, _ := Seal("sample", sample{Name: "a", N: 1})
+	data, _ := Encode(Envelope{Writer: "w", Seq: 1, Items: []Item{item}})
+	f.Add(data)
+	f.Add(data[:len(data)/2])
+	f.Add([]byte{0xc1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e, err := Decode(data)
+		if err != nil {
+			return
+		}
+		for _, i := range e.Items {
+			_, _ = Open[sample](i)
+		}
+	})
+}
