--- /dev/null
+++ b/internal/host/peer/message.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/request/outcome"
+)
+
+// State is what entry hosts tell each other about themselves.
+type State struct {
+	Host   string `msgpack:"host"`
+	Zone   string `msgpack:"zone"`
+	Region string `msgpack:"region"`
+	// Version is the version of the configuration that the host follows, Age how long ago that
+	// configuration was known to be the newest.
+	Version uint64        `msgpack:"version"`
+	Age     time.Duration `msgpack:"age"`
+	// Free is the number of free slots on the workers that the host holds, Held the number of those workers.
+	Free    int  `msgpack:"free"`
+	Held    int  `msgpack:"held"`
+	Ready   bool `msgpack:"ready"`
+	Leaving bool `msgpack:"leaving,omitempty"`
+}
+
+// Sync exchanges states. A host whose version is behind gets the newer configuration with the reply.
+type Sync struct {
+	State State `msgpack:"state"`
+}
+
+// SyncReply answers Sync.
+type SyncReply struct {
+	State State `msgpack:"state"`
+	// Config is the configuration of State.Version, present if it is newer than the asker's.
+	Config []byte `msgpack:"config,omitempty"`
+}
+
+// Call passes a request on to a host that has a worker for it. It is not passed on again.
+type Call struct {
+	Request string `msgpack:"request"`
+	Class   string `msgpack:"class"`
+	Team    string `msgpack:"team"`
+	Key     string `msgpack:"key,omitempty"`
+	Body    []byte `msgpack:"body"`
+	// Left is the time left until the request's deadline when the message was sent.
+	Left time.Duration `msgpack:"left"`
+}
+
+// CallReply answers Call.
+type CallReply struct {
+	Reply outcome.Reply `msgpack:"reply"`
+}
+
+// JobAction is what a Job message asks for.
+type JobAction string
+
+// The actions of Job.
+const (
+	JobSubmit JobAction = "submit"
+	JobShow   JobAction = "show"
+	JobList   JobAction = "list"
+	JobCancel JobAction = "cancel"
+)
+
+// Job concerns a job of the zone of the host that gets the message.
+type Job struct {
+	Action JobAction `msgpack:"action"`
+	// ID is the job or task.
+	ID string `msgpack:"id,omitempty"`
+	// Record is the encoded accept record, for JobSubmit.
+	Record []byte        `msgpack:"record,omitempty"`
+	Left   time.Duration `msgpack:"left"`
+}
+
+// JobReply answers Job.
+type JobReply struct {
+	Reply outcome.Reply `msgpack:"reply"`
+	// View is the JSON form of the job, if there is one.
+	View []byte `msgpack:"view,omitempty"`
+}
--- /dev/null
+++ b/internal/host/peer/peer.go
@@ -0,0 +1,208 @@
+// Package peer is the drpc surface between entry hosts.
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+)
+
+const (
+	// maxMessage is the largest message in bytes: a whole configuration or a request body with its envelope.
+	maxMessage = 4 << 20
+	// dialTimeout bounds the time to open a connection to a peer.
+	dialTimeout = 2 * time.Second
+	// idleExpiry closes pooled connections that were not used for a while.
+	idleExpiry = 20 * time.Second
+	// perPeer bounds the idle connections kept for one peer.
+	perPeer = 32
+	// idleServer closes connections whose client sent nothing for this long.
+	idleServer = 60 * time.Second
+)
+
+// The names of the methods.
+const (
+	methodSync = "/sassafraswind/Sync"
+	methodCall = "/sassafraswind/Call"
+	methodJob  = "/sassafraswind/Job"
+)
+
+// Node is what the peer surface needs of the entry host.
+type Node interface {
+	Sync(ctx context.Context, r Sync) (SyncReply, error)
+	PeerCall(ctx context.Context, r Call) (CallReply, error)
+	PeerJob(ctx context.Context, r Job) (JobReply, error)
+}
+
+// codec encodes messages with msgpack.
+type codec struct{}
+
+// Marshal implements drpc.Encoding.
+func (codec) Marshal(msg drpc.Message) ([]byte, error) { return msgpack.Marshal(msg) }
+
+// Unmarshal implements drpc.Encoding.
+func (codec) Unmarshal(buf []byte, msg drpc.Message) error { return msgpack.Unmarshal(buf, msg) }
+
+// handler serves one method on a stream.
+type handler func(stream drpc.Stream) error
+
+// handle makes the handler of a unary method.
+func handle[Req, Rep any](fn func(context.Context, Req) (Rep, error)) handler {
+	return func(stream drpc.Stream) error {
+		var req Req
+		if err := stream.MsgRecv(&req, codec{}); err != nil {
+			return errors.Wrap(err, "peer: receive")
+		}
+		rep, err := fn(stream.Context(), req)
+		if err != nil {
+			return err
+		}
+		return errors.Wrap(stream.MsgSend(&rep, codec{}), "peer: send")
+	}
+}
+
+// router dispatches methods by name.
+type router map[string]handler
+
+// HandleRPC implements drpc.Handler.
+func (r router) HandleRPC(stream drpc.Stream, rpc string) error {
+	h, ok := r[rpc]
+	if !ok {
+		return errors.Newf("peer: unknown method %q", rpc)
+	}
+	return h(stream)
+}
+
+// Serve answers peers on the listener until the returned function is called. Calls in progress are
+// cancelled then, so that a planned stop has to wait for them first.
+func Serve(l net.Listener, n Node, logError func(error)) (*drpcserver.Server, func()) {
+	routes := router{
+		methodSync: handle(n.Sync),
+		methodCall: handle(n.PeerCall),
+		methodJob:  handle(n.PeerJob),
+	}
+	s := drpcserver.NewWithOptions(routes, drpcserver.Options{
+		Manager: drpcmanager.Options{
+			Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
+			InactivityTimeout: idleServer,
+		},
+		Log: logError,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := s.Serve(ctx, l); err != nil && ctx.Err() == nil {
+			logError(errors.Wrap(err, "peer: serve"))
+		}
+	}()
+	return s, func() {
+		cancel()
+		<-done
+	}
+}
+
+// ErrNotSent is returned when no connection to the peer could be opened, so that the peer got nothing.
+var ErrNotSent = errors.New("peer: message was not sent")
+
+// Client sends messages to peers over pooled connections.
+type Client struct {
+	pool *drpcpool.Pool[string, *drpcconn.Conn]
+	// count is told the sizes of sent and received messages.
+	count func(addr, method string, sent, received int)
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithCounter sets a function that is told the sizes of all messages in bytes.
+func WithCounter(fn func(addr, method string, sent, received int)) Option {
+	return func(c *Client) { c.count = fn }
+}
+
+// NewClient returns a client and its clean-up function.
+func NewClient(opts ...Option) (*Client, func()) {
+	c := &Client{
+		pool:  drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{Expiration: idleExpiry, KeyCapacity: perPeer}),
+		count: func(string, string, int, int) {},
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c, func() { _ = c.pool.Close() }
+}
+
+// Sync exchanges states with a peer.
+func (c *Client) Sync(ctx context.Context, addr string, r Sync) (SyncReply, error) {
+	return invoke[Sync, SyncReply](ctx, c, addr, methodSync, r)
+}
+
+// Call passes a request on to a peer. ErrNotSent means that the peer did not get it.
+func (c *Client) Call(ctx context.Context, addr string, r Call) (CallReply, error) {
+	return invoke[Call, CallReply](ctx, c, addr, methodCall, r)
+}
+
+// Job asks a peer about a job of its zone.
+func (c *Client) Job(ctx context.Context, addr string, r Job) (JobReply, error) {
+	return invoke[Job, JobReply](ctx, c, addr, methodJob, r)
+}
+
+// counted is a codec that keeps the sizes of the last messages.
+type counted struct {
+	codec
+	sent, received int
+}
+
+// Marshal implements drpc.Encoding.
+func (c *counted) Marshal(msg drpc.Message) ([]byte, error) {
+	data, err := c.codec.Marshal(msg)
+	c.sent = len(data)
+	return data, err
+}
+
+// Unmarshal implements drpc.Encoding.
+func (c *counted) Unmarshal(buf []byte, msg drpc.Message) error {
+	c.received = len(buf)
+	return c.codec.Unmarshal(buf, msg)
+}
+
+// invoke sends one message and waits for its reply. Every call needs a deadline in ctx: a connection whose peer
+// went silent is closed when it passes, and the next call dials a new one.
+func invoke[Req, Rep any](ctx context.Context, c *Client, addr, method string, req Req) (Rep, error) {
+	var rep Rep
+	if _, ok := ctx.Deadline(); !ok {
+		return rep, errors.Newf("peer: %s to %s without a deadline", method, addr)
+	}
+	var dialErr error
+	conn := c.pool.Get(ctx, addr, func(ctx context.Context, addr string) (*drpcconn.Conn, error) {
+		d := net.Dialer{Timeout: dialTimeout}
+		raw, err := d.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			dialErr = err
+			return nil, err
+		}
+		return drpcconn.NewWithOptions(raw, drpcconn.Options{
+			Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage}},
+		}), nil
+	})
+	defer func() { _ = conn.Close() }()
+	enc := &counted{}
+	err := conn.Invoke(ctx, method, enc, &req, &rep)
+	c.count(addr, method, enc.sent, enc.received)
+	if dialErr != nil {
+		return rep, errors.Wrapf(errors.Mark(dialErr, ErrNotSent), "peer: dial %s", addr)
+	}
+	if err != nil {
+		return rep, errors.Wrapf(err, "peer: %s to %s", method, addr)
+	}
+	return rep, nil
+}
--- /dev/null
+++ b/internal/host/telemetry/logger.go
@@ -0,0 +1,59 @@
+// Package telemetry sets up the logs and metrics of an entry host.
+package telemetry
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// partField is the log field that names the part of the program.
+const partField = "part"
+
+// prefixFormatter puts the name of the part before the message.
+type prefixFormatter struct {
+	logrus.Formatter
+}
+
+// Format implements logrus.Formatter.
+func (f prefixFormatter) Format(e *logrus.Entry) ([]byte, error) {
+	part, ok := e.Data[partField].(string)
+	if !ok {
+		return f.Formatter.Format(e)
+	}
+	c := *e
+	c.Message = part + ": " + e.Message
+	c.Data = make(logrus.Fields, len(e.Data))
+	for k, v := range e.Data {
+		if k != partField {
+			c.Data[k] = v
+		}
+	}
+	return f.Formatter.Format(&c)
+}
+
+// NewLogger returns a logger that writes to w. The format is "text" or "json".
+func NewLogger(w io.Writer, level, format string) (*logrus.Logger, error) {
+	l := logrus.New()
+	l.SetOutput(w)
+	lv, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrapf(err, "telemetry: log level %q", level)
+	}
+	l.SetLevel(lv)
+	switch format {
+	case "json":
+		l.SetFormatter(prefixFormatter{&logrus.JSONFormatter{}})
+	case "text":
+		l.SetFormatter(prefixFormatter{&logrus.TextFormatter{FullTimestamp: true, DisableColors: true}})
+	default:
+		return nil, errors.Newf("telemetry: log format %q is neither text nor json", format)
+	}
+	return l, nil
+}
+
+// Part returns a log entry whose messages start with the name of the part.
+func Part(l logrus.FieldLogger, part string) *logrus.Entry {
+	return l.WithField(partField, part)
+}
--- /dev/null
+++ b/internal/host/telemetry/metrics.go
@@ -0,0 +1,160 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// secondsBuckets are the upper bounds of the histograms of times, in seconds.
+var secondsBuckets = []float64{
+	0.0005, 0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015, 0.02, 0.03, 0.05, 0.075,
+	0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 2, 5, 10, 30, 60, 300, 1800, 7200,
+}
+
+// Metrics holds the instruments of an entry host. Its methods are safe for concurrent use.
+type Metrics struct {
+	handler http.Handler
+	meter   metric.Meter
+
+	wait   metric.Float64Histogram
+	run    metric.Float64Histogram
+	answer metric.Float64Histogram
+	queued metric.Float64Histogram
+
+	requests  metric.Int64Counter
+	refusals  metric.Int64Counter
+	retries   metric.Int64Counter
+	hedges    metric.Int64Counter
+	starts    metric.Int64Counter
+	ends      metric.Int64Counter
+	evictions metric.Int64Counter
+	throttles metric.Int64Counter
+	bytes     metric.Int64Counter
+}
+
+// NewMetrics returns the instruments of the host, and a clean-up function.
+func NewMetrics(host, zone string) (*Metrics, func(), error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "telemetry: prometheus exporter")
+	}
+	view := sdk.NewView(
+		sdk.Instrument{Kind: sdk.InstrumentKindHistogram},
+		sdk.Stream{Aggregation: sdk.AggregationExplicitBucketHistogram{Boundaries: secondsBuckets}},
+	)
+	provider := sdk.NewMeterProvider(sdk.WithReader(exporter), sdk.WithView(view))
+	m := &Metrics{
+		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		meter:   provider.Meter("sassafraswind", metric.WithInstrumentationAttributes(attribute.String("host", host), attribute.String("zone", zone))),
+	}
+	if err := m.create(); err != nil {
+		return nil, nil, err
+	}
+	return m, func() { _ = provider.Shutdown(context.Background()) }, nil
+}
+
+// create makes the instruments.
+func (m *Metrics) create() error {
+	var errs error
+	histogram := func(name, text string) metric.Float64Histogram {
+		h, err := m.meter.Float64Histogram(name, metric.WithDescription(text), metric.WithUnit("s"))
+		errs = errors.CombineErrors(errs, err)
+		return h
+	}
+	counter := func(name, text string) metric.Int64Counter {
+		c, err := m.meter.Int64Counter(name, metric.WithDescription(text))
+		errs = errors.CombineErrors(errs, err)
+		return c
+	}
+	m.wait = histogram("sassafraswind.request.wait", "Time from arrival to the send to a worker, per class and team.")
+	m.run = histogram("sassafraswind.request.run", "Execution time at the worker, per class and team.")
+	m.answer = histogram("sassafraswind.request.answer", "Time from arrival to the reply to the caller, per class and team.")
+	m.queued = histogram("sassafraswind.task.wait", "Time a task was pending before its start, per class and team.")
+	m.requests = counter("sassafraswind.requests", "Requests by class, team and outcome.")
+	m.refusals = counter("sassafraswind.refusals", "Requests that were not answered, by class and reason.")
+	m.retries = counter("sassafraswind.retries", "Sends after the first one, by class.")
+	m.hedges = counter("sassafraswind.hedges", "Hedged sends, by class.")
+	m.starts = counter("sassafraswind.task.starts", "Started task attempts, by class.")
+	m.ends = counter("sassafraswind.task.ends", "Ended task attempts, by class and state.")
+	m.evictions = counter("sassafraswind.task.evictions", "Evicted task attempts, by class and reason.")
+	m.throttles = counter("sassafraswind.task.throttles", "Throttle changes of tasks, by class.")
+	m.bytes = counter("sassafraswind.region.bytes", "Bytes to and from other regions, by purpose and direction.")
+	return errors.Wrap(errs, "telemetry: instruments")
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Gauge registers a gauge whose value is read at each scrape.
+func (m *Metrics) Gauge(name, text string, read func() float64) error {
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(text),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return errors.Wrapf(err, "telemetry: gauge %s", name)
+}
+
+// Request is what is counted of one answered request.
+type Request struct {
+	Class, Team, Outcome, Reason string
+	Wait, Run, Answer            time.Duration
+	Retries, Hedges              int
+}
+
+// Request counts one request.
+func (m *Metrics) Request(ctx context.Context, r Request) {
+	who := metric.WithAttributes(attribute.String("class", r.Class), attribute.String("team", r.Team))
+	class := metric.WithAttributes(attribute.String("class", r.Class))
+	m.answer.Record(ctx, r.Answer.Seconds(), who)
+	m.requests.Add(ctx, 1, who, metric.WithAttributes(attribute.String("outcome", r.Outcome)))
+	if r.Reason != "" {
+		m.refusals.Add(ctx, 1, class, metric.WithAttributes(attribute.String("reason", r.Reason)))
+	}
+	if r.Run > 0 {
+		m.wait.Record(ctx, r.Wait.Seconds(), who)
+		m.run.Record(ctx, r.Run.Seconds(), who)
+	}
+	if r.Retries > 0 {
+		m.retries.Add(ctx, int64(r.Retries), class)
+	}
+	if r.Hedges > 0 {
+		m.hedges.Add(ctx, int64(r.Hedges), class)
+	}
+}
+
+// TaskStarted counts a start and the time the task was pending.
+func (m *Metrics) TaskStarted(ctx context.Context, class, team string, pending time.Duration) {
+	m.starts.Add(ctx, 1, metric.WithAttributes(attribute.String("class", class)))
+	m.queued.Record(ctx, pending.Seconds(), metric.WithAttributes(attribute.String("class", class), attribute.String("team", team)))
+}
+
+// TaskEnded counts an ended attempt.
+func (m *Metrics) TaskEnded(ctx context.Context, class, state string) {
+	m.ends.Add(ctx, 1, metric.WithAttributes(attribute.String("class", class), attribute.String("state", state)))
+}
+
+// TaskEvicted counts an evicted attempt.
+func (m *Metrics) TaskEvicted(ctx context.Context, class, reason string) {
+	m.evictions.Add(ctx, 1, metric.WithAttributes(attribute.String("class", class), attribute.String("reason", reason)))
+}
+
+// TaskThrottled counts a change of a task's share.
+func (m *Metrics) TaskThrottled(ctx context.Context, class string) {
+	m.throttles.Add(ctx, 1, metric.WithAttributes(attribute.String("class", class)))
+}
+
+// RegionBytes counts bytes that cross the link between regions.
+func (m *Metrics) RegionBytes(ctx context.Context, purpose, direction string, n int) {
+	m.bytes.Add(ctx, int64(n), metric.WithAttributes(attribute.String("purpose", purpose), attribute.String("direction", direction)))
+}
--- /dev/null
+++ b/internal/request/outcome/outcome.go
@@ -0,0 +1,83 @@
+// Package outcome defines what a caller is told about a request.
+package outcome
+
+import "time"
+
+// Outcome tells whether a request was run.
+type Outcome string
+
+// The three outcomes.
+const (
+	// Done means that the request ran and the whole answer is in the reply.
+	Done Outcome = "done"
+	// NotRun means that the request was not run and will not be run.
+	NotRun Outcome = "not_run"
+	// Unknown means that the request may or may not have been run.
+	Unknown Outcome = "unknown"
+)
+
+// Reason says why a request was not answered.
+type Reason string
+
+// The reasons. They are labels of the refusal counters, so there are few of them.
+const (
+	ReasonNone       Reason = ""
+	ReasonInvalid    Reason = "invalid"
+	ReasonConflict   Reason = "conflict"
+	ReasonExpired    Reason = "expired"
+	ReasonBusy       Reason = "busy"
+	ReasonDeadline   Reason = "deadline"
+	ReasonNoWorker   Reason = "no_worker"
+	ReasonRefused    Reason = "refused"
+	ReasonLog        Reason = "log"
+	ReasonWorker     Reason = "worker"
+	ReasonPeer       Reason = "peer"
+	ReasonStopping   Reason = "stopping"
+	ReasonNotReady   Reason = "not_ready"
+	ReasonCancelled  Reason = "cancelled"
+	ReasonClosed     Reason = "closed"
+	ReasonNotFound   Reason = "not_found"
+	ReasonNeverFits  Reason = "never_fits"
+	ReasonTooLarge   Reason = "too_large"
+	ReasonQuota      Reason = "quota"
+	ReasonUnexpected Reason = "unexpected"
+	// ReasonAccepted marks a Done reply to a job that was accepted and runs later.
+	ReasonAccepted Reason = "accepted"
+)
+
+// Reply is the result of a request as the entry host reports it.
+type Reply struct {
+	Outcome Outcome `msgpack:"outcome"`
+	Reason  Reason  `msgpack:"reason,omitempty"`
+	// Message is a sentence for people.
+	Message string `msgpack:"message,omitempty"`
+	// Field names the field of the request that Message is about, if any.
+	Field string `msgpack:"field,omitempty"`
+	// RetryAfter is when another try makes sense, 0 if that is not known.
+	RetryAfter time.Duration `msgpack:"after,omitempty"`
+	// Body is the answer of the backend server, for Done.
+	Body []byte `msgpack:"body,omitempty"`
+	// Failed is set when the backend server ran the request and it ended in an error.
+	Failed bool `msgpack:"failed,omitempty"`
+	// Worker is the worker that answered, Attempts the number of sends.
+	Worker   string `msgpack:"worker,omitempty"`
+	Attempts int    `msgpack:"tries,omitempty"`
+	// Wait is the time before the send of the answered attempt, Run the execution time at the worker.
+	Wait time.Duration `msgpack:"wait,omitempty"`
+	Run  time.Duration `msgpack:"run,omitempty"`
+}
+
+// Refuse returns a NotRun reply.
+func Refuse(reason Reason, message string) Reply {
+	return Reply{Outcome: NotRun, Reason: reason, Message: message}
+}
+
+// Invalid returns a NotRun reply for a bad field that every host refuses alike.
+func Invalid(field, message string) Reply {
+	return Reply{Outcome: NotRun, Reason: ReasonInvalid, Field: field, Message: message}
+}
+
+// Doubt returns an Unknown reply.
+func Doubt(reason Reason, message string) Reply {
+	return Reply{Outcome: Unknown, Reason: reason, Message: message}
+}
