Add the platform clients and the stand-ins of the log and the host list

A message for which no connection was had is reported as not sent; every later failure stays ambiguous.

--- /dev/null
+++ b/internal/platform/fleet/client.go
@@ -0,0 +1,284 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/platform/httpcall"
+)
+
+// ErrNotSent is returned when no connection to the worker could be had, so that nothing was sent.
+// Unlike ErrRefused it says nothing about the worker, but like it the message was certainly not carried out.
+var ErrNotSent = errors.New("fleet: nothing was sent to the worker")
+
+// ErrAnswer is returned by Call and Lookup when the reply does not belong to the call or is damaged.
+// The outcome of the call is unknown.
+var ErrAnswer = errors.New("fleet: answer does not match the call")
+
+// MaxConnections is the most connections that the client opens to one worker.
+const MaxConnections = 64
+
+const (
+	defaultTimeout = 2 * time.Second
+	defaultCall    = 30 * time.Second
+	dialTimeout    = time.Second
+	// idleTimeout is two lease renewals. Renewals use the newest idle connection, so older ones expire.
+	idleTimeout = 4 * time.Second
+)
+
+// TaskRef names a task attempt.
+type TaskRef struct {
+	ID      string `json:"id"`
+	Attempt int    `json:"attempt"`
+}
+
+// Forget is the message that drops finished task attempts from the worker's status.
+type Forget struct {
+	Fence
+	Tasks []TaskRef `json:"tasks"`
+}
+
+// Problem is the body of every reply of a worker that is not a success.
+type Problem struct {
+	// Error describes the failure.
+	Error string `json:"error"`
+	// Refused is set when the worker did not and will not carry out the message.
+	Refused bool `json:"refused,omitempty"`
+	// Held is set when another holder has the lease.
+	Held bool `json:"held,omitempty"`
+	// Subject and Attempt repeat the task or request of the refused message, so that a reply to another message
+	// is not mistaken for a refusal of this one.
+	Subject string `json:"subject,omitempty"`
+	Attempt int    `json:"attempt,omitempty"`
+}
+
+// Client is the HTTP client of all workers. It keeps one connection pool per worker.
+type Client struct {
+	timeout time.Duration
+	call    time.Duration
+
+	mu    sync.Mutex
+	pools map[string]*http.Transport
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithTimeout sets the longest time that a message other than a call may take. The default is 2 s.
+func WithTimeout(d time.Duration) Option {
+	return func(c *Client) { c.timeout = d }
+}
+
+// WithCallTimeout sets the longest time that a call may take. The default is 30 s.
+func WithCallTimeout(d time.Duration) Option {
+	return func(c *Client) { c.call = d }
+}
+
+// NewClient returns a client and its clean-up function, which closes all idle connections.
+func NewClient(opts ...Option) (*Client, func()) {
+	c := &Client{timeout: defaultTimeout, call: defaultCall, pools: map[string]*http.Transport{}}
+	for _, o := range opts {
+		o(c)
+	}
+	return c, c.close
+}
+
+// Drop closes the idle connections of a worker that is no longer used and frees its pool.
+func (c *Client) Drop(addr string) {
+	c.mu.Lock()
+	t := c.pools[addr]
+	delete(c.pools, addr)
+	c.mu.Unlock()
+	if t != nil {
+		t.CloseIdleConnections()
+	}
+}
+
+// Status returns the full state of the worker at addr (host:port).
+func (c *Client) Status(ctx context.Context, addr string) (Status, error) {
+	return exchange[Status](ctx, c, addr, message{step: "status", method: http.MethodGet, path: "/status"})
+}
+
+// Lease takes or renews the lease. It returns ErrHeld, wrapped, when another holder has it.
+func (c *Client) Lease(ctx context.Context, addr string, l LeaseRequest) (Status, error) {
+	s, err := exchange[Status](ctx, c, addr, message{step: "lease", path: "/lease", body: l})
+	if err == nil && (s.Holder != l.Holder || s.Boot != l.Boot) {
+		return Status{}, errors.Newf("fleet: lease at %s: reply is for holder %q, boot %q", addr, s.Holder, s.Boot)
+	}
+	return s, err
+}
+
+// Release gives the lease back. Task leases are not changed.
+func (c *Client) Release(ctx context.Context, addr string, f Fence) error {
+	_, err := exchange[struct{}](ctx, c, addr, message{step: "release", path: "/release", body: f})
+	return err
+}
+
+// Start starts a task attempt. It returns ErrRefused or ErrNotSent, wrapped, if the attempt certainly was not and
+// will not be started by this message.
+func (c *Client) Start(ctx context.Context, addr string, o Order) error {
+	ref, err := exchange[TaskRef](ctx, c, addr, message{
+		step: "start", path: "/start", body: o, subject: o.Task, attempt: o.Attempt,
+	})
+	if err == nil && ref != (TaskRef{ID: o.Task, Attempt: o.Attempt}) {
+		return errors.Newf("fleet: start at %s: reply is for task %s attempt %d", addr, ref.ID, ref.Attempt)
+	}
+	return err
+}
+
+// Control acts on a running task attempt and returns its state afterwards.
+func (c *Client) Control(ctx context.Context, addr string, m Control) (Task, error) {
+	t, err := exchange[Task](ctx, c, addr, message{
+		step: "control", path: "/control", body: m, subject: m.Task, attempt: m.Attempt,
+	})
+	if err == nil && (t.ID != m.Task || t.Attempt != m.Attempt) {
+		return Task{}, errors.Newf("fleet: control at %s: reply is for task %s attempt %d", addr, t.ID, t.Attempt)
+	}
+	return t, err
+}
+
+// Forget drops finished task attempts from the worker's status. Running or unknown attempts are left alone.
+func (c *Client) Forget(ctx context.Context, addr string, f Fence, tasks []TaskRef) error {
+	_, err := exchange[struct{}](ctx, c, addr, message{step: "forget", path: "/forget", body: Forget{Fence: f, Tasks: tasks}})
+	return err
+}
+
+// Call runs an urgent request and returns its answer. It returns ErrRefused or ErrNotSent, wrapped, if the request
+// certainly was not and will not be started by this message, and ErrAnswer, wrapped, for an answer that is not whole or
+// belongs to another call.
+func (c *Client) Call(ctx context.Context, addr string, m Call) (Answer, error) {
+	a, err := exchange[Answer](ctx, c, addr, message{
+		step: "call", path: "/call", body: m, subject: m.Request, attempt: m.Attempt, timeout: c.call,
+	})
+	if err != nil {
+		return Answer{}, err
+	}
+	if err := check(a, m.Request, m.Attempt); err != nil {
+		return Answer{}, errors.Wrapf(err, "call at %s", addr)
+	}
+	return a, nil
+}
+
+// Lookup returns what the worker knows of a call.
+func (c *Client) Lookup(ctx context.Context, addr, request string, attempt int) (CallStatus, error) {
+	s, err := exchange[CallStatus](ctx, c, addr, message{
+		step: "lookup", method: http.MethodGet,
+		path: "/call/" + url.PathEscape(request) + "/" + strconv.Itoa(attempt),
+	})
+	if err != nil {
+		return CallStatus{}, err
+	}
+	switch s.State {
+	case CallNever, CallRunning:
+		if s.Answer != nil {
+			return CallStatus{}, errors.Wrapf(ErrAnswer, "lookup at %s: answer in state %s", addr, s.State)
+		}
+	case CallDone:
+		if s.Answer == nil {
+			return CallStatus{}, errors.Wrapf(ErrAnswer, "lookup at %s: no answer in state done", addr)
+		}
+		if err := check(*s.Answer, request, attempt); err != nil {
+			return CallStatus{}, errors.Wrapf(err, "lookup at %s", addr)
+		}
+	default:
+		return CallStatus{}, errors.Wrapf(ErrAnswer, "lookup at %s: unknown state %q", addr, s.State)
+	}
+	return s, nil
+}
+
+// check returns ErrAnswer, wrapped, unless the answer is whole and belongs to the given call.
+func check(a Answer, request string, attempt int) error {
+	if a.Request != request || a.Attempt != attempt {
+		return errors.Wrapf(ErrAnswer, "answer is for request %s attempt %d", a.Request, a.Attempt)
+	}
+	if xxhash.Sum64(a.Body) != a.Digest {
+		return errors.Wrapf(ErrAnswer, "digest of %d body bytes differs", len(a.Body))
+	}
+	return nil
+}
+
+// message is one request to a worker. The method is POST unless set.
+type message struct {
+	step    string
+	method  string
+	path    string
+	body    any
+	subject string
+	attempt int
+	timeout time.Duration
+}
+
+// exchange sends a message and decodes the reply, mapping the worker's problems to the errors of this package.
+func exchange[T any](ctx context.Context, c *Client, addr string, m message) (T, error) {
+	var zero, v T
+	var body []byte
+	if m.method == "" {
+		m.method = http.MethodPost
+		data, err := json.Marshal(m.body)
+		if err != nil {
+			return zero, errors.Wrapf(errors.Mark(err, ErrNotSent), "fleet: encode %s for %s", m.step, addr)
+		}
+		body = data
+	}
+	if m.timeout == 0 {
+		m.timeout = c.timeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.timeout)
+	defer cancel()
+	pool := c.pool(addr)
+	reply, err := httpcall.Do(ctx, pool, m.method, "http://"+addr+m.path, body)
+	if err != nil {
+		if httpcall.IsTimeout(err) {
+			// Connections tend to go silent together, so none of the idle ones is used again.
+			pool.CloseIdleConnections()
+		}
+		if errors.Is(err, httpcall.ErrNotSent) {
+			err = errors.Mark(err, ErrNotSent)
+		}
+		return zero, errors.Wrapf(err, "fleet: %s at %s", m.step, addr)
+	}
+	if reply.Status != http.StatusOK {
+		var p Problem
+		if json.Unmarshal(reply.Body, &p) != nil {
+			return zero, errors.Newf("fleet: %s at %s: status %d", m.step, addr, reply.Status)
+		}
+		switch {
+		case p.Held:
+			return zero, errors.Wrapf(ErrHeld, "%s at %s: %s", m.step, addr, p.Error)
+		case p.Refused && p.Subject == m.subject && p.Attempt == m.attempt:
+			return zero, errors.Wrapf(ErrRefused, "%s at %s: %s", m.step, addr, p.Error)
+		}
+		return zero, errors.Newf("fleet: %s at %s: status %d: %s", m.step, addr, reply.Status, p.Error)
+	}
+	if err := reply.Decode(&v); err != nil {
+		return zero, errors.Wrapf(err, "fleet: %s at %s", m.step, addr)
+	}
+	return v, nil
+}
+
+func (c *Client) pool(addr string) *http.Transport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.pools[addr]
+	if t == nil {
+		t = httpcall.NewTransport(MaxConnections, dialTimeout, idleTimeout)
+		c.pools[addr] = t
+	}
+	return t
+}
+
+func (c *Client) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.pools {
+		t.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/internal/platform/journal/client.go
@@ -0,0 +1,149 @@
+package journal
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/platform/httpcall"
+)
+
+const (
+	defaultTimeout = 5 * time.Second
+	// pollGrace is how long the reply to a long poll may take beyond its wait.
+	pollGrace   = 2 * time.Second
+	dialTimeout = time.Second
+	idleTimeout = 4 * time.Second
+	maxConns    = 16
+)
+
+// Problem is the body of every reply that is not a success.
+type Problem struct {
+	// Error describes the failure.
+	Error string `json:"error"`
+	// Rejected is set when the append certainly was not carried out.
+	Rejected bool `json:"rejected,omitempty"`
+	// First and Next describe the stream of a read that starts before the oldest retained record.
+	First uint64 `json:"first,omitempty"`
+	Next  uint64 `json:"next,omitempty"`
+}
+
+// Client is the HTTP client of the log service.
+type Client struct {
+	base      string
+	timeout   time.Duration
+	transport *http.Transport
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithTimeout sets the deadline of appends, and of reads in addition to their wait. The default is 5 s.
+func WithTimeout(d time.Duration) Option {
+	return func(c *Client) { c.timeout = d }
+}
+
+// NewClient returns a client for the log service at base, such as http://10.0.0.5:7000, and its clean-up function.
+func NewClient(base string, opts ...Option) (*Client, func()) {
+	c := &Client{
+		base:      strings.TrimSuffix(base, "/"),
+		timeout:   defaultTimeout,
+		transport: httpcall.NewTransport(maxConns, dialTimeout, idleTimeout),
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c, c.transport.CloseIdleConnections
+}
+
+// Append appends one record and returns its offset. It returns ErrRejected, wrapped, if the append certainly did
+// not take effect. After any other error it may have taken effect or may still do so.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	if data == nil {
+		data = []byte{}
+	}
+	reply, err := c.do(ctx, c.timeout, http.MethodPost, "/streams/"+url.PathEscape(stream), data)
+	if err != nil {
+		if errors.Is(err, httpcall.ErrNotSent) {
+			err = errors.Mark(err, ErrRejected)
+		}
+		return 0, errors.Wrapf(err, "journal: append to %s at %s", stream, c.base)
+	}
+	if reply.Status != http.StatusOK {
+		p := problem(reply)
+		if p.Rejected {
+			return 0, errors.Wrapf(ErrRejected, "append to %s at %s: status %d: %s", stream, c.base, reply.Status, p.Error)
+		}
+		return 0, errors.Newf("journal: append to %s at %s: status %d: %s", stream, c.base, reply.Status, p.Error)
+	}
+	var a struct {
+		Offset *uint64 `json:"offset"`
+	}
+	if err := reply.Decode(&a); err != nil {
+		return 0, errors.Wrapf(err, "journal: append to %s at %s", stream, c.base)
+	}
+	if a.Offset == nil {
+		return 0, errors.Newf("journal: append to %s at %s: reply without offset", stream, c.base)
+	}
+	return *a.Offset, nil
+}
+
+// Read returns up to limit records from the given offset on. If there are none it waits for one, for at most wait.
+// If the offset is no longer retained it returns ErrExpired, wrapped, and a page with First and Next only.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Page, error) {
+	q := url.Values{}
+	q.Set("from", strconv.FormatUint(from, 10))
+	q.Set("limit", strconv.Itoa(limit))
+	q.Set("wait", wait.String())
+	timeout := c.timeout
+	if wait > 0 {
+		timeout = wait + max(c.timeout, pollGrace)
+	}
+	reply, err := c.do(ctx, timeout, http.MethodGet, "/streams/"+url.PathEscape(stream)+"?"+q.Encode(), nil)
+	if err != nil {
+		return Page{}, errors.Wrapf(err, "journal: read %s at %s", stream, c.base)
+	}
+	switch reply.Status {
+	case http.StatusOK:
+	case http.StatusGone:
+		p := problem(reply)
+		return Page{First: p.First, Next: p.Next}, errors.Wrapf(ErrExpired, "read %s from %d at %s", stream, from, c.base)
+	default:
+		return Page{}, errors.Newf("journal: read %s at %s: status %d: %s", stream, c.base, reply.Status, problem(reply).Error)
+	}
+	var p Page
+	if err := reply.Decode(&p); err != nil {
+		return Page{}, errors.Wrapf(err, "journal: read %s at %s", stream, c.base)
+	}
+	for i, r := range p.Records {
+		if r.Offset != from+uint64(i) {
+			return Page{}, errors.Newf("journal: read %s at %s: offset %d where %d was due", stream, c.base, r.Offset, from+uint64(i))
+		}
+	}
+	return p, nil
+}
+
+func (c *Client) do(ctx context.Context, timeout time.Duration, method, path string, body []byte) (httpcall.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	reply, err := httpcall.Do(ctx, c.transport, method, c.base+path, body)
+	if err != nil && httpcall.IsTimeout(err) {
+		// The other pooled connections may have gone silent as well.
+		c.transport.CloseIdleConnections()
+	}
+	return reply, err
+}
+
+func problem(r httpcall.Reply) Problem {
+	var p Problem
+	if json.Unmarshal(r.Body, &p) != nil {
+		return Problem{Error: "reply is not a problem document"}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/standin/hostlist/hostlist.go
@@ -0,0 +1,150 @@
+// Package hostlist is a stand-in for the platform's lagging list of hosts.
+package hostlist
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"sassafraswind.example/sassafraswind/internal/platform/roster"
+)
+
+// ErrOutage is returned while the list is switched off.
+var ErrOutage = errors.New("hostlist: outage")
+
+// List is a list of hosts that shows each change only after a lag. Its methods may be called from several goroutines.
+type List struct {
+	clock func() time.Time
+
+	mu     sync.Mutex
+	lag    time.Duration
+	outage bool
+	shown  []roster.Host
+	// pending holds the changes not shown yet, oldest first.
+	pending []change
+}
+
+type change struct {
+	at    time.Time
+	hosts []roster.Host
+}
+
+// New returns a list that shows the given hosts at once. The clock may be nil for time.Now.
+func New(hosts []roster.Host, lag time.Duration, clock func() time.Time) *List {
+	if clock == nil {
+		clock = time.Now
+	}
+	return &List{clock: clock, lag: lag, shown: slices.Clone(hosts)}
+}
+
+// Hosts returns the list as it was one lag ago.
+func (l *List) Hosts(ctx context.Context) ([]roster.Host, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Wrap(err, "hostlist: hosts")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.outage {
+		return nil, ErrOutage
+	}
+	now := l.clock()
+	for len(l.pending) > 0 && !l.pending[0].at.Add(l.lag).After(now) {
+		l.shown, l.pending = l.pending[0].hosts, l.pending[1:]
+	}
+	return slices.Clone(l.shown), nil
+}
+
+// Set replaces the whole list.
+func (l *List) Set(hosts []roster.Host) {
+	l.update(func([]roster.Host) []roster.Host { return slices.Clone(hosts) })
+}
+
+// Put adds a host or replaces the one with the same id.
+func (l *List) Put(h roster.Host) {
+	l.update(func(hosts []roster.Host) []roster.Host {
+		if i := index(hosts, h.ID); i >= 0 {
+			hosts[i] = h
+			return hosts
+		}
+		return append(hosts, h)
+	})
+}
+
+// Remove removes a host.
+func (l *List) Remove(id string) {
+	l.update(func(hosts []roster.Host) []roster.Host {
+		return slices.DeleteFunc(hosts, func(h roster.Host) bool { return h.ID == id })
+	})
+}
+
+// SetLeaving marks a host as leaving or not. Unknown ids are ignored.
+func (l *List) SetLeaving(id string, leaving bool) {
+	l.update(func(hosts []roster.Host) []roster.Host {
+		if i := index(hosts, id); i >= 0 {
+			hosts[i].Leaving = leaving
+		}
+		return hosts
+	})
+}
+
+// SetOutage switches the list off or on.
+func (l *List) SetOutage(outage bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outage = outage
+}
+
+func (l *List) update(f func([]roster.Host) []roster.Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	latest := l.shown
+	if n := len(l.pending); n > 0 {
+		latest = l.pending[n-1].hosts
+	}
+	l.pending = append(l.pending, change{at: l.clock(), hosts: f(slices.Clone(latest))})
+}
+
+func index(hosts []roster.Host, id string) int {
+	return slices.IndexFunc(hosts, func(h roster.Host) bool { return h.ID == id })
+}
+
+// Handler serves the list over HTTP: GET /hosts shows it, POST /hosts adds or replaces one host, PUT /hosts replaces the
+// list, DELETE /hosts/{id} removes a host.
+func Handler(l *List) http.Handler {
+	r := chi.NewRouter()
+	r.Get("/hosts", func(w http.ResponseWriter, r *http.Request) {
+		hosts, err := l.Hosts(r.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// A failed write means that the client is gone.
+		_ = json.NewEncoder(w).Encode(hosts)
+	})
+	r.Post("/hosts", body(l.Put))
+	r.Put("/hosts", body(l.Set))
+	r.Delete("/hosts/{id}", func(w http.ResponseWriter, r *http.Request) {
+		l.Remove(chi.URLParam(r, "id"))
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return r
+}
+
+func body[T any](f func(T)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var v T
+		if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		f(v)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- /dev/null
+++ b/internal/standin/logservice/http.go
@@ -0,0 +1,97 @@
+package logservice
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"sassafraswind.example/sassafraswind/internal/platform/journal"
+)
+
+// MaxRecord is the largest record in bytes that the handler takes.
+const MaxRecord = 1 << 20
+
+// Handler serves the log over HTTP. POST /faults replaces the fault switches, GET /faults shows them; durations are in
+// nanoseconds.
+func Handler(l *Log) http.Handler {
+	r := chi.NewRouter()
+	r.Post("/streams/{stream}", func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxRecord))
+		if err != nil {
+			reply(w, http.StatusBadRequest, journal.Problem{Error: err.Error(), Rejected: true})
+			return
+		}
+		offset, err := l.Append(r.Context(), chi.URLParam(r, "stream"), data)
+		switch {
+		case errors.Is(err, journal.ErrRejected):
+			reply(w, http.StatusTooManyRequests, journal.Problem{Error: err.Error(), Rejected: true})
+		case errors.Is(err, ErrAnswerLost):
+			// The connection is closed without a reply.
+			panic(http.ErrAbortHandler)
+		case err != nil:
+			reply(w, http.StatusServiceUnavailable, journal.Problem{Error: err.Error()})
+		default:
+			reply(w, http.StatusOK, map[string]uint64{"offset": offset})
+		}
+	})
+	r.Get("/streams/{stream}", func(w http.ResponseWriter, r *http.Request) {
+		from, limit, wait, err := query(r)
+		if err != nil {
+			reply(w, http.StatusBadRequest, journal.Problem{Error: err.Error()})
+			return
+		}
+		page, err := l.Read(r.Context(), chi.URLParam(r, "stream"), from, limit, wait)
+		switch {
+		case errors.Is(err, journal.ErrExpired):
+			reply(w, http.StatusGone, journal.Problem{Error: err.Error(), First: page.First, Next: page.Next})
+		case err != nil:
+			reply(w, http.StatusServiceUnavailable, journal.Problem{Error: err.Error()})
+		default:
+			reply(w, http.StatusOK, page)
+		}
+	})
+	r.Get("/faults", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, l.Faults()) })
+	r.Post("/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			reply(w, http.StatusBadRequest, journal.Problem{Error: err.Error()})
+			return
+		}
+		l.SetFaults(f)
+		reply(w, http.StatusOK, f)
+	})
+	return r
+}
+
+// query reads the parameters of a read. All may be left out.
+func query(r *http.Request) (from uint64, limit int, wait time.Duration, err error) {
+	q := r.URL.Query()
+	if v := q.Get("from"); v != "" {
+		if from, err = strconv.ParseUint(v, 10, 64); err != nil {
+			return 0, 0, 0, errors.Wrap(err, "from")
+		}
+	}
+	if v := q.Get("limit"); v != "" {
+		if limit, err = strconv.Atoi(v); err != nil {
+			return 0, 0, 0, errors.Wrap(err, "limit")
+		}
+	}
+	if v := q.Get("wait"); v != "" {
+		if wait, err = time.ParseDuration(v); err != nil {
+			return 0, 0, 0, errors.Wrap(err, "wait")
+		}
+	}
+	return from, limit, wait, nil
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the client is gone.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/logservice/log.go
@@ -0,0 +1,253 @@
+// Package logservice is a stand-in for the platform's append-only log service: an in-process core with fault
+// switches and its HTTP handler.
+package logservice
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+
+	"sassafraswind.example/sassafraswind/internal/platform/journal"
+)
+
+// Errors of Append and Read, in addition to those of package journal.
+var (
+	// ErrOutage leaves it open whether an append took effect, as a failing service does.
+	ErrOutage = errors.New("logservice: outage")
+	// ErrAnswerLost is returned by an append that took effect.
+	ErrAnswerLost = errors.New("logservice: answer lost")
+)
+
+// MaxLimit is the most records that one read returns.
+const MaxLimit = 1000
+
+// Faults are the fault switches. The zero value is a healthy log.
+type Faults struct {
+	// Outage fails every append and read. Appends have no effect.
+	Outage bool `json:"outage"`
+	// Delay passes before an append or read is carried out. It isn't carried out if its context ends first.
+	Delay time.Duration `json:"delay"`
+	// Lose makes appends take effect and return ErrAnswerLost.
+	Lose bool `json:"lose"`
+	// Late passes before an append takes effect, even if its context ends first.
+	Late time.Duration `json:"late"`
+	// Rate is the limit of appends a second over all streams. 0 is no limit.
+	Rate float64 `json:"rate"`
+	// Count and Age are the retention of each stream. 0 is no limit.
+	Count int           `json:"count"`
+	Age   time.Duration `json:"age"`
+}
+
+// Log is an append-only log. Its methods may be called from several goroutines.
+type Log struct {
+	clock func() time.Time
+
+	mu     sync.Mutex
+	faults Faults
+	// limit is nil when appends are not limited.
+	limit   *rate.Limiter
+	streams map[string]*stream
+	// changed is closed and replaced on each append and on each change of the faults.
+	changed chan struct{}
+}
+
+type stream struct {
+	// next equals first plus the number of entries.
+	first, next uint64
+	entries     []entry
+}
+
+type entry struct {
+	data []byte
+	at   time.Time
+}
+
+// Option changes a Log.
+type Option func(*Log)
+
+// WithClock sets the clock used for retention and for the rate limit. The default is time.Now.
+func WithClock(clock func() time.Time) Option {
+	return func(l *Log) { l.clock = clock }
+}
+
+// WithFaults sets the initial fault switches.
+func WithFaults(f Faults) Option {
+	return func(l *Log) { l.faults = f }
+}
+
+// New returns an empty log.
+func New(opts ...Option) *Log {
+	l := &Log{clock: time.Now, streams: map[string]*stream{}, changed: make(chan struct{})}
+	for _, o := range opts {
+		o(l)
+	}
+	l.SetFaults(l.faults)
+	return l
+}
+
+// Faults returns the fault switches.
+func (l *Log) Faults() Faults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults
+}
+
+// SetFaults replaces the fault switches.
+func (l *Log) SetFaults(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if f.Rate <= 0 {
+		l.limit = nil
+	} else if l.limit == nil || f.Rate != l.faults.Rate {
+		l.limit = rate.NewLimiter(rate.Limit(f.Rate), max(1, int(f.Rate/10)))
+	}
+	l.faults = f
+	l.notify()
+}
+
+// Append appends one record and returns its offset. It returns journal.ErrRejected, wrapped, above the rate limit.
+func (l *Log) Append(ctx context.Context, name string, data []byte) (uint64, error) {
+	f := l.Faults()
+	if err := sleep(ctx, f.Delay); err != nil {
+		return 0, errors.Wrapf(err, "logservice: append to %s", name)
+	}
+	if f.Outage {
+		return 0, errors.Wrapf(ErrOutage, "append to %s", name)
+	}
+	l.mu.Lock()
+	allowed := l.limit == nil || l.limit.AllowN(l.clock(), 1)
+	l.mu.Unlock()
+	if !allowed {
+		return 0, errors.Wrapf(journal.ErrRejected, "append to %s: rate limit", name)
+	}
+	data = append([]byte(nil), data...)
+	offset := l.effect(ctx, name, data, f.Late)
+	if err := ctx.Err(); err != nil {
+		return 0, errors.Wrapf(err, "logservice: append to %s", name)
+	}
+	if f.Lose {
+		return 0, errors.Wrapf(ErrAnswerLost, "append to %s", name)
+	}
+	return offset, nil
+}
+
+// effect stores the record after late. If the context ends first, it returns at once and the record is stored all
+// the same.
+func (l *Log) effect(ctx context.Context, name string, data []byte, late time.Duration) uint64 {
+	if late <= 0 {
+		return l.store(name, data)
+	}
+	stored := make(chan uint64, 1)
+	time.AfterFunc(late, func() { stored <- l.store(name, data) })
+	select {
+	case offset := <-stored:
+		return offset
+	case <-ctx.Done():
+		return 0
+	}
+}
+
+// Read returns up to limit records from the given offset on. If there are none it waits for one, for at most wait.
+// If the offset is no longer retained it returns journal.ErrExpired, wrapped, and a page with First and Next only.
+func (l *Log) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (journal.Page, error) {
+	if err := sleep(ctx, l.Faults().Delay); err != nil {
+		return journal.Page{}, errors.Wrapf(err, "logservice: read %s", name)
+	}
+	if limit <= 0 || limit > MaxLimit {
+		limit = MaxLimit
+	}
+	timer := time.NewTimer(max(wait, 0))
+	defer timer.Stop()
+	for waiting := wait > 0; ; {
+		page, changed, err := l.page(name, from, limit)
+		if err != nil || len(page.Records) > 0 || !waiting {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			waiting = false
+		case <-ctx.Done():
+			return journal.Page{}, errors.Wrapf(ctx.Err(), "logservice: read %s", name)
+		}
+	}
+}
+
+// page returns what is stored now, and a channel that is closed at the next change.
+func (l *Log) page(name string, from uint64, limit int) (journal.Page, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Outage {
+		return journal.Page{}, nil, errors.Wrapf(ErrOutage, "read %s", name)
+	}
+	s := l.stream(name)
+	l.expire(s)
+	p := journal.Page{First: s.first, Next: s.next, Records: []journal.Record{}}
+	if from < s.first {
+		return p, nil, errors.Wrapf(journal.ErrExpired, "read %s from %d, oldest is %d", name, from, s.first)
+	}
+	for o := from; o < s.next && len(p.Records) < limit; o++ {
+		data := append([]byte(nil), s.entries[o-s.first].data...)
+		p.Records = append(p.Records, journal.Record{Offset: o, Data: data})
+	}
+	return p, l.changed, nil
+}
+
+func (l *Log) store(name string, data []byte) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	offset := s.next
+	s.entries = append(s.entries, entry{data: data, at: l.clock()})
+	s.next++
+	l.expire(s)
+	l.notify()
+	return offset
+}
+
+func (l *Log) stream(name string) *stream {
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (l *Log) expire(s *stream) {
+	n := 0
+	if c := l.faults.Count; c > 0 {
+		n = max(0, len(s.entries)-c)
+	}
+	if age := l.faults.Age; age > 0 {
+		oldest := l.clock().Add(-age)
+		for n < len(s.entries) && s.entries[n].at.Before(oldest) {
+			n++
+		}
+	}
+	clear(s.entries[:n])
+	s.entries = s.entries[n:]
+	s.first += uint64(n)
+}
+
+func (l *Log) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if err := ctx.Err(); err != nil || d <= 0 {
+		return err
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
