Add the core of the stand-in worker

Its clock is injected, so that property tests can drive it step by step. A ledger shared by several workers counts work beyond capacity and double execution across all of them.

--- /dev/null
+++ b/internal/standin/backend/call.go
@@ -0,0 +1,152 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+)
+
+// ErrLost is returned by Run for a call that was in progress when the worker restarted.
+var ErrLost = errors.New("backend: call was lost in a restart")
+
+// call is an urgent request, in progress until answer is set.
+type call struct {
+	class string
+	// digest is the xxhash64 of the request body.
+	digest  uint64
+	fail    bool
+	started time.Duration
+	left    time.Duration
+	answer  *fleet.Answer
+}
+
+// Echo is the body of the stand-in's answers.
+type Echo struct {
+	Request string `json:"request"`
+	// Digest is the xxhash64 of the request body in hexadecimal digits.
+	Digest string `json:"digest"`
+	Worker string `json:"worker,omitempty"`
+	Error  string `json:"error,omitempty"`
+}
+
+func (c *call) finish(k callKey, now time.Duration) {
+	e := Echo{Request: k.request, Digest: fmt.Sprintf("%016x", c.digest)}
+	if c.fail {
+		e.Error = "failed"
+	}
+	body, _ := json.Marshal(e)
+	c.answer = &fleet.Answer{
+		Request: k.request, Attempt: k.attempt, Body: body, Digest: xxhash.Sum64(body),
+		Took: now - c.started, Failed: c.fail,
+	}
+}
+
+// Begin starts a call. It returns fleet.ErrRefused, wrapped, if the call was not started. A repeated message for a call
+// that is known succeeds without effect.
+func (w *Worker) Begin(m fleet.Call) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.enter(); err != nil {
+		return err
+	}
+	k := callKey{request: m.Request, attempt: m.Attempt}
+	if w.calls[k] != nil {
+		return nil
+	}
+	if err := w.check(m.Fence); err != nil {
+		return err
+	}
+	switch {
+	case w.faults.Leaving:
+		return errors.Wrap(fleet.ErrRefused, "worker is leaving")
+	case len(w.active) >= w.cfg.Slots:
+		w.ledger.overload()
+		return errors.Wrapf(fleet.ErrRefused, "all %d slots are occupied", w.cfg.Slots)
+	}
+	b, run := parse(m.Body, defaultCall)
+	c := &call{
+		class: m.Class, digest: xxhash.Sum64(m.Body), fail: b.Fail || w.faults.Fail, started: w.at,
+		left: time.Duration(float64(run) * w.slowdown(m.Class)),
+	}
+	if w.faults.Fail {
+		c.left = min(c.left, failAfter)
+	}
+	w.calls[k], w.active[k] = c, c
+	w.ledger.called(m.Request, m.Attempt)
+	return nil
+}
+
+// Lookup returns what the worker knows of a call.
+func (w *Worker) Lookup(request string, attempt int) (fleet.CallStatus, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.enter(); err != nil {
+		return fleet.CallStatus{}, err
+	}
+	return w.lookup(callKey{request: request, attempt: attempt}), nil
+}
+
+// Run begins a call and waits in real time for its answer. If the context ends first, the call goes on.
+func (w *Worker) Run(ctx context.Context, m fleet.Call) (fleet.Answer, error) {
+	if err := w.Begin(m); err != nil {
+		return fleet.Answer{}, err
+	}
+	k := callKey{request: m.Request, attempt: m.Attempt}
+	for {
+		w.mu.Lock()
+		w.advance()
+		s, left, changed := w.lookup(k), time.Hour, w.changed
+		if c := w.active[k]; c != nil && !w.faults.Freeze {
+			left = c.left
+		}
+		w.mu.Unlock()
+		switch {
+		case s.State == fleet.CallNever:
+			return fleet.Answer{}, errors.Wrapf(ErrLost, "request %s", m.Request)
+		case s.State == fleet.CallDone:
+			return *s.Answer, nil
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-timer.C:
+		case <-changed:
+		case <-ctx.Done():
+			timer.Stop()
+			return fleet.Answer{}, errors.Wrapf(ctx.Err(), "backend: request %s", m.Request)
+		}
+		timer.Stop()
+	}
+}
+
+func (w *Worker) lookup(k callKey) fleet.CallStatus {
+	s := fleet.CallStatus{Boot: w.boot(), Clock: w.at, State: fleet.CallNever}
+	if c := w.calls[k]; c != nil {
+		s.State = fleet.CallRunning
+		if c.answer != nil {
+			a := *c.answer
+			s.State, s.Answer = fleet.CallDone, &a
+		}
+	}
+	return s
+}
+
+// slowdown returns the factor by which the running tasks lengthen a call that starts now.
+func (w *Worker) slowdown(class string) float64 {
+	f := 1.0
+	if w.cfg.Factor == nil || w.cfg.Capacity.Cores == 0 {
+		return f
+	}
+	for _, t := range w.tasks {
+		if t.State == fleet.TaskRunning {
+			part := float64(t.use.Cores) * float64(t.Share) / 100 / float64(w.cfg.Capacity.Cores)
+			f += part * (w.cfg.Factor(class, t.Class) - 1)
+		}
+	}
+	return max(f, 1)
+}
--- /dev/null
+++ b/internal/standin/backend/task.go
@@ -0,0 +1,211 @@
+package backend
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+)
+
+const (
+	defaultTask  = time.Second
+	defaultCall  = 5 * time.Millisecond
+	defaultSteps = 10
+	// failAfter is the run time of whatever a worker that fails everything starts.
+	failAfter = 2 * time.Millisecond
+)
+
+// Body is the body of the stand-in's tasks and calls. All fields may be left out.
+type Body struct {
+	// RunMs is the true run time in ms, 1000 for tasks and 5 for calls by default.
+	RunMs float64 `json:"run_ms"`
+	Fail  bool    `json:"fail"`
+	// Steps is the number of steps of a task, 10 by default. A checkpoint holds the finished steps. A task with a
+	// negative number can't be checkpointed.
+	Steps int `json:"steps"`
+	// Use is the true use of a task, the declared size by default.
+	Use *fleet.Size `json:"use"`
+}
+
+func parse(data []byte, run time.Duration) (Body, time.Duration) {
+	var b Body
+	// A body of another form gets the defaults.
+	if json.Unmarshal(data, &b) != nil {
+		b = Body{}
+	}
+	if b.RunMs > 0 {
+		run = time.Duration(b.RunMs * float64(time.Millisecond))
+	}
+	if b.Steps == 0 {
+		b.Steps = defaultSteps
+	}
+	return b, run
+}
+
+// task is a task attempt.
+type task struct {
+	fleet.Task
+	changed uint64
+	use     fleet.Size
+	fail    bool
+	steps   int
+	// total is the true run time of the whole task, left the remainder for this attempt, both unthrottled.
+	total, left time.Duration
+}
+
+type checkpoint struct {
+	Step int `json:"step"`
+}
+
+func (t *task) ref() fleet.TaskRef { return fleet.TaskRef{ID: t.ID, Attempt: t.Attempt} }
+
+// remaining returns the time to the end at the present share, rounded up.
+func (t *task) remaining() time.Duration {
+	share := time.Duration(t.Share)
+	return max(1, (t.left*100+share-1)/share)
+}
+
+func (t *task) output() []byte {
+	out, _ := json.Marshal(map[string]any{"task": t.ID, "attempt": t.Attempt})
+	return out
+}
+
+func (t *task) write() {
+	if t.steps < 1 {
+		return
+	}
+	done := int(int64(t.total-t.left) * int64(t.steps) / int64(t.total))
+	t.Checkpoint, _ = json.Marshal(checkpoint{Step: done})
+}
+
+// Start starts a task attempt. It returns fleet.ErrRefused, wrapped, if the attempt was not started. A repeated
+// start of an attempt that is known succeeds without effect.
+func (w *Worker) Start(o fleet.Order) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.enter(); err != nil {
+		return err
+	}
+	if old := w.tasks[o.Task]; old != nil && old.Attempt == o.Attempt {
+		return nil
+	}
+	if w.seen[o.Task] == o.Attempt && o.Attempt > 0 {
+		return errors.Wrapf(ErrForgotten, "task %s attempt %d", o.Task, o.Attempt)
+	}
+	if err := w.check(o.Fence); err != nil {
+		return err
+	}
+	old := w.tasks[o.Task]
+	switch {
+	case w.faults.Leaving:
+		return errors.Wrap(fleet.ErrRefused, "worker is leaving")
+	case o.Attempt <= w.seen[o.Task]:
+		return errors.Wrapf(fleet.ErrRefused, "attempt %d of task %s is not its next one", o.Attempt, o.Task)
+	case old != nil && old.State == fleet.TaskRunning:
+		return errors.Wrapf(fleet.ErrRefused, "attempt %d of task %s is running", old.Attempt, o.Task)
+	case w.at >= w.tasksUntil:
+		return errors.Wrap(fleet.ErrRefused, "task lease has expired")
+	case !w.used().Add(o.Size).Fits(w.cfg.Capacity):
+		w.ledger.overload()
+		return errors.Wrapf(fleet.ErrRefused, "task %s does not fit", o.Task)
+	}
+	b, run := parse(o.Body, defaultTask)
+	t := &task{
+		Task: fleet.Task{
+			ID: o.Task, Attempt: o.Attempt, Class: o.Class, Size: o.Size,
+			State: fleet.TaskRunning, Share: 100, Checkpoint: o.Checkpoint,
+		},
+		use: o.Size, fail: b.Fail || w.faults.Fail, steps: b.Steps, total: run, left: run,
+	}
+	if b.Use != nil {
+		t.use = *b.Use
+	}
+	var c checkpoint
+	if b.Steps > 0 && json.Unmarshal(o.Checkpoint, &c) == nil {
+		t.left -= run * time.Duration(min(max(c.Step, 0), b.Steps)) / time.Duration(b.Steps)
+	}
+	if w.faults.Fail {
+		t.left = min(t.left, failAfter)
+	}
+	w.tasks[o.Task], w.seen[o.Task] = t, o.Attempt
+	w.touch(t)
+	w.ledger.started(w.cfg.ID, t.ref(), w.at+w.booted, w.tasksUntil+w.booted)
+	return nil
+}
+
+// Control acts on a running task attempt and returns its state afterwards. An attempt that has ended is returned
+// unchanged.
+func (w *Worker) Control(m fleet.Control) (fleet.Task, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.enter(); err != nil {
+		return fleet.Task{}, err
+	}
+	if err := w.check(m.Fence); err != nil {
+		return fleet.Task{}, err
+	}
+	t := w.tasks[m.Task]
+	if t == nil || t.Attempt != m.Attempt {
+		return fleet.Task{}, errors.Wrapf(fleet.ErrRefused, "task %s attempt %d is not known", m.Task, m.Attempt)
+	}
+	if t.State != fleet.TaskRunning {
+		return t.Task, nil
+	}
+	switch m.Action {
+	case fleet.ActionThrottle:
+		t.Share = min(max(m.Share, 0), 100)
+		w.touch(t)
+	case fleet.ActionCheckpoint:
+		t.write()
+		w.touch(t)
+	case fleet.ActionStop:
+		w.end(t, fleet.TaskStopped, nil)
+	default:
+		return fleet.Task{}, errors.Wrapf(fleet.ErrRefused, "unknown action %q", m.Action)
+	}
+	return t.Task, nil
+}
+
+// Forget drops ended task attempts from the status.
+func (w *Worker) Forget(f fleet.Fence, refs []fleet.TaskRef) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.enter(); err != nil {
+		return err
+	}
+	if err := w.check(f); err != nil {
+		return err
+	}
+	for _, r := range refs {
+		if t := w.tasks[r.ID]; t != nil && t.Attempt == r.Attempt && t.State != fleet.TaskRunning {
+			delete(w.tasks, r.ID)
+		}
+	}
+	return nil
+}
+
+func (w *Worker) used() fleet.Size {
+	var s fleet.Size
+	for _, t := range w.tasks {
+		if t.State == fleet.TaskRunning {
+			s = s.Add(t.Size)
+		}
+	}
+	return s
+}
+
+func (w *Worker) end(t *task, state fleet.TaskState, output []byte) {
+	if state == fleet.TaskStopped {
+		t.write()
+	}
+	t.State, t.Output = state, output
+	w.touch(t)
+	w.ledger.ended(w.cfg.ID, t.ref())
+}
+
+func (w *Worker) touch(t *task) {
+	w.change++
+	t.changed = w.change
+}
--- /dev/null
+++ b/internal/standin/backend/worker.go
@@ -0,0 +1,300 @@
+// Package backend is a stand-in for the platform's workers: an in-process core with fault switches that is driven by an
+// injected clock, and its HTTP handler.
+package backend
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+)
+
+// ErrUnreachable is returned by all methods while the worker is frozen or unreachable. The message had no effect.
+var ErrUnreachable = errors.New("backend: worker unreachable")
+
+// ErrForgotten is returned by a start of an attempt that was started before and is no longer known.
+var ErrForgotten = errors.New("backend: attempt was started before")
+
+// Faults are the fault switches. The zero value is a healthy worker.
+type Faults struct {
+	// Freeze stops the worker as a paused process: nothing makes progress, but its clock goes on.
+	Freeze bool `json:"freeze"`
+	// Fail makes everything fail that is started from now on.
+	Fail bool `json:"fail"`
+	// Leaving refuses new work.
+	Leaving bool `json:"leaving"`
+	// Unreachable cuts the worker off. What runs goes on.
+	Unreachable bool `json:"unreachable"`
+}
+
+// Config describes a worker. Zero durations are replaced by defaults.
+type Config struct {
+	ID          string
+	Capacity    fleet.Size
+	Slots       int
+	Connections int
+	// Window is the length of a usage report, 2 s by default, and Lag the age at which it appears, 4 s by default.
+	Window, Lag time.Duration
+	// Factor is the hidden slowdown of calls of the class urgent if tasks of the class batch use the whole worker; less
+	// use slows down in proportion. Nil is no slowdown.
+	Factor func(urgent, batch string) float64
+}
+
+// Worker is the core of one worker. Its methods may be called from several goroutines.
+type Worker struct {
+	cfg    Config
+	clock  func() time.Duration
+	ledger *Ledger
+
+	mu     sync.Mutex
+	faults Faults
+	// boots numbers the restarts. booted is the reading of clock at which the worker's own clock was zero.
+	boots  int
+	booted time.Duration
+	// at is the worker's clock up to which everything is accounted for.
+	at     time.Duration
+	holder string
+	grant  uint64
+	until  time.Duration
+	// tasksUntil is the end of all task leases. It never decreases between restarts.
+	tasksUntil time.Duration
+	change     uint64
+	tasks      map[string]*task
+	// seen has the highest attempt of each task started since the restart, forgotten ones included.
+	seen  map[string]int
+	calls map[callKey]*call
+	// active holds the calls in progress.
+	active map[callKey]*call
+	usage  usage
+	// changed is closed and replaced when the faults change or the worker restarts.
+	changed chan struct{}
+}
+
+// New returns a worker. The clock must not go backwards and must be the same for all workers that share the ledger.
+func New(cfg Config, clock func() time.Duration, ledger *Ledger) *Worker {
+	if cfg.Window <= 0 {
+		cfg.Window = 2 * time.Second
+	}
+	if cfg.Lag <= 0 {
+		cfg.Lag = 4 * time.Second
+	}
+	w := &Worker{cfg: cfg, clock: clock, ledger: ledger, changed: make(chan struct{})}
+	w.reset()
+	return w
+}
+
+// ID returns the worker's name.
+func (w *Worker) ID() string { return w.cfg.ID }
+
+// Restart ends everything that runs and starts the worker with a new boot id, a clock at zero and no memory.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	for _, t := range w.tasks {
+		if t.State == fleet.TaskRunning {
+			w.ledger.ended(w.cfg.ID, t.ref())
+		}
+	}
+	w.reset()
+	w.notify()
+}
+
+// Faults returns the fault switches.
+func (w *Worker) Faults() Faults {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faults
+}
+
+// SetFaults replaces the fault switches.
+func (w *Worker) SetFaults(f Faults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	w.faults = f
+	w.notify()
+}
+
+// Status returns the full state.
+func (w *Worker) Status() (fleet.Status, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.enter(); err != nil {
+		return fleet.Status{}, err
+	}
+	return w.status(0), nil
+}
+
+// Lease takes or renews the lease. It returns fleet.ErrHeld, wrapped, when another holder has it.
+func (w *Worker) Lease(l fleet.LeaseRequest) (fleet.Status, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.enter(); err != nil {
+		return fleet.Status{}, err
+	}
+	held := w.holder != "" && w.at < w.until
+	switch {
+	case l.Holder == "":
+		return fleet.Status{}, errors.Wrap(fleet.ErrRefused, "lease without holder")
+	case l.Boot != w.boot():
+		return fleet.Status{}, errors.Wrapf(fleet.ErrRefused, "lease for boot %s", l.Boot)
+	case l.Until <= w.at:
+		return fleet.Status{}, errors.Wrapf(fleet.ErrRefused, "lease until %s at %s", l.Until, w.at)
+	case held && w.holder != l.Holder:
+		return fleet.Status{}, errors.Wrapf(fleet.ErrHeld, "by %s", w.holder)
+	}
+	if w.holder != l.Holder {
+		w.holder, w.until = l.Holder, 0
+		w.grant++
+	}
+	// A renewal that was overtaken by a later one shortens nothing.
+	w.until = max(w.until, l.Until)
+	if l.Tasks > w.tasksUntil {
+		w.tasksUntil = l.Tasks
+		for _, t := range w.tasks {
+			if t.State == fleet.TaskRunning {
+				w.ledger.extended(w.cfg.ID, t.ref(), w.tasksUntil+w.booted)
+			}
+		}
+	}
+	return w.status(l.Seen), nil
+}
+
+// Release gives the lease back. Tasks go on until their own lease ends.
+func (w *Worker) Release(f fleet.Fence) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.enter(); err != nil {
+		return err
+	}
+	if err := w.check(f); err != nil {
+		return err
+	}
+	w.holder, w.until = "", w.at
+	return nil
+}
+
+func (w *Worker) reset() {
+	w.boots++
+	w.booted, w.at = w.clock(), 0
+	w.holder, w.grant, w.until, w.tasksUntil, w.change = "", 0, 0, 0, 0
+	w.tasks, w.seen = map[string]*task{}, map[string]int{}
+	w.calls, w.active = map[callKey]*call{}, map[callKey]*call{}
+	w.usage = usage{window: w.cfg.Window, classes: map[string]*meter{}}
+}
+
+func (w *Worker) boot() string { return fmt.Sprintf("%s-%d", w.cfg.ID, w.boots) }
+
+func (w *Worker) notify() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// enter brings the state up to the present and fails if no message can reach the worker.
+func (w *Worker) enter() error {
+	w.advance()
+	if w.faults.Freeze || w.faults.Unreachable {
+		return errors.Wrapf(ErrUnreachable, "worker %s", w.cfg.ID)
+	}
+	return nil
+}
+
+// check refuses a message that is late or was not sent under the current lease.
+func (w *Worker) check(f fleet.Fence) error {
+	switch {
+	case f.Boot != w.boot():
+		return errors.Wrapf(fleet.ErrRefused, "message for boot %s", f.Boot)
+	case f.Grant != w.grant:
+		return errors.Wrapf(fleet.ErrRefused, "message under grant %d, current is %d", f.Grant, w.grant)
+	case w.holder == "" || w.at >= w.until:
+		return errors.Wrap(fleet.ErrRefused, "lease has expired")
+	case w.at > f.Before:
+		return errors.Wrapf(fleet.ErrRefused, "message for no later than %s arrived at %s", f.Before, w.at)
+	}
+	return nil
+}
+
+// status returns the state with the tasks that changed after seen.
+func (w *Worker) status(seen uint64) fleet.Status {
+	s := fleet.Status{
+		Worker: w.cfg.ID, Boot: w.boot(), Clock: w.at, Grant: w.grant, Until: w.until,
+		Capacity: w.cfg.Capacity, Slots: w.cfg.Slots, Connections: w.cfg.Connections,
+		Leaving: w.faults.Leaving, Change: w.change, Usage: w.usage.report(w.at, w.cfg.Lag),
+	}
+	if w.at < w.until {
+		s.Holder = w.holder
+	}
+	for _, t := range w.tasks {
+		if t.changed > seen {
+			s.Tasks = append(s.Tasks, t.Task)
+		}
+	}
+	for k, c := range w.active {
+		s.Calls = append(s.Calls, fleet.Running{Request: k.request, Attempt: k.attempt, Class: c.class})
+	}
+	return s
+}
+
+// advance accounts for the time since the last message, in steps in which nothing changes.
+func (w *Worker) advance() {
+	now := w.clock() - w.booted
+	if w.faults.Freeze {
+		w.usage.skip(now)
+		w.at = now
+		return
+	}
+	w.settle()
+	for w.at < now {
+		next := min(now, w.usage.end())
+		if w.tasksUntil > w.at {
+			next = min(next, w.tasksUntil)
+		}
+		for _, t := range w.tasks {
+			if t.State == fleet.TaskRunning && t.Share > 0 {
+				next = min(next, w.at+t.remaining())
+			}
+		}
+		for _, c := range w.active {
+			next = min(next, w.at+c.left)
+		}
+		d := next - w.at
+		for _, t := range w.tasks {
+			if t.State == fleet.TaskRunning {
+				t.left -= d * time.Duration(t.Share) / 100
+				w.usage.add(t.Class, t.use, t.Share, d)
+			}
+		}
+		for _, c := range w.active {
+			c.left -= d
+		}
+		w.at = next
+		w.settle()
+		w.usage.roll(w.at)
+	}
+}
+
+// settle ends what is due: all tasks when their lease has expired, then what has finished.
+func (w *Worker) settle() {
+	for _, t := range w.tasks {
+		switch {
+		case t.State != fleet.TaskRunning:
+		case w.at >= w.tasksUntil:
+			w.end(t, fleet.TaskStopped, []byte("task lease expired"))
+		case t.left <= 0 && t.fail:
+			w.end(t, fleet.TaskFailed, []byte("failed"))
+		case t.left <= 0:
+			w.end(t, fleet.TaskDone, t.output())
+		}
+	}
+	for k, c := range w.active {
+		if c.left <= 0 {
+			c.finish(k, w.at)
+			w.usage.finished(c.class, c.answer.Took)
+			delete(w.active, k)
+		}
+	}
+}
