--- a/internal/standin/backend/call.go
+++ b/internal/standin/backend/call.go
@@ -106,10 +106,10 @@
 			left = c.left
 		}
 		w.mu.Unlock()
-		switch {
-		case s.State == fleet.CallNever:
+		switch s.State {
+		case fleet.CallNever:
 			return fleet.Answer{}, errors.Wrapf(ErrLost, "request %s", m.Request)
-		case s.State == fleet.CallDone:
+		case fleet.CallDone:
 			return *s.Answer, nil
 		}
 		timer := time.NewTimer(left)
--- /dev/null
+++ b/internal/standin/backend/http.go
@@ -0,0 +1,155 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+)
+
+// MaxBody is the largest message in bytes that the handler takes.
+const MaxBody = 8 << 20
+
+// Handler serves one worker over HTTP. While the worker is frozen, messages wait and are handled afterwards; while it is
+// unreachable, their connections are closed without a reply.
+func Handler(w *Worker) http.Handler {
+	r := chi.NewRouter()
+	r.Get("/status", handle(w, func(context.Context, struct{}) (fleet.Status, error) { return w.Status() }, nil))
+	r.Post("/lease", handle(w, func(_ context.Context, l fleet.LeaseRequest) (fleet.Status, error) { return w.Lease(l) }, nil))
+	r.Post("/release", handle(w, func(_ context.Context, f fleet.Fence) (struct{}, error) {
+		return struct{}{}, w.Release(f)
+	}, nil))
+	r.Post("/start", handle(w, func(_ context.Context, o fleet.Order) (fleet.TaskRef, error) {
+		return fleet.TaskRef{ID: o.Task, Attempt: o.Attempt}, w.Start(o)
+	}, func(o fleet.Order) fleet.TaskRef { return fleet.TaskRef{ID: o.Task, Attempt: o.Attempt} }))
+	r.Post("/control", handle(w, func(_ context.Context, m fleet.Control) (fleet.Task, error) {
+		return w.Control(m)
+	}, func(m fleet.Control) fleet.TaskRef { return fleet.TaskRef{ID: m.Task, Attempt: m.Attempt} }))
+	r.Post("/forget", handle(w, func(_ context.Context, m fleet.Forget) (struct{}, error) {
+		return struct{}{}, w.Forget(m.Fence, m.Tasks)
+	}, nil))
+	r.Post("/call", handle(w, w.Run, func(m fleet.Call) fleet.TaskRef {
+		return fleet.TaskRef{ID: m.Request, Attempt: m.Attempt}
+	}))
+	r.Get("/call/{request}/{attempt}", func(rw http.ResponseWriter, r *http.Request) {
+		request := chi.URLParam(r, "request")
+		attempt, err := strconv.Atoi(chi.URLParam(r, "attempt"))
+		if err != nil {
+			reply(rw, http.StatusBadRequest, fleet.Problem{Error: err.Error()})
+			return
+		}
+		handle(w, func(context.Context, struct{}) (fleet.CallStatus, error) {
+			return w.Lookup(request, attempt)
+		}, nil)(rw, r)
+	})
+	return r
+}
+
+// Admin serves the switches of several workers: GET /violations, and below /workers/{id} POST /faults, POST /restart and
+// POST /silence. The switches have a listener of their own, as they must work while a worker is unreachable.
+func Admin(servers []*Server, ledger *Ledger) http.Handler {
+	r := chi.NewRouter()
+	r.Get("/violations", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, ledger.Violations()) })
+	r.Post("/workers/{id}/{action}", func(w http.ResponseWriter, r *http.Request) {
+		for _, s := range servers {
+			if s.worker.ID() != chi.URLParam(r, "id") {
+				continue
+			}
+			switch chi.URLParam(r, "action") {
+			case "faults":
+				var f Faults
+				if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+					http.Error(w, err.Error(), http.StatusBadRequest)
+					return
+				}
+				s.worker.SetFaults(f)
+			case "restart":
+				s.worker.Restart()
+			case "silence":
+				s.Silence()
+			default:
+				http.NotFound(w, r)
+				return
+			}
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		http.NotFound(w, r)
+	})
+	return r
+}
+
+// handle decodes a message, carries it out and writes the result. The function subject names what a message is about.
+func handle[M, R any](w *Worker, do func(context.Context, M) (R, error), subject func(M) fleet.TaskRef) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		var m M
+		if r.Method == http.MethodPost {
+			if err := json.NewDecoder(http.MaxBytesReader(rw, r.Body, MaxBody)).Decode(&m); err != nil {
+				reply(rw, http.StatusBadRequest, fleet.Problem{Error: err.Error()})
+				return
+			}
+		}
+		w.gate()
+		v, err := do(r.Context(), m)
+		w.gate()
+		var ref fleet.TaskRef
+		if subject != nil {
+			ref = subject(m)
+		}
+		p := fleet.Problem{Subject: ref.ID, Attempt: ref.Attempt}
+		switch {
+		case err == nil:
+			reply(rw, http.StatusOK, v)
+			return
+		case errors.Is(err, fleet.ErrHeld):
+			p.Held = true
+		case errors.Is(err, fleet.ErrRefused):
+			p.Refused = true
+		case errors.Is(err, ErrForgotten):
+		default:
+			panic(http.ErrAbortHandler)
+		}
+		p.Error = err.Error()
+		reply(rw, http.StatusConflict, p)
+	}
+}
+
+// gate waits while the worker is frozen, and aborts the request if the worker is unreachable or closed. It waits even if
+// the client leaves, because a paused process reads what is in its socket buffers once it runs again.
+func (w *Worker) gate() {
+	for {
+		w.mu.Lock()
+		f, changed := w.faults, w.changed
+		w.mu.Unlock()
+		switch {
+		case f.Unreachable:
+			panic(http.ErrAbortHandler)
+		case !f.Freeze:
+			return
+		}
+		select {
+		case <-changed:
+		case <-w.closed:
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the client is gone.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Monotonic returns a clock that starts at zero now.
+func Monotonic() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
--- /dev/null
+++ b/internal/standin/backend/server.go
@@ -0,0 +1,117 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Server serves one worker on its own listener, whose open connections can be made silent.
+type Server struct {
+	worker *Worker
+	tap    *tap
+	http   *http.Server
+}
+
+// Serve starts to serve the worker on the listener and returns the server and its clean-up function, which waits up to
+// a second for calls in progress.
+func Serve(w *Worker, l net.Listener) (*Server, func()) {
+	s := &Server{
+		worker: w,
+		tap:    &tap{Listener: l, conns: map[*conn]struct{}{}},
+		http:   &http.Server{Handler: Handler(w), ReadHeaderTimeout: 10 * time.Second},
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		// Serve always returns an error, ErrServerClosed after the clean-up.
+		_ = s.http.Serve(s.tap)
+	}()
+	return s, func() {
+		w.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if s.http.Shutdown(ctx) != nil {
+			_ = s.http.Close()
+		}
+		<-done
+	}
+}
+
+// Worker returns the worker that is served.
+func (s *Server) Worker() *Worker { return s.worker }
+
+// Addr returns the address of the listener.
+func (s *Server) Addr() string { return s.tap.Addr().String() }
+
+// Silence makes all open connections silent for good: they stay open, but nothing is read from or written to them. New
+// connections work.
+func (s *Server) Silence() {
+	s.tap.mu.Lock()
+	defer s.tap.mu.Unlock()
+	for c := range s.tap.conns {
+		c.silent.Do(func() { close(c.silenced) })
+	}
+}
+
+// tap is a listener that knows its open connections.
+type tap struct {
+	net.Listener
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+func (t *tap) Accept() (net.Conn, error) {
+	nc, err := t.Listener.Accept()
+	if err != nil {
+		return nil, errors.Wrap(err, "backend: accept")
+	}
+	c := &conn{Conn: nc, tap: t, silenced: make(chan struct{}), closed: make(chan struct{})}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conns[c] = struct{}{}
+	return c, nil
+}
+
+type conn struct {
+	net.Conn
+	tap      *tap
+	silent   sync.Once
+	silenced chan struct{}
+	once     sync.Once
+	closed   chan struct{}
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	select {
+	case <-c.silenced:
+		<-c.closed
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	select {
+	case <-c.silenced:
+		return len(p), nil
+	default:
+		return c.Conn.Write(p)
+	}
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.tap.mu.Lock()
+		delete(c.tap.conns, c)
+		c.tap.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
--- a/internal/standin/backend/usage.go
+++ b/internal/standin/backend/usage.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"sassafraswind.example/sassafraswind/internal/platform/fleet"
@@ -71,6 +73,7 @@
 		}
 		r.entries = append(r.entries, e)
 	}
+	slices.SortFunc(r.entries, func(a, b fleet.Usage) int { return cmp.Compare(a.Class, b.Class) })
 	u.closed = append(u.closed, r)
 	u.start, u.classes = u.end(), map[string]*meter{}
 }
--- a/internal/standin/backend/worker.go
+++ b/internal/standin/backend/worker.go
@@ -3,7 +3,9 @@
 package backend
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +50,9 @@
 	cfg    Config
 	clock  func() time.Duration
 	ledger *Ledger
+	// closed ends the waiting of messages that a frozen worker has not handled.
+	closed    chan struct{}
+	closeOnce sync.Once
 
 	mu     sync.Mutex
 	faults Faults
@@ -81,7 +86,7 @@
 	if cfg.Lag <= 0 {
 		cfg.Lag = 4 * time.Second
 	}
-	w := &Worker{cfg: cfg, clock: clock, ledger: ledger, changed: make(chan struct{})}
+	w := &Worker{cfg: cfg, clock: clock, ledger: ledger, closed: make(chan struct{}), changed: make(chan struct{})}
 	w.reset()
 	return w
 }
@@ -89,6 +94,9 @@
 // ID returns the worker's name.
 func (w *Worker) ID() string { return w.cfg.ID }
 
+// Close drops the messages that wait for a frozen worker.
+func (w *Worker) Close() { w.closeOnce.Do(func() { close(w.closed) }) }
+
 // Restart ends everything that runs and starts the worker with a new boot id, a clock at zero and no memory.
 func (w *Worker) Restart() {
 	w.mu.Lock()
@@ -236,6 +244,11 @@
 	for k, c := range w.active {
 		s.Calls = append(s.Calls, fleet.Running{Request: k.request, Attempt: k.attempt, Class: c.class})
 	}
+	// A fixed order makes runs under an injected clock repeatable.
+	slices.SortFunc(s.Tasks, func(a, b fleet.Task) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(s.Calls, func(a, b fleet.Running) int {
+		return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Attempt, b.Attempt))
+	})
 	return s
 }
 
