--- /dev/null
+++ b/internal/platform/httpcall/httpcall_test.go
@@ -0,0 +1,68 @@
+package httpcall
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against a message that is sent twice because a reused connection failed under it.
+func TestDoSendsOnce(t *testing.T) {
+	Convey("A message on a reused connection that is closed unanswered is not sent again", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		var messages atomic.Int32
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					r := bufio.NewReader(c)
+					for {
+						req, err := http.ReadRequest(r)
+						if err != nil {
+							return
+						}
+						_, _ = io.Copy(io.Discard, req.Body)
+						if messages.Add(1) != 1 {
+							return
+						}
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+					}
+				}()
+			}
+		}()
+		tr := NewTransport(4, time.Second, time.Minute)
+		Reset(func() { tr.CloseIdleConnections(); l.Close() })
+		url := "http://" + l.Addr().String()
+		_, err = Do(context.Background(), tr, http.MethodPost, url, []byte("{}"))
+		So(err, ShouldBeNil)
+		_, err = Do(context.Background(), tr, http.MethodPost, url, []byte("{}"))
+		So(err, ShouldNotBeNil)
+		So(errors.Is(err, ErrNotSent), ShouldBeFalse)
+		So(messages.Load(), ShouldEqual, 2)
+	})
+}
+
+// Guards against a refused connection that is reported as an unknown outcome.
+func TestDoNotSent(t *testing.T) {
+	Convey("A failed dial is marked as not sent", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		addr := l.Addr().String()
+		l.Close()
+		_, err = Do(context.Background(), NewTransport(1, time.Second, time.Second), http.MethodPost, "http://"+addr, []byte("{}"))
+		So(errors.Is(err, ErrNotSent), ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/internal/standin/logservice/log_test.go
@@ -0,0 +1,129 @@
+package logservice
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"sassafraswind.example/sassafraswind/internal/platform/journal"
+)
+
+// Guards against a client that reports an append as rejected though it may have taken effect.
+func TestClientAppendOutcome(t *testing.T) {
+	Convey("Given a log behind HTTP", t, func() {
+		ctx := context.Background()
+		l := New()
+		srv := httptest.NewServer(Handler(l))
+		c, closeClient := journal.NewClient(srv.URL, journal.WithTimeout(200*time.Millisecond))
+		Reset(func() { closeClient(); srv.Close() })
+		read := func() int {
+			l.SetFaults(Faults{})
+			p, err := c.Read(ctx, "zone.a", 0, 10, 0)
+			So(err, ShouldBeNil)
+			return len(p.Records)
+		}
+
+		Convey("records come back as appended", func() {
+			o, err := c.Append(ctx, "zone.a", []byte{0, 1})
+			So(err, ShouldBeNil)
+			p, err := c.Read(ctx, "zone.a", o, 10, 0)
+			So(err, ShouldBeNil)
+			So(p, ShouldResemble, journal.Page{Next: 1, Records: []journal.Record{{Offset: 0, Data: []byte{0, 1}}}})
+		})
+		Convey("a lost answer is ambiguous and the record is there", func() {
+			l.SetFaults(Faults{Lose: true})
+			_, err := c.Append(ctx, "zone.a", []byte("x"))
+			So(err, ShouldNotBeNil)
+			So(errors.Is(err, journal.ErrRejected), ShouldBeFalse)
+			So(read(), ShouldEqual, 1)
+		})
+		Convey("a timed-out append is ambiguous", func() {
+			l.SetFaults(Faults{Late: 300 * time.Millisecond})
+			_, err := c.Append(ctx, "zone.a", []byte("x"))
+			So(err, ShouldNotBeNil)
+			So(errors.Is(err, journal.ErrRejected), ShouldBeFalse)
+			l.SetFaults(Faults{})
+			p, err := c.Read(ctx, "zone.a", 0, 10, time.Second)
+			So(err, ShouldBeNil)
+			So(p.Records, ShouldHaveLength, 1)
+		})
+		Convey("an outage is ambiguous", func() {
+			l.SetFaults(Faults{Outage: true})
+			_, err := c.Append(ctx, "zone.a", []byte("x"))
+			So(err, ShouldNotBeNil)
+			So(errors.Is(err, journal.ErrRejected), ShouldBeFalse)
+		})
+		Convey("the rate limit rejects", func() {
+			l.SetFaults(Faults{Rate: 0.001})
+			_, _ = c.Append(ctx, "zone.a", []byte("x"))
+			_, err := c.Append(ctx, "zone.a", []byte("x"))
+			So(errors.Is(err, journal.ErrRejected), ShouldBeTrue)
+			So(read(), ShouldEqual, 1)
+		})
+		Convey("a server that is gone rejects", func() {
+			srv.Close()
+			_, err := c.Append(ctx, "zone.a", []byte("x"))
+			So(errors.Is(err, journal.ErrRejected), ShouldBeTrue)
+		})
+		Convey("an expired offset is told with the present range", func() {
+			l.SetFaults(Faults{Count: 1})
+			_, _ = c.Append(ctx, "zone.a", []byte("x"))
+			_, _ = c.Append(ctx, "zone.a", []byte("y"))
+			p, err := c.Read(ctx, "zone.a", 0, 10, 0)
+			So(errors.Is(err, journal.ErrExpired), ShouldBeTrue)
+			So(p, ShouldResemble, journal.Page{First: 1, Next: 2})
+		})
+	})
+}
+
+// Guards against a delayed append that is dropped with its caller, and against a long poll that misses it.
+func TestLateEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := New(WithFaults(Faults{Late: 3 * time.Second, Age: time.Minute}))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		start := time.Now()
+		if _, err := l.Append(ctx, "keys", []byte("x")); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("append: %v", err)
+		}
+		p, err := l.Read(context.Background(), "keys", 0, 10, time.Minute)
+		if err != nil || len(p.Records) != 1 || time.Since(start) != 3*time.Second {
+			t.Fatalf("read after %s: %+v, %v", time.Since(start), p, err)
+		}
+		time.Sleep(61 * time.Second)
+		if _, err := l.Read(context.Background(), "keys", 0, 10, 0); !errors.Is(err, journal.ErrExpired) {
+			t.Fatalf("read beyond the retention: %v", err)
+		}
+	})
+}
+
+// Guards against gaps and wrong offsets after records have expired.
+func TestRetention(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 5).Draw(t, "count")
+		total := rapid.IntRange(0, 12).Draw(t, "total")
+		l, ctx := New(WithFaults(Faults{Count: count})), context.Background()
+		for i := range total {
+			if o, err := l.Append(ctx, "s", fmt.Appendf(nil, "%d", i)); err != nil || o != uint64(i) {
+				t.Fatalf("append %d: %d, %v", i, o, err)
+			}
+		}
+		first := uint64(max(0, total-count))
+		p, err := l.Read(ctx, "s", first, 100, 0)
+		if err != nil || p.First != first || p.Next != uint64(total) || len(p.Records) != min(total, count) {
+			t.Fatalf("read: %+v, %v", p, err)
+		}
+		for _, r := range p.Records {
+			if string(r.Data) != fmt.Sprint(r.Offset) {
+				t.Fatalf("offset %d has %q", r.Offset, r.Data)
+			}
+		}
+	})
+}
