Test the worker client and stand-in, and keep task progress exact

Progress was rounded down in each accounting step, so a throttled task ended some nanoseconds late depending on how often the worker was asked. Request ids with an escaped slash were not found by a look-up.

--- /dev/null
+++ b/cmd/standin/main_test.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sassafraswind.example/sassafraswind/internal/platform/journal"
+)
+
+// Guards against a stop that hangs on a long poll or ends in an error.
+func TestLogStops(t *testing.T) {
+	Convey("The log stops while a reader is waiting", t, func() {
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		addr := l.Addr().String()
+		So(l.Close(), ShouldBeNil)
+		ctx, stop := context.WithCancel(context.Background())
+		stopped := make(chan error, 1)
+		go func() { stopped <- (&logCmd{Listen: addr}).Run(ctx) }()
+		c, closeClient := journal.NewClient("http://" + addr)
+		defer closeClient()
+		err = context.DeadlineExceeded
+		for i := 0; err != nil && i < 100; i++ {
+			_, err = c.Append(ctx, "s", []byte("x"))
+			time.Sleep(10 * time.Millisecond)
+		}
+		So(err, ShouldBeNil)
+		polled := make(chan struct{})
+		go func() {
+			defer close(polled)
+			_, _ = c.Read(context.Background(), "s", 1, 1, time.Minute)
+		}()
+		time.Sleep(50 * time.Millisecond)
+		stop()
+		select {
+		case err = <-stopped:
+		case <-time.After(4 * time.Second):
+			err = context.DeadlineExceeded
+		}
+		So(err, ShouldBeNil)
+		<-polled
+	})
+}
+
+// Guards against a host list file with comments that is not understood.
+func TestReadHosts(t *testing.T) {
+	Convey("A host list may contain comments", t, func() {
+		file := filepath.Join(t.TempDir(), "hosts.json")
+		So(os.WriteFile(file, []byte("[ // workers\n {\"id\":\"a\",\"address\":\"127.0.0.1:1\"},\n]"), 0o600), ShouldBeNil)
+		hosts, err := readHosts(file)
+		So(err, ShouldBeNil)
+		So(hosts[0].ID, ShouldEqual, "a")
+	})
+}
--- a/internal/platform/httpcall/httpcall_test.go
+++ b/internal/platform/httpcall/httpcall_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,7 +18,7 @@
 // Guards against a message that is sent twice because a reused connection failed under it.
 func TestDoSendsOnce(t *testing.T) {
 	Convey("A message on a reused connection that is closed unanswered is not sent again", t, func() {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		var messages atomic.Int32
 		go func() {
@@ -55,10 +56,48 @@
 	})
 }
 
+// brokenConn fails every write while broken is set.
+type brokenConn struct {
+	net.Conn
+	broken *atomic.Bool
+}
+
+func (c brokenConn) Write(p []byte) (int, error) {
+	if c.broken.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against net/http repeating a message on a new connection after a reused one failed before the first byte.
+func TestDoDoesNotRepeatUnwritten(t *testing.T) {
+	Convey("A message whose reused connection takes no byte is not sent on another", t, func() {
+		var messages, dials atomic.Int32
+		var broken atomic.Bool
+		srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { messages.Add(1) }))
+		tr := NewTransport(4, time.Second, time.Minute)
+		tr.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := new(net.Dialer).DialContext(ctx, network, addr)
+			if dials.Add(1) == 1 {
+				c = brokenConn{Conn: c, broken: &broken}
+			}
+			return c, err
+		}
+		Reset(func() { tr.CloseIdleConnections(); srv.Close() })
+		_, err := Do(context.Background(), tr, http.MethodPost, srv.URL, []byte("{}"))
+		So(err, ShouldBeNil)
+		broken.Store(true)
+		_, err = Do(context.Background(), tr, http.MethodPost, srv.URL, []byte("{}"))
+		So(err, ShouldNotBeNil)
+		So(dials.Load(), ShouldEqual, 1)
+		So(messages.Load(), ShouldEqual, 1)
+	})
+}
+
 // Guards against a refused connection that is reported as an unknown outcome.
 func TestDoNotSent(t *testing.T) {
 	Convey("A failed dial is marked as not sent", t, func() {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		addr := l.Addr().String()
 		l.Close()
--- a/internal/standin/backend/http.go
+++ b/internal/standin/backend/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -38,9 +39,10 @@
 		return fleet.TaskRef{ID: m.Request, Attempt: m.Attempt}
 	}))
 	r.Get("/call/{request}/{attempt}", func(rw http.ResponseWriter, r *http.Request) {
-		request := chi.URLParam(r, "request")
-		attempt, err := strconv.Atoi(chi.URLParam(r, "attempt"))
-		if err != nil {
+		// chi leaves parameters escaped if the path contains an escaped slash.
+		request, err := url.PathUnescape(chi.URLParam(r, "request"))
+		attempt, aerr := strconv.Atoi(chi.URLParam(r, "attempt"))
+		if err = errors.CombineErrors(err, aerr); err != nil {
 			reply(rw, http.StatusBadRequest, fleet.Problem{Error: err.Error()})
 			return
 		}
--- /dev/null
+++ b/internal/standin/backend/server_test.go
@@ -0,0 +1,108 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/platform/httpcall"
+)
+
+// Guards against a client and a worker that disagree on the protocol, and against a pool that keeps silent connections.
+func TestProtocol(t *testing.T) {
+	Convey("Given a worker behind HTTP", t, func() {
+		ctx, ledger := context.Background(), NewLedger()
+		w := New(Config{ID: "w", Capacity: fleet.Size{Cores: 4000, Memory: 4000}, Slots: 2}, Monotonic(), ledger)
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		srv, closeServer := Serve(w, l)
+		c, closeClient := fleet.NewClient(fleet.WithTimeout(100*time.Millisecond), fleet.WithCallTimeout(100*time.Millisecond))
+		Reset(func() { closeClient(); closeServer() })
+		s, err := c.Status(ctx, srv.Addr())
+		So(err, ShouldBeNil)
+		req := fleet.LeaseRequest{Holder: "a", Boot: s.Boot, Until: s.Clock + 6*time.Second, Tasks: s.Clock + 30*time.Second}
+		s, err = c.Lease(ctx, srv.Addr(), req)
+		So(err, ShouldBeNil)
+		f := fleet.Fence{Boot: s.Boot, Grant: s.Grant, Before: s.Clock + 5*time.Second}
+		call := fleet.Call{Fence: f, Request: "q/1", Attempt: 1, Class: "quote", Body: []byte(`{"run_ms":1}`)}
+
+		Convey("another holder is told so", func() {
+			req.Holder = "b"
+			_, err := c.Lease(ctx, srv.Addr(), req)
+			So(errors.Is(err, fleet.ErrHeld), ShouldBeTrue)
+		})
+		Convey("a task goes through its life", func() {
+			o := fleet.Order{Fence: f, Task: "t", Attempt: 1, Class: "fit", Size: fleet.Size{Cores: 1000, Memory: 10}, Body: []byte(`{"run_ms":60000}`)}
+			So(c.Start(ctx, srv.Addr(), o), ShouldBeNil)
+			task, err := c.Control(ctx, srv.Addr(), fleet.Control{Fence: f, Task: "t", Attempt: 1, Action: fleet.ActionStop})
+			So(err, ShouldBeNil)
+			So(task.State, ShouldEqual, fleet.TaskStopped)
+			So(c.Forget(ctx, srv.Addr(), f, []fleet.TaskRef{{ID: "t", Attempt: 1}}), ShouldBeNil)
+			err = c.Start(ctx, srv.Addr(), o)
+			So(err, ShouldNotBeNil)
+			So(errors.Is(err, fleet.ErrRefused), ShouldBeFalse)
+			So(c.Release(ctx, srv.Addr(), f), ShouldBeNil)
+			o.Attempt = 2
+			So(errors.Is(c.Start(ctx, srv.Addr(), o), fleet.ErrRefused), ShouldBeTrue)
+		})
+		Convey("a call is answered with its request and digest", func() {
+			a, err := c.Call(ctx, srv.Addr(), call)
+			So(err, ShouldBeNil)
+			var e Echo
+			So(json.Unmarshal(a.Body, &e), ShouldBeNil)
+			So(e.Request, ShouldEqual, "q/1")
+			st, err := c.Lookup(ctx, srv.Addr(), "q/1", 1)
+			So(err, ShouldBeNil)
+			So(st.State, ShouldEqual, fleet.CallDone)
+			So(*st.Answer, ShouldResemble, a)
+		})
+		Convey("a silent connection times out once, then calls work", func() {
+			srv.Silence()
+			_, err := c.Call(ctx, srv.Addr(), call)
+			So(errors.Is(err, context.DeadlineExceeded), ShouldBeTrue)
+			So(errors.IsAny(err, fleet.ErrRefused, fleet.ErrNotSent), ShouldBeFalse)
+			call.Attempt = 2
+			_, err = c.Call(ctx, srv.Addr(), call)
+			So(err, ShouldBeNil)
+			So(ledger.Executions("q/1"), ShouldEqual, 1)
+		})
+		Convey("a frozen worker carries out a call after its client has left", func() {
+			w.SetFaults(Faults{Freeze: true})
+			_, err := c.Call(ctx, srv.Addr(), call)
+			So(errors.Is(err, context.DeadlineExceeded), ShouldBeTrue)
+			w.SetFaults(Faults{})
+			for range 100 {
+				if ledger.Executions("q/1") == 1 {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			So(ledger.Executions("q/1"), ShouldEqual, 1)
+		})
+		Convey("the switches work while the worker is unreachable", func() {
+			admin := httptest.NewServer(Admin([]*Server{srv}, ledger))
+			defer admin.Close()
+			post := func(path, body string) {
+				resp, err := httpcall.Do(ctx, http.DefaultTransport, http.MethodPost, admin.URL+path, []byte(body))
+				So(err, ShouldBeNil)
+				So(resp.Status, ShouldEqual, http.StatusNoContent)
+			}
+			post("/workers/w/faults", `{"unreachable":true}`)
+			_, err := c.Call(ctx, srv.Addr(), call)
+			So(err, ShouldNotBeNil)
+			So(errors.Is(err, fleet.ErrRefused), ShouldBeFalse)
+			post("/workers/w/faults", `{}`)
+			post("/workers/w/restart", "")
+			_, err = c.Call(ctx, srv.Addr(), call)
+			So(errors.Is(err, fleet.ErrRefused), ShouldBeTrue)
+		})
+	})
+}
--- a/internal/standin/backend/task.go
+++ b/internal/standin/backend/task.go
@@ -51,8 +51,9 @@
 	use     fleet.Size
 	fail    bool
 	steps   int
-	// total is the true run time of the whole task, left the remainder for this attempt, both unthrottled.
-	total, left time.Duration
+	// total is the true run time of the whole task and left the remainder, both unthrottled. They are in hundredths of a
+	// nanosecond, so that progress at a share in percent is exact however the time is divided into steps.
+	total, left int64
 }
 
 type checkpoint struct {
@@ -63,8 +64,8 @@
 
 // remaining returns the time to the end at the present share, rounded up.
 func (t *task) remaining() time.Duration {
-	share := time.Duration(t.Share)
-	return max(1, (t.left*100+share-1)/share)
+	share := int64(t.Share)
+	return time.Duration(max(1, (t.left+share-1)/share))
 }
 
 func (t *task) output() []byte {
@@ -76,7 +77,7 @@
 	if t.steps < 1 {
 		return
 	}
-	done := int(int64(t.total-t.left) * int64(t.steps) / int64(t.total))
+	done := int(float64(t.total-t.left) / float64(t.total) * float64(t.steps))
 	t.Checkpoint, _ = json.Marshal(checkpoint{Step: done})
 }
 
@@ -117,17 +118,17 @@
 			ID: o.Task, Attempt: o.Attempt, Class: o.Class, Size: o.Size,
 			State: fleet.TaskRunning, Share: 100, Checkpoint: o.Checkpoint,
 		},
-		use: o.Size, fail: b.Fail || w.faults.Fail, steps: b.Steps, total: run, left: run,
+		use: o.Size, fail: b.Fail || w.faults.Fail, steps: b.Steps, total: int64(run) * 100, left: int64(run) * 100,
 	}
 	if b.Use != nil {
 		t.use = *b.Use
 	}
 	var c checkpoint
 	if b.Steps > 0 && json.Unmarshal(o.Checkpoint, &c) == nil {
-		t.left -= run * time.Duration(min(max(c.Step, 0), b.Steps)) / time.Duration(b.Steps)
+		t.left -= t.total / int64(b.Steps) * int64(min(max(c.Step, 0), b.Steps))
 	}
 	if w.faults.Fail {
-		t.left = min(t.left, failAfter)
+		t.left = min(t.left, int64(failAfter)*100)
 	}
 	w.tasks[o.Task], w.seen[o.Task] = t, o.Attempt
 	w.touch(t)
--- a/internal/standin/backend/worker.go
+++ b/internal/standin/backend/worker.go
@@ -277,7 +277,7 @@
 		d := next - w.at
 		for _, t := range w.tasks {
 			if t.State == fleet.TaskRunning {
-				t.left -= d * time.Duration(t.Share) / 100
+				t.left -= int64(d) * int64(t.Share)
 				w.usage.add(t.Class, t.use, t.Share, d)
 			}
 		}
--- a/internal/standin/hostlist/hostlist_test.go
+++ b/internal/standin/hostlist/hostlist_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"sassafraswind.example/sassafraswind/internal/platform/httpcall"
 	"sassafraswind.example/sassafraswind/internal/platform/roster"
 )
 
@@ -21,9 +21,9 @@
 		srv := httptest.NewServer(Handler(l))
 		c, closeClient := roster.NewClient(srv.URL)
 		Reset(func() { closeClient(); srv.Close() })
-		resp, err := http.Post(srv.URL+"/hosts", "application/json", strings.NewReader(`{"id":"a","kind":"worker","leaving":true}`))
+		_, err := httpcall.Do(context.Background(), http.DefaultTransport, http.MethodPost, srv.URL+"/hosts",
+			[]byte(`{"id":"a","kind":"worker","leaving":true}`))
 		So(err, ShouldBeNil)
-		So(resp.Body.Close(), ShouldBeNil)
 		now = now.Add(1999 * time.Millisecond)
 		hosts, err := c.Hosts(context.Background())
 		So(err, ShouldBeNil)
