--- a/internal/standin/backend/task.go
+++ b/internal/standin/backend/task.go
@@ -82,7 +82,7 @@
 }
 
 // Start starts a task attempt. It returns fleet.ErrRefused, wrapped, if the attempt was not started. A repeated
-// start of an attempt that is known succeeds without effect.
+// start of an attempt that is known succeeds without effect; one that is no longer known fails with ErrForgotten.
 func (w *Worker) Start(o fleet.Order) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -92,7 +92,8 @@
 	if old := w.tasks[o.Task]; old != nil && old.Attempt == o.Attempt {
 		return nil
 	}
-	if w.seen[o.Task] == o.Attempt && o.Attempt > 0 {
+	// An attempt that was started may be forgotten or superseded, so that a refusal could be untrue.
+	if o.Attempt > 0 && o.Attempt <= w.seen[o.Task] {
 		return errors.Wrapf(ErrForgotten, "task %s attempt %d", o.Task, o.Attempt)
 	}
 	if err := w.check(o.Fence); err != nil {
@@ -102,8 +103,8 @@
 	switch {
 	case w.faults.Leaving:
 		return errors.Wrap(fleet.ErrRefused, "worker is leaving")
-	case o.Attempt <= w.seen[o.Task]:
-		return errors.Wrapf(fleet.ErrRefused, "attempt %d of task %s is not its next one", o.Attempt, o.Task)
+	case o.Attempt < 1:
+		return errors.Wrapf(fleet.ErrRefused, "attempt %d of task %s", o.Attempt, o.Task)
 	case old != nil && old.State == fleet.TaskRunning:
 		return errors.Wrapf(fleet.ErrRefused, "attempt %d of task %s is running", old.Attempt, o.Task)
 	case w.at >= w.tasksUntil:
--- a/internal/standin/backend/worker.go
+++ b/internal/standin/backend/worker.go
@@ -17,8 +17,9 @@
 // ErrUnreachable is returned by all methods while the worker is frozen or unreachable. The message had no effect.
 var ErrUnreachable = errors.New("backend: worker unreachable")
 
-// ErrForgotten is returned by a start of an attempt that was started before and is no longer known.
-var ErrForgotten = errors.New("backend: attempt was started before")
+// ErrForgotten is returned by a start of an attempt that is not newer than the last one started here and is no longer
+// known. It leaves open whether the attempt has run.
+var ErrForgotten = errors.New("backend: attempt is not newer than the last one started")
 
 // Faults are the fault switches. The zero value is a healthy worker.
 type Faults struct {
