--- a/internal/standin/backend/worker_test.go
+++ b/internal/standin/backend/worker_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -12,6 +13,9 @@
 	"sassafraswind.example/sassafraswind/internal/platform/fleet"
 )
 
+// The seed is fixed to make runs repeatable; the flag -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // rig is a worker under a clock that tests set.
 type rig struct {
 	*Worker
--- a/internal/standin/logservice/log_test.go
+++ b/internal/standin/logservice/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"net/http/httptest"
 	"testing"
@@ -15,6 +16,9 @@
 	"sassafraswind.example/sassafraswind/internal/platform/journal"
 )
 
+// The seed is fixed to make runs repeatable; the flag -rapid.seed overrides it.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // Guards against a client that reports an append as rejected though it may have taken effect.
 func TestClientAppendOutcome(t *testing.T) {
 	Convey("Given a log behind HTTP", t, func() {
