Add the feed, reader and writer of one stream

A batch keeps its sequence number on retry, so an append whose answer was lost can be sent again without being applied twice. Writers get the verdict of the read-back, because the append reply does not tell who won a race.

--- /dev/null
+++ b/internal/stream/feed/feed.go
@@ -0,0 +1,240 @@
+// Package feed reads and writes one stream of the platform's log on behalf of an aggregate.
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+)
+
+// Errors of Write.
+var (
+	// ErrUnknown means that the items may have taken effect or may still do so.
+	ErrUnknown = errors.New("feed: effect of the write is unknown")
+	// ErrTooLarge means that nothing was sent.
+	ErrTooLarge = errors.New("feed: request is too large for one record")
+	// ErrKind is the verdict on an item of a kind that is not among those of WithKinds.
+	ErrKind = errors.New("feed: unknown kind")
+)
+
+// Log is what the feed needs of the platform's log.
+type Log interface {
+	// Append adds a record and returns its offset. An error leaves its effect open.
+	Append(ctx context.Context, stream string, data []byte) (uint64, error)
+	// Read returns records starting at from. At the end of the stream it waits for a record for up to wait.
+	// A read beyond the end returns an empty page with First and Next.
+	Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (journal.Page, error)
+}
+
+// Sink is the aggregate that the stream describes. All its methods are called from one goroutine of the feed.
+type Sink interface {
+	// Apply applies one item. An error means that the item lost or is invalid and has changed nothing;
+	// every reader must come to the same result.
+	Apply(now time.Time, offset uint64, item record.Item) error
+	// Snapshot returns the state after the last applied item.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by that of a snapshot, or returns an error and changes nothing.
+	Restore(data []byte, base uint64) error
+}
+
+// Receipt is the result of a write that was read back.
+type Receipt struct {
+	// Offset is that of the record that holds the items.
+	Offset uint64
+	// Verdicts holds what Sink.Apply returned for each item.
+	Verdicts []error
+}
+
+// Counts are totals since the start of the feed.
+type Counts struct {
+	// Records is the number of records whose items were applied. Lost is the number of items that Sink.Apply
+	// refused, Malformed, Newer and Unknown are skipped records or items.
+	Records, Lost, Duplicates, Malformed, Newer, Unknown uint64
+	// Gaps is the number of times that records expired unread and no snapshot covered them.
+	Gaps uint64
+	// Restores and Snapshots are the snapshots that were loaded and completely written.
+	Restores, Snapshots uint64
+	// Retries and Abandoned count batches sent again and given up.
+	Retries, Abandoned uint64
+	// ReadErrors counts failed reads.
+	ReadErrors uint64
+}
+
+type settings struct {
+	clock     func() time.Time
+	random    func() float64
+	logf      func(format string, args ...any)
+	kinds     map[record.Kind]bool
+	interval  time.Duration
+	giveUp    time.Duration
+	timeout   time.Duration
+	wait      time.Duration
+	every     uint64
+	retention time.Duration
+	jitter    time.Duration
+}
+
+// Option changes a default of NewFeed.
+type Option func(*settings)
+
+// WithClock sets the source of the present time, by default time.Now.
+func WithClock(now func() time.Time) Option { return func(s *settings) { s.clock = now } }
+
+// WithRandom sets the source of jitter, a function with values in [0,1). It must be safe for concurrent use.
+func WithRandom(f func() float64) Option { return func(s *settings) { s.random = f } }
+
+// WithLogf sets the callback that reports gaps and failures.
+func WithLogf(f func(format string, args ...any)) Option { return func(s *settings) { s.logf = f } }
+
+// WithKinds names the kinds that the Sink knows. Others are counted as unknown and not passed to it.
+func WithKinds(kinds ...record.Kind) Option {
+	return func(s *settings) {
+		s.kinds = make(map[record.Kind]bool)
+		for _, k := range kinds {
+			s.kinds[k] = true
+		}
+	}
+}
+
+// WithInterval sets the least time between two appends, by default 50 ms.
+func WithInterval(d time.Duration) Option { return func(s *settings) { s.interval = d } }
+
+// WithGiveUp sets how long a batch is retried, by default 30 s.
+func WithGiveUp(d time.Duration) Option { return func(s *settings) { s.giveUp = d } }
+
+// WithTimeout sets the deadline of an append, and of a read beyond its wait, by default 5 s.
+func WithTimeout(d time.Duration) Option { return func(s *settings) { s.timeout = d } }
+
+// WithSnapshots makes the feed write a snapshot after every that many records. The default, 0, is never.
+func WithSnapshots(every int) Option { return func(s *settings) { s.every = uint64(max(every, 0)) } }
+
+// WithRetention tells the retention time of the log: with WithSnapshots, a snapshot is also written when
+// the newest is older than a quarter of it.
+func WithRetention(d time.Duration) Option { return func(s *settings) { s.retention = d } }
+
+// WithSnapshotJitter sets the largest random delay of a snapshot that is due, by default 5 s.
+func WithSnapshotJitter(d time.Duration) Option { return func(s *settings) { s.jitter = d } }
+
+// Feed reads and writes one stream.
+type Feed struct {
+	settings
+	log    Log
+	stream string
+	writer string
+	sink   Sink
+	ready  chan struct{}
+	// wake has a token when the batcher may have something to send.
+	wake chan struct{}
+
+	// cursor and progress belong to the reader goroutine.
+	cursor   *Cursor
+	progress progress
+	// newest is when the newest snapshot completed or, without one, when the reader joined.
+	newest time.Time
+	// due is when the scheduled snapshot is to be written, zero if none is scheduled.
+	due time.Time
+	// made numbers the snapshots of this writer.
+	made uint64
+
+	mu sync.Mutex
+	// fresh, pos and counts are what Fresh, Position and Counts return.
+	fresh  time.Time
+	pos    uint64
+	counts Counts
+	// queue holds requests that are in no batch yet, in order of arrival.
+	queue []*request
+	// pieces holds snapshot pieces still to be written; one is added to a batch at a time.
+	pieces []*request
+	// flight is the only batch that is being sent, nil if there is none.
+	flight *batch
+	closed bool
+}
+
+// NewFeed starts reading the stream into the sink. The writer must be unique to this process start.
+// The returned function stops the feed and waits for its goroutines; pending writes return ErrUnknown.
+func NewFeed(log Log, stream, writer string, sink Sink, opts ...Option) (*Feed, func()) {
+	f := &Feed{
+		settings: settings{
+			clock: time.Now, random: rand.Float64, logf: func(string, ...any) {},
+			interval: 50 * time.Millisecond, giveUp: 30 * time.Second, timeout: 5 * time.Second,
+			wait: time.Second, jitter: 5 * time.Second,
+		},
+		log: log, stream: stream, writer: writer, sink: sink,
+		ready: make(chan struct{}), wake: make(chan struct{}, 1), cursor: NewCursor(0, nil),
+	}
+	for _, o := range opts {
+		o(&f.settings)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.tail(ctx) })
+	wg.Go(func() { f.send(ctx) })
+	return f, func() {
+		cancel()
+		wg.Wait()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.closed = true
+		for _, r := range f.queue {
+			r.fail()
+		}
+		f.queue, f.pieces = nil, nil
+	}
+}
+
+// Fresh returns the send time of the last read that reached the end of the stream, the zero time before.
+func (f *Feed) Fresh() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fresh
+}
+
+// Position returns the offset of the next record to be applied.
+func (f *Feed) Position() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pos
+}
+
+// Ready returns a channel that is closed when the reader first arrives at the end of the stream.
+func (f *Feed) Ready() <-chan struct{} { return f.ready }
+
+// Counts returns the totals since the start.
+func (f *Feed) Counts() Counts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.counts
+}
+
+func (f *Feed) count(update func(*Counts)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	update(&f.counts)
+}
+
+// backoff returns the delay before try n (from 0): exponential up to limit, with jitter of half its length.
+func (f *Feed) backoff(n int, base, limit time.Duration) time.Duration {
+	d := limit
+	if n < 16 {
+		d = min(limit, base<<n)
+	}
+	return d/2 + time.Duration(f.random()*float64(d/2))
+}
+
+// sleep waits for d or until ctx is done, and reports whether d has passed.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/stream/feed/reader.go
@@ -0,0 +1,323 @@
+package feed
+
+import (
+	"context"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+)
+
+const (
+	// pageLimit is the number of records asked for in one read.
+	pageLimit = 256
+	// firstWindow is the number of records in the first window of the backward scan.
+	firstWindow = 64
+	// idlePause limits the read rate if a log answers long polls at once with empty pages.
+	idlePause = 10 * time.Millisecond
+)
+
+// tail reads the stream until ctx is done.
+func (f *Feed) tail(ctx context.Context) {
+	joined := false
+	for failures := 0; ctx.Err() == nil; {
+		var err error
+		if joined {
+			err = f.poll(ctx)
+		} else if err = f.join(ctx); err == nil {
+			joined = true
+		}
+		if err == nil {
+			failures = 0
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, journal.ErrExpired) && joined {
+			f.logf("feed: %s: records from offset %d have expired; looking for a snapshot", f.stream, f.cursor.Position())
+			joined = false
+			continue
+		}
+		f.count(func(c *Counts) { c.ReadErrors++ })
+		if failures == 0 {
+			f.logf("feed: %s: read failed, retrying: %v", f.stream, err)
+		}
+		// At most 1 s, so that the view is fresh again soon after an outage.
+		sleep(ctx, f.backoff(failures, 50*time.Millisecond, time.Second))
+		failures++
+	}
+}
+
+func (f *Feed) read(ctx context.Context, from uint64, limit int, wait time.Duration) (journal.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+f.timeout)
+	defer cancel()
+	page, err := f.log.Read(ctx, f.stream, from, limit, wait)
+	return page, errors.Wrapf(err, "read of %s from %d", f.stream, from)
+}
+
+// poll reads one page with a long poll and applies it.
+func (f *Feed) poll(ctx context.Context) error {
+	sent := f.clock()
+	page, err := f.read(ctx, f.cursor.Position(), pageLimit, f.wait)
+	if err != nil {
+		return err
+	}
+	for _, r := range page.Records {
+		if err := f.apply(r); err != nil {
+			return err
+		}
+	}
+	atEnd := f.cursor.Position() == page.Next
+	f.publish(atEnd, sent)
+	if atEnd {
+		f.schedule(page)
+	}
+	if len(page.Records) == 0 && f.clock().Sub(sent) < idlePause {
+		sleep(ctx, idlePause)
+	}
+	return nil
+}
+
+// publish makes the position visible and, at the end of the stream, the freshness.
+func (f *Feed) publish(atEnd bool, sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pos = f.cursor.Position()
+	c := f.cursor.counts
+	f.counts.Records, f.counts.Duplicates = c.Records, c.Duplicates
+	f.counts.Newer, f.counts.Malformed = c.Newer, c.Malformed
+	f.counts.Lost, f.counts.Unknown = c.Lost, c.Unknown
+	if !atEnd {
+		return
+	}
+	f.fresh = sent
+	select {
+	case <-f.ready:
+	default:
+		close(f.ready)
+	}
+}
+
+// apply passes the items of one record to the sink.
+func (f *Feed) apply(r journal.Record) error {
+	e, ok, err := f.cursor.Next(r)
+	if err != nil || !ok {
+		return err
+	}
+	verdicts := make([]error, len(e.Items))
+	snaps := 0
+	for i, item := range e.Items {
+		if item.Kind == KindSnap {
+			snaps++
+			f.follow(r.Offset, item)
+			continue
+		}
+		verdicts[i] = f.judge(r.Offset, item)
+	}
+	if snaps < len(e.Items) {
+		f.progress.records++
+	}
+	if e.Writer == f.writer {
+		f.resolve(e.Seq, r.Offset, verdicts)
+	}
+	return nil
+}
+
+func (f *Feed) judge(offset uint64, item record.Item) error {
+	c := &f.cursor.counts
+	if f.kinds != nil && !f.kinds[item.Kind] {
+		c.Unknown++
+		return errors.Wrapf(ErrKind, "%q", item.Kind)
+	}
+	err := f.sink.Apply(f.clock(), offset, item)
+	switch {
+	case errors.Is(err, record.ErrMalformed):
+		c.Malformed++
+	case err != nil:
+		c.Lost++
+	}
+	return err
+}
+
+// follow notes a snapshot piece of any writer.
+func (f *Feed) follow(offset uint64, item record.Item) {
+	p, err := record.Open[Piece](item)
+	if err != nil {
+		f.cursor.counts.Malformed++
+		return
+	}
+	if f.progress.note(offset, p) {
+		f.newest = f.clock()
+	}
+}
+
+// join positions the reader at the newest complete snapshot or, without one, at the oldest retained record.
+func (f *Feed) join(ctx context.Context) error {
+	page, err := f.bounds(ctx)
+	if err != nil {
+		return err
+	}
+	scan := NewScan()
+	hi := page.Next
+	for window := uint64(firstWindow); hi > page.First; window *= 2 {
+		lo := page.First
+		if hi-lo > window {
+			lo = hi - window
+		}
+		if err := f.window(ctx, scan, lo, hi); err != nil {
+			return err
+		}
+		hi = lo
+		if f.restore(scan, page.First) {
+			return nil
+		}
+	}
+	pos := f.cursor.Position()
+	// Streams start at offset 0 or 1; a first retained record beyond that means that earlier ones expired.
+	if page.First > max(pos, 1) {
+		f.count(func(c *Counts) { c.Gaps++ })
+		f.logf("feed: %s: records %d to %d expired unread and no snapshot covers them", f.stream, pos, page.First-1)
+	}
+	f.cursor.Jump(page.First, f.cursor.Writers())
+	f.newest = f.clock()
+	return nil
+}
+
+// bounds returns a page with the first and next offset of the stream.
+func (f *Feed) bounds(ctx context.Context) (journal.Page, error) {
+	page, err := f.read(ctx, f.cursor.Position(), 1, 0)
+	if errors.Is(err, journal.ErrExpired) && page.Next == 0 {
+		// The error came without offsets. A read beyond the end cannot have expired.
+		page, err = f.read(ctx, math.MaxInt64, 1, 0)
+	}
+	if errors.Is(err, journal.ErrExpired) && page.Next > 0 {
+		err = nil
+	}
+	return page, err
+}
+
+// window adds the records in [lo, hi) to the scan.
+func (f *Feed) window(ctx context.Context, scan *Scan, lo, hi uint64) error {
+	for lo < hi {
+		page, err := f.read(ctx, lo, int(min(hi-lo, pageLimit)), 0)
+		if err != nil {
+			return err
+		}
+		if len(page.Records) == 0 {
+			return errors.Newf("read of %s from %d returned no records before the end %d", f.stream, lo, hi)
+		}
+		for _, r := range page.Records {
+			scan.Add(r)
+		}
+		lo = page.Records[len(page.Records)-1].Offset + 1
+	}
+	return nil
+}
+
+// restore loads the best snapshot of the scan and reports whether there was one.
+func (f *Feed) restore(scan *Scan, first uint64) bool {
+	s, ok := scan.Best(first)
+	// A snapshot below the reader's position would apply records twice.
+	if !ok || s.Base+1 < f.cursor.Position() {
+		return false
+	}
+	if err := f.sink.Restore(s.State, s.Base); err != nil {
+		f.logf("feed: %s: snapshot %s cannot be restored: %v", f.stream, s.ID, err)
+		scan.Refuse(s.ID)
+		return false
+	}
+	f.cursor.Jump(s.Base+1, s.Writers)
+	f.progress.restored(s.Base)
+	f.newest = f.clock()
+	f.count(func(c *Counts) { c.Restores++ })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if b := f.flight; b != nil && b.seq <= f.cursor.Last(f.writer) {
+		// The batch is part of the snapshot, which does not tell its verdicts.
+		f.flight = nil
+		for _, r := range b.reqs {
+			r.fail()
+		}
+		b.finish()
+	}
+	return true
+}
+
+// schedule writes a snapshot if one has been due for the chosen random delay.
+func (f *Feed) schedule(page journal.Page) {
+	now := f.clock()
+	if !f.wanted(now, page) {
+		f.due = time.Time{}
+		return
+	}
+	if f.due.IsZero() {
+		f.due = now.Add(time.Duration(f.random() * float64(f.jitter)))
+	}
+	if now.Before(f.due) {
+		return
+	}
+	f.due = time.Time{}
+	f.snapshot()
+}
+
+// wanted reports whether the newest complete snapshot is too old. A snapshot that another host completed while
+// this one waited makes it false.
+func (f *Feed) wanted(now time.Time, page journal.Page) bool {
+	if f.every == 0 || page.Next <= 1 {
+		return false
+	}
+	since := f.progress.since()
+	switch {
+	case since >= f.every:
+		return true
+	case f.retention > 0 && now.Sub(f.newest) >= f.retention/4:
+		return true
+	case page.First <= 1:
+		return false
+	}
+	// Records do expire: keep the snapshot well inside what is retained.
+	return since > 0 && since*4 >= page.Next-page.First || f.progress.base+1 < page.First
+}
+
+// snapshot queues the pieces of the present state, unless the last ones are still being written.
+func (f *Feed) snapshot() {
+	f.mu.Lock()
+	busy := len(f.pieces) > 0
+	f.mu.Unlock()
+	if busy {
+		return
+	}
+	state, err := f.sink.Snapshot()
+	if err != nil {
+		f.logf("feed: %s: snapshot failed: %v", f.stream, err)
+		return
+	}
+	f.made++
+	pieces, err := Split(Snapshot{
+		ID: f.writer + "/" + strconv.FormatUint(f.made, 10), Base: f.cursor.Position() - 1,
+		Writers: f.cursor.Writers(), State: state,
+	})
+	if err != nil {
+		f.logf("feed: %s: snapshot failed: %v", f.stream, err)
+		return
+	}
+	reqs := make([]*request, 0, len(pieces))
+	for _, p := range pieces {
+		item, err := record.Seal(KindSnap, p)
+		if err != nil {
+			f.logf("feed: %s: snapshot failed: %v", f.stream, err)
+			return
+		}
+		reqs = append(reqs, newRequest(context.Background(), []record.Item{item}))
+	}
+	f.mu.Lock()
+	f.pieces = reqs
+	f.counts.Snapshots++
+	f.mu.Unlock()
+	f.signal()
+}
--- /dev/null
+++ b/internal/stream/feed/snapshot.go
@@ -0,0 +1,208 @@
+package feed
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+)
+
+// KindSnap is the kind of snapshot pieces. The feed handles them itself; they are not passed to the Sink.
+const KindSnap record.Kind = "snap"
+
+const (
+	// maxPiece is the largest Piece.Data in bytes.
+	maxPiece = 64 << 10
+	// maxParts bounds the memory that a malformed piece can make a reader reserve (256 MiB of state).
+	maxParts = 4096
+)
+
+// Piece is one part of a snapshot.
+type Piece struct {
+	ID string `msgpack:"id"`
+	// Base is the offset of the last record that the snapshot contains. It is lower than the offset of the piece.
+	Base  uint64 `msgpack:"base"`
+	Part  int    `msgpack:"part"`
+	Parts int    `msgpack:"parts"`
+	Data  []byte `msgpack:"data"`
+	// Digest is the xxhash64 of the data of all parts.
+	Digest uint64 `msgpack:"digest"`
+}
+
+func (p Piece) valid(offset uint64) bool {
+	return p.ID != "" && p.Base < offset && p.Parts >= 1 && p.Parts <= maxParts &&
+		p.Part >= 0 && p.Part < p.Parts && len(p.Data) <= maxPiece
+}
+
+// Snapshot is the state of a reader as of offset Base.
+type Snapshot struct {
+	ID   string `msgpack:"-"`
+	Base uint64 `msgpack:"-"`
+	// Writers is the de-duplication table, least recently seen first.
+	Writers []WriterSeq `msgpack:"writers"`
+	// State is what Sink.Snapshot returned.
+	State []byte `msgpack:"state"`
+}
+
+// Split encodes a snapshot as pieces of at most 64 KiB.
+func Split(s Snapshot) ([]Piece, error) {
+	data, err := msgpack.Marshal(&s)
+	if err != nil {
+		return nil, errors.Wrap(err, "feed: encode snapshot")
+	}
+	parts := (len(data) + maxPiece - 1) / maxPiece
+	if parts > maxParts {
+		return nil, errors.Wrapf(ErrTooLarge, "snapshot of %d bytes", len(data))
+	}
+	digest := xxhash.Sum64(data)
+	pieces := make([]Piece, 0, parts)
+	for i := range parts {
+		part := data[i*maxPiece : min(len(data), (i+1)*maxPiece)]
+		pieces = append(pieces, Piece{ID: s.ID, Base: s.Base, Part: i, Parts: parts, Data: part, Digest: digest})
+	}
+	return pieces, nil
+}
+
+// assembly is an incomplete snapshot.
+type assembly struct {
+	first Piece
+	parts map[int][]byte
+}
+
+// Scan collects snapshot pieces in any order. It is pure.
+type Scan struct {
+	open map[string]*assembly
+	// best is the complete snapshot with the highest base, nil if there is none.
+	best *Snapshot
+	// refused holds the ids of snapshots that were found invalid.
+	refused map[string]bool
+}
+
+// NewScan returns an empty scan.
+func NewScan() *Scan {
+	return &Scan{open: make(map[string]*assembly), refused: make(map[string]bool)}
+}
+
+// Add collects the pieces of one record. Anything else in the record is ignored.
+func (s *Scan) Add(r journal.Record) {
+	e, err := record.Decode(r.Data)
+	if err != nil {
+		return
+	}
+	for _, item := range e.Items {
+		if item.Kind != KindSnap {
+			continue
+		}
+		if p, err := record.Open[Piece](item); err == nil {
+			s.AddPiece(r.Offset, p)
+		}
+	}
+}
+
+// AddPiece collects one piece found at the offset. Invalid pieces and those that contradict earlier pieces of
+// the same snapshot are ignored.
+func (s *Scan) AddPiece(offset uint64, p Piece) {
+	if !p.valid(offset) || s.refused[p.ID] || s.best != nil && p.Base <= s.best.Base {
+		return
+	}
+	a, ok := s.open[p.ID]
+	if !ok {
+		a = &assembly{first: p, parts: make(map[int][]byte)}
+		s.open[p.ID] = a
+	}
+	if a.first.Base != p.Base || a.first.Parts != p.Parts || a.first.Digest != p.Digest {
+		return
+	}
+	a.parts[p.Part] = p.Data
+	if len(a.parts) < p.Parts {
+		return
+	}
+	delete(s.open, p.ID)
+	var data []byte
+	for i := range p.Parts {
+		data = append(data, a.parts[i]...)
+	}
+	snap, err := decodeSnapshot(data, p)
+	if err != nil {
+		s.refused[p.ID] = true
+		return
+	}
+	s.best = &snap
+}
+
+func decodeSnapshot(data []byte, p Piece) (Snapshot, error) {
+	if xxhash.Sum64(data) != p.Digest {
+		return Snapshot{}, errors.Wrap(record.ErrMalformed, "snapshot digest")
+	}
+	snap, err := record.Open[Snapshot](record.Item{Kind: KindSnap, Data: data})
+	if err != nil {
+		return Snapshot{}, err
+	}
+	snap.ID, snap.Base = p.ID, p.Base
+	return snap, nil
+}
+
+// Best returns the newest complete snapshot that can be continued from first, the oldest retained offset.
+func (s *Scan) Best(first uint64) (Snapshot, bool) {
+	if s.best == nil || s.best.Base+1 < first {
+		return Snapshot{}, false
+	}
+	return *s.best, true
+}
+
+// Refuse drops a snapshot that could not be restored, so that the scan can go on to an older one.
+func (s *Scan) Refuse(id string) {
+	s.refused[id] = true
+	if s.best != nil && s.best.ID == id {
+		s.best = nil
+	}
+}
+
+// progress follows the snapshots that pass by a live reader, without their data.
+type progress struct {
+	// records counts the records without snapshot pieces that were read.
+	records uint64
+	// from is the value of records at the first piece of the newest complete snapshot.
+	from uint64
+	// base is the base of that snapshot, 0 if there is none.
+	base uint64
+	open map[string]*pieceSet
+}
+
+type pieceSet struct {
+	from  uint64
+	parts map[int]bool
+}
+
+// maxOpen bounds the snapshots followed at a time; more than a few at once are abandoned ones.
+const maxOpen = 64
+
+// note reports whether the piece completes a snapshot newer than the newest known.
+func (p *progress) note(offset uint64, piece Piece) bool {
+	if !piece.valid(offset) || piece.Base <= p.base {
+		return false
+	}
+	if p.open == nil || len(p.open) >= maxOpen {
+		p.open = make(map[string]*pieceSet)
+	}
+	set, ok := p.open[piece.ID]
+	if !ok {
+		set = &pieceSet{from: p.records, parts: make(map[int]bool)}
+		p.open[piece.ID] = set
+	}
+	set.parts[piece.Part] = true
+	if len(set.parts) < piece.Parts {
+		return false
+	}
+	delete(p.open, piece.ID)
+	p.base, p.from = piece.Base, set.from
+	return true
+}
+
+// restored notes the snapshot from which the reader continues.
+func (p *progress) restored(base uint64) { p.base, p.from = base, p.records }
+
+// since returns the number of records read since the newest complete snapshot.
+func (p *progress) since() uint64 { return p.records - p.from }
--- /dev/null
+++ b/internal/stream/feed/writer.go
@@ -0,0 +1,208 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+)
+
+const (
+	// itemOverhead and envelopeOverhead are upper bounds of what the encoding adds.
+	itemOverhead     = 32
+	envelopeOverhead = 64
+	// readBack is how long an acknowledged batch waits for its read-back before it is sent again. It exceeds
+	// the wait of a long poll, so that a working log gets no duplicates.
+	readBack = 2 * time.Second
+)
+
+// request is the items of one call of Write.
+type request struct {
+	items []record.Item
+	size  int
+	// ctx is the caller's; a request whose ctx is done before it is in a batch is not sent.
+	ctx context.Context
+	// done receives the outcome once.
+	done chan outcome
+}
+
+type outcome struct {
+	receipt Receipt
+	err     error
+}
+
+func (r *request) fail() { r.done <- outcome{err: ErrUnknown} }
+
+// batch is the requests in one envelope.
+type batch struct {
+	seq  uint64
+	reqs []*request
+	// ctx is done when the batch was read back.
+	ctx    context.Context
+	finish context.CancelFunc
+}
+
+// Write appends the items in one record and returns after they were read back. It returns ErrUnknown, wrapped,
+// when ctx is done first or the batch was given up, and ErrTooLarge when nothing was sent.
+func (f *Feed) Write(ctx context.Context, items ...record.Item) (Receipt, error) {
+	if len(items) == 0 {
+		return Receipt{}, nil
+	}
+	r := newRequest(ctx, items)
+	if r.size > f.room() {
+		return Receipt{}, errors.Wrapf(ErrTooLarge, "stream %s: %d bytes", f.stream, r.size)
+	}
+	f.mu.Lock()
+	if f.closed {
+		f.mu.Unlock()
+		return Receipt{}, errors.Wrapf(ErrUnknown, "stream %s: feed is closed", f.stream)
+	}
+	f.queue = append(f.queue, r)
+	f.mu.Unlock()
+	f.signal()
+	select {
+	case o := <-r.done:
+		if o.err != nil {
+			return Receipt{}, errors.Wrapf(o.err, "stream %s", f.stream)
+		}
+		return o.receipt, nil
+	case <-ctx.Done():
+		return Receipt{}, errors.Wrapf(ErrUnknown, "stream %s: %v", f.stream, ctx.Err())
+	}
+}
+
+func newRequest(ctx context.Context, items []record.Item) *request {
+	r := &request{items: items, ctx: ctx, done: make(chan outcome, 1)}
+	for _, i := range items {
+		r.size += len(i.Kind) + len(i.Data) + itemOverhead
+	}
+	return r
+}
+
+// room is the space for items in an envelope.
+func (f *Feed) room() int { return record.MaxSize - envelopeOverhead - len(f.writer) }
+
+func (f *Feed) signal() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// send is the batcher: it sends one batch after the other.
+func (f *Feed) send(ctx context.Context) {
+	var last time.Time
+	for seq := uint64(1); ctx.Err() == nil; {
+		if wait := f.interval - time.Since(last); wait > 0 && !sleep(ctx, wait) {
+			return
+		}
+		b := f.next(ctx, seq)
+		if b == nil {
+			select {
+			case <-f.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		seq++
+		last = f.deliver(ctx, b)
+	}
+}
+
+// next forms a batch of whole requests in order of arrival and at most one snapshot piece.
+func (f *Feed) next(ctx context.Context, seq uint64) *batch {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := &batch{seq: seq}
+	room := f.room()
+	for len(f.queue) > 0 && f.queue[0].size <= room {
+		r := f.queue[0]
+		f.queue = f.queue[1:]
+		if r.ctx.Err() != nil {
+			continue
+		}
+		room -= r.size
+		b.reqs = append(b.reqs, r)
+	}
+	if len(f.pieces) > 0 && f.pieces[0].size <= room {
+		b.reqs = append(b.reqs, f.pieces[0])
+		f.pieces = f.pieces[1:]
+	}
+	if len(b.reqs) == 0 {
+		return nil
+	}
+	b.ctx, b.finish = context.WithCancel(ctx)
+	f.flight = b
+	return b
+}
+
+// deliver sends the batch until it is read back or given up, and returns the time of the last append.
+func (f *Feed) deliver(ctx context.Context, b *batch) time.Time {
+	defer f.abandon(b)
+	e := record.Envelope{Writer: f.writer, Seq: b.seq}
+	for _, r := range b.reqs {
+		e.Items = append(e.Items, r.items...)
+	}
+	first := time.Now()
+	data, err := record.Encode(e)
+	if err != nil {
+		f.logf("feed: %s: batch cannot be encoded: %v", f.stream, err)
+		return first
+	}
+	for try := 0; ; try++ {
+		sent := time.Now()
+		left := f.giveUp - sent.Sub(first)
+		actx, cancel := context.WithTimeout(b.ctx, min(f.timeout, left))
+		_, err := f.log.Append(actx, f.stream, data)
+		cancel()
+		delay := max(f.interval-time.Since(sent), f.backoff(try, 100*time.Millisecond, 5*time.Second))
+		if err == nil {
+			delay = max(delay, readBack)
+		}
+		left = f.giveUp - time.Since(first)
+		done := !sleep(b.ctx, min(delay, left))
+		if done || delay >= left {
+			if !done && ctx.Err() == nil {
+				f.count(func(c *Counts) { c.Abandoned++ })
+				f.logf("feed: %s: batch %d was not read back within %s; last append error: %v",
+					f.stream, b.seq, f.giveUp, err)
+			}
+			return sent
+		}
+		f.count(func(c *Counts) { c.Retries++ })
+	}
+}
+
+// abandon ends the flight of the batch. Requests that were not resolved by the reader have an unknown effect.
+func (f *Feed) abandon(b *batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.flight == b {
+		f.flight = nil
+		// If the batch held a snapshot piece, the rest of that snapshot is useless.
+		f.pieces = nil
+		for _, r := range b.reqs {
+			r.fail()
+		}
+	}
+	b.finish()
+}
+
+// resolve hands the verdicts to the writers if the envelope is the batch in flight.
+func (f *Feed) resolve(seq, offset uint64, verdicts []error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.flight
+	if b == nil || b.seq != seq {
+		return
+	}
+	f.flight = nil
+	for _, r := range b.reqs {
+		n := min(len(r.items), len(verdicts))
+		r.done <- outcome{receipt: Receipt{Offset: offset, Verdicts: verdicts[:n:n]}}
+		verdicts = verdicts[n:]
+	}
+	b.finish()
+}
