Test the feed under outages, lost answers, late appends and expiry

The fake log can let an append take effect after later ones, which is the case that de-duplication by sequence number must settle alike everywhere.

--- a/internal/stream/feed/cursor.go
+++ b/internal/stream/feed/cursor.go
@@ -82,12 +82,7 @@
 	}
 	c.pos++
 	e, err := record.Decode(r.Data)
-	switch {
-	case errors.Is(err, record.ErrVersion):
-		c.counts.Newer++
-		return record.Envelope{}, false, nil
-	case err != nil:
-		c.counts.Malformed++
+	if c.skip(err) {
 		return record.Envelope{}, false, nil
 	}
 	if !c.accept(e.Writer, e.Seq) {
@@ -98,6 +93,19 @@
 	return e, true, nil
 }
 
+// skip counts a record that could not be decoded and reports whether it was one.
+func (c *Cursor) skip(err error) bool {
+	switch {
+	case err == nil:
+		return false
+	case errors.Is(err, record.ErrVersion):
+		c.counts.Newer++
+	default:
+		c.counts.Malformed++
+	}
+	return true
+}
+
 // accept notes the sequence number and reports whether it is higher than all earlier ones of the writer.
 // An abandoned batch that takes effect after its successor is therefore dropped by every reader.
 func (c *Cursor) accept(writer string, seq uint64) bool {
--- /dev/null
+++ b/internal/stream/feed/fake_test.go
@@ -0,0 +1,147 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+)
+
+var errDown = errors.New("log is down")
+
+// fakeLog is a log with faults. Offsets start at 1.
+type fakeLog struct {
+	mu    sync.Mutex
+	rng   *rand.Rand
+	first uint64
+	recs  []journal.Record
+	// faults is the probability that an append meets a fault; down makes all calls fail.
+	faults float64
+	down   bool
+	wake   chan struct{}
+	wg     sync.WaitGroup
+}
+
+func newFakeLog(seed uint64) *fakeLog {
+	return &fakeLog{rng: rand.New(rand.NewPCG(seed, 1)), first: 1, wake: make(chan struct{})}
+}
+
+func (l *fakeLog) put(data []byte) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	off := l.first + uint64(len(l.recs))
+	l.recs = append(l.recs, journal.Record{Offset: off, Data: data})
+	close(l.wake)
+	l.wake = make(chan struct{})
+	return off
+}
+
+// drop expires all but the newest keep records.
+func (l *fakeLog) drop(keep int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n := len(l.recs) - keep; n > 0 {
+		l.first, l.recs = l.first+uint64(n), l.recs[n:]
+	}
+}
+
+func (l *fakeLog) set(down bool, faults float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down, l.faults = down, faults
+}
+
+func (l *fakeLog) Append(ctx context.Context, _ string, data []byte) (uint64, error) {
+	l.mu.Lock()
+	fault, kind, delay := l.rng.Float64() < l.faults, l.rng.IntN(4), time.Duration(l.rng.IntN(9000))*time.Millisecond
+	down := l.down
+	l.mu.Unlock()
+	switch {
+	case down || fault && kind == 0:
+		return 0, errDown
+	case fault && kind == 1: // The answer is lost after the append took effect.
+		l.put(data)
+		return 0, errDown
+	case fault && kind == 2: // The append takes effect late, possibly after later ones.
+		l.wg.Go(func() { time.Sleep(delay); l.put(data) })
+		return 0, errDown
+	case fault && !sleep(ctx, delay/4):
+		return 0, ctx.Err()
+	}
+	return l.put(data), nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, wait time.Duration) (journal.Page, error) {
+	for deadline := time.Now().Add(wait); ; {
+		l.mu.Lock()
+		p := journal.Page{First: l.first, Next: l.first + uint64(len(l.recs))}
+		down, wake := l.down, l.wake
+		if from >= l.first && from < p.Next {
+			i := from - l.first
+			p.Records = append(p.Records, l.recs[i:min(uint64(len(l.recs)), i+uint64(limit))]...)
+		}
+		l.mu.Unlock()
+		switch {
+		case down:
+			return journal.Page{}, errDown
+		case from < p.First && from != 0:
+			return journal.Page{}, journal.ErrExpired
+		case len(p.Records) > 0 || !time.Now().Before(deadline):
+			return p, nil
+		}
+		t := time.NewTimer(time.Until(deadline))
+		select {
+		case <-wake:
+		case <-t.C:
+		case <-ctx.Done():
+			return journal.Page{}, ctx.Err()
+		}
+		t.Stop()
+	}
+}
+
+var errThird = errors.New("multiples of three are refused")
+
+// listSink keeps the values it accepted, in order. Every third value is refused.
+type listSink struct {
+	mu   sync.Mutex
+	vals []int
+}
+
+func (s *listSink) Apply(_ time.Time, _ uint64, item record.Item) error {
+	v, err := record.Open[int](item)
+	if err != nil {
+		return err
+	}
+	if v%3 == 0 {
+		return errThird
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vals = append(s.vals, v)
+	return nil
+}
+
+func (s *listSink) Snapshot() ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return msgpack.Marshal(s.vals)
+}
+
+func (s *listSink) Restore(data []byte, _ uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return msgpack.Unmarshal(data, &s.vals)
+}
+
+func (s *listSink) values() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]int{}, s.vals...)
+}
--- a/internal/stream/feed/feed.go
+++ b/internal/stream/feed/feed.go
@@ -111,6 +111,9 @@
 // WithTimeout sets the deadline of an append, and of a read beyond its wait, by default 5 s.
 func WithTimeout(d time.Duration) Option { return func(s *settings) { s.timeout = d } }
 
+// WithWait sets the wait of a long poll, by default 1 s. While the stream is idle the view is up to twice as old.
+func WithWait(d time.Duration) Option { return func(s *settings) { s.wait = d } }
+
 // WithSnapshots makes the feed write a snapshot after every that many records. The default, 0, is never.
 func WithSnapshots(every int) Option { return func(s *settings) { s.every = uint64(max(every, 0)) } }
 
--- /dev/null
+++ b/internal/stream/feed/feed_test.go
@@ -0,0 +1,251 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+)
+
+func seal(v int) record.Item {
+	i, err := record.Seal("n", v)
+	if err != nil {
+		panic(err)
+	}
+	return i
+}
+
+// Guards against items applied twice, lost or in different orders when appends fail, lose their answers or take
+// effect late, and against a joiner that differs from a reader from the start.
+func TestReadersAgreeUnderFaults(t *testing.T) {
+	for seed := range uint64(12) {
+		synctest.Test(t, func(t *testing.T) { checkAgreement(t, seed) })
+	}
+}
+
+func checkAgreement(t *testing.T, seed uint64) {
+	l := newFakeLog(seed)
+	l.set(false, 0.5)
+	sinks := make([]*listSink, 3)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	acked := make(map[int]bool)
+	closers := make([]func(), 0, len(sinks)+1)
+	for w := range sinks {
+		sinks[w] = &listSink{}
+		f, stop := NewFeed(l, "s", fmt.Sprintf("w%d", w), sinks[w], WithSnapshots(10),
+			WithRandom(func() float64 { return float64(w) / 3 }))
+		closers = append(closers, stop)
+		for c := range 4 {
+			wg.Go(func() {
+				for i := range 8 {
+					v := w*1000 + c*100 + i
+					ctx, cancel := context.WithTimeout(t.Context(), time.Duration(2+i)*time.Second)
+					r, err := f.Write(ctx, seal(v))
+					cancel()
+					mu.Lock()
+					switch {
+					case err == nil && r.Verdicts[0] == nil:
+						acked[v] = true
+					case err == nil && v%3 != 0:
+						t.Errorf("seed %d: value %d: verdict %v", seed, v, r.Verdicts[0])
+					case err != nil && !errors.Is(err, ErrUnknown):
+						t.Errorf("seed %d: %v", seed, err)
+					}
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	time.Sleep(3 * time.Second)
+	l.set(true, 0.5)
+	time.Sleep(4 * time.Second)
+	l.set(false, 0.5)
+	wg.Wait()
+	l.set(false, 0)
+	time.Sleep(time.Minute)
+	l.wg.Wait()
+	time.Sleep(2 * time.Second)
+	joiner := &listSink{}
+	j, stop := NewFeed(l, "s", "joiner", joiner)
+	closers = append(closers, stop)
+	<-j.Ready()
+	want := sinks[0].values()
+	for _, s := range append(sinks[1:], joiner) {
+		if !slices.Equal(s.values(), want) {
+			t.Errorf("seed %d: readers differ:\n%v\n%v", seed, s.values(), want)
+		}
+	}
+	if j.Counts().Restores != 1 {
+		t.Errorf("seed %d: the joiner used no snapshot", seed)
+	}
+	times := make(map[int]int)
+	for _, v := range want {
+		times[v]++
+	}
+	for v, n := range times {
+		if n != 1 {
+			t.Errorf("seed %d: value %d applied %d times", seed, v, n)
+		}
+	}
+	for v := range acked {
+		if times[v] != 1 {
+			t.Errorf("seed %d: acknowledged value %d applied %d times", seed, v, times[v])
+		}
+	}
+	if len(acked) == 0 {
+		t.Errorf("seed %d: nothing was acknowledged", seed)
+	}
+	for _, c := range closers {
+		c()
+	}
+}
+
+// Guards against a reader that stops for good, or goes back, when the log drops records it has not read, and
+// against a freshness that advances while the log is down.
+func TestExpiredAndFresh(t *testing.T) {
+	for _, snapshots := range []int{0, 5} {
+		synctest.Test(t, func(t *testing.T) {
+			l := newFakeLog(1)
+			a, b := &listSink{}, &listSink{}
+			fa, stopA := NewFeed(l, "s", "a", a, WithSnapshots(snapshots))
+			defer stopA()
+			cut := &cutLog{fakeLog: l}
+			fb, stopB := NewFeed(cut, "s", "b", b)
+			defer stopB()
+			<-fb.Ready()
+			cut.fakeCut(true)
+			time.Sleep(2 * time.Second)
+			before := fb.Fresh()
+			for i := range 30 {
+				if _, err := fa.Write(t.Context(), seal(i)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			time.Sleep(10 * time.Second)
+			if !fb.Fresh().Equal(before) {
+				t.Error("the view of a reader without log became fresher")
+			}
+			l.drop(5)
+			cut.fakeCut(false)
+			time.Sleep(10 * time.Second)
+			// A poll of 1 s dates from its start, and the next takes 1 s more to replace it.
+			if time.Since(fb.Fresh()) > 2*time.Second+idlePause || fb.Position() != fa.Position() {
+				t.Errorf("reader did not recover: position %d, want %d", fb.Position(), fa.Position())
+			}
+			if snapshots > 0 && (!slices.Equal(a.values(), b.values()) || fb.Counts().Gaps != 0) {
+				t.Errorf("after the snapshot: %v, want %v", b.values(), a.values())
+			}
+			if snapshots == 0 && fb.Counts().Gaps != 1 {
+				t.Errorf("%d gaps reported, want 1", fb.Counts().Gaps)
+			}
+		})
+	}
+}
+
+// cutLog fails for one reader only.
+type cutLog struct {
+	*fakeLog
+	cutMu sync.Mutex
+	cut   bool
+}
+
+func (c *cutLog) fakeCut(v bool) { c.cutMu.Lock(); defer c.cutMu.Unlock(); c.cut = v }
+
+func (c *cutLog) Read(ctx context.Context, s string, from uint64, n int, w time.Duration) (journal.Page, error) {
+	c.cutMu.Lock()
+	cut := c.cut
+	c.cutMu.Unlock()
+	if cut {
+		return journal.Page{}, errDown
+	}
+	return c.fakeLog.Read(ctx, s, from, n, w)
+}
+
+// Guards against writes that hang or claim an outcome when the log is down, and against oversized records.
+func TestWriteErrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog(1)
+		s := &listSink{}
+		f, stop := NewFeed(l, "s", "a", s)
+		defer stop()
+		big := record.Item{Kind: "n", Data: make([]byte, record.MaxSize)}
+		if _, err := f.Write(t.Context(), big); !errors.Is(err, ErrTooLarge) {
+			t.Errorf("oversized: %v", err)
+		}
+		l.set(true, 0)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := f.Write(ctx, seal(1)); !errors.Is(err, ErrUnknown) {
+			t.Errorf("log down: %v", err)
+		}
+		l.set(false, 0)
+		time.Sleep(10 * time.Second)
+		if !slices.Equal(s.values(), []int{1}) {
+			t.Errorf("a late read-back must count; got %v", s.values())
+		}
+	})
+}
+
+// Guards against malformed records that stop a reader, and against a writers table that grows without bound.
+func TestCursorSkipsAndForgets(t *testing.T) {
+	c := NewCursor(1, nil)
+	if _, ok, err := c.Next(journal.Record{Offset: 1, Data: []byte{0xc1}}); ok || err != nil || c.counts.Malformed != 1 {
+		t.Fatal("malformed record was not skipped and counted")
+	}
+	for i := range MaxWriters + 1 {
+		c.accept(fmt.Sprint(i), 7)
+	}
+	if len(c.Writers()) != MaxWriters || c.Last("0") != 0 || c.Last("1") != 7 || c.accept("1", 7) {
+		t.Error("the least recently seen writer must be forgotten, and only it")
+	}
+}
+
+// Guards against snapshots that change on their way through pieces in any order.
+func TestSnapshotPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := make([]byte, rapid.IntRange(0, 300<<10).Draw(t, "size"))
+		pieces, err := Split(Snapshot{ID: "a/1", Base: 9, State: state, Writers: []WriterSeq{{"w", 3}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		scan := NewScan()
+		for i, p := range rapid.Permutation(pieces).Draw(t, "order") {
+			if _, ok := scan.Best(0); ok {
+				t.Fatal("complete before the last piece")
+			}
+			scan.AddPiece(uint64(10+i), p)
+		}
+		got, ok := scan.Best(10)
+		if !ok || got.Base != 9 || len(got.State) != len(state) || !slices.Equal(got.Writers, []WriterSeq{{"w", 3}}) {
+			t.Fatalf("got %v", ok)
+		}
+		if _, ok := scan.Best(11); ok {
+			t.Fatal("a snapshot with an expired continuation was offered")
+		}
+	})
+}
+
+// FuzzRecord guards against log content that makes the cursor or the scan panic.
+func FuzzRecord(f *testing.F) {
+	item, _ := record.Seal(KindSnap, Piece{ID: "a", Base: 1, Parts: 1, Data: []byte{1}})
+	data, _ := record.Encode(record.Envelope{Writer: "w", Seq: 1, Items: []record.Item{item}})
+	f.Add(data)
+	f.Add([]byte{})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		r := journal.Record{Offset: 5, Data: data}
+		_, _, _ = NewCursor(5, nil).Next(r)
+		s := NewScan()
+		s.Add(r)
+		s.Best(0)
+	})
+}
