--- /dev/null
+++ b/internal/work/config/config_test.go
@@ -0,0 +1,194 @@
+package config
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+)
+
+var names = rapid.SampledFrom([]string{"a", "b", "c"})
+
+func drawDoc(t *rapid.T) Document {
+	var d Document
+	for _, n := range rapid.SliceOfDistinct(names, rapid.ID[string]).Draw(t, "classes") {
+		d.Classes = append(d.Classes, drawClass(t, n))
+	}
+	for _, n := range rapid.SliceOfDistinct(names, rapid.ID[string]).Draw(t, "teams") {
+		d.Teams = append(d.Teams, Team{Name: n})
+	}
+	return d
+}
+
+func drawClass(t *rapid.T, name string) Class {
+	// An answer time below zero makes the record invalid.
+	return Class{Name: name, Kind: KindUrgent, Target: Target{Answer: time.Duration(rapid.IntRange(-1, 3).Draw(t, "answer"))}}
+}
+
+func drawItem(t *rapid.T, s *State) record.Item {
+	base := uint64(rapid.IntRange(0, 4).Draw(t, "base"))
+	drop := rapid.Bool().Draw(t, "drop")
+	name := names.Draw(t, "name")
+	var kind record.Kind
+	var msg any
+	switch kind = rapid.SampledFrom([]record.Kind{RecordClass, RecordTeam, RecordZone, RecordApply, "odd"}).Draw(t, "kind"); kind {
+	case RecordTeam:
+		msg = TeamMsg{Base: base, Team: Team{Name: name}, Drop: drop}
+	case RecordZone:
+		msg = ZoneMsg{Base: base, Name: name, Region: "r", Out: drop}
+	case RecordApply:
+		msg = ApplyMsg{Base: s.Version() - base/4, Doc: drawDoc(t)}
+	default:
+		msg = ClassMsg{Base: base, Class: drawClass(t, name), Drop: drop}
+	}
+	item, err := record.Seal(kind, msg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return item
+}
+
+func versions(v *view) map[string]uint64 {
+	m := map[string]uint64{"": v.Version}
+	for n, e := range v.Classes {
+		m["class "+n] = e.Version
+	}
+	for n, e := range v.Teams {
+		m["team "+n] = e.Version
+	}
+	for n, e := range v.Zones {
+		m["zone "+n] = e.Version
+	}
+	return m
+}
+
+// Guards against versions that go back and readers that diverge under stale and racing changes, snapshots and
+// relays, and against refused records that change something.
+func TestVersionsNeverDecreaseAndReadersConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lead := NewState()
+		var log []record.Item
+		// Items of one record share an offset.
+		offsets := []uint64{0}
+		readers := []*State{NewState(), NewState(), NewState()}
+		read := make([]int, len(readers))
+		step := func(r int) {
+			if read[r] < len(log) {
+				_ = readers[r].Apply(time.Time{}, offsets[read[r]+1], log[read[r]])
+				read[r]++
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			r := rapid.IntRange(0, len(readers)-1).Draw(t, "reader")
+			before := versions(readers[r].view())
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0, 1:
+				item := drawItem(t, lead)
+				was, _ := lead.Snapshot()
+				offset := offsets[len(log)]
+				if offset == 0 || rapid.Bool().Draw(t, "new record") {
+					offset++
+				}
+				offsets = append(offsets, offset)
+				err := lead.Apply(time.Time{}, offset, item)
+				now, _ := lead.Snapshot()
+				if err != nil && len(was) != len(now) {
+					t.Fatal("a refused record changed the state")
+				}
+				log = append(log, item)
+			case 2:
+				step(r)
+			case 3:
+				other := readers[rapid.IntRange(0, len(readers)-1).Draw(t, "peer")]
+				data, version, _ := other.Marshal()
+				if err := readers[r].Adopt(data, version); (err == nil) != (version > before[""]) {
+					t.Fatalf("adopting %d over %d: %v", version, before[""], err)
+				}
+			case 4:
+				o := rapid.IntRange(0, len(readers)-1).Draw(t, "writer")
+				if read[o] == len(log) || offsets[read[o]] == offsets[read[o]+1] {
+					continue // A feed makes snapshots between records only.
+				}
+				data, _ := readers[o].Snapshot()
+				if readers[r].Restore(data, offsets[read[o]]) == nil {
+					read[r] = read[o]
+				}
+			}
+			for name, v := range versions(readers[r].view()) {
+				if v < before[name] {
+					t.Fatalf("version of %q went from %d to %d", name, before[name], v)
+				}
+				delete(before, name)
+			}
+			if len(before) > 0 {
+				t.Fatalf("entities vanished: %v", before)
+			}
+		}
+		for r := range readers {
+			for read[r] < len(log) {
+				step(r)
+			}
+			if !reflect.DeepEqual(readers[r].log, lead.log) || !reflect.DeepEqual(readers[r].view(), lead.view()) {
+				t.Fatalf("reader %d differs: %+v, want %+v", r, readers[r].view(), lead.view())
+			}
+		}
+	})
+}
+
+// Guards against an apply that is repeated and counts as a change, and against apply changing a zone's flag.
+func TestApplyTwice(t *testing.T) {
+	s := NewState()
+	zone, _ := record.Seal(RecordZone, ZoneMsg{Name: "z", Region: "r", Out: true})
+	if err := s.Apply(time.Time{}, 1, zone); err != nil {
+		t.Fatal(err)
+	}
+	doc := Document{Classes: []Class{{Name: "a", Kind: KindBatch, Target: Target{Finished: 1}}}}
+	for offset := uint64(2); offset < 4; offset++ {
+		item, _ := record.Seal(RecordApply, ApplyMsg{Base: s.Version(), Doc: doc})
+		if err := s.Apply(time.Time{}, offset, item); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, v, _ := s.Class("a")
+	z, _, _ := s.Zone("z")
+	if s.Version() != 2 || v != 1 || !z.Out || len(Diff(s.Document(), doc)) != 0 {
+		t.Errorf("document %d, class %d, zone %+v", s.Version(), v, z)
+	}
+	stale, _ := record.Seal(RecordApply, ApplyMsg{Base: 1, Doc: doc})
+	var e StaleError
+	if err := s.Apply(time.Time{}, 4, stale); !errors.Is(err, ErrStale) || !errors.As(err, &e) || e.Current != 2 {
+		t.Errorf("stale apply: %v", err)
+	}
+}
+
+// Guards against mistakes that are not reported, or not by field.
+func TestValidate(t *testing.T) {
+	err := Document{Classes: []Class{{Name: "A", Kind: "x", Run: -1}, {Name: "u", Kind: KindUrgent}, {Name: "b", Kind: KindBatch}}}.Validate()
+	var e InvalidError
+	if !errors.As(err, &e) || len(e) != 5 || e[3].Field != "classes[1].target.answer" || e[4].Field != "classes[2].target.finished" {
+		t.Errorf("got %v", err)
+	}
+}
+
+// Guards against a file form that loses fields, and an order of changes that varies.
+func TestDocumentForms(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := drawDoc(t), drawDoc(t)
+		data, err := json.Marshal(a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back Document
+		if err := json.Unmarshal(data, &back); err != nil || len(Diff(a, back)) != 0 {
+			t.Fatalf("round trip: %v", err)
+		}
+		if !reflect.DeepEqual(Diff(a, b), Diff(a, b)) || len(Diff(a, a)) != 0 {
+			t.Fatal("diff is not stable")
+		}
+	})
+}
