--- /dev/null
+++ b/internal/host/settings/settings.go
@@ -0,0 +1,248 @@
+// Package settings reads the settings file of an entry host.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Settings are the contents of a settings file. Durations are strings such as "2s" in the file.
+type Settings struct {
+	// Host is the id of this entry host. Zone and Region are where it is. All three are required.
+	Host   string `json:"host"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+	// Callers, Operators and Peers are the three addresses the host listens on.
+	Callers   Listener `json:"callers"`
+	Operators Listener `json:"operators"`
+	Peers     Peers    `json:"peers"`
+	Platform  Platform `json:"platform"`
+	// Drain is how long a planned stop waits for the balancer after the host reports that it is not ready.
+	Drain     time.Duration `json:"drain"`
+	Limits    Limits        `json:"limits"`
+	Freshness Freshness     `json:"freshness"`
+	Lease     Lease         `json:"lease"`
+	Log       Log           `json:"log"`
+	// Zones are all zones of the deployment, for a first start with an empty configuration.
+	Zones []Zone `json:"zones"`
+}
+
+// Listener is an address to listen on.
+type Listener struct {
+	// Listen is host:port and required. The host may be empty.
+	Listen string `json:"listen"`
+	// Advertise is the host:port under which others reach the host, by default Listen.
+	Advertise string `json:"advertise"`
+}
+
+// Peers is the listener for peers and where to find the first ones.
+type Peers struct {
+	Listener
+	// Seeds are peer addresses that are asked when the host list cannot be read.
+	Seeds []string `json:"seeds"`
+}
+
+// Platform holds the addresses of the platform's services. Both are required.
+type Platform struct {
+	// Log and Hosts are the base URLs of the log and the host list.
+	Log   string `json:"log"`
+	Hosts string `json:"hosts"`
+}
+
+// Limits bound what a caller can make the host hold.
+type Limits struct {
+	// Body is the largest request body in bytes, by default 1 MiB.
+	Body int64 `json:"body"`
+	// Queue is the largest number of waiting urgent requests, by default 1024.
+	Queue int `json:"queue"`
+	// Deadline applies to requests without one, by default 10 s.
+	Deadline time.Duration `json:"deadline"`
+}
+
+// Freshness bounds the age of views.
+type Freshness struct {
+	// View is the age of the configuration beyond which no batch task is started, by default 3 s.
+	View time.Duration `json:"view"`
+	// Cutoff is the age of a view beyond which task leases are not renewed, by default 2 h. It must be the same
+	// on all hosts, since others resume tasks after it.
+	Cutoff time.Duration `json:"cutoff"`
+}
+
+// Lease sets the leases at workers.
+type Lease struct {
+	// TTL is the length of the holder's lease, by default 6 s, renewed every Renew, by default 2 s.
+	TTL   time.Duration `json:"ttl"`
+	Renew time.Duration `json:"renew"`
+	// Tasks is the length of task leases, by default 30 s.
+	Tasks time.Duration `json:"tasks"`
+}
+
+// Log sets what is logged and how.
+type Log struct {
+	// Level is debug, info (the default), warn or error.
+	Level string `json:"level"`
+	// Format is text (the default) or json.
+	Format string `json:"format"`
+}
+
+// Zone is a zone and its region.
+type Zone struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+}
+
+func defaults() Settings {
+	return Settings{
+		Drain:     15 * time.Second,
+		Limits:    Limits{Body: 1 << 20, Queue: 1024, Deadline: 10 * time.Second},
+		Freshness: Freshness{View: 3 * time.Second, Cutoff: 2 * time.Hour},
+		Lease:     Lease{TTL: 6 * time.Second, Renew: 2 * time.Second, Tasks: 30 * time.Second},
+		Log:       Log{Level: "info", Format: "text"},
+	}
+}
+
+// Mistake is one mistake in a settings file.
+type Mistake struct {
+	File string
+	// Line counts from 1. For a missing field it is that of the object that lacks it.
+	Line int
+	// Field is the path of the field, such as lease.ttl, empty for a syntax error.
+	Field  string
+	Reason string
+}
+
+func (m Mistake) Error() string {
+	if m.Field == "" {
+		return fmt.Sprintf("%s:%d: %s", m.File, m.Line, m.Reason)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", m.File, m.Line, m.Field, m.Reason)
+}
+
+// Mistakes lists every mistake in a settings file, those of decoding first.
+type Mistakes []Mistake
+
+func (m Mistakes) Error() string {
+	lines := make([]string, len(m))
+	for i, one := range m {
+		lines[i] = one.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks a settings file. Mistakes in its content are returned as Mistakes, wrapped.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "settings")
+	}
+	return Parse(path, data)
+}
+
+// Parse checks the content of a settings file. The name is used in errors, which are Mistakes, wrapped.
+func Parse(name string, data []byte) (Settings, error) {
+	s := defaults()
+	d := decode(name, data, &s)
+	if !d.broken {
+		d.check(s)
+	}
+	if len(d.mistakes) > 0 {
+		return Settings{}, errors.Wrap(d.mistakes, "settings")
+	}
+	for _, l := range []*Listener{&s.Callers, &s.Operators, &s.Peers.Listener} {
+		if l.Advertise == "" {
+			l.Advertise = l.Listen
+		}
+	}
+	return s, nil
+}
+
+var nameSyntax = regexp.MustCompile(`^[a-z0-9.-]{1,64}$`)
+
+func (d *decoder) check(s Settings) {
+	for _, f := range []struct{ field, value string }{{"host", s.Host}, {"zone", s.Zone}, {"region", s.Region}} {
+		d.name(f.field, f.value)
+	}
+	for _, l := range []struct {
+		field string
+		Listener
+	}{{"callers", s.Callers}, {"operators", s.Operators}, {"peers", s.Peers.Listener}} {
+		d.address(l.field+".listen", l.Listen)
+		if l.Advertise != "" {
+			d.address(l.field+".advertise", l.Advertise)
+		}
+	}
+	for i, seed := range s.Peers.Seeds {
+		d.address(fmt.Sprintf("peers.seeds[%d]", i), seed)
+	}
+	d.url("platform.log", s.Platform.Log)
+	d.url("platform.hosts", s.Platform.Hosts)
+	d.require(s.Drain >= 0, "drain", "must not be negative")
+	d.require(s.Limits.Body > 0, "limits.body", "must be positive")
+	d.require(s.Limits.Queue > 0, "limits.queue", "must be positive")
+	d.require(s.Limits.Deadline > 0, "limits.deadline", "must be positive")
+	d.require(s.Freshness.View > 0, "freshness.view", "must be positive")
+	// The rule that no task starts in a zone 5 s after it was taken out leaves 1 s for the send.
+	d.require(s.Freshness.View <= 4*time.Second, "freshness.view", "must be at most 4s")
+	d.require(s.Freshness.Cutoff > s.Lease.Tasks, "freshness.cutoff", "must be longer than lease.tasks")
+	d.require(s.Lease.Renew > 0, "lease.renew", "must be positive")
+	d.require(s.Lease.TTL > 0, "lease.ttl", "must be positive")
+	// One renewal must be able to fail without the loss of the lease.
+	d.require(s.Lease.Renew*2 < s.Lease.TTL, "lease.renew", "must be less than half of lease.ttl")
+	// A new holder needs time to take over before running tasks stop.
+	d.require(s.Lease.Tasks >= 2*s.Lease.TTL, "lease.tasks", "must be at least twice lease.ttl")
+	d.require(oneOf(s.Log.Level, "debug", "info", "warn", "error"), "log.level", "must be debug, info, warn or error")
+	d.require(oneOf(s.Log.Format, "text", "json"), "log.format", "must be text or json")
+	d.zones(s)
+}
+
+func (d *decoder) zones(s Settings) {
+	regions := make(map[string]string)
+	for i, z := range s.Zones {
+		field := fmt.Sprintf("zones[%d]", i)
+		d.name(field+".name", z.Name)
+		d.name(field+".region", z.Region)
+		_, twice := regions[z.Name]
+		d.require(!twice, field+".name", "is listed twice")
+		regions[z.Name] = z.Region
+	}
+	if len(s.Zones) == 0 || s.Zone == "" {
+		return
+	}
+	region, ok := regions[s.Zone]
+	d.require(ok, "zones", "does not list this host's zone")
+	d.require(!ok || region == s.Region, "region", "differs from that of the zone in zones")
+}
+
+func oneOf(s string, values ...string) bool {
+	for _, v := range values {
+		if s == v {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *decoder) name(field, s string) {
+	d.require(s != "", field, "is required")
+	d.require(s == "" || nameSyntax.MatchString(s), field, "must be 1 to 64 characters of a-z, 0-9, '.' and '-'")
+}
+
+func (d *decoder) address(field, s string) {
+	d.require(s != "", field, "is required")
+	_, port, err := net.SplitHostPort(s)
+	d.require(s == "" || err == nil && port != "", field, "must be host:port")
+}
+
+func (d *decoder) url(field, s string) {
+	d.require(s != "", field, "is required")
+	u, err := url.Parse(s)
+	ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+	d.require(s == "" || ok, field, "must be an http or https URL")
+}
--- /dev/null
+++ b/internal/host/settings/settings_test.go
@@ -0,0 +1,113 @@
+package settings
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+
+	"sassafraswind.example/sassafraswind/internal/work/config"
+)
+
+// Guards against example files that no longer load.
+func TestExamples(t *testing.T) {
+	hosts, _ := filepath.Glob("../../../examples/*/*-1.json")
+	docs, _ := filepath.Glob("../../../examples/*/classes.json")
+	if len(hosts) != 2 || len(docs) != 2 {
+		t.Fatalf("found %v and %v", hosts, docs)
+	}
+	for _, path := range hosts {
+		if _, err := Load(path); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, path := range docs {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if data, err = hujson.Standardize(data); err != nil {
+			t.Fatal(err)
+		}
+		var doc config.Document
+		if err := json.Unmarshal(data, &doc); err != nil {
+			t.Errorf("%s: %v", path, err)
+		}
+		if err := doc.Validate(); err != nil || len(doc.Classes) == 0 {
+			t.Errorf("%s: %d classes, %v", path, len(doc.Classes), err)
+		}
+	}
+}
+
+const faulty = `{
+	// A comment.
+	"host": "Upper",
+	"zone": 7,
+	"region": "r",
+	"colour": "blue",
+	"callers": {"listen": ":1"},
+	"operators": {"listen": "nowhere"},
+	"peers": {"listen": ":3", "seeds": ["a:1", "b"]},
+	"platform": {
+		"log": "ftp://x",
+	},
+	"drain": 3,
+	"lease": {
+		"ttl": "4s",
+		"renew": "2s"
+	},
+	"limits": {"queue": 1.5, "queue": 2},
+	"zones": [{"name": "z"}],
+}`
+
+// Guards against a report that stops at the first mistake, or names the wrong line or field.
+func TestEveryMistakeIsReported(t *testing.T) {
+	_, err := Parse("f.json", []byte(faulty))
+	var got Mistakes
+	if !errors.As(err, &got) {
+		t.Fatal(err)
+	}
+	type at struct {
+		line  int
+		field string
+	}
+	want := []at{
+		{3, "host"}, {4, "zone"}, {6, "colour"}, {8, "operators.listen"}, {9, "peers.seeds[1]"}, {11, "platform.log"},
+		{10, "platform.hosts"}, {13, "drain"}, {16, "lease.renew"}, {18, "limits.queue"}, {18, "limits.queue"},
+		{19, "zones[0].region"},
+	}
+	for _, m := range got {
+		i := slices.Index(want, at{m.Line, m.Field})
+		if i < 0 {
+			t.Errorf("unexpected: %v", m)
+			continue
+		}
+		want = slices.Delete(want, i, i+1)
+	}
+	if len(want) > 0 {
+		t.Errorf("not reported: %v", want)
+	}
+}
+
+// Guards against a syntax error without its line.
+func TestSyntaxError(t *testing.T) {
+	_, err := Parse("f.json", []byte("{\n\"host\" 1}"))
+	var got Mistakes
+	if !errors.As(err, &got) || len(got) != 1 || got[0].Line != 2 || got[0].File != "f.json" {
+		t.Errorf("got %v", err)
+	}
+}
+
+// FuzzParse guards against input that makes the decoder panic.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(faulty))
+	f.Add([]byte(`[null]`))
+	f.Add([]byte(`{"zones": null, "peers": 1, "drain": {}}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = Parse("f", data)
+	})
+}
