Add the aggregate of batch jobs and tasks

Every host of a zone replays it from the zone's stream. Finished jobs are forgotten by counts and offsets in the log, not by clocks, so that all readers give the same verdict on a late accept.

--- /dev/null
+++ b/internal/work/job/query.go
@@ -0,0 +1,69 @@
+package job
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Job returns the job with an id, nil if there is none. It is valid until the next record is applied.
+func (t *Table) Job(id string) *Job { return t.jobs[id] }
+
+// Task returns the task with an id, nil if there is none. It is valid until the next record is applied.
+func (t *Table) Task(id string) *Task {
+	task, err := t.lookUp(id)
+	if err != nil {
+		return nil
+	}
+	return task
+}
+
+// Len returns the number of jobs, finished ones included until they are forgotten.
+func (t *Table) Len() int { return len(t.jobs) }
+
+// Counts returns the number of tasks per state.
+func (t *Table) Counts() Counts { return t.counts }
+
+// RunningOn returns the running tasks of a worker in the order of their start.
+func (t *Table) RunningOn(worker string) []*Task {
+	out := slices.Clone(t.workers[worker])
+	slices.SortFunc(out, compareStart)
+	return out
+}
+
+// compareStart orders running tasks by their start record, and by id within one batch of records.
+func compareStart(a, b *Task) int {
+	return cmp.Or(
+		cmp.Compare(a.place.offset, b.place.offset),
+		cmp.Compare(a.job.id, b.job.id),
+		cmp.Compare(a.index, b.index),
+	)
+}
+
+// Workers returns the workers that have running tasks, sorted.
+func (t *Table) Workers() []string {
+	out := make([]string, 0, len(t.workers))
+	for w := range t.workers {
+		out = append(out, w)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// TeamUsage returns what the running tasks of a team take.
+func (t *Table) TeamUsage(team string) Usage { return usageOf(t.teams, team) }
+
+// ClassUsage returns what the running tasks of a class take.
+func (t *Table) ClassUsage(class string) Usage { return usageOf(t.classes, class) }
+
+func usageOf(m map[string]*Usage, key string) Usage {
+	if u := m[key]; u != nil {
+		return *u
+	}
+	return Usage{}
+}
+
+// Doubt returns the offset of the doubt of a worker that stands, to be named in an Evict with ReasonDoubt.
+func (t *Table) Doubt(worker string) (uint64, bool) {
+	offset, ok := t.doubts[worker]
+	return offset, ok
+}
--- /dev/null
+++ b/internal/work/job/queue.go
@@ -0,0 +1,124 @@
+package job
+
+import (
+	"iter"
+	"slices"
+	"time"
+)
+
+// list is a doubly linked list of tasks in the order of their seq. A task is in at most one list.
+type list struct {
+	head, tail *Task
+	len        int
+}
+
+func (l *list) push(t *Task) {
+	t.list, t.prev, t.next = l, l.tail, nil
+	if l.tail != nil {
+		l.tail.next = t
+	} else {
+		l.head = t
+	}
+	l.tail = t
+	l.len++
+}
+
+func (t *Task) unlink() {
+	l := t.list
+	if l == nil {
+		return
+	}
+	if t.prev != nil {
+		t.prev.next = t.next
+	} else {
+		l.head = t.next
+	}
+	if t.next != nil {
+		t.next.prev = t.prev
+	} else {
+		l.tail = t.prev
+	}
+	t.list, t.prev, t.next = nil, nil, nil
+	l.len--
+}
+
+// each yields the tasks in order. The yielded task may leave the list meanwhile, others may not.
+func (l *list) each(yield func(*Task) bool) bool {
+	for t := l.head; t != nil; {
+		next := t.next
+		if !yield(t) {
+			return false
+		}
+		t = next
+	}
+	return true
+}
+
+// queue holds the pending tasks of one class. Evicted tasks come before all others, since they hold work that was
+// already paid for and would starve if each eviction sent them to the end.
+type queue struct {
+	resumed, fresh list
+}
+
+func (q *queue) len() int { return q.resumed.len + q.fresh.len }
+
+func (t *Table) enqueue(task *Task) {
+	q := t.queues[task.job.class]
+	if q == nil {
+		q = &queue{}
+		t.queues[task.job.class] = q
+	}
+	if task.resumed {
+		q.resumed.push(task)
+	} else {
+		q.fresh.push(task)
+	}
+}
+
+// Classes returns the names of the classes that have pending tasks, sorted.
+func (t *Table) Classes() []string {
+	out := make([]string, 0, len(t.queues))
+	for class, q := range t.queues {
+		if q.len() > 0 {
+			out = append(out, class)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Pending yields the pending tasks of a class: evicted ones first, each group in the order in which it became
+// pending. No records may be applied during the iteration.
+func (t *Table) Pending(class string) iter.Seq[*Task] {
+	return func(yield func(*Task) bool) {
+		if q := t.queues[class]; q != nil && q.resumed.each(yield) {
+			q.fresh.each(yield)
+		}
+	}
+}
+
+// PendingLen returns the number of pending tasks of a class.
+func (t *Table) PendingLen(class string) int {
+	if q := t.queues[class]; q != nil {
+		return q.len()
+	}
+	return 0
+}
+
+// PendingSince returns when this host learned that the task is pending, the zero time if it is not pending.
+// For a task from a snapshot that is the time of the first record applied after the snapshot.
+func (t *Table) PendingSince(task *Task) time.Time {
+	if task.state != Pending {
+		return time.Time{}
+	}
+	if task.since.IsZero() {
+		return t.loaded
+	}
+	return task.since
+}
+
+// Unconfirmed yields the moved tasks whose accept in the other zone was not confirmed, oldest move first.
+// No records may be applied during the iteration.
+func (t *Table) Unconfirmed() iter.Seq[*Task] {
+	return func(yield func(*Task) bool) { t.moved.each(yield) }
+}
--- /dev/null
+++ b/internal/work/job/table.go
@@ -0,0 +1,342 @@
+package job
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+)
+
+// Usage is what the running tasks of a team or class take by their declared sizes.
+type Usage struct {
+	Tasks int
+	Size  fleet.Size
+}
+
+// Table is the aggregate of a zone's jobs. It is not safe for concurrent use.
+type Table struct {
+	jobs   map[string]*Job
+	queues map[string]*queue
+	// moved holds the moved tasks that are not confirmed.
+	moved list
+	// workers holds the running tasks of each worker. Workers without any have no entry.
+	workers map[string][]*Task
+	teams   map[string]*Usage
+	classes map[string]*Usage
+	// doubts holds the offset of the first doubt of a worker since its last hold.
+	doubts map[string]uint64
+	counts Counts
+	// seq numbers the entries of all lists.
+	seq uint64
+	// retained is what decides when finished jobs are forgotten.
+	retained retained
+	// loaded is when the first record was applied. It is local bookkeeping.
+	loaded time.Time
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{
+		jobs:     map[string]*Job{},
+		queues:   map[string]*queue{},
+		workers:  map[string][]*Task{},
+		teams:    map[string]*Usage{},
+		classes:  map[string]*Usage{},
+		doubts:   map[string]uint64{},
+		retained: retained{tombs: map[string]tomb{}},
+	}
+}
+
+// step is the position at which a record is applied.
+type step struct {
+	now    time.Time
+	offset uint64
+}
+
+// Apply applies the record at an offset of the zone's stream. An error means that the record was ignored, by every
+// reader alike. now is kept for PendingSince and has no influence on the verdict. Records must come in log order.
+func (t *Table) Apply(now time.Time, offset uint64, item record.Item) error {
+	if t.loaded.IsZero() {
+		t.loaded = now
+	}
+	at := step{now: now, offset: offset}
+	var err error
+	switch item.Kind {
+	case KindAccept:
+		err = run(at, item, t.accept)
+	case KindStart:
+		err = run(at, item, t.start)
+	case KindEnd:
+		err = run(at, item, t.end)
+	case KindEvict:
+		err = run(at, item, t.evict)
+	case KindCancel:
+		err = run(at, item, t.cancel)
+	case KindPark:
+		err = run(at, item, t.park)
+	case KindMove:
+		err = run(at, item, t.move)
+	case KindDoubt:
+		err = run(at, item, t.doubt)
+	case KindHold:
+		err = run(at, item, t.hold)
+	default:
+		err = ErrUnknownKind
+	}
+	if err != nil {
+		return errors.Wrapf(err, "job: %.32q at offset %d", item.Kind, offset)
+	}
+	t.forget(offset)
+	return nil
+}
+
+// run decodes and checks a record before it is applied.
+func run[T message](at step, item record.Item, apply func(step, T) error) error {
+	m, err := record.Open[T](item)
+	if err != nil {
+		return err
+	}
+	if err := m.check(); err != nil {
+		return err
+	}
+	return apply(at, m)
+}
+
+// contentDigest identifies what was submitted under a job id.
+func contentDigest(a Accept) (uint64, error) {
+	a.From, a.Tasks = "", nil
+	data, err := msgpack.Marshal(&a)
+	return xxhash.Sum64(data), err
+}
+
+func (t *Table) accept(at step, a Accept) error {
+	digest, err := contentDigest(a)
+	if err != nil {
+		return malformed("%v", err)
+	}
+	j := t.jobs[a.ID]
+	if j != nil && j.digest != digest {
+		return ErrConflict
+	}
+	if a.From == "" {
+		if j != nil {
+			return ErrExists
+		}
+		if err := t.retained.admit(a.ID); err != nil {
+			return err
+		}
+		j = t.newJob(a, digest)
+		tasks := make([]Task, a.Count)
+		for i := range tasks {
+			t.add(at, j, i, &tasks[i])
+		}
+		return nil
+	}
+	var fresh []Carried
+	for _, c := range a.Tasks {
+		if c.Hop > t.knownHop(j, a.ID, c.Index) {
+			fresh = append(fresh, c)
+		}
+	}
+	if len(fresh) == 0 {
+		return ErrExists
+	}
+	if j == nil {
+		j = t.newJob(a, digest)
+	}
+	if j.done {
+		t.retained.revive(j)
+	}
+	if j.body == nil {
+		j.body = a.Body
+	}
+	tasks := make([]Task, len(fresh))
+	for i, c := range fresh {
+		task := j.tasks[c.Index]
+		if task == nil {
+			task = &tasks[i]
+			t.add(at, j, c.Index, task)
+		} else {
+			t.setState(task, Pending, at)
+		}
+		task.attempt, task.fails, task.hop = int32(c.Attempt), uint8(c.Fails), int32(c.Hop)
+		task.checkpoint, task.reason = c.Checkpoint, ""
+	}
+	// All tasks are added first, so that the job finishes only with the last one.
+	for _, c := range fresh {
+		if j.cancelled {
+			t.setState(j.tasks[c.Index], Cancelled, at)
+		}
+	}
+	return nil
+}
+
+func (t *Table) newJob(a Accept, digest uint64) *Job {
+	j := &Job{
+		id: a.ID, class: a.Class, team: a.Team, size: a.Size, body: a.Body, run: a.Run, from: a.From, digest: digest,
+		tasks: make([]*Task, a.Count),
+	}
+	t.jobs[a.ID] = j
+	return j
+}
+
+// add places a new task in the pending queue.
+func (t *Table) add(at step, j *Job, index int, task *Task) {
+	*task = Task{job: j, index: int32(index), state: Pending, since: at.now}
+	j.tasks[index] = task
+	j.counts[Pending]++
+	t.counts[Pending]++
+	t.seq++
+	task.seq = t.seq
+	t.enqueue(task)
+}
+
+// knownHop returns the highest hop with which a task was in this zone, -1 if it never was. Only a task that was moved
+// away can have a higher hop elsewhere, so a carried task with a higher one is no duplicate.
+func (t *Table) knownHop(j *Job, id string, index int) int {
+	if j != nil && j.tasks[index] != nil {
+		return j.tasks[index].Hop()
+	}
+	return t.retained.hop(id, index)
+}
+
+// setState moves a task from its present state to another one and keeps all indexes in step.
+func (t *Table) setState(task *Task, to State, at step) {
+	j := task.job
+	if task.place != nil {
+		t.vacate(task)
+	}
+	if task.state == Moved && !task.confirmed {
+		j.unconfirmed--
+	}
+	if q := t.queues[j.class]; task.state == Pending && q != nil && q.len() == 1 {
+		delete(t.queues, j.class)
+	}
+	task.unlink()
+	j.counts[task.state]--
+	t.counts[task.state]--
+	task.state, task.cancelling, task.confirmed = to, false, false
+	j.counts[to]++
+	t.counts[to]++
+	switch to {
+	case Pending:
+		t.seq++
+		task.seq, task.since = t.seq, at.now
+		t.enqueue(task)
+	case Moved:
+		t.seq++
+		task.seq = t.seq
+		t.moved.push(task)
+		j.unconfirmed++
+	case Done, Parked, Cancelled:
+		task.checkpoint = nil
+	}
+	if to != Pending {
+		task.resumed, task.since = false, time.Time{}
+	}
+	t.finish(j, at)
+}
+
+// finish hands a job to retention once nothing is left to do for it.
+func (t *Table) finish(j *Job, at step) {
+	if j.done || !j.Finished() {
+		return
+	}
+	j.body = nil
+	t.retained.finish(j, at.offset)
+}
+
+func (t *Table) occupy(task *Task, p *placement) {
+	task.place = p
+	t.workers[p.worker] = append(t.workers[p.worker], task)
+	addUsage(t.teams, task.job.team, task.job.size)
+	addUsage(t.classes, task.job.class, task.job.size)
+}
+
+func (t *Table) vacate(task *Task) {
+	w := task.place.worker
+	tasks := t.workers[w]
+	for i, o := range tasks {
+		if o == task {
+			tasks[i] = tasks[len(tasks)-1]
+			tasks[len(tasks)-1] = nil
+			tasks = tasks[:len(tasks)-1]
+			break
+		}
+	}
+	if len(tasks) == 0 {
+		delete(t.workers, w)
+	} else {
+		t.workers[w] = tasks
+	}
+	subUsage(t.teams, task.job.team, task.job.size)
+	subUsage(t.classes, task.job.class, task.job.size)
+	task.place = nil
+}
+
+func addUsage(m map[string]*Usage, key string, size fleet.Size) {
+	u := m[key]
+	if u == nil {
+		u = &Usage{}
+		m[key] = u
+	}
+	u.Tasks++
+	u.Size = u.Size.Add(size)
+}
+
+func subUsage(m map[string]*Usage, key string, size fleet.Size) {
+	u := m[key]
+	u.Tasks--
+	u.Size = u.Size.Sub(size)
+	if u.Tasks == 0 {
+		delete(m, key)
+	}
+}
+
+// lookUp returns the task with an id.
+func (t *Table) lookUp(id string) (*Task, error) {
+	job, index, ok := splitID(id)
+	if !ok {
+		return nil, malformed("task id %.64q", id)
+	}
+	if j := t.jobs[job]; j != nil {
+		if task := j.Task(index); task != nil {
+			return task, nil
+		}
+	}
+	return nil, ErrUnknownTask
+}
+
+// lookUpRunning returns the task if the named attempt is running.
+func (t *Table) lookUpRunning(id string, attempt int) (*Task, error) {
+	task, err := t.lookUp(id)
+	switch {
+	case err != nil:
+		return nil, err
+	case task.state.Final():
+		return nil, ErrFinal
+	case int(task.attempt) != attempt:
+		return nil, ErrWrongAttempt
+	case task.state != Running:
+		return nil, ErrNotRunning
+	}
+	return task, nil
+}
+
+// lookUpPending returns the task if it is pending.
+func (t *Table) lookUpPending(id string) (*Task, error) {
+	task, err := t.lookUp(id)
+	switch {
+	case err != nil:
+		return nil, err
+	case task.state.Final():
+		return nil, ErrFinal
+	case task.state != Pending:
+		return nil, ErrNotPending
+	}
+	return task, nil
+}
--- /dev/null
+++ b/internal/work/job/task.go
@@ -0,0 +1,229 @@
+package job
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+)
+
+// State is the state of a task.
+type State uint8
+
+// The states of a task. Done, Parked and Cancelled are final. Moved ends when the task comes back with a higher hop.
+const (
+	Pending State = iota
+	Running
+	Done
+	Parked
+	Cancelled
+	Moved
+	numStates
+)
+
+var stateNames = [numStates]string{"pending", "running", "done", "parked", "cancelled", "moved"}
+
+// String returns the state in lower case.
+func (s State) String() string {
+	if s < numStates {
+		return stateNames[s]
+	}
+	return "invalid"
+}
+
+// Final reports whether a task in this state never changes again.
+func (s State) Final() bool { return s == Done || s == Parked || s == Cancelled }
+
+// Counts is a number of tasks per State.
+type Counts [numStates]int
+
+// Job is a set of tasks with the same body.
+type Job struct {
+	id     string
+	class  string
+	team   string
+	size   fleet.Size
+	body   []byte
+	run    time.Duration
+	from   string
+	digest uint64
+	// cancelled makes tasks that come back from another zone cancelled at once.
+	cancelled bool
+	// tasks has an entry per index. It is nil for a task that was never in this zone.
+	tasks  []*Task
+	counts Counts
+	// unconfirmed is the number of moved tasks whose accept was not confirmed.
+	unconfirmed int
+	// finished is the offset at which the last task became final or was confirmed as moved.
+	finished uint64
+	// done is set while the job is in retained.finished, under the number doneSeq.
+	done    bool
+	doneSeq uint64
+}
+
+// ID returns the job's key.
+func (j *Job) ID() string { return j.id }
+
+// Class returns the class of work.
+func (j *Job) Class() string { return j.class }
+
+// Team returns the team that owns the job.
+func (j *Job) Team() string { return j.team }
+
+// Size returns the declared size of one task.
+func (j *Job) Size() fleet.Size { return j.size }
+
+// Body returns the input of the tasks. It is nil once the job has finished. It must not be changed.
+func (j *Job) Body() []byte { return j.body }
+
+// Run returns the declared run time of one task.
+func (j *Job) Run() time.Duration { return j.run }
+
+// From returns the zone that the job was first moved from, empty for a job that was submitted here.
+func (j *Job) From() string { return j.from }
+
+// Count returns the number of tasks of the job in all zones.
+func (j *Job) Count() int { return len(j.tasks) }
+
+// Counts returns the number of tasks per state, of those that are or were in this zone.
+func (j *Job) Counts() Counts { return j.counts }
+
+// Cancelled reports whether the whole job was cancelled.
+func (j *Job) Cancelled() bool { return j.cancelled }
+
+// Finished reports whether nothing is left to do for the job in this zone.
+func (j *Job) Finished() bool {
+	return j.counts[Pending] == 0 && j.counts[Running] == 0 && j.unconfirmed == 0
+}
+
+// Task returns the task with an index, nil if it was never in this zone.
+func (j *Job) Task(index int) *Task {
+	if index < 0 || index >= len(j.tasks) {
+		return nil
+	}
+	return j.tasks[index]
+}
+
+// placement is where the running attempt is.
+type placement struct {
+	worker, boot, host string
+	// offset is that of the start record.
+	offset uint64
+}
+
+// Task is one unit of work.
+type Task struct {
+	job     *Job
+	index   int32
+	attempt int32
+	hop     int32
+	fails   uint8
+	state   State
+	// cancelling is set if a running task was cancelled. Its next end or evict decides.
+	cancelling bool
+	// resumed is set if the task became pending by an eviction.
+	resumed bool
+	// confirmed is set if the accept of a moved task was read back in the other zone.
+	confirmed bool
+	// place is nil unless the task is running.
+	place *placement
+	// checkpoint is that of the newest attempt that wrote one.
+	checkpoint []byte
+	output     []byte
+	// reason is why the task was parked, or the target zone of a moved task.
+	reason string
+	// seq orders the list that the task is in. list is nil if the task is in none.
+	seq        uint64
+	list       *list
+	prev, next *Task
+	// since is local bookkeeping. No verdict depends on it.
+	since time.Time
+}
+
+// Job returns the job that the task belongs to.
+func (t *Task) Job() *Job { return t.job }
+
+// ID returns the id of the task, which is the job's id, a slash and the index.
+func (t *Task) ID() string { return t.job.id + "/" + strconv.Itoa(int(t.index)) }
+
+// Index returns the number of the task within its job, from 0.
+func (t *Task) Index() int { return int(t.index) }
+
+// State returns the state of the task.
+func (t *Task) State() State { return t.state }
+
+// Attempt returns the last attempt that was started, 0 if none was. A start record needs Attempt()+1.
+func (t *Task) Attempt() int { return int(t.attempt) }
+
+// Fails returns the number of failed attempts.
+func (t *Task) Fails() int { return int(t.fails) }
+
+// Hop returns how often the task was moved.
+func (t *Task) Hop() int { return int(t.hop) }
+
+// Cancelling reports whether the running task was cancelled.
+func (t *Task) Cancelling() bool { return t.cancelling }
+
+// Checkpoint returns the newest checkpoint. It must not be changed.
+func (t *Task) Checkpoint() []byte { return t.checkpoint }
+
+// Output returns the output of a done task, or that of the last failed attempt. It must not be changed.
+func (t *Task) Output() []byte { return t.output }
+
+// Reason returns why the task was parked.
+func (t *Task) Reason() string {
+	if t.state != Parked {
+		return ""
+	}
+	return t.reason
+}
+
+// To returns the zone that the task was moved to.
+func (t *Task) To() string {
+	if t.state != Moved {
+		return ""
+	}
+	return t.reason
+}
+
+// Worker returns the worker of the running attempt.
+func (t *Task) Worker() string {
+	if t.place == nil {
+		return ""
+	}
+	return t.place.worker
+}
+
+// Boot returns the worker's boot id of the running attempt.
+func (t *Task) Boot() string {
+	if t.place == nil {
+		return ""
+	}
+	return t.place.boot
+}
+
+// Host returns the entry host that started the running attempt.
+func (t *Task) Host() string {
+	if t.place == nil {
+		return ""
+	}
+	return t.place.host
+}
+
+// Carried returns what an Accept in another zone has to carry for the task.
+func (t *Task) Carried() Carried {
+	return Carried{
+		Index: int(t.index), Attempt: int(t.attempt), Fails: int(t.fails), Hop: int(t.hop), Checkpoint: t.checkpoint,
+	}
+}
+
+// splitID splits a task id into the job's id and the index.
+func splitID(id string) (string, int, bool) {
+	job, num, ok := strings.Cut(id, "/")
+	if !ok || num == "" || len(num) > 4 || (len(num) > 1 && num[0] == '0') {
+		return "", 0, false
+	}
+	n, err := strconv.ParseUint(num, 10, 16)
+	return job, int(n), err == nil
+}
