--- /dev/null
+++ b/internal/work/intent/table_test.go
@@ -0,0 +1,183 @@
+package intent
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+)
+
+// TestMain fixes the seed of the property tests, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// key returns the n-th UUIDv7 at a time.
+func key(at time.Time, n byte) string {
+	var u uuid.UUID
+	ms := at.UnixMilli()
+	for i := range 6 {
+		u[i] = byte(ms >> (40 - 8*i))
+	}
+	u[6], u[8], u[15] = 0x70, 0x80, n
+	return u.String()
+}
+
+func must(item record.Item, err error) record.Item {
+	if err != nil {
+		panic(err)
+	}
+	return item
+}
+
+func call(k string, attempt int, after uint64) Intent {
+	return Intent{
+		Key: k, Digest: 1, Kind: Call, Class: "quote", Zone: "z", Host: "h", Worker: "w", Boot: "b", Before: time.Second,
+		Attempt: attempt, After: after,
+	}
+}
+
+// Guards against readers that disagree on a late record because one of them has forgotten the key or was restored from
+// a snapshot, and against a key with two attempts that follow the same one, two answers, or a life after its close.
+func TestReadersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := New(), New()
+		keys := []string{key(epoch, 1), key(epoch, 2), key(epoch.Add(24*time.Hour), 3), key(epoch.Add(26*time.Hour), 4)}
+		settled := map[string]bool{}
+		last := map[string]int{}
+		for offset := uint64(1); offset < 40; offset++ {
+			k := rapid.SampledFrom(keys).Draw(t, "key")
+			o := a.Outcome(k)
+			n := max(1, o.Intent.Attempt+rapid.IntRange(-1, 1).Draw(t, "delta"))
+			after := o.Offset
+			if rapid.IntRange(0, 3).Draw(t, "stale") == 0 {
+				after++
+			}
+			var item record.Item
+			switch rapid.IntRange(0, 5).Draw(t, "op") {
+			case 0:
+				i := call(k, 1, 0)
+				i.Digest = rapid.Uint64Range(1, 2).Draw(t, "digest")
+				i.Kind = rapid.SampledFrom([]Kind{Call, Call, Job}).Draw(t, "kind")
+				item = must(IntentItem(i))
+			case 1, 2:
+				if n == 1 {
+					after = 0
+				}
+				item = must(IntentItem(call(k, n, after)))
+			case 3:
+				item = must(AnswerItem(Answer{Key: k, Attempt: n, Body: []byte{byte(offset)}}))
+			case 4:
+				c := Close{Key: k, Attempt: n, After: after, Reason: "r"}
+				if rapid.Bool().Draw(t, "first") {
+					c.Attempt, c.After = 0, 0
+				}
+				item = must(CloseItem(c))
+			case 5:
+				item = must(HomeItem(Home{Key: k, Zone: "y", Hop: n}))
+			}
+			errA, errB := a.Apply(epoch, offset, item), b.Apply(epoch.Add(time.Hour), offset, item)
+			if (errA == nil) != (errB == nil) {
+				t.Fatalf("verdicts on %s differ: %v and %v", item.Kind, errA, errB)
+			}
+			if errA == nil && item.Kind != KindHome {
+				now := a.Outcome(k)
+				if settled[k] {
+					t.Fatalf("%s accepted for a settled key", item.Kind)
+				}
+				if item.Kind == KindIntent {
+					if now.Intent.Attempt != last[k]+1 {
+						t.Fatalf("attempt %d follows %d", now.Intent.Attempt, last[k])
+					}
+					last[k]++
+				} else {
+					settled[k] = true
+				}
+			}
+			// Reader b forgets at any wall clock and is restored now and then.
+			b.Expire(epoch.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "clock")) * time.Hour))
+			if rapid.IntRange(0, 5).Draw(t, "cut") == 0 {
+				data, err := b.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				b = New()
+				if err := b.Restore(data, offset); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		sa, _ := a.Snapshot()
+		sb, _ := b.Snapshot()
+		if !bytes.Equal(sa, sb) {
+			t.Fatal("states differ")
+		}
+	})
+}
+
+// Guards against a key that is forgotten while hosts still accept it, and a late record that starts it anew.
+func TestExpire(t *testing.T) {
+	Convey("Only keys past the watermark are forgotten, and late records of them are ignored", t, func() {
+		tb := New()
+		k := key(epoch, 1)
+		So(tb.Apply(epoch, 1, must(IntentItem(call(k, 1, 0)))), ShouldBeNil)
+		So(tb.Expire(epoch.Add(100*time.Hour)), ShouldEqual, 0)
+		next := key(epoch.Add(Keep+time.Minute), 2)
+		So(tb.Apply(epoch, 2, must(IntentItem(call(next, 1, 0)))), ShouldBeNil)
+		So(tb.Expire(epoch.Add(Keep)), ShouldEqual, 0)
+		late := must(AnswerItem(Answer{Key: k, Attempt: 1}))
+		So(errors.Is(tb.Apply(epoch, 3, late), ErrExpired), ShouldBeTrue)
+		So(tb.Expire(epoch.Add(Keep+time.Minute)), ShouldEqual, 1)
+		So(errors.Is(tb.Apply(epoch, 4, late), ErrExpired), ShouldBeTrue)
+		So(errors.Is(tb.Apply(epoch, 5, must(IntentItem(call(k, 1, 0)))), ErrExpired), ShouldBeTrue)
+		So(tb.Outcome(k).State, ShouldEqual, Expired)
+	})
+}
+
+// Guards against a window that refuses valid keys or accepts ones that may be forgotten.
+func TestCheckKey(t *testing.T) {
+	Convey("The window is 24 h back and 5 min ahead", t, func() {
+		k := key(epoch, 1)
+		So(CheckKey(epoch.Add(Window), k), ShouldBeNil)
+		So(errors.Is(CheckKey(epoch.Add(Window+time.Millisecond), k), ErrOld), ShouldBeTrue)
+		So(CheckKey(epoch.Add(-Ahead), k), ShouldBeNil)
+		So(errors.Is(CheckKey(epoch.Add(-Ahead-time.Millisecond), k), ErrAhead), ShouldBeTrue)
+		So(errors.Is(CheckKey(epoch, uuid.NewString()), ErrBadKey), ShouldBeTrue)
+	})
+}
+
+// FuzzApply guards against records that crash a reader or change the state although they are refused.
+func FuzzApply(f *testing.F) {
+	k := key(epoch, 1)
+	for _, i := range []record.Item{
+		must(IntentItem(call(k, 2, 1))), must(AnswerItem(Answer{Key: k, Attempt: 1, Body: []byte("b")})),
+		must(CloseItem(Close{Key: k, Attempt: 1, After: 1, Reason: "r"})), must(HomeItem(Home{Key: k, Zone: "z", Hop: 1})),
+	} {
+		f.Add(string(i.Kind), i.Data)
+	}
+	f.Fuzz(func(t *testing.T, kind string, data []byte) {
+		tb := New()
+		_ = tb.Apply(epoch, 1, must(IntentItem(call(k, 1, 0))))
+		before, _ := tb.Snapshot()
+		if tb.Apply(epoch, 2, record.Item{Kind: record.Kind(kind), Data: data}) != nil {
+			if after, _ := tb.Snapshot(); !bytes.Equal(before, after) {
+				t.Fatal("a refused record changed the state")
+			}
+		}
+		_ = New().Restore(data, 1)
+	})
+}
--- /dev/null
+++ b/internal/work/job/table_test.go
@@ -0,0 +1,343 @@
+package job
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+)
+
+// TestMain fixes the seed of the property tests, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// key returns the n-th UUIDv7 at a time.
+func key(at time.Time, n int) string {
+	var u uuid.UUID
+	ms := at.UnixMilli()
+	for i := range 6 {
+		u[i] = byte(ms >> (40 - 8*i))
+	}
+	u[6], u[8] = 0x70, 0x80
+	u[13], u[14], u[15] = byte(n>>16), byte(n>>8), byte(n)
+	return u.String()
+}
+
+func must(item record.Item, err error) record.Item {
+	if err != nil {
+		panic(err)
+	}
+	return item
+}
+
+func accept(id string, count int) Accept {
+	return Accept{
+		ID: id, Class: "cut", Team: "plans", Count: count, Size: fleet.Size{Cores: 1000, Memory: 64}, Body: []byte("in"),
+	}
+}
+
+// model is what the property test knows of a task without the table.
+type model struct {
+	running, last int
+	result        string
+	hop           int
+}
+
+// Guards against two attempts of a task at once, a resumed attempt that skips or repeats a number, a second final
+// result, readers with other clocks that differ, and snapshots that lose state.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := New(), New()
+		ids := []string{key(epoch, 1), key(epoch, 2)}
+		tasks := []string{ids[0] + "/0", ids[0] + "/1", ids[1] + "/0"}
+		models := map[string]*model{}
+		for _, id := range tasks {
+			models[id] = &model{}
+		}
+		var accepted []record.Item
+		offset := uint64(0)
+		apply := func(item record.Item) error {
+			offset++
+			err := a.Apply(epoch, offset, item)
+			if errB := b.Apply(epoch.Add(time.Duration(offset)*time.Hour), offset, item); (err == nil) != (errB == nil) {
+				t.Fatalf("verdicts differ: %v and %v", err, errB)
+			}
+			if err == nil {
+				accepted = append(accepted, item)
+			}
+			return err
+		}
+		names := rapid.SampledFrom([]string{"w1", "w2"})
+		attempt := func(id string) int { return models[id].last + rapid.IntRange(-1, 1).Draw(t, "delta") }
+		steps := rapid.IntRange(1, 60).Draw(t, "steps")
+		for range steps {
+			id := rapid.SampledFrom(tasks).Draw(t, "task")
+			m := models[id]
+			n := max(1, attempt(id))
+			before := a.Task(id)
+			switch rapid.IntRange(0, 11).Draw(t, "op") {
+			case 0:
+				_ = apply(must(AcceptItem(accept(id[:36], 2))))
+			case 1, 2, 3:
+				if apply(must(StartItem(Start{Task: id, Attempt: n, Worker: names.Draw(t, "w"), Boot: "b", Host: "h"}))) == nil {
+					if m.running != 0 || n != m.last+1 || m.result != "" {
+						t.Fatalf("attempt %d of %s started, model %+v", n, id, *m)
+					}
+					m.running, m.last = n, n
+				}
+			case 4, 5:
+				state := rapid.SampledFrom([]Result{ResultDone, ResultFailed}).Draw(t, "state")
+				cancelling := before != nil && before.Cancelling()
+				if apply(must(EndItem(End{Task: id, Attempt: n, State: state, Output: []byte{byte(n)}}))) == nil {
+					if m.running != n || m.result != "" {
+						t.Fatalf("end of attempt %d of %s accepted, model %+v", n, id, *m)
+					}
+					m.running = 0
+					if state == ResultDone {
+						m.result = "done"
+					} else if cancelling && a.Task(id).State() != Cancelled {
+						t.Fatalf("failed end of a cancelled task left it %v", a.Task(id).State())
+					}
+				}
+			case 6, 7:
+				reason := rapid.SampledFrom([]Reason{ReasonStopped, ReasonDoubt, ReasonBoot}).Draw(t, "reason")
+				point, _ := a.Doubt("w1")
+				worker, standing := "", false
+				if before != nil {
+					worker = before.Worker()
+					_, standing = a.Doubt(worker)
+				}
+				e := Evict{Task: id, Attempt: n, Reason: reason, Doubt: point, Checkpoint: []byte{byte(n)}}
+				if apply(must(EvictItem(e))) == nil {
+					if m.running != n || m.result != "" || reason == ReasonDoubt && !standing {
+						t.Fatalf("evict of attempt %d of %s accepted, model %+v", n, id, *m)
+					}
+					m.running = 0
+				}
+			case 8:
+				target := rapid.SampledFrom([]string{id, id[:36]}).Draw(t, "target")
+				_ = apply(must(CancelItem(Cancel{ID: target})))
+			case 9:
+				mv := Move{Task: id, To: "z", Hop: m.hop + rapid.IntRange(0, 1).Draw(t, "hop"), Done: rapid.Bool().Draw(t, "done")}
+				mv.Hop = max(1, mv.Hop)
+				if apply(must(MoveItem(mv))) == nil && !mv.Done {
+					if m.running != 0 || mv.Hop != m.hop+1 {
+						t.Fatalf("move to hop %d accepted, model %+v", mv.Hop, *m)
+					}
+					m.hop = mv.Hop
+				}
+				// The other zone sends the task back.
+				if before != nil && rapid.Bool().Draw(t, "back") {
+					back := accept(id[:36], 2)
+					back.From = "z"
+					back.Tasks = []Carried{{Index: before.Index(), Attempt: m.last, Hop: m.hop + 1}}
+					if m.running == 0 && a.Task(id).State() == Moved && apply(must(AcceptItem(back))) == nil {
+						m.hop++
+					}
+				}
+			case 10:
+				w := names.Draw(t, "w")
+				if rapid.Bool().Draw(t, "hold") {
+					_ = apply(must(HoldItem(Hold{Worker: w})))
+				} else {
+					_ = apply(must(DoubtItem(Doubt{Worker: w})))
+				}
+			case 11:
+				if len(accepted) > 0 {
+					late := rapid.SampledFrom(accepted).Draw(t, "late")
+					if err := apply(late); err == nil && late.Kind != KindDoubt && late.Kind != KindHold {
+						t.Fatalf("a repeated %s was accepted", late.Kind)
+					}
+				}
+			}
+			for id, m := range models {
+				task := a.Task(id)
+				if task == nil {
+					continue
+				}
+				if (task.State() == Running) != (m.running != 0) || m.result == "done" && task.State() != Done {
+					t.Fatalf("%s is %v, model %+v", id, task.State(), *m)
+				}
+			}
+			checkIndexes(t, a)
+			if rapid.IntRange(0, 7).Draw(t, "cut") == 0 {
+				data, err := b.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				b = New()
+				if err := b.Restore(data, offset); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		sa, _ := a.Snapshot()
+		sb, _ := b.Snapshot()
+		if !bytes.Equal(sa, sb) {
+			t.Fatal("states differ after a restore")
+		}
+	})
+}
+
+// checkIndexes compares the indexes with a scan of all tasks.
+func checkIndexes(t *rapid.T, tb *Table) {
+	var counts Counts
+	unconfirmed, sizes := 0, int64(0)
+	for _, j := range tb.jobs {
+		for _, task := range j.tasks {
+			if task == nil {
+				continue
+			}
+			counts[task.state]++
+			if task.state == Moved && !task.confirmed {
+				unconfirmed++
+			}
+			if task.state == Running {
+				sizes += j.size.Cores
+			}
+		}
+	}
+	on, pending := 0, 0
+	for _, w := range tb.Workers() {
+		on += len(tb.RunningOn(w))
+	}
+	for _, class := range tb.Classes() {
+		for range tb.Pending(class) {
+			pending++
+		}
+	}
+	moved := 0
+	for range tb.Unconfirmed() {
+		moved++
+	}
+	if counts != tb.Counts() || on != counts[Running] || pending != counts[Pending] || moved != unconfirmed ||
+		tb.TeamUsage("plans").Size.Cores != sizes || tb.ClassUsage("cut").Tasks != on {
+		t.Fatalf("indexes: %v and %v, running %d, pending %d, moved %d", counts, tb.Counts(), on, pending, moved)
+	}
+}
+
+// Guards against a forgotten job that a late accept runs a second time, and against retention that grows.
+func TestRetention(t *testing.T) {
+	Convey("A job forgotten by count cannot be accepted again, but a task that moved on can come back", t, func() {
+		tb := New()
+		offset := uint64(0)
+		apply := func(item record.Item, err error) error {
+			offset++
+			return tb.Apply(epoch, offset, must(item, err))
+		}
+		first := accept(key(epoch, 0), 2)
+		So(apply(AcceptItem(first)), ShouldBeNil)
+		So(apply(MoveItem(Move{Task: first.ID + "/1", To: "z", Hop: 1})), ShouldBeNil)
+		So(apply(ParkItem(Park{Task: first.ID + "/0", Reason: "too large"})), ShouldBeNil)
+		So(tb.Job(first.ID).Finished(), ShouldBeFalse)
+		So(apply(MoveItem(Move{Task: first.ID + "/1", To: "z", Hop: 1, Done: true})), ShouldBeNil)
+		So(tb.Job(first.ID).Finished(), ShouldBeTrue)
+		for n := 1; n <= KeepJobs; n++ {
+			So(apply(AcceptItem(accept(key(epoch, n), 1))), ShouldBeNil)
+			So(apply(ParkItem(Park{Task: key(epoch, n) + "/0", Reason: "too large"})), ShouldBeNil)
+		}
+		So(tb.Job(first.ID), ShouldBeNil)
+		So(tb.Len(), ShouldEqual, KeepJobs)
+		So(errors.Is(apply(AcceptItem(first)), ErrExpired), ShouldBeTrue)
+		back := first
+		back.From = "z"
+		back.Tasks = []Carried{{Index: 1, Hop: 1}}
+		So(errors.Is(apply(AcceptItem(back)), ErrExists), ShouldBeTrue)
+		back.Tasks = []Carried{{Index: 1, Hop: 2, Attempt: 4}}
+		So(apply(AcceptItem(back)), ShouldBeNil)
+		So(tb.Task(first.ID+"/1").Attempt(), ShouldEqual, 4)
+	})
+}
+
+// Guards against an evict that relies on a doubt which the worker's holder has answered, or on one that is not its own.
+func TestDoubt(t *testing.T) {
+	Convey("Only the doubt that stands since before the wait counts", t, func() {
+		tb := New()
+		a := accept(key(epoch, 1), 1)
+		task := a.ID + "/0"
+		evict := func(d uint64) error {
+			return tb.Apply(epoch, 99, must(EvictItem(Evict{Task: task, Attempt: 1, Reason: ReasonDoubt, Doubt: d})))
+		}
+		So(tb.Apply(epoch, 1, must(AcceptItem(a))), ShouldBeNil)
+		So(tb.Apply(epoch, 2, must(DoubtItem(Doubt{Worker: "w"}))), ShouldBeNil)
+		So(tb.Apply(epoch, 3, must(StartItem(Start{Task: task, Attempt: 1, Worker: "w", Boot: "b", Host: "h"}))), ShouldBeNil)
+		So(errors.Is(evict(2), ErrNoDoubt), ShouldBeTrue)
+		So(tb.Apply(epoch, 4, must(HoldItem(Hold{Worker: "w"}))), ShouldBeNil)
+		So(tb.Apply(epoch, 5, must(DoubtItem(Doubt{Worker: "w"}))), ShouldBeNil)
+		So(errors.Is(evict(2), ErrNoDoubt), ShouldBeTrue)
+		So(evict(5), ShouldBeNil)
+	})
+}
+
+// Guards against queue order that starves evicted tasks, retries beyond the limit and contents that change.
+func TestRules(t *testing.T) {
+	Convey("Evicted tasks come first, failing ones are parked, other content under an id is refused", t, func() {
+		tb := New()
+		offset := uint64(0)
+		apply := func(item record.Item, err error) error {
+			offset++
+			return tb.Apply(epoch, offset, must(item, err))
+		}
+		a := accept(key(epoch, 1), 3)
+		So(apply(AcceptItem(a)), ShouldBeNil)
+		So(errors.Is(apply(AcceptItem(a)), ErrExists), ShouldBeTrue)
+		other := a
+		other.Body = []byte("other")
+		So(errors.Is(apply(AcceptItem(other)), ErrConflict), ShouldBeTrue)
+		So(apply(StartItem(Start{Task: a.ID + "/2", Attempt: 1, Worker: "w", Boot: "b", Host: "h"})), ShouldBeNil)
+		So(apply(EvictItem(Evict{Task: a.ID + "/2", Attempt: 1, Reason: ReasonStopped, Checkpoint: []byte("c")})), ShouldBeNil)
+		order := ""
+		for task := range tb.Pending("cut") {
+			order += fmt.Sprint(task.Index())
+		}
+		So(order, ShouldEqual, "201")
+		for n := 2; n <= 4; n++ {
+			So(apply(StartItem(Start{Task: a.ID + "/2", Attempt: n, Worker: "w", Boot: "b", Host: "h"})), ShouldBeNil)
+			So(string(tb.Task(a.ID+"/2").Checkpoint()), ShouldEqual, "c")
+			So(apply(EndItem(End{Task: a.ID + "/2", Attempt: n, State: ResultFailed})), ShouldBeNil)
+		}
+		So(tb.Task(a.ID+"/2").State(), ShouldEqual, Parked)
+		_, err := EndItem(End{Task: a.ID + "/1", Attempt: 1, State: ResultDone, Output: make([]byte, MaxOutput+1)})
+		So(errors.Is(err, record.ErrMalformed), ShouldBeTrue)
+	})
+}
+
+// FuzzApply guards against records that crash a reader or change the state although they are refused.
+func FuzzApply(f *testing.F) {
+	a := accept(key(epoch, 1), 2)
+	for _, i := range []record.Item{
+		must(AcceptItem(a)), must(CancelItem(Cancel{ID: a.ID})), must(DoubtItem(Doubt{Worker: "w"})),
+		must(StartItem(Start{Task: a.ID + "/0", Attempt: 1, Worker: "w", Boot: "b", Host: "h"})),
+		must(MoveItem(Move{Task: a.ID + "/1", To: "z", Hop: 1})),
+	} {
+		f.Add(string(i.Kind), i.Data)
+	}
+	f.Fuzz(func(t *testing.T, kind string, data []byte) {
+		tb := New()
+		_ = tb.Apply(epoch, 1, must(AcceptItem(a)))
+		before, _ := tb.Snapshot()
+		if tb.Apply(epoch, 2, record.Item{Kind: record.Kind(kind), Data: data}) != nil {
+			if after, _ := tb.Snapshot(); !bytes.Equal(before, after) {
+				t.Fatal("a refused record changed the state")
+			}
+		}
+		_ = New().Restore(data, 1)
+	})
+}
