Decide which workers an entry host holds

A holder cut off from its worker cannot see that another host took it over and renews its task leases.

--- /dev/null
+++ b/internal/zone/lease/message.go
@@ -0,0 +1,106 @@
+package lease
+
+import (
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+)
+
+// Msg is an input of Holdings.Update.
+type Msg interface{ isMsg() }
+
+// TickMsg makes Holdings look for requests that are due. It is expected several times a second.
+type TickMsg struct{}
+
+// Worker is a listed worker of the zone.
+type Worker struct {
+	ID      string
+	Address string
+	Leaving bool
+}
+
+// HostsMsg replaces the list of the zone's workers.
+type HostsMsg struct{ Workers []Worker }
+
+// PeersMsg replaces the set of live, ready, not leaving entry hosts of the zone, this host included.
+type PeersMsg struct{ Hosts []string }
+
+// StatusMsg is the reply to a status or lease call.
+type StatusMsg struct {
+	Status fleet.Status
+	// Sent and Received are times of this host's clock around the call.
+	Sent, Received time.Time
+	// Seen is LeaseRequest.Seen of the call, 0 for a status call.
+	Seen uint64
+}
+
+// RefusedMsg is the reply to a lease call that was refused because another host holds the worker.
+type RefusedMsg struct {
+	Status         fleet.Status
+	Sent, Received time.Time
+}
+
+// FailedMsg reports that a call failed or timed out. The worker may have carried it out.
+type FailedMsg struct{ Worker string }
+
+// ReleasedMsg reports that the worker confirmed a release.
+type ReleasedMsg struct{ Worker string }
+
+// HoldMsg is a hold record that was read from the zone's stream, of this host or another.
+type HoldMsg struct {
+	Worker, Host, Boot string
+	Grant              uint64
+}
+
+// LeaveMsg starts a planned stop: all workers are released and none is taken.
+type LeaveMsg struct{}
+
+// StaleMsg tells whether the view of the config or zone stream is older than the cut-off bound.
+// Task leases are not renewed while it is.
+type StaleMsg struct{ Stale bool }
+
+func (TickMsg) isMsg()     {}
+func (HostsMsg) isMsg()    {}
+func (PeersMsg) isMsg()    {}
+func (StatusMsg) isMsg()   {}
+func (RefusedMsg) isMsg()  {}
+func (FailedMsg) isMsg()   {}
+func (ReleasedMsg) isMsg() {}
+func (HoldMsg) isMsg()     {}
+func (LeaveMsg) isMsg()    {}
+func (StaleMsg) isMsg()    {}
+
+// Command is an effect that the caller carries out after Update.
+type Command interface{ isCommand() }
+
+// QueryCmd asks the worker for its full status.
+type QueryCmd struct{ Worker, Address string }
+
+// LeaseCmd asks for or renews the lease of the worker. Request.Tasks is 0 when task leases are to stay as they are.
+type LeaseCmd struct {
+	Worker, Address string
+	Request         fleet.LeaseRequest
+}
+
+// ReleaseCmd gives up the lease of the worker.
+type ReleaseCmd struct{ Worker, Address string }
+
+// HoldCmd asks for a hold record in the zone's stream. Task leases are renewed once a HoldMsg shows it read back.
+type HoldCmd struct {
+	Worker, Boot string
+	Grant        uint64
+}
+
+// ApplyCmd passes on a status that is newer than all before and names this host as the holder.
+type ApplyCmd struct {
+	Status fleet.Status
+	Sent   time.Time
+	// Full is set when Status.Tasks is the complete list.
+	Full bool
+}
+
+func (QueryCmd) isCommand()   {}
+func (LeaseCmd) isCommand()   {}
+func (ReleaseCmd) isCommand() {}
+func (HoldCmd) isCommand()    {}
+func (ApplyCmd) isCommand()   {}
