--- a/internal/stream/feed/feed_test.go
+++ b/internal/stream/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"slices"
 	"sync"
@@ -16,6 +17,13 @@
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 )
 
+// A fixed seed makes runs repeatable; -rapid.seed on the command line overrides it.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 func seal(v int) record.Item {
 	i, err := record.Seal("n", v)
 	if err != nil {
--- a/internal/work/config/config_test.go
+++ b/internal/work/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"reflect"
 	"testing"
 	"time"
@@ -12,6 +13,13 @@
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 )
 
+// A fixed seed makes runs repeatable; -rapid.seed on the command line overrides it.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 var names = rapid.SampledFrom([]string{"a", "b", "c"})
 
 func drawDoc(t *rapid.T) Document {
