Bound retries, hedges and the wait of urgent requests

Retries and hedges take from a bucket that requests fill, with a minimum rate so that a host with few requests can retry. A queue refuses early what could not be answered in time. The team served least is next; a team that returns starts at the present service, so that it does not save up turns.

Guards removed in scratch edits: deadline in Pop, 'request 6 was served after its deadline'; bound, '21 queued'; order, 'request 10 overtook 8'; service floor, 'served map[97:6 98:10]'; early refusal, 'request 1: <nil>, want late'. Capacity: reservations dropped when a status lacks them, or abandoned ones before their deadline, 'worker runs 1 calls and {Cores:11 Memory:10}'. The survivors there got TestEnded and TestFirstStatus: '6 cores are free, want 10', 'applied'.

--- /dev/null
+++ b/internal/request/limit/limit_test.go
@@ -0,0 +1,142 @@
+package limit
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed so that each run makes the same checks.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "200", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+func even(string) float64 { return 1 }
+
+// TestBudget guards against retries that multiply the load when everything fails.
+func TestBudget(t *testing.T) {
+	b, now, taken := NewBudget(0.1, 0.5, 10), epoch, 0
+	for range 10_000 {
+		now = now.Add(time.Millisecond)
+		b.Request(now)
+		for b.Take(now) {
+			taken++
+		}
+	}
+	if taken < 990 || taken > 1007 {
+		t.Fatalf("%d retries of 10000 requests in 10 s", taken)
+	}
+	if now = now.Add(4 * time.Second); !b.Take(now) {
+		t.Fatal("an idle host must be able to retry")
+	}
+}
+
+// TestQueue guards against lost, doubled or late requests, a queue beyond its bound, and a disturbed order in a team.
+func TestQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		q, now, next := NewQueue(20, 10*time.Millisecond), epoch, 0
+		waiting, teams, deadlines := map[int]bool{}, map[int]string{}, map[int]time.Time{}
+		leave := func(id string) int {
+			var n int
+			fmt.Sscan(id, &n)
+			if !waiting[n] {
+				t.Fatalf("request %d is not queued", n)
+			}
+			delete(waiting, n)
+			return n
+		}
+		for range 500 {
+			now = now.Add(time.Duration(rng.IntN(10)) * time.Millisecond)
+			switch rng.IntN(5) {
+			case 0, 1, 2:
+				next++
+				teams[next] = fmt.Sprint("team", rng.IntN(4))
+				deadlines[next] = now.Add(time.Duration(rng.IntN(400)) * time.Millisecond)
+				if q.Push(now, fmt.Sprint(next), teams[next], deadlines[next], 2) == nil {
+					waiting[next] = true
+				}
+			case 3:
+				id, late, ok := q.Pop(now, even)
+				for _, l := range late {
+					if n := leave(l); deadlines[n].After(now) {
+						t.Fatalf("request %d was removed before its deadline", n)
+					}
+				}
+				if !ok {
+					continue
+				}
+				n := leave(id)
+				if !deadlines[n].After(now) {
+					t.Fatalf("request %d was served after its deadline", n)
+				}
+				for m := range waiting {
+					if m < n && teams[m] == teams[n] {
+						t.Fatalf("request %d overtook %d", n, m)
+					}
+				}
+			case 4:
+				n := 1 + rng.IntN(next+1)
+				if q.Cancel(fmt.Sprint(n)) != waiting[n] {
+					t.Fatalf("cancellation of %d", n)
+				}
+				delete(waiting, n)
+			}
+			if q.Len() != len(waiting) || q.Len() > 20 {
+				t.Fatalf("%d queued, %d expected", q.Len(), len(waiting))
+			}
+		}
+	})
+}
+
+// TestFair guards against a team with many requests that delays those of others.
+func TestFair(t *testing.T) {
+	q, far := NewQueue(200, time.Millisecond), epoch.Add(time.Hour)
+	for i := range 100 {
+		q.Push(epoch, fmt.Sprint("a", i), "a", far, 1)
+	}
+	for range 10 {
+		q.Pop(epoch, even)
+	}
+	for i := range 10 {
+		q.Push(epoch, fmt.Sprint("b", i), "b", far, 1)
+	}
+	got := map[byte]int{}
+	for range 16 {
+		id, _, _ := q.Pop(epoch, even)
+		got[id[0]]++
+	}
+	if got['b'] < 7 || got['a'] < 7 {
+		t.Fatalf("served %v", got)
+	}
+}
+
+// TestRefusal guards against queueing a request that cannot be answered in time, and a refusal without reason.
+func TestRefusal(t *testing.T) {
+	q := NewQueue(2, 100*time.Millisecond)
+	for i, want := range []Reason{"", ReasonLate, "", ReasonFull} {
+		deadline := epoch.Add(time.Second)
+		if want == ReasonLate {
+			deadline = epoch.Add(250 * time.Millisecond)
+		}
+		err := q.Push(epoch, fmt.Sprint(i), "a", deadline, 1)
+		var r *Refusal
+		if errors.As(err, &r) != (want != "") || r != nil && (r.Reason != want || r.RetryAfter <= 0) {
+			t.Fatalf("request %d: %v, want %q", i, err, want)
+		}
+	}
+}
--- a/internal/zone/capacity/capacity_test.go
+++ b/internal/zone/capacity/capacity_test.go
@@ -242,6 +242,33 @@
 	}
 }
 
+// TestFirstStatus guards against taking a list of changes for all that runs at a worker that was just taken over.
+func TestFirstStatus(t *testing.T) {
+	table := New()
+	table.Hold("w")
+	if table.Apply(fleet.Status{Worker: "w", Boot: "b", Capacity: whole, Slots: 8, Connections: 64}, epoch, false) {
+		t.Fatal("applied")
+	}
+	if _, ok := table.Room("w"); ok {
+		t.Fatal("the worker is given work")
+	}
+}
+
+// TestEnded guards against a status that was requested before a task ended and is applied after it.
+func TestEnded(t *testing.T) {
+	table, k := filled(1), Key{"t", 1}
+	table.ReserveTask("w0", k, fleet.Size{Cores: 4})
+	table.ReleaseTask(epoch.Add(time.Second), "w0", k)
+	s := fleet.Status{Worker: "w0", Boot: "b", Clock: 1, Capacity: whole, Slots: 8, Connections: 64}
+	s.Tasks = []fleet.Task{{ID: "t", Attempt: 1, Size: fleet.Size{Cores: 4}, State: fleet.TaskRunning}}
+	for i, want := range []int64{10, 6} {
+		table.Apply(s, epoch.Add(time.Duration(2*i)*time.Second), true)
+		if room, _ := table.Room("w0"); room.Cores != want {
+			t.Fatalf("status %d: %d cores are free, want %d", i, room.Cores, want)
+		}
+	}
+}
+
 // TestAvoid guards against a retry on the worker that just failed, and against overlooking the only other one.
 func TestAvoid(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
