--- a/internal/zone/lease/lease.go
+++ b/internal/zone/lease/lease.go
@@ -222,7 +222,7 @@
 	}
 	if !w.mine || w.grant != s.Grant {
 		// An earlier holder may have renewed task leases until this host got the worker.
-		w.tasks = max(w.tasks, s.Clock+h.options.tasks)
+		w.tasks = max(w.tasks, s.Clock+h.tasks)
 		if w.rank > 0 {
 			w.keep = min(max(2*w.keep, 10*h.ttl), maxKeep)
 			w.kept = now.Add(w.keep)
@@ -275,7 +275,7 @@
 	}
 	h.order = slices.DeleteFunc(h.order, func(id string) bool {
 		w := h.workers[id]
-		gone := !w.listed && !w.mine && now.Sub(w.received) > 2*h.options.tasks
+		gone := !w.listed && !w.mine && now.Sub(w.received) > 2*h.tasks
 		if gone {
 			delete(h.workers, id)
 		}
@@ -334,7 +334,7 @@
 	if h.recorded(w) && !h.stale {
 		// It is derived from the reading alone, so that repeated requests to a worker that does not
 		// answer leave the end of its task leases where it was.
-		r.Tasks = w.clock + h.options.tasks
+		r.Tasks = w.clock + h.tasks
 		w.tasks = max(w.tasks, r.Tasks)
 		if w.tasked.IsZero() {
 			w.tasked = now
--- a/internal/zone/lease/lease_test.go
+++ b/internal/zone/lease/lease_test.go
@@ -108,7 +108,7 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, workers: map[string]*worker{}, cut: map[string]time.Time{},
 		mute: map[string]time.Time{},
 	}
-	var list []Worker
+	list := make([]Worker, 0, workers)
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
 		// Workers started before the test, so that the first hold does not find clock 0.
--- a/internal/zone/lease/message.go
+++ b/internal/zone/lease/message.go
@@ -77,6 +77,8 @@
 type QueryCmd struct{ Worker, Address string }
 
 // LeaseCmd asks for or renews the lease of the worker. Request.Tasks is 0 when task leases are to stay as they are.
+//
+//nolint:revive // It is named after the lease call of the worker protocol.
 type LeaseCmd struct {
 	Worker, Address string
 	Request         fleet.LeaseRequest
