--- a/internal/zone/lease/lease_test.go
+++ b/internal/zone/lease/lease_test.go
@@ -447,3 +447,18 @@
 		t.Fatal("the worker's own lease must still be renewed")
 	}
 }
+
+// TestFallback guards against workers left without a holder because their preferred one cannot reach them.
+func TestFallback(t *testing.T) {
+	w := newWorld(11, 2, 12)
+	w.calm = true
+	for id := range w.workers {
+		w.cut["h0"+id] = epoch.Add(time.Hour)
+	}
+	for range 400 {
+		w.advance()
+	}
+	if ids := w.unheld(); len(ids) > 0 {
+		t.Fatalf("no holder after 20 s: %v", ids)
+	}
+}
