--- a/internal/zone/lease/lease_test.go
+++ b/internal/zone/lease/lease_test.go
@@ -108,7 +108,7 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, workers: map[string]*worker{}, cut: map[string]time.Time{},
 		mute: map[string]time.Time{},
 	}
-	var list []Worker
+	list := make([]Worker, 0, workers)
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
 		// Workers started before the test, so that the first hold does not find clock 0.
@@ -447,3 +447,18 @@
 		t.Fatal("the worker's own lease must still be renewed")
 	}
 }
+
+// TestFallback guards against workers left without a holder because their preferred one cannot reach them.
+func TestFallback(t *testing.T) {
+	w := newWorld(11, 2, 12)
+	w.calm = true
+	for id := range w.workers {
+		w.cut["h0"+id] = epoch.Add(time.Hour)
+	}
+	for range 400 {
+		w.advance()
+	}
+	if ids := w.unheld(); len(ids) > 0 {
+		t.Fatalf("no holder after 20 s: %v", ids)
+	}
+}
