--- /dev/null
+++ b/internal/zone/policy/interference.go
@@ -0,0 +1,228 @@
+package policy
+
+import (
+	"math"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+)
+
+// model learns how batch classes slow down the calls of one urgent class. The mean execution time in a
+// window is modelled as
+//
+//	mean = base * (1 + sum over batch classes of k * load)
+//
+// where load is the share of the worker's cores that the class used in that window. It is a Kalman filter
+// over the base time and the products base*k with a full covariance, because base and k are strongly
+// correlated when every worker always runs batch tasks.
+type model struct {
+	// state[0] is the base time in seconds, state[i] for i > 0 is base*k of class slot[i].
+	state []float64
+	// cov is the covariance of state, row by row.
+	cov [][]float64
+	// slots maps a class index to its position in state, 0 for none.
+	slots []int
+	// seen is the number of reports in which the class had a notable load, by position.
+	seen []int
+	last time.Time
+}
+
+const (
+	// priorK is the slowdown per unit of load assumed for an unknown pair: half the largest seen in
+	// practice, since a prior of zero would let several unknown classes meet on one worker.
+	priorK = 0.3
+	// priorDev is the standard deviation of k of an unknown pair.
+	priorDev = 0.6
+	// driftDev is the standard deviation by which k drifts in an hour.
+	driftDev = 0.15
+	// callDev is the relative standard deviation of single execution times, modelDev that of the model
+	// itself.
+	callDev, modelDev = 0.8, 0.02
+	// knownReports is the number of reports with a notable load after which a pair counts as known.
+	knownReports = 4
+	// notableLoad is the load from which on a report says something about a class.
+	notableLoad = 0.02
+	// surprise is the squared normalised error from which on the affected pairs are learned anew faster.
+	surprise = 9
+)
+
+func newModel() *model {
+	return &model{state: []float64{0}, cov: [][]float64{{0}}, seen: []int{0}}
+}
+
+// slot returns the position of the class, 0 if it has none.
+func (m *model) slot(c *class) int {
+	if c.index < len(m.slots) {
+		return m.slots[c.index]
+	}
+	return 0
+}
+
+func (m *model) add(c *class) int {
+	for len(m.slots) <= c.index {
+		m.slots = append(m.slots, 0)
+	}
+	n := len(m.state)
+	m.slots[c.index] = n
+	base := m.state[0]
+	m.state = append(m.state, priorK*base)
+	m.seen = append(m.seen, 0)
+	for i := range m.cov {
+		m.cov[i] = append(m.cov[i], 0)
+	}
+	row := make([]float64, n+1)
+	row[n] = priorDev * priorDev * base * base
+	m.cov = append(m.cov, row)
+	return n
+}
+
+// k returns the slowdown per unit of load by batch class c.
+func (m *model) k(c *class) float64 {
+	i := m.slot(c)
+	if i == 0 || m.state[0] <= 0 {
+		return priorK
+	}
+	return max(0, m.state[i]/m.state[0])
+}
+
+// known reports whether enough reports covered the pair.
+func (m *model) known(c *class) bool {
+	i := m.slot(c)
+	return i > 0 && m.seen[i] >= knownReports
+}
+
+// learn applies one report about worker w, attributed to what ran there between from and to.
+func (m *model) learn(p *Policy, w *worker, u fleet.Usage, from, to time.Time) {
+	mean := u.Mean.Seconds()
+	if mean <= 0 {
+		return
+	}
+	if m.state[0] == 0 {
+		m.state[0] = mean
+		m.cov[0][0] = 0.25 * mean * mean
+		m.last = to
+	}
+	type input struct {
+		at int
+		x  float64
+	}
+	inputs := make([]input, 1, len(w.levels)+1)
+	inputs[0] = input{0, 1}
+	for _, l := range w.levels {
+		x := l.average(from, to) * l.class.size.ratio() / float64(w.capacity.Cores)
+		if x <= 1e-4 {
+			continue
+		}
+		at := m.slot(l.class)
+		if at == 0 {
+			at = m.add(l.class)
+		}
+		if x >= notableLoad {
+			m.seen[at]++
+		}
+		inputs = append(inputs, input{at, x})
+	}
+	base := m.state[0]
+	if dt := to.Sub(m.last); dt > 0 {
+		m.last = to
+		q := driftDev * driftDev * base * base * dt.Hours()
+		limit := priorDev * priorDev * base * base
+		for i := 1; i < len(m.state); i++ {
+			m.cov[i][i] = min(m.cov[i][i]+q, max(limit, m.cov[i][i]))
+		}
+		m.cov[0][0] += 0.0001 * base * base * dt.Hours()
+	}
+	noise := base * base * (callDev*callDev/float64(u.Calls) + modelDev*modelDev)
+	n := len(m.state)
+	px := make([]float64, n)
+	var s, predicted float64
+	gain := func() {
+		s, predicted = noise, 0
+		for i := range px {
+			px[i] = 0
+			for _, in := range inputs {
+				px[i] += m.cov[i][in.at] * in.x
+			}
+		}
+		for _, in := range inputs {
+			s += px[in.at] * in.x
+			predicted += m.state[in.at] * in.x
+		}
+	}
+	gain()
+	e := mean - predicted
+	if e*e/s > surprise {
+		for _, in := range inputs[1:] {
+			m.cov[in.at][in.at] += 0.05 * base * base
+		}
+		gain()
+	}
+	for i := range px {
+		m.state[i] += px[i] / s * e
+	}
+	for i := range px {
+		for j := range px {
+			m.cov[i][j] -= px[i] * px[j] / s
+		}
+	}
+	m.state[0] = max(m.state[0], 0.1*mean)
+	for i := 1; i < n; i++ {
+		m.state[i] = max(m.state[i], -0.1*m.state[0])
+	}
+}
+
+// slowdown predicts by how much the batch tasks on w, and extra cores of class c, prolong the calls of the
+// urgent class u, as a fraction of the undisturbed time.
+func (p *Policy) slowdown(w *worker, u, c *class, extra float64) float64 {
+	var sum float64
+	for _, l := range w.levels {
+		if v := l.value(); v > 0 {
+			sum += p.k(u, l.class) * w.load(l)
+		}
+	}
+	if c != nil {
+		sum += p.k(u, c) * extra / float64(w.capacity.Cores)
+	}
+	return sum
+}
+
+// k returns the slowdown of urgent class u per unit of load by batch class c.
+func (p *Policy) k(u, c *class) float64 {
+	if p.given != nil {
+		return p.given(u.name, c.name)
+	}
+	return u.model.k(c)
+}
+
+// known reports whether the pair needs no trial.
+func (p *Policy) known(u, c *class) bool {
+	return p.given != nil || u.model.known(c)
+}
+
+// Slowdown returns the learned slowdown of urgent calls per unit of a worker's cores used by the batch class,
+// and whether the pair is known.
+func (p *Policy) Slowdown(urgent, batch string) (k float64, known bool) {
+	u, c := p.classes[urgent], p.classes[batch]
+	if u == nil || c == nil || u.kind != KindUrgent {
+		return priorK, false
+	}
+	return p.k(u, c), p.known(u, c)
+}
+
+// CallScore returns the predicted execution time of a call of the class on the worker relative to an
+// undisturbed one, 1 or more; lower is better. It is +Inf for a worker that is not held. A quarantined
+// worker gets calls only when no other has a slot.
+func (p *Policy) CallScore(workerName, className string) float64 {
+	w, u := p.workers[workerName], p.classes[className]
+	if w == nil {
+		return math.Inf(1)
+	}
+	score := 1.0
+	if u != nil && u.kind == KindUrgent {
+		score += p.slowdown(w, u, nil, 0)
+	}
+	if w.quarantined {
+		score *= quarantinePenalty
+	}
+	return score
+}
--- /dev/null
+++ b/internal/zone/policy/placement.go
@@ -0,0 +1,243 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+)
+
+// Reason is why a task got no worker.
+type Reason string
+
+// The reasons of PlaceTask.
+const (
+	// ReasonTooLarge and ReasonFails mean that waiting does not help; the task should be refused or parked.
+	ReasonTooLarge Reason = "no known worker is large enough"
+	ReasonFails    Reason = "failed on 3 workers"
+	ReasonJobFails Reason = "job failed on 3 workers without a success"
+
+	ReasonRoom       Reason = "no worker has room"
+	ReasonHarm       Reason = "would slow down urgent calls"
+	ReasonTrial      Reason = "class is on trial on one worker"
+	ReasonQuota      Reason = "team quota is used up and nothing can be lent"
+	ReasonQuarantine Reason = "workers with room are not trusted yet"
+	ReasonAvoid      Reason = "task failed on the workers with room"
+	ReasonNone       Reason = "no worker is held"
+)
+
+// Candidate is a pending task.
+type Candidate struct {
+	Task, Job, Class, Team string
+	// Size is the declared size.
+	Size fleet.Size
+	// Attempts is the number of earlier attempts.
+	Attempts int
+	// Avoid names the workers on which the task failed.
+	Avoid []string
+}
+
+// Placement is the decision about a candidate.
+type Placement struct {
+	// Worker is empty if the task must wait or be parked.
+	Worker string
+	// Size is what to reserve and send in the order.
+	Size   fleet.Size
+	Reason Reason
+	// Park is set when waiting does not help.
+	Park bool
+}
+
+const (
+	// samples is the number of workers compared, and attempts the number looked at, per decision.
+	samples, lookups = 8, 32
+	// parkWorkers is the number of workers a task may fail on (design section 8).
+	parkWorkers = 3
+	// trialLoad is the largest share of a worker that a class on trial is planned with.
+	trialLoad = 0.35
+	// trialLength bounds a trial on a worker that yields no reports.
+	trialLength = 5 * time.Minute
+)
+
+// Refusal returns why a task of the class and declared size can run on no known worker, or an empty text.
+func (p *Policy) Refusal(className string, size fleet.Size) string {
+	if len(p.shapes) == 0 || p.fits(p.class(className), size) {
+		return ""
+	}
+	return fmt.Sprintf("%s: %d cores, %d MiB, %d accelerators", ReasonTooLarge,
+		(size.Cores+999)/1000, size.Memory, size.Accelerators)
+}
+
+func (p *Policy) fits(c *class, size fleet.Size) bool {
+	return p.shapes.fits(size) || p.shapes.fits(c.size.plan(size))
+}
+
+// PlaceTask chooses a worker for the task. It looks at a bounded sample of workers.
+func (p *Policy) PlaceTask(now time.Time, t Candidate) (Placement, bool) {
+	c := p.class(t.Class)
+	pl := p.place(now, c, t)
+	if pl.Worker == "" {
+		c.blocked, c.blockedAt = pl.Reason, now
+		return pl, false
+	}
+	return pl, true
+}
+
+func (p *Policy) place(now time.Time, c *class, t Candidate) Placement {
+	switch {
+	case len(p.workers) == 0:
+		return Placement{Reason: ReasonNone}
+	case len(t.Avoid) >= parkWorkers:
+		return Placement{Reason: ReasonFails, Park: true}
+	case p.faultyJob(t.Job):
+		return Placement{Reason: ReasonJobFails, Park: true}
+	case !p.fits(c, t.Size):
+		return Placement{Reason: ReasonTooLarge, Park: true}
+	}
+	size := c.size.plan(t.Size)
+	if !p.shapes.fits(size) {
+		size = t.Size
+	}
+	tm := p.team(t.Team)
+	within := tm.within(size)
+	if !within {
+		if s := p.starving(now); s != nil && s != tm {
+			return Placement{Reason: ReasonQuota}
+		}
+	}
+	trial := p.trial(now, c)
+	if trial && c.trial != "" {
+		w := p.workers[c.trial]
+		if reason := p.check(now, w, c, t, size, true); reason != "" {
+			return Placement{Reason: ReasonTrial}
+		}
+		return Placement{Worker: w.name, Size: size}
+	}
+	w, reason := p.choose(now, c, t, size, trial)
+	if w == nil {
+		if within && reason == ReasonRoom {
+			tm.starved, tm.need = now, size
+			p.starved = tm
+		}
+		return Placement{Reason: reason}
+	}
+	if trial {
+		c.trial, c.tried = w.name, now
+	}
+	return Placement{Worker: w.name, Size: size}
+}
+
+// trial reports whether the class has an unknown pair with an active urgent class. It ends a trial whose
+// worker is gone or that lasted too long.
+func (p *Policy) trial(now time.Time, c *class) bool {
+	unknown := false
+	for _, u := range p.urgent {
+		if u.active(now) && !p.known(u, c) {
+			unknown = true
+			break
+		}
+	}
+	if c.trial != "" && (!unknown || p.workers[c.trial] == nil || now.Sub(c.tried) > trialLength) {
+		c.trial = ""
+	}
+	return unknown
+}
+
+// choose samples workers with enough free cores and returns the one with the least predicted harm. Tasks
+// that need no accelerator go to workers without one first.
+func (p *Policy) choose(now time.Time, c *class, t Candidate, size fleet.Size, trial bool) (*worker, Reason) {
+	indexes := [2]*freeIndex{&p.plain, &p.accelerated}
+	if size.Accelerators > 0 {
+		indexes = [2]*freeIndex{&p.accelerated, nil}
+	}
+	reason := ReasonRoom
+	for _, x := range indexes {
+		if x == nil {
+			break
+		}
+		n := x.count(size.Cores)
+		if n == 0 {
+			continue
+		}
+		var best *worker
+		bestHarm := 0.0
+		found := 0
+		start := p.rand.IntN(n)
+		for i := range min(n, lookups) {
+			at := (start + i) % n
+			if n > lookups {
+				at = p.rand.IntN(n)
+			}
+			w := x.at(size.Cores, at)
+			if r := p.check(now, w, c, t, size, trial); r != "" {
+				if r != ReasonRoom || reason == ReasonRoom {
+					reason = r
+				}
+				continue
+			}
+			h := p.worst(now, w, c, size) - 0.01*float64(w.free().Cores)/float64(w.capacity.Cores)
+			if best == nil || h < bestHarm {
+				best, bestHarm = w, h
+			}
+			if found++; found == samples {
+				break
+			}
+		}
+		if best != nil {
+			return best, ""
+		}
+	}
+	return nil, reason
+}
+
+// check returns why the worker does not suit the task, or an empty reason.
+func (p *Policy) check(now time.Time, w *worker, c *class, t Candidate, size fleet.Size, trial bool) Reason {
+	free := w.free()
+	if w.closed || !size.Fits(free) {
+		return ReasonRoom
+	}
+	if f := p.Ramp(now); f < 1 && float64(w.committed.Cores+size.Cores) > f*float64(w.capacity.Cores) {
+		return ReasonRoom
+	}
+	if size.Accelerators == 0 && free.Accelerators > 0 && !w.spares(free, size) {
+		return ReasonRoom
+	}
+	if slices.Contains(t.Avoid, w.name) {
+		return ReasonAvoid
+	}
+	if !w.admits(now) {
+		return ReasonQuarantine
+	}
+	if trial {
+		if load := w.load(w.level(c)) + float64(size.Cores)/float64(w.capacity.Cores); load > trialLoad && w.load(w.level(c)) > 0 {
+			return ReasonTrial
+		}
+		return ""
+	}
+	if p.worst(now, w, c, size) > 1 {
+		return ReasonHarm
+	}
+	return ""
+}
+
+// spares reports whether the free accelerators keep a proportional half of the cores and memory after a task
+// that needs none.
+func (w *worker) spares(free, size fleet.Size) bool {
+	left := free.Sub(size)
+	share := 0.5 * float64(free.Accelerators) / float64(w.capacity.Accelerators)
+	return float64(left.Cores) >= share*float64(w.capacity.Cores) &&
+		float64(left.Memory) >= share*float64(w.capacity.Memory)
+}
+
+// worst is the largest predicted slowdown of an active urgent class, as a share of what is accepted, if a
+// task of class c and that size were added.
+func (p *Policy) worst(now time.Time, w *worker, c *class, size fleet.Size) float64 {
+	var worst float64
+	for _, u := range p.urgent {
+		if u.active(now) {
+			worst = max(worst, p.slowdown(w, u, c, float64(size.Cores))/u.allow)
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/internal/zone/policy/policy_test.go
@@ -0,0 +1,34 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+)
+
+var epoch = time.Date(2026, 1, 5, 6, 0, 0, 0, time.UTC)
+
+// A placement that ignored committed sizes would give a worker more than it holds.
+func TestPlaceTaskStaysWithinCapacity(t *testing.T) {
+	p := New()
+	p.Update(epoch, ClassMsg{Name: "plan", Kind: KindBatch})
+	p.Update(epoch, WorkerMsg{Name: "w1", Capacity: fleet.Size{Cores: 8000, Memory: 8192}, Slots: 8})
+	now := epoch
+	placed := 0
+	for i := range 20 {
+		c := Candidate{Task: string(rune('a' + i)), Job: "j", Class: "plan", Size: fleet.Size{Cores: 2000, Memory: 512}}
+		pl, ok := p.PlaceTask(now, c)
+		if ok {
+			placed++
+			p.Update(now, StartMsg{Worker: pl.Worker, Task: c.Task, Job: c.Job, Class: c.Class, Attempt: 1, Declared: c.Size, Planned: pl.Size})
+		}
+		now = now.Add(30 * time.Second)
+	}
+	if placed != 4 {
+		t.Fatalf("placed %d tasks of 2 cores on 8 cores", placed)
+	}
+	if s := p.Refusal("plan", fleet.Size{Cores: 9000}); s == "" {
+		t.Fatal("a task larger than every worker was not refused")
+	}
+}
