--- a/internal/zone/policy/interference.go
+++ b/internal/zone/policy/interference.go
@@ -92,7 +92,7 @@
 }
 
 // learn applies one report about worker w, attributed to what ran there between from and to.
-func (m *model) learn(p *Policy, w *worker, u fleet.Usage, from, to time.Time) {
+func (m *model) learn(w *worker, u fleet.Usage, from, to time.Time) {
 	mean := u.Mean.Seconds()
 	if mean <= 0 {
 		return
--- a/internal/zone/policy/policy_test.go
+++ b/internal/zone/policy/policy_test.go
@@ -32,3 +32,17 @@
 		t.Fatal("a task larger than every worker was not refused")
 	}
 }
+
+// A report about a class that never ran here under this holder must be harmless: tasks of the previous
+// holder may be reported before they are adopted.
+func TestReportOfUnknownClass(t *testing.T) {
+	p := New()
+	p.Update(epoch, WorkerMsg{Name: "w1", Capacity: fleet.Size{Cores: 8000, Memory: 8192}, Slots: 8})
+	for i := range 40 {
+		p.Update(epoch.Add(time.Duration(i)*10*time.Second), UsageMsg{Worker: "w1", Usage: []fleet.Usage{
+			{Class: "other", Window: 10 * time.Second, Used: fleet.Size{Cores: 1000}},
+			{Class: "urgent", Window: 10 * time.Second, Calls: 3, Mean: time.Millisecond},
+		}})
+	}
+	p.Update(epoch, UsageMsg{Worker: "unknown"})
+}
--- a/internal/zone/policy/worker.go
+++ b/internal/zone/policy/worker.go
@@ -91,7 +91,7 @@
 	kept := w.levels[:0]
 	for _, l := range w.levels {
 		l.prune(now)
-		if l.value() != 0 || len(l.points) > 1 || now.Sub(l.points[0].at) < historyLength {
+		if l.value() != 0 || len(l.points) > 0 && now.Sub(l.points[len(l.points)-1].at) < historyLength {
 			kept = append(kept, l)
 		}
 	}
@@ -195,7 +195,7 @@
 	for _, u := range m.Usage {
 		if c := p.class(u.Class); c.kind == KindUrgent && u.Window > 0 && u.Calls > 0 {
 			to := now.Add(-u.Lag)
-			c.model.learn(p, w, u, to.Add(-u.Window), to)
+			c.model.learn(w, u, to.Add(-u.Window), to)
 		}
 	}
 	p.reindex(w)
