--- a/internal/work/intent/flow.go
+++ b/internal/work/intent/flow.go
@@ -86,10 +86,12 @@
 	// Release gives the reserved slot back. Sent is set if the call may still run, so that the slot is free only once
 	// the worker's status says so.
 	Release struct{ Sent bool }
-	// WriteIntent, WriteAnswer and WriteClose write a record and report its verdict once it was read back.
+	// WriteIntent writes an intent and reports its verdict, by WrittenMsg, once it was read back.
 	WriteIntent struct{ Intent Intent }
+	// WriteAnswer writes an answer in the same way.
 	WriteAnswer struct{ Answer Answer }
-	WriteClose  struct{ Close Close }
+	// WriteClose writes a close in the same way.
+	WriteClose struct{ Close Close }
 	// Send sends the call of an intent that this request won. It is given once per intent and must not be repeated
 	// by the runtime: the refusal of a repeated message says nothing about the first one.
 	Send struct{ Intent Intent }
--- a/internal/work/intent/record.go
+++ b/internal/work/intent/record.go
@@ -201,8 +201,8 @@
 	return record.Seal(kind, m)
 }
 
-// IntentItem encodes an Intent.
-func IntentItem(i Intent) (record.Item, error) { return seal(KindIntent, i) }
+// Item encodes an Intent. The function has no prefix as the package already bears the name.
+func Item(i Intent) (record.Item, error) { return seal(KindIntent, i) }
 
 // AnswerItem encodes an Answer and fills in its digest.
 func AnswerItem(a Answer) (record.Item, error) {
--- a/internal/work/intent/table_test.go
+++ b/internal/work/intent/table_test.go
@@ -21,6 +21,10 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		_ = f.Value.Set("1")
 	}
+	// The default of 100 histories is too few to reach rare orders of events.
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("500")
+	}
 	os.Exit(m.Run())
 }
 
@@ -64,7 +68,8 @@
 			o := a.Outcome(k)
 			n := max(1, o.Intent.Attempt+rapid.IntRange(-1, 1).Draw(t, "delta"))
 			after := o.Offset
-			if rapid.IntRange(0, 3).Draw(t, "stale") == 0 {
+			stale := rapid.IntRange(0, 3).Draw(t, "stale") == 0
+			if stale {
 				after++
 			}
 			var item record.Item
@@ -73,12 +78,12 @@
 				i := call(k, 1, 0)
 				i.Digest = rapid.Uint64Range(1, 2).Draw(t, "digest")
 				i.Kind = rapid.SampledFrom([]Kind{Call, Call, Job}).Draw(t, "kind")
-				item = must(IntentItem(i))
+				item = must(Item(i))
 			case 1, 2:
 				if n == 1 {
 					after = 0
 				}
-				item = must(IntentItem(call(k, n, after)))
+				item = must(Item(call(k, n, after)))
 			case 3:
 				item = must(AnswerItem(Answer{Key: k, Attempt: n, Body: []byte{byte(offset)}}))
 			case 4:
@@ -96,6 +101,9 @@
 			}
 			if errA == nil && item.Kind != KindHome {
 				now := a.Outcome(k)
+				if stale && item.Kind != KindAnswer && last[k] > 0 {
+					t.Fatalf("%s accepted after another intent than the last", item.Kind)
+				}
 				if settled[k] {
 					t.Fatalf("%s accepted for a settled key", item.Kind)
 				}
@@ -134,16 +142,16 @@
 	Convey("Only keys past the watermark are forgotten, and late records of them are ignored", t, func() {
 		tb := New()
 		k := key(epoch, 1)
-		So(tb.Apply(epoch, 1, must(IntentItem(call(k, 1, 0)))), ShouldBeNil)
+		So(tb.Apply(epoch, 1, must(Item(call(k, 1, 0)))), ShouldBeNil)
 		So(tb.Expire(epoch.Add(100*time.Hour)), ShouldEqual, 0)
 		next := key(epoch.Add(Keep+time.Minute), 2)
-		So(tb.Apply(epoch, 2, must(IntentItem(call(next, 1, 0)))), ShouldBeNil)
+		So(tb.Apply(epoch, 2, must(Item(call(next, 1, 0)))), ShouldBeNil)
 		So(tb.Expire(epoch.Add(Keep)), ShouldEqual, 0)
 		late := must(AnswerItem(Answer{Key: k, Attempt: 1}))
 		So(errors.Is(tb.Apply(epoch, 3, late), ErrExpired), ShouldBeTrue)
 		So(tb.Expire(epoch.Add(Keep+time.Minute)), ShouldEqual, 1)
 		So(errors.Is(tb.Apply(epoch, 4, late), ErrExpired), ShouldBeTrue)
-		So(errors.Is(tb.Apply(epoch, 5, must(IntentItem(call(k, 1, 0)))), ErrExpired), ShouldBeTrue)
+		So(errors.Is(tb.Apply(epoch, 5, must(Item(call(k, 1, 0)))), ErrExpired), ShouldBeTrue)
 		So(tb.Outcome(k).State, ShouldEqual, Expired)
 	})
 }
@@ -164,14 +172,14 @@
 func FuzzApply(f *testing.F) {
 	k := key(epoch, 1)
 	for _, i := range []record.Item{
-		must(IntentItem(call(k, 2, 1))), must(AnswerItem(Answer{Key: k, Attempt: 1, Body: []byte("b")})),
+		must(Item(call(k, 2, 1))), must(AnswerItem(Answer{Key: k, Attempt: 1, Body: []byte("b")})),
 		must(CloseItem(Close{Key: k, Attempt: 1, After: 1, Reason: "r"})), must(HomeItem(Home{Key: k, Zone: "z", Hop: 1})),
 	} {
 		f.Add(string(i.Kind), i.Data)
 	}
 	f.Fuzz(func(t *testing.T, kind string, data []byte) {
 		tb := New()
-		_ = tb.Apply(epoch, 1, must(IntentItem(call(k, 1, 0))))
+		_ = tb.Apply(epoch, 1, must(Item(call(k, 1, 0))))
 		before, _ := tb.Snapshot()
 		if tb.Apply(epoch, 2, record.Item{Kind: record.Kind(kind), Data: data}) != nil {
 			if after, _ := tb.Snapshot(); !bytes.Equal(before, after) {
--- a/internal/work/job/table_test.go
+++ b/internal/work/job/table_test.go
@@ -23,6 +23,10 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		_ = f.Value.Set("1")
 	}
+	// The default of 100 histories is too few to reach rare orders of events.
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("1000")
+	}
 	os.Exit(m.Run())
 }
 
