--- /dev/null
+++ b/internal/host/node/call.go
@@ -0,0 +1,417 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"sassafraswind.example/sassafraswind/internal/host/caller"
+	"sassafraswind.example/sassafraswind/internal/host/peer"
+	"sassafraswind.example/sassafraswind/internal/host/telemetry"
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/request/attempt"
+	"sassafraswind.example/sassafraswind/internal/request/limit"
+	"sassafraswind.example/sassafraswind/internal/request/outcome"
+	"sassafraswind.example/sassafraswind/internal/work/config"
+	"sassafraswind.example/sassafraswind/internal/zone/capacity"
+	"sassafraswind.example/sassafraswind/internal/zone/policy"
+)
+
+// waiter is a request that waits for a slot.
+type waiter struct {
+	attempt int
+	avoid   []string
+	reply   func(attempt.Msg)
+}
+
+// lockedBudget is the retry budget shared by all requests.
+type lockedBudget struct{ n *Node }
+
+// Take implements attempt.Budget.
+func (b lockedBudget) Take(now time.Time) bool {
+	b.n.budgetMu.Lock()
+	defer b.n.budgetMu.Unlock()
+	return b.n.budget.Take(now)
+}
+
+// Request serves an urgent request of a caller.
+func (n *Node) Request(ctx context.Context, r caller.Request) outcome.Reply {
+	now := time.Now()
+	n.inFlight.Add(1)
+	defer n.inFlight.Done()
+	reply, tries := n.request(ctx, now, r)
+	n.countRequest(r, reply, tries, time.Since(now))
+	return reply
+}
+
+// request checks a request and runs it by its class.
+func (n *Node) request(ctx context.Context, now time.Time, r caller.Request) (outcome.Reply, int) {
+	if !n.configured() {
+		return outcome.Refuse(outcome.ReasonNotReady, "this host has no configuration yet"), 0
+	}
+	c, ok := n.class(r.Class)
+	switch {
+	case !ok && r.Key != "":
+		// Another host may have a newer configuration and may have run the key.
+		return outcome.Reply{Outcome: outcome.Unknown, Reason: outcome.ReasonInvalid, Field: "class", Message: "unknown class"}, 0
+	case !ok:
+		return outcome.Invalid("class", "unknown class"), 0
+	case c.Kind != config.KindUrgent:
+		return outcome.Invalid("class", "is a batch class; submit a job instead"), 0
+	case !c.Idempotent && r.Key == "":
+		return outcome.Invalid("key", "is required: the class is not idempotent"), 0
+	case c.Idempotent && r.Key != "":
+		return outcome.Invalid("key", "must be empty: the class is idempotent"), 0
+	case !c.Idempotent:
+		return n.keyed(ctx, now, r), 1
+	}
+	return n.idempotent(ctx, now, r, uuid.NewString(), 0, false)
+}
+
+// countRequest records the metrics of a request.
+func (n *Node) countRequest(r caller.Request, reply outcome.Reply, tries int, took time.Duration) {
+	if n.mtr == nil {
+		return
+	}
+	n.mtr.Request(context.Background(), telemetry.Request{
+		Class: r.Class, Team: r.Team, Outcome: string(reply.Outcome), Reason: string(reply.Reason),
+		Wait: reply.Wait, Run: reply.Run, Answer: took, Retries: max(0, tries-1),
+	})
+}
+
+// urgent is the runtime of one idempotent request.
+type urgent struct {
+	n       *Node
+	life    *attempt.Life
+	id      string
+	req     caller.Request
+	arrived time.Time
+	end     time.Time
+	msgs    chan attempt.Msg
+	// fences has the deadline in the worker's clock of each send.
+	fences map[int]time.Duration
+	sentAt time.Time
+	reply  *outcome.Reply
+	tries  int
+	worker string
+}
+
+// idempotent runs an idempotent request until it is replied to. Sends that are still in flight then are followed in
+// the background, so that their slots are given back.
+func (n *Node) idempotent(ctx context.Context, now time.Time, r caller.Request, id string, base int, forwarded bool) (outcome.Reply, int) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		end = now.Add(n.cfg.Limits.Deadline)
+	}
+	n.budgetMu.Lock()
+	n.budget.Request(now)
+	n.budgetMu.Unlock()
+	n.zone.mu.Lock()
+	hedge := n.classOf(r.Class).times.p95
+	n.zone.mu.Unlock()
+	u := &urgent{
+		n: n, id: id, req: r, arrived: now, end: end,
+		msgs:   make(chan attempt.Msg, 4*maxSends+8),
+		fences: map[int]time.Duration{},
+		life: attempt.New(attempt.Request{
+			ID: id, Deadline: end, Hedge: hedge, Tries: maxSends, Base: base, Forwarded: forwarded,
+		}, lockedBudget{n}),
+	}
+	u.run(u.life.Update(now, attempt.ArriveMsg{}))
+	timer := time.AfterFunc(time.Until(end), func() { u.send(attempt.TimerMsg{}) })
+	defer timer.Stop()
+	for u.reply == nil {
+		select {
+		case m := <-u.msgs:
+			u.run(u.life.Update(time.Now(), m))
+		case <-ctx.Done():
+			u.run(u.life.Update(time.Now(), attempt.CancelMsg{}))
+		}
+	}
+	if !u.life.Finished() {
+		n.run(u.finish)
+	}
+	return *u.reply, u.tries
+}
+
+// finish follows the sends that are left after the reply. Each ends by its own timeout.
+func (u *urgent) finish(ctx context.Context) {
+	for !u.life.Finished() {
+		select {
+		case m := <-u.msgs:
+			u.run(u.life.Update(time.Now(), m))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// send delivers a message. The buffer holds all messages that one request can cause.
+func (u *urgent) send(m attempt.Msg) {
+	select {
+	case u.msgs <- m:
+	case <-u.n.ctx.Done():
+	}
+}
+
+// run carries out commands.
+func (u *urgent) run(cmds []attempt.Command) {
+	for len(cmds) > 0 {
+		var more []attempt.Command
+		for _, c := range cmds {
+			more = append(more, u.command(c)...)
+		}
+		cmds = more
+	}
+}
+
+// command carries out one command and returns those that follow at once.
+func (u *urgent) command(c attempt.Command) []attempt.Command {
+	switch c := c.(type) {
+	case attempt.ReserveCmd:
+		return u.reserve(c)
+	case attempt.SendCmd:
+		u.sendCall(c)
+	case attempt.ForwardCmd:
+		go u.forward(c)
+	case attempt.QueueCmd:
+		return u.enqueue(c)
+	case attempt.HedgeTimerCmd:
+		time.AfterFunc(c.After, func() { u.send(attempt.TimerMsg{}) })
+	case attempt.ReleaseCmd:
+		u.release(c)
+	case attempt.ReplyCmd:
+		u.answer(c)
+	}
+	return nil
+}
+
+// reserve looks for a slot here, then for a peer that has one.
+func (u *urgent) reserve(c attempt.ReserveCmd) []attempt.Command {
+	now := time.Now()
+	z := &u.n.zone
+	out := u.n.zoneOut(u.n.cfg.Zone)
+	z.mu.Lock()
+	worker, ok := "", false
+	// In a zone that was taken out, requests go to other zones as long as one can be reached.
+	if !out || u.n.bestPeerElsewhere(now) == "" {
+		worker, ok = u.n.reserveCall(now, u.req.Class, capacity.Key{ID: u.id, Attempt: c.Attempt}, c.Avoid)
+	}
+	z.mu.Unlock()
+	if ok {
+		return u.life.Update(now, attempt.SlotMsg{Attempt: c.Attempt, Worker: worker})
+	}
+	return u.life.Update(now, attempt.NoSlotMsg{Attempt: c.Attempt, Peer: u.n.bestPeer(u.req.Class, now)})
+}
+
+// reserveCall reserves a slot on a worker whose lease certainly holds, with zone.mu held. A worker that is listed as
+// leaving gives no slot.
+func (n *Node) reserveCall(now time.Time, class string, key capacity.Key, avoid []string) (string, bool) {
+	z := &n.zone
+	for range maxSends {
+		worker, ok := z.capacity.ReserveCall(z.rng, class, key, avoid...)
+		if !ok {
+			return "", false
+		}
+		if z.holdings.Usable(worker, now) {
+			return worker, true
+		}
+		z.capacity.ReleaseCall(now, worker, key)
+		avoid = append(slices.Clone(avoid), worker)
+	}
+	return "", false
+}
+
+// sendCall sends the request to a worker.
+func (u *urgent) sendCall(c attempt.SendCmd) {
+	now := time.Now()
+	z := &u.n.zone
+	z.mu.Lock()
+	fence, held := z.holdings.Held(c.Worker, now)
+	address := z.workers[c.Worker].address
+	z.mu.Unlock()
+	if !held {
+		u.send(attempt.RefusedMsg{Attempt: c.Attempt})
+		return
+	}
+	u.tries++
+	u.fences[c.Attempt] = fence.Before
+	u.sentAt, u.worker = now, c.Worker
+	call := fleet.Call{Fence: fence, Request: u.id, Attempt: c.Attempt, Class: u.req.Class, Body: u.req.Body}
+	go func() {
+		ctx, cancel := context.WithDeadline(u.n.ctx, u.end)
+		defer cancel()
+		a, err := u.n.fleet.Call(ctx, address, call)
+		switch {
+		case err == nil:
+			u.send(attempt.AnswerMsg{Attempt: c.Attempt, Answer: a})
+		case errors.Is(err, fleet.ErrRefused), errors.Is(err, fleet.ErrNotSent):
+			u.send(attempt.RefusedMsg{Attempt: c.Attempt})
+		default:
+			u.n.log.WithError(err).WithField("worker", c.Worker).Debug("Call ended without an answer.")
+			u.send(attempt.UnknownMsg{Attempt: c.Attempt})
+		}
+	}()
+}
+
+// forward passes the request on to a peer.
+func (u *urgent) forward(c attempt.ForwardCmd) {
+	ctx, cancel := context.WithDeadline(u.n.ctx, u.end)
+	defer cancel()
+	left := time.Until(u.end)
+	rep, err := u.n.peer.Call(ctx, c.Peer, peer.Call{
+		Request: u.id, Class: u.req.Class, Team: u.req.Team, Body: u.req.Body, Left: left, Base: c.Base,
+	})
+	switch {
+	case errors.Is(err, peer.ErrNotSent):
+		u.send(attempt.PeerReplyMsg{Outcome: attempt.NotRun, Reason: string(outcome.ReasonPeer)})
+	case err != nil:
+		u.n.log.WithError(err).Debug("Peer did not answer a forwarded request.")
+		u.send(attempt.PeerReplyMsg{Outcome: attempt.Unknown, Reason: string(outcome.ReasonPeer)})
+	default:
+		r := rep.Reply
+		u.send(attempt.PeerReplyMsg{
+			Outcome: attempt.Outcome(r.Outcome), Reason: string(r.Reason), RetryAfter: r.RetryAfter,
+			Answer: fleet.Answer{Request: rep.Request, Body: r.Body, Digest: rep.Digest, Took: r.Run, Failed: r.Failed},
+		})
+	}
+}
+
+// enqueue lets the request wait for a slot.
+func (u *urgent) enqueue(c attempt.QueueCmd) []attempt.Command {
+	now := time.Now()
+	z := &u.n.zone
+	z.mu.Lock()
+	v := u.n.classOf(u.req.Class)
+	err := v.queue.Push(now, u.id, u.req.Team, u.end, u.n.slots(now))
+	if err == nil {
+		v.waiting[u.id] = &waiter{attempt: c.Attempt, reply: u.send}
+	}
+	z.mu.Unlock()
+	if err == nil {
+		return nil
+	}
+	m := attempt.RejectedMsg{Attempt: c.Attempt, Reason: string(outcome.ReasonBusy)}
+	var refusal *limit.Refusal
+	if errors.As(err, &refusal) {
+		m.RetryAfter = refusal.RetryAfter
+		if refusal.Reason == limit.ReasonLate {
+			m.Reason = string(outcome.ReasonDeadline)
+		}
+	}
+	return u.life.Update(now, m)
+}
+
+// slots returns the number of slots of the workers that this host holds, with zone.mu held.
+func (n *Node) slots(now time.Time) int {
+	total := 0
+	for _, id := range n.zone.holdings.Workers(now) {
+		total += n.zone.workers[id].status.Slots
+	}
+	return total
+}
+
+// release ends a reservation and gives the slot to a waiting request.
+func (u *urgent) release(c attempt.ReleaseCmd) {
+	now := time.Now()
+	key := capacity.Key{ID: u.id, Attempt: c.Attempt}
+	z := &u.n.zone
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if !c.Certain {
+		z.capacity.AbandonCall(c.Worker, key, u.fences[c.Attempt])
+		return
+	}
+	z.capacity.ReleaseCall(now, c.Worker, key)
+	u.n.serveWaiting(now)
+}
+
+// serveWaiting gives free slots to waiting requests, with zone.mu held.
+func (n *Node) serveWaiting(now time.Time) {
+	z := &n.zone
+	for class, v := range z.classes {
+		for v.queue.Len() > 0 && z.capacity.Free() > 0 {
+			id, late, ok := v.queue.Pop(now, func(string) float64 { return 1 })
+			for _, l := range late {
+				n.turnAway(v, l)
+			}
+			if !ok {
+				break
+			}
+			w := v.waiting[id]
+			delete(v.waiting, id)
+			if w == nil {
+				continue
+			}
+			worker, got := n.reserveCall(now, class, capacity.Key{ID: id, Attempt: w.attempt}, w.avoid)
+			if !got {
+				w.reply(attempt.RejectedMsg{Attempt: w.attempt, Reason: string(outcome.ReasonBusy)})
+				break
+			}
+			w.reply(attempt.SlotMsg{Attempt: w.attempt, Worker: worker})
+		}
+	}
+}
+
+// turnAway rejects a waiting request that can no longer meet its deadline, with zone.mu held.
+func (n *Node) turnAway(v *classView, id string) {
+	if w := v.waiting[id]; w != nil {
+		delete(v.waiting, id)
+		w.reply(attempt.RejectedMsg{Attempt: w.attempt, Reason: string(outcome.ReasonDeadline)})
+	}
+}
+
+// answer keeps the reply and learns from it.
+func (u *urgent) answer(c attempt.ReplyCmd) {
+	now := time.Now()
+	u.reply = &outcome.Reply{
+		Outcome: outcome.Outcome(c.Outcome), Reason: outcome.Reason(c.Reason), RetryAfter: c.RetryAfter,
+		Body: c.Answer.Body, Failed: c.Answer.Failed, Attempts: u.tries, Run: c.Answer.Took,
+	}
+	if c.Outcome == attempt.Done {
+		u.reply.Reason, u.reply.Worker = outcome.ReasonNone, u.worker
+	}
+	if !u.sentAt.IsZero() {
+		u.reply.Wait = u.sentAt.Sub(u.arrived)
+	}
+	z := &u.n.zone
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	v := u.n.classOf(u.req.Class)
+	v.queue.Cancel(u.id)
+	delete(v.waiting, u.id)
+	if c.Outcome == attempt.Done && u.worker != "" {
+		total := now.Sub(u.arrived)
+		v.queue.Observe(c.Answer.Took)
+		v.times.observe(total)
+		z.policy.Update(now, policy.CallMsg{Worker: u.worker, Class: u.req.Class, Took: c.Answer.Took, Total: total})
+	}
+}
+
+// PeerCall serves a request that a peer passed on. It is not passed on again.
+func (n *Node) PeerCall(ctx context.Context, r peer.Call) (peer.CallReply, error) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Done()
+	now := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, r.Left)
+	defer cancel()
+	req := caller.Request{Class: r.Class, Team: r.Team, Key: r.Key, Body: r.Body}
+	var reply outcome.Reply
+	if r.Key != "" {
+		reply = n.keyed(ctx, now, req)
+	} else {
+		reply, _ = n.idempotent(ctx, now, req, r.Request, r.Base, true)
+	}
+	return peer.CallReply{Reply: reply, Request: r.Request, Digest: xxhash.Sum64(reply.Body)}, nil
+}
+
+// percentiles returns the 95th and 99th percentile of the samples.
+func percentiles(samples []time.Duration) (p95, p99 time.Duration) {
+	s := slices.Clone(samples)
+	slices.Sort(s)
+	return s[len(s)*95/100], s[len(s)*99/100]
+}
--- /dev/null
+++ b/internal/host/node/drain.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/request/outcome"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+	"sassafraswind.example/sassafraswind/internal/work/job"
+)
+
+const (
+	drainPeriod = time.Second
+	// drainLimit is the time in which the running tasks of a zone that was taken out are stopped.
+	drainLimit = 60 * time.Second
+	// moveBatch bounds the tasks released to another zone in one round.
+	moveBatch = 64
+	// carryBytes bounds the checkpoints in one accept record.
+	carryBytes = 96 << 10
+)
+
+// drain stops and moves the tasks of a zone that operators have taken out.
+func (n *Node) drain(now time.Time) {
+	if n.zoneOut(n.cfg.Zone) && !n.leaving.Load() {
+		n.stopTasks(now)
+		n.releaseTasks(now)
+	}
+	n.handOver(now)
+}
+
+// stopTasks stops some running tasks of the held workers, so that all are stopped within the drain limit.
+func (n *Node) stopTasks(now time.Time) {
+	z := &n.zone
+	z.mu.Lock()
+	var effects []func(context.Context)
+	running := 0
+	for _, id := range z.holdings.Workers(now) {
+		running += len(z.jobs.RunningOn(id))
+	}
+	// A fixed share of what is left each round would never end; at least one more than that share does.
+	budget := running/10 + 4
+	for _, id := range z.holdings.Workers(now) {
+		w := z.workers[id]
+		fence, ok := z.holdings.Held(id, now)
+		if !ok || w == nil {
+			continue
+		}
+		for _, t := range z.jobs.RunningOn(id) {
+			if budget == 0 {
+				break
+			}
+			if known, listed := w.tasks[t.ID()]; listed && known.State == fleet.TaskRunning {
+				budget--
+				effects = append(effects, n.control(w.address, fence, known, fleet.ActionStop, 0))
+			}
+		}
+	}
+	z.mu.Unlock()
+	for _, e := range effects {
+		n.run(e)
+	}
+}
+
+// releaseTasks writes move records for pending tasks, if another zone can take them.
+func (n *Node) releaseTasks(now time.Time) {
+	to := n.otherZone(now)
+	if to == "" {
+		return
+	}
+	hosts := n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, true)
+	z := &n.zone
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	left := moveBatch
+	for _, class := range z.jobs.Classes() {
+		for t := range z.jobs.Pending(class) {
+			if left == 0 {
+				return
+			}
+			if z.settling[t.ID()] || z.placing[t.ID()] != nil || n.starter(now, t, hosts) != n.cfg.Host {
+				continue
+			}
+			left--
+			m := job.Move{Task: t.ID(), To: to, Hop: t.Hop() + 1}
+			n.settle(t.ID(), "move", func() (record.Item, error) { return job.MoveItem(m) }, nil)
+		}
+	}
+}
+
+// handOver gives moved tasks to their new zone. It is repeated until the other zone has recorded them, by any host of
+// this zone, and each step is idempotent.
+func (n *Node) handOver(now time.Time) {
+	hosts := n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, true)
+	z := &n.zone
+	type group struct {
+		accept job.Accept
+		to     string
+		moves  []job.Move
+	}
+	groups := map[string]*group{}
+	z.mu.Lock()
+	left := moveBatch
+	for t := range z.jobs.Unconfirmed() {
+		if left == 0 {
+			break
+		}
+		if z.settling[t.ID()] || n.starter(now, t, hosts) != n.cfg.Host {
+			continue
+		}
+		j := t.Job()
+		g := groups[j.ID()+t.To()]
+		if g == nil {
+			g = &group{to: t.To(), accept: job.Accept{
+				ID: j.ID(), Class: j.Class(), Team: j.Team(), Count: j.Count(), Size: j.Size(), Body: j.Body(), Run: j.Run(),
+				From: n.cfg.Zone,
+			}}
+			groups[j.ID()+t.To()] = g
+		}
+		if carried(g.accept)+len(t.Checkpoint()) > carryBytes {
+			continue
+		}
+		left--
+		z.settling[t.ID()] = true
+		g.accept.Tasks = append(g.accept.Tasks, t.Carried())
+		g.moves = append(g.moves, job.Move{Task: t.ID(), To: t.To(), Hop: t.Hop(), Done: true})
+	}
+	z.mu.Unlock()
+	for _, g := range groups {
+		n.run(func(ctx context.Context) { n.handOverJob(ctx, g.to, g.accept, g.moves) })
+	}
+}
+
+// carried returns the size of the checkpoints of an accept.
+func carried(a job.Accept) int {
+	total := 0
+	for _, t := range a.Tasks {
+		total += len(t.Checkpoint)
+	}
+	return total
+}
+
+// handOverJob records tasks of one job in their new zone and then confirms their moves here.
+func (n *Node) handOverJob(ctx context.Context, to string, a job.Accept, moves []job.Move) {
+	defer func() {
+		n.zone.mu.Lock()
+		defer n.zone.mu.Unlock()
+		for _, m := range moves {
+			delete(n.zone.settling, m.Task)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	r := n.acceptIn(ctx, to, a)
+	if r.Outcome != outcome.Done {
+		n.log.WithField("job", a.ID).Infof("Zone %s has not taken over tasks yet: %s.", to, r.Message)
+		return
+	}
+	items := make([]record.Item, 0, len(moves))
+	for _, m := range moves {
+		i, err := job.MoveItem(m)
+		if err != nil {
+			n.log.WithError(err).Error("Move was not encoded.")
+			return
+		}
+		items = append(items, i)
+	}
+	if _, err := n.zone.feed.Write(ctx, items...); err != nil {
+		n.log.WithError(err).Debug("Moves were not confirmed; trying again.")
+		return
+	}
+	home, err := homeItem(a.ID, to, moves[0].Hop)
+	if err == nil {
+		_, err = n.keys.feed.Write(ctx, home)
+	}
+	if err != nil && !errors.Is(err, context.Canceled) {
+		n.log.WithError(err).Debug("Home of a moved job was not recorded.")
+	}
+}
--- /dev/null
+++ b/internal/host/node/holding.go
@@ -0,0 +1,252 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/platform/roster"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+	"sassafraswind.example/sassafraswind/internal/work/job"
+	"sassafraswind.example/sassafraswind/internal/zone/lease"
+	"sassafraswind.example/sassafraswind/internal/zone/policy"
+)
+
+const (
+	rosterPeriod = time.Second
+	leasePeriod  = 200 * time.Millisecond
+	// workerTimeout bounds a message to a worker other than a call.
+	workerTimeout = time.Second
+	// recordTimeout bounds the write of a record that no caller waits for.
+	recordTimeout = 10 * time.Second
+)
+
+// workerView is what the node knows of a worker of its zone.
+type workerView struct {
+	address, rack, service string
+	leaving                bool
+	// held is set while the capacity table has the worker.
+	held bool
+	// status is the newest status as the holder, tasks the merged task list by task id.
+	status fleet.Status
+	sent   time.Time
+	tasks  map[string]fleet.Task
+	// reported is the end of the last usage window per class, in the worker's clock.
+	reported map[string]time.Duration
+}
+
+// readRoster reads the host list. When it cannot be read, what was last read stays in force.
+func (n *Node) readRoster(now time.Time) {
+	ctx, cancel := context.WithTimeout(n.ctx, workerTimeout)
+	defer cancel()
+	hosts, err := n.hosts.Hosts(ctx)
+	if err != nil {
+		n.log.WithError(err).Debug("Host list was not read; keeping the last one.")
+		return
+	}
+	n.applyRoster(now, hosts)
+}
+
+// applyRoster takes over the list of hosts.
+func (n *Node) applyRoster(now time.Time, hosts []roster.Host) {
+	var workers []lease.Worker
+	var entries []roster.Host
+	z := &n.zone
+	z.mu.Lock()
+	for _, h := range hosts {
+		switch {
+		case h.Kind == roster.KindEntry:
+			entries = append(entries, h)
+		case h.Zone == n.cfg.Zone:
+			w := z.workers[h.ID]
+			if w == nil {
+				w = &workerView{tasks: map[string]fleet.Task{}, reported: map[string]time.Duration{}}
+				z.workers[h.ID] = w
+			}
+			w.address, w.rack, w.service, w.leaving = h.Address, h.Rack, h.Service, h.Leaving
+			workers = append(workers, lease.Worker{ID: h.ID, Address: h.Address, Leaving: h.Leaving})
+			z.capacity.SetLeaving(h.ID, h.Leaving)
+		}
+	}
+	z.holdings.Update(now, lease.HostsMsg{Workers: workers})
+	z.mu.Unlock()
+	n.peers.list(entries, n.cfg.Host, len(hosts)-len(entries))
+}
+
+// tickLeases runs what is due with the workers.
+func (n *Node) tickLeases(now time.Time) {
+	fresh := n.configFresh()
+	z := &n.zone
+	z.mu.Lock()
+	stale := now.Sub(fresh) > n.cfg.Freshness.Cutoff || now.Sub(z.feed.Fresh()) > n.cfg.Freshness.Cutoff
+	// A host that has just started has no view yet. It cannot be older than the cut-off bound.
+	if now.Sub(n.started) < n.cfg.Freshness.Cutoff && (fresh.IsZero() || z.feed.Fresh().IsZero()) {
+		stale = false
+	}
+	z.holdings.Update(now, lease.StaleMsg{Stale: stale})
+	z.holdings.Update(now, lease.PeersMsg{Hosts: n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, !n.leaving.Load())})
+	cmds := z.holdings.Update(now, lease.TickMsg{})
+	n.unholdLost(now)
+	z.mu.Unlock()
+	n.runLeaseCommands(cmds)
+}
+
+// unholdLost withdraws workers whose lease this host can no longer rely on, with zone.mu held.
+func (n *Node) unholdLost(now time.Time) {
+	for id, w := range n.zone.workers {
+		if _, ok := n.zone.holdings.Held(id, now); ok || !w.held {
+			continue
+		}
+		w.held = false
+		w.tasks = map[string]fleet.Task{}
+		n.zone.capacity.Unhold(id)
+		n.zone.policy.Update(now, policy.ReleaseMsg{Name: id})
+	}
+}
+
+// runLeaseCommands carries out the commands of the holdings.
+func (n *Node) runLeaseCommands(cmds []lease.Command) {
+	for _, c := range cmds {
+		switch c := c.(type) {
+		case lease.QueryCmd:
+			n.run(func(ctx context.Context) {
+				n.askWorker(ctx, c.Worker, 0, func(ctx context.Context) (fleet.Status, error) {
+					return n.fleet.Status(ctx, c.Address)
+				})
+			})
+		case lease.LeaseCmd:
+			n.run(func(ctx context.Context) {
+				n.askWorker(ctx, c.Worker, c.Request.Seen, func(ctx context.Context) (fleet.Status, error) {
+					return n.fleet.Lease(ctx, c.Address, c.Request)
+				})
+			})
+		case lease.ReleaseCmd:
+			n.run(func(ctx context.Context) { n.releaseWorker(ctx, c) })
+		case lease.HoldCmd:
+			n.run(func(ctx context.Context) {
+				n.writeZone(ctx, "hold", func() (record.Item, error) {
+					return job.HoldItem(job.Hold{Worker: c.Worker, Host: n.cfg.Host, Boot: c.Boot, Grant: c.Grant})
+				})
+			})
+		case lease.ApplyCmd:
+			n.applyStatus(time.Now(), c)
+		}
+	}
+}
+
+// askWorker sends a status or lease message and feeds the reply back.
+func (n *Node) askWorker(ctx context.Context, id string, seen uint64, ask func(context.Context) (fleet.Status, error)) {
+	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
+	defer cancel()
+	sent := time.Now()
+	s, err := ask(ctx)
+	received := time.Now()
+	var msg lease.Msg
+	switch {
+	case errors.Is(err, fleet.ErrHeld):
+		msg = lease.RefusedMsg{Status: s, Sent: sent, Received: received}
+	case err != nil:
+		n.log.WithError(err).WithField("worker", id).Debug("Worker did not answer a lease message.")
+		msg = lease.FailedMsg{Worker: id}
+	default:
+		msg = lease.StatusMsg{Status: s, Sent: sent, Received: received, Seen: seen}
+	}
+	n.zone.mu.Lock()
+	cmds := n.zone.holdings.Update(received, msg)
+	n.zone.mu.Unlock()
+	n.runLeaseCommands(cmds)
+}
+
+// releaseWorker gives up the lease of a worker.
+func (n *Node) releaseWorker(ctx context.Context, c lease.ReleaseCmd) {
+	n.zone.mu.Lock()
+	w := n.zone.workers[c.Worker]
+	var f fleet.Fence
+	if w != nil {
+		f = fleet.Fence{Boot: w.status.Boot, Grant: w.status.Grant, Before: w.status.Clock + time.Since(w.sent) + workerTimeout}
+	}
+	n.zone.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
+	defer cancel()
+	err := n.fleet.Release(ctx, c.Address, f)
+	n.zone.mu.Lock()
+	defer n.zone.mu.Unlock()
+	if err != nil {
+		n.log.WithError(err).WithField("worker", c.Worker).Debug("Release failed; the lease will expire.")
+		n.zone.holdings.Update(time.Now(), lease.FailedMsg{Worker: c.Worker})
+		return
+	}
+	n.zone.holdings.Update(time.Now(), lease.ReleasedMsg{Worker: c.Worker})
+}
+
+// releaseAll gives up all workers at a planned stop, so that other hosts can take them at once.
+func (n *Node) releaseAll(ctx context.Context) {
+	n.zone.mu.Lock()
+	cmds := n.zone.holdings.Update(time.Now(), lease.LeaveMsg{})
+	n.zone.mu.Unlock()
+	n.runLeaseCommands(cmds)
+	for ctx.Err() == nil {
+		n.zone.mu.Lock()
+		left := len(n.zone.holdings.Workers(time.Now()))
+		n.zone.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// applyStatus takes over the status of a held worker.
+func (n *Node) applyStatus(now time.Time, c lease.ApplyCmd) {
+	z := &n.zone
+	z.mu.Lock()
+	w := z.workers[c.Status.Worker]
+	if w == nil {
+		z.mu.Unlock()
+		return
+	}
+	if !w.held {
+		w.held = true
+		z.capacity.Hold(c.Status.Worker)
+		z.capacity.SetLeaving(c.Status.Worker, w.leaving)
+		n.log.WithField("worker", c.Status.Worker).Info("Took the lease of a worker.")
+	}
+	if !z.capacity.Apply(c.Status, c.Sent, c.Full) {
+		z.mu.Unlock()
+		return
+	}
+	if c.Full {
+		w.tasks = map[string]fleet.Task{}
+	}
+	for _, t := range c.Status.Tasks {
+		w.tasks[t.ID] = t
+	}
+	w.status, w.sent = c.Status, c.Sent
+	z.policy.Update(now, policy.WorkerMsg{
+		Name: c.Status.Worker, Rack: w.rack, Capacity: c.Status.Capacity, Slots: c.Status.Slots,
+		Closed: w.leaving || c.Status.Leaving,
+	})
+	n.reportUsage(now, w)
+	effects := n.reconcile(now, w)
+	z.mu.Unlock()
+	for _, e := range effects {
+		n.run(e)
+	}
+}
+
+// reportUsage passes on the usage reports that were not seen before, with zone.mu held.
+func (n *Node) reportUsage(now time.Time, w *workerView) {
+	var fresh []fleet.Usage
+	for _, u := range w.status.Usage {
+		end := w.status.Clock - u.Lag
+		if end > w.reported[u.Class] {
+			w.reported[u.Class] = end
+			fresh = append(fresh, u)
+		}
+	}
+	if len(fresh) > 0 {
+		n.zone.policy.Update(now, policy.UsageMsg{Worker: w.status.Worker, Usage: fresh})
+	}
+}
--- /dev/null
+++ b/internal/host/node/house.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/stream/feed"
+)
+
+const housePeriod = time.Minute
+
+// housekeep forgets what is no longer needed.
+func (n *Node) housekeep(now time.Time) {
+	n.keys.mu.Lock()
+	forgotten := n.keys.table.Expire(now)
+	n.keys.mu.Unlock()
+	if forgotten > 0 {
+		n.log.Debugf("Forgot %d keys that are too old to be used.", forgotten)
+	}
+}
+
+// countPeerBytes counts messages that cross regions.
+func (n *Node) countPeerBytes(addr, method string, sent, received int) {
+	if n.mtr == nil {
+		return
+	}
+	n.peers.mu.Lock()
+	v := n.peers.known[addr]
+	far := v != nil && v.state.Region != "" && v.state.Region != n.cfg.Region
+	n.peers.mu.Unlock()
+	if far {
+		n.mtr.RegionBytes(context.Background(), method, "sent", sent)
+		n.mtr.RegionBytes(context.Background(), method, "received", received)
+	}
+}
+
+// countedLog counts the bytes exchanged with the log.
+type countedLog struct {
+	feed.Log
+	n *Node
+}
+
+// countLog wraps the log, whose place is not known to the host, so that its bytes can be read per stream.
+func (n *Node) countLog(l feed.Log) feed.Log {
+	if n.mtr == nil {
+		return l
+	}
+	return &countedLog{Log: l, n: n}
+}
+
+// Append implements feed.Log.
+func (c *countedLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	c.n.mtr.RegionBytes(ctx, "log."+stream, "sent", len(data))
+	return c.Log.Append(ctx, stream, data)
+}
+
+// Read implements feed.Log.
+func (c *countedLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (journal.Page, error) {
+	p, err := c.Log.Read(ctx, stream, from, limit, wait)
+	total := 0
+	for _, r := range p.Records {
+		total += len(r.Data)
+	}
+	if total > 0 {
+		c.n.mtr.RegionBytes(ctx, "log."+stream, "received", total)
+	}
+	return p, err
+}
--- /dev/null
+++ b/internal/host/node/job.go
@@ -0,0 +1,386 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"sassafraswind.example/sassafraswind/internal/host/caller"
+	"sassafraswind.example/sassafraswind/internal/host/peer"
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/request/outcome"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+	"sassafraswind.example/sassafraswind/internal/work/config"
+	"sassafraswind.example/sassafraswind/internal/work/intent"
+	"sassafraswind.example/sassafraswind/internal/work/job"
+)
+
+const msgAskAgain = "send the same key again to learn the outcome"
+
+// Submit accepts a batch job durably.
+func (n *Node) Submit(ctx context.Context, s caller.Submission) outcome.Reply {
+	n.inFlight.Add(1)
+	defer n.inFlight.Done()
+	now := time.Now()
+	if !n.configured() {
+		return outcome.Doubt(outcome.ReasonNotReady, "this host has no configuration yet; "+msgAskAgain)
+	}
+	if bad := checkJobKey(now, s.Key); bad != nil {
+		return *bad
+	}
+	c, ok := n.class(s.Class)
+	if !ok || c.Kind != config.KindBatch {
+		// Another host may have a newer configuration and may have accepted the key.
+		return outcome.Reply{Outcome: outcome.Unknown, Reason: outcome.ReasonInvalid, Field: "class", Message: "not a batch class known here"}
+	}
+	a := job.Accept{ID: s.Key, Class: s.Class, Team: s.Team, Count: s.Count, Size: s.Size, Run: s.Run, Body: s.Body}
+	if a.Size == (fleet.Size{}) {
+		a.Size = c.Size
+	}
+	if a.Run == 0 {
+		a.Run = c.Run
+	}
+	if len(a.Body) > job.MaxBody {
+		return outcome.Invalid("body", fmt.Sprintf("must be at most %d bytes", job.MaxBody))
+	}
+	return n.accept(ctx, now, a)
+}
+
+// checkJobKey returns a reply if the key cannot be used.
+func checkJobKey(now time.Time, key string) *outcome.Reply {
+	err := intent.CheckKey(now, key)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, intent.ErrOld):
+		r := outcome.Doubt(outcome.ReasonExpired, err.Error())
+		r.Field = "key"
+		return &r
+	}
+	r := outcome.Invalid("key", err.Error())
+	return &r
+}
+
+// accept claims the key for a zone and records the job there.
+func (n *Node) accept(ctx context.Context, now time.Time, a job.Accept) outcome.Reply {
+	data, err := msgpack.Marshal(a)
+	if err != nil {
+		return outcome.Invalid("body", err.Error())
+	}
+	digest := xxhash.Sum64(data)
+	known := n.outcomeOf(a.ID)
+	if known.State == intent.None {
+		if why := n.neverFits(a); why != "" {
+			return outcome.Doubt(outcome.ReasonNeverFits, why)
+		}
+		zone := n.zoneForJob(now)
+		item, err := intent.Item(intent.Intent{
+			Key: a.ID, Digest: digest, Kind: intent.Job, Class: a.Class, Zone: zone, Host: n.cfg.Host, Attempt: 1,
+		})
+		if err != nil {
+			return outcome.Invalid("key", err.Error())
+		}
+		if _, err := n.keys.feed.Write(ctx, item); err != nil {
+			return outcome.Doubt(outcome.ReasonLog, "the job's key was not recorded in time; "+msgAskAgain)
+		}
+		known = n.outcomeOf(a.ID)
+	}
+	switch {
+	case known.State == intent.None || known.State == intent.Expired:
+		return outcome.Doubt(outcome.ReasonExpired, "the key is too old for the log")
+	case known.Intent.Kind != intent.Job || known.Intent.Digest != digest:
+		return outcome.Refuse(outcome.ReasonConflict, "the key is in use with other content")
+	}
+	return n.acceptIn(ctx, known.Intent.Zone, a)
+}
+
+// neverFits returns why no known worker can run the job's tasks, or an empty text.
+func (n *Node) neverFits(a job.Accept) string {
+	n.zone.mu.Lock()
+	defer n.zone.mu.Unlock()
+	if n.zone.policy.Workers() == 0 {
+		return ""
+	}
+	return n.zone.policy.Refusal(a.Class, a.Size)
+}
+
+// zoneForJob returns the zone that gets a new job: this one if it is in and has workers, else another one.
+func (n *Node) zoneForJob(now time.Time) string {
+	n.zone.mu.Lock()
+	held := len(n.zone.holdings.Workers(now))
+	n.zone.mu.Unlock()
+	if held > 0 && !n.zoneOut(n.cfg.Zone) {
+		return n.cfg.Zone
+	}
+	if zone := n.otherZone(now); zone != "" {
+		return zone
+	}
+	return n.cfg.Zone
+}
+
+// otherZone returns another zone that is in and has a live, ready host, the one with the most free slots.
+func (n *Node) otherZone(now time.Time) string {
+	out := n.zonesOut()
+	p := &n.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, zone := -1, ""
+	for _, a := range p.order {
+		v := p.known[a]
+		s := v.state
+		if s.Zone == n.cfg.Zone || out[s.Zone] || !s.Ready || s.Leaving || v.heard.IsZero() || now.Sub(v.heard) > 10*syncPeriod {
+			continue
+		}
+		if s.Free > best {
+			best, zone = s.Free, s.Zone
+		}
+	}
+	return zone
+}
+
+// acceptIn records the job in the stream of a zone, here or through a peer of that zone.
+func (n *Node) acceptIn(ctx context.Context, zone string, a job.Accept) outcome.Reply {
+	if zone == n.cfg.Zone {
+		return n.acceptHere(ctx, a)
+	}
+	data, err := msgpack.Marshal(a)
+	if err != nil {
+		return outcome.Doubt(outcome.ReasonUnexpected, err.Error())
+	}
+	r, _ := n.askZone(ctx, zone, peer.Job{Action: peer.JobSubmit, ID: a.ID, Record: data})
+	return r
+}
+
+// acceptHere records the job in this zone's stream.
+func (n *Node) acceptHere(ctx context.Context, a job.Accept) outcome.Reply {
+	item, err := job.AcceptItem(a)
+	if err != nil {
+		return outcome.Invalid("", err.Error())
+	}
+	r, err := n.zone.feed.Write(ctx, item)
+	if err != nil {
+		return outcome.Doubt(outcome.ReasonLog, "the job was not recorded in time; "+msgAskAgain)
+	}
+	if v := r.Verdicts[0]; v != nil && !errors.Is(v, job.ErrExists) {
+		if errors.Is(v, job.ErrConflict) {
+			return outcome.Refuse(outcome.ReasonConflict, "the key is in use with other content")
+		}
+		return outcome.Doubt(outcome.ReasonExpired, v.Error())
+	}
+	reply := n.showHere(a.ID)
+	reply.Reason = outcome.ReasonAccepted
+	return reply
+}
+
+// askZone sends a job message to a host of the zone. It goes on to the next host only if the message was not sent:
+// otherwise the first may have carried it out. All messages are idempotent, so the caller may ask again.
+func (n *Node) askZone(ctx context.Context, zone string, m peer.Job) (outcome.Reply, bool) {
+	for _, address := range n.peerIn(zone, time.Now()) {
+		end, ok := ctx.Deadline()
+		if !ok {
+			end = time.Now().Add(n.cfg.Limits.Deadline)
+		}
+		m.Left = time.Until(end)
+		rep, err := n.peer.Job(ctx, address, m)
+		if errors.Is(err, peer.ErrNotSent) {
+			continue
+		}
+		if err != nil {
+			return outcome.Doubt(outcome.ReasonPeer, "zone "+zone+" did not answer; "+msgAskAgain), false
+		}
+		return rep.Reply, true
+	}
+	return outcome.Doubt(outcome.ReasonPeer, "no host of zone "+zone+" can be reached; "+msgAskAgain), false
+}
+
+// PeerJob answers a job message of a peer for this zone.
+func (n *Node) PeerJob(ctx context.Context, m peer.Job) (peer.JobReply, error) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Done()
+	ctx, cancel := context.WithTimeout(ctx, m.Left)
+	defer cancel()
+	switch m.Action {
+	case peer.JobSubmit:
+		var a job.Accept
+		if err := msgpack.Unmarshal(m.Record, &a); err != nil {
+			return peer.JobReply{}, errors.Wrap(err, "node: decode accept of peer")
+		}
+		return peer.JobReply{Reply: n.acceptHere(ctx, a)}, nil
+	case peer.JobShow:
+		return peer.JobReply{Reply: n.showHere(m.ID)}, nil
+	case peer.JobCancel:
+		return peer.JobReply{Reply: n.cancelHere(ctx, m.ID)}, nil
+	}
+	return peer.JobReply{}, errors.Newf("node: unknown job action %q", m.Action)
+}
+
+// Show returns a job or task by its id.
+func (n *Node) Show(ctx context.Context, id string) outcome.Reply {
+	return n.atHome(ctx, id, peer.JobShow, func() outcome.Reply { return n.showHere(id) })
+}
+
+// Cancel cancels a job or task.
+func (n *Node) Cancel(ctx context.Context, id string) outcome.Reply {
+	n.inFlight.Add(1)
+	defer n.inFlight.Done()
+	return n.atHome(ctx, id, peer.JobCancel, func() outcome.Reply { return n.cancelHere(ctx, id) })
+}
+
+// atHome answers about a job in the zone that has it. The stream of keys forgets a key after 25 h, while a job may run
+// for weeks; then the zones are asked one after another.
+func (n *Node) atHome(ctx context.Context, id string, action peer.JobAction, here func() outcome.Reply) outcome.Reply {
+	key, _, _ := strings.Cut(id, "/")
+	known := n.outcomeOf(key)
+	if known.Intent.Kind == intent.Job && known.Intent.Zone != "" && known.Intent.Zone != n.cfg.Zone {
+		r, _ := n.askZone(ctx, known.Intent.Zone, peer.Job{Action: action, ID: id})
+		return r
+	}
+	r := here()
+	if r.Reason != outcome.ReasonNotFound || known.State != intent.None {
+		return r
+	}
+	silent := ""
+	for _, zone := range n.otherZones() {
+		other, ok := n.askZone(ctx, zone, peer.Job{Action: action, ID: id})
+		if !ok {
+			silent = zone
+		} else if other.Reason != outcome.ReasonNotFound {
+			return other
+		}
+	}
+	if silent != "" {
+		return outcome.Doubt(outcome.ReasonPeer, "the job is not known here, and zone "+silent+" cannot be asked")
+	}
+	return r
+}
+
+// otherZones returns the zones of the known peers but this one, sorted.
+func (n *Node) otherZones() []string {
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	seen := map[string]bool{n.cfg.Zone: true, "": true}
+	var out []string
+	for _, a := range n.peers.order {
+		if z := n.peers.known[a].state.Zone; !seen[z] {
+			seen[z] = true
+			out = append(out, z)
+		}
+	}
+	return out
+}
+
+// showHere returns a job or task of this zone.
+func (n *Node) showHere(id string) outcome.Reply {
+	n.zone.mu.Lock()
+	defer n.zone.mu.Unlock()
+	var v any
+	if strings.Contains(id, "/") {
+		if t := n.zone.jobs.Task(id); t != nil {
+			v = viewTask(t)
+		}
+	} else if j := n.zone.jobs.Job(id); j != nil {
+		v = viewJob(j, n.cfg.Zone)
+	}
+	if v == nil {
+		return outcome.Refuse(outcome.ReasonNotFound, "no such job")
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		return outcome.Doubt(outcome.ReasonUnexpected, err.Error())
+	}
+	return outcome.Reply{Outcome: outcome.Done, Body: data}
+}
+
+// cancelHere cancels a job or task of this zone.
+func (n *Node) cancelHere(ctx context.Context, id string) outcome.Reply {
+	if r := n.showHere(id); r.Outcome != outcome.Done {
+		return r
+	}
+	item, err := job.CancelItem(job.Cancel{ID: id})
+	if err != nil {
+		return outcome.Invalid("id", err.Error())
+	}
+	r, err := n.zone.feed.Write(ctx, item)
+	if err != nil {
+		return outcome.Doubt(outcome.ReasonLog, "the cancellation was not recorded in time; ask again")
+	}
+	if v := r.Verdicts[0]; v != nil && !errors.Is(v, job.ErrExists) {
+		return outcome.Refuse(outcome.ReasonConflict, v.Error())
+	}
+	return n.showHere(id)
+}
+
+// taskView is the JSON form of a task.
+type taskView struct {
+	ID         string          `json:"id"`
+	State      string          `json:"state"`
+	Attempt    int             `json:"attempt"`
+	Fails      int             `json:"fails,omitempty"`
+	Worker     string          `json:"worker,omitempty"`
+	Reason     string          `json:"reason,omitempty"`
+	Zone       string          `json:"zone,omitempty"`
+	Cancelling bool            `json:"cancelling,omitempty"`
+	Output     json.RawMessage `json:"output,omitempty"`
+}
+
+func viewTask(t *job.Task) taskView {
+	v := taskView{
+		ID: t.ID(), State: t.State().String(), Attempt: t.Attempt(), Fails: t.Fails(), Reason: t.Reason(),
+		Zone: t.To(), Cancelling: t.Cancelling(),
+	}
+	if t.State() == job.Running {
+		v.Worker = t.Worker()
+	}
+	if out := t.Output(); len(out) > 0 {
+		v.Output = out
+		if !json.Valid(out) {
+			v.Output, _ = json.Marshal(string(out))
+		}
+	}
+	return v
+}
+
+// shownTasks bounds the tasks that a job's view lists.
+const shownTasks = 100
+
+// jobView is the JSON form of a job.
+type jobView struct {
+	ID        string         `json:"id"`
+	Class     string         `json:"class"`
+	Team      string         `json:"team"`
+	Zone      string         `json:"zone"`
+	Count     int            `json:"count"`
+	Finished  bool           `json:"finished"`
+	Cancelled bool           `json:"cancelled,omitempty"`
+	States    map[string]int `json:"states"`
+	Tasks     []taskView     `json:"tasks,omitempty"`
+}
+
+func viewJob(j *job.Job, zone string) jobView {
+	v := jobView{
+		ID: j.ID(), Class: j.Class(), Team: j.Team(), Zone: zone, Count: j.Count(), Finished: j.Finished(),
+		Cancelled: j.Cancelled(), States: map[string]int{},
+	}
+	for s, c := range j.Counts() {
+		if c > 0 {
+			v.States[job.State(s).String()] = c
+		}
+	}
+	for i := range j.Count() {
+		if t := j.Task(i); t != nil && len(v.Tasks) < shownTasks {
+			v.Tasks = append(v.Tasks, viewTask(t))
+		}
+	}
+	return v
+}
+
+// keyItem seals a home record.
+func homeItem(key, zone string, hop int) (record.Item, error) {
+	return intent.HomeItem(intent.Home{Key: key, Zone: zone, Hop: hop})
+}
--- /dev/null
+++ b/internal/host/node/peers.go
@@ -0,0 +1,321 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/host/peer"
+	"sassafraswind.example/sassafraswind/internal/platform/roster"
+)
+
+const (
+	syncPeriod  = time.Second
+	syncTimeout = 800 * time.Millisecond
+	// peerSilent is how long a peer may be silent before it counts as dead.
+	peerSilent = 3500 * time.Millisecond
+)
+
+// peerView is what the node knows of another entry host.
+type peerView struct {
+	address string
+	state   peer.State
+	// heard is when the sync that brought the state was sent.
+	heard time.Time
+	// taken counts the requests passed on since then, so that a burst does not go to one peer.
+	taken int
+}
+
+// peersView has the other entry hosts, by address, and the workers of all zones.
+type peersView struct {
+	mu      sync.Mutex
+	known   map[string]*peerView
+	order   []string
+	listed  map[string]string
+	total   int
+	next    map[string]int
+	started bool
+}
+
+// list takes over the entry hosts of the host list.
+func (p *peersView) list(entries []roster.Host, self string, workers int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.total = workers
+	p.started = true
+	listed := map[string]bool{}
+	for _, e := range entries {
+		if e.ID == self {
+			continue
+		}
+		listed[e.Address] = true
+		p.add(e.Address)
+		v := p.known[e.Address]
+		if v.state.Zone == "" {
+			v.state.Host, v.state.Zone, v.state.Region = e.ID, e.Zone, e.Region
+		}
+	}
+	// An unlisted peer that still answers stays: the list lags.
+	for a, v := range p.known {
+		if !listed[a] && time.Since(v.heard) > time.Minute && !v.heard.IsZero() {
+			delete(p.known, a)
+			p.order = slices.DeleteFunc(p.order, func(o string) bool { return o == a })
+		}
+	}
+}
+
+// add makes the address known, with mu held.
+func (p *peersView) add(address string) {
+	if p.known[address] == nil {
+		p.known[address] = &peerView{address: address}
+		p.order = append(p.order, address)
+		slices.Sort(p.order)
+	}
+}
+
+// workersListed sets the addresses of workers of other zones.
+func (p *peersView) workersListed(addresses map[string]string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listed = addresses
+}
+
+// address returns the address of a worker of any zone, empty if it is not listed.
+func (p *peersView) address(worker string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listed[worker]
+}
+
+// workers returns the number of listed workers of all zones.
+func (p *peersView) workers() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.total
+}
+
+// heard keeps the state of a peer.
+func (p *peersView) heard(address string, s peer.State, sent time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := p.known[address]
+	if v == nil || sent.Before(v.heard) {
+		return
+	}
+	v.state, v.heard, v.taken = s, sent, 0
+}
+
+// ofZone returns the live, ready, not leaving hosts of the zone, sorted, with this one if self is set.
+func (p *peersView) ofZone(now time.Time, host, zone string, self bool) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var hosts []string
+	if self {
+		hosts = append(hosts, host)
+	}
+	for _, v := range p.known {
+		if v.state.Zone == zone && v.state.Host != host && v.alive(now) && !v.state.Leaving {
+			hosts = append(hosts, v.state.Host)
+		}
+	}
+	slices.Sort(hosts)
+	return slices.Compact(hosts)
+}
+
+func (v *peerView) alive(now time.Time) bool {
+	return !v.heard.IsZero() && now.Sub(v.heard) < peerSilent
+}
+
+// addresses returns the peers to sync with now: all of the own zone, and one of each other zone in turn, so that the
+// messages of a host grow with the zones and not with all hosts.
+func (p *peersView) addresses(zone string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.next == nil {
+		p.next = map[string]int{}
+	}
+	var out []string
+	others := map[string][]string{}
+	for _, a := range p.order {
+		v := p.known[a]
+		if v.state.Zone == zone || v.state.Zone == "" {
+			out = append(out, a)
+			continue
+		}
+		others[v.state.Zone] = append(others[v.state.Zone], a)
+	}
+	for z, as := range others {
+		out = append(out, as[p.next[z]%len(as)])
+		p.next[z]++
+	}
+	return out
+}
+
+// bestPeer returns the address of the peer to pass a request on to: one with free slots, of the same zone first, then
+// of the same region, then any; empty if there is none. Zones that were taken out come last.
+func (n *Node) bestPeer(_ string, now time.Time) string {
+	return n.pickPeer(now, false)
+}
+
+// bestPeerElsewhere returns a peer with free slots in another zone that is in, empty if there is none.
+func (n *Node) bestPeerElsewhere(now time.Time) string {
+	return n.pickPeer(now, true)
+}
+
+func (n *Node) pickPeer(now time.Time, elsewhere bool) string {
+	out := n.zonesOut()
+	p := &n.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *peerView
+	rank := 0
+	for _, a := range p.order {
+		v := p.known[a]
+		free := v.state.Free - v.taken
+		// Peers of other zones are heard of in turn, so that their state may be older.
+		if now.Sub(v.heard) > 10*syncPeriod || v.heard.IsZero() || !v.state.Ready || v.state.Leaving || free <= 0 {
+			continue
+		}
+		if elsewhere && (v.state.Zone == n.cfg.Zone || out[v.state.Zone]) {
+			continue
+		}
+		r := 1
+		switch {
+		case out[v.state.Zone]:
+		case v.state.Zone == n.cfg.Zone:
+			r = 4
+		case v.state.Region == n.cfg.Region:
+			r = 3
+		default:
+			r = 2
+		}
+		if best == nil || r > rank || r == rank && free > best.state.Free-best.taken {
+			best, rank = v, r
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	best.taken++
+	return best.address
+}
+
+// zonesOut returns the zones that operators have taken out.
+func (n *Node) zonesOut() map[string]bool {
+	n.config.mu.Lock()
+	defer n.config.mu.Unlock()
+	out := map[string]bool{}
+	for _, z := range n.config.state.Zones() {
+		if z.Value.Out {
+			out[z.Value.Name] = true
+		}
+	}
+	return out
+}
+
+// peerIn returns the addresses of live peers in a zone, those with free slots first.
+func (n *Node) peerIn(zone string, now time.Time) []string {
+	p := &n.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var vs []*peerView
+	for _, a := range p.order {
+		v := p.known[a]
+		if v.state.Zone == zone && !v.state.Leaving && (v.heard.IsZero() || now.Sub(v.heard) < time.Minute) {
+			vs = append(vs, v)
+		}
+	}
+	slices.SortStableFunc(vs, func(a, b *peerView) int { return b.state.Free - a.state.Free })
+	out := make([]string, 0, len(vs))
+	for _, v := range vs {
+		out = append(out, v.address)
+	}
+	return out
+}
+
+// syncPeers exchanges states with peers.
+func (n *Node) syncPeers(now time.Time) {
+	n.peers.mu.Lock()
+	for _, a := range n.cfg.Peers.Seeds {
+		if a != n.cfg.Peers.Advertise {
+			n.peers.add(a)
+		}
+	}
+	n.peers.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, a := range n.peers.addresses(n.cfg.Zone) {
+		wg.Go(func() { n.syncPeer(now, a) })
+	}
+	wg.Wait()
+	n.config.mu.Lock()
+	n.config.asked = true
+	n.config.mu.Unlock()
+}
+
+// syncPeer exchanges states with one peer and adopts its configuration if it is newer.
+func (n *Node) syncPeer(now time.Time, address string) {
+	ctx, cancel := context.WithTimeout(n.ctx, syncTimeout)
+	defer cancel()
+	sent := time.Now()
+	rep, err := n.peer.Sync(ctx, address, peer.Sync{State: n.state(now)})
+	if err != nil {
+		n.log.WithError(err).Debug("Peer did not answer a sync.")
+		return
+	}
+	n.peers.heard(address, rep.State, sent)
+	n.adopt(rep, sent)
+}
+
+// adopt takes over a newer configuration of a peer. The view then dates from the send time less the age that the peer
+// reported, so that no clocks of two hosts are compared.
+func (n *Node) adopt(rep peer.SyncReply, sent time.Time) {
+	n.config.mu.Lock()
+	defer n.config.mu.Unlock()
+	if len(rep.Config) > 0 {
+		if err := n.config.state.Adopt(rep.Config, rep.State.Version); err != nil {
+			n.log.WithError(err).Debug("Relayed configuration was not newer.")
+		}
+	}
+	if rep.State.Age < 0 || rep.State.Version != n.config.state.Version() {
+		return
+	}
+	if at := sent.Add(-rep.State.Age); at.After(n.config.relayed) {
+		n.config.relayed = at
+	}
+}
+
+// state returns what this host tells peers.
+func (n *Node) state(now time.Time) peer.State {
+	fresh := n.configFresh()
+	age := time.Duration(-1)
+	if !fresh.IsZero() {
+		age = now.Sub(fresh)
+	}
+	ready, _ := n.Ready(now)
+	n.config.mu.Lock()
+	version := n.config.state.Version()
+	n.config.mu.Unlock()
+	n.zone.mu.Lock()
+	defer n.zone.mu.Unlock()
+	return peer.State{
+		Host: n.cfg.Host, Zone: n.cfg.Zone, Region: n.cfg.Region, Version: version, Age: age,
+		Free: n.zone.capacity.Free(), Held: len(n.zone.holdings.Workers(now)),
+		Ready: ready, Leaving: n.leaving.Load(),
+	}
+}
+
+// Sync answers a peer.
+func (n *Node) Sync(_ context.Context, r peer.Sync) (peer.SyncReply, error) {
+	now := time.Now()
+	// The age is taken before the configuration: a configuration read afterwards can only be newer than it says.
+	rep := peer.SyncReply{State: n.state(now)}
+	n.config.mu.Lock()
+	defer n.config.mu.Unlock()
+	data, version, err := n.config.state.ExportSince(r.State.Version)
+	if err != nil {
+		return rep, err
+	}
+	rep.Config, rep.State.Version = data, max(version, rep.State.Version)
+	return rep, nil
+}
--- /dev/null
+++ b/internal/host/node/sink.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/stream/feed"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+	"sassafraswind.example/sassafraswind/internal/work/job"
+	"sassafraswind.example/sassafraswind/internal/zone/lease"
+	"sassafraswind.example/sassafraswind/internal/zone/policy"
+)
+
+// lockedSink guards an aggregate by its lock and reports applied items.
+type lockedSink struct {
+	feed.Sink
+	mu *sync.Mutex
+	// after is called without the lock after an item was accepted.
+	after func(item record.Item)
+}
+
+// Apply implements feed.Sink.
+func (s *lockedSink) Apply(now time.Time, offset uint64, item record.Item) error {
+	s.mu.Lock()
+	err := s.Sink.Apply(now, offset, item)
+	s.mu.Unlock()
+	if err == nil {
+		s.after(item)
+	}
+	return err
+}
+
+// Snapshot implements feed.Sink.
+func (s *lockedSink) Snapshot() ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Sink.Snapshot()
+}
+
+// Restore implements feed.Sink.
+func (s *lockedSink) Restore(data []byte, base uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Sink.Restore(data, base)
+}
+
+// zoneSink applies the records of the zone's stream to the jobs and tells the other aggregates.
+type zoneSink struct{ n *Node }
+
+// Apply implements feed.Sink.
+func (s *zoneSink) Apply(now time.Time, offset uint64, item record.Item) error {
+	z := &s.n.zone
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	ended := s.endedBy(item)
+	if err := z.jobs.Apply(now, offset, item); err != nil {
+		return err
+	}
+	if ended != nil {
+		z.policy.Update(now, *ended)
+	}
+	switch item.Kind {
+	case job.KindHold:
+		if h, err := record.Open[job.Hold](item); err == nil {
+			delete(z.doubts, h.Worker)
+			z.holdings.Update(now, lease.HoldMsg{Worker: h.Worker, Host: h.Host, Boot: h.Boot, Grant: h.Grant})
+		}
+	case job.KindDoubt:
+		if d, err := record.Open[job.Doubt](item); err == nil {
+			s.n.answerDoubt(now, d.Worker)
+		}
+	}
+	return nil
+}
+
+// endedBy returns what the policy is told if the item ends an attempt, with zone.mu held.
+func (s *zoneSink) endedBy(item record.Item) *policy.EndMsg {
+	var id string
+	var attempt int
+	outcome := policy.OutcomeEvicted
+	switch item.Kind {
+	case job.KindEnd:
+		e, err := record.Open[job.End](item)
+		if err != nil {
+			return nil
+		}
+		id, attempt, outcome = e.Task, e.Attempt, policy.OutcomeDone
+		if e.State == job.ResultFailed {
+			outcome = policy.OutcomeFailed
+		}
+	case job.KindEvict:
+		e, err := record.Open[job.Evict](item)
+		if err != nil {
+			return nil
+		}
+		id, attempt = e.Task, e.Attempt
+		if e.Reason == job.ReasonRefused {
+			outcome = policy.OutcomeCancelled
+		}
+	default:
+		return nil
+	}
+	t := s.n.zone.jobs.Task(id)
+	if t == nil || t.State() != job.Running || t.Attempt() != attempt {
+		return nil
+	}
+	if t.Cancelling() && outcome == policy.OutcomeEvicted {
+		outcome = policy.OutcomeCancelled
+	}
+	s.n.countEnd(t, item.Kind, outcome)
+	return &policy.EndMsg{Worker: t.Worker(), Task: id, Attempt: attempt, Outcome: outcome}
+}
+
+// Snapshot implements feed.Sink.
+func (s *zoneSink) Snapshot() ([]byte, error) {
+	s.n.zone.mu.Lock()
+	defer s.n.zone.mu.Unlock()
+	return s.n.zone.jobs.Snapshot()
+}
+
+// Restore implements feed.Sink.
+func (s *zoneSink) Restore(data []byte, base uint64) error {
+	z := &s.n.zone
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if err := z.jobs.Restore(data, base); err != nil {
+		return err
+	}
+	now := time.Now()
+	for _, h := range z.jobs.Holds() {
+		z.holdings.Update(now, lease.HoldMsg{Worker: h.Worker, Host: h.Host, Boot: h.Boot, Grant: h.Grant})
+	}
+	return nil
+}
+
+// countEnd counts an attempt that ended, if this host holds its worker, so that each end is counted once per zone.
+func (n *Node) countEnd(t *job.Task, kind record.Kind, outcome policy.Outcome) {
+	if _, held := n.zone.holdings.Held(t.Worker(), time.Now()); !held || n.mtr == nil {
+		return
+	}
+	ctx := context.Background()
+	if kind == job.KindEnd {
+		n.mtr.TaskEnded(ctx, t.Job().Class(), string(outcome))
+		return
+	}
+	n.mtr.TaskEvicted(ctx, t.Job().Class(), string(outcome))
+}
+
+// keyChanged wakes the requests of this host that wait for a key.
+func (n *Node) keyChanged(item record.Item) {
+	k, err := record.Open[struct {
+		Key string `msgpack:"key"`
+	}](item)
+	if err != nil {
+		return
+	}
+	n.keys.mu.Lock()
+	defer n.keys.mu.Unlock()
+	for ch := range n.keys.waiters[k.Key] {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/internal/host/node/task.go
@@ -0,0 +1,434 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+	"sassafraswind.example/sassafraswind/internal/work/job"
+	"sassafraswind.example/sassafraswind/internal/zone/capacity"
+	"sassafraswind.example/sassafraswind/internal/zone/policy"
+)
+
+const (
+	schedulePeriod = 100 * time.Millisecond
+	policyPeriod   = time.Second
+	// perClass bounds the pending tasks of a class that are looked at in one round.
+	perClass = 32
+	// rotation is how long a pending task is one host's to start before it becomes the next one's.
+	rotation = 2 * time.Second
+	// deadFor is how long a worker must be without any holder before its tasks are doubted.
+	deadFor = time.Minute
+)
+
+// placement is a task attempt that this host is starting.
+type placement struct {
+	worker  string
+	attempt int
+	// sent is set once the start may have reached the worker. It may start until the worker's clock passes before.
+	sent   bool
+	before time.Duration
+}
+
+// schedule starts pending tasks that are this host's to start.
+func (n *Node) schedule(now time.Time) {
+	if !n.mayStart(now) {
+		return
+	}
+	hosts := n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, true)
+	z := &n.zone
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	for _, class := range z.jobs.Classes() {
+		looked := 0
+		for t := range z.jobs.Pending(class) {
+			if looked++; looked > perClass {
+				break
+			}
+			if z.placing[t.ID()] != nil || z.settling[t.ID()] || t.Job().Cancelled() {
+				continue
+			}
+			if n.starter(now, t, hosts) == n.cfg.Host {
+				n.place(now, t)
+			}
+		}
+	}
+}
+
+// mayStart reports whether this host may start tasks at all.
+func (n *Node) mayStart(now time.Time) bool {
+	if n.leaving.Load() || now.Sub(n.configFresh()) > n.cfg.Freshness.View {
+		return false
+	}
+	select {
+	case <-n.zone.feed.Ready():
+	default:
+		return false
+	}
+	return now.Sub(n.zone.feed.Fresh()) <= n.cfg.Freshness.View && !n.zoneOut(n.cfg.Zone)
+}
+
+// zoneOut reports whether operators have taken the zone out, as far as this host knows.
+func (n *Node) zoneOut(zone string) bool {
+	n.config.mu.Lock()
+	defer n.config.mu.Unlock()
+	z, _, ok := n.config.state.Zone(zone)
+	return ok && z.Out
+}
+
+// starter returns the host that is to start the task: the hosts take turns in the order of a rendezvous hash,
+// so that a task whose first host has no room reaches the others.
+func (n *Node) starter(now time.Time, t *job.Task, hosts []string) string {
+	if len(hosts) == 0 {
+		return ""
+	}
+	turn := int(now.Sub(n.zone.jobs.PendingSince(t)) / rotation)
+	first := int(xxhash.Sum64String(t.ID()) % uint64(len(hosts)))
+	return hosts[(first+max(turn, 0))%len(hosts)]
+}
+
+// place chooses a worker for the task and begins its start, with zone.mu held.
+func (n *Node) place(now time.Time, t *job.Task) {
+	z := &n.zone
+	j := t.Job()
+	attempt := t.Attempt() + 1
+	p, ok := z.policy.PlaceTask(now, policy.Candidate{
+		Task: t.ID(), Job: j.ID(), Class: j.Class(), Team: j.Team(), Size: j.Size(), Attempts: t.Attempt(),
+	})
+	if !ok {
+		if p.Park {
+			n.settle(t.ID(), "park", func() (record.Item, error) {
+				return job.ParkItem(job.Park{Task: t.ID(), Reason: string(p.Reason)})
+			}, nil)
+		}
+		return
+	}
+	key := capacity.Key{ID: t.ID(), Attempt: attempt}
+	if !z.holdings.Batch(p.Worker, now) || !z.capacity.ReserveTask(p.Worker, key, p.Size) {
+		return
+	}
+	fence, _ := z.holdings.Held(p.Worker, now)
+	z.policy.Update(now, policy.StartMsg{
+		Worker: p.Worker, Task: t.ID(), Job: j.ID(), Class: j.Class(), Team: j.Team(),
+		Attempt: attempt, Declared: j.Size(), Planned: p.Size,
+	})
+	pl := &placement{worker: p.Worker, attempt: attempt}
+	z.placing[t.ID()] = pl
+	start := job.Start{Task: t.ID(), Attempt: attempt, Worker: p.Worker, Boot: fence.Boot, Host: n.cfg.Host}
+	order := fleet.Order{
+		Task: t.ID(), Attempt: attempt, Class: j.Class(), Size: p.Size, Checkpoint: t.Checkpoint(), Body: j.Body(),
+	}
+	pending := now.Sub(z.jobs.PendingSince(t))
+	n.run(func(ctx context.Context) { n.start(ctx, pl, start, order, pending) })
+}
+
+// start records a start and sends it once the record was read back as valid.
+func (n *Node) start(ctx context.Context, pl *placement, s job.Start, o fleet.Order, pending time.Duration) {
+	key := capacity.Key{ID: s.Task, Attempt: s.Attempt}
+	err := n.writeZone(ctx, "start", func() (record.Item, error) { return job.StartItem(s) })
+	if err != nil {
+		// If the record still takes effect, its task is listed as running here without a placement, and is
+		// then evicted as never sent.
+		n.abandonStart(pl, key, s)
+		return
+	}
+	fence, address, ok := n.fenceFor(time.Now(), pl, s)
+	if !ok {
+		n.refuseStart(ctx, pl, key, s)
+		return
+	}
+	o.Fence = fence
+	sendCtx, cancel := context.WithTimeout(ctx, workerTimeout)
+	defer cancel()
+	err = n.fleet.Start(sendCtx, address, o)
+	if errors.Is(err, fleet.ErrRefused) || errors.Is(err, fleet.ErrNotSent) {
+		n.log.WithError(err).WithField("task", s.Task).Info("Worker refused a start.")
+		n.refuseStart(ctx, pl, key, s)
+		return
+	}
+	if err != nil {
+		n.log.WithError(err).WithField("task", s.Task).Info("Start was not confirmed; the worker's status will tell.")
+	}
+	n.zone.mu.Lock()
+	n.zone.capacity.AbandonTask(s.Worker, key, fence.Before)
+	n.zone.mu.Unlock()
+	if n.mtr != nil {
+		n.mtr.TaskStarted(ctx, o.Class, "", pending)
+	}
+}
+
+// fenceFor checks, immediately before the send, that the start is still allowed.
+func (n *Node) fenceFor(now time.Time, pl *placement, s job.Start) (fleet.Fence, string, bool) {
+	if !n.mayStart(now) {
+		return fleet.Fence{}, "", false
+	}
+	z := &n.zone
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	t := z.jobs.Task(s.Task)
+	fence, held := z.holdings.Held(s.Worker, now)
+	if t == nil || t.State() != job.Running || t.Attempt() != s.Attempt || t.Cancelling() ||
+		!held || !z.holdings.Batch(s.Worker, now) || fence.Boot != s.Boot {
+		return fleet.Fence{}, "", false
+	}
+	pl.sent, pl.before = true, fence.Before
+	return fence, z.workers[s.Worker].address, true
+}
+
+// refuseStart evicts an attempt that was certainly not started.
+func (n *Node) refuseStart(ctx context.Context, pl *placement, key capacity.Key, s job.Start) {
+	_ = n.writeZone(ctx, "evict", func() (record.Item, error) {
+		return job.EvictItem(job.Evict{Task: s.Task, Attempt: s.Attempt, Reason: job.ReasonRefused, Host: n.cfg.Host})
+	})
+	n.abandonStart(pl, key, s)
+}
+
+// abandonStart gives the reservation of a start back.
+func (n *Node) abandonStart(pl *placement, key capacity.Key, s job.Start) {
+	now := time.Now()
+	z := &n.zone
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.capacity.ReleaseTask(now, s.Worker, key)
+	z.policy.Update(now, policy.EndMsg{Worker: s.Worker, Task: s.Task, Attempt: s.Attempt, Outcome: policy.OutcomeCancelled})
+	if z.placing[s.Task] == pl {
+		delete(z.placing, s.Task)
+	}
+}
+
+// reconcile compares the tasks that the zone's stream has as running on a worker with its status. It returns the
+// effects that settle differences. zone.mu is held, and the status is complete and under this host's lease.
+func (n *Node) reconcile(now time.Time, w *workerView) []func(context.Context) {
+	z := &n.zone
+	var effects []func(context.Context)
+	add := func(e func(context.Context)) {
+		if e != nil {
+			effects = append(effects, e)
+		}
+	}
+	running := map[string]bool{}
+	for _, t := range z.jobs.RunningOn(w.status.Worker) {
+		running[t.ID()] = true
+		known, listed := w.tasks[t.ID()]
+		switch {
+		case listed && known.Attempt == t.Attempt():
+			add(n.follow(now, w, t, known))
+		case w.status.Boot != t.Boot():
+			add(n.evict(t, job.ReasonBoot, nil))
+		case n.neverStarted(w, t):
+			add(n.evict(t, job.ReasonRefused, nil))
+		}
+	}
+	// A task that the stream does not have as running here must not go on. The stream has every start before the
+	// worker does, so the list is judged only by a view that is newer than the status.
+	if !z.feed.Fresh().After(w.sent) {
+		return effects
+	}
+	fence, held := z.holdings.Held(w.status.Worker, now)
+	if !held {
+		return effects
+	}
+	var done []fleet.TaskRef
+	for id, t := range w.tasks {
+		if running[id] && z.jobs.Task(id).Attempt() == t.Attempt {
+			continue
+		}
+		if t.State == fleet.TaskRunning {
+			add(n.control(w.address, fence, t, fleet.ActionStop, 0))
+			continue
+		}
+		done = append(done, fleet.TaskRef{ID: id, Attempt: t.Attempt})
+		delete(w.tasks, id)
+	}
+	if len(done) > 0 {
+		address := w.address
+		add(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, workerTimeout)
+			defer cancel()
+			if err := n.fleet.Forget(ctx, address, fence, done); err != nil {
+				n.log.WithError(err).Debug("Finished tasks were not forgotten; trying again with the next full status.")
+			}
+		})
+	}
+	return effects
+}
+
+// neverStarted reports whether an attempt that the worker's status lacks will certainly not start there.
+// Messages of earlier holders are refused by their grant, so only a start by this process is in doubt.
+func (n *Node) neverStarted(w *workerView, t *job.Task) bool {
+	pl := n.zone.placing[t.ID()]
+	if pl == nil || pl.attempt != t.Attempt() {
+		return true
+	}
+	if !pl.sent || w.status.Clock <= pl.before {
+		return false
+	}
+	delete(n.zone.placing, t.ID())
+	return true
+}
+
+// follow handles a running attempt that its worker lists.
+func (n *Node) follow(now time.Time, w *workerView, t *job.Task, known fleet.Task) func(context.Context) {
+	z := &n.zone
+	if pl := z.placing[t.ID()]; pl != nil && pl.sent {
+		delete(z.placing, t.ID())
+	}
+	j := t.Job()
+	switch known.State {
+	case fleet.TaskDone, fleet.TaskFailed:
+		result := job.ResultDone
+		if known.State == fleet.TaskFailed {
+			result = job.ResultFailed
+		}
+		return n.settleLater(t.ID(), "end", func() (record.Item, error) {
+			return job.EndItem(job.End{Task: t.ID(), Attempt: known.Attempt, State: result, Output: bounded(known.Output, job.MaxOutput)})
+		})
+	case fleet.TaskStopped:
+		return n.evict(t, job.ReasonStopped, known.Checkpoint)
+	}
+	z.policy.Update(now, policy.StartMsg{
+		Worker: w.status.Worker, Task: t.ID(), Job: j.ID(), Class: j.Class(), Team: j.Team(),
+		Attempt: known.Attempt, Declared: j.Size(), Planned: known.Size, Share: known.Share,
+	})
+	if t.Cancelling() {
+		if fence, ok := z.holdings.Held(w.status.Worker, now); ok {
+			return n.control(w.address, fence, known, fleet.ActionStop, 0)
+		}
+	}
+	return nil
+}
+
+// bounded cuts data to at most n bytes.
+func bounded(data []byte, n int) []byte {
+	if len(data) > n {
+		return data[:n]
+	}
+	return data
+}
+
+// evict returns the effect that records an attempt as evicted.
+func (n *Node) evict(t *job.Task, reason job.Reason, checkpoint []byte) func(context.Context) {
+	e := job.Evict{Task: t.ID(), Attempt: t.Attempt(), Reason: reason, Host: n.cfg.Host}
+	if len(checkpoint) <= job.MaxCheckpoint {
+		e.Checkpoint = checkpoint
+	}
+	if reason == job.ReasonDoubt {
+		e.Doubt, _ = n.zone.jobs.Doubt(t.Worker())
+	}
+	return n.settleLater(t.ID(), "evict", func() (record.Item, error) { return job.EvictItem(e) })
+}
+
+// control returns the effect that acts on a task at its worker.
+func (n *Node) control(address string, f fleet.Fence, t fleet.Task, a fleet.Action, share int) func(context.Context) {
+	return func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, workerTimeout)
+		defer cancel()
+		_, err := n.fleet.Control(ctx, address, fleet.Control{Fence: f, Task: t.ID, Attempt: t.Attempt, Action: a, Share: share})
+		if err != nil {
+			n.log.WithError(err).WithField("task", t.ID).Debugf("Worker did not confirm %s.", a)
+		}
+	}
+}
+
+// settle writes a record about a task, at most one at a time. zone.mu is held.
+func (n *Node) settle(task, step string, item func() (record.Item, error), then func(error)) {
+	if e := n.settleLater(task, step, item); e != nil {
+		n.run(func(ctx context.Context) {
+			e(ctx)
+			if then != nil {
+				then(nil)
+			}
+		})
+	}
+}
+
+// settleLater marks the task and returns the effect that writes the record, or nil if one is being written.
+// zone.mu is held.
+func (n *Node) settleLater(task, step string, item func() (record.Item, error)) func(context.Context) {
+	if n.zone.settling[task] {
+		return nil
+	}
+	n.zone.settling[task] = true
+	return func(ctx context.Context) {
+		_ = n.writeZone(ctx, step, item)
+		n.zone.mu.Lock()
+		delete(n.zone.settling, task)
+		n.zone.mu.Unlock()
+	}
+}
+
+// writeZone writes one record to the zone's stream and returns its verdict.
+func (n *Node) writeZone(ctx context.Context, step string, item func() (record.Item, error)) error {
+	i, err := item()
+	if err != nil {
+		n.log.WithError(err).Errorf("Record %s was not encoded.", step)
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	r, err := n.zone.feed.Write(ctx, i)
+	if err != nil {
+		return errors.Wrapf(err, "node: write %s to stream of zone %s", step, n.cfg.Zone)
+	}
+	return errors.Wrapf(r.Verdicts[0], "node: %s lost", step)
+}
+
+// tickPolicy acts on running tasks to protect urgent classes, and settles the tasks of silent workers.
+func (n *Node) tickPolicy(now time.Time) {
+	n.updateTargets(now)
+	z := &n.zone
+	z.mu.Lock()
+	var effects []func(context.Context)
+	for _, c := range z.policy.Tick(now) {
+		w := z.workers[c.Worker]
+		fence, held := z.holdings.Held(c.Worker, now)
+		if w == nil || !held {
+			continue
+		}
+		n.log.WithField("task", c.Task).Infof("Policy asks for %s: %s.", c.Action, c.Reason)
+		if c.Action == fleet.ActionThrottle && n.mtr != nil {
+			if t := z.jobs.Task(c.Task); t != nil {
+				n.mtr.TaskThrottled(n.ctx, t.Job().Class())
+			}
+		}
+		effects = append(effects, n.control(w.address, fence, fleet.Task{ID: c.Task, Attempt: c.Attempt}, c.Action, c.Share))
+	}
+	for id, w := range z.workers {
+		if w.held {
+			z.capacity.SetQuarantined(id, z.policy.Quarantined(id))
+		}
+	}
+	effects = append(effects, n.settleSilent(now)...)
+	z.mu.Unlock()
+	for _, e := range effects {
+		n.run(e)
+	}
+}
+
+// settleSilent evicts the tasks of workers that do not answer, once they certainly do not run. zone.mu is held.
+func (n *Node) settleSilent(now time.Time) []func(context.Context) {
+	z := &n.zone
+	var effects []func(context.Context)
+	for _, id := range z.jobs.Workers() {
+		if _, held := z.holdings.Held(id, now); held {
+			continue
+		}
+		reason := job.ReasonExpired
+		if !z.holdings.TaskLeaseExpired(id, now) {
+			if !n.doubted(now, id) {
+				continue
+			}
+			reason = job.ReasonDoubt
+		}
+		for _, t := range z.jobs.RunningOn(id) {
+			if e := n.evict(t, reason, nil); e != nil {
+				effects = append(effects, e)
+			}
+		}
+	}
+	return effects
+}
--- a/internal/host/peer/message.go
+++ b/internal/host/peer/message.go
@@ -43,11 +43,17 @@
 	Body    []byte `msgpack:"body"`
 	// Left is the time left until the request's deadline when the message was sent.
 	Left time.Duration `msgpack:"left"`
+	// Base is the number before that of the first attempt, so that attempts of different hosts differ.
+	Base int `msgpack:"base,omitempty"`
 }
 
 // CallReply answers Call.
 type CallReply struct {
-	Reply outcome.Reply `msgpack:"reply"`
+	// Request repeats that of the call, so that crossed replies are noticed.
+	Request string        `msgpack:"request"`
+	Reply   outcome.Reply `msgpack:"reply"`
+	// Digest is the xxhash64 of the reply's body.
+	Digest uint64 `msgpack:"digest"`
 }
 
 // JobAction is what a Job message asks for.
--- a/internal/work/job/apply.go
+++ b/internal/work/job/apply.go
@@ -51,6 +51,12 @@
 			return ErrNoDoubt
 		}
 	}
+	if e.Reason == ReasonExpired {
+		h, ok := t.holds[task.place.worker]
+		if !ok || h.Host != e.Host || h.Boot != task.place.boot {
+			return ErrNoHold
+		}
+	}
 	if len(e.Checkpoint) > 0 {
 		task.checkpoint = e.Checkpoint
 	}
@@ -159,9 +165,10 @@
 }
 
 func (t *Table) hold(_ step, h Hold) error {
-	if _, ok := t.doubts[h.Worker]; !ok {
-		return ErrNoDoubt
+	if known, ok := t.holds[h.Worker]; ok && known.Boot == h.Boot && known.Grant > h.Grant {
+		return ErrNoHold
 	}
+	t.holds[h.Worker] = h
 	delete(t.doubts, h.Worker)
 	return nil
 }
--- a/internal/work/job/query.go
+++ b/internal/work/job/query.go
@@ -67,3 +67,13 @@
 	offset, ok := t.doubts[worker]
 	return offset, ok
 }
+
+// Holds returns the newest hold of each worker, sorted by worker.
+func (t *Table) Holds() []Hold {
+	holds := make([]Hold, 0, len(t.holds))
+	for _, h := range t.holds {
+		holds = append(holds, h)
+	}
+	slices.SortFunc(holds, func(a, b Hold) int { return cmp.Compare(a.Worker, b.Worker) })
+	return holds
+}
--- a/internal/work/job/record.go
+++ b/internal/work/job/record.go
@@ -57,6 +57,7 @@
 	ErrConflict     = errors.New("job: id is in use with other content")
 	ErrExpired      = errors.New("job: id is too old to be accepted")
 	ErrNoDoubt      = errors.New("job: the named doubt of the worker does not stand")
+	ErrNoHold       = errors.New("job: another host's hold of the worker is newer")
 )
 
 // Accept adds a job, or the tasks of a job that were moved here from another zone.
@@ -141,6 +142,9 @@
 	Attempt    int    `msgpack:"attempt"`
 	Checkpoint []byte `msgpack:"checkpoint,omitempty"`
 	Reason     Reason `msgpack:"reason"`
+	// Host is the writer. ReasonExpired is valid only for the host whose hold is the newest of the worker: a host that
+	// has lost the worker to another one cannot know until when that one renews the task leases.
+	Host string `msgpack:"host,omitempty"`
 	// Doubt is the offset of the doubt record that ReasonDoubt relies on. Without it a host that waited for an
 	// older doubt could use a newer one whose wait has not passed.
 	Doubt uint64 `msgpack:"doubt,omitempty"`
@@ -172,9 +176,14 @@
 	Worker string `msgpack:"worker"`
 }
 
-// Hold answers a Doubt.
+// Hold tells that a host holds a worker. A host renews the task leases of a worker only after its hold was read back,
+// and writes it again to answer a doubt.
 type Hold struct {
 	Worker string `msgpack:"worker"`
+	Host   string `msgpack:"host"`
+	// Boot and Grant are those of the lease that the host has.
+	Boot  string `msgpack:"boot"`
+	Grant uint64 `msgpack:"grant"`
 }
 
 // message is a record that can check its own fields.
@@ -295,7 +304,15 @@
 
 func (d Doubt) check() error { return checkName("worker", d.Worker) }
 
-func (h Hold) check() error { return checkName("worker", h.Worker) }
+func (h Hold) check() error {
+	if err := checkName("worker", h.Worker); err != nil {
+		return err
+	}
+	if err := checkName("host", h.Host); err != nil {
+		return err
+	}
+	return checkName("boot", h.Boot)
+}
 
 // seal refuses a record that every reader would ignore as malformed.
 func seal[T message](kind record.Kind, m T) (record.Item, error) {
--- a/internal/work/job/snapshot.go
+++ b/internal/work/job/snapshot.go
@@ -68,6 +68,7 @@
 type savedTable struct {
 	Jobs   []savedJob   `msgpack:"jobs"`
 	Doubts []savedDoubt `msgpack:"doubts"`
+	Holds  []Hold       `msgpack:"holds"`
 	Tombs  []savedTomb  `msgpack:"tombs"`
 	Seq    uint64       `msgpack:"seq"`
 	Done   uint64       `msgpack:"done"`
@@ -86,6 +87,7 @@
 		s.Doubts = append(s.Doubts, savedDoubt{Worker: w, Offset: offset})
 	}
 	slices.SortFunc(s.Doubts, func(a, b savedDoubt) int { return cmp.Compare(a.Worker, b.Worker) })
+	s.Holds = t.Holds()
 	for _, g := range t.retained.order {
 		if tb, ok := t.retained.tombs[g.id]; ok && tb.offset == g.offset {
 			s.Tombs = append(s.Tombs, savedTomb{ID: g.id, Offset: tb.offset, Hops: tb.hops})
@@ -152,6 +154,9 @@
 	for _, d := range s.Doubts {
 		n.doubts[d.Worker] = d.Offset
 	}
+	for _, h := range s.Holds {
+		n.holds[h.Worker] = h
+	}
 	for _, tb := range s.Tombs {
 		n.retained.tombs[tb.ID] = tomb{offset: tb.Offset, hops: tb.Hops}
 		n.retained.order = append(n.retained.order, grave{id: tb.ID, offset: tb.Offset})
--- a/internal/work/job/table.go
+++ b/internal/work/job/table.go
@@ -29,6 +29,8 @@
 	classes map[string]*Usage
 	// doubts holds the offset of the first doubt of a worker since its last hold.
 	doubts map[string]uint64
+	// holds holds the newest hold of each worker. Within a boot of the worker its grant never decreases.
+	holds  map[string]Hold
 	counts Counts
 	// seq numbers the entries of all lists.
 	seq uint64
@@ -47,6 +49,7 @@
 		teams:    map[string]*Usage{},
 		classes:  map[string]*Usage{},
 		doubts:   map[string]uint64{},
+		holds:    map[string]Hold{},
 		retained: retained{tombs: map[string]tomb{}},
 	}
 }
--- a/internal/work/job/table_test.go
+++ b/internal/work/job/table_test.go
@@ -159,7 +159,7 @@
 			case 10:
 				w := names.Draw(t, "w")
 				if rapid.Bool().Draw(t, "hold") {
-					_ = apply(must(HoldItem(Hold{Worker: w})))
+					_ = apply(must(HoldItem(Hold{Worker: w, Host: "h", Boot: "b", Grant: 1})))
 				} else {
 					_ = apply(must(DoubtItem(Doubt{Worker: w})))
 				}
@@ -283,7 +283,7 @@
 		So(tb.Apply(epoch, 2, must(DoubtItem(Doubt{Worker: "w"}))), ShouldBeNil)
 		So(tb.Apply(epoch, 3, must(StartItem(Start{Task: task, Attempt: 1, Worker: "w", Boot: "b", Host: "h"}))), ShouldBeNil)
 		So(errors.Is(evict(2), ErrNoDoubt), ShouldBeTrue)
-		So(tb.Apply(epoch, 4, must(HoldItem(Hold{Worker: "w"}))), ShouldBeNil)
+		So(tb.Apply(epoch, 4, must(HoldItem(Hold{Worker: "w", Host: "h", Boot: "b", Grant: 1}))), ShouldBeNil)
 		So(tb.Apply(epoch, 5, must(DoubtItem(Doubt{Worker: "w"}))), ShouldBeNil)
 		So(errors.Is(evict(2), ErrNoDoubt), ShouldBeTrue)
 		So(evict(5), ShouldBeNil)
@@ -345,3 +345,32 @@
 		_ = New().Restore(data, 1)
 	})
 }
+
+// Guards against a host that takes the task leases of a worker for expired which another host has taken over and renews.
+func TestExpiredNeedsTheNewestHold(t *testing.T) {
+	Convey("Only the newest holder may evict for an expired task lease", t, func() {
+		tb := New()
+		offset := uint64(0)
+		apply := func(item record.Item, err error) error {
+			offset++
+			return tb.Apply(epoch, offset, must(item, err))
+		}
+		a := accept(key(epoch, 1), 1)
+		task := a.ID + "/0"
+		evict := func(host string) error {
+			return apply(EvictItem(Evict{Task: task, Attempt: 1, Reason: ReasonExpired, Host: host}))
+		}
+		So(apply(AcceptItem(a)), ShouldBeNil)
+		So(apply(HoldItem(Hold{Worker: "w", Host: "h1", Boot: "b", Grant: 1})), ShouldBeNil)
+		So(apply(StartItem(Start{Task: task, Attempt: 1, Worker: "w", Boot: "b", Host: "h1"})), ShouldBeNil)
+		So(apply(HoldItem(Hold{Worker: "w", Host: "h2", Boot: "b", Grant: 2})), ShouldBeNil)
+		So(errors.Is(evict("h1"), ErrNoHold), ShouldBeTrue)
+		So(errors.Is(apply(HoldItem(Hold{Worker: "w", Host: "h1", Boot: "b", Grant: 1})), ErrNoHold), ShouldBeTrue)
+		So(errors.Is(evict("h1"), ErrNoHold), ShouldBeTrue)
+		data, err := tb.Snapshot()
+		So(err, ShouldBeNil)
+		So(tb.Restore(data, offset), ShouldBeNil)
+		So(errors.Is(evict("h1"), ErrNoHold), ShouldBeTrue)
+		So(evict("h2"), ShouldBeNil)
+	})
+}
