--- /dev/null
+++ b/internal/host/operator/status.go
@@ -0,0 +1,172 @@
+package operator
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/work/config"
+)
+
+// Millis is a duration whose JSON form is a number of milliseconds.
+type Millis time.Duration
+
+// String returns the duration in units for people.
+func (m Millis) String() string { return time.Duration(m).String() }
+
+// MarshalJSON returns the milliseconds with fractions.
+func (m Millis) MarshalJSON() ([]byte, error) {
+	return json.Marshal(float64(m) / float64(time.Millisecond))
+}
+
+// UnmarshalJSON reads a number of milliseconds.
+func (m *Millis) UnmarshalJSON(data []byte) error {
+	var f float64
+	if err := json.Unmarshal(data, &f); err != nil {
+		return errors.Wrap(err, "milliseconds")
+	}
+	*m = Millis(f * float64(time.Millisecond))
+	return nil
+}
+
+// Status is what an entry host knows about itself and its surroundings.
+type Status struct {
+	Host   string `json:"host"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+	Ready  bool   `json:"ready"`
+	// Reason says why the host is not ready.
+	Reason  string         `json:"reason,omitempty"`
+	Leaving bool           `json:"leaving"`
+	Config  ConfigStatus   `json:"config"`
+	Streams []StreamStatus `json:"streams"`
+	// Workers are those that the host holds.
+	Workers []WorkerStatus `json:"workers"`
+	Peers   []PeerStatus   `json:"peers"`
+	Zones   []config.Zone  `json:"zones"`
+	Classes []ClassStatus  `json:"classes"`
+	// Pending and Running count the batch tasks of the zone.
+	Pending int `json:"pending"`
+	Running int `json:"running"`
+}
+
+// ConfigStatus describes the host's view of the configuration.
+type ConfigStatus struct {
+	Version uint64 `json:"version"`
+	// Age is how long ago the view was known to be the newest.
+	Age Millis `json:"age_ms"`
+	// Fresh is set if the view is young enough to start batch tasks.
+	Fresh bool `json:"fresh"`
+}
+
+// StreamStatus describes the reading of a stream.
+type StreamStatus struct {
+	Stream string `json:"stream"`
+	// Position is the next offset to read.
+	Position uint64 `json:"position"`
+	Age      Millis `json:"age_ms"`
+	// Skipped counts records and items that are malformed, newer or unknown. Lost counts items that were refused.
+	Skipped uint64 `json:"skipped"`
+	Lost    uint64 `json:"lost"`
+}
+
+// WorkerStatus describes a held worker.
+type WorkerStatus struct {
+	Worker string `json:"worker"`
+	// Slots and Free are for urgent calls.
+	Slots int `json:"slots"`
+	Free  int `json:"free"`
+	// Running is the number of batch tasks.
+	Running int `json:"running"`
+	// State is a word such as "leaving" or "quarantined", empty for a worker that takes all work.
+	State string `json:"state,omitempty"`
+}
+
+// PeerStatus describes another entry host.
+type PeerStatus struct {
+	Host   string `json:"host"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+	// State is "ready", "not ready", "leaving" or "silent".
+	State   string `json:"state"`
+	Version uint64 `json:"version"`
+	// Seen is the time since the last exchange.
+	Seen Millis `json:"seen_ms"`
+	// Free is the number of free slots on its Held workers.
+	Free int `json:"free"`
+	Held int `json:"held"`
+}
+
+// Target is what operators promise for a class, as config.Target.
+type Target struct {
+	Answer     Millis  `json:"answer_ms,omitempty"`
+	Finished   float64 `json:"finished,omitempty"`
+	Disruption float64 `json:"disruption,omitempty"`
+}
+
+// ClassStatus compares a class with its target.
+type ClassStatus struct {
+	Name   string      `json:"name"`
+	Kind   config.Kind `json:"kind"`
+	Target Target      `json:"target"`
+	// P99 is the 99th percentile of the answer time in the last minute, 0 if nothing was answered.
+	P99 Millis `json:"p99_ms,omitempty"`
+	// Finished is the number of tasks finished per hour, Disruption that of evictions per running task and day.
+	Finished   float64 `json:"finished,omitempty"`
+	Disruption float64 `json:"disruption,omitempty"`
+	Met        bool    `json:"met"`
+	// Reason says why the target is not met.
+	Reason  string `json:"reason,omitempty"`
+	Pending int    `json:"pending"`
+	Running int    `json:"running"`
+}
+
+// ConfigView is the configuration as the host has read it.
+type ConfigView struct {
+	// Version is the document version, which an apply names as its base.
+	Version uint64 `json:"version"`
+	Age     Millis `json:"age_ms"`
+	Fresh   bool   `json:"fresh"`
+	// Document holds the declared classes and teams, without zones.
+	Document config.Document `json:"document"`
+	Zones    []config.Zone   `json:"zones"`
+	Versions Versions        `json:"versions"`
+}
+
+// Versions holds the versions of classes, teams and zones by name. A change names one as its base.
+type Versions struct {
+	Classes map[string]uint64 `json:"classes"`
+	Teams   map[string]uint64 `json:"teams"`
+	Zones   map[string]uint64 `json:"zones"`
+}
+
+// NewConfigView returns the view of a configuration of the given age.
+func NewConfigView(s *config.State, age time.Duration, fresh bool) ConfigView {
+	v := ConfigView{
+		Version: s.Version(), Age: Millis(age), Fresh: fresh, Document: s.Document(),
+		Versions: Versions{Classes: map[string]uint64{}, Teams: map[string]uint64{}, Zones: map[string]uint64{}},
+	}
+	for _, c := range s.Classes() {
+		v.Versions.Classes[c.Value.Name] = c.Version
+	}
+	for _, t := range s.Teams() {
+		v.Versions.Teams[t.Value.Name] = t.Version
+	}
+	for _, z := range s.Zones() {
+		v.Zones = append(v.Zones, z.Value)
+		v.Versions.Zones[z.Value.Name] = z.Version
+	}
+	return v
+}
+
+// Job summarizes a job.
+type Job struct {
+	ID    string `json:"id"`
+	Class string `json:"class"`
+	Team  string `json:"team"`
+	// Count is the number of tasks, States that of the tasks in each state.
+	Count     int            `json:"count"`
+	States    map[string]int `json:"states"`
+	Cancelled bool           `json:"cancelled,omitempty"`
+}
