--- /dev/null
+++ b/internal/host/operator/surface.go
@@ -0,0 +1,136 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"sassafraswind.example/sassafraswind/internal/request/outcome"
+)
+
+// Defaults of NewHandler.
+const (
+	defaultDeadline = 10 * time.Second
+	defaultBody     = 1 << 20
+	defaultJobs     = 100
+	maxJobs         = 1000
+)
+
+// surface holds what the handlers share.
+type surface struct {
+	node     Node
+	clock    func() time.Time
+	deadline time.Duration
+	body     int64
+}
+
+// Option changes a default of NewHandler.
+type Option func(*surface)
+
+// WithClock sets the source of the present time, by default time.Now.
+func WithClock(now func() time.Time) Option { return func(s *surface) { s.clock = now } }
+
+// WithDeadline sets how long a change or a question to other hosts may take, by default 10 s.
+func WithDeadline(d time.Duration) Option { return func(s *surface) { s.deadline = d } }
+
+// WithBody sets the largest request body in bytes, by default 1 MiB.
+func WithBody(n int64) Option { return func(s *surface) { s.body = n } }
+
+// NewHandler returns the HTTP handler for operators. The metrics handler serves GET /metrics.
+func NewHandler(n Node, metrics http.Handler, opts ...Option) http.Handler {
+	s := &surface{node: n, clock: time.Now, deadline: defaultDeadline, body: defaultBody}
+	for _, o := range opts {
+		o(s)
+	}
+	r := chi.NewRouter()
+	r.Get("/live", func(w http.ResponseWriter, _ *http.Request) { write(w, http.StatusOK, Readiness{Ready: true}) })
+	r.Get("/ready", s.ready)
+	r.Method(http.MethodGet, "/metrics", metrics)
+	r.Get("/v1/status", func(w http.ResponseWriter, _ *http.Request) { write(w, http.StatusOK, s.node.Status(s.clock())) })
+	r.Get("/v1/config", func(w http.ResponseWriter, _ *http.Request) { write(w, http.StatusOK, s.node.Config(s.clock())) })
+	r.Post("/v1/changes", s.change)
+	r.Get("/v1/jobs", s.jobs)
+	for _, path := range []string{"/v1/jobs/{id}", "/v1/jobs/{id}/{task:[0-9]+}"} {
+		r.Get(path, s.job(n.Show))
+		r.Post(path+"/cancel", s.job(n.Cancel))
+	}
+	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
+		write(w, http.StatusNotFound, Reply{Outcome: Rejected, Reason: string(outcome.ReasonNotFound), Message: "no such path"})
+	})
+	return r
+}
+
+// Readiness is the JSON form of the answer of GET /ready.
+type Readiness struct {
+	Ready  bool   `json:"ready"`
+	Reason string `json:"reason,omitempty"`
+}
+
+func (s *surface) ready(w http.ResponseWriter, _ *http.Request) {
+	ok, reason := s.node.Ready(s.clock())
+	code := http.StatusOK
+	if !ok {
+		code = http.StatusServiceUnavailable
+	}
+	write(w, code, Readiness{Ready: ok, Reason: reason})
+}
+
+// JobList is the JSON form of the answer of GET /v1/jobs.
+type JobList struct {
+	Jobs []Job `json:"jobs"`
+	// More is set if the limit cut the list off.
+	More bool `json:"more"`
+}
+
+// taskStates are the values of the query parameter state.
+var taskStates = map[string]bool{
+	"": true, "pending": true, "running": true, "done": true, "parked": true, "cancelled": true, "moved": true,
+}
+
+func (s *surface) jobs(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	f := Filter{State: q.Get("state"), Class: q.Get("class"), Limit: defaultJobs}
+	if !taskStates[f.State] {
+		write(w, http.StatusBadRequest, invalid("state", "must be pending, running, done, parked, cancelled or moved"))
+		return
+	}
+	if text := q.Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxJobs {
+			write(w, http.StatusBadRequest, invalid("limit", "must be from 1 to "+strconv.Itoa(maxJobs)))
+			return
+		}
+		f.Limit = n
+	}
+	limit := f.Limit
+	// One more than asked for tells whether the list goes on.
+	f.Limit++
+	ctx, cancel := context.WithTimeout(r.Context(), s.deadline)
+	defer cancel()
+	jobs, err := s.node.Jobs(ctx, f)
+	if err != nil {
+		write(w, http.StatusServiceUnavailable, Reply{Outcome: Rejected, Reason: string(outcome.ReasonNotReady), Message: err.Error()})
+		return
+	}
+	list := JobList{Jobs: jobs[:min(len(jobs), limit)], More: len(jobs) > limit}
+	if list.Jobs == nil {
+		list.Jobs = []Job{}
+	}
+	write(w, http.StatusOK, list)
+}
+
+// job makes the handler of a call that names a job or task in its path.
+func (s *surface) job(fn func(context.Context, string) outcome.Reply) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := chi.URLParam(r, "id")
+		if task := chi.URLParam(r, "task"); task != "" {
+			id += "/" + task
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), s.deadline)
+		defer cancel()
+		writeJob(w, fn(ctx, id))
+	}
+}
