Add the command line

Commands report accepted, rejected or unknown as the host said, with distinct exit codes, so that scripts never take an unknown change for a refused one. A change is sent to another host only if no connection to the first was made.

--- /dev/null
+++ b/cmd/sassafraswind/main.go
@@ -0,0 +1,55 @@
+// Command sassafraswind runs an entry host and is the operators' command line.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/command/cli"
+	"sassafraswind.example/sassafraswind/internal/host/settings"
+)
+
+func main() {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+		// The default action of a second signal ends the process at once.
+		signal.Reset(syscall.SIGTERM, syscall.SIGINT)
+	}()
+	f := cli.Functions{Serve: serve, CheckSettings: checkSettings, Version: version()}
+	os.Exit(cli.Run(ctx, os.Args[1:], f, os.Stdout, os.Stderr))
+}
+
+// serve runs an entry host.
+func serve(context.Context, string) error {
+	return errors.New("serve is not available in this build")
+}
+
+// checkSettings returns the mistakes of a settings file in the form of the command line.
+func checkSettings(path string) error {
+	_, err := settings.Load(path)
+	var found settings.Mistakes
+	if !errors.As(err, &found) {
+		return err
+	}
+	mistakes := make(cli.Mistakes, len(found))
+	for i, m := range found {
+		mistakes[i] = cli.Mistake(m)
+	}
+	return mistakes
+}
+
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		return info.Main.Version
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/command/cli/change.go
@@ -0,0 +1,198 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/host/operator"
+	"sassafraswind.example/sassafraswind/internal/work/config"
+)
+
+const (
+	pathChanges = "/v1/changes"
+	pathConfig  = "/v1/config"
+)
+
+// fieldChange is a field that differs. Old or New is empty if the field is not there.
+type fieldChange struct {
+	Field string `json:"field"`
+	Old   string `json:"old,omitempty"`
+	New   string `json:"new,omitempty"`
+}
+
+// entityChange is a class or team that differs, with its fields.
+type entityChange struct {
+	config.Change
+	Fields []fieldChange `json:"fields,omitempty"`
+}
+
+// flatten returns the fields of the JSON form of v by path.
+func flatten(v any) map[string]string {
+	out := make(map[string]string)
+	data, err := json.Marshal(v)
+	if err != nil {
+		return out
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	// Large sizes keep their digits.
+	d.UseNumber()
+	var root any
+	if d.Decode(&root) != nil {
+		return out
+	}
+	var walk func(path string, v any)
+	walk = func(path string, v any) {
+		if m, ok := v.(map[string]any); ok {
+			for k, e := range m {
+				walk(strings.TrimPrefix(path+"."+k, "."), e)
+			}
+			return
+		}
+		out[path] = fmt.Sprint(v)
+	}
+	walk("", root)
+	return out
+}
+
+// compareFields returns the fields that differ, in order of names.
+func compareFields(old, now any) []fieldChange {
+	a, b := flatten(old), flatten(now)
+	all := maps.Clone(a)
+	maps.Copy(all, b)
+	var out []fieldChange
+	for _, f := range slices.Sorted(maps.Keys(all)) {
+		if a[f] != b[f] {
+			out = append(out, fieldChange{Field: f, Old: a[f], New: b[f]})
+		}
+	}
+	return out
+}
+
+// compare returns what leads from one document to the other.
+func compare(a, b config.Document) []entityChange {
+	changes := config.Diff(a, b)
+	out := make([]entityChange, len(changes))
+	for i, c := range changes {
+		out[i] = entityChange{Change: c, Fields: compareFields(entity(a, c), entity(b, c))}
+	}
+	return out
+}
+
+// entity returns the class or team that a change is about, an empty object if the document lacks it.
+func entity(d config.Document, c config.Change) any {
+	for _, e := range d.Classes {
+		if c.Entity == "class" && e.Name == c.Name {
+			return e
+		}
+	}
+	for _, e := range d.Teams {
+		if c.Entity == "team" && e.Name == c.Name {
+			return e
+		}
+	}
+	return struct{}{}
+}
+
+func printFields(w io.Writer, fields []fieldChange) {
+	for _, f := range fields {
+		switch {
+		case f.Old == "":
+			_, _ = fmt.Fprintf(w, "  + %s: %s\n", f.Field, f.New)
+		case f.New == "":
+			_, _ = fmt.Fprintf(w, "  - %s: %s\n", f.Field, f.Old)
+		default:
+			_, _ = fmt.Fprintf(w, "  ~ %s: %s -> %s\n", f.Field, f.Old, f.New)
+		}
+	}
+}
+
+var actionSigns = map[string]string{"add": "+", "change": "~", "drop": "-"}
+
+func printChanges(w io.Writer, changes []entityChange) {
+	for _, c := range changes {
+		_, _ = fmt.Fprintf(w, "%s %s %s\n", actionSigns[c.Action], c.Entity, c.Name)
+		printFields(w, c.Fields)
+	}
+}
+
+// config reads the configuration from a host.
+func (s *session) config() (operator.ConfigView, error) {
+	var v operator.ConfigView
+	err := s.hosts.get(s.ctx, pathConfig, &v)
+	return v, err
+}
+
+// changeResult is the JSON form of an accepted change.
+type changeResult struct {
+	operator.Reply
+	Changes []entityChange `json:"changes,omitempty"`
+}
+
+// propose sends a change and prints the result. What names the changed thing and its new state. When the base is
+// stale, explain prints what has changed since.
+func (s *session) propose(p config.Proposal, what string, changes []entityChange, explain func(now operator.ConfigView)) error {
+	r, err := s.hosts.post(s.ctx, pathChanges, p)
+	var f *failure
+	if errors.As(err, &f) && f.reply.Reason == operator.ReasonStale {
+		s.explainStale(p, f, explain)
+	}
+	if err != nil {
+		return err
+	}
+	if r.ChangeResult == nil {
+		r.ChangeResult = &operator.ChangeResult{}
+	}
+	return s.print(changeResult{Reply: r, Changes: changes}, func(w *tabwriter.Writer) {
+		note := ""
+		if !r.Changed {
+			note = ", it was so before"
+		}
+		_, _ = fmt.Fprintf(w, "accepted: %s (version %d, document version %d%s)\n", what, r.Version, r.Document, note)
+	})
+}
+
+// explainStale prints what has changed since the base of a proposal was read.
+func (s *session) explainStale(p config.Proposal, f *failure, explain func(now operator.ConfigView)) {
+	f.advice = "Nothing was changed. Look at the present state and run the command again if the change is still wanted."
+	if s.json {
+		return
+	}
+	if f.reply.ChangeResult != nil {
+		_, _ = fmt.Fprintf(s.errOut, "the change was based on version %d, the current version is %d\n", p.Base, f.reply.Version)
+	}
+	now, err := s.config()
+	if err != nil {
+		_, _ = fmt.Fprintf(s.errOut, "what has changed is not known: %v\n", err)
+		return
+	}
+	explain(now)
+}
+
+// explainFields returns the explanation for one class or zone.
+func (s *session) explainFields(name string, old any, find func(operator.ConfigView) any) func(operator.ConfigView) {
+	return func(now operator.ConfigView) {
+		fields := compareFields(old, find(now))
+		if len(fields) == 0 {
+			_, _ = fmt.Fprintf(s.errOut, "%s has the same fields as before\n", name)
+			return
+		}
+		_, _ = fmt.Fprintf(s.errOut, "%s has changed meanwhile:\n", name)
+		printFields(s.errOut, fields)
+	}
+}
+
+// unchanged reports that nothing had to be sent.
+func (s *session) unchanged(what string, version, document uint64) error {
+	r := operator.Reply{Outcome: unchanged, ChangeResult: &operator.ChangeResult{Version: version, Document: document}}
+	return s.print(changeResult{Reply: r}, func(w *tabwriter.Writer) {
+		_, _ = fmt.Fprintf(w, "unchanged: %s already (version %d, document version %d)\n", what, version, document)
+	})
+}
--- /dev/null
+++ b/internal/command/cli/client.go
@@ -0,0 +1,168 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/host/operator"
+)
+
+const (
+	dialTimeout = 3 * time.Second
+	// answerTimeout exceeds the deadline of a host for a change, so that the host's own answer arrives.
+	answerTimeout = 15 * time.Second
+	maxAnswer     = 64 << 20
+)
+
+// client talks to the operators' address of entry hosts.
+type client struct {
+	urls   []string
+	http   *http.Client
+	errOut io.Writer
+}
+
+func newClient(urls []string, errOut io.Writer) (*client, error) {
+	c := &client{errOut: errOut}
+	for _, text := range urls {
+		u, err := url.Parse(strings.TrimSpace(text))
+		if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+			return nil, errors.Newf("--operators: %q is not an http or https URL", text)
+		}
+		c.urls = append(c.urls, strings.TrimRight(u.String(), "/"))
+	}
+	if len(c.urls) == 0 {
+		return nil, errors.New("--operators: no address")
+	}
+	c.http = &http.Client{
+		Timeout: answerTimeout,
+		Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			// The transport resends a request when a kept connection turns out to be closed.
+			DisableKeepAlives: true,
+		},
+		// A followed redirect would send a change twice.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return c, nil
+}
+
+// send makes one request. Sent tells whether the host may have got it.
+func (c *client) send(ctx context.Context, method, target string, body []byte) (code int, data []byte, sent bool, err error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, target, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, false, errors.Wrap(err, "request")
+	}
+	if method == http.MethodPost {
+		r.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return 0, nil, connected.Load(), errors.Wrap(err, "request")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	return resp.StatusCode, data, true, errors.Wrapf(err, "answer of %s", target)
+}
+
+// next reports that a host is passed over.
+func (c *client) next(i int, err error) {
+	if i+1 < len(c.urls) {
+		_, _ = fmt.Fprintf(c.errOut, "%v; trying %s\n", err, c.urls[i+1])
+	}
+}
+
+// get reads path from the first host that answers.
+func (c *client) get(ctx context.Context, path string, v any) error {
+	var err error
+	for i, base := range c.urls {
+		var code int
+		var data []byte
+		if code, data, _, err = c.send(ctx, http.MethodGet, base+path, nil); err != nil {
+			if ctx.Err() != nil {
+				break
+			}
+			c.next(i, err)
+			continue
+		}
+		if code != http.StatusOK {
+			return refused(code, data)
+		}
+		return errors.Wrapf(json.Unmarshal(data, v), "answer of %s", base)
+	}
+	return errors.Wrap(err, "no entry host answered")
+}
+
+// refused returns the failure for an answer other than 200.
+func refused(code int, data []byte) error {
+	var r operator.Reply
+	if json.Unmarshal(data, &r) != nil || r.Outcome == "" {
+		return errors.Newf("unexpected answer with status %d", code)
+	}
+	f := &failure{code: ExitRejected, reply: r}
+	if r.Outcome == operator.Unknown {
+		f.code = ExitUnknown
+	}
+	return f
+}
+
+// post sends a change to the first host that can be reached. It returns a failure unless the change was accepted.
+// A change is never sent again once a host may have got it.
+func (c *client) post(ctx context.Context, path string, v any) (operator.Reply, error) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return operator.Reply{}, errors.Wrap(err, "encode change")
+	}
+	for i, base := range c.urls {
+		code, data, sent, sendErr := c.send(ctx, http.MethodPost, base+path, body)
+		if sendErr != nil && !sent {
+			if err = sendErr; ctx.Err() != nil {
+				break
+			}
+			c.next(i, sendErr)
+			continue
+		}
+		var r operator.Reply
+		switch {
+		case sendErr != nil:
+			return unknown(fmt.Sprintf("%s may have got the change: %v", base, sendErr))
+		case json.Unmarshal(data, &r) != nil || r.Outcome == "":
+			return unknown(fmt.Sprintf("%s gave an unexpected answer with status %d", base, code))
+		case r.Outcome == operator.Accepted && code == http.StatusOK:
+			return r, nil
+		case r.Outcome == operator.Rejected && code >= http.StatusBadRequest:
+			return r, &failure{code: ExitRejected, reply: r}
+		}
+		return r, unknownFailure(r)
+	}
+	return operator.Reply{}, errors.Wrap(err, "nothing was sent: no entry host could be reached")
+}
+
+func unknown(message string) (operator.Reply, error) {
+	r := operator.Reply{Outcome: operator.Unknown, Reason: "no_answer", Message: message}
+	return r, unknownFailure(r)
+}
+
+func unknownFailure(r operator.Reply) error {
+	r.Outcome = operator.Unknown
+	return &failure{code: ExitUnknown, reply: r, advice: adviceUnknown}
+}
+
+// adviceUnknown holds for changes and cancellations alike: a repeated change is refused by its base, and a repeated
+// cancellation has no effect.
+const adviceUnknown = `It may be in force already or come into force later; it was not sent again.
+Look at the present state first: status, class list, zone list, diff or task show. Running the same command again
+does no harm: it is accepted, says that nothing is left to do, or is rejected as stale.`
--- /dev/null
+++ b/internal/command/cli/declare.go
@@ -0,0 +1,191 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+
+	"sassafraswind.example/sassafraswind/internal/host/operator"
+	"sassafraswind.example/sassafraswind/internal/work/config"
+)
+
+// readDocument reads a declarations file. Mistakes in its content are returned as Mistakes.
+func readDocument(path string) (config.Document, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return config.Document{}, errors.Wrap(err, "declarations")
+	}
+	doc, found := config.ParseDocument(data)
+	if len(found) == 0 {
+		return doc, nil
+	}
+	mistakes := make(Mistakes, len(found))
+	for i, m := range found {
+		mistakes[i] = Mistake{File: path, Line: m.Line, Field: m.Field, Reason: m.Reason}
+	}
+	return config.Document{}, mistakes
+}
+
+type checkCmd struct {
+	File string `arg:"" help:"Settings file or declarations file, JSON with comments."`
+}
+
+// Help returns the details of the command.
+func (checkCmd) Help() string {
+	return `Prints every mistake as file:line: field: reason. A file with a field "classes" or "teams" is a declarations file,
+any other is a settings file. No entry host is asked.
+
+Examples:
+
+  sassafraswind check examples/ashyq/almaty-a-1.json
+  sassafraswind check examples/ashyq/classes.json
+
+Exit codes: 0 no mistake; 1 mistakes or the file cannot be read.`
+}
+
+// checkResult is the JSON form of the result of a check.
+type checkResult struct {
+	OK       bool     `json:"ok"`
+	Kind     string   `json:"kind,omitempty"`
+	Mistakes Mistakes `json:"mistakes,omitempty"`
+}
+
+// Run checks the file.
+func (c *checkCmd) Run(s *session) error {
+	kind, err := fileKind(c.File)
+	if err != nil {
+		return err
+	}
+	if kind == "declarations" {
+		_, err = readDocument(c.File)
+	} else {
+		err = s.funcs.CheckSettings(c.File)
+	}
+	if err != nil {
+		return err
+	}
+	return s.print(checkResult{OK: true, Kind: kind}, func(w *tabwriter.Writer) {
+		_, _ = fmt.Fprintf(w, "%s: no mistakes in these %s\n", c.File, kind)
+	})
+}
+
+func fileKind(path string) (string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", errors.Wrap(err, "check")
+	}
+	v, err := hujson.Parse(data)
+	if err != nil {
+		return "settings", nil //nolint:nilerr // The check itself reports the syntax error with its line.
+	}
+	if v.Find("/classes") != nil || v.Find("/teams") != nil {
+		return "declarations", nil
+	}
+	return "settings", nil
+}
+
+type diffCmd struct {
+	File string `arg:"" help:"Declarations file, JSON with comments."`
+}
+
+// Help returns the details of the command.
+func (diffCmd) Help() string {
+	return `Prints what applying the file would add (+), change (~) and drop (-). Nothing is changed.
+
+Example:
+
+  sassafraswind diff examples/ashyq/classes.json
+
+Exit codes: 0 equal; 1 bad input or no host answered; 2 different.`
+}
+
+// diffResult is the JSON form of a diff.
+type diffResult struct {
+	Version uint64         `json:"version"`
+	Fresh   bool           `json:"fresh"`
+	Changes []entityChange `json:"changes"`
+}
+
+// Run compares the configuration with the file.
+func (c *diffCmd) Run(s *session) error {
+	doc, err := readDocument(c.File)
+	if err != nil {
+		return err
+	}
+	v, err := s.config()
+	if err != nil {
+		return err
+	}
+	changes := compare(v.Document, doc)
+	err = s.print(diffResult{Version: v.Version, Fresh: v.Fresh, Changes: changes}, func(w *tabwriter.Writer) {
+		printChanges(w, changes)
+		if len(changes) == 0 {
+			_, _ = fmt.Fprintf(w, "equal to document version %d\n", v.Version)
+		}
+		staleNote(w, v)
+	})
+	if err == nil && len(changes) > 0 {
+		return &failure{code: ExitDifferent, quiet: true}
+	}
+	return err
+}
+
+type applyCmd struct {
+	File string  `arg:"" help:"Declarations file, JSON with comments."`
+	Base *uint64 `help:"Document version that the file was compared with, by default the current one. The change is rejected if it is not the current one." placeholder:"VERSION"`
+}
+
+// Help returns the details of the command.
+func (applyCmd) Help() string {
+	return `Replaces all classes and teams by those of the file; classes and teams that the file lacks are dropped. Zones are not
+touched. Applying the same file twice changes nothing. If anyone changed the configuration after it was read, the
+file is rejected as a whole.
+
+Examples:
+
+  sassafraswind diff examples/ashyq/classes.json
+  sassafraswind apply examples/ashyq/classes.json
+  sassafraswind apply --base 120 examples/ashyq/classes.json
+
+Exit codes: 0 accepted or unchanged; 1 rejected or bad input; 3 unknown.`
+}
+
+// Run applies the file.
+func (c *applyCmd) Run(s *session) error {
+	doc, err := readDocument(c.File)
+	if err != nil {
+		return err
+	}
+	v, err := s.config()
+	if err != nil {
+		return err
+	}
+	base := v.Version
+	if c.Base != nil {
+		base = *c.Base
+	}
+	changes := compare(v.Document, doc)
+	// An old view may miss changes, so only the host can tell that nothing is to be done.
+	if len(changes) == 0 && v.Fresh && base == v.Version {
+		return s.unchanged("the configuration is as "+c.File+" declares", v.Version, v.Version)
+	}
+	if !s.json {
+		printChanges(s.out, changes)
+	}
+	return s.propose(config.Proposal{Base: base, Apply: &doc}, "the configuration is as "+c.File+" declares", changes,
+		func(now operator.ConfigView) {
+			meanwhile := compare(v.Document, now.Document)
+			switch {
+			case len(meanwhile) > 0:
+				_, _ = fmt.Fprintln(s.errOut, "classes and teams have changed meanwhile:")
+				printChanges(s.errOut, meanwhile)
+			case base != v.Version:
+				_, _ = fmt.Fprintf(s.errOut, "the document that this host has is version %d; compare it with diff\n", v.Version)
+			default:
+				_, _ = fmt.Fprintln(s.errOut, "classes and teams are as before; a zone may have changed")
+			}
+		})
+}
--- /dev/null
+++ b/internal/command/cli/entity.go
@@ -0,0 +1,255 @@
+package cli
+
+import (
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/host/operator"
+	"sassafraswind.example/sassafraswind/internal/work/config"
+)
+
+// versioned is the JSON form of a listed class, team or zone.
+type versioned[T any] struct {
+	Version uint64 `json:"version"`
+	Value   T      `json:"value"`
+}
+
+func withVersions[T any](list []T, versions map[string]uint64, name func(T) string) []versioned[T] {
+	out := make([]versioned[T], len(list))
+	for i, v := range list {
+		out[i] = versioned[T]{Version: versions[name(v)], Value: v}
+	}
+	return out
+}
+
+func find[T any](list []T, match func(T) bool) (T, bool) {
+	for _, v := range list {
+		if match(v) {
+			return v, true
+		}
+	}
+	var none T
+	return none, false
+}
+
+func staleNote(w *tabwriter.Writer, v operator.ConfigView) {
+	if !v.Fresh {
+		_, _ = fmt.Fprintf(w, "The host's view is %s old; newer changes may be missing.\n", v.Age)
+	}
+}
+
+type classCmds struct {
+	List classListCmd `cmd:"" help:"List classes with their targets and versions."`
+	Set  classSetCmd  `cmd:"" help:"Set targets of a class."`
+}
+
+type classListCmd struct{}
+
+// Run lists the classes.
+func (classListCmd) Run(s *session) error {
+	v, err := s.config()
+	if err != nil {
+		return err
+	}
+	list := withVersions(v.Document.Classes, v.Versions.Classes, func(c config.Class) string { return c.Name })
+	return s.print(list, func(w *tabwriter.Writer) {
+		row(w, "CLASS", "KIND", "ANSWER", "FINISHED", "DISRUPTION", "VERSION")
+		for _, c := range list {
+			t := c.Value.Target
+			row(w, c.Value.Name, c.Value.Kind, orDash(t.Answer), orDash(t.Finished), orDash(t.Disruption), c.Version)
+		}
+		staleNote(w, v)
+	})
+}
+
+// orDash returns "-" for a zero value.
+func orDash[T comparable](v T) any {
+	var zero T
+	if v == zero {
+		return "-"
+	}
+	return v
+}
+
+type classSetCmd struct {
+	Name       string         `arg:"" help:"Name of the class."`
+	Answer     *time.Duration `help:"99th percentile of the answer time, such as 200ms." placeholder:"TIME"`
+	Finished   *float64       `help:"Tasks finished per hour." placeholder:"N"`
+	Disruption *float64       `help:"Tolerable evictions per running task and day." placeholder:"N"`
+}
+
+// Help returns the details of the command.
+func (classSetCmd) Help() string {
+	return `Only the given targets change. The change names the version of the class that was read as its base, and is
+rejected if someone else changed the class meanwhile.
+
+Examples:
+
+  sassafraswind class set price-check --answer 200ms
+  sassafraswind class set fit-assessment --finished 1000 --disruption 0.5
+
+Exit codes: 0 accepted; 1 rejected or bad input; 3 unknown.`
+}
+
+// Run sets the targets.
+func (c *classSetCmd) Run(s *session) error {
+	if c.Answer == nil && c.Finished == nil && c.Disruption == nil {
+		return errors.New("name a target: --answer, --finished or --disruption")
+	}
+	v, err := s.config()
+	if err != nil {
+		return err
+	}
+	match := func(x config.Class) bool { return x.Name == c.Name }
+	old, ok := find(v.Document.Classes, match)
+	if !ok {
+		return errors.Newf("there is no class %q; new classes are declared with apply", c.Name)
+	}
+	now := old
+	if c.Answer != nil {
+		now.Target.Answer = *c.Answer
+	}
+	if c.Finished != nil {
+		now.Target.Finished = *c.Finished
+	}
+	if c.Disruption != nil {
+		now.Target.Disruption = *c.Disruption
+	}
+	what := "class " + c.Name
+	base := v.Versions.Classes[c.Name]
+	// An old view may miss changes, so only the host can tell that nothing is to be done.
+	if now == old && v.Fresh {
+		return s.unchanged(what+" has these targets", base, v.Version)
+	}
+	changes := []entityChange{{
+		Change: config.Change{Entity: "class", Name: c.Name, Action: "change"}, Fields: compareFields(old, now),
+	}}
+	return s.propose(config.Proposal{Base: base, Class: &now}, what+" has the new targets", changes,
+		s.explainFields(what, old, func(v operator.ConfigView) any {
+			now, _ := find(v.Document.Classes, match)
+			return now
+		}))
+}
+
+type zoneCmds struct {
+	List zoneListCmd `cmd:"" help:"List zones with their state and versions."`
+	Out  zoneOutCmd  `cmd:"" help:"Take a zone out: no new batch work starts there, its tasks move to other zones."`
+	In   zoneInCmd   `cmd:"" help:"Bring a zone back in."`
+}
+
+type zoneListCmd struct{}
+
+// Run lists the zones.
+func (zoneListCmd) Run(s *session) error {
+	v, err := s.config()
+	if err != nil {
+		return err
+	}
+	list := withVersions(v.Zones, v.Versions.Zones, func(z config.Zone) string { return z.Name })
+	return s.print(list, func(w *tabwriter.Writer) {
+		row(w, "ZONE", "REGION", "STATE", "VERSION")
+		for _, z := range list {
+			row(w, z.Value.Name, z.Value.Region, inOut(z.Value.Out), z.Version)
+		}
+		staleNote(w, v)
+	})
+}
+
+func inOut(out bool) string {
+	if out {
+		return "out"
+	}
+	return "in"
+}
+
+const zoneHelp = `The zone's current version is read and sent as the base of the change. If someone else changed the zone meanwhile,
+the change is rejected and the difference printed; it is not sent again.
+
+`
+
+type zoneOutCmd struct {
+	Name string `arg:"" help:"Name of the zone."`
+}
+
+// Help returns the details of the command.
+func (zoneOutCmd) Help() string {
+	return zoneHelp + `No task starts in the zone later than 5 s after the change was accepted. Running tasks checkpoint and move within
+60 s.
+
+Example:
+
+  sassafraswind zone out almaty-a
+
+Exit codes: 0 accepted; 1 rejected or bad input; 3 unknown.`
+}
+
+// Run takes the zone out.
+func (c *zoneOutCmd) Run(s *session) error { return s.setZone(c.Name, true) }
+
+type zoneInCmd struct {
+	Name string `arg:"" help:"Name of the zone."`
+}
+
+// Help returns the details of the command.
+func (zoneInCmd) Help() string {
+	return zoneHelp + `The zone takes batch work again in steps of a tenth of its capacity a second.
+
+Example:
+
+  sassafraswind zone in almaty-a
+
+Exit codes: 0 accepted; 1 rejected or bad input; 3 unknown.`
+}
+
+// Run brings the zone back in.
+func (c *zoneInCmd) Run(s *session) error { return s.setZone(c.Name, false) }
+
+func (s *session) setZone(name string, out bool) error {
+	v, err := s.config()
+	if err != nil {
+		return err
+	}
+	match := func(z config.Zone) bool { return z.Name == name }
+	old, ok := find(v.Zones, match)
+	if !ok {
+		return errors.Newf("there is no zone %q", name)
+	}
+	now := old
+	now.Out = out
+	what := fmt.Sprintf("zone %s is %s", name, inOut(out))
+	base := v.Versions.Zones[name]
+	if now == old && v.Fresh {
+		return s.unchanged(what, base, v.Version)
+	}
+	return s.propose(config.Proposal{Base: base, Zone: &now}, what, nil,
+		s.explainFields("zone "+name, old, func(v operator.ConfigView) any {
+			now, _ := find(v.Zones, match)
+			return now
+		}))
+}
+
+type teamCmds struct {
+	List teamListCmd `cmd:"" help:"List teams with their quotas and versions."`
+}
+
+type teamListCmd struct{}
+
+// Run lists the teams.
+func (teamListCmd) Run(s *session) error {
+	v, err := s.config()
+	if err != nil {
+		return err
+	}
+	list := withVersions(v.Document.Teams, v.Versions.Teams, func(t config.Team) string { return t.Name })
+	return s.print(list, func(w *tabwriter.Writer) {
+		row(w, "TEAM", "CORES", "MEMORY (MiB)", "ACCELERATORS", "VERSION")
+		for _, t := range list {
+			q := t.Value.Quota
+			row(w, t.Value.Name, float64(q.Cores)/1000, q.Memory, q.Accelerators, t.Version)
+		}
+		staleNote(w, v)
+	})
+}
