--- a/internal/host/operator/operator_test.go
+++ b/internal/host/operator/operator_test.go
@@ -57,7 +57,8 @@
 	metrics := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("metrics")) })
 	clock := func() time.Time { return time.Unix(0, int64(1500*time.Microsecond)) }
 	w := httptest.NewRecorder()
-	NewHandler(n, metrics, WithBody(1000), WithClock(clock)).ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	r := httptest.NewRequestWithContext(context.Background(), method, path, strings.NewReader(body))
+	NewHandler(n, metrics, WithBody(1000), WithClock(clock)).ServeHTTP(w, r)
 	return w.Code, w.Body.String()
 }
 
@@ -155,7 +156,7 @@
 			code, _ := call(n, "POST", "/v1/changes", body)
 			So(code, ShouldEqual, 200)
 		}
-		var kinds []record.Kind
+		kinds := make([]record.Kind, 0, len(n.items))
 		for _, i := range n.items {
 			kinds = append(kinds, i.Kind)
 		}
