--- a/cmd/sassafraswind/main.go
+++ b/cmd/sassafraswind/main.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"sassafraswind.example/sassafraswind/internal/command/cli"
+	"sassafraswind.example/sassafraswind/internal/host/node"
 	"sassafraswind.example/sassafraswind/internal/host/settings"
 )
 
@@ -24,15 +25,10 @@
 		// The default action of a second signal ends the process at once.
 		signal.Reset(syscall.SIGTERM, syscall.SIGINT)
 	}()
-	f := cli.Functions{Serve: serve, CheckSettings: checkSettings, Version: version()}
+	f := cli.Functions{Serve: node.Serve, CheckSettings: checkSettings, Version: version()}
 	os.Exit(cli.Run(ctx, os.Args[1:], f, os.Stdout, os.Stderr))
 }
 
-// serve runs an entry host.
-func serve(context.Context, string) error {
-	return errors.New("serve is not available in this build")
-}
-
 // checkSettings returns the mistakes of a settings file in the form of the command line.
 func checkSettings(path string) error {
 	_, err := settings.Load(path)
--- a/internal/host/node/house.go
+++ b/internal/host/node/house.go
@@ -67,3 +67,8 @@
 	}
 	return p, err
 }
+
+// feedCounts returns the totals of the three streams.
+func (n *Node) feedCounts() []feed.Counts {
+	return []feed.Counts{n.config.feed.Counts(), n.keys.feed.Counts(), n.zone.feed.Counts()}
+}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,7 +16,6 @@
 	"sassafraswind.example/sassafraswind/internal/host/settings"
 	"sassafraswind.example/sassafraswind/internal/host/telemetry"
 	"sassafraswind.example/sassafraswind/internal/platform/fleet"
-	"sassafraswind.example/sassafraswind/internal/platform/journal"
 	"sassafraswind.example/sassafraswind/internal/platform/roster"
 	"sassafraswind.example/sassafraswind/internal/request/limit"
 	"sassafraswind.example/sassafraswind/internal/stream/feed"
@@ -39,7 +37,7 @@
 const (
 	// snapshotEvery is the number of records after which a stream's state is appended again.
 	snapshotEvery = 2000
-	// slotShare is how many requests one slot may hold back in the queue of a class.
+	// maxSends bounds the sends of one idempotent request by this host, hedges included.
 	maxSends = 3
 	// retryRatio and retryBurst bound retries and hedges: 10 % of requests and at most 20 saved up.
 	retryRatio = 0.1
@@ -195,7 +193,7 @@
 func (n *Node) openFeeds(log feed.Log) func() {
 	logf := telemetry.Part(n.log.Logger, "feed").Warnf
 	counted := n.countLog(log)
-	open := func(stream string, sink feed.Sink, kinds ...string) (*feed.Feed, func()) {
+	open := func(stream string, sink feed.Sink) (*feed.Feed, func()) {
 		return feed.NewFeed(counted, stream, n.writer, sink, feed.WithLogf(logf), feed.WithSnapshots(snapshotEvery))
 	}
 	var closeConfig, closeKeys, closeZone func()
@@ -299,12 +297,3 @@
 	n.log.Info("Stopped.")
 	return nil
 }
-
-// region returns whether the address of a peer is in another region.
-func hostOf(addr string) string {
-	host, _, err := net.SplitHostPort(addr)
-	if err != nil {
-		return addr
-	}
-	return host
-}
--- /dev/null
+++ b/internal/host/node/serve.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"sassafraswind.example/sassafraswind/internal/host/caller"
+	"sassafraswind.example/sassafraswind/internal/host/operator"
+	"sassafraswind.example/sassafraswind/internal/host/peer"
+	"sassafraswind.example/sassafraswind/internal/host/settings"
+	"sassafraswind.example/sassafraswind/internal/host/telemetry"
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/platform/roster"
+)
+
+const (
+	// stopLimit bounds a planned stop beyond the wait for the balancer.
+	stopLimit = 60 * time.Second
+	// deadlineMax is the longest deadline that a caller may ask for.
+	deadlineMax = 5 * time.Minute
+	// headerTimeout bounds the time to send a request's header.
+	headerTimeout = 10 * time.Second
+)
+
+// Serve runs an entry host by its settings file until ctx ends, then stops it gracefully.
+func Serve(ctx context.Context, path string) error {
+	cfg, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	logger, err := telemetry.NewLogger(os.Stderr, cfg.Log.Level, cfg.Log.Format)
+	if err != nil {
+		return err
+	}
+	mtr, closeMetrics, err := telemetry.NewMetrics(cfg.Host, cfg.Zone)
+	if err != nil {
+		return err
+	}
+	defer closeMetrics()
+	logs, closeLog := journal.NewClient(cfg.Platform.Log)
+	defer closeLog()
+	hosts, closeHosts := roster.NewClient(cfg.Platform.Hosts)
+	defer closeHosts()
+	workers, closeWorkers := fleet.NewClient()
+	defer closeWorkers()
+	surfaces, err := listen(cfg)
+	if err != nil {
+		return err
+	}
+	n, closeNode := New(cfg, Platform{Log: logs, Fleet: workers, Hosts: hosts}, logger, mtr)
+	defer closeNode()
+	if err := n.gauges(); err != nil {
+		return err
+	}
+	closeSurfaces := surfaces.serve(n, mtr, logger)
+	defer closeSurfaces()
+	n.log.Infof("Host %s of zone %s serves callers on %s, operators on %s and peers on %s.",
+		cfg.Host, cfg.Zone, surfaces.callers.Addr(), surfaces.operators.Addr(), surfaces.peers.Addr())
+	<-ctx.Done()
+	stop, cancel := context.WithTimeout(context.Background(), cfg.Drain+stopLimit)
+	defer cancel()
+	return n.Stop(stop)
+}
+
+// surfaces are the three listeners of a host.
+type surfaces struct {
+	cfg                       settings.Settings
+	callers, operators, peers net.Listener
+}
+
+// listen opens the three addresses.
+func listen(cfg settings.Settings) (*surfaces, error) {
+	s := &surfaces{cfg: cfg}
+	for _, l := range []struct {
+		to      *net.Listener
+		field   string
+		address string
+	}{
+		{&s.callers, "callers", cfg.Callers.Listen},
+		{&s.operators, "operators", cfg.Operators.Listen},
+		{&s.peers, "peers", cfg.Peers.Listen},
+	} {
+		got, err := new(net.ListenConfig).Listen(context.Background(), "tcp", l.address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "node: listen for %s", l.field)
+		}
+		*l.to = got
+	}
+	return s, nil
+}
+
+// serve answers on the listeners until the returned function is called.
+func (s *surfaces) serve(n *Node, mtr *telemetry.Metrics, logger logrus.FieldLogger) func() {
+	limits := caller.Limits{Body: s.cfg.Limits.Body, Deadline: s.cfg.Limits.Deadline, DeadlineMax: deadlineMax}
+	closeCallers := serveHTTP(s.callers, caller.NewHandler(n, limits), telemetry.Part(logger, "caller"))
+	closeOperators := serveHTTP(s.operators, operator.NewHandler(n, mtr.Handler()), telemetry.Part(logger, "operator"))
+	log := telemetry.Part(logger, "peer")
+	_, closePeers := peer.Serve(s.peers, n, func(err error) { log.WithError(err).Debug("Connection of a peer ended.") })
+	return func() {
+		closeCallers()
+		closePeers()
+		closeOperators()
+	}
+}
+
+// serveHTTP answers on a listener until the returned function is called, which lets requests in flight finish.
+func serveHTTP(l net.Listener, h http.Handler, log *logrus.Entry) func() {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			log.WithError(err).Error("Listener failed.")
+		}
+	}()
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), headerTimeout)
+		defer cancel()
+		if err := srv.Shutdown(ctx); err != nil {
+			log.WithError(err).Warn("Connections were closed before they were idle.")
+		}
+		<-done
+	}
+}
+
+// gauges registers the gauges of the host.
+func (n *Node) gauges() error {
+	locked := func(fn func() float64) func() float64 {
+		return func() float64 {
+			n.zone.mu.Lock()
+			defer n.zone.mu.Unlock()
+			return fn()
+		}
+	}
+	var errs error
+	for _, g := range []struct {
+		name, text string
+		read       func() float64
+	}{
+		{"sassafraswind.workers.held", "Workers that this host holds.", locked(func() float64 {
+			return float64(len(n.zone.holdings.Workers(time.Now())))
+		})},
+		{"sassafraswind.slots.free", "Free slots on the held workers.", locked(func() float64 { return float64(n.zone.capacity.Free()) })},
+		{"sassafraswind.config.age", "Age of the view of the configuration in seconds.", func() float64 {
+			return time.Since(n.configFresh()).Seconds()
+		}},
+		{"sassafraswind.config.version", "Version of the configuration in force.", func() float64 {
+			n.config.mu.Lock()
+			defer n.config.mu.Unlock()
+			return float64(n.config.state.Version())
+		}},
+		{"sassafraswind.log.skipped", "Records of all streams that were skipped as malformed, newer or unknown.", func() float64 {
+			total := uint64(0)
+			for _, c := range n.feedCounts() {
+				total += c.Malformed + c.Newer + c.Unknown
+			}
+			return float64(total)
+		}},
+		{"sassafraswind.log.gaps", "Times that records expired unread.", func() float64 {
+			total := uint64(0)
+			for _, c := range n.feedCounts() {
+				total += c.Gaps
+			}
+			return float64(total)
+		}},
+	} {
+		errs = errors.CombineErrors(errs, n.mtr.Gauge(g.name, g.text, g.read))
+	}
+	return errs
+}
--- /dev/null
+++ b/internal/host/node/status.go
@@ -0,0 +1,227 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/host/operator"
+	"sassafraswind.example/sassafraswind/internal/stream/feed"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+	"sassafraswind.example/sassafraswind/internal/work/config"
+	"sassafraswind.example/sassafraswind/internal/work/job"
+	"sassafraswind.example/sassafraswind/internal/zone/policy"
+)
+
+// Config returns the configuration for operators.
+func (n *Node) Config(now time.Time) operator.ConfigView {
+	fresh := n.configFresh()
+	age := now.Sub(fresh)
+	if fresh.IsZero() {
+		age = now.Sub(n.started)
+	}
+	n.config.mu.Lock()
+	defer n.config.mu.Unlock()
+	v := operator.NewConfigView(n.config.state, age, !fresh.IsZero() && age <= n.cfg.Freshness.View)
+	v.Zones = n.zonesOf(v.Zones)
+	return v
+}
+
+// zonesOf adds the zones of the settings file that the configuration does not name yet.
+func (n *Node) zonesOf(known []config.Zone) []config.Zone {
+	for _, z := range n.cfg.Zones {
+		if !slices.ContainsFunc(known, func(k config.Zone) bool { return k.Name == z.Name }) {
+			known = append(known, config.Zone{Name: z.Name, Region: z.Region})
+		}
+	}
+	return known
+}
+
+// Change writes one configuration record and returns after its read-back.
+func (n *Node) Change(ctx context.Context, item record.Item) (operator.ChangeResult, error) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Done()
+	n.config.mu.Lock()
+	before := n.config.state.Version()
+	n.config.mu.Unlock()
+	r, err := n.config.feed.Write(ctx, item)
+	if errors.Is(err, feed.ErrTooLarge) {
+		return operator.ChangeResult{}, errors.Mark(err, operator.ErrNotSent)
+	}
+	if err != nil {
+		return operator.ChangeResult{}, errors.Wrap(err, "node: write configuration")
+	}
+	n.config.mu.Lock()
+	defer n.config.mu.Unlock()
+	after := n.config.state.Version()
+	return operator.ChangeResult{Version: n.versionOf(item), Document: after, Changed: after > before}, r.Verdicts[0]
+}
+
+// versionOf returns the version of what the item is about, with config.mu held.
+func (n *Node) versionOf(item record.Item) uint64 {
+	switch item.Kind {
+	case config.RecordClass:
+		if m, err := record.Open[config.ClassMsg](item); err == nil {
+			_, v, _ := n.config.state.Class(m.Class.Name)
+			return v
+		}
+	case config.RecordTeam:
+		if m, err := record.Open[config.TeamMsg](item); err == nil {
+			_, v, _ := n.config.state.Team(m.Team.Name)
+			return v
+		}
+	case config.RecordZone:
+		if m, err := record.Open[config.ZoneMsg](item); err == nil {
+			_, v, _ := n.config.state.Zone(m.Name)
+			return v
+		}
+	}
+	return n.config.state.Version()
+}
+
+// Jobs lists jobs of this zone, newest first.
+func (n *Node) Jobs(_ context.Context, f operator.Filter) ([]operator.Job, error) {
+	n.zone.mu.Lock()
+	defer n.zone.mu.Unlock()
+	var out []operator.Job
+	for j := range n.zone.jobs.Jobs() {
+		states := map[string]int{}
+		for s, c := range j.Counts() {
+			if c > 0 {
+				states[job.State(s).String()] = c
+			}
+		}
+		if f.Class != "" && j.Class() != f.Class || f.State != "" && states[f.State] == 0 {
+			continue
+		}
+		out = append(out, operator.Job{
+			ID: j.ID(), Class: j.Class(), Team: j.Team(), Count: j.Count(), States: states, Cancelled: j.Cancelled(),
+		})
+	}
+	// Job ids are UUIDv7, so that their order is that of their creation.
+	slices.SortFunc(out, func(a, b operator.Job) int {
+		switch {
+		case a.ID > b.ID:
+			return -1
+		case a.ID < b.ID:
+			return 1
+		}
+		return 0
+	})
+	if f.Limit > 0 && len(out) > f.Limit {
+		out = out[:f.Limit]
+	}
+	return out, nil
+}
+
+// Status describes the host for operators.
+func (n *Node) Status(now time.Time) operator.Status {
+	view := n.Config(now)
+	ready, reason := n.Ready(now)
+	s := operator.Status{
+		Host: n.cfg.Host, Zone: n.cfg.Zone, Region: n.cfg.Region, Ready: ready, Reason: reason, Leaving: n.leaving.Load(),
+		Config: operator.ConfigStatus{Version: view.Version, Age: view.Age, Fresh: view.Fresh},
+		Zones:  view.Zones, Peers: n.peerStatus(now),
+	}
+	for stream, f := range map[string]*feed.Feed{streamConfig: n.config.feed, streamKeys: n.keys.feed, streamZone + n.cfg.Zone: n.zone.feed} {
+		c := f.Counts()
+		st := operator.StreamStatus{Stream: stream, Position: f.Position(), Skipped: c.Malformed + c.Newer + c.Unknown, Lost: c.Lost}
+		if at := f.Fresh(); !at.IsZero() {
+			st.Age = operator.Millis(now.Sub(at))
+		}
+		s.Streams = append(s.Streams, st)
+	}
+	slices.SortFunc(s.Streams, func(a, b operator.StreamStatus) int { return len(a.Stream) - len(b.Stream) })
+	n.zone.mu.Lock()
+	defer n.zone.mu.Unlock()
+	counts := n.zone.jobs.Counts()
+	s.Pending, s.Running = counts[job.Pending], counts[job.Running]
+	s.Workers = n.workerStatus(now)
+	for _, c := range view.Document.Classes {
+		s.Classes = append(s.Classes, n.classStatus(now, c))
+	}
+	return s
+}
+
+// workerStatus describes the held workers, with zone.mu held.
+func (n *Node) workerStatus(now time.Time) []operator.WorkerStatus {
+	var out []operator.WorkerStatus
+	for _, id := range n.zone.holdings.Workers(now) {
+		w := n.zone.workers[id]
+		ws := operator.WorkerStatus{
+			Worker: id, Slots: w.status.Slots, Free: w.status.Slots - n.zone.capacity.Calls(id), Running: len(n.zone.jobs.RunningOn(id)),
+		}
+		switch {
+		case w.leaving || w.status.Leaving:
+			ws.State = "leaving"
+		case n.zone.policy.Quarantined(id):
+			ws.State = "quarantined"
+		}
+		out = append(out, ws)
+	}
+	return out
+}
+
+// classStatus compares a class with its target, with zone.mu held.
+func (n *Node) classStatus(now time.Time, c config.Class) operator.ClassStatus {
+	s := operator.ClassStatus{
+		Name: c.Name, Kind: c.Kind, Met: true, Pending: n.zone.jobs.PendingLen(c.Name),
+		Running: n.zone.jobs.ClassUsage(c.Name).Tasks,
+		Target: operator.Target{
+			Answer: operator.Millis(c.Target.Answer), Finished: c.Target.Finished, Disruption: c.Target.Disruption,
+		},
+	}
+	if v := n.zone.classes[c.Name]; v != nil {
+		s.P99 = operator.Millis(v.times.p99)
+	}
+	if n.zone.policy.Missing(c.Name) {
+		s.Met, s.Reason = false, n.zone.policy.Explain(now, c.Name)
+	} else if s.Pending > 0 && s.Running == 0 && c.Kind == config.KindBatch {
+		s.Reason = n.waitReason(now, c.Name)
+	}
+	return s
+}
+
+// waitReason returns why the tasks of a class wait, with zone.mu held.
+func (n *Node) waitReason(now time.Time, class string) string {
+	for t := range n.zone.jobs.Pending(class) {
+		j := t.Job()
+		p, ok := n.zone.policy.PlaceTask(now, policy.Candidate{
+			Task: t.ID(), Job: j.ID(), Class: class, Team: j.Team(), Size: j.Size(), Attempts: t.Attempt(),
+		})
+		if !ok {
+			return string(p.Reason)
+		}
+		break
+	}
+	return ""
+}
+
+// peerStatus describes the other entry hosts.
+func (n *Node) peerStatus(now time.Time) []operator.PeerStatus {
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	var out []operator.PeerStatus
+	for _, a := range n.peers.order {
+		v := n.peers.known[a]
+		s := v.state
+		ps := operator.PeerStatus{
+			Host: s.Host, Zone: s.Zone, Region: s.Region, Version: s.Version, Free: s.Free, Held: s.Held, State: "not ready",
+		}
+		switch {
+		case v.heard.IsZero() || now.Sub(v.heard) > 10*syncPeriod:
+			ps.State = "silent"
+		case s.Leaving:
+			ps.State = "leaving"
+		case s.Ready:
+			ps.State = "ready"
+		}
+		if !v.heard.IsZero() {
+			ps.Seen = operator.Millis(now.Sub(v.heard))
+		}
+		out = append(out, ps)
+	}
+	return out
+}
--- a/internal/work/job/query.go
+++ b/internal/work/job/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 )
 
@@ -77,3 +78,14 @@
 	slices.SortFunc(holds, func(a, b Hold) int { return cmp.Compare(a.Worker, b.Worker) })
 	return holds
 }
+
+// Jobs yields all jobs that are remembered, in no particular order. No records may be applied during the iteration.
+func (t *Table) Jobs() iter.Seq[*Job] {
+	return func(yield func(*Job) bool) {
+		for _, j := range t.jobs {
+			if !yield(j) {
+				return
+			}
+		}
+	}
+}
