--- a/cmd/sassafraswind/main.go
+++ b/cmd/sassafraswind/main.go
@@ -14,15 +14,18 @@
 	"sassafraswind.example/sassafraswind/internal/host/settings"
 )
 
+// exitKilled is the exit code after a second signal, which ends the process without a planned stop.
+const exitKilled = 130
+
 func main() {
 	ctx, cancel := context.WithCancel(context.Background())
-	signals := make(chan os.Signal, 1)
+	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
 		cancel()
-		// The default action of a second signal ends the process at once.
-		signal.Reset(syscall.SIGTERM, syscall.SIGINT)
+		<-signals
+		os.Exit(exitKilled)
 	}()
 	f := cli.Functions{Serve: serve, CheckSettings: checkSettings, Version: version()}
 	os.Exit(cli.Run(ctx, os.Args[1:], f, os.Stdout, os.Stderr))
