Bound the nesting and the mistakes of a parsed change

A body of a mebibyte of opening brackets overflowed the stack of the parser, which ends the process. A list of wrong elements took two seconds and a reply of megabytes.

--- a/internal/host/operator/operator_test.go
+++ b/internal/host/operator/operator_test.go
@@ -58,7 +58,7 @@
 	clock := func() time.Time { return time.Unix(0, int64(1500*time.Microsecond)) }
 	w := httptest.NewRecorder()
 	r := httptest.NewRequestWithContext(context.Background(), method, path, strings.NewReader(body))
-	NewHandler(n, metrics, WithBody(1000), WithClock(clock)).ServeHTTP(w, r)
+	NewHandler(n, metrics, WithClock(clock)).ServeHTTP(w, r)
 	return w.Code, w.Body.String()
 }
 
@@ -143,8 +143,14 @@
 			So(json.Unmarshal([]byte(text), &r), ShouldBeNil)
 			So([]any{code, r.Outcome, r.Field, len(r.Mistakes) > 0}, ShouldResemble, []any{400, Rejected, field, true})
 		}
-		code, _ := call(n, "POST", "/v1/changes", strings.Repeat(" ", 2000))
+		code, _ := call(n, "POST", "/v1/changes", strings.Repeat(" ", 2<<20))
 		So(code, ShouldEqual, 413)
+		// Deep nesting would overflow the stack, many mistakes would make a long reply.
+		code, _ = call(n, "POST", "/v1/changes", strings.Repeat("[", 1<<20))
+		So(code, ShouldEqual, 400)
+		code, text := call(n, "POST", "/v1/changes", `{"base":1,"apply":{"classes":[`+strings.Repeat("1,\n", 300_000)+`]}}`)
+		So(code, ShouldEqual, 400)
+		So(len(text), ShouldBeLessThan, 20_000)
 		So(n.items, ShouldBeEmpty)
 	})
 	Convey("Each kind of change is passed on as its record", t, func() {
--- a/internal/work/config/parse.go
+++ b/internal/work/config/parse.go
@@ -14,6 +14,14 @@
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 )
 
+const (
+	// maxBrackets bounds the lists and objects of a text. Each may be a level of nesting, for which the parser uses
+	// about 900 bytes of stack; 1 MiB of brackets would exceed the stack limit and end the process.
+	maxBrackets = 20_000
+	// maxMistakes bounds the mistakes that are noted.
+	maxMistakes = 100
+)
+
 // LineError is a mistake in the text of a declaration or proposal.
 type LineError struct {
 	// Line counts from 1. For a missing field it is that of the object that lacks it.
@@ -126,18 +134,29 @@
 
 // parser fills a text form from a syntax tree, which keeps the offset of each field for errors.
 type parser struct {
-	data []byte
+	// breaks holds the offset of each line break.
+	breaks []int
 	// lines holds the line of each field by path. The whole text has the empty path.
 	lines map[string]int
 	// bad holds the fields that could not be decoded; they are not checked further.
 	bad      map[string]bool
 	mistakes []LineError
-	// broken is set after a syntax error.
+	// broken is set after a syntax error or maxMistakes. The rest is not checked then.
 	broken bool
 }
 
 func parse(data []byte, v any) *parser {
-	p := &parser{data: data, lines: map[string]int{"": 1}, bad: make(map[string]bool)}
+	p := &parser{lines: map[string]int{"": 1}, bad: make(map[string]bool)}
+	if bytes.Count(data, []byte("["))+bytes.Count(data, []byte("{")) > maxBrackets {
+		p.broken = true
+		p.mistakes = []LineError{{1, FieldError{Reason: fmt.Sprintf("must have at most %d lists and objects", maxBrackets)}}}
+		return p
+	}
+	for i, b := range data {
+		if b == '\n' {
+			p.breaks = append(p.breaks, i)
+		}
+	}
 	// The syntax tree keeps parts of its input.
 	root, err := hujson.Parse(bytes.Clone(data))
 	if err != nil {
@@ -151,11 +170,15 @@
 		return p
 	}
 	p.value("", root, reflect.ValueOf(v).Elem())
+	p.broken = len(p.mistakes) == maxMistakes
 	return p
 }
 
 func (p *parser) fail(field string, line int, reason string) {
 	p.bad[field] = true
+	if len(p.mistakes) == maxMistakes {
+		return
+	}
 	p.mistakes = append(p.mistakes, LineError{line, FieldError{Field: field, Reason: reason}})
 }
 
@@ -209,7 +232,10 @@
 	return c
 }
 
-func (p *parser) line(offset int) int { return 1 + bytes.Count(p.data[:offset], []byte("\n")) }
+func (p *parser) line(offset int) int {
+	before, _ := slices.BinarySearch(p.breaks, offset)
+	return 1 + before
+}
 
 func (p *parser) value(path string, v hujson.Value, into reflect.Value) {
 	line := p.line(v.StartOffset)
@@ -235,8 +261,11 @@
 			p.fail(path, line, "must be "+kindName(into.Kind()))
 			return
 		}
-		into.Set(reflect.MakeSlice(into.Type(), len(t.Elements), len(t.Elements)))
 		for i, e := range t.Elements {
+			if len(p.mistakes) == maxMistakes {
+				return
+			}
+			into.Set(reflect.Append(into, reflect.Zero(into.Type().Elem())))
 			p.value(fmt.Sprintf("%s[%d]", path, i), e, into.Index(i))
 		}
 	case hujson.Literal:
