Reserve room for urgent calls and count configuration versions from one

Cause: the tasks of a worker could take all its cores while its slots gave cores to calls too, so both together could exceed what it holds; and a log that counts offsets from 0 gave the first document version 0, which means that there is none.

--- a/internal/host/node/call.go
+++ b/internal/host/node/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -67,6 +68,9 @@
 	case c.Idempotent && r.Key != "":
 		return outcome.Invalid("key", "must be empty: the class is idempotent"), 0
 	case !c.Idempotent:
+		if address := n.keyedPeer(now, r.Key); address != "" {
+			return n.forwardKeyed(ctx, address, r), 1
+		}
 		return n.keyed(ctx, now, r), 1
 	}
 	return n.idempotent(ctx, now, r, uuid.NewString(), 0, false)
@@ -161,11 +165,8 @@
 // run carries out commands.
 func (u *urgent) run(cmds []attempt.Command) {
 	for len(cmds) > 0 {
-		var more []attempt.Command
-		for _, c := range cmds {
-			more = append(more, u.command(c)...)
-		}
-		cmds = more
+		more := u.command(cmds[0])
+		cmds = append(more, cmds[1:]...)
 	}
 }
 
@@ -226,6 +227,15 @@
 	return "", false
 }
 
+// callScore rates a worker for a call, with zone.mu held. Workers of another service than that of the class are left out.
+func (n *Node) callScore(worker, class string) float64 {
+	w := n.zone.workers[worker]
+	if v := n.zone.classes[class]; v != nil && v.service != "" && (w == nil || w.service != v.service) {
+		return math.Inf(1)
+	}
+	return n.zone.policy.CallScore(worker, class)
+}
+
 // sendCall sends the request to a worker.
 func (u *urgent) sendCall(c attempt.SendCmd) {
 	now := time.Now()
--- a/internal/host/node/drain.go
+++ b/internal/host/node/drain.go
@@ -40,8 +40,11 @@
 	for _, id := range z.holdings.Workers(now) {
 		running += len(z.jobs.RunningOn(id))
 	}
-	// A fixed share of what is left each round would never end; at least one more than that share does.
+	// The share leaves tasks time to end by themselves; after the limit all are stopped at once.
 	budget := running/10 + 4
+	if now.Sub(z.outSince) > drainLimit {
+		budget = running
+	}
 	for _, id := range z.holdings.Workers(now) {
 		w := z.workers[id]
 		fence, ok := z.holdings.Held(id, now)
--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -53,9 +53,13 @@
 func (n *Node) applyRoster(now time.Time, hosts []roster.Host) {
 	var workers []lease.Worker
 	var entries []roster.Host
+	addresses := map[string]string{}
 	z := &n.zone
 	z.mu.Lock()
 	for _, h := range hosts {
+		if h.Kind == roster.KindWorker {
+			addresses[h.ID] = h.Address
+		}
 		switch {
 		case h.Kind == roster.KindEntry:
 			entries = append(entries, h)
@@ -72,7 +76,7 @@
 	}
 	z.holdings.Update(now, lease.HostsMsg{Workers: workers})
 	z.mu.Unlock()
-	n.peers.list(entries, n.cfg.Host, len(hosts)-len(entries))
+	n.peers.list(entries, n.cfg.Host, addresses)
 }
 
 // tickLeases runs what is due with the workers.
@@ -126,7 +130,7 @@
 			n.run(func(ctx context.Context) { n.releaseWorker(ctx, c) })
 		case lease.HoldCmd:
 			n.run(func(ctx context.Context) {
-				n.writeZone(ctx, "hold", func() (record.Item, error) {
+				_ = n.writeZone(ctx, "hold", func() (record.Item, error) {
 					return job.HoldItem(job.Hold{Worker: c.Worker, Host: n.cfg.Host, Boot: c.Boot, Grant: c.Grant})
 				})
 			})
@@ -225,7 +229,7 @@
 	}
 	w.status, w.sent = c.Status, c.Sent
 	z.policy.Update(now, policy.WorkerMsg{
-		Name: c.Status.Worker, Rack: w.rack, Capacity: c.Status.Capacity, Slots: c.Status.Slots,
+		Name: c.Status.Worker, Rack: w.rack, Capacity: z.capacity.ForTasks(c.Status.Worker), Slots: c.Status.Slots,
 		Closed: w.leaving || c.Status.Leaving,
 	})
 	n.reportUsage(now, w)
--- a/internal/host/node/key.go
+++ b/internal/host/node/key.go
@@ -11,7 +11,6 @@
 	"sassafraswind.example/sassafraswind/internal/host/peer"
 	"sassafraswind.example/sassafraswind/internal/platform/fleet"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
-	"sassafraswind.example/sassafraswind/internal/stream/feed"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 	"sassafraswind.example/sassafraswind/internal/work/intent"
 	"sassafraswind.example/sassafraswind/internal/zone/capacity"
@@ -296,6 +295,24 @@
 	return outcome.Reason(reason)
 }
 
+// keyedPeer returns the peer to which a key that was not used yet is passed on: when this host has no free slot, or its
+// zone was taken out. A key that is in use is followed here.
+func (n *Node) keyedPeer(now time.Time, key string) string {
+	if n.outcomeOf(key).State != intent.None {
+		return ""
+	}
+	if n.zoneOut(n.cfg.Zone) {
+		return n.bestPeerElsewhere(now)
+	}
+	n.zone.mu.Lock()
+	free := n.zone.capacity.Free()
+	n.zone.mu.Unlock()
+	if free > 0 {
+		return ""
+	}
+	return n.bestPeer("", now)
+}
+
 // forwardKeyed passes a keyed request on to a peer that has a slot. After an unclear reply the caller must ask again.
 func (n *Node) forwardKeyed(ctx context.Context, addr string, r caller.Request) outcome.Reply {
 	end, _ := ctx.Deadline()
@@ -307,6 +324,3 @@
 	}
 	return rep.Reply
 }
-
-// unreachable reports whether a write failed without a verdict.
-func unreachable(err error) bool { return errors.Is(err, feed.ErrUnknown) }
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -130,8 +130,9 @@
 	settling map[string]bool
 	// classes has the queues and learned times of the urgent classes.
 	classes map[string]*classView
-	// drained counts the tasks stopped since the zone was taken out.
-	out bool
+	// out is set while the zone is taken out, outSince is when this host noticed.
+	out      bool
+	outSince time.Time
 	// doubts has when this host read back its doubt of a worker.
 	doubts map[string]time.Time
 }
@@ -166,7 +167,7 @@
 		policy:   policy.New(), workers: map[string]*workerView{}, placing: map[string]*placement{},
 		settling: map[string]bool{}, classes: map[string]*classView{}, doubts: map[string]time.Time{},
 	}
-	n.zone.capacity = capacity.New(capacity.WithScore(n.zone.policy.CallScore))
+	n.zone.capacity = capacity.New(capacity.WithScore(n.callScore))
 	n.peers.known = map[string]*peerView{}
 	for _, o := range opts {
 		o(n)
--- a/internal/host/node/peers.go
+++ b/internal/host/node/peers.go
@@ -29,21 +29,21 @@
 
 // peersView has the other entry hosts, by address, and the workers of all zones.
 type peersView struct {
-	mu      sync.Mutex
-	known   map[string]*peerView
-	order   []string
-	listed  map[string]string
-	total   int
-	next    map[string]int
-	started bool
+	mu    sync.Mutex
+	known map[string]*peerView
+	// order has the keys of known, sorted.
+	order []string
+	// listed has the addresses of the workers of all zones.
+	listed map[string]string
+	// next is the turn of each other zone in addresses.
+	next map[string]int
 }
 
-// list takes over the entry hosts of the host list.
-func (p *peersView) list(entries []roster.Host, self string, workers int) {
+// list takes over the entry hosts, and the addresses of all workers, of the host list.
+func (p *peersView) list(entries []roster.Host, self string, workers map[string]string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.total = workers
-	p.started = true
+	p.listed = workers
 	listed := map[string]bool{}
 	for _, e := range entries {
 		if e.ID == self {
@@ -74,13 +74,6 @@
 	}
 }
 
-// workersListed sets the addresses of workers of other zones.
-func (p *peersView) workersListed(addresses map[string]string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.listed = addresses
-}
-
 // address returns the address of a worker of any zone, empty if it is not listed.
 func (p *peersView) address(worker string) string {
 	p.mu.Lock()
@@ -92,7 +85,7 @@
 func (p *peersView) workers() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.total
+	return len(p.listed)
 }
 
 // heard keeps the state of a peer.
--- a/internal/host/node/status.go
+++ b/internal/host/node/status.go
@@ -147,7 +147,7 @@
 
 // workerStatus describes the held workers, with zone.mu held.
 func (n *Node) workerStatus(now time.Time) []operator.WorkerStatus {
-	var out []operator.WorkerStatus
+	out := make([]operator.WorkerStatus, 0, len(n.zone.workers))
 	for _, id := range n.zone.holdings.Workers(now) {
 		w := n.zone.workers[id]
 		ws := operator.WorkerStatus{
@@ -203,7 +203,7 @@
 func (n *Node) peerStatus(now time.Time) []operator.PeerStatus {
 	n.peers.mu.Lock()
 	defer n.peers.mu.Unlock()
-	var out []operator.PeerStatus
+	out := make([]operator.PeerStatus, 0, len(n.peers.order))
 	for _, a := range n.peers.order {
 		v := n.peers.known[a]
 		s := v.state
--- a/internal/host/node/target.go
+++ b/internal/host/node/target.go
@@ -31,7 +31,11 @@
 		z.policy.Update(now, policy.ReturnMsg{})
 		n.log.Info("The zone was brought back in.")
 	}
+	if known && zone.Out && !z.out {
+		z.outSince = now
+	}
 	z.out = known && zone.Out
+	z.capacity.SetCallSize(callSize(classes))
 	share := 1.0
 	if total > 0 {
 		share = float64(z.policy.Workers()) / float64(total)
@@ -42,6 +46,9 @@
 		if v.Kind == config.KindUrgent {
 			kind = policy.KindUrgent
 		}
+		if kind == policy.KindUrgent {
+			n.classOf(v.Name).service = v.Service
+		}
 		z.policy.Update(now, policy.ClassMsg{
 			Name: v.Name, Kind: kind, P99: v.Target.Answer, Finished: v.Target.Finished * share, Evictions: v.Target.Disruption,
 		})
@@ -56,6 +63,18 @@
 	}
 }
 
+// callSize returns the largest declared size of a call of the urgent classes.
+func callSize(classes []config.Versioned[config.Class]) fleet.Size {
+	var size fleet.Size
+	for _, c := range classes {
+		if c.Value.Kind == config.KindUrgent && !c.Dropped {
+			size.Cores = max(size.Cores, c.Value.Size.Cores)
+			size.Memory = max(size.Memory, c.Value.Size.Memory)
+		}
+	}
+	return size
+}
+
 // scale returns the share of a size. A quota of at least one accelerator leaves one to every host, since devices
 // cannot be split.
 func scale(s fleet.Size, share float64) fleet.Size {
@@ -77,6 +96,8 @@
 // classView has what is learned of an urgent class, and its waiting requests.
 type classView struct {
 	queue *limit.Queue
+	// service restricts the class to workers of that service, empty for any.
+	service string
 	// waiting has the requests of the queue by id.
 	waiting map[string]*waiter
 	times   answerTimes
--- a/internal/host/node/task.go
+++ b/internal/host/node/task.go
@@ -123,23 +123,29 @@
 		Task: t.ID(), Attempt: attempt, Class: j.Class(), Size: p.Size, Checkpoint: t.Checkpoint(), Body: j.Body(),
 	}
 	pending := now.Sub(z.jobs.PendingSince(t))
-	n.run(func(ctx context.Context) { n.start(ctx, pl, start, order, pending) })
+	team := j.Team()
+	n.run(func(ctx context.Context) {
+		if n.start(ctx, pl, start, order) && n.mtr != nil {
+			n.mtr.TaskStarted(ctx, order.Class, team, pending)
+		}
+	})
 }
 
-// start records a start and sends it once the record was read back as valid.
-func (n *Node) start(ctx context.Context, pl *placement, s job.Start, o fleet.Order, pending time.Duration) {
+// start records a start and sends it once the record was read back as valid. It reports whether the start may have
+// reached the worker.
+func (n *Node) start(ctx context.Context, pl *placement, s job.Start, o fleet.Order) bool {
 	key := capacity.Key{ID: s.Task, Attempt: s.Attempt}
 	err := n.writeZone(ctx, "start", func() (record.Item, error) { return job.StartItem(s) })
 	if err != nil {
 		// If the record still takes effect, its task is listed as running here without a placement, and is
 		// then evicted as never sent.
 		n.abandonStart(pl, key, s)
-		return
+		return false
 	}
 	fence, address, ok := n.fenceFor(time.Now(), pl, s)
 	if !ok {
 		n.refuseStart(ctx, pl, key, s)
-		return
+		return false
 	}
 	o.Fence = fence
 	sendCtx, cancel := context.WithTimeout(ctx, workerTimeout)
@@ -148,7 +154,7 @@
 	if errors.Is(err, fleet.ErrRefused) || errors.Is(err, fleet.ErrNotSent) {
 		n.log.WithError(err).WithField("task", s.Task).Info("Worker refused a start.")
 		n.refuseStart(ctx, pl, key, s)
-		return
+		return false
 	}
 	if err != nil {
 		n.log.WithError(err).WithField("task", s.Task).Info("Start was not confirmed; the worker's status will tell.")
@@ -156,9 +162,7 @@
 	n.zone.mu.Lock()
 	n.zone.capacity.AbandonTask(s.Worker, key, fence.Before)
 	n.zone.mu.Unlock()
-	if n.mtr != nil {
-		n.mtr.TaskStarted(ctx, o.Class, "", pending)
-	}
+	return true
 }
 
 // fenceFor checks, immediately before the send, that the start is still allowed.
@@ -397,11 +401,6 @@
 		}
 		effects = append(effects, n.control(w.address, fence, fleet.Task{ID: c.Task, Attempt: c.Attempt}, c.Action, c.Share))
 	}
-	for id, w := range z.workers {
-		if w.held {
-			z.capacity.SetQuarantined(id, z.policy.Quarantined(id))
-		}
-	}
 	effects = append(effects, n.settleSilent(now)...)
 	z.mu.Unlock()
 	for _, e := range effects {
--- a/internal/stream/feed/reader.go
+++ b/internal/stream/feed/reader.go
@@ -286,6 +286,10 @@
 
 // snapshot queues the pieces of the present state, unless the last ones are still being written.
 func (f *Feed) snapshot() {
+	// A reader that missed records must not spread its incomplete state to hosts that join.
+	if f.Counts().Gaps > 0 {
+		return
+	}
 	f.mu.Lock()
 	busy := len(f.pieces) > 0
 	f.mu.Unlock()
--- a/internal/work/config/config.go
+++ b/internal/work/config/config.go
@@ -112,7 +112,7 @@
 
 // view is one configuration.
 type view struct {
-	// Version is the offset of the last accepted record.
+	// Version is one more than the offset of the last accepted record, 0 if there is none.
 	Version uint64 `msgpack:"version"`
 	// Changes is the number of accepted items. It orders views within a record of several items.
 	Changes uint64       `msgpack:"changes"`
@@ -156,7 +156,8 @@
 	return s.log
 }
 
-// Version returns the document version: the offset of the last accepted record, 0 if there is none.
+// Version returns the document version: one more than the offset of the last accepted record, since a log may count
+// from 0, and 0 if there is none.
 func (s *State) Version() uint64 { return s.view().Version }
 
 // Class returns a class and its version. The version is that of the dropped class if ok is false.
@@ -217,7 +218,7 @@
 		return err
 	}
 	if changed {
-		s.log.Version = offset
+		s.log.Version = offset + 1
 		s.log.Changes++
 		s.settle()
 	}
--- a/internal/zone/capacity/capacity.go
+++ b/internal/zone/capacity/capacity.go
@@ -5,6 +5,7 @@
 package capacity
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -12,6 +13,9 @@
 	"sassafraswind.example/sassafraswind/internal/platform/fleet"
 )
 
+// extraChoices is the number of further workers that ReserveCall tries when no random candidate suits the class.
+const extraChoices = 8
+
 // Key identifies a reservation: a request or task and its attempt.
 type Key struct {
 	ID      string
@@ -71,6 +75,8 @@
 	free   int
 	choice int
 	score  Score
+	// call is what one urgent call may take.
+	call fleet.Size
 }
 
 // Option changes a setting of a Table.
@@ -240,15 +246,15 @@
 		if _, taken := w.calls.open[k]; taken || slices.Contains(avoid, w.id) {
 			return
 		}
-		if s := t.score(w.id, class); best == nil || s < low {
+		if s := t.score(w.id, class); !math.IsInf(s, 1) && (best == nil || s < low) {
 			best, low = w, s
 		}
 	}
 	for range t.choice {
 		consider(t.open[rng.IntN(n)])
 	}
-	// Among more neighbours than are avoided, one is not.
-	for i, at := 0, rng.IntN(n); best == nil && i <= len(avoid) && i < n; i++ {
+	// Among more neighbours than are avoided, one is not. Some more are tried for a class whose workers are few.
+	for i, at := 0, rng.IntN(n); best == nil && i <= len(avoid)+extraChoices && i < n; i++ {
 		consider(t.open[(at+i)%n])
 	}
 	if best == nil {
@@ -259,10 +265,29 @@
 	return best.id, true
 }
 
+// SetCallSize sets the resources that one urgent call may take. Tasks are not given what the calls of all slots need, so
+// that calls and tasks together never exceed what a worker holds.
+func (t *Table) SetCallSize(size fleet.Size) { t.call = size }
+
+// ForTasks returns the resources of a worker that tasks may use, those in use included.
+func (t *Table) ForTasks(id string) fleet.Size {
+	w := t.workers[id]
+	if w == nil {
+		return fleet.Size{}
+	}
+	return t.forTasks(w)
+}
+
+// forTasks returns the resources of the worker that tasks may use.
+func (t *Table) forTasks(w *worker) fleet.Size {
+	slots := int64(w.slots)
+	return w.capacity.Sub(fleet.Size{Cores: slots * t.call.Cores, Memory: slots * t.call.Memory, Accelerators: 0})
+}
+
 // ReserveTask reserves resources of the worker for a task attempt.
 func (t *Table) ReserveTask(id string, k Key, size fleet.Size) bool {
 	w := t.workers[id]
-	if w == nil || !w.available() || size.Negative() || !w.used.Add(size).Fits(w.capacity) {
+	if w == nil || !w.available() || size.Negative() || !w.used.Add(size).Fits(t.forTasks(w)) {
 		return false
 	}
 	if _, taken := w.tasks.open[k]; taken {
@@ -329,7 +354,7 @@
 	if w == nil || !w.available() {
 		return fleet.Size{}, false
 	}
-	return w.capacity.Sub(w.used), true
+	return t.forTasks(w).Sub(w.used), true
 }
 
 // Calls returns the number of calls that count at the worker.
