Move the tasks of a zone that was lost without notice

A host of another zone reads the lost zone's stream once the zone was taken out and the cut-off bound plus the task lease have passed. So that this is safe when the lost zone's hosts live on out of reach, holders in a zone that was taken out stop renewing task leases after twice the drain limit. A host counts its peers as asked for their configuration only after it tried to read the host list, since the seeds may be older.

--- a/internal/host/node/drain.go
+++ b/internal/host/node/drain.go
@@ -4,11 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"sassafraswind.example/sassafraswind/internal/platform/fleet"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
+	"sassafraswind.example/sassafraswind/internal/work/intent"
 	"sassafraswind.example/sassafraswind/internal/work/job"
 )
 
@@ -22,6 +21,10 @@
 	carryBytes = 96 << 10
 )
 
+// drainEnd returns how long after a take-out task leases are renewed: twice the drain limit, and less than the cut-off
+// bound.
+func (n *Node) drainEnd() time.Duration { return min(2*drainLimit, n.cfg.Freshness.Cutoff/2) }
+
 // drain stops and moves the tasks of a zone that operators have taken out.
 func (n *Node) drain(now time.Time) {
 	if n.zoneOut(n.cfg.Zone) && !n.leaving.Load() {
@@ -93,32 +96,30 @@
 	}
 }
 
-// handOver gives moved tasks to their new zone. It is repeated until the other zone has recorded them, by any host of
-// this zone, and each step is idempotent.
-func (n *Node) handOver(now time.Time) {
-	hosts := n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, true)
-	z := &n.zone
-	type group struct {
-		accept job.Accept
-		to     string
-		moves  []job.Move
-	}
-	groups := map[string]*group{}
-	z.mu.Lock()
+// movedJob is the tasks of one job that were released to one zone.
+type movedJob struct {
+	to     string
+	accept job.Accept
+	// moves are the confirmations, written once the other zone has the tasks.
+	moves []job.Move
+}
+
+// groupMoved collects the unconfirmed moves that are wanted, at most moveBatch, by job and zone.
+func groupMoved(from string, jobs *job.Table, want func(*job.Task) bool) map[string]*movedJob {
+	groups := map[string]*movedJob{}
 	left := moveBatch
-	for t := range z.jobs.Unconfirmed() {
+	for t := range jobs.Unconfirmed() {
 		if left == 0 {
 			break
 		}
-		if z.settling[t.ID()] || n.starter(now, t, hosts) != n.cfg.Host {
+		if !want(t) {
 			continue
 		}
 		j := t.Job()
 		g := groups[j.ID()+t.To()]
 		if g == nil {
-			g = &group{to: t.To(), accept: job.Accept{
-				ID: j.ID(), Class: j.Class(), Team: j.Team(), Count: j.Count(), Size: j.Size(), Body: j.Body(), Run: j.Run(),
-				From: n.cfg.Zone,
+			g = &movedJob{to: t.To(), accept: job.Accept{
+				ID: j.ID(), Class: j.Class(), Team: j.Team(), Count: j.Count(), Size: j.Size(), Body: j.Body(), Run: j.Run(), From: from,
 			}}
 			groups[j.ID()+t.To()] = g
 		}
@@ -126,14 +127,23 @@
 			continue
 		}
 		left--
-		z.settling[t.ID()] = true
 		g.accept.Tasks = append(g.accept.Tasks, t.Carried())
 		g.moves = append(g.moves, job.Move{Task: t.ID(), To: t.To(), Hop: t.Hop(), Done: true})
 	}
-	z.mu.Unlock()
-	for _, g := range groups {
-		n.run(func(ctx context.Context) { n.handOverJob(ctx, g.to, g.accept, g.moves) })
+	return groups
+}
+
+// confirmations returns the records that end the moves.
+func (m *movedJob) confirmations() ([]record.Item, error) {
+	items := make([]record.Item, 0, len(m.moves))
+	for _, c := range m.moves {
+		i, err := job.MoveItem(c)
+		if err != nil {
+			return nil, err
+		}
+		items = append(items, i)
 	}
+	return items, nil
 }
 
 // carried returns the size of the checkpoints of an accept.
@@ -145,40 +155,61 @@
 	return total
 }
 
+// handOver gives moved tasks to their new zone. It is repeated until the other zone has recorded them, by any host of
+// this zone, and each step is idempotent.
+func (n *Node) handOver(now time.Time) {
+	hosts := n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, true)
+	z := &n.zone
+	z.mu.Lock()
+	groups := groupMoved(n.cfg.Zone, z.jobs, func(t *job.Task) bool {
+		return !z.settling[t.ID()] && n.starter(now, t, hosts) == n.cfg.Host
+	})
+	for _, g := range groups {
+		for _, m := range g.moves {
+			z.settling[m.Task] = true
+		}
+	}
+	z.mu.Unlock()
+	for _, g := range groups {
+		n.run(func(ctx context.Context) { n.handOverJob(ctx, g) })
+	}
+}
+
 // handOverJob records tasks of one job in their new zone and then confirms their moves here.
-func (n *Node) handOverJob(ctx context.Context, to string, a job.Accept, moves []job.Move) {
+func (n *Node) handOverJob(ctx context.Context, g *movedJob) {
 	defer func() {
 		n.zone.mu.Lock()
 		defer n.zone.mu.Unlock()
-		for _, m := range moves {
+		for _, m := range g.moves {
 			delete(n.zone.settling, m.Task)
 		}
 	}()
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	r := n.acceptIn(ctx, to, a)
+	r := n.acceptIn(ctx, g.to, g.accept)
 	if r.Outcome != outcome.Done {
-		n.log.WithField("job", a.ID).Infof("Zone %s has not taken over tasks yet: %s.", to, r.Message)
+		n.log.WithField("job", g.accept.ID).Infof("Zone %s has not taken over tasks yet: %s.", g.to, r.Message)
 		return
 	}
-	items := make([]record.Item, 0, len(moves))
-	for _, m := range moves {
-		i, err := job.MoveItem(m)
-		if err != nil {
-			n.log.WithError(err).Error("Move was not encoded.")
-			return
-		}
-		items = append(items, i)
+	items, err := g.confirmations()
+	if err != nil {
+		n.log.WithError(err).Error("Move was not encoded.")
+		return
 	}
 	if _, err := n.zone.feed.Write(ctx, items...); err != nil {
 		n.log.WithError(err).Debug("Moves were not confirmed; trying again.")
 		return
 	}
-	home, err := homeItem(a.ID, to, moves[0].Hop)
+	n.recordHome(ctx, g.accept.ID, g.to, g.moves[0].Hop)
+}
+
+// recordHome tells all hosts which zone has a moved job. Without it the job is found by asking the zones.
+func (n *Node) recordHome(ctx context.Context, id, zone string, hop int) {
+	item, err := intent.HomeItem(intent.Home{Key: id, Zone: zone, Hop: hop})
 	if err == nil {
-		_, err = n.keys.feed.Write(ctx, home)
+		_, err = n.keys.feed.Write(ctx, item)
 	}
-	if err != nil && !errors.Is(err, context.Canceled) {
+	if err != nil {
 		n.log.WithError(err).Debug("Home of a moved job was not recorded.")
 	}
 }
--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -42,6 +42,7 @@
 	ctx, cancel := context.WithTimeout(n.ctx, workerTimeout)
 	defer cancel()
 	hosts, err := n.hosts.Hosts(ctx)
+	defer n.listRead.Store(true)
 	if err != nil {
 		n.log.WithError(err).Debug("Host list was not read; keeping the last one.")
 		return
@@ -89,6 +90,9 @@
 	if now.Sub(n.started) < n.cfg.Freshness.Cutoff && (fresh.IsZero() || z.feed.Fresh().IsZero()) {
 		stale = false
 	}
+	// In a zone that was taken out no task may outlive the drain: hosts of other zones move its tasks after the cut-off
+	// bound, even if they cannot reach this host.
+	stale = stale || z.out && now.Sub(z.outSince) > n.drainEnd()
 	z.holdings.Update(now, lease.StaleMsg{Stale: stale})
 	z.holdings.Update(now, lease.PeersMsg{Hosts: n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, !n.leaving.Load())})
 	cmds := z.holdings.Update(now, lease.TickMsg{})
--- a/internal/host/node/job.go
+++ b/internal/host/node/job.go
@@ -15,7 +15,6 @@
 	"sassafraswind.example/sassafraswind/internal/host/peer"
 	"sassafraswind.example/sassafraswind/internal/platform/fleet"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
-	"sassafraswind.example/sassafraswind/internal/stream/record"
 	"sassafraswind.example/sassafraswind/internal/work/config"
 	"sassafraswind.example/sassafraswind/internal/work/intent"
 	"sassafraswind.example/sassafraswind/internal/work/job"
@@ -379,8 +378,3 @@
 	}
 	return v
 }
-
-// keyItem seals a home record.
-func homeItem(key, zone string, hop int) (record.Item, error) {
-	return intent.HomeItem(intent.Home{Key: key, Zone: zone, Hop: hop})
-}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -85,6 +85,13 @@
 	budgetMu sync.Mutex
 	budget   *limit.Budget
 
+	// listRead is set once reading the host list was tried.
+	listRead atomic.Bool
+	// logs is the log, for streams that are read now and then.
+	logs feed.Log
+	// lost has the other zones that are out. Only the loop of rescue uses it.
+	lost map[string]*lostZone
+
 	leaving  atomic.Bool
 	inFlight sync.WaitGroup
 	started  time.Time
@@ -158,6 +165,7 @@
 		writer: cfg.Host + "/" + uuid.NewString(), started: time.Now(), ctx: ctx,
 		budget: limit.NewBudget(retryRatio, retryRate, retryBurst),
 	}
+	n.lost = map[string]*lostZone{}
 	n.config.state = config.NewState()
 	n.keys.table = intent.New()
 	n.keys.waiters = map[string]map[chan struct{}]struct{}{}
@@ -181,6 +189,7 @@
 	n.loop(schedulePeriod, n.schedule)
 	n.loop(policyPeriod, n.tickPolicy)
 	n.loop(drainPeriod, n.drain)
+	n.loop(rescuePeriod, n.rescue)
 	n.loop(housePeriod, n.housekeep)
 	return n, func() {
 		cancel()
@@ -193,9 +202,9 @@
 // openFeeds starts reading the three streams.
 func (n *Node) openFeeds(log feed.Log) func() {
 	logf := telemetry.Part(n.log.Logger, "feed").Warnf
-	counted := n.countLog(log)
+	n.logs = n.countLog(log)
 	open := func(stream string, sink feed.Sink) (*feed.Feed, func()) {
-		return feed.NewFeed(counted, stream, n.writer, sink, feed.WithLogf(logf), feed.WithSnapshots(snapshotEvery))
+		return feed.NewFeed(n.logs, stream, n.writer, sink, feed.WithLogf(logf), feed.WithSnapshots(snapshotEvery))
 	}
 	var closeConfig, closeKeys, closeZone func()
 	n.config.feed, closeConfig = open(streamConfig, &lockedSink{mu: &n.config.mu, Sink: n.config.state, after: n.configChanged})
--- a/internal/host/node/peers.go
+++ b/internal/host/node/peers.go
@@ -229,6 +229,7 @@
 
 // syncPeers exchanges states with peers.
 func (n *Node) syncPeers(now time.Time) {
+	listed := n.listRead.Load()
 	n.peers.mu.Lock()
 	for _, a := range n.cfg.Peers.Seeds {
 		if a != n.cfg.Peers.Advertise {
@@ -242,7 +243,8 @@
 	}
 	wg.Wait()
 	n.config.mu.Lock()
-	n.config.asked = true
+	// A round that began before the host list was tried may have left out peers with a newer configuration.
+	n.config.asked = n.config.asked || listed
 	n.config.mu.Unlock()
 }
 
