--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -95,8 +95,8 @@
 
   sassafraswind check examples/ashyq/almaty-a-1.json
   sassafraswind serve --settings examples/ashyq/almaty-a-1.json
-  sassafraswind --operators http://127.0.0.1:7002 apply examples/ashyq/classes.json
-  sassafraswind --operators http://127.0.0.1:7002 status
+  sassafraswind --operators http://127.0.0.1:18003 apply examples/ashyq/classes.json
+  sassafraswind --operators http://127.0.0.1:18003 status
 
 Changes end as "accepted" (in force, with the new version), "unchanged" (it was so already), "rejected" (nothing
 changed), "unknown" (may be in force) or "failed" (nothing was sent).
--- a/internal/command/cli/status.go
+++ b/internal/command/cli/status.go
@@ -17,7 +17,7 @@
 
 Example:
 
-  sassafraswind --operators http://127.0.0.1:7002 status`
+  sassafraswind --operators http://127.0.0.1:18003 status`
 }
 
 // Run shows the status.
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -140,6 +140,8 @@
 	// out is set while the zone is taken out, outSince is when this host noticed.
 	out      bool
 	outSince time.Time
+	// tallies counts finished and evicted tasks by class.
+	tallies map[string]*classTally
 	// doubts has when this host read back its doubt of a worker.
 	doubts map[string]time.Time
 }
@@ -174,6 +176,7 @@
 		holdings: lease.New(cfg.Host, lease.WithTTL(cfg.Lease.TTL), lease.WithRenewal(cfg.Lease.Renew), lease.WithTaskTTL(cfg.Lease.Tasks)),
 		policy:   policy.New(), workers: map[string]*workerView{}, placing: map[string]*placement{},
 		settling: map[string]bool{}, classes: map[string]*classView{}, doubts: map[string]time.Time{},
+		tallies: map[string]*classTally{},
 	}
 	n.zone.capacity = capacity.New(capacity.WithScore(n.callScore))
 	n.peers.known = map[string]*peerView{}
@@ -209,7 +212,10 @@
 	var closeConfig, closeKeys, closeZone func()
 	n.config.feed, closeConfig = open(streamConfig, &lockedSink{mu: &n.config.mu, Sink: n.config.state, after: n.configChanged})
 	n.keys.feed, closeKeys = open(streamKeys, &lockedSink{mu: &n.keys.mu, Sink: n.keys.table, after: n.keyChanged})
+	// The sink reads the field, so that records wait for it.
+	n.zone.mu.Lock()
 	n.zone.feed, closeZone = open(streamZone+n.cfg.Zone, &zoneSink{n: n})
+	n.zone.mu.Unlock()
 	return func() {
 		closeConfig()
 		closeKeys()
--- a/internal/host/node/sink.go
+++ b/internal/host/node/sink.go
@@ -53,7 +53,7 @@
 	z := &s.n.zone
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	ended := s.endedBy(item)
+	ended := s.endedBy(now, item)
 	if err := z.jobs.Apply(now, offset, item); err != nil {
 		return err
 	}
@@ -75,7 +75,7 @@
 }
 
 // endedBy returns what the policy is told if the item ends an attempt, with zone.mu held.
-func (s *zoneSink) endedBy(item record.Item) *policy.EndMsg {
+func (s *zoneSink) endedBy(now time.Time, item record.Item) *policy.EndMsg {
 	var id string
 	var attempt int
 	outcome := policy.OutcomeEvicted
@@ -108,7 +108,7 @@
 	if t.Cancelling() && outcome == policy.OutcomeEvicted {
 		outcome = policy.OutcomeCancelled
 	}
-	s.n.countEnd(t, item.Kind, outcome)
+	s.n.countEnd(now, t, item.Kind, outcome)
 	return &policy.EndMsg{Worker: t.Worker(), Task: id, Attempt: attempt, Outcome: outcome}
 }
 
@@ -134,9 +134,19 @@
 	return nil
 }
 
-// countEnd counts an attempt that ended, if this host holds its worker, so that each end is counted once per zone.
-func (n *Node) countEnd(t *job.Task, kind record.Kind, outcome policy.Outcome) {
-	if _, held := n.zone.holdings.Held(t.Worker(), time.Now()); !held || n.mtr == nil {
+// countEnd counts an attempt that ended. The metrics count it only at the host that holds its worker, so that each end
+// is counted once in a zone. Records that are read while the host catches up happened earlier and are left out.
+func (n *Node) countEnd(now time.Time, t *job.Task, kind record.Kind, outcome policy.Outcome) {
+	if n.zone.feed == nil || n.zone.feed.Fresh().IsZero() {
+		return
+	}
+	switch outcome {
+	case policy.OutcomeDone:
+		n.tallyOf(t.Job().Class()).finished.add(now)
+	case policy.OutcomeEvicted:
+		n.tallyOf(t.Job().Class()).evicted.add(now)
+	}
+	if _, held := n.zone.holdings.Held(t.Worker(), now); !held || n.mtr == nil {
 		return
 	}
 	ctx := context.Background()
--- a/internal/host/node/status.go
+++ b/internal/host/node/status.go
@@ -176,6 +176,12 @@
 	if v := n.zone.classes[c.Name]; v != nil {
 		s.P99 = operator.Millis(v.times.p99)
 	}
+	if t := n.zone.tallies[c.Name]; t != nil {
+		s.Finished = t.finished.perHour(now)
+		if events, observed := t.evicted.total(now); events > 0 {
+			s.Disruption = float64(events) / max(observed, time.Minute).Hours() * 24 / float64(max(1, s.Running))
+		}
+	}
 	if n.zone.policy.Missing(c.Name) {
 		s.Met, s.Reason = false, n.zone.policy.Explain(now, c.Name)
 	} else if s.Pending > 0 && s.Running == 0 && c.Kind == config.KindBatch {
--- a/internal/host/settings/settings_test.go
+++ b/internal/host/settings/settings_test.go
@@ -15,9 +15,9 @@
 
 // Guards against example files that no longer load.
 func TestExamples(t *testing.T) {
-	hosts, _ := filepath.Glob("../../../examples/*/*-1.json")
+	hosts, _ := filepath.Glob("../../../examples/*/*-[0-9].json")
 	docs, _ := filepath.Glob("../../../examples/*/classes.json")
-	if len(hosts) != 2 || len(docs) != 2 {
+	if len(hosts) != 17 || len(docs) != 2 {
 		t.Fatalf("found %v and %v", hosts, docs)
 	}
 	for _, path := range hosts {
