--- a/internal/host/node/call.go
+++ b/internal/host/node/call.go
@@ -379,7 +379,7 @@
 func (u *urgent) answer(c attempt.ReplyCmd) {
 	now := time.Now()
 	u.reply = &outcome.Reply{
-		Outcome: outcome.Outcome(c.Outcome), Reason: outcome.Reason(c.Reason), RetryAfter: c.RetryAfter,
+		Outcome: outcome.Outcome(c.Outcome), Reason: callReason(c.Reason), RetryAfter: c.RetryAfter,
 		Body: c.Answer.Body, Failed: c.Answer.Failed, Attempts: u.tries, Run: c.Answer.Took,
 	}
 	if c.Outcome == attempt.Done {
@@ -402,6 +402,14 @@
 	}
 }
 
+// callReason maps a reason of the life of a request to that for the caller.
+func callReason(reason string) outcome.Reason {
+	if reason == "no_slot" {
+		return outcome.ReasonNoWorker
+	}
+	return outcome.Reason(reason)
+}
+
 // PeerCall serves a request that a peer passed on. It is not passed on again.
 func (n *Node) PeerCall(ctx context.Context, r peer.Call) (peer.CallReply, error) {
 	n.inFlight.Add(1)
--- a/internal/host/node/key.go
+++ b/internal/host/node/key.go
@@ -284,15 +284,34 @@
 		return out
 	}
 	out.Reason, out.Message = keyedReason(r.Reason), r.Reason
+	if out.Reason == outcome.ReasonInvalid {
+		out.Field = "key"
+		return out
+	}
 	if r.Result == intent.ResultUnknown {
 		out.Message += "; send the same key again to learn the outcome"
 	}
 	return out
 }
 
-// keyedReason maps a reason of the flow to that for the caller.
+// keyedReason maps a reason of the flow to that for the caller. The reason of a close record was written by a host, so
+// that all others are those of a closed key.
 func keyedReason(reason string) outcome.Reason {
-	return outcome.Reason(reason)
+	switch reason {
+	case intent.ReasonLog:
+		return outcome.ReasonLog
+	case intent.ReasonDeadline:
+		return outcome.ReasonDeadline
+	case intent.ReasonRestarted:
+		return outcome.ReasonWorker
+	case intent.ReasonConflict:
+		return outcome.ReasonConflict
+	case intent.ReasonExpired, intent.ErrOld.Error():
+		return outcome.ReasonExpired
+	case intent.ErrBadKey.Error(), intent.ErrAhead.Error():
+		return outcome.ReasonInvalid
+	}
+	return outcome.ReasonClosed
 }
 
 // keyedPeer returns the peer to which a key that was not used yet is passed on: when this host has no free slot, or its
--- a/internal/host/node/sink.go
+++ b/internal/host/node/sink.go
@@ -78,6 +78,7 @@
 func (s *zoneSink) endedBy(now time.Time, item record.Item) *policy.EndMsg {
 	var id string
 	var attempt int
+	var reason job.Reason
 	outcome := policy.OutcomeEvicted
 	switch item.Kind {
 	case job.KindEnd:
@@ -94,7 +95,7 @@
 		if err != nil {
 			return nil
 		}
-		id, attempt = e.Task, e.Attempt
+		id, attempt, reason = e.Task, e.Attempt, e.Reason
 		if e.Reason == job.ReasonRefused {
 			outcome = policy.OutcomeCancelled
 		}
@@ -108,7 +109,7 @@
 	if t.Cancelling() && outcome == policy.OutcomeEvicted {
 		outcome = policy.OutcomeCancelled
 	}
-	s.n.countEnd(now, t, item.Kind, outcome)
+	s.n.countEnd(now, t, outcome, reason)
 	return &policy.EndMsg{Worker: t.Worker(), Task: id, Attempt: attempt, Outcome: outcome}
 }
 
@@ -136,7 +137,7 @@
 
 // countEnd counts an attempt that ended. The metrics count it only at the host that holds its worker, so that each end
 // is counted once in a zone. Records that are read while the host catches up happened earlier and are left out.
-func (n *Node) countEnd(now time.Time, t *job.Task, kind record.Kind, outcome policy.Outcome) {
+func (n *Node) countEnd(now time.Time, t *job.Task, outcome policy.Outcome, reason job.Reason) {
 	if n.zone.feed == nil || n.zone.feed.Fresh().IsZero() {
 		return
 	}
@@ -150,11 +151,11 @@
 		return
 	}
 	ctx := context.Background()
-	if kind == job.KindEnd {
+	if reason == "" {
 		n.mtr.TaskEnded(ctx, t.Job().Class(), string(outcome))
 		return
 	}
-	n.mtr.TaskEvicted(ctx, t.Job().Class(), string(outcome))
+	n.mtr.TaskEvicted(ctx, t.Job().Class(), string(reason))
 }
 
 // keyChanged wakes the requests of this host that wait for a key.
--- a/internal/work/intent/flow.go
+++ b/internal/work/intent/flow.go
@@ -21,6 +21,15 @@
 	ResultUnknown Result = "unknown"
 )
 
+// The reasons of replies, besides those of close records and of CheckKey.
+const (
+	ReasonLog       = "log unreachable"
+	ReasonDeadline  = "deadline passed"
+	ReasonRestarted = "worker restarted"
+	ReasonConflict  = "key is in use with other content"
+	ReasonExpired   = "key expired"
+)
+
 // Request is a caller's request on a key, at one host.
 type Request struct {
 	Key    string
@@ -186,7 +195,7 @@
 		if f.phase == writingAnswer {
 			return f.done(f.answer)
 		}
-		return f.reply(ResultUnknown, "log unreachable")
+		return f.reply(ResultUnknown, ReasonLog)
 	case WrittenMsg:
 		return f.written(now, out, m)
 	case SentMsg:
@@ -206,19 +215,19 @@
 	bound := out.Intent.Attempt > 0
 	switch {
 	case bound && (out.Intent.Digest != f.req.Digest || out.Intent.Kind != Call):
-		return f.reply(ResultNotRun, "key is in use with other content")
+		return f.reply(ResultNotRun, ReasonConflict)
 	case out.State == Answered:
 		return f.done(out.Answer)
 	case out.State == Closed:
 		return f.reply(ResultNotRun, out.Close.Reason)
 	case out.State == Expired:
-		return f.reply(ResultUnknown, "key expired")
+		return f.reply(ResultUnknown, ReasonExpired)
 	case now.Before(f.req.Deadline):
 		return nil
 	case f.answered:
 		return f.done(f.answer)
 	}
-	return f.reply(ResultUnknown, "deadline passed")
+	return f.reply(ResultUnknown, ReasonDeadline)
 }
 
 // follow takes the next step from what the log says.
@@ -328,7 +337,7 @@
 		return f.follow(now, out)
 	case m.Err != nil:
 	case st.Boot != i.Boot:
-		return f.reply(ResultUnknown, "worker restarted")
+		return f.reply(ResultUnknown, ReasonRestarted)
 	case st.State == fleet.CallDone && st.Answer != nil && st.Answer.Request == i.Key && st.Answer.Attempt == i.Attempt:
 		return f.record(now, out, *st.Answer)
 	case st.State == fleet.CallNever && st.Clock > i.Before:
