Judge listed tasks once the stream's view is newer than their first listing

Cause: reconcile compared the send time of the last completed read with the send time of a status that had just arrived. Reads of an idle stream complete up to a second later, so the read was practically never the newer one: finished tasks were never forgotten by their workers, and attempts that the stream does not have were never stopped. Ruled out: a failing Forget (none was sent) and a missing end record (the job showed 6 of 6 done). Before: TestWorkFinishesAndIsForgotten fails with 'not within 6s: the workers have forgotten the finished tasks'. After: three runs with -race pass. A Forget that fails is now repeated with the next status.

--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -33,6 +33,8 @@
 	status fleet.Status
 	sent   time.Time
 	tasks  map[string]fleet.Task
+	// strays has when attempts were first listed that the zone's stream does not have as running here.
+	strays map[fleet.TaskRef]time.Time
 	// reported is the end of the last usage window per class, in the worker's clock.
 	reported map[string]time.Duration
 }
--- /dev/null
+++ b/internal/host/node/link_test.go
@@ -0,0 +1,246 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/host/peer"
+	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/platform/roster"
+	"sassafraswind.example/sassafraswind/internal/stream/feed"
+)
+
+// errCut is returned for a message that the link did not deliver. Its sender cannot tell whether it had an effect.
+var errCut = errors.New("link: no answer")
+
+// linkFaults are the faults of the connections of one entry host.
+type linkFaults struct {
+	// Paused stops all I/O of the host, as for a stopped process. What it wanted to send is sent afterwards.
+	Paused bool
+	// Log, Workers, Peers and Hosts cut the host from these.
+	Log, Workers, Peers, Hosts bool
+	// Late delays messages to workers, which arrive even if their sender gave up. Lose drops their answers.
+	Late time.Duration
+	Lose bool
+	// Twice delivers calls to workers a second time.
+	Twice bool
+}
+
+// link is what connects one entry host with everything else.
+type link struct {
+	w    *world
+	done chan struct{}
+
+	mu      sync.Mutex
+	faults  linkFaults
+	changed chan struct{}
+	dead    bool
+	// proxies has the address under which the host sees each peer.
+	proxies map[string]string
+	closers []func()
+}
+
+func newLink(w *world) *link {
+	return &link{w: w, done: make(chan struct{}), changed: make(chan struct{}), proxies: map[string]string{}}
+}
+
+// set changes the faults.
+func (l *link) set(change func(f *linkFaults)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(&l.faults)
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// kill ends all I/O for good.
+func (l *link) kill() {
+	l.mu.Lock()
+	if l.dead {
+		l.mu.Unlock()
+		return
+	}
+	l.dead = true
+	close(l.done)
+	closers := l.closers
+	l.mu.Unlock()
+	for _, c := range closers {
+		c()
+	}
+}
+
+// gate waits while the host is paused and returns the faults then. A process that is stopped does not notice that its
+// context ends, so that the wait does not depend on it.
+func (l *link) gate() (linkFaults, error) {
+	for {
+		l.mu.Lock()
+		f, changed := l.faults, l.changed
+		l.mu.Unlock()
+		select {
+		case <-l.done:
+			return f, errCut
+		default:
+		}
+		if !f.Paused {
+			return f, nil
+		}
+		select {
+		case <-changed:
+		case <-l.done:
+			return f, errCut
+		}
+	}
+}
+
+// lost waits for the end of the context, as for an answer that never comes.
+func (l *link) lost(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return errors.Mark(errors.Wrap(ctx.Err(), "link"), errCut)
+	case <-l.done:
+		return errCut
+	}
+}
+
+// logLink is the log as one host reaches it.
+type logLink struct {
+	*link
+	log feed.Log
+}
+
+func (l logLink) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	if f, err := l.gate(); err != nil || f.Log {
+		return 0, l.lost(ctx)
+	}
+	o, err := l.log.Append(ctx, stream, data)
+	if f, gone := l.gate(); gone != nil || f.Log {
+		return 0, l.lost(ctx)
+	}
+	return o, err
+}
+
+func (l logLink) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (journal.Page, error) {
+	if f, err := l.gate(); err != nil || f.Log {
+		return journal.Page{}, l.lost(ctx)
+	}
+	p, err := l.log.Read(ctx, stream, from, limit, wait)
+	if f, gone := l.gate(); gone != nil || f.Log {
+		return journal.Page{}, l.lost(ctx)
+	}
+	return p, err
+}
+
+// hostsLink is the host list as one host reads it. Peers appear at the addresses of the link's proxies.
+type hostsLink struct{ *link }
+
+func (l hostsLink) Hosts(ctx context.Context) ([]roster.Host, error) {
+	if f, err := l.gate(); err != nil || f.Hosts {
+		return nil, l.lost(ctx)
+	}
+	hosts, err := l.w.hosts.Hosts(ctx)
+	for i, h := range hosts {
+		if h.Kind == roster.KindEntry {
+			hosts[i].Address = l.proxy(h.Address)
+		}
+	}
+	return hosts, err
+}
+
+// proxy returns the address at which this host reaches a peer.
+func (l *link) proxy(to string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.proxies[to]; a != "" {
+		return a
+	}
+	in, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	l.proxies[to] = in.Addr().String()
+	l.closers = append(l.closers, func() { in.Close() })
+	go func() {
+		for {
+			c, err := in.Accept()
+			if err != nil {
+				return
+			}
+			go l.forward(c, to)
+		}
+	}()
+	return in.Addr().String()
+}
+
+// forward copies between a connection of this host and its peer until either ends or the host is cut off.
+func (l *link) forward(c net.Conn, to string) {
+	defer c.Close()
+	out, err := (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "tcp", to)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	end := make(chan struct{}, 2)
+	pipe := func(dst io.Writer, src io.Reader) {
+		defer func() { end <- struct{}{} }()
+		buf := make([]byte, 32<<10)
+		for {
+			n, err := src.Read(buf)
+			f, gone := l.gate()
+			if err != nil || gone != nil || f.Peers {
+				return
+			}
+			if _, err := dst.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+	}
+	go pipe(out, c)
+	go pipe(c, out)
+	select {
+	case <-end:
+	case <-l.done:
+	}
+}
+
+// peerLink is the peer surface of a host behind its link.
+type peerLink struct {
+	*link
+	n *Node
+}
+
+func (p peerLink) pass() error {
+	f, err := p.gate()
+	if err == nil && f.Peers {
+		err = errCut
+	}
+	return err
+}
+
+func (p peerLink) Sync(ctx context.Context, r peer.Sync) (peer.SyncReply, error) {
+	if err := p.pass(); err != nil {
+		return peer.SyncReply{}, err
+	}
+	rep, err := p.n.Sync(ctx, r)
+	return rep, errors.CombineErrors(p.pass(), err)
+}
+
+func (p peerLink) PeerCall(ctx context.Context, r peer.Call) (peer.CallReply, error) {
+	if err := p.pass(); err != nil {
+		return peer.CallReply{}, err
+	}
+	rep, err := p.n.PeerCall(ctx, r)
+	return rep, errors.CombineErrors(p.pass(), err)
+}
+
+func (p peerLink) PeerJob(ctx context.Context, r peer.Job) (peer.JobReply, error) {
+	if err := p.pass(); err != nil {
+		return peer.JobReply{}, err
+	}
+	rep, err := p.n.PeerJob(ctx, r)
+	return rep, errors.CombineErrors(p.pass(), err)
+}
--- /dev/null
+++ b/internal/host/node/smoke_test.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/request/outcome"
+)
+
+// Guards against work that is accepted and then not run, and against finished tasks that their workers list for ever.
+func TestWorkFinishesAndIsForgotten(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	a := w.start("a-1", "a")
+	b := w.start("a-2", "a")
+	w.ready(a, b)
+	w.declare(a, b)
+	for _, n := range []*testNode{a, b} {
+		body, _ := w.body(5 * time.Millisecond)
+		if r := w.request(n, "check", "", body, 2*time.Second); r.Outcome != outcome.Done {
+			t.Fatalf("check: %+v", r)
+		}
+		if r := w.request(n, "quote", newKey(), body, 3*time.Second); r.Outcome != outcome.Done {
+			t.Fatalf("quote: %+v", r)
+		}
+	}
+	id := newKey()
+	if r := w.submit(a, id, 6, 200*time.Millisecond, 3*time.Second); r.Outcome != outcome.Done {
+		t.Fatalf("submit: %+v", r)
+	}
+	w.eventually(10*time.Second, "the job is done", func() bool {
+		v, ok := w.show(b, id)
+		return ok && v.Finished && v.States["done"] == 6
+	})
+	w.eventually(6*time.Second, "the workers have forgotten the finished tasks", func() bool {
+		for _, b := range w.workers {
+			if s, err := b.Status(); err != nil || len(s.Tasks) > 0 {
+				return false
+			}
+		}
+		return true
+	})
+	w.noViolations()
+}
--- a/internal/host/node/task.go
+++ b/internal/host/node/task.go
@@ -227,40 +227,60 @@
 			add(n.evict(t, job.ReasonRefused, nil))
 		}
 	}
-	// A task that the stream does not have as running here must not go on. The stream has every start before the
-	// worker does, so the list is judged only by a view that is newer than the status.
-	if !z.feed.Fresh().After(w.sent) {
-		return effects
-	}
 	fence, held := z.holdings.Held(w.status.Worker, now)
 	if !held {
 		return effects
 	}
+	// A task that the stream does not have as running here must not go on. The stream has every start before the
+	// worker does, so this is certain once a read that was sent after the task was first listed reached the end.
+	// Reads complete seconds after they were sent, hence the time of the first listing is kept.
+	strays := map[fleet.TaskRef]time.Time{}
 	var done []fleet.TaskRef
 	for id, t := range w.tasks {
 		if running[id] && z.jobs.Task(id).Attempt() == t.Attempt {
 			continue
 		}
-		if t.State == fleet.TaskRunning {
+		ref := fleet.TaskRef{ID: id, Attempt: t.Attempt}
+		since, known := w.strays[ref]
+		if !known {
+			since = now
+		}
+		strays[ref] = since
+		switch {
+		case !z.feed.Fresh().After(since):
+		case t.State == fleet.TaskRunning:
 			add(n.control(w.address, fence, t, fleet.ActionStop, 0))
-			continue
+		default:
+			done = append(done, ref)
 		}
-		done = append(done, fleet.TaskRef{ID: id, Attempt: t.Attempt})
-		delete(w.tasks, id)
 	}
+	w.strays = strays
 	if len(done) > 0 {
-		address := w.address
-		add(func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, workerTimeout)
-			defer cancel()
-			if err := n.fleet.Forget(ctx, address, fence, done); err != nil {
-				n.log.WithError(err).Debug("Finished tasks were not forgotten; trying again with the next full status.")
-			}
-		})
+		add(n.forget(w, fence, done))
 	}
 	return effects
 }
 
+// forget returns the effect that makes a worker drop finished attempts. They stay listed here until it has confirmed.
+func (n *Node) forget(w *workerView, f fleet.Fence, done []fleet.TaskRef) func(context.Context) {
+	address := w.address
+	return func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, workerTimeout)
+		defer cancel()
+		if err := n.fleet.Forget(ctx, address, f, done); err != nil {
+			n.log.WithError(err).Debug("Finished tasks were not forgotten; trying again with the next status.")
+			return
+		}
+		n.zone.mu.Lock()
+		defer n.zone.mu.Unlock()
+		for _, r := range done {
+			if w.tasks[r.ID].Attempt == r.Attempt {
+				delete(w.tasks, r.ID)
+			}
+		}
+	}
+}
+
 // neverStarted reports whether an attempt that the worker's status lacks will certainly not start there.
 // Messages of earlier holders are refused by their grant, so only a start by this process is in doubt.
 func (n *Node) neverStarted(w *workerView, t *job.Task) bool {
--- /dev/null
+++ b/internal/host/node/worker_test.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/standin/backend"
+)
+
+// fleetLink is the workers as one host reaches them. Addresses are the ids of workers.
+type fleetLink struct{ *link }
+
+// start is a task start that a worker carried out.
+type start struct {
+	worker, task string
+	at           time.Time
+}
+
+// deliver passes a message to a worker as a network does: a frozen worker handles it later, and the message arrives
+// even if its sender has given up.
+func deliver[R any](l fleetLink, ctx context.Context, addr string, fn func(w *backend.Worker) (R, error)) (R, error) {
+	var zero R
+	if err := ctx.Err(); err != nil {
+		return zero, errors.Mark(err, fleet.ErrNotSent)
+	}
+	f, err := l.gate()
+	if err != nil || f.Workers {
+		return zero, l.lost(ctx)
+	}
+	w := l.w.worker(addr)
+	if w == nil {
+		return zero, errors.Wrapf(fleet.ErrNotSent, "dial %s", addr)
+	}
+	type result struct {
+		v   R
+		err error
+	}
+	got := make(chan result, 1)
+	go func() {
+		if f.Late > 0 {
+			time.Sleep(f.Late)
+		}
+		for w.Faults().Freeze {
+			select {
+			case <-l.w.closed:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+		}
+		v, err := fn(w)
+		got <- result{v, err}
+	}()
+	select {
+	case r := <-got:
+		if f, err := l.gate(); err != nil || f.Workers || f.Lose {
+			return zero, l.lost(ctx)
+		}
+		return r.v, r.err
+	case <-ctx.Done():
+		_, _ = l.gate()
+		return zero, errors.Mark(ctx.Err(), errCut)
+	case <-l.done:
+		return zero, errCut
+	}
+}
+
+func (l fleetLink) Status(ctx context.Context, addr string) (fleet.Status, error) {
+	return deliver(l, ctx, addr, (*backend.Worker).Status)
+}
+
+func (l fleetLink) Lease(ctx context.Context, addr string, r fleet.LeaseRequest) (fleet.Status, error) {
+	return deliver(l, ctx, addr, func(w *backend.Worker) (fleet.Status, error) { return w.Lease(r) })
+}
+
+func (l fleetLink) Release(ctx context.Context, addr string, f fleet.Fence) error {
+	_, err := deliver(l, ctx, addr, func(w *backend.Worker) (struct{}, error) { return struct{}{}, w.Release(f) })
+	return err
+}
+
+func (l fleetLink) Start(ctx context.Context, addr string, o fleet.Order) error {
+	if hook := l.w.beforeStart.Load(); hook != nil {
+		(*hook)(l.link, addr, o)
+	}
+	_, err := deliver(l, ctx, addr, func(w *backend.Worker) (struct{}, error) {
+		err := w.Start(o)
+		if err == nil {
+			l.w.noteStart(addr, o)
+		}
+		return struct{}{}, err
+	})
+	return err
+}
+
+func (l fleetLink) Control(ctx context.Context, addr string, c fleet.Control) (fleet.Task, error) {
+	return deliver(l, ctx, addr, func(w *backend.Worker) (fleet.Task, error) { return w.Control(c) })
+}
+
+func (l fleetLink) Forget(ctx context.Context, addr string, f fleet.Fence, tasks []fleet.TaskRef) error {
+	_, err := deliver(l, ctx, addr, func(w *backend.Worker) (struct{}, error) { return struct{}{}, w.Forget(f, tasks) })
+	return err
+}
+
+func (l fleetLink) Lookup(ctx context.Context, addr, request string, attempt int) (fleet.CallStatus, error) {
+	return deliver(l, ctx, addr, func(w *backend.Worker) (fleet.CallStatus, error) { return w.Lookup(request, attempt) })
+}
+
+// Call sends a call.
+func (l fleetLink) Call(ctx context.Context, addr string, c fleet.Call) (fleet.Answer, error) {
+	run := func(w *backend.Worker) (fleet.Answer, error) {
+		if err := w.Begin(c); err != nil {
+			return fleet.Answer{}, err
+		}
+		l.w.noteCall(addr, c)
+		return w.Run(context.Background(), c)
+	}
+	if f, err := l.gate(); err == nil && f.Twice {
+		go func() { _, _ = deliver(l, ctx, addr, run) }()
+	}
+	return deliver(l, ctx, addr, run)
+}
+
+// tag is the part of a body by which the harness knows its requests.
+type tag struct {
+	RunMs float64 `json:"run_ms"`
+	Tag   int     `json:"tag"`
+}
+
+func (w *world) noteCall(worker string, c fleet.Call) {
+	var t tag
+	_ = json.Unmarshal(c.Body, &t)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ran[t.Tag]++
+	w.calledAt[worker] = time.Now()
+}
+
+func (w *world) noteStart(worker string, o fleet.Order) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.starts = append(w.starts, start{worker: worker, task: o.Task, at: time.Now()})
+}
--- /dev/null
+++ b/internal/host/node/world_test.go
@@ -0,0 +1,321 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"sassafraswind.example/sassafraswind/internal/host/caller"
+	"sassafraswind.example/sassafraswind/internal/host/peer"
+	"sassafraswind.example/sassafraswind/internal/host/settings"
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/platform/roster"
+	"sassafraswind.example/sassafraswind/internal/request/outcome"
+	"sassafraswind.example/sassafraswind/internal/standin/backend"
+	"sassafraswind.example/sassafraswind/internal/standin/hostlist"
+	"sassafraswind.example/sassafraswind/internal/standin/logservice"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+	"sassafraswind.example/sassafraswind/internal/work/config"
+)
+
+// The short leases of the tests. The bound on the age of the configuration is that of the default settings, since an
+// idle view is up to 2 s old.
+const (
+	testTTL    = 1200 * time.Millisecond
+	testRenew  = 300 * time.Millisecond
+	testTasks  = 3 * time.Second
+	testCutoff = 10 * time.Second
+	// testLag is that of the host list.
+	testLag = 200 * time.Millisecond
+)
+
+// world is a platform with entry hosts in one process.
+type world struct {
+	t      testing.TB
+	log    *logservice.Log
+	hosts  *hostlist.List
+	ledger *backend.Ledger
+	logger *logrus.Logger
+	// closed ends what waits for frozen workers.
+	closed chan struct{}
+	// beforeStart is called before a start is sent.
+	beforeStart atomic.Pointer[func(l *link, worker string, o fleet.Order)]
+
+	mu       sync.Mutex
+	workers  map[string]*backend.Worker
+	zones    map[string]string
+	nodes    []*testNode
+	ran      map[int]int
+	tags     int
+	starts   []start
+	calledAt map[string]time.Time
+}
+
+// testNode is one process start of an entry host.
+type testNode struct {
+	*Node
+	link  *link
+	id    string
+	zone  string
+	close func()
+	once  sync.Once
+	// gone is set once the host was killed or stopped.
+	gone atomic.Bool
+}
+
+// newWorld makes zones named a, b and so on, without entry hosts.
+func newWorld(t testing.TB, zones, workers int) *world {
+	w := &world{
+		t: t, log: logservice.New(), hosts: hostlist.New(nil, testLag, nil), ledger: backend.NewLedger(),
+		logger: logrus.New(), closed: make(chan struct{}), workers: map[string]*backend.Worker{}, zones: map[string]string{},
+		ran: map[int]int{}, calledAt: map[string]time.Time{},
+	}
+	w.logger.SetOutput(io.Discard)
+	if os.Getenv("FAULTS_LOG") != "" {
+		w.logger.SetOutput(os.Stderr)
+		w.logger.SetLevel(logrus.DebugLevel)
+	}
+	clock := backend.Monotonic()
+	for z := range zones {
+		zone := string(rune('a' + z))
+		for i := range workers {
+			id := fmt.Sprintf("%s-w%d", zone, i)
+			w.workers[id] = backend.New(backend.Config{
+				ID: id, Capacity: fleet.Size{Cores: 16000, Memory: 64000}, Slots: 8, Connections: 64,
+				Window: 200 * time.Millisecond, Lag: 400 * time.Millisecond,
+			}, clock, w.ledger)
+			w.zones[id] = zone
+			w.list(id, false)
+		}
+	}
+	t.Cleanup(func() {
+		close(w.closed)
+		for _, n := range w.live() {
+			n.kill()
+		}
+		for _, b := range w.workers {
+			b.Close()
+		}
+	})
+	return w
+}
+
+// list puts a worker on the host list.
+func (w *world) list(id string, leaving bool) {
+	w.hosts.Put(roster.Host{ID: id, Kind: roster.KindWorker, Zone: w.zones[id], Region: "north", Rack: "r", Address: id, Leaving: leaving})
+}
+
+func (w *world) worker(id string) *backend.Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.workers[id]
+}
+
+// live returns the hosts that were neither killed nor stopped.
+func (w *world) live() []*testNode {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*testNode
+	for _, n := range w.nodes {
+		if !n.gone.Load() {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// testSettings returns the settings of a host.
+func testSettings(id, zone string) settings.Settings {
+	return settings.Settings{
+		Host: id, Zone: zone, Region: "north", Drain: 300 * time.Millisecond,
+		Limits:    settings.Limits{Body: 1 << 20, Queue: 256, Deadline: 3 * time.Second},
+		Freshness: settings.Freshness{View: 3 * time.Second, Cutoff: testCutoff},
+		Lease:     settings.Lease{TTL: testTTL, Renew: testRenew, Tasks: testTasks},
+	}
+}
+
+// option changes what a host is started with.
+type option func(*settings.Settings, *Platform)
+
+// start starts an entry host without memory.
+func (w *world) start(id, zone string, opts ...option) *testNode {
+	in, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	l := newLink(w)
+	cfg := testSettings(id, zone)
+	cfg.Peers.Listen, cfg.Peers.Advertise = in.Addr().String(), in.Addr().String()
+	p := Platform{Log: logLink{link: l, log: w.log}, Fleet: fleetLink{l}, Hosts: hostsLink{l}}
+	for _, o := range opts {
+		o(&cfg, &p)
+	}
+	n, closeNode := New(cfg, p, w.logger, nil, WithRandom(rand.New(rand.NewPCG(xxhash.Sum64String(id), 1))))
+	_, closePeers := peer.Serve(in, peerLink{link: l, n: n}, func(error) {})
+	tn := &testNode{Node: n, link: l, id: id, zone: zone}
+	tn.close = func() {
+		tn.once.Do(func() {
+			tn.gone.Store(true)
+			l.kill()
+			closePeers()
+			closeNode()
+		})
+	}
+	w.mu.Lock()
+	w.nodes = append(w.nodes, tn)
+	w.mu.Unlock()
+	w.hosts.Put(roster.Host{ID: id, Kind: roster.KindEntry, Zone: zone, Region: "north", Address: in.Addr().String()})
+	return tn
+}
+
+// kill ends the host at once: nothing that it has not sent yet leaves it.
+func (n *testNode) kill() { n.close() }
+
+// stop ends the host by a planned stop.
+func (n *testNode) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	err := n.Stop(ctx)
+	n.close()
+	return err
+}
+
+// eventually waits until a condition holds.
+func (w *world) eventually(limit time.Duration, what string, ok func() bool) {
+	w.t.Helper()
+	if !within(limit, ok) {
+		w.t.Fatalf("not within %s: %s", limit, what)
+	}
+}
+
+func within(limit time.Duration, ok func() bool) bool {
+	for end := time.Now().Add(limit); ; time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return true
+		}
+		if time.Now().After(end) {
+			return false
+		}
+	}
+}
+
+// ready waits until the hosts are ready.
+func (w *world) ready(nodes ...*testNode) {
+	w.t.Helper()
+	for _, n := range nodes {
+		w.eventually(10*time.Second, "host "+n.id+" is ready", func() bool { ok, _ := n.Ready(time.Now()); return ok })
+	}
+}
+
+// declare records the classes of the tests through a host and waits until the given hosts have them.
+func (w *world) declare(nodes ...*testNode) {
+	w.t.Helper()
+	size := fleet.Size{Cores: 500, Memory: 256}
+	for _, c := range []config.Class{
+		{Name: "check", Kind: config.KindUrgent, Idempotent: true, Size: size, Run: 5 * time.Millisecond, Target: config.Target{Answer: time.Second}},
+		{Name: "quote", Kind: config.KindUrgent, Size: size, Run: 5 * time.Millisecond, Target: config.Target{Answer: time.Second}},
+		{Name: "plan", Kind: config.KindBatch, Size: fleet.Size{Cores: 1000, Memory: 512}, Run: 300 * time.Millisecond, Target: config.Target{Finished: 1000, Disruption: 100}},
+	} {
+		w.change(nodes[0], config.RecordClass, config.ClassMsg{Class: c})
+	}
+	for _, n := range nodes {
+		w.eventually(5*time.Second, "host "+n.id+" has the classes", func() bool { _, ok := n.class("plan"); return ok })
+	}
+	// The policy takes over the classes once a second.
+	time.Sleep(1200 * time.Millisecond)
+}
+
+// change records a change of the configuration.
+func (w *world) change(n *testNode, kind record.Kind, msg any) {
+	w.t.Helper()
+	item, err := record.Seal(kind, msg)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if _, err := n.Change(ctx, item); err != nil {
+		w.t.Fatalf("change through %s: %v", n.id, err)
+	}
+}
+
+// zoneOut takes a zone out or brings it back in.
+func (w *world) zoneOut(n *testNode, zone string, out bool) {
+	w.t.Helper()
+	_, base, _ := func() (config.Zone, uint64, bool) {
+		n.config.mu.Lock()
+		defer n.config.mu.Unlock()
+		return n.config.state.Zone(zone)
+	}()
+	w.change(n, config.RecordZone, config.ZoneMsg{Base: base, Name: zone, Region: "north", Out: out})
+}
+
+// body returns a request body with a tag of its own.
+func (w *world) body(run time.Duration) ([]byte, int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tags++
+	data, _ := json.Marshal(tag{RunMs: float64(run) / float64(time.Millisecond), Tag: w.tags})
+	return data, w.tags
+}
+
+// executions returns how often a body was started at workers.
+func (w *world) executions(tag int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ran[tag]
+}
+
+// request sends an urgent request and checks that an answer is its own.
+func (w *world) request(n *testNode, class, key string, body []byte, limit time.Duration) outcome.Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	r := n.Request(ctx, caller.Request{Class: class, Team: "team", Key: key, Body: body})
+	if r.Outcome == outcome.Done && !r.Failed {
+		var e backend.Echo
+		if err := json.Unmarshal(r.Body, &e); err != nil || e.Digest != fmt.Sprintf("%016x", xxhash.Sum64(body)) || key != "" && e.Request != key {
+			w.t.Errorf("host %s: answer %s is not that of key %q, body %s", n.id, r.Body, key, body)
+		}
+	}
+	return r
+}
+
+// submit submits a job and returns its id and the reply.
+func (w *world) submit(n *testNode, id string, count int, run time.Duration, limit time.Duration) outcome.Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	body, _ := json.Marshal(tag{RunMs: float64(run) / float64(time.Millisecond)})
+	return n.Submit(ctx, caller.Submission{Key: id, Class: "plan", Team: "team", Count: count, Body: body})
+}
+
+// show returns a job as a host sees it.
+func (w *world) show(n *testNode, id string) (jobView, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var v jobView
+	r := n.Show(ctx, id)
+	ok := r.Outcome == outcome.Done && json.Unmarshal(r.Body, &v) == nil
+	return v, ok
+}
+
+// noViolations checks the workers' own records.
+func (w *world) noViolations() {
+	w.t.Helper()
+	if v := w.ledger.Violations(); v.Tasks != 0 || v.Calls != 0 || v.Overload != 0 {
+		w.t.Errorf("the workers saw %+v", v)
+	}
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
