--- /dev/null
+++ b/internal/zone/lease/guard_test.go
@@ -0,0 +1,95 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+)
+
+// TestLateReply guards against a reply that arrives after a newer one and brings back an old grant, an old clock or an
+// old list of tasks.
+func TestLateReply(t *testing.T) {
+	h := New("h0")
+	h.Update(epoch, HostsMsg{Workers: []Worker{{ID: "w"}}})
+	status := func(clock time.Duration, grant uint64) fleet.Status {
+		return fleet.Status{Worker: "w", Boot: "b", Clock: clock, Grant: grant, Holder: "h0", Until: clock + 6*time.Second}
+	}
+	give := func(now time.Time, s fleet.Status) int {
+		return len(h.Update(now, StatusMsg{Status: s, Sent: now.Add(-time.Second), Received: now}))
+	}
+	give(epoch.Add(time.Second), status(20*time.Second, 3))
+	want, ok := h.Held("w", epoch.Add(2*time.Second))
+	if !ok || want.Grant != 3 {
+		t.Fatalf("not held: %+v", want)
+	}
+	if n := give(epoch.Add(2*time.Second), status(10*time.Second, 1)); n > 0 {
+		t.Errorf("a late reply had %d effects", n)
+	}
+	if got, ok := h.Held("w", epoch.Add(2*time.Second)); !ok || got != want {
+		t.Errorf("after the late reply the fence is %+v, want %+v", got, want)
+	}
+}
+
+// TestTaskLeaseOfMutedWorker guards against a holder whose requests arrive but whose replies are lost, and which so
+// renews task leases that it cannot know to be needed: they would never expire.
+func TestTaskLeaseOfMutedWorker(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(seed, 1, 1)
+		w.calm = true
+		for range 100 {
+			w.advance()
+		}
+		h, fw := w.hosts[0], w.workers["w0"]
+		if !h.Batch("w0", h.at(w.now)) {
+			t.Fatal("task leases are not renewed before the cut")
+		}
+		last := fw.clock(w.now)
+		w.mute["h0w0"] = w.now.Add(time.Hour)
+		expired := -1
+		for i := range 40 * 20 {
+			w.advance()
+			early := fw.tasks > fw.clock(w.now)
+			if h.TaskLeaseExpired("w0", h.at(w.now)) && expired < 0 {
+				expired = i
+				if early {
+					t.Fatalf("seed %d: taken for expired %s early", seed, fw.tasks-fw.clock(w.now))
+				}
+			}
+		}
+		if fw.tasks > last+30*time.Second {
+			t.Errorf("seed %d: task lease ends %s after the last reading, want at most 30s", seed, fw.tasks-last)
+		}
+		if expired < 0 {
+			t.Errorf("seed %d: the host does not know after 40 s that the task lease expired", seed)
+		}
+	}
+}
+
+// TestExpiredOfOthers guards against a host that takes task leases for expired which another host may have renewed.
+func TestExpiredOfOthers(t *testing.T) {
+	hold := HoldMsg{Worker: "w", Host: "h0", Boot: "b", Grant: 1}
+	taken := HoldMsg{Worker: "w", Host: "h1", Boot: "b", Grant: 2}
+	for name, c := range map[string]struct {
+		holds []HoldMsg
+		want  bool
+	}{
+		"own hold":         {[]HoldMsg{hold}, true},
+		"no hold":          {nil, false},
+		"other's hold":     {[]HoldMsg{hold, taken}, false},
+		"late own hold":    {[]HoldMsg{taken, hold}, false},
+		"hold of old boot": {[]HoldMsg{{Worker: "w", Host: "h0", Boot: "a", Grant: 1}}, false},
+	} {
+		h := New("h0")
+		h.Update(epoch, HostsMsg{Workers: []Worker{{ID: "w"}}})
+		h.Update(epoch, PeersMsg{Hosts: []string{"h0"}})
+		s := fleet.Status{Worker: "w", Boot: "b", Clock: time.Hour, Grant: 1, Holder: "h0", Until: time.Hour + 6*time.Second}
+		h.Update(epoch, StatusMsg{Status: s, Sent: epoch, Received: epoch})
+		for _, m := range c.holds {
+			h.Update(epoch, m)
+		}
+		if got := h.TaskLeaseExpired("w", epoch.Add(time.Hour)); got != c.want {
+			t.Errorf("%s: expired %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/internal/zone/lease/lease_test.go
+++ b/internal/zone/lease/lease_test.go
@@ -81,12 +81,22 @@
 
 type host struct {
 	*Holdings
-	id     string
+	id string
+	// rate and ahead make the clocks of two hosts differ in rate and time.
+	rate   float64
+	ahead  time.Duration
 	paused time.Time
 	dead   bool
 	read   int
 	// fences are those that the host made before its pause.
 	fences map[string]fleet.Fence
+	// applied is the highest worker clock that was passed on, by boot.
+	applied map[string]time.Duration
+}
+
+// at is the host's clock at a time of the world.
+func (h *host) at(now time.Time) time.Time {
+	return epoch.Add(h.ahead + time.Duration(float64(now.Sub(epoch))*h.rate))
 }
 
 type world struct {
@@ -101,6 +111,8 @@
 	logDown time.Time
 	calm    bool
 	expired int
+	// late tells of a status that was passed on after a newer one.
+	late string
 }
 
 func newWorld(seed uint64, hosts, workers int) *world {
@@ -117,8 +129,10 @@
 	}
 	for i := range hosts {
 		id := fmt.Sprintf("h%d", i)
-		h := &host{Holdings: New(id), id: id, fences: map[string]fleet.Fence{}}
-		h.Update(w.now, HostsMsg{Workers: list})
+		h := &host{Holdings: New(id), id: id, fences: map[string]fleet.Fence{}, applied: map[string]time.Duration{}}
+		// Rates between worker and host differ by up to 8.5 %, less than the margin of 10 %.
+		h.rate, h.ahead = 0.97+0.06*w.rng.Float64(), time.Duration(w.rng.Int64N(int64(24*time.Hour)))
+		h.Update(h.at(w.now), HostsMsg{Workers: list})
 		w.hosts = append(w.hosts, h)
 	}
 	w.sync()
@@ -133,7 +147,7 @@
 		}
 	}
 	for _, h := range w.hosts {
-		h.Update(w.now, PeersMsg{Hosts: live})
+		h.Update(h.at(w.now), PeersMsg{Hosts: live})
 	}
 }
 
@@ -161,7 +175,7 @@
 		w.events = append(w.events, event{h.paused, func(time.Time) { w.deliver(h, msg) }})
 		return
 	}
-	w.perform(h, h.Update(w.now, msg(w.now)))
+	w.perform(h, h.Update(h.at(w.now), msg(h.at(w.now))))
 }
 
 func (w *world) perform(h *host, cmds []Command) {
@@ -182,6 +196,11 @@
 					w.deliver(h, func(time.Time) Msg { return ReleasedMsg{c.Worker} })
 				})
 			})
+		case ApplyCmd:
+			if last, ok := h.applied[c.Status.Boot]; ok && c.Status.Clock < last && w.late == "" {
+				w.late = fmt.Sprintf("%s passes on clock %s of %s after %s", h.id, c.Status.Clock, c.Status.Boot, last)
+			}
+			h.applied[c.Status.Boot] = c.Status.Clock
 		case HoldCmd:
 			w.after(w.delay(), func(now time.Time) {
 				if !now.Before(w.logDown) {
@@ -193,7 +212,7 @@
 }
 
 func (w *world) send(h *host, id string, seen uint64, act func(*worker, time.Time) (bool, bool)) {
-	sent, answered := w.now, false
+	sent, answered := h.at(w.now), false
 	w.after(time.Second, func(time.Time) {
 		if !answered {
 			w.deliver(h, func(time.Time) Msg { return FailedMsg{id} })
@@ -243,10 +262,10 @@
 			continue
 		}
 		for h.read < len(w.log) && !w.now.Before(w.logDown) && w.rng.IntN(4) > 0 {
-			h.Update(w.now, w.log[h.read])
+			h.Update(h.at(w.now), w.log[h.read])
 			h.read++
 		}
-		w.perform(h, h.Update(w.now, TickMsg{}))
+		w.perform(h, h.Update(h.at(w.now), TickMsg{}))
 	}
 }
 
@@ -263,14 +282,14 @@
 		w.mute[pick.id+id] = w.now.Add(span)
 	case 10, 11:
 		views := [][]string{{"h0"}, {"h1"}, {"h0", "h1"}, {"h0", "h2"}, {"h0", "h1", "h2"}, {"h0", "h1", "h2"}}
-		pick.Update(w.now, PeersMsg{Hosts: views[w.rng.IntN(len(views))]})
+		pick.Update(pick.at(w.now), PeersMsg{Hosts: views[w.rng.IntN(len(views))]})
 	case 3:
 		for _, h := range w.hosts {
 			w.cut[h.id+id] = w.now.Add(span)
 		}
 	case 4, 5:
 		for id := range w.workers {
-			if f, ok := pick.Held(id, w.now); ok {
+			if f, ok := pick.Held(id, pick.at(w.now)); ok {
 				pick.fences[id] = f
 			}
 		}
@@ -294,13 +313,16 @@
 }
 
 func (w *world) check(t *rapid.T) {
+	if w.late != "" {
+		t.Fatal(w.late)
+	}
 	for id, fw := range w.workers {
 		var accepted []string
 		for _, h := range w.hosts {
 			if h.dead || w.now.Before(h.paused) {
 				continue
 			}
-			if f, ok := h.Held(id, w.now); ok && f.Boot == fw.bootID() {
+			if f, ok := h.Held(id, h.at(w.now)); ok && f.Boot == fw.bootID() {
 				if fw.holder != h.id || fw.until <= fw.clock(w.now) {
 					t.Fatalf("%s counts on %s, whose holder is %s", h.id, id, fw.holder)
 				}
@@ -314,7 +336,7 @@
 			if f, ok := h.fences[id]; ok && fw.accepts(w.now, f) && fw.holder != h.id {
 				t.Fatalf("%s accepts a fence that %s made before its pause", id, h.id)
 			}
-			if h.TaskLeaseExpired(id, w.now) && w.lastHold(id, fw.bootID()).Host == h.id {
+			if h.TaskLeaseExpired(id, h.at(w.now)) && w.lastHold(id, fw.bootID()).Host == h.id {
 				w.expired++
 				if fw.tasks > fw.clock(w.now) {
 					t.Fatalf("%s takes the task lease of %s for expired, %s early", h.id, id, fw.tasks-fw.clock(w.now))
@@ -331,7 +353,7 @@
 	for id := range w.workers {
 		n := 0
 		for _, h := range w.hosts {
-			if _, ok := h.Held(id, w.now); ok && !h.dead {
+			if _, ok := h.Held(id, h.at(w.now)); ok && !h.dead {
 				n++
 			}
 		}
@@ -344,6 +366,7 @@
 
 // TestSafety guards against two hosts relying on one worker, and against an eviction of tasks that still run.
 func TestSafety(t *testing.T) {
+	t.Parallel()
 	expired := 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), 3, 3)
@@ -361,6 +384,7 @@
 
 // TestTakeOver guards against workers that stay without a holder, at the start and after the loss of a host.
 func TestTakeOver(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), 4, 24)
 		w.calm = true
@@ -388,10 +412,10 @@
 		w.advance()
 	}
 	h := w.hosts[0]
-	if len(h.Workers(w.now)) == 0 {
+	if len(h.Workers(h.at(w.now))) == 0 {
 		t.Fatal("nothing held before the stop")
 	}
-	w.perform(h, h.Update(w.now, LeaveMsg{}))
+	w.perform(h, h.Update(h.at(w.now), LeaveMsg{}))
 	for range 10 {
 		w.advance()
 	}
@@ -419,7 +443,7 @@
 			t.Fatalf("%d workers without a holder during the hand-over", n)
 		}
 	}
-	if a, b := len(w.hosts[0].Workers(w.now)), len(w.hosts[1].Workers(w.now)); a+b != 40 || b < 10 {
+	if a, b := len(w.hosts[0].Workers(w.hosts[0].at(w.now))), len(w.hosts[1].Workers(w.hosts[1].at(w.now))); a+b != 40 || b < 10 {
 		t.Fatalf("holders after the hand-over: %d and %d", a, b)
 	}
 }
@@ -431,10 +455,10 @@
 	for range 100 {
 		w.advance()
 	}
-	if !w.hosts[0].Batch("w0", w.now) {
+	if !w.hosts[0].Batch("w0", w.hosts[0].at(w.now)) {
 		t.Fatal("task leases are not renewed before the cut-off")
 	}
-	w.hosts[0].Update(w.now, StaleMsg{Stale: true})
+	w.hosts[0].Update(w.hosts[0].at(w.now), StaleMsg{Stale: true})
 	w.advance()
 	end := w.workers["w0"].tasks
 	for range 200 {
@@ -443,7 +467,7 @@
 	if got := w.workers["w0"].tasks; got != end {
 		t.Fatalf("task lease moved from %s to %s after the cut-off", end, got)
 	}
-	if _, ok := w.hosts[0].Held("w0", w.now); !ok {
+	if _, ok := w.hosts[0].Held("w0", w.hosts[0].at(w.now)); !ok {
 		t.Fatal("the worker's own lease must still be renewed")
 	}
 }
