--- a/internal/zone/policy/interference.go
+++ b/internal/zone/policy/interference.go
@@ -109,7 +109,7 @@
 	inputs := make([]input, 1, len(w.levels)+1)
 	inputs[0] = input{0, 1}
 	for _, l := range w.levels {
-		x := l.average(from, to) * l.class.size.ratio() / float64(w.capacity.Cores)
+		x := l.average(from, to).cores * l.class.size.ratio() / float64(w.capacity.Cores)
 		if x <= 1e-4 {
 			continue
 		}
--- a/internal/zone/policy/policy.go
+++ b/internal/zone/policy/policy.go
@@ -314,7 +314,7 @@
 	p.tasks[t.id] = t
 	w.tasks[t.id] = t
 	w.committed = w.committed.Add(t.planned)
-	w.level(t.class).add(now, t.weight())
+	w.level(t.class).add(now, t.weight(), float64(t.declared.Memory))
 	t.class.running++
 	t.class.budget.advance(now, t.class.running)
 	t.team.add(t)
@@ -332,7 +332,7 @@
 	t.class.running--
 	t.team.remove(t)
 	w.committed = w.committed.Sub(t.planned)
-	w.level(t.class).add(now, -t.weight())
+	w.level(t.class).add(now, -t.weight(), -float64(t.declared.Memory))
 	if t.share < 100 {
 		w.throttled--
 	}
--- a/internal/zone/policy/pressure.go
+++ b/internal/zone/policy/pressure.go
@@ -120,7 +120,7 @@
 	if share == 100 {
 		t.worker.throttled--
 	}
-	t.worker.level(t.class).add(now, t.weight()-before)
+	t.worker.level(t.class).add(now, t.weight()-before, 0)
 	t.worker.acted = now
 	return append(out, Command{
 		Worker: t.worker.name, Task: t.id, Attempt: t.attempt, Action: fleet.ActionThrottle, Share: share, Reason: reason,
--- a/internal/zone/policy/sizes.go
+++ b/internal/zone/policy/sizes.go
@@ -38,12 +38,12 @@
 
 // learn takes the use of all tasks of the class on one worker in a window in which the given amounts were
 // declared. Amounts below a quarter of a core or 64 MiB say too little and are skipped.
-func (s *sizes) learn(used fleet.Size, cores, memory float64) {
-	if cores >= 250 {
-		s.cores.add(float64(used.Cores) / cores)
+func (s *sizes) learn(used fleet.Size, declared amount) {
+	if declared.cores >= 250 {
+		s.cores.add(float64(used.Cores) / declared.cores)
 	}
-	if memory >= 64 {
-		s.memory.add(float64(used.Memory) / memory)
+	if declared.memory >= 64 {
+		s.memory.add(float64(used.Memory) / declared.memory)
 	}
 }
 
--- a/internal/zone/policy/worker.go
+++ b/internal/zone/policy/worker.go
@@ -62,16 +62,19 @@
 // historyLength covers the largest lag plus window for which a report is still attributed.
 const historyLength = 3 * time.Minute
 
-// level is the history of the cores declared by the tasks of one class on a worker, after throttling.
+// level is the history of what the tasks of one class on a worker declared.
 type level struct {
 	class  *class
 	points []point
 }
 
-// point holds the value from at until the next point.
+// amount is a sum over tasks: the cores left by the throttle, and the memory.
+type amount struct{ cores, memory float64 }
+
+// point holds the amount from at until the next point.
 type point struct {
-	at    time.Time
-	value float64
+	at time.Time
+	amount
 }
 
 // level returns the history of class c, creating it if needed.
@@ -103,16 +106,21 @@
 	if len(l.points) == 0 {
 		return 0
 	}
-	return l.points[len(l.points)-1].value
+	return l.points[len(l.points)-1].cores
 }
 
-func (l *level) add(now time.Time, d float64) {
-	v := l.value() + d
-	if v < 1e-6 {
-		v = 0
+func (l *level) add(now time.Time, cores, memory float64) {
+	var v amount
+	n := len(l.points)
+	if n > 0 {
+		v = l.points[n-1].amount
+	}
+	v.cores, v.memory = v.cores+cores, v.memory+memory
+	if v.memory < 1e-3 && v.cores < 1e-3 {
+		v = amount{}
 	}
-	if n := len(l.points); n > 0 && now.Sub(l.points[n-1].at) < 100*time.Millisecond {
-		l.points[n-1].value = v
+	if n > 0 && now.Sub(l.points[n-1].at) < 100*time.Millisecond {
+		l.points[n-1].amount = v
 		return
 	}
 	l.points = append(l.points, point{now, v})
@@ -131,9 +139,9 @@
 	}
 }
 
-// average is the time-weighted mean of the value between from and to.
-func (l *level) average(from, to time.Time) float64 {
-	var sum float64
+// average is the time-weighted mean amount between from and to.
+func (l *level) average(from, to time.Time) amount {
+	var sum amount
 	for i, pt := range l.points {
 		start, end := pt.at, to
 		if i+1 < len(l.points) && l.points[i+1].at.Before(end) {
@@ -143,10 +151,12 @@
 			start = from
 		}
 		if end.After(start) {
-			sum += pt.value * end.Sub(start).Seconds()
+			sum.cores += pt.cores * end.Sub(start).Seconds()
+			sum.memory += pt.memory * end.Sub(start).Seconds()
 		}
 	}
-	return sum / to.Sub(from).Seconds()
+	length := to.Sub(from).Seconds()
+	return amount{sum.cores / length, sum.memory / length}
 }
 
 // free is what remains to plan with after committed tasks and the reserve for urgent calls, and also after
@@ -188,7 +198,7 @@
 			continue
 		}
 		to := now.Add(-u.Lag)
-		c.size.learn(u.Used, w.level(c).average(to.Add(-u.Window), to), w.memory(c, to, u.Window))
+		c.size.learn(u.Used, w.level(c).average(to.Add(-u.Window), to))
 	}
 	w.reserve.Cores = max(w.urgent.Cores, int64(float64(w.reserve.Cores)*(1-reserveDecay)))
 	w.reserve.Memory = max(w.urgent.Memory, int64(float64(w.reserve.Memory)*(1-reserveDecay)))
@@ -200,21 +210,3 @@
 	}
 	p.reindex(w)
 }
-
-// memory returns the memory declared by tasks of the class that ran in all of the window that ended at to,
-// or 0 if the class had other tasks in the window too.
-func (w *worker) memory(c *class, to time.Time, window time.Duration) float64 {
-	var sum float64
-	var cores int64
-	for _, t := range w.tasks {
-		if t.class == c && !t.since.After(to.Add(-window)) {
-			sum += float64(t.declared.Memory)
-			cores += t.declared.Cores
-		}
-	}
-	// The history holds throttled cores, so it is only comparable to an upper bound.
-	if avg := w.level(c).average(to.Add(-window), to); avg > float64(cores)*1.01 {
-		return 0
-	}
-	return sum
-}
