Count running tasks with the learned need of their class

Cause: tasks placed before the class was learned stay counted at the declared size; the measured use only covers them as long as the other classes use all that was planned for them. Ruled out: the trial of unknown classes, since the policy given the true interference, which makes no trial, evicted as many.

--- a/internal/zone/policy/index.go
+++ b/internal/zone/policy/index.go
@@ -79,6 +79,7 @@
 
 // reindex moves the worker to the bucket of its present free size.
 func (p *Policy) reindex(w *worker) {
+	w.refresh()
 	if w.bucket >= 0 && w.bucket == bucketOf(w.free().Cores) {
 		return
 	}
--- a/internal/zone/policy/policy.go
+++ b/internal/zone/policy/policy.go
@@ -314,7 +314,9 @@
 	p.tasks[t.id] = t
 	w.tasks[t.id] = t
 	w.committed = w.committed.Add(t.planned)
-	w.level(t.class).add(now, t.weight(), float64(t.declared.Memory))
+	l := w.level(t.class)
+	l.add(now, t.weight(), float64(t.declared.Memory))
+	l.planned = l.planned.Add(t.planned)
 	t.class.running++
 	t.class.budget.advance(now, t.class.running)
 	t.team.add(t)
@@ -332,7 +334,9 @@
 	t.class.running--
 	t.team.remove(t)
 	w.committed = w.committed.Sub(t.planned)
-	w.level(t.class).add(now, -t.weight(), -float64(t.declared.Memory))
+	l := w.level(t.class)
+	l.add(now, -t.weight(), -float64(t.declared.Memory))
+	l.planned = l.planned.Sub(t.planned)
 	if t.share < 100 {
 		w.throttled--
 	}
--- a/internal/zone/policy/worker.go
+++ b/internal/zone/policy/worker.go
@@ -38,6 +38,8 @@
 
 	// committed is the sum of the planned sizes of tasks; PlaceTask never lets it exceed capacity.
 	committed fleet.Size
+	// remaining is the cached result of refresh.
+	remaining fleet.Size
 	tasks     map[string]*task
 	throttled int
 	// stopping is the task that the last stop command was given for, nil if it has ended.
@@ -66,6 +68,8 @@
 type level struct {
 	class  *class
 	points []point
+	// planned is the sum of the planned sizes of the tasks that run now.
+	planned fleet.Size
 }
 
 // amount is a sum over tasks: the cores left by the throttle, and the memory.
@@ -94,7 +98,7 @@
 	kept := w.levels[:0]
 	for _, l := range w.levels {
 		l.prune(now)
-		if l.value() != 0 || len(l.points) > 0 && now.Sub(l.points[len(l.points)-1].at) < historyLength {
+		if l.planned != (fleet.Size{}) || len(l.points) > 0 && now.Sub(l.points[len(l.points)-1].at) < historyLength {
 			kept = append(kept, l)
 		}
 	}
@@ -159,14 +163,25 @@
 	return amount{sum.cores / length, sum.memory / length}
 }
 
-// free is what remains to plan with after committed tasks and the reserve for urgent calls, and also after
-// the measured use when tasks use more than was planned for them.
-func (w *worker) free() fleet.Size {
-	f := w.capacity.Sub(w.reserve)
-	use := w.committed
-	use.Cores = max(use.Cores, w.batch.Cores)
-	use.Memory = max(use.Memory, w.batch.Memory)
-	return f.Sub(use)
+// free is what remains to plan with after the running tasks and the reserve for urgent calls. A class counts
+// with what its tasks were planned at or with what it is known to need, whichever is larger, and all classes
+// together with at least the measured use.
+func (w *worker) free() fleet.Size { return w.remaining }
+
+// refresh computes the free size anew.
+func (w *worker) refresh() {
+	var need fleet.Size
+	for _, l := range w.levels {
+		if n := len(l.points); n > 0 {
+			s := &l.class.size
+			need.Cores += max(l.planned.Cores, int64(l.points[n-1].cores*s.cores.mean))
+			need.Memory += max(l.planned.Memory, int64(l.points[n-1].memory*s.memory.factor()))
+		}
+	}
+	need.Cores = max(need.Cores, w.batch.Cores)
+	need.Memory = max(need.Memory, w.batch.Memory)
+	need.Accelerators = w.committed.Accelerators
+	w.remaining = w.capacity.Sub(w.reserve).Sub(need)
 }
 
 // load returns the cores used by the class as a fraction of the worker, by learned use.
