--- a/internal/zone/policy/fake_test.go
+++ b/internal/zone/policy/fake_test.go
@@ -121,7 +121,6 @@
 	reportWindow = 10.0
 	reportLag    = 10.0
 	callsPerStep = 80
-	callScale    = 10
 	sigma        = 0.5
 	queueDepth   = 12
 	teamCount    = 4
@@ -451,7 +450,14 @@
 	}
 }
 
-// call samples urgent calls; each stands for callScale real ones.
+// callScale is the number of real calls that a sampled one of the class stands for, such that they keep the
+// share load of all slots busy.
+func (w *world) callScale(u int) float64 {
+	busy := w.load * float64(8*len(w.workers)) / callsPerStep / float64(len(w.urgents))
+	return busy / (w.urgents[u].base * math.Exp(sigma*sigma/2))
+}
+
+// call samples urgent calls.
 func (w *world) call() {
 	for _, fw := range w.workers {
 		fw.calls *= 0.8
@@ -498,9 +504,11 @@
 			for u := range w.urgents {
 				if n := fw.count[u]; n > 0 {
 					mean := w.urgents[u].base * math.Exp(sigma*sigma/2) * fw.slow[u] / n
-					mean *= 1 + 0.53/math.Sqrt(n*callScale)*w.rng.NormFloat64()
+					calls := n * w.callScale(u)
+					// Besides the spread of single calls, a window deviates by 2 % for reasons of its own.
+					mean *= 1 + (0.02+0.53/math.Sqrt(calls))*w.rng.NormFloat64()
 					usage = append(usage, fleet.Usage{
-						Class: w.urgents[u].name, Window: 10 * time.Second, Calls: int(n * callScale),
+						Class: w.urgents[u].name, Window: 10 * time.Second, Calls: int(calls),
 						Mean: time.Duration(mean * 1e9),
 						Used: fleet.Size{Cores: int64(0.25 * fw.calls * float64(fw.capacity.Cores) / float64(len(w.urgents)))},
 					})
