Model the slowdown by urgent load and measure the spread of reports

Cause: calls get slower with the urgent load of a worker; the model attributed that to batch classes, most to the one that always runs. The error raised the normalised errors, which widened the pairs' variances again and again, so that the estimates never settled. Change: a term for the busy share of slots (with a fixed reference time per class), a measured spread of prediction errors, a smaller step on surprise.

--- a/internal/zone/policy/interference.go
+++ b/internal/zone/policy/interference.go
@@ -10,21 +10,26 @@
 // model learns how batch classes slow down the calls of one urgent class. The mean execution time in a
 // window is modelled as
 //
-//	mean = base * (1 + sum over batch classes of k * load)
+//	mean = base * (1 + own * busy + sum over batch classes of k * load)
 //
-// where load is the share of the worker's cores that the class used in that window. It is a Kalman filter
-// over the base time and the products base*k with a full covariance, because base and k are strongly
+// where busy is the share of the worker's slots that urgent calls kept busy and load the share of its cores
+// that the batch class used in that window. It is a Kalman filter
+// over the base time and the products of base with own and k, with a full covariance, because base and k are strongly
 // correlated when every worker always runs batch tasks.
 type model struct {
-	// state[0] is the base time in seconds, state[i] for i > 0 is base*k of class slot[i].
+	// state[0] is the base time in seconds, state[1] is base*own, and the others are base*k of the batch
+	// classes by slots.
 	state []float64
 	// cov is the covariance of state, row by row.
 	cov [][]float64
 	// slots maps a class index to its position in state, 0 for none.
 	slots []int
 	// seen is the number of reports in which the class had a notable load, by position.
-	seen []int
-	last time.Time
+	seen  []int
+	last  time.Time
+	first float64
+	// spread is the mean squared prediction error relative to the expected one.
+	spread float64
 }
 
 const (
@@ -35,6 +40,8 @@
 	priorDev = 0.6
 	// driftDev is the standard deviation by which k drifts in an hour.
 	driftDev = 0.15
+	// ownDev is the standard deviation assumed for own, baseDrift that by which base drifts in an hour.
+	ownDev, baseDrift = 0.3, 0.01
 	// callDev is the relative standard deviation of single execution times, modelDev that of the model
 	// itself.
 	callDev, modelDev = 0.8, 0.02
@@ -44,10 +51,21 @@
 	notableLoad = 0.02
 	// surprise is the squared normalised error from which on the affected pairs are learned anew faster.
 	surprise = 9
+	// spreadGain is the weight of a report in the measured spread of prediction errors.
+	spreadGain, minSpread, maxSpread = 0.02, 0.2, 10
 )
 
 func newModel() *model {
-	return &model{state: []float64{0}, cov: [][]float64{{0}}, seen: []int{0}}
+	return &model{state: []float64{0, 0}, cov: [][]float64{{0, 0}, {0, 0}}, seen: []int{0, 0}, spread: 1}
+}
+
+// reference returns the mean execution time in seconds of the first report, which is the given one if there
+// was none yet.
+func (m *model) reference(mean time.Duration) float64 {
+	if m.first == 0 {
+		m.first = mean.Seconds()
+	}
+	return m.first
 }
 
 // slot returns the position of the class, 0 if it has none.
@@ -92,7 +110,7 @@
 }
 
 // learn applies one report about worker w, attributed to what ran there between from and to.
-func (m *model) learn(w *worker, u fleet.Usage, from, to time.Time) {
+func (m *model) learn(w *worker, u fleet.Usage, busy float64, from, to time.Time) {
 	mean := u.Mean.Seconds()
 	if mean <= 0 {
 		return
@@ -100,14 +118,15 @@
 	if m.state[0] == 0 {
 		m.state[0] = mean
 		m.cov[0][0] = 0.25 * mean * mean
+		m.cov[1][1] = ownDev * ownDev * mean * mean
 		m.last = to
 	}
 	type input struct {
 		at int
 		x  float64
 	}
-	inputs := make([]input, 1, len(w.levels)+1)
-	inputs[0] = input{0, 1}
+	inputs := make([]input, 2, len(w.levels)+2)
+	inputs[0], inputs[1] = input{0, 1}, input{1, busy}
 	for _, l := range w.levels {
 		x := l.average(from, to).cores * l.class.size.ratio() / float64(w.capacity.Cores)
 		if x <= 1e-4 {
@@ -127,12 +146,12 @@
 		m.last = to
 		q := driftDev * driftDev * base * base * dt.Hours()
 		limit := priorDev * priorDev * base * base
-		for i := 1; i < len(m.state); i++ {
+		for i := 2; i < len(m.state); i++ {
 			m.cov[i][i] = min(m.cov[i][i]+q, max(limit, m.cov[i][i]))
 		}
-		m.cov[0][0] += 0.0001 * base * base * dt.Hours()
+		m.cov[0][0] += baseDrift * baseDrift * base * base * dt.Hours()
 	}
-	noise := base * base * (callDev*callDev/float64(u.Calls) + modelDev*modelDev)
+	noise := base * base * (callDev*callDev/float64(u.Calls) + modelDev*modelDev) * m.spread
 	n := len(m.state)
 	px := make([]float64, n)
 	var s, predicted float64
@@ -151,9 +170,11 @@
 	}
 	gain()
 	e := mean - predicted
+	m.spread += spreadGain * (min(e*e/s, 2*surprise) - 1) * m.spread
+	m.spread = min(max(m.spread, minSpread), maxSpread)
 	if e*e/s > surprise {
-		for _, in := range inputs[1:] {
-			m.cov[in.at][in.at] += 0.05 * base * base
+		for _, in := range inputs[2:] {
+			m.cov[in.at][in.at] += 0.002 * base * base
 		}
 		gain()
 	}
@@ -166,7 +187,8 @@
 		}
 	}
 	m.state[0] = max(m.state[0], 0.1*mean)
-	for i := 1; i < n; i++ {
+	m.state[1] = max(m.state[1], 0)
+	for i := 2; i < n; i++ {
 		m.state[i] = max(m.state[i], -0.1*m.state[0])
 	}
 }
--- a/internal/zone/policy/worker.go
+++ b/internal/zone/policy/worker.go
@@ -217,10 +217,18 @@
 	}
 	w.reserve.Cores = max(w.urgent.Cores, int64(float64(w.reserve.Cores)*(1-reserveDecay)))
 	w.reserve.Memory = max(w.urgent.Memory, int64(float64(w.reserve.Memory)*(1-reserveDecay)))
+	var busy float64
+	for _, u := range m.Usage {
+		if c := p.class(u.Class); c.kind == KindUrgent && u.Window > 0 && w.slots > 0 {
+			// A fixed execution time is used because the error of the measured mean would appear on both
+			// sides of the model.
+			busy += float64(u.Calls) * c.model.reference(u.Mean) / u.Window.Seconds() / float64(w.slots)
+		}
+	}
 	for _, u := range m.Usage {
 		if c := p.class(u.Class); c.kind == KindUrgent && u.Window > 0 && u.Calls > 0 {
 			to := now.Add(-u.Lag)
-			c.model.learn(w, u, to.Add(-u.Window), to)
+			c.model.learn(w, u, busy, to.Add(-u.Window), to)
 		}
 	}
 	p.reindex(w)
