--- a/internal/zone/policy/worker.go
+++ b/internal/zone/policy/worker.go
@@ -38,6 +38,8 @@
 
 	// committed is the sum of the planned sizes of tasks; PlaceTask never lets it exceed capacity.
 	committed fleet.Size
+	// remaining is the cached result of refresh.
+	remaining fleet.Size
 	tasks     map[string]*task
 	throttled int
 	// stopping is the task that the last stop command was given for, nil if it has ended.
@@ -62,16 +64,21 @@
 // historyLength covers the largest lag plus window for which a report is still attributed.
 const historyLength = 3 * time.Minute
 
-// level is the history of the cores declared by the tasks of one class on a worker, after throttling.
+// level is the history of what the tasks of one class on a worker declared.
 type level struct {
 	class  *class
 	points []point
+	// planned is the sum of the planned sizes of the tasks that run now.
+	planned fleet.Size
 }
 
-// point holds the value from at until the next point.
+// amount is a sum over tasks: the cores left by the throttle, and the memory.
+type amount struct{ cores, memory float64 }
+
+// point holds the amount from at until the next point.
 type point struct {
-	at    time.Time
-	value float64
+	at time.Time
+	amount
 }
 
 // level returns the history of class c, creating it if needed.
@@ -91,7 +98,7 @@
 	kept := w.levels[:0]
 	for _, l := range w.levels {
 		l.prune(now)
-		if l.value() != 0 || len(l.points) > 0 && now.Sub(l.points[len(l.points)-1].at) < historyLength {
+		if l.planned != (fleet.Size{}) || len(l.points) > 0 && now.Sub(l.points[len(l.points)-1].at) < historyLength {
 			kept = append(kept, l)
 		}
 	}
@@ -103,16 +110,21 @@
 	if len(l.points) == 0 {
 		return 0
 	}
-	return l.points[len(l.points)-1].value
+	return l.points[len(l.points)-1].cores
 }
 
-func (l *level) add(now time.Time, d float64) {
-	v := l.value() + d
-	if v < 1e-6 {
-		v = 0
+func (l *level) add(now time.Time, cores, memory float64) {
+	var v amount
+	n := len(l.points)
+	if n > 0 {
+		v = l.points[n-1].amount
+	}
+	v.cores, v.memory = v.cores+cores, v.memory+memory
+	if v.memory < 1e-3 && v.cores < 1e-3 {
+		v = amount{}
 	}
-	if n := len(l.points); n > 0 && now.Sub(l.points[n-1].at) < 100*time.Millisecond {
-		l.points[n-1].value = v
+	if n > 0 && now.Sub(l.points[n-1].at) < 100*time.Millisecond {
+		l.points[n-1].amount = v
 		return
 	}
 	l.points = append(l.points, point{now, v})
@@ -131,9 +143,9 @@
 	}
 }
 
-// average is the time-weighted mean of the value between from and to.
-func (l *level) average(from, to time.Time) float64 {
-	var sum float64
+// average is the time-weighted mean amount between from and to.
+func (l *level) average(from, to time.Time) amount {
+	var sum amount
 	for i, pt := range l.points {
 		start, end := pt.at, to
 		if i+1 < len(l.points) && l.points[i+1].at.Before(end) {
@@ -143,20 +155,33 @@
 			start = from
 		}
 		if end.After(start) {
-			sum += pt.value * end.Sub(start).Seconds()
+			sum.cores += pt.cores * end.Sub(start).Seconds()
+			sum.memory += pt.memory * end.Sub(start).Seconds()
 		}
 	}
-	return sum / to.Sub(from).Seconds()
+	length := to.Sub(from).Seconds()
+	return amount{sum.cores / length, sum.memory / length}
 }
 
-// free is what remains to plan with after committed tasks and the reserve for urgent calls, and also after
-// the measured use when tasks use more than was planned for them.
-func (w *worker) free() fleet.Size {
-	f := w.capacity.Sub(w.reserve)
-	use := w.committed
-	use.Cores = max(use.Cores, w.batch.Cores)
-	use.Memory = max(use.Memory, w.batch.Memory)
-	return f.Sub(use)
+// free is what remains to plan with after the running tasks and the reserve for urgent calls. A class counts
+// with what its tasks were planned at or with what it is known to need, whichever is larger, and all classes
+// together with at least the measured use.
+func (w *worker) free() fleet.Size { return w.remaining }
+
+// refresh computes the free size anew.
+func (w *worker) refresh() {
+	var need fleet.Size
+	for _, l := range w.levels {
+		if n := len(l.points); n > 0 {
+			s := &l.class.size
+			need.Cores += max(l.planned.Cores, int64(l.points[n-1].cores*s.cores.mean))
+			need.Memory += max(l.planned.Memory, int64(l.points[n-1].memory*s.memory.factor()))
+		}
+	}
+	need.Cores = max(need.Cores, w.batch.Cores)
+	need.Memory = max(need.Memory, w.batch.Memory)
+	need.Accelerators = w.committed.Accelerators
+	w.remaining = w.capacity.Sub(w.reserve).Sub(need)
 }
 
 // load returns the cores used by the class as a fraction of the worker, by learned use.
@@ -188,33 +213,23 @@
 			continue
 		}
 		to := now.Add(-u.Lag)
-		c.size.learn(u.Used, w.level(c).average(to.Add(-u.Window), to), w.memory(c, to, u.Window))
+		c.size.learn(u.Used, w.level(c).average(to.Add(-u.Window), to))
 	}
 	w.reserve.Cores = max(w.urgent.Cores, int64(float64(w.reserve.Cores)*(1-reserveDecay)))
 	w.reserve.Memory = max(w.urgent.Memory, int64(float64(w.reserve.Memory)*(1-reserveDecay)))
+	var busy float64
+	for _, u := range m.Usage {
+		if c := p.class(u.Class); c.kind == KindUrgent && u.Window > 0 && w.slots > 0 {
+			// A fixed execution time is used because the error of the measured mean would appear on both
+			// sides of the model.
+			busy += float64(u.Calls) * c.model.reference(u.Mean) / u.Window.Seconds() / float64(w.slots)
+		}
+	}
 	for _, u := range m.Usage {
 		if c := p.class(u.Class); c.kind == KindUrgent && u.Window > 0 && u.Calls > 0 {
 			to := now.Add(-u.Lag)
-			c.model.learn(w, u, to.Add(-u.Window), to)
+			c.model.learn(w, u, busy, to.Add(-u.Window), to)
 		}
 	}
 	p.reindex(w)
 }
-
-// memory returns the memory declared by tasks of the class that ran in all of the window that ended at to,
-// or 0 if the class had other tasks in the window too.
-func (w *worker) memory(c *class, to time.Time, window time.Duration) float64 {
-	var sum float64
-	var cores int64
-	for _, t := range w.tasks {
-		if t.class == c && !t.since.After(to.Add(-window)) {
-			sum += float64(t.declared.Memory)
-			cores += t.declared.Cores
-		}
-	}
-	// The history holds throttled cores, so it is only comparable to an upper bound.
-	if avg := w.level(c).average(to.Add(-window), to); avg > float64(cores)*1.01 {
-		return 0
-	}
-	return sum
-}
