Doubt only silent workers, and close the gate of a planned stop

Cause: every host wrote a doubt about every worker that it does not hold, after a minute, including those that other live hosts hold; their holders then paused task leases until a new hold was read back. A doubt is now written only about a worker that has not answered this host for a minute. A planned stop waited on a WaitGroup to which requests could still be added; it now counts requests under a lock and refuses those that come after it found nothing in flight.

--- a/internal/host/node/call.go
+++ b/internal/host/node/call.go
@@ -41,9 +41,14 @@
 
 // Request serves an urgent request of a caller.
 func (n *Node) Request(ctx context.Context, r caller.Request) outcome.Reply {
+	if !n.inFlight.enter() {
+		if r.Key != "" {
+			return stoppingKeyed()
+		}
+		return stopping()
+	}
+	defer n.inFlight.leave()
 	now := time.Now()
-	n.inFlight.Add(1)
-	defer n.inFlight.Done()
 	reply, tries := n.request(ctx, now, r)
 	n.countRequest(r, reply, tries, time.Since(now))
 	return reply
@@ -412,8 +417,14 @@
 
 // PeerCall serves a request that a peer passed on. It is not passed on again.
 func (n *Node) PeerCall(ctx context.Context, r peer.Call) (peer.CallReply, error) {
-	n.inFlight.Add(1)
-	defer n.inFlight.Done()
+	if !n.inFlight.enter() {
+		reply := stopping()
+		if r.Key != "" {
+			reply = stoppingKeyed()
+		}
+		return peer.CallReply{Reply: reply, Request: r.Request}, nil
+	}
+	defer n.inFlight.leave()
 	now := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, r.Left)
 	defer cancel()
--- a/internal/host/node/doubt.go
+++ b/internal/host/node/doubt.go
@@ -14,7 +14,12 @@
 	z := &n.zone
 	since, doubting := z.doubts[worker]
 	if !doubting {
-		if now.Sub(n.started) < deadFor || z.settling[worker] {
+		// A worker that answers is another host's to settle.
+		silent := now.Sub(n.started)
+		if at := z.holdings.LastReading(worker); !at.IsZero() {
+			silent = now.Sub(at)
+		}
+		if silent < deadFor || z.settling[worker] {
 			return false
 		}
 		n.settle(worker, "doubt", func() (record.Item, error) { return job.DoubtItem(job.Doubt{Worker: worker}) }, func(error) {
--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -239,6 +239,7 @@
 		Closed: w.leaving || c.Status.Leaving,
 	})
 	n.reportUsage(now, w)
+	n.serveWaiting(now)
 	effects := n.reconcile(now, w)
 	z.mu.Unlock()
 	for _, e := range effects {
--- a/internal/host/node/job.go
+++ b/internal/host/node/job.go
@@ -24,8 +24,10 @@
 
 // Submit accepts a batch job durably.
 func (n *Node) Submit(ctx context.Context, s caller.Submission) outcome.Reply {
-	n.inFlight.Add(1)
-	defer n.inFlight.Done()
+	if !n.inFlight.enter() {
+		return stoppingKeyed()
+	}
+	defer n.inFlight.leave()
 	now := time.Now()
 	if !n.configured() {
 		return outcome.Doubt(outcome.ReasonNotReady, "this host has no configuration yet; "+msgAskAgain)
@@ -200,8 +202,10 @@
 
 // PeerJob answers a job message of a peer for this zone.
 func (n *Node) PeerJob(ctx context.Context, m peer.Job) (peer.JobReply, error) {
-	n.inFlight.Add(1)
-	defer n.inFlight.Done()
+	if !n.inFlight.enter() {
+		return peer.JobReply{Reply: stoppingKeyed()}, nil
+	}
+	defer n.inFlight.leave()
 	ctx, cancel := context.WithTimeout(ctx, m.Left)
 	defer cancel()
 	switch m.Action {
@@ -226,8 +230,10 @@
 
 // Cancel cancels a job or task.
 func (n *Node) Cancel(ctx context.Context, id string) outcome.Reply {
-	n.inFlight.Add(1)
-	defer n.inFlight.Done()
+	if !n.inFlight.enter() {
+		return stoppingKeyed()
+	}
+	defer n.inFlight.leave()
 	return n.atHome(ctx, id, peer.JobCancel, func() outcome.Reply { return n.cancelHere(ctx, id) })
 }
 
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -93,7 +93,7 @@
 	lost map[string]*lostZone
 
 	leaving  atomic.Bool
-	inFlight sync.WaitGroup
+	inFlight gate
 	started  time.Time
 	// ctx ends when the node is closed; effects that outlive a request use it.
 	ctx context.Context
@@ -299,15 +299,8 @@
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), "node: stop")
 	}
-	done := make(chan struct{})
-	go func() {
-		n.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "node: stop with requests in flight")
+	if err := n.inFlight.drain(ctx); err != nil {
+		return err
 	}
 	n.releaseAll(ctx)
 	n.log.Info("Stopped.")
--- a/internal/host/node/status.go
+++ b/internal/host/node/status.go
@@ -41,8 +41,10 @@
 
 // Change writes one configuration record and returns after its read-back.
 func (n *Node) Change(ctx context.Context, item record.Item) (operator.ChangeResult, error) {
-	n.inFlight.Add(1)
-	defer n.inFlight.Done()
+	if !n.inFlight.enter() {
+		return operator.ChangeResult{}, errors.Wrap(operator.ErrNotSent, "node: stopping")
+	}
+	defer n.inFlight.leave()
 	n.config.mu.Lock()
 	before := n.config.state.Version()
 	n.config.mu.Unlock()
--- a/internal/host/node/task.go
+++ b/internal/host/node/task.go
@@ -21,7 +21,7 @@
 	perClass = 32
 	// rotation is how long a pending task is one host's to start before it becomes the next one's.
 	rotation = 2 * time.Second
-	// deadFor is how long a worker must be without any holder before its tasks are doubted.
+	// deadFor is how long a worker must not have answered this host before its tasks are doubted.
 	deadFor = time.Minute
 )
 
--- a/internal/zone/lease/lease.go
+++ b/internal/zone/lease/lease.go
@@ -381,6 +381,14 @@
 	return w.clock+elapsed > w.tasks
 }
 
+// LastReading returns when the worker last answered this host, whoever holds it; the zero time if it never did.
+func (h *Holdings) LastReading(worker string) time.Time {
+	if w := h.workers[worker]; w != nil {
+		return w.received
+	}
+	return time.Time{}
+}
+
 // Workers returns the workers that this host certainly holds at now, sorted.
 func (h *Holdings) Workers(now time.Time) []string {
 	var ids []string
