--- a/internal/command/cli/declare.go
+++ b/internal/command/cli/declare.go
@@ -76,11 +76,9 @@
 	if err != nil {
 		return "", errors.Wrap(err, "check")
 	}
+	// A syntax error is reported, with its line, by the check itself.
 	v, mistake := config.ParseTree(data)
-	if mistake != nil {
-		return "settings", nil // The check itself reports the syntax error with its line.
-	}
-	if v.Find("/classes") != nil || v.Find("/teams") != nil {
+	if mistake == nil && (v.Find("/classes") != nil || v.Find("/teams") != nil) {
 		return "declarations", nil
 	}
 	return "settings", nil
