Measure what control costs per worker, task, key and host

scripts/capacity runs benchmarks and one zone of stand-ins, fits straight lines, and rewrites the tables of docs/CAPACITY.md.

--- /dev/null
+++ b/cmd/capacity/main.go
@@ -0,0 +1,200 @@
+// Command capacity fits straight lines to measured points and writes the tables of docs/CAPACITY.md.
+// scripts/capacity produces the points, one "series x y" a line.
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+)
+
+var cli struct {
+	Page   string `help:"Page whose tables between markers are replaced." type:"existingfile"`
+	Points string `arg:"" help:"File of points." type:"existingfile"`
+}
+
+func main() {
+	k := kong.Parse(&cli, kong.Name("capacity"), kong.Description("Fits measured points and writes the tables of the capacity page."))
+	k.FatalIfErrorf(run())
+}
+
+// run prints the tables and, if a page is given, puts them into it.
+func run() error {
+	s, err := read(cli.Points)
+	if err != nil {
+		return err
+	}
+	tables := map[string]string{"slopes": slopes(s), "roles": roles(s), "budgets": budgets(s)}
+	for _, name := range []string{"slopes", "roles", "budgets"} {
+		fmt.Printf("%s\n", tables[name])
+	}
+	if cli.Page == "" {
+		return nil
+	}
+	page, err := os.ReadFile(cli.Page)
+	if err != nil {
+		return errors.Wrap(err, "read page")
+	}
+	out, err := replace(string(page), tables)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(os.WriteFile(cli.Page, []byte(out), 0o644), "write page")
+}
+
+// replace puts each table between its markers <!-- table NAME --> and <!-- end NAME -->.
+func replace(page string, tables map[string]string) (string, error) {
+	for name, table := range tables {
+		from, to := "<!-- table "+name+" -->\n", "<!-- end "+name+" -->"
+		before, rest, ok := strings.Cut(page, from)
+		if !ok {
+			return "", errors.Newf("page lacks the marker of table %s", name)
+		}
+		_, after, ok := strings.Cut(rest, to)
+		if !ok {
+			return "", errors.Newf("page lacks the end marker of table %s", name)
+		}
+		page = before + from + table + to + after
+	}
+	return page, nil
+}
+
+// fit is the least-squares line through the points of a series.
+type fit struct {
+	xs, ys []float64
+	// base and slope are those of the line. With a single x, base is the mean and slope 0.
+	base, slope float64
+	// err is the standard error of the slope, 0 if it cannot be estimated.
+	err float64
+}
+
+// read groups the points of a file by series and fits them.
+func read(path string) (map[string]*fit, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "open points")
+	}
+	defer func() { _ = f.Close() }()
+	out := map[string]*fit{}
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		w := strings.Fields(lines.Text())
+		if len(w) != 3 {
+			return nil, errors.Newf("points: %q is not of the form: series x y", lines.Text())
+		}
+		x, xerr := strconv.ParseFloat(w[1], 64)
+		y, yerr := strconv.ParseFloat(w[2], 64)
+		if err := errors.CombineErrors(xerr, yerr); err != nil {
+			return nil, errors.Wrapf(err, "points: series %s", w[0])
+		}
+		if out[w[0]] == nil {
+			out[w[0]] = &fit{}
+		}
+		out[w[0]].xs, out[w[0]].ys = append(out[w[0]].xs, x), append(out[w[0]].ys, y)
+	}
+	for _, s := range out {
+		s.line()
+	}
+	return out, errors.Wrap(lines.Err(), "read points")
+}
+
+// line computes base, slope and err.
+func (f *fit) line() {
+	n := float64(len(f.xs))
+	var mx, my, sxx, sxy float64
+	for i := range f.xs {
+		mx += f.xs[i] / n
+		my += f.ys[i] / n
+	}
+	for i := range f.xs {
+		sxx += (f.xs[i] - mx) * (f.xs[i] - mx)
+		sxy += (f.xs[i] - mx) * (f.ys[i] - my)
+	}
+	f.base = my
+	if slices.Min(f.xs) == slices.Max(f.xs) {
+		return
+	}
+	f.slope = sxy / sxx
+	f.base = my - f.slope*mx
+	var rest float64
+	for i := range f.xs {
+		d := f.ys[i] - f.base - f.slope*f.xs[i]
+		rest += d * d
+	}
+	if n > 2 {
+		f.err = math.Sqrt(rest / (n - 2) / sxx)
+	}
+}
+
+// points lists the range of the measured values at each x.
+func (f *fit) points() string {
+	lo, hi := map[float64]float64{}, map[float64]float64{}
+	var xs []float64
+	for i, x := range f.xs {
+		if _, ok := lo[x]; !ok {
+			xs = append(xs, x)
+			lo[x], hi[x] = f.ys[i], f.ys[i]
+		}
+		lo[x], hi[x] = min(lo[x], f.ys[i]), max(hi[x], f.ys[i])
+	}
+	slices.Sort(xs)
+	out := make([]string, len(xs))
+	for i, x := range xs {
+		out[i] = num(x) + ": " + num(lo[x])
+		if hi[x] != lo[x] {
+			out[i] += "–" + num(hi[x])
+		}
+	}
+	return strings.Join(out, "; ")
+}
+
+// num formats a number with three significant digits.
+func num(v float64) string {
+	a := math.Abs(v)
+	switch {
+	case a >= 999.5:
+		return group(strconv.FormatFloat(v, 'f', 0, 64))
+	case a >= 99.5 || v == 0:
+		return strconv.FormatFloat(v, 'f', 0, 64)
+	}
+	return strings.TrimSuffix(strconv.FormatFloat(v, 'g', 3, 64), ".0")
+}
+
+// group puts a comma between groups of three digits.
+func group(s string) string {
+	sign := ""
+	if strings.HasPrefix(s, "-") {
+		sign, s = "-", s[1:]
+	}
+	for i := len(s) - 3; i > 0; i -= 3 {
+		s = s[:i] + "," + s[i:]
+	}
+	return sign + s
+}
+
+// slopes is the table of all measured series.
+func slopes(s map[string]*fit) string {
+	var b strings.Builder
+	b.WriteString("| series | measured (x: lowest–highest) | at x = 0 | per x | standard error |\n|---|---|---|---|---|\n")
+	names := make([]string, 0, len(s))
+	for name := range s {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		f := s[name]
+		if f.slope == 0 && f.err == 0 {
+			fmt.Fprintf(&b, "| `%s` | %s | mean %s | | |\n", name, f.points(), num(f.base))
+			continue
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", name, f.points(), num(f.base), num(f.slope), num(f.err))
+	}
+	return b.String()
+}
--- a/internal/work/job/bench_test.go
+++ b/internal/work/job/bench_test.go
@@ -65,3 +65,43 @@
 	}
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/50_000, "bytes/task")
 }
+
+// BenchmarkRunning gives what a zone's running tasks cost a reader: memory, snapshot and the time to restore it (ns/op).
+func BenchmarkRunning(b *testing.B) {
+	for _, n := range []int{1000, 5000, 20_000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			tb, bytes := New(), 0
+			for i := range n {
+				id := key(epoch, i/10)
+				if i%10 == 0 {
+					_ = tb.Apply(epoch, uint64(i), must(AcceptItem(accept(id, 10))))
+				}
+				item := must(StartItem(Start{
+					Task: id + "/" + strconv.Itoa(i%10), Attempt: 1, Worker: "almaty-a-w" + strconv.Itoa(i%91), Boot: "boot-1", Host: "almaty-a-1",
+				}))
+				if err := tb.Apply(epoch, uint64(i), item); err != nil {
+					b.Fatal(err)
+				}
+				bytes += len(item.Data)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			data, err := tb.Snapshot()
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				if err := New().Restore(data, uint64(n)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			runtime.KeepAlive(tb)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-B")
+			b.ReportMetric(float64(len(data)), "snapshot-B")
+			b.ReportMetric(float64(bytes), "record-B")
+		})
+	}
+}
