--- a/internal/zone/lease/lease_test.go
+++ b/internal/zone/lease/lease_test.go
@@ -200,6 +200,9 @@
 			if last, ok := h.applied[c.Status.Boot]; ok && c.Status.Clock < last && w.late == "" {
 				w.late = fmt.Sprintf("%s passes on clock %s of %s after %s", h.id, c.Status.Clock, c.Status.Boot, last)
 			}
+			if _, ok := h.applied[c.Status.Boot]; !ok && !c.Full {
+				w.late = fmt.Sprintf("%s passes on a list of changes as the first of %s", h.id, c.Status.Boot)
+			}
 			h.applied[c.Status.Boot] = c.Status.Clock
 		case HoldCmd:
 			w.after(w.delay(), func(now time.Time) {
