Keep the base time identifiable and reserve harm for cheap classes

Changes: retry after 10 min, trial after 10 reports, constraint moves the other states along the covariance, lower prior, smaller trials, and a lower limit for tasks that cost over twice the mean harm. ShapesMsg names capacities held elsewhere, so that one host does not park a task that fits another's worker.

--- a/internal/zone/policy/baseline_test.go
+++ b/internal/zone/policy/baseline_test.go
@@ -56,7 +56,7 @@
 	if len(t.Avoid) >= parkWorkers {
 		return Placement{Reason: ReasonFails, Park: true}, false
 	}
-	if !b.shapes.fits(t.Size) {
+	if !b.shapes.fits(t.Size) && !b.elsewhere.fits(t.Size) {
 		return Placement{Reason: ReasonTooLarge, Park: true}, false
 	}
 	var best *worker
--- a/internal/zone/policy/fake_test.go
+++ b/internal/zone/policy/fake_test.go
@@ -214,6 +214,7 @@
 		}
 	}
 	for h, ws := range w.byHost {
+		w.hosts[h].Update(at(0), ShapesMsg{Capacities: []fleet.Size{{Cores: w.cores, Memory: w.memory, Accelerators: 2}}})
 		for i := range teamCount {
 			share := float64(len(ws)) / teamCount
 			w.hosts[h].Update(at(0), TeamMsg{Name: fmt.Sprint("team", i), Quota: fleet.Size{
--- a/internal/zone/policy/interference.go
+++ b/internal/zone/policy/interference.go
@@ -25,9 +25,14 @@
 	// slots maps a class index to its position in state, 0 for none.
 	slots []int
 	// seen is the number of reports in which the class had a notable load, by position.
-	seen  []int
+	seen []int
+	// at is the end of the newest window with a notable load, by position.
+	at    []time.Time
 	last  time.Time
 	first float64
+	// reports is the number of reports learned from, asked when settled was first called.
+	reports int
+	asked   time.Time
 	// spread is the mean squared prediction error relative to the expected one.
 	spread float64
 }
@@ -35,20 +40,26 @@
 const (
 	// priorK is the slowdown per unit of load assumed for an unknown pair: half the largest seen in
 	// practice, since a prior of zero would let several unknown classes meet on one worker.
-	priorK = 0.3
+	priorK = 0.15
 	// priorDev is the standard deviation of k of an unknown pair.
-	priorDev = 0.6
+	priorDev = 0.3
 	// driftDev is the standard deviation by which k drifts in an hour.
-	driftDev = 0.15
+	driftDev = 0.05
 	// ownDev is the standard deviation assumed for own, baseDrift that by which base drifts in an hour.
-	ownDev, baseDrift = 0.3, 0.01
+	ownDev, baseDrift = 0.3, 0.05
 	// callDev is the relative standard deviation of single execution times, modelDev that of the model
 	// itself.
 	callDev, modelDev = 0.8, 0.02
 	// knownReports is the number of reports with a notable load after which a pair counts as known.
-	knownReports = 4
+	// It also needs a standard deviation of at most knownDev, or maxReports reports.
+	knownReports, knownDev, maxReports = 4, 0.1, 20
+	// settleReports is the number of reports about a class after which trials begin, at the latest after
+	// settleWait.
+	settleReports, settleWait = 10, time.Minute
 	// notableLoad is the load from which on a report says something about a class.
 	notableLoad = 0.02
+	// retryAfter is the time without a notable load after which a pair with a large estimate is tried again.
+	retryAfter = 10 * time.Minute
 	// surprise is the squared normalised error from which on the affected pairs are learned anew faster.
 	surprise = 9
 	// spreadGain is the weight of a report in the measured spread of prediction errors.
@@ -56,7 +67,7 @@
 )
 
 func newModel() *model {
-	return &model{state: []float64{0, 0}, cov: [][]float64{{0, 0}, {0, 0}}, seen: []int{0, 0}, spread: 1}
+	return &model{state: []float64{0, 0}, cov: [][]float64{{0, 0}, {0, 0}}, seen: []int{0, 0}, at: make([]time.Time, 2), spread: 1}
 }
 
 // reference returns the mean execution time in seconds of the first report, which is the given one if there
@@ -85,6 +96,7 @@
 	base := m.state[0]
 	m.state = append(m.state, priorK*base)
 	m.seen = append(m.seen, 0)
+	m.at = append(m.at, time.Time{})
 	for i := range m.cov {
 		m.cov[i] = append(m.cov[i], 0)
 	}
@@ -100,13 +112,36 @@
 	if i == 0 || m.state[0] <= 0 {
 		return priorK
 	}
-	return max(0, m.state[i]/m.state[0])
+	return m.state[i] / m.state[0]
 }
 
 // known reports whether enough reports covered the pair.
 func (m *model) known(c *class) bool {
 	i := m.slot(c)
-	return i > 0 && m.seen[i] >= knownReports
+	return i > 0 && m.seen[i] >= knownReports && (m.cov[i][i] < knownDev*knownDev*m.state[0]*m.state[0] || m.seen[i] >= maxReports)
+}
+
+// settled reports whether the base time rests on a few reports. It gives up waiting after settleWait, for a
+// host whose workers already run batch tasks or get few calls.
+func (m *model) settled(now time.Time) bool {
+	if m.asked.IsZero() {
+		m.asked = now
+	}
+	return m.reports >= settleReports || now.Sub(m.asked) >= settleWait
+}
+
+// expire forgets a pair whose large estimate kept the class away for retryAfter, so that it is tried anew.
+func (m *model) expire(now time.Time, c *class) {
+	i := m.slot(c)
+	if i == 0 || m.seen[i] < knownReports || m.k(c) <= priorK || now.Sub(m.at[i]) < retryAfter {
+		return
+	}
+	base := m.state[0]
+	m.state[i], m.seen[i] = priorK*base, 0
+	for j := range m.cov {
+		m.cov[i][j], m.cov[j][i] = 0, 0
+	}
+	m.cov[i][i] = priorDev * priorDev * base * base
 }
 
 // learn applies one report about worker w, attributed to what ran there between from and to.
@@ -115,6 +150,7 @@
 	if mean <= 0 {
 		return
 	}
+	m.reports++
 	if m.state[0] == 0 {
 		m.state[0] = mean
 		m.cov[0][0] = 0.25 * mean * mean
@@ -138,6 +174,7 @@
 		}
 		if x >= notableLoad {
 			m.seen[at]++
+			m.at[at] = to
 		}
 		inputs = append(inputs, input{at, x})
 	}
@@ -187,9 +224,22 @@
 		}
 	}
 	m.state[0] = max(m.state[0], 0.1*mean)
-	m.state[1] = max(m.state[1], 0)
-	for i := 2; i < n; i++ {
-		m.state[i] = max(m.state[i], -0.1*m.state[0])
+	m.bound(1, 0)
+	for _, in := range inputs[2:] {
+		m.bound(in.at, -0.1*m.state[0])
+	}
+}
+
+// bound raises a state to the limit and moves the others along their covariance with it. Raising it alone
+// would leave what it had explained in the base time for good.
+func (m *model) bound(i int, limit float64) {
+	d := limit - m.state[i]
+	if d <= 0 || m.cov[i][i] <= 0 {
+		return
+	}
+	scale := d / m.cov[i][i]
+	for j := range m.state {
+		m.state[j] += m.cov[j][i] * scale
 	}
 }
 
@@ -203,9 +253,9 @@
 		}
 	}
 	if c != nil {
-		sum += p.k(u, c) * extra / float64(w.capacity.Cores)
+		sum += max(p.k(u, c), 0) * extra / float64(w.capacity.Cores)
 	}
-	return sum
+	return max(sum, 0)
 }
 
 // k returns the slowdown of urgent class u per unit of load by batch class c.
--- a/internal/zone/policy/placement.go
+++ b/internal/zone/policy/placement.go
@@ -55,22 +55,29 @@
 	// parkWorkers is the number of workers a task may fail on (design section 8).
 	parkWorkers = 3
 	// trialLoad is the largest share of a worker that a class on trial is planned with.
-	trialLoad = 0.35
+	trialLoad = 0.12
+	// A task that costs more than dearFactor times the mean harm per core may fill a worker only up to
+	// dearLimit of the accepted harm. Long tasks of harmful classes would otherwise gather: they fill every
+	// gap that the error of the estimates leaves and stay when it closes.
+	dearFactor, dearLimit = 2, 0.6
+	priceGain             = 0.01
 	// trialLength bounds a trial on a worker that yields no reports.
 	trialLength = 5 * time.Minute
 )
 
 // Refusal returns why a task of the class and declared size can run on no known worker, or an empty text.
 func (p *Policy) Refusal(className string, size fleet.Size) string {
-	if len(p.shapes) == 0 || p.fits(p.class(className), size) {
+	if len(p.shapes)+len(p.elsewhere) == 0 || p.fits(p.class(className), size) {
 		return ""
 	}
 	return fmt.Sprintf("%s: %d cores, %d MiB, %d accelerators", ReasonTooLarge,
 		(size.Cores+999)/1000, size.Memory, size.Accelerators)
 }
 
+// fits reports whether any known worker is large enough by the declared or by the learned size.
 func (p *Policy) fits(c *class, size fleet.Size) bool {
-	return p.shapes.fits(size) || p.shapes.fits(c.size.plan(size))
+	plan := c.size.plan(size)
+	return p.shapes.fits(size) || p.shapes.fits(plan) || p.elsewhere.fits(size) || p.elsewhere.fits(plan)
 }
 
 // PlaceTask chooses a worker for the task. It looks at a bounded sample of workers.
@@ -106,7 +113,10 @@
 			return Placement{Reason: ReasonQuota}
 		}
 	}
-	trial := p.trial(now, c)
+	trial, wait := p.trial(now, c)
+	if wait && c.trial == "" {
+		return Placement{Reason: ReasonTrial}
+	}
 	if trial && c.trial != "" {
 		w := p.workers[c.trial]
 		if reason := p.check(now, w, c, t, size, true); reason != "" {
@@ -125,23 +135,30 @@
 	if trial {
 		c.trial, c.tried = w.name, now
 	}
+	if !trial {
+		p.paid(now, w, c, size)
+	}
 	return Placement{Worker: w.name, Size: size}
 }
 
 // trial reports whether the class has an unknown pair with an active urgent class. It ends a trial whose
-// worker is gone or that lasted too long.
-func (p *Policy) trial(now time.Time, c *class) bool {
-	unknown := false
+// worker is gone or that lasted too long. A new trial should wait while the undisturbed execution time of the
+// urgent class is unknown, since it cannot be told from the slowdown.
+func (p *Policy) trial(now time.Time, c *class) (unknown, wait bool) {
 	for _, u := range p.urgent {
-		if u.active(now) && !p.known(u, c) {
+		if !u.active(now) {
+			continue
+		}
+		u.model.expire(now, c)
+		if !p.known(u, c) {
 			unknown = true
-			break
+			wait = wait || !u.model.settled(now)
 		}
 	}
 	if c.trial != "" && (!unknown || p.workers[c.trial] == nil || now.Sub(c.tried) > trialLength) {
 		c.trial = ""
 	}
-	return unknown
+	return unknown, wait
 }
 
 // choose samples workers with enough free cores and returns the one with the least predicted harm. Tasks
@@ -215,12 +232,23 @@
 		}
 		return ""
 	}
-	if p.worst(now, w, c, size) > 1 {
+	before, after := p.worst(now, w, nil, size), p.worst(now, w, c, size)
+	limit := 1.0
+	if after-before > dearFactor*p.price*float64(size.Cores)/float64(w.capacity.Cores) {
+		limit = dearLimit
+	}
+	if after > limit {
 		return ReasonHarm
 	}
 	return ""
 }
 
+// paid updates the running mean of the harm per share of a worker that placements cost.
+func (p *Policy) paid(now time.Time, w *worker, c *class, size fleet.Size) {
+	cost := p.worst(now, w, c, size) - p.worst(now, w, nil, size)
+	p.price += priceGain * (cost*float64(w.capacity.Cores)/float64(max(size.Cores, 1)) - p.price)
+}
+
 // spares reports whether the free accelerators keep a proportional half of the cores and memory after a task
 // that needs none.
 func (w *worker) spares(free, size fleet.Size) bool {
--- a/internal/zone/policy/policy.go
+++ b/internal/zone/policy/policy.go
@@ -94,6 +94,9 @@
 		// Took is the execution time at the worker, Total the answer time seen by the caller.
 		Took, Total time.Duration
 	}
+	// ShapesMsg lists the distinct capacities of workers that other hosts hold, replacing the list before.
+	// A task that fits one of them is not refused or parked for its size.
+	ShapesMsg struct{ Capacities []fleet.Size }
 	// ReturnMsg starts the capacity ramp after the zone was brought back in.
 	ReturnMsg struct{}
 )
@@ -106,6 +109,7 @@
 func (EndMsg) message()     {}
 func (UsageMsg) message()   {}
 func (CallMsg) message()    {}
+func (ShapesMsg) message()  {}
 func (ReturnMsg) message()  {}
 
 // Command asks the caller to act on a running task attempt.
@@ -159,7 +163,11 @@
 	tasks map[string]*task
 
 	plain, accelerated freeIndex
-	shapes             shapeSet
+	// shapes counts the held workers by capacity, elsewhere holds the capacities of ShapesMsg.
+	shapes, elsewhere shapeSet
+
+	// price is the mean harm per share of a worker's cores of recent placements.
+	price float64
 
 	returned time.Time
 	// starved is the team that found no room most recently.
@@ -211,6 +219,11 @@
 		p.report(now, m)
 	case CallMsg:
 		p.answered(now, m)
+	case ShapesMsg:
+		p.elsewhere = shapeSet{}
+		for _, c := range m.Capacities {
+			p.elsewhere.add(c)
+		}
 	case ReturnMsg:
 		p.returned = now
 	}
