Show and cancel moved jobs in every zone that has their tasks

The view now merges all zones that tasks came from or went to, and names those that cannot be asked. A cancellation that comes while tasks are on their way follows them.

Quiet urgent classes no longer hold batch work up.

--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +33,7 @@
 	Rate    rateCmd    `cmd:"" help:"Send idempotent requests at a steady rate and print answer times and outcomes."`
 	Direct  directCmd  `cmd:"" help:"Send calls directly to stand-in workers at a steady rate, as a baseline for rate."`
 
+	Metric     metricCmd     `cmd:"" help:"Print the zone of an entry host and the sum of a metric over its labels."`
 	Violations violationsCmd `cmd:"" help:"Fail if stand-in workers saw work beyond their capacity or run twice."`
 }
 
@@ -154,6 +157,7 @@
 	PerSecond int           `default:"200" help:"Requests a second."`
 	For       time.Duration `default:"10s" help:"Length of the run."`
 	Bound     int           `default:"512" help:"Most requests in flight. Further ones are counted as late and left out."`
+	Window    time.Duration `default:"0s" help:"Also print each window of this length, by when its requests were due."`
 }
 
 // result collects answer times and outcomes.
@@ -163,6 +167,8 @@
 	ends  map[string]int
 }
 
+func newResult() *result { return &result{ends: map[string]int{}} }
+
 func (r *result) add(took time.Duration, end string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -172,35 +178,55 @@
 	}
 }
 
+// print prints the outcomes, and the percentiles of the answered requests.
+func (r *result) print(title string) {
+	slices.Sort(r.times)
+	fmt.Printf("%s, outcomes %v", title, r.ends)
+	if n := len(r.times); n > 0 {
+		at := func(q float64) time.Duration { return r.times[min(n-1, int(q*float64(n)))].Round(time.Microsecond) }
+		fmt.Printf(", p50 %s p95 %s p99 %s p99.9 %s max %s", at(0.5), at(0.95), at(0.99), at(0.999), r.times[n-1].Round(time.Microsecond))
+	}
+	fmt.Println()
+}
+
 // run sends at a steady rate, whether or not earlier requests were answered, and prints the result.
 func (s steady) run(send func(i int) string) {
-	r := &result{ends: map[string]int{}}
+	r := newResult()
+	total := int(s.For.Seconds() * float64(s.PerSecond))
+	var windows []*result
+	add := func(due time.Duration, took time.Duration, end string) {
+		r.add(took, end)
+		if s.Window > 0 {
+			windows[due/s.Window].add(took, end)
+		}
+	}
+	for at := time.Duration(0); s.Window > 0 && at < s.For; at += s.Window {
+		windows = append(windows, newResult())
+	}
 	var wg sync.WaitGroup
 	var flying atomic.Int64
 	start := time.Now()
-	total := int(s.For.Seconds() * float64(s.PerSecond))
 	for i := range total {
-		due := start.Add(time.Duration(i) * time.Second / time.Duration(s.PerSecond))
+		after := time.Duration(i) * time.Second / time.Duration(s.PerSecond)
+		due := start.Add(after)
 		time.Sleep(time.Until(due))
 		if flying.Add(1) > int64(s.Bound) {
 			flying.Add(-1)
-			r.add(0, "late")
+			add(after, 0, "late")
 			continue
 		}
 		wg.Go(func() {
 			defer flying.Add(-1)
 			end := send(i)
 			// The time counts from when the request was due, so that a stall is not hidden.
-			r.add(time.Since(due), end)
+			add(after, time.Since(due), end)
 		})
 	}
 	wg.Wait()
-	slices.Sort(r.times)
-	fmt.Printf("sent %d in %s, outcomes %v\n", total, time.Since(start).Round(time.Millisecond), r.ends)
-	if n := len(r.times); n > 0 {
-		at := func(q float64) time.Duration { return r.times[min(n-1, int(q*float64(n)))].Round(time.Microsecond) }
-		fmt.Printf("p50 %s p95 %s p99 %s p99.9 %s max %s\n", at(0.5), at(0.95), at(0.99), at(0.999), r.times[n-1].Round(time.Microsecond))
+	for i, w := range windows {
+		w.print(fmt.Sprintf("from %s", time.Duration(i)*s.Window))
 	}
+	r.print(fmt.Sprintf("sent %d in %s", total, time.Since(start).Round(time.Millisecond)))
 }
 
 // newClient returns an HTTP client with enough pooled connections for a steady run.
@@ -316,3 +342,35 @@
 	}
 	return nil
 }
+
+type metricCmd struct {
+	From string `required:"" help:"Operators' URL of an entry host."`
+	Name string `arg:"" help:"Name of the metric."`
+}
+
+// Run reads the metrics of the host.
+func (c *metricCmd) Run() error {
+	t := target{To: []string{strings.TrimPrefix(c.From, "http://")}, Timeout: 2 * time.Second}
+	_, data, err := t.send(http.MethodGet, "/metrics", nil)
+	if err != nil {
+		return err
+	}
+	zone, total := "none", 0.0
+	for line := range strings.Lines(string(data)) {
+		rest, ok := strings.CutPrefix(line, c.Name+"{")
+		if !ok {
+			continue
+		}
+		labels, value, _ := strings.Cut(rest, "} ")
+		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil {
+			return errors.Wrapf(err, "metric %s", c.Name)
+		}
+		total += v
+		if _, after, ok := strings.Cut(labels, `zone="`); ok {
+			zone, _, _ = strings.Cut(after, `"`)
+		}
+	}
+	fmt.Println(zone, total)
+	return nil
+}
--- a/internal/host/caller/caller.go
+++ b/internal/host/caller/caller.go
@@ -67,6 +67,8 @@
 	r.Post("/v1/jobs", post(s, s.submit))
 	r.Get("/v1/jobs/{id}", s.job(n.Show))
 	r.Delete("/v1/jobs/{id}", s.job(n.Cancel))
+	r.Get("/v1/jobs/{id}/{task}", s.job(n.Show))
+	r.Delete("/v1/jobs/{id}/{task}", s.job(n.Cancel))
 	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
 		write(w, outcome.Refuse(outcome.ReasonNotFound, "no such path"))
 	})
@@ -164,7 +166,11 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), s.limits.Deadline)
 		defer cancel()
-		write(w, fn(ctx, chi.URLParam(r, "id")))
+		id := chi.URLParam(r, "id")
+		if task := chi.URLParam(r, "task"); task != "" {
+			id += "/" + task
+		}
+		write(w, fn(ctx, id))
 	}
 }
 
--- a/internal/host/node/drain.go
+++ b/internal/host/node/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"sassafraswind.example/sassafraswind/internal/host/peer"
 	"sassafraswind.example/sassafraswind/internal/platform/fleet"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
@@ -191,6 +192,16 @@
 		n.log.WithField("job", g.accept.ID).Infof("Zone %s has not taken over tasks yet: %s.", g.to, r.Message)
 		return
 	}
+	n.zone.mu.Lock()
+	j := n.zone.jobs.Job(g.accept.ID)
+	cancelled := j != nil && j.Cancelled()
+	n.zone.mu.Unlock()
+	if cancelled {
+		// The cancellation came while the tasks were on their way.
+		if r, ok := n.inZone(ctx, g.to, g.accept.ID, peer.JobCancel); !ok || r.Outcome == outcome.Unknown {
+			return
+		}
+	}
 	items, err := g.confirmations()
 	if err != nil {
 		n.log.WithError(err).Error("Move was not encoded.")
--- a/internal/host/node/job.go
+++ b/internal/host/node/job.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -223,48 +221,6 @@
 	return peer.JobReply{}, errors.Newf("node: unknown job action %q", m.Action)
 }
 
-// Show returns a job or task by its id.
-func (n *Node) Show(ctx context.Context, id string) outcome.Reply {
-	return n.atHome(ctx, id, peer.JobShow, func() outcome.Reply { return n.showHere(id) })
-}
-
-// Cancel cancels a job or task.
-func (n *Node) Cancel(ctx context.Context, id string) outcome.Reply {
-	if !n.inFlight.enter() {
-		return stoppingKeyed()
-	}
-	defer n.inFlight.leave()
-	return n.atHome(ctx, id, peer.JobCancel, func() outcome.Reply { return n.cancelHere(ctx, id) })
-}
-
-// atHome answers about a job in the zone that has it. The stream of keys forgets a key after 25 h, while a job may run
-// for weeks; then the zones are asked one after another.
-func (n *Node) atHome(ctx context.Context, id string, action peer.JobAction, here func() outcome.Reply) outcome.Reply {
-	key, _, _ := strings.Cut(id, "/")
-	known := n.outcomeOf(key)
-	if known.Intent.Kind == intent.Job && known.Intent.Zone != "" && known.Intent.Zone != n.cfg.Zone {
-		r, _ := n.askZone(ctx, known.Intent.Zone, peer.Job{Action: action, ID: id})
-		return r
-	}
-	r := here()
-	if r.Reason != outcome.ReasonNotFound || known.State != intent.None {
-		return r
-	}
-	silent := ""
-	for _, zone := range n.otherZones() {
-		other, ok := n.askZone(ctx, zone, peer.Job{Action: action, ID: id})
-		if !ok {
-			silent = zone
-		} else if other.Reason != outcome.ReasonNotFound {
-			return other
-		}
-	}
-	if silent != "" {
-		return outcome.Doubt(outcome.ReasonPeer, "the job is not known here, and zone "+silent+" cannot be asked")
-	}
-	return r
-}
-
 // otherZones returns the zones of the known peers but this one, sorted.
 func (n *Node) otherZones() []string {
 	n.peers.mu.Lock()
@@ -280,28 +236,6 @@
 	return out
 }
 
-// showHere returns a job or task of this zone.
-func (n *Node) showHere(id string) outcome.Reply {
-	n.zone.mu.Lock()
-	defer n.zone.mu.Unlock()
-	var v any
-	if strings.Contains(id, "/") {
-		if t := n.zone.jobs.Task(id); t != nil {
-			v = viewTask(t)
-		}
-	} else if j := n.zone.jobs.Job(id); j != nil {
-		v = viewJob(j, n.cfg.Zone)
-	}
-	if v == nil {
-		return outcome.Refuse(outcome.ReasonNotFound, "no such job")
-	}
-	data, err := json.Marshal(v)
-	if err != nil {
-		return outcome.Doubt(outcome.ReasonUnexpected, err.Error())
-	}
-	return outcome.Reply{Outcome: outcome.Done, Body: data}
-}
-
 // cancelHere cancels a job or task of this zone.
 func (n *Node) cancelHere(ctx context.Context, id string) outcome.Reply {
 	if r := n.showHere(id); r.Outcome != outcome.Done {
@@ -320,67 +254,3 @@
 	}
 	return n.showHere(id)
 }
-
-// taskView is the JSON form of a task.
-type taskView struct {
-	ID         string          `json:"id"`
-	State      string          `json:"state"`
-	Attempt    int             `json:"attempt"`
-	Fails      int             `json:"fails,omitempty"`
-	Worker     string          `json:"worker,omitempty"`
-	Reason     string          `json:"reason,omitempty"`
-	Zone       string          `json:"zone,omitempty"`
-	Cancelling bool            `json:"cancelling,omitempty"`
-	Output     json.RawMessage `json:"output,omitempty"`
-}
-
-func viewTask(t *job.Task) taskView {
-	v := taskView{
-		ID: t.ID(), State: t.State().String(), Attempt: t.Attempt(), Fails: t.Fails(), Reason: t.Reason(),
-		Zone: t.To(), Cancelling: t.Cancelling(),
-	}
-	if t.State() == job.Running {
-		v.Worker = t.Worker()
-	}
-	if out := t.Output(); len(out) > 0 {
-		v.Output = out
-		if !json.Valid(out) {
-			v.Output, _ = json.Marshal(string(out))
-		}
-	}
-	return v
-}
-
-// shownTasks bounds the tasks that a job's view lists.
-const shownTasks = 100
-
-// jobView is the JSON form of a job.
-type jobView struct {
-	ID        string         `json:"id"`
-	Class     string         `json:"class"`
-	Team      string         `json:"team"`
-	Zone      string         `json:"zone"`
-	Count     int            `json:"count"`
-	Finished  bool           `json:"finished"`
-	Cancelled bool           `json:"cancelled,omitempty"`
-	States    map[string]int `json:"states"`
-	Tasks     []taskView     `json:"tasks,omitempty"`
-}
-
-func viewJob(j *job.Job, zone string) jobView {
-	v := jobView{
-		ID: j.ID(), Class: j.Class(), Team: j.Team(), Zone: zone, Count: j.Count(), Finished: j.Finished(),
-		Cancelled: j.Cancelled(), States: map[string]int{},
-	}
-	for s, c := range j.Counts() {
-		if c > 0 {
-			v.States[job.State(s).String()] = c
-		}
-	}
-	for i := range j.Count() {
-		if t := j.Task(i); t != nil && len(v.Tasks) < shownTasks {
-			v.Tasks = append(v.Tasks, viewTask(t))
-		}
-	}
-	return v
-}
--- a/internal/host/node/sink.go
+++ b/internal/host/node/sink.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -78,7 +77,6 @@
 func (s *zoneSink) endedBy(now time.Time, item record.Item) *policy.EndMsg {
 	var id string
 	var attempt int
-	var reason job.Reason
 	outcome := policy.OutcomeEvicted
 	switch item.Kind {
 	case job.KindEnd:
@@ -95,7 +93,7 @@
 		if err != nil {
 			return nil
 		}
-		id, attempt, reason = e.Task, e.Attempt, e.Reason
+		id, attempt = e.Task, e.Attempt
 		if e.Reason == job.ReasonRefused {
 			outcome = policy.OutcomeCancelled
 		}
@@ -109,7 +107,7 @@
 	if t.Cancelling() && outcome == policy.OutcomeEvicted {
 		outcome = policy.OutcomeCancelled
 	}
-	s.n.countEnd(now, t, outcome, reason)
+	s.n.countEnd(now, t, outcome)
 	return &policy.EndMsg{Worker: t.Worker(), Task: id, Attempt: attempt, Outcome: outcome}
 }
 
@@ -135,9 +133,9 @@
 	return nil
 }
 
-// countEnd counts an attempt that ended. The metrics count it only at the host that holds its worker, so that each end
-// is counted once in a zone. Records that are read while the host catches up happened earlier and are left out.
-func (n *Node) countEnd(now time.Time, t *job.Task, outcome policy.Outcome, reason job.Reason) {
+// countEnd counts an attempt that ended for the status. Records that are read while the host catches up happened earlier
+// and are left out.
+func (n *Node) countEnd(now time.Time, t *job.Task, outcome policy.Outcome) {
 	if n.zone.feed == nil || n.zone.feed.Fresh().IsZero() {
 		return
 	}
@@ -147,15 +145,6 @@
 	case policy.OutcomeEvicted:
 		n.tallyOf(t.Job().Class()).evicted.add(now)
 	}
-	if _, held := n.zone.holdings.Held(t.Worker(), now); !held || n.mtr == nil {
-		return
-	}
-	ctx := context.Background()
-	if reason == "" {
-		n.mtr.TaskEnded(ctx, t.Job().Class(), string(outcome))
-		return
-	}
-	n.mtr.TaskEvicted(ctx, t.Job().Class(), string(reason))
 }
 
 // keyChanged wakes the requests of this host that wait for a key.
--- a/internal/host/node/task.go
+++ b/internal/host/node/task.go
@@ -308,9 +308,10 @@
 		if known.State == fleet.TaskFailed {
 			result = job.ResultFailed
 		}
-		return n.settleLater(t.ID(), "end", func() (record.Item, error) {
-			return job.EndItem(job.End{Task: t.ID(), Attempt: known.Attempt, State: result, Output: bounded(known.Output, job.MaxOutput)})
-		})
+		id, class := t.ID(), j.Class()
+		return n.settleLater(id, "end", func() (record.Item, error) {
+			return job.EndItem(job.End{Task: id, Attempt: known.Attempt, State: result, Output: bounded(known.Output, job.MaxOutput)})
+		}, func(ctx context.Context) { n.mtr.TaskEnded(ctx, class, string(result)) })
 	case fleet.TaskStopped:
 		return n.evict(t, job.ReasonStopped, known.Checkpoint)
 	}
@@ -343,7 +344,9 @@
 	if reason == job.ReasonDoubt {
 		e.Doubt, _ = n.zone.jobs.Doubt(t.Worker())
 	}
-	return n.settleLater(t.ID(), "evict", func() (record.Item, error) { return job.EvictItem(e) })
+	class := t.Job().Class()
+	return n.settleLater(t.ID(), "evict", func() (record.Item, error) { return job.EvictItem(e) },
+		func(ctx context.Context) { n.mtr.TaskEvicted(ctx, class, string(reason)) })
 }
 
 // control returns the effect that acts on a task at its worker.
@@ -360,7 +363,7 @@
 
 // settle writes a record about a task, at most one at a time. zone.mu is held.
 func (n *Node) settle(task, step string, item func() (record.Item, error), then func(error)) {
-	if e := n.settleLater(task, step, item); e != nil {
+	if e := n.settleLater(task, step, item, nil); e != nil {
 		n.run(func(ctx context.Context) {
 			e(ctx)
 			if then != nil {
@@ -370,15 +373,19 @@
 	}
 }
 
-// settleLater marks the task and returns the effect that writes the record, or nil if one is being written.
-// zone.mu is held.
-func (n *Node) settleLater(task, step string, item func() (record.Item, error)) func(context.Context) {
+// settleLater marks the task and returns the effect that writes the record, or nil if one is being written. The metrics
+// count the record at its writer, once it was read back as valid. zone.mu is held.
+func (n *Node) settleLater(
+	task, step string, item func() (record.Item, error), count func(context.Context),
+) func(context.Context) {
 	if n.zone.settling[task] {
 		return nil
 	}
 	n.zone.settling[task] = true
 	return func(ctx context.Context) {
-		_ = n.writeZone(ctx, step, item)
+		if err := n.writeZone(ctx, step, item); err == nil && count != nil && n.mtr != nil {
+			count(ctx)
+		}
 		n.zone.mu.Lock()
 		delete(n.zone.settling, task)
 		n.zone.mu.Unlock()
--- a/internal/zone/policy/class.go
+++ b/internal/zone/policy/class.go
@@ -89,6 +89,13 @@
 // active reports whether calls of the class were answered within the last minute.
 func (u *class) active(now time.Time) bool { return u.answers.last(now, steps) > 0 }
 
+// lightAnswers is the number of answers in a minute below which a class is too quiet to learn anything about: at one
+// call a second a report needs minutes to settle.
+const lightAnswers = 60
+
+// busy reports whether enough calls of the class were answered within the last minute to learn from.
+func (u *class) busy(now time.Time) bool { return u.answers.last(now, steps) >= lightAnswers }
+
 const (
 	// lateShare is the share of answers that may be over a 99th percentile target.
 	lateShare = 0.01
--- a/internal/zone/policy/placement.go
+++ b/internal/zone/policy/placement.go
@@ -146,7 +146,8 @@
 // urgent class is unknown, since it cannot be told from the slowdown.
 func (p *Policy) trial(now time.Time, c *class) (unknown, wait bool) {
 	for _, u := range p.urgent {
-		if !u.active(now) {
+		// A quiet class must not hold batch work up: its pairs cannot become known.
+		if !u.busy(now) {
 			continue
 		}
 		u.model.expire(now, c)
