Hand moved tasks over in the order of their indices

Cause: the tasks of an accept must be sorted by index, but moves come in the order of the pending queue. An accept that was not sorted is malformed, so that its tasks stayed moved and unconfirmed for ever: they were in no zone. Ruled out: the other zone being unreachable (its hosts answered 'record: malformed' each second).

--- a/internal/host/node/drain.go
+++ b/internal/host/node/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"sassafraswind.example/sassafraswind/internal/platform/fleet"
@@ -130,6 +131,10 @@
 		g.accept.Tasks = append(g.accept.Tasks, t.Carried())
 		g.moves = append(g.moves, job.Move{Task: t.ID(), To: t.To(), Hop: t.Hop(), Done: true})
 	}
+	// An accept lists its tasks by index, whereas moves come in any order.
+	for _, g := range groups {
+		slices.SortFunc(g.accept.Tasks, func(a, b job.Carried) int { return a.Index - b.Index })
+	}
 	return groups
 }
 
