Answer unknown when a key meets a configuration that does not allow it

Cause: a host without a configuration, or with one in which the class is idempotent or batch, refused a keyed request as not run. The key may have run through another host, so the refusal was untrue. Ruled out: a false close in the log (the key had a valid intent and answer).

--- a/internal/host/node/call.go
+++ b/internal/host/node/call.go
@@ -57,21 +57,18 @@
 // request checks a request and runs it by its class.
 func (n *Node) request(ctx context.Context, now time.Time, r caller.Request) (outcome.Reply, int) {
 	if !n.configured() {
-		return outcome.Refuse(outcome.ReasonNotReady, "this host has no configuration yet"), 0
+		return refuseCall(r, outcome.Refuse(outcome.ReasonNotReady, "this host has no configuration yet")), 0
 	}
 	c, ok := n.class(r.Class)
 	switch {
-	case !ok && r.Key != "":
-		// Another host may have a newer configuration and may have run the key.
-		return outcome.Reply{Outcome: outcome.Unknown, Reason: outcome.ReasonInvalid, Field: "class", Message: "unknown class"}, 0
 	case !ok:
-		return outcome.Invalid("class", "unknown class"), 0
+		return refuseCall(r, outcome.Invalid("class", "unknown class")), 0
 	case c.Kind != config.KindUrgent:
-		return outcome.Invalid("class", "is a batch class; submit a job instead"), 0
+		return refuseCall(r, outcome.Invalid("class", "is a batch class; submit a job instead")), 0
 	case !c.Idempotent && r.Key == "":
 		return outcome.Invalid("key", "is required: the class is not idempotent"), 0
 	case c.Idempotent && r.Key != "":
-		return outcome.Invalid("key", "must be empty: the class is idempotent"), 0
+		return refuseCall(r, outcome.Invalid("key", "must be empty: the class is idempotent")), 0
 	case !c.Idempotent:
 		if address := n.keyedPeer(now, r.Key); address != "" {
 			return n.forwardKeyed(ctx, address, r), 1
@@ -81,6 +78,15 @@
 	return n.idempotent(ctx, now, r, uuid.NewString(), 0, false)
 }
 
+// refuseCall returns the reply to a request that the configuration of this host does not allow. If it has a key,
+// another host, with another configuration, may have run it.
+func refuseCall(r caller.Request, reply outcome.Reply) outcome.Reply {
+	if r.Key != "" {
+		reply.Outcome = outcome.Unknown
+	}
+	return reply
+}
+
 // countRequest records the metrics of a request.
 func (n *Node) countRequest(r caller.Request, reply outcome.Reply, tries int, took time.Duration) {
 	if n.mtr == nil {
