Forget the placement of an attempt that ended without a status

Cause: a host keeps what it is placing until a status lists the attempt. If the worker restarted, or another host took it over first, the entry stayed, and this host never started or moved that task again.

--- a/internal/host/node/sink.go
+++ b/internal/host/node/sink.go
@@ -59,6 +59,7 @@
 	}
 	if ended != nil {
 		z.policy.Update(now, *ended)
+		z.dropPlacement(ended.Task)
 	}
 	switch item.Kind {
 	case job.KindHold:
@@ -74,6 +75,18 @@
 	return nil
 }
 
+// dropPlacement forgets the start of an attempt that has ended, with mu held. The attempt may have ended without a
+// status that lists it, for example because its worker restarted, and no host starts a task that it is still placing.
+func (z *zoneView) dropPlacement(id string) {
+	pl, t := z.placing[id], z.jobs.Task(id)
+	if pl == nil {
+		return
+	}
+	if t == nil || t.Attempt() > pl.attempt || t.Attempt() == pl.attempt && t.State() != job.Running {
+		delete(z.placing, id)
+	}
+}
+
 // endedBy returns what the policy is told if the item ends an attempt, with zone.mu held.
 func (s *zoneSink) endedBy(now time.Time, item record.Item) *policy.EndMsg {
 	var id string
@@ -128,6 +141,9 @@
 	if err := z.jobs.Restore(data, base); err != nil {
 		return err
 	}
+	for id := range z.placing {
+		z.dropPlacement(id)
+	}
 	now := time.Now()
 	for _, h := range z.jobs.Holds() {
 		z.holdings.Update(now, lease.HoldMsg{Worker: h.Worker, Host: h.Host, Boot: h.Boot, Grant: h.Grant})
