Ask for the whole task list after a lapsed lease was renewed

Cause: the node withdraws a worker whose lease may have expired and drops its task list. When the same holder then renewed the lease under the same grant, the reply held only changes. The capacity table refused it for good, so the worker got no work and the ends of its tasks were never recorded. Replies are now also applied under the lock under which the aggregate saw them, so that two lists of changes cannot be applied in the wrong order. Ruled out: a lost renewal (the worker named the host as its holder) and the stream (all positions equal).

--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -140,8 +140,6 @@
 					return job.HoldItem(job.Hold{Worker: c.Worker, Host: n.cfg.Host, Boot: c.Boot, Grant: c.Grant})
 				})
 			})
-		case lease.ApplyCmd:
-			n.applyStatus(time.Now(), c)
 		}
 	}
 }
@@ -164,9 +162,23 @@
 		msg = lease.StatusMsg{Status: s, Sent: sent, Received: received, Seen: seen}
 	}
 	n.zone.mu.Lock()
-	cmds := n.zone.holdings.Update(received, msg)
+	// The time is read under the lock, so that a lapse that an earlier tick has seen is seen here as well.
+	now := time.Now()
+	var left []lease.Command
+	var effects []func(context.Context)
+	for _, c := range n.zone.holdings.Update(now, msg) {
+		if a, ok := c.(lease.ApplyCmd); ok {
+			// Under the same lock, so that lists of changes are applied in the order of their requests.
+			effects = append(effects, n.applyStatus(now, a)...)
+			continue
+		}
+		left = append(left, c)
+	}
 	n.zone.mu.Unlock()
-	n.runLeaseCommands(cmds)
+	for _, e := range effects {
+		n.run(e)
+	}
+	n.runLeaseCommands(left)
 }
 
 // releaseWorker gives up the lease of a worker.
@@ -208,14 +220,12 @@
 	}
 }
 
-// applyStatus takes over the status of a held worker.
-func (n *Node) applyStatus(now time.Time, c lease.ApplyCmd) {
+// applyStatus takes over the status of a held worker and returns the effects that follow, with zone.mu held.
+func (n *Node) applyStatus(now time.Time, c lease.ApplyCmd) []func(context.Context) {
 	z := &n.zone
-	z.mu.Lock()
 	w := z.workers[c.Status.Worker]
 	if w == nil {
-		z.mu.Unlock()
-		return
+		return nil
 	}
 	if !w.held {
 		w.held = true
@@ -224,8 +234,7 @@
 		n.log.WithField("worker", c.Status.Worker).Info("Took the lease of a worker.")
 	}
 	if !z.capacity.Apply(c.Status, c.Sent, c.Full) {
-		z.mu.Unlock()
-		return
+		return nil
 	}
 	if c.Full {
 		w.tasks = map[string]fleet.Task{}
@@ -240,11 +249,7 @@
 	})
 	n.reportUsage(now, w)
 	n.serveWaiting(now)
-	effects := n.reconcile(now, w)
-	z.mu.Unlock()
-	for _, e := range effects {
-		n.run(e)
-	}
+	return n.reconcile(now, w)
 }
 
 // reportUsage passes on the usage reports that were not seen before, with zone.mu held.
--- a/internal/zone/lease/lease.go
+++ b/internal/zone/lease/lease.go
@@ -228,6 +228,8 @@
 			w.kept = now.Add(w.keep)
 		}
 	}
+	// A lease that had lapsed here was given up by the capacity table, which needs the whole list again.
+	lapsed := w.mine && !now.Before(w.certain)
 	fresh := !w.mine || w.grant != s.Grant
 	if fresh {
 		w.tasked, w.ready = time.Time{}, false
@@ -236,7 +238,7 @@
 	w.mine, w.grant, w.free = true, s.Grant, time.Time{}
 	w.certain = sent.Add(time.Duration(float64(s.Until-s.Clock) / (1 + h.margin)))
 	w.next = sent.Add(h.renew)
-	if fresh && seen != 0 {
+	if (fresh || lapsed) && seen != 0 {
 		w.next, w.seen = now, 0 // The list is not complete: ask again.
 		return nil
 	}
