Pass requests on to a peer of another zone once, and count hedges

Cause: in a zone that was taken out a host could pass a request to another host of the same zone, which then waited in the queue for a slot that no release would free: p99 rose to 300 ms for 10 s in a rehearsal. A request that was passed on is now served where it is. The count of requests passed on to a peer follows their replies, and asking for readiness no longer changes it.

--- a/internal/host/node/call.go
+++ b/internal/host/node/call.go
@@ -49,31 +49,34 @@
 	}
 	defer n.inFlight.leave()
 	now := time.Now()
-	reply, tries := n.request(ctx, now, r)
-	n.countRequest(r, reply, tries, time.Since(now))
+	reply, sends := n.request(ctx, now, r)
+	n.countRequest(r, reply, sends, time.Since(now))
 	return reply
 }
 
+// sends counts what one request sent to workers of this host.
+type sends struct{ first, retries, hedges int }
+
 // request checks a request and runs it by its class.
-func (n *Node) request(ctx context.Context, now time.Time, r caller.Request) (outcome.Reply, int) {
+func (n *Node) request(ctx context.Context, now time.Time, r caller.Request) (outcome.Reply, sends) {
 	if !n.configured() {
-		return refuseCall(r, outcome.Refuse(outcome.ReasonNotReady, "this host has no configuration yet")), 0
+		return refuseCall(r, outcome.Refuse(outcome.ReasonNotReady, "this host has no configuration yet")), sends{}
 	}
 	c, ok := n.class(r.Class)
 	switch {
 	case !ok:
-		return refuseCall(r, outcome.Invalid("class", "unknown class")), 0
+		return refuseCall(r, outcome.Invalid("class", "unknown class")), sends{}
 	case c.Kind != config.KindUrgent:
-		return refuseCall(r, outcome.Invalid("class", "is a batch class; submit a job instead")), 0
+		return refuseCall(r, outcome.Invalid("class", "is a batch class; submit a job instead")), sends{}
 	case !c.Idempotent && r.Key == "":
-		return outcome.Invalid("key", "is required: the class is not idempotent"), 0
+		return outcome.Invalid("key", "is required: the class is not idempotent"), sends{}
 	case c.Idempotent && r.Key != "":
-		return refuseCall(r, outcome.Invalid("key", "must be empty: the class is idempotent")), 0
+		return refuseCall(r, outcome.Invalid("key", "must be empty: the class is idempotent")), sends{}
 	case !c.Idempotent:
 		if address := n.keyedPeer(now, r.Key); address != "" {
-			return n.forwardKeyed(ctx, address, r), 1
+			return n.forwardKeyed(ctx, address, r), sends{first: 1}
 		}
-		return n.keyed(ctx, now, r), 1
+		return n.keyed(ctx, now, r), sends{first: 1}
 	}
 	return n.idempotent(ctx, now, r, uuid.NewString(), 0, false)
 }
@@ -88,20 +91,23 @@
 }
 
 // countRequest records the metrics of a request.
-func (n *Node) countRequest(r caller.Request, reply outcome.Reply, tries int, took time.Duration) {
+func (n *Node) countRequest(r caller.Request, reply outcome.Reply, s sends, took time.Duration) {
 	if n.mtr == nil {
 		return
 	}
 	n.mtr.Request(context.Background(), telemetry.Request{
 		Class: r.Class, Team: r.Team, Outcome: string(reply.Outcome), Reason: string(reply.Reason),
-		Wait: reply.Wait, Run: reply.Run, Answer: took, Retries: max(0, tries-1),
+		Wait: reply.Wait, Run: reply.Run, Answer: took, Retries: s.retries, Hedges: s.hedges,
 	})
 }
 
 // urgent is the runtime of one idempotent request.
 type urgent struct {
-	n       *Node
-	life    *attempt.Life
+	n    *Node
+	life *attempt.Life
+	// forwarded is set for a request that a peer passed on. passed is set once this host passed it on.
+	forwarded, passed bool
+
 	id      string
 	req     caller.Request
 	arrived time.Time
@@ -111,13 +117,15 @@
 	fences map[int]time.Duration
 	sentAt time.Time
 	reply  *outcome.Reply
-	tries  int
+	// hedges has the attempts that were asked for as hedges.
+	hedges map[int]bool
+	sends  sends
 	worker string
 }
 
 // idempotent runs an idempotent request until it is replied to. Sends that are still in flight then are followed in
 // the background, so that their slots are given back.
-func (n *Node) idempotent(ctx context.Context, now time.Time, r caller.Request, id string, base int, forwarded bool) (outcome.Reply, int) {
+func (n *Node) idempotent(ctx context.Context, now time.Time, r caller.Request, id string, base int, forwarded bool) (outcome.Reply, sends) {
 	end, ok := ctx.Deadline()
 	if !ok {
 		end = now.Add(n.cfg.Limits.Deadline)
@@ -129,9 +137,10 @@
 	hedge := n.classOf(r.Class).times.p95
 	n.zone.mu.Unlock()
 	u := &urgent{
-		n: n, id: id, req: r, arrived: now, end: end,
+		n: n, id: id, req: r, arrived: now, end: end, forwarded: forwarded,
 		msgs:   make(chan attempt.Msg, 4*maxSends+8),
 		fences: map[int]time.Duration{},
+		hedges: map[int]bool{},
 		life: attempt.New(attempt.Request{
 			ID: id, Deadline: end, Hedge: hedge, Tries: maxSends, Base: base, Forwarded: forwarded,
 		}, lockedBudget{n}),
@@ -150,7 +159,7 @@
 	if !u.life.Finished() {
 		n.run(u.finish)
 	}
-	return *u.reply, u.tries
+	return *u.reply, u.sends
 }
 
 // finish follows the sends that are left after the reply. Each ends by its own timeout.
@@ -189,6 +198,7 @@
 	case attempt.SendCmd:
 		u.sendCall(c)
 	case attempt.ForwardCmd:
+		u.passed = true
 		go u.forward(c)
 	case attempt.QueueCmd:
 		return u.enqueue(c)
@@ -206,18 +216,21 @@
 func (u *urgent) reserve(c attempt.ReserveCmd) []attempt.Command {
 	now := time.Now()
 	z := &u.n.zone
-	out := u.n.zoneOut(u.n.cfg.Zone)
-	z.mu.Lock()
-	worker, ok := "", false
-	// In a zone that was taken out, requests go to other zones as long as one can be reached.
-	if !out || u.n.bestPeerElsewhere(now) == "" {
-		worker, ok = u.n.reserveCall(now, u.req.Class, capacity.Key{ID: u.id, Attempt: c.Attempt}, c.Avoid)
+	u.hedges[c.Attempt] = c.Hedge
+	// In a zone that was taken out, requests go to another zone as long as one can be reached. A request that came from
+	// a peer, or was passed on before, is not passed on again, so it must not wait for that.
+	if !u.forwarded && !u.passed && u.n.zoneOut(u.n.cfg.Zone) {
+		if peer := u.n.pickPeer(now, true); peer != "" {
+			return u.life.Update(now, attempt.NoSlotMsg{Attempt: c.Attempt, Peer: peer})
+		}
 	}
+	z.mu.Lock()
+	worker, ok := u.n.reserveCall(now, u.req.Class, capacity.Key{ID: u.id, Attempt: c.Attempt}, c.Avoid)
 	z.mu.Unlock()
 	if ok {
 		return u.life.Update(now, attempt.SlotMsg{Attempt: c.Attempt, Worker: worker})
 	}
-	return u.life.Update(now, attempt.NoSlotMsg{Attempt: c.Attempt, Peer: u.n.bestPeer(u.req.Class, now)})
+	return u.life.Update(now, attempt.NoSlotMsg{Attempt: c.Attempt, Peer: u.n.pickPeer(now, false)})
 }
 
 // reserveCall reserves a slot on a worker whose lease certainly holds, with zone.mu held. A worker that is listed as
@@ -259,7 +272,14 @@
 		u.send(attempt.RefusedMsg{Attempt: c.Attempt})
 		return
 	}
-	u.tries++
+	switch {
+	case u.hedges[c.Attempt]:
+		u.sends.hedges++
+	case u.sends.first > 0:
+		u.sends.retries++
+	default:
+		u.sends.first++
+	}
 	u.fences[c.Attempt] = fence.Before
 	u.sentAt, u.worker = now, c.Worker
 	call := fleet.Call{Fence: fence, Request: u.id, Attempt: c.Attempt, Class: u.req.Class, Body: u.req.Body}
@@ -283,6 +303,7 @@
 func (u *urgent) forward(c attempt.ForwardCmd) {
 	ctx, cancel := context.WithDeadline(u.n.ctx, u.end)
 	defer cancel()
+	defer u.n.peers.take(c.Peer)()
 	left := time.Until(u.end)
 	rep, err := u.n.peer.Call(ctx, c.Peer, peer.Call{
 		Request: u.id, Class: u.req.Class, Team: u.req.Team, Body: u.req.Body, Left: left, Base: c.Base,
@@ -391,7 +412,7 @@
 	now := time.Now()
 	u.reply = &outcome.Reply{
 		Outcome: outcome.Outcome(c.Outcome), Reason: callReason(c.Reason), RetryAfter: c.RetryAfter,
-		Body: c.Answer.Body, Failed: c.Answer.Failed, Attempts: u.tries, Run: c.Answer.Took,
+		Body: c.Answer.Body, Failed: c.Answer.Failed, Attempts: u.sends.first + u.sends.retries + u.sends.hedges, Run: c.Answer.Took,
 	}
 	if c.Outcome == attempt.Done {
 		u.reply.Reason, u.reply.Worker = outcome.ReasonNone, u.worker
--- a/internal/host/node/key.go
+++ b/internal/host/node/key.go
@@ -321,7 +321,7 @@
 		return ""
 	}
 	if n.zoneOut(n.cfg.Zone) {
-		return n.bestPeerElsewhere(now)
+		return n.pickPeer(now, true)
 	}
 	n.zone.mu.Lock()
 	free := n.zone.capacity.Free()
@@ -329,12 +329,13 @@
 	if free > 0 {
 		return ""
 	}
-	return n.bestPeer("", now)
+	return n.pickPeer(now, false)
 }
 
 // forwardKeyed passes a keyed request on to a peer that has a slot. After an unclear reply the caller must ask again.
 func (n *Node) forwardKeyed(ctx context.Context, addr string, r caller.Request) outcome.Reply {
 	end, _ := ctx.Deadline()
+	defer n.peers.take(addr)()
 	rep, err := n.peer.Call(ctx, addr, peer.Call{
 		Request: r.Key, Class: r.Class, Team: r.Team, Key: r.Key, Body: r.Body, Left: time.Until(end),
 	})
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -275,7 +275,7 @@
 	n.zone.mu.Lock()
 	held := len(n.zone.holdings.Workers(now))
 	n.zone.mu.Unlock()
-	return held > 0 || n.bestPeer("", now) != ""
+	return held > 0 || n.pickPeer(now, false) != ""
 }
 
 // configFresh returns the time at which the configuration in force here was known to be the newest.
--- a/internal/host/node/peers.go
+++ b/internal/host/node/peers.go
@@ -23,7 +23,7 @@
 	state   peer.State
 	// heard is when the sync that brought the state was sent.
 	heard time.Time
-	// taken counts the requests passed on since then, so that a burst does not go to one peer.
+	// taken counts the requests passed on since then and not answered yet, so that a burst does not go to one peer.
 	taken int
 }
 
@@ -145,17 +145,9 @@
 	return out
 }
 
-// bestPeer returns the address of the peer to pass a request on to: one with free slots, of the same zone first, then
-// of the same region, then any; empty if there is none. Zones that were taken out come last.
-func (n *Node) bestPeer(_ string, now time.Time) string {
-	return n.pickPeer(now, false)
-}
-
-// bestPeerElsewhere returns a peer with free slots in another zone that is in, empty if there is none.
-func (n *Node) bestPeerElsewhere(now time.Time) string {
-	return n.pickPeer(now, true)
-}
-
+// pickPeer returns the address of the peer to pass a request on to: one with free slots, of the same zone first, then of
+// the same region, then any; empty if there is none. Zones that were taken out come last. With elsewhere set, only
+// other zones that are in count.
 func (n *Node) pickPeer(now time.Time, elsewhere bool) string {
 	out := n.zonesOut()
 	p := &n.peers
@@ -190,10 +182,26 @@
 	if best == nil {
 		return ""
 	}
-	best.taken++
 	return best.address
 }
 
+// take counts a request that is passed on to a peer until the returned function is called.
+func (p *peersView) take(address string) func() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if v := p.known[address]; v != nil {
+		v.taken++
+	}
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		// The count may have been reset by a sync in the meantime.
+		if v := p.known[address]; v != nil && v.taken > 0 {
+			v.taken--
+		}
+	}
+}
+
 // zonesOut returns the zones that operators have taken out.
 func (n *Node) zonesOut() map[string]bool {
 	n.config.mu.Lock()
--- /dev/null
+++ b/internal/host/node/view_test.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against a job that loses the tasks, and the outputs, that it has in other zones, or counts a task twice.
+func TestMergedView(t *testing.T) {
+	Convey("Tasks are counted once, in the zone that has them", t, func() {
+		home := jobView{ID: "j", Zone: "b", Count: 4, States: map[string]int{"running": 1, "done": 1}, Tasks: []taskView{
+			{ID: "j/3", State: "running", Zone: "b"}, {ID: "j/1", State: "done", Zone: "b"},
+		}}
+		origin := jobView{ID: "j", Zone: "a", Count: 4, States: map[string]int{"moved": 3, "done": 1}, Tasks: []taskView{
+			{ID: "j/0", State: "done", Zone: "a", Output: []byte(`1`)}, {ID: "j/1", State: "moved", Zone: "b"},
+			{ID: "j/2", State: "moved", Zone: "b"}, {ID: "j/3", State: "moved", Zone: "b"},
+		}}
+		home.merge(origin)
+		home.finish()
+		So(home.States, ShouldResemble, map[string]int{"running": 1, "done": 2, "moving": 1})
+		So(home.Finished, ShouldBeFalse)
+		ids := make([]string, 0, len(home.Tasks))
+		for _, v := range home.Tasks {
+			ids = append(ids, v.ID)
+		}
+		So(ids, ShouldResemble, []string{"j/0", "j/1", "j/3"})
+		So(string(home.Tasks[0].Output), ShouldEqual, "1")
+	})
+	Convey("A zone that cannot be asked leaves the job unfinished, and its tasks uncounted", t, func() {
+		v := jobView{Count: 2, States: map[string]int{"done": 1}, Missing: []string{"a"}}
+		v.finish()
+		So(v.States, ShouldResemble, map[string]int{"done": 1})
+		So(v.Finished, ShouldBeFalse)
+	})
+}
+
+// Guards against a planned stop that ends while a request is in flight, or lets one in after it found none.
+func TestGate(t *testing.T) {
+	Convey("A stop waits for what is in flight and lets nothing in afterwards", t, func() {
+		var g gate
+		So(g.enter(), ShouldBeTrue)
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		So(g.drain(ctx), ShouldNotBeNil)
+		So(g.enter(), ShouldBeTrue)
+		g.leave()
+		g.leave()
+		So(g.drain(context.Background()), ShouldBeNil)
+		So(g.enter(), ShouldBeFalse)
+	})
+}
--- a/internal/request/attempt/attempt.go
+++ b/internal/request/attempt/attempt.go
@@ -116,7 +116,7 @@
 	l.last++
 	l.asking++
 	l.tries[l.last] = &try{hedge: hedge}
-	return []Command{ReserveCmd{Attempt: l.last, Avoid: append([]string(nil), l.avoid...)}}
+	return []Command{ReserveCmd{Attempt: l.last, Avoid: append([]string(nil), l.avoid...), Hedge: hedge}}
 }
 
 // drop ends a try that got no slot. It returns false if the attempt was not asked for.
--- a/internal/request/attempt/message.go
+++ b/internal/request/attempt/message.go
@@ -85,6 +85,8 @@
 type ReserveCmd struct {
 	Attempt int
 	Avoid   []string
+	// Hedge is set if another send is still in flight.
+	Hedge bool
 }
 
 // SendCmd sends the attempt to the worker.
