Read a worker anew after it refused a lease request

Cause: a host that had read a free worker kept asking for its lease under the boot of that reading. After a restart the worker refused each request, which counted as no answer, so that the host never read the new boot, and the worker stayed without a holder. The property test of the lease now refuses with Refused set.

--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -157,7 +157,7 @@
 		msg = lease.RefusedMsg{Status: s, Sent: sent, Received: received}
 	case err != nil:
 		n.log.WithError(err).WithField("worker", id).Debug("Worker did not answer a lease message.")
-		msg = lease.FailedMsg{Worker: id}
+		msg = lease.FailedMsg{Worker: id, Refused: errors.Is(err, fleet.ErrRefused)}
 	default:
 		msg = lease.StatusMsg{Status: s, Sent: sent, Received: received, Seen: seen}
 	}
--- a/internal/zone/lease/lease.go
+++ b/internal/zone/lease/lease.go
@@ -58,6 +58,8 @@
 	// clock is the newest reading of the worker's clock, made between sent and received of the host's clock.
 	clock          time.Duration
 	sent, received time.Time
+	// refused is set when the worker refused a lease request. It is read anew before the next request.
+	refused bool
 	// drain is Status.Leaving of the newest reading.
 	drain bool
 	// mine is set while the newest reading names this host. The lease itself may have expired since.
@@ -132,7 +134,7 @@
 		return h.status(now, m.Status, m.Sent, m.Received, 0)
 	case FailedMsg:
 		if w := h.workers[m.Worker]; w != nil {
-			w.pending = time.Time{}
+			w.pending, w.refused = time.Time{}, m.Refused
 			w.next = now.Add(h.renew / 4)
 			if !w.mine {
 				w.next = now.Add(h.renew)
@@ -197,7 +199,7 @@
 	if w == nil {
 		return nil
 	}
-	w.pending = time.Time{}
+	w.pending, w.refused = time.Time{}, false
 	switch {
 	case w.boot == "":
 	case s.Boot == w.boot && s.Clock < w.clock:
@@ -324,7 +326,7 @@
 		return nil
 	}
 	turn := !w.free.IsZero() && now.Sub(w.free) >= time.Duration(2*w.rank)*h.ttl && len(h.peers) > 0
-	if w.boot == "" || (!w.mine && !turn) {
+	if w.boot == "" || w.refused || (!w.mine && !turn) {
 		w.next = now.Add(h.renew / 2)
 		return QueryCmd{Worker: w.ID, Address: w.Address}
 	}
--- a/internal/zone/lease/lease_test.go
+++ b/internal/zone/lease/lease_test.go
@@ -215,7 +215,7 @@
 	sent, answered := h.at(w.now), false
 	w.after(time.Second, func(time.Time) {
 		if !answered {
-			w.deliver(h, func(time.Time) Msg { return FailedMsg{id} })
+			w.deliver(h, func(time.Time) Msg { return FailedMsg{Worker: id} })
 		}
 	})
 	copies := 1
@@ -241,7 +241,7 @@
 					case held:
 						return RefusedMsg{Status: s, Sent: sent, Received: now}
 					}
-					return FailedMsg{id}
+					return FailedMsg{Worker: id, Refused: true}
 				})
 			})
 		})
--- a/internal/zone/lease/message.go
+++ b/internal/zone/lease/message.go
@@ -41,7 +41,12 @@
 }
 
 // FailedMsg reports that a call failed or timed out. The worker may have carried it out.
-type FailedMsg struct{ Worker string }
+type FailedMsg struct {
+	Worker string
+	// Refused is set if the worker answered that it will not grant the lease, for example because it restarted after
+	// the reading from which the request was derived.
+	Refused bool
+}
 
 // ReleasedMsg reports that the worker confirmed a release.
 type ReleasedMsg struct{ Worker string }
