Let only the newest holder conclude from a status that an attempt does not run

TestOneRunPerTask models workers that change their holder and restart, and hosts that are paused, cut off or behind the log. An evict with reason boot, or refused for a start of another host, now needs the newest hold to be the evicting host's and, if it names them, of the boot and grant of its status. A hold may name the newest hold that its host had read; a late one is then refused.

The lease package asks for no hold record once its lease has lapsed, and says which hold it follows. The node does not pass Evict.Boot, Evict.Grant and Hold.Next yet; until it does, the host's name alone is compared.

--- a/internal/work/job/apply.go
+++ b/internal/work/job/apply.go
@@ -51,11 +51,8 @@
 			return ErrNoDoubt
 		}
 	}
-	if e.Reason == ReasonExpired {
-		h, ok := t.holds[task.place.worker]
-		if !ok || h.Host != e.Host || h.Boot != task.place.boot {
-			return ErrNoHold
-		}
+	if !t.entitled(e, task.place) {
+		return ErrNoHold
 	}
 	if len(e.Checkpoint) > 0 {
 		task.checkpoint = e.Checkpoint
@@ -69,6 +66,24 @@
 	return nil
 }
 
+// entitled reports whether the host may conclude from what it knows of the worker that the attempt does not run.
+// A host that was paused may judge by a status that is older than the attempt. A start follows the hold under which it
+// was made, so a hold of the evicting host that is still the newest shows that no other host has started it since.
+func (t *Table) entitled(e Evict, p *placement) bool {
+	h, held := t.holds[p.worker]
+	held = held && h.Host == e.Host && (e.Grant == 0 || h.Grant == e.Grant && h.Boot == e.Boot)
+	switch e.Reason {
+	case ReasonExpired:
+		return held && h.Boot == p.boot
+	case ReasonBoot:
+		return held && h.Boot != p.boot
+	case ReasonRefused:
+		// The host that made the start knows whether it was sent.
+		return e.Host == p.host || held && h.Boot == p.boot
+	}
+	return true
+}
+
 func (t *Table) cancel(at step, c Cancel) error {
 	if j := t.jobs[c.ID]; j != nil {
 		if j.done {
@@ -164,10 +179,14 @@
 	return nil
 }
 
-func (t *Table) hold(_ step, h Hold) error {
-	if known, ok := t.holds[h.Worker]; ok && known.Boot == h.Boot && known.Grant > h.Grant {
-		return ErrNoHold
+func (t *Table) hold(at step, h Hold) error {
+	if known, ok := t.holds[h.Worker]; ok {
+		same := known.Host == h.Host && known.Boot == h.Boot && known.Grant == h.Grant
+		if known.Boot == h.Boot && known.Grant > h.Grant || !same && h.Next > 0 && known.At >= h.Next {
+			return ErrNoHold
+		}
 	}
+	h.At = at.offset
 	t.holds[h.Worker] = h
 	delete(t.doubts, h.Worker)
 	return nil
--- a/internal/work/job/record.go
+++ b/internal/work/job/record.go
@@ -143,8 +143,13 @@
 	Checkpoint []byte `msgpack:"checkpoint,omitempty"`
 	Reason     Reason `msgpack:"reason"`
 	// Host is the writer. ReasonExpired is valid only for the host whose hold is the newest of the worker: a host that
-	// has lost the worker to another one cannot know until when that one renews the task leases.
+	// has lost the worker to another one cannot know until when that one renews the task leases. So are ReasonBoot, and
+	// ReasonRefused unless the host made the start itself: a host that was paused would judge by an old status.
 	Host string `msgpack:"host,omitempty"`
+	// Boot and Grant are those of the status that ReasonBoot and ReasonRefused rely on. A Grant of 0 means that they are
+	// not known; the host's name must then do, which does not tell a status of an earlier grant of the same host.
+	Boot  string `msgpack:"boot,omitempty"`
+	Grant uint64 `msgpack:"grant,omitempty"`
 	// Doubt is the offset of the doubt record that ReasonDoubt relies on. Without it a host that waited for an
 	// older doubt could use a newer one whose wait has not passed.
 	Doubt uint64 `msgpack:"doubt,omitempty"`
@@ -184,6 +189,12 @@
 	// Boot and Grant are those of the lease that the host has.
 	Boot  string `msgpack:"boot"`
 	Grant uint64 `msgpack:"grant"`
+	// Next is the offset after that of the newest hold of the worker that the host had read when it sent the request
+	// whose reply named it the holder, 1 if it had read none. It is 0 if the host does not say. Without it, a record
+	// that takes effect late can pass for the newest hold although its lease had ended before.
+	Next uint64 `msgpack:"next,omitempty"`
+	// At is the offset of the record. Readers set it.
+	At uint64 `msgpack:"at,omitempty"`
 }
 
 // message is a record that can check its own fields.
--- a/internal/zone/lease/guard_test.go
+++ b/internal/zone/lease/guard_test.go
@@ -93,3 +93,38 @@
 		}
 	}
 }
+
+// TestHoldNext guards against a hold record that claims to follow another host's hold although the lease was confirmed
+// before that one was read, and against a hold record for a lease that has lapsed.
+func TestHoldNext(t *testing.T) {
+	h := New("h0")
+	h.Update(epoch, HostsMsg{Workers: []Worker{{ID: "w"}}})
+	next := func(now time.Time) (n uint64) {
+		for _, c := range h.Update(now, TickMsg{}) {
+			if c, ok := c.(HoldCmd); ok {
+				n = c.Next
+			}
+		}
+		return n
+	}
+	read := func(sent, received time.Duration) {
+		s := fleet.Status{Worker: "w", Boot: "b", Clock: time.Hour + received, Grant: 2, Holder: "h0", Until: 2 * time.Hour}
+		h.Update(epoch.Add(received), StatusMsg{Status: s, Sent: epoch.Add(sent), Received: epoch.Add(received)})
+	}
+	read(0, time.Second)
+	if n := next(epoch.Add(2 * time.Second)); n != 1 {
+		t.Errorf("no hold was read: next %d, want 1", n)
+	}
+	h.Update(epoch.Add(4*time.Second), HoldMsg{Worker: "w", Host: "h1", Boot: "a", Grant: 9, Offset: 7})
+	read(3*time.Second, 5*time.Second)
+	if n := next(epoch.Add(6 * time.Second)); n != 1 {
+		t.Errorf("confirmed by a request before the hold was read: next %d, want 1", n)
+	}
+	read(7*time.Second, 8*time.Second)
+	if n := next(epoch.Add(9 * time.Second)); n != 8 {
+		t.Errorf("confirmed by a request after the hold was read: next %d, want 8", n)
+	}
+	if n := next(epoch.Add(2 * time.Hour)); n != 0 {
+		t.Errorf("hold record for a lapsed lease, next %d", n)
+	}
+}
--- a/internal/zone/lease/lease.go
+++ b/internal/zone/lease/lease.go
@@ -69,6 +69,10 @@
 	tasks time.Duration
 	// hold is the hold record with the highest grant of its boot.
 	hold HoldMsg
+	// newest is the offset after that of the newest hold record, 1 if there is none, and read is when it was read. base
+	// is the value of newest at the send of the newest reading that names this host.
+	newest, base uint64
+	read         time.Time
 	// barrier is when the last release was sent. Earlier requests prove nothing of the lease.
 	barrier   time.Time
 	releasing bool
@@ -145,6 +149,7 @@
 	case HoldMsg:
 		if w := h.workers[m.Worker]; w != nil && (m.Boot != w.hold.Boot || m.Grant >= w.hold.Grant) {
 			w.hold = m
+			w.newest, w.read = max(w.newest, m.Offset+1), now
 		}
 	case LeaveMsg:
 		h.leaving = true
@@ -232,6 +237,9 @@
 	if fresh {
 		w.tasked, w.ready = time.Time{}, false
 	}
+	if !sent.Before(w.read) {
+		w.base = max(w.newest, 1)
+	}
 	w.ready = w.ready || (!w.tasked.IsZero() && !sent.Before(w.tasked))
 	w.mine, w.grant, w.free = true, s.Grant, time.Time{}
 	w.certain = sent.Add(time.Duration(float64(s.Until-s.Clock) / (1 + h.margin)))
@@ -293,9 +301,10 @@
 			cmds = append(cmds, ReleaseCmd{Worker: id, Address: w.Address})
 			continue
 		}
-		if w.mine && !w.releasing && !h.recorded(w) && now.Sub(w.asked) >= h.renew {
+		// A lapsed lease gets no hold record: by then another host may have recorded its own, which is the newer one.
+		if w.mine && !w.releasing && now.Before(w.certain) && !h.recorded(w) && now.Sub(w.asked) >= h.renew {
 			w.asked = now
-			cmds = append(cmds, HoldCmd{Worker: id, Boot: w.boot, Grant: w.grant})
+			cmds = append(cmds, HoldCmd{Worker: id, Boot: w.boot, Grant: w.grant, Next: max(w.base, 1)})
 		}
 		if !w.pending.IsZero() && now.Sub(w.pending) < h.timeout || now.Before(w.next) {
 			continue
--- a/internal/zone/lease/lease_test.go
+++ b/internal/zone/lease/lease_test.go
@@ -207,7 +207,7 @@
 		case HoldCmd:
 			w.after(w.delay(), func(now time.Time) {
 				if !now.Before(w.logDown) {
-					w.log = append(w.log, HoldMsg{c.Worker, h.id, c.Boot, c.Grant})
+					w.log = append(w.log, HoldMsg{c.Worker, h.id, c.Boot, c.Grant, uint64(len(w.log) + 1)})
 				}
 			})
 		}
--- a/internal/zone/lease/message.go
+++ b/internal/zone/lease/message.go
@@ -50,6 +50,8 @@
 type HoldMsg struct {
 	Worker, Host, Boot string
 	Grant              uint64
+	// Offset is that of the record.
+	Offset uint64
 }
 
 // LeaveMsg starts a planned stop: all workers are released and none is taken.
@@ -91,6 +93,9 @@
 type HoldCmd struct {
 	Worker, Boot string
 	Grant        uint64
+	// Next is the offset after that of the newest hold that was read before the lease was last confirmed, 1 if none was.
+	// It is the record's proof that no newer hold precedes it.
+	Next uint64
 }
 
 // ApplyCmd passes on a status that is newer than all before and names this host as the holder.
