--- a/internal/work/job/table_test.go
+++ b/internal/work/job/table_test.go
@@ -67,6 +67,7 @@
 // Guards against two attempts of a task at once, a resumed attempt that skips or repeats a number, a second final
 // result, readers with other clocks that differ, and snapshots that lose state.
 func TestHistories(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := New(), New()
 		ids := []string{key(epoch, 1), key(epoch, 2)}
--- a/internal/work/job/worker_test.go
+++ b/internal/work/job/worker_test.go
@@ -319,6 +319,7 @@
 // Guards against a task that runs twice, or is evicted while it runs, when workers change their holder and restart,
 // hosts are paused, cut off or behind the log, and records take effect late.
 func TestOneRunPerTask(t *testing.T) {
+	t.Parallel()
 	reasons := map[Reason]int{}
 	for i := range uint64(histories + 1) {
 		seed := i
