--- a/internal/stream/feed/feed.go
+++ b/internal/stream/feed/feed.go
@@ -63,6 +63,9 @@
 	Restores, Snapshots uint64
 	// Retries and Abandoned count batches sent again and given up.
 	Retries, Abandoned uint64
+	// Truncations is the number of times that the stream was found to end before the reader's position: the log lost
+	// its newest records or was replaced. The view does not become fresh until the stream has reached the position.
+	Truncations uint64
 	// ReadErrors counts failed reads.
 	ReadErrors uint64
 }
@@ -139,6 +142,8 @@
 	// cursor and progress belong to the reader goroutine.
 	cursor   *Cursor
 	progress progress
+	// truncated is set while the stream ends before the reader's position.
+	truncated bool
 	// newest is when the newest snapshot completed or, without one, when the reader joined.
 	newest time.Time
 	// due is when the scheduled snapshot is to be written, zero if none is scheduled.
--- a/internal/stream/feed/reader.go
+++ b/internal/stream/feed/reader.go
@@ -72,6 +72,7 @@
 			return err
 		}
 	}
+	f.noteEnd(page.Next)
 	atEnd := f.cursor.Position() == page.Next
 	f.publish(atEnd, sent)
 	if atEnd {
@@ -83,6 +84,17 @@
 	return nil
 }
 
+// noteEnd reports once that the stream ends before the reader's position.
+func (f *Feed) noteEnd(next uint64) {
+	truncated := next < f.cursor.Position()
+	if truncated && !f.truncated {
+		f.count(func(c *Counts) { c.Truncations++ })
+		f.logf("feed: %s: the stream ends at offset %d, before the reader's position %d; the view stays stale until it has grown",
+			f.stream, next, f.cursor.Position())
+	}
+	f.truncated = truncated
+}
+
 // publish makes the position visible and, at the end of the stream, the freshness.
 func (f *Feed) publish(atEnd bool, sent time.Time) {
 	f.mu.Lock()
@@ -172,10 +184,20 @@
 		if err := f.window(ctx, scan, lo, hi); err != nil {
 			return err
 		}
-		hi = lo
-		if f.restore(scan, page.First) {
-			return nil
+		for {
+			restored, refused := f.restore(scan, page.First)
+			if restored {
+				return nil
+			}
+			if !refused {
+				break
+			}
+			// The scan has dropped the pieces of older snapshots for the refused one.
+			if err := f.window(ctx, scan, lo, page.Next); err != nil {
+				return err
+			}
 		}
+		hi = lo
 	}
 	pos := f.cursor.Position()
 	// Streams start at offset 0 or 1; a first retained record beyond that means that earlier ones expired.
@@ -219,17 +241,17 @@
 	return nil
 }
 
-// restore loads the best snapshot of the scan and reports whether there was one.
-func (f *Feed) restore(scan *Scan, first uint64) bool {
+// restore loads the best snapshot of the scan. It reports whether it did, and whether the sink refused it.
+func (f *Feed) restore(scan *Scan, first uint64) (restored, refused bool) {
 	s, ok := scan.Best(first)
 	// A snapshot below the reader's position would apply records twice.
 	if !ok || s.Base+1 < f.cursor.Position() {
-		return false
+		return false, false
 	}
 	if err := f.sink.Restore(s.State, s.Base); err != nil {
 		f.logf("feed: %s: snapshot %s cannot be restored: %v", f.stream, s.ID, err)
 		scan.Refuse(s.ID)
-		return false
+		return false, true
 	}
 	f.cursor.Jump(s.Base+1, s.Writers)
 	f.progress.restored(s.Base)
@@ -245,7 +267,7 @@
 		}
 		b.finish()
 	}
-	return true
+	return true, false
 }
 
 // schedule writes a snapshot if one has been due for the chosen random delay.
--- /dev/null
+++ b/internal/stream/feed/restore_test.go
@@ -0,0 +1,229 @@
+package feed
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+)
+
+// add appends a record of a writer.
+func (l *fakeLog) add(t *testing.T, writer string, seq uint64, items ...record.Item) uint64 {
+	data, err := record.Encode(record.Envelope{Writer: writer, Seq: seq, Items: items})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l.put(data)
+}
+
+// truncate loses all but the oldest keep records.
+func (l *fakeLog) truncate(keep int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recs = l.recs[:min(keep, len(l.recs))]
+}
+
+// pickySink refuses the snapshots that were made after more than limit values.
+type pickySink struct {
+	listSink
+	limit   int
+	refused int
+}
+
+func (s *pickySink) Restore(data []byte, base uint64) error {
+	var other listSink
+	if err := other.Restore(data, base); err != nil {
+		return err
+	}
+	if len(other.vals) > s.limit {
+		s.refused++
+		return errors.New("refused")
+	}
+	return s.listSink.Restore(data, base)
+}
+
+// Guards against a reader that overlooks an older snapshot once its sink has refused the newest, and takes the oldest
+// retained records, whose predecessors are gone, for the whole stream.
+func TestRefusedSnapshot(t *testing.T) {
+	for _, between := range []int{1, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			l, want, seq := newFakeLog(1), &listSink{}, uint64(0)
+			values := func(n int) {
+				for range n {
+					seq++
+					_ = want.Apply(time.Time{}, l.add(t, "w", seq, seal(int(seq))), seal(int(seq)))
+				}
+			}
+			snapshot := func(id string) {
+				state, _ := want.Snapshot()
+				pieces, err := Split(Snapshot{ID: id, Base: l.first + uint64(len(l.recs)) - 1, Writers: []WriterSeq{{"w", seq}}, State: state})
+				if err != nil {
+					t.Fatal(err)
+				}
+				for i, p := range pieces {
+					item, _ := record.Seal(KindSnap, p)
+					l.add(t, id, uint64(i+1), item)
+				}
+			}
+			values(10)
+			snapshot("old")
+			values(between)
+			snapshot("new")
+			values(5)
+			l.drop(between + 9)
+			s := &pickySink{limit: 7}
+			f, stop := NewFeed(l, "s", "joiner", s)
+			defer stop()
+			<-f.Ready()
+			if s.refused != 1 || f.Counts().Restores != 1 || f.Counts().Gaps != 0 {
+				t.Errorf("%d records between: %d refused, counts %+v", between, s.refused, f.Counts())
+			}
+			if got := s.values(); !slices.Equal(got, want.values()) {
+				t.Errorf("%d records between: %d values, want %d", between, len(got), len(want.values()))
+			}
+		})
+	}
+}
+
+// Guards against a write that hangs until it is given up, or is applied twice, when its record was read only as a part
+// of a restored snapshot.
+func TestFlightInSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog(1)
+		a, b := &listSink{}, &listSink{}
+		half := WithRandom(func() float64 { return 0.5 })
+		fa, stopA := NewFeed(l, "s", "a", a, WithSnapshots(5), half)
+		defer stopA()
+		cut := &cutLog{fakeLog: l}
+		fb, stopB := NewFeed(cut, "s", "b", b, half)
+		defer stopB()
+		<-fb.Ready()
+		cut.fakeCut(true)
+		time.Sleep(2 * time.Second)
+		start := time.Now()
+		result := make(chan error, 1)
+		go func() {
+			_, err := fb.Write(t.Context(), seal(1000))
+			result <- err
+		}()
+		time.Sleep(time.Second)
+		for i := range 30 {
+			if _, err := fa.Write(t.Context(), seal(i)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(8 * time.Second)
+		// The first records and some copies of the write are gone; a snapshot and its continuation are not.
+		l.drop(20)
+		cut.fakeCut(false)
+		err := <-result
+		if took := time.Since(start); !errors.Is(err, ErrUnknown) || took > 20*time.Second {
+			t.Errorf("the write returned %v after %s", err, took)
+		}
+		time.Sleep(10 * time.Second)
+		if fb.Counts().Restores != 1 || !slices.Equal(a.values(), b.values()) || !slices.Contains(b.values(), 1000) {
+			t.Errorf("%d restores, values %v, want %v", fb.Counts().Restores, b.values(), a.values())
+		}
+	})
+}
+
+// Guards against writes that hang, or claim that nothing was sent, when the feed is closed.
+func TestClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog(1)
+		f, stop := NewFeed(l, "s", "a", &listSink{})
+		<-f.Ready()
+		l.set(true, 0)
+		results := make(chan error, 2)
+		for i := range 2 {
+			go func() {
+				_, err := f.Write(context.Background(), seal(i))
+				results <- err
+			}()
+			// The first write is in flight when the second is queued.
+			time.Sleep(time.Second)
+		}
+		stop()
+		_, err := f.Write(context.Background(), seal(3))
+		for _, err := range []error{<-results, <-results, err} {
+			if !errors.Is(err, ErrUnknown) {
+				t.Errorf("got %v, want ErrUnknown", err)
+			}
+		}
+	})
+}
+
+// Guards against a reader that missed records and spreads its incomplete state to hosts that join.
+func TestNoSnapshotAfterGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog(1)
+		fa, stopA := NewFeed(l, "s", "a", &listSink{})
+		defer stopA()
+		cut := &cutLog{fakeLog: l}
+		fb, stopB := NewFeed(cut, "s", "b", &listSink{}, WithSnapshots(5))
+		defer stopB()
+		<-fb.Ready()
+		write := func(n int) {
+			for i := range n {
+				if _, err := fa.Write(t.Context(), seal(i)); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		cut.fakeCut(true)
+		time.Sleep(2 * time.Second)
+		write(20)
+		l.drop(3)
+		cut.fakeCut(false)
+		write(50)
+		time.Sleep(30 * time.Second)
+		if c := fb.Counts(); c.Gaps != 1 || c.Snapshots != 0 || c.Records < 50 {
+			t.Errorf("counts %+v, want 1 gap and no snapshot", c)
+		}
+	})
+}
+
+// Guards against a reader that silently never becomes fresh again because the log lost its tail.
+func TestTruncatedLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog(1)
+		var mu sync.Mutex
+		var lines []string
+		f, stop := NewFeed(l, "s", "a", &listSink{}, WithLogf(func(format string, _ ...any) {
+			mu.Lock()
+			defer mu.Unlock()
+			lines = append(lines, format)
+		}))
+		defer stop()
+		for i := range 10 {
+			l.add(t, "w", uint64(i+1), seal(i))
+		}
+		time.Sleep(2 * time.Second)
+		l.truncate(4)
+		time.Sleep(10 * time.Second)
+		if c := f.Counts(); c.Truncations != 1 || time.Since(f.Fresh()) < 8*time.Second {
+			t.Errorf("counts %+v, view is %s old", c, time.Since(f.Fresh()))
+		}
+		for i := range 10 {
+			l.add(t, "x", uint64(i+1), seal(i))
+		}
+		time.Sleep(5 * time.Second)
+		l.truncate(2)
+		time.Sleep(5 * time.Second)
+		if c := f.Counts(); c.Truncations != 2 {
+			t.Errorf("counts %+v, want a second truncation", c)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if n := len(lines); n != 2 || !strings.Contains(lines[0], "before the reader's position") {
+			t.Errorf("logged %q", lines)
+		}
+	})
+}
