--- a/internal/stream/feed/restore_test.go
+++ b/internal/stream/feed/restore_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"sassafraswind.example/sassafraswind/internal/platform/journal"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 )
 
@@ -227,3 +228,46 @@
 		}
 	})
 }
+
+// expiringLog answers one read with ErrExpired although the record is there.
+type expiringLog struct {
+	*fakeLog
+	mu    sync.Mutex
+	fault bool
+}
+
+func (l *expiringLog) Read(ctx context.Context, s string, from uint64, n int, w time.Duration) (journal.Page, error) {
+	l.mu.Lock()
+	fault := l.fault && w > 0
+	l.fault = l.fault && !fault
+	l.mu.Unlock()
+	if fault {
+		return journal.Page{}, journal.ErrExpired
+	}
+	return l.fakeLog.Read(ctx, s, from, n, w)
+}
+
+// Guards against a snapshot that is older than the reader and brings back an old state.
+func TestOlderSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, s := &expiringLog{fakeLog: newFakeLog(1)}, &listSink{}
+		f, stop := NewFeed(l, "s", "a", s)
+		defer stop()
+		<-f.Ready()
+		l.add(t, "w", 1, seal(1))
+		pieces, _ := Split(Snapshot{ID: "x/1", Base: 1, Writers: []WriterSeq{{"w", 1}}, State: []byte{0x91, 1}})
+		item, _ := record.Seal(KindSnap, pieces[0])
+		l.add(t, "x", 1, item)
+		l.add(t, "w", 2, seal(2))
+		time.Sleep(2 * time.Second)
+		l.mu.Lock()
+		l.fault = true
+		l.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		l.add(t, "w", 3, seal(4))
+		time.Sleep(2 * time.Second)
+		if c := f.Counts(); !slices.Equal(s.values(), []int{1, 2, 4}) || c.Restores != 0 || c.Gaps != 0 {
+			t.Errorf("values %v, counts %+v", s.values(), c)
+		}
+	})
+}
