Bound the answers of keyed requests that are kept

At most 8 MiB of answers are kept, oldest dropped first, in log order; the key of a dropped one stays answered. A retry is told unknown: done promises the whole answer, and not_run would be false.

--- /dev/null
+++ b/internal/work/intent/body_test.go
@@ -0,0 +1,108 @@
+package intent
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// answered applies the intent and the answer of the n-th key.
+func answered(t testing.TB, tb *Table, n int, body []byte) string {
+	at := epoch.Add(time.Duration(n) * time.Millisecond)
+	k := key(at, byte(n))
+	if err := tb.Apply(epoch, uint64(2*n+1), must(Item(call(k, 1, 0)))); err != nil {
+		t.Fatal(err)
+	}
+	if err := tb.Apply(epoch, uint64(2*n+2), must(AnswerItem(Answer{Key: k, Attempt: 1, Body: body}))); err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// Guards against answers that fill the memory of a host, readers that keep different ones, and a key that is free again
+// once its answer was dropped.
+func TestKeepBodies(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	a, b := New(), New()
+	var keys []string
+	restores := 0
+	for n := range 600 {
+		body := make([]byte, rng.IntN(MaxBody+1))
+		k := answered(t, a, n, body)
+		if answered(t, b, n, body) != k {
+			t.Fatal("keys differ")
+		}
+		keys = append(keys, k)
+		if rng.IntN(40) == 0 {
+			restores++
+			data, err := b.Snapshot()
+			if err != nil {
+				t.Fatal(err)
+			}
+			b = New()
+			if err := b.Restore(data, uint64(2*n+2)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if out := a.Outcome(k); out.Dropped || len(out.Answer.Body) != len(body) {
+			t.Fatalf("the newest answer was dropped")
+		}
+	}
+	dropped := 0
+	for _, tb := range []*Table{a, b} {
+		total := 0
+		for i, k := range keys {
+			out := tb.Outcome(k)
+			if out.State != Answered || out.Dropped != a.Outcome(k).Dropped || out.Dropped && len(out.Answer.Body) > 0 {
+				t.Fatalf("key %d: state %v, dropped %v with %d bytes", i, out.State, out.Dropped, len(out.Answer.Body))
+			}
+			if tb.Apply(epoch, 1<<20, must(Item(call(k, 2, out.Offset)))) == nil {
+				t.Fatalf("key %d was claimed again", i)
+			}
+			total += len(out.Answer.Body)
+			if out.Dropped {
+				dropped++
+			}
+		}
+		if total > KeepBodies {
+			t.Fatalf("%d bytes of answers are kept", total)
+		}
+	}
+	sa, _ := a.Snapshot()
+	sb, _ := b.Snapshot()
+	if !bytes.Equal(sa, sb) || dropped == 0 || restores == 0 {
+		t.Fatalf("states differ, or nothing was tried: %d dropped, %d restores", dropped, restores)
+	}
+}
+
+func BenchmarkApply(b *testing.B) {
+	tb, body, n := New(), make([]byte, 1024), 0
+	for b.Loop() {
+		answered(b, tb, n, body)
+		n++
+	}
+}
+
+// BenchmarkMemory gives the memory per answered key with an answer of 1 KiB: while its body is kept, and with those
+// whose bodies were dropped.
+func BenchmarkMemory(b *testing.B) {
+	for name, keys := range map[string]int{"kept": 5000, "mostly-dropped": 90_000} {
+		b.Run(name, func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				tb := New()
+				for n := range keys {
+					answered(b, tb, n, make([]byte, 1024))
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(tb)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(keys), "bytes/key")
+		})
+	}
+}
--- a/internal/work/intent/flow.go
+++ b/internal/work/intent/flow.go
@@ -207,8 +207,12 @@
 	switch {
 	case bound && (out.Intent.Digest != f.req.Digest || out.Intent.Kind != Call):
 		return f.reply(ResultNotRun, "key is in use with other content")
-	case out.State == Answered:
+	case out.State == Answered && !out.Dropped:
 		return f.done(out.Answer)
+	case out.State == Answered && f.answered && f.answer.Attempt == out.Answer.Attempt:
+		return f.done(f.answer)
+	case out.State == Answered:
+		return f.reply(ResultUnknown, "ran, but its answer is no longer kept")
 	case out.State == Closed:
 		return f.reply(ResultNotRun, out.Close.Reason)
 	case out.State == Expired:
--- a/internal/work/intent/flow_test.go
+++ b/internal/work/intent/flow_test.go
@@ -62,7 +62,11 @@
 func (w *world) later(f func()) { w.events = append(w.events, f) }
 
 func (r *request) deliver(msg Msg) {
-	for _, cmd := range r.Decide(r.w.now, r.host.table.Outcome(r.w.key), msg) {
+	out := r.host.table.Outcome(r.w.key)
+	if out.State == Answered && r.w.chance(6, "dropped") {
+		out.Answer.Body, out.Dropped = nil, true
+	}
+	for _, cmd := range r.Decide(r.w.now, out, msg) {
 		r.run(cmd)
 	}
 }
@@ -205,8 +209,8 @@
 		if r.Result == ResultNotRun && ran {
 			w.t.Fatalf("replied not_run (%s) to a request that ran", r.Reason)
 		}
-		if r.Result == ResultDone && (!ran || r.Answer.Body[0] != byte(r.digest)) {
-			w.t.Fatalf("replied done to a request that did not run")
+		if r.Result == ResultDone && (!ran || len(r.Answer.Body) == 0 || r.Answer.Body[0] != byte(r.digest)) {
+			w.t.Fatalf("replied done to a request that did not run, or without its answer")
 		}
 	}
 }
--- a/internal/work/intent/record.go
+++ b/internal/work/intent/record.go
@@ -21,6 +21,12 @@
 	Ahead = 5 * time.Minute
 	// MaxBody bounds an answer in bytes.
 	MaxBody = 64 << 10
+	// KeepBodies bounds the bytes of the answers that are kept, bodyOverhead included for each. The oldest are dropped
+	// first. The key of a dropped body stays answered: the request is never sent again, and a retry is told unknown,
+	// since done promises the whole answer.
+	KeepBodies = 8 << 20
+	// bodyOverhead is the approximate memory of an answer without its body.
+	bodyOverhead = 128
 	// MaxName bounds all names and reasons in bytes.
 	MaxName = 128
 )
--- a/internal/work/intent/table.go
+++ b/internal/work/intent/table.go
@@ -20,6 +20,8 @@
 	// At most one of Answer and Close is set. No intent follows either.
 	Answer *Answer `msgpack:"answer"`
 	Close  *Close  `msgpack:"close"`
+	// Dropped is set once the body of Answer is no longer kept.
+	Dropped bool `msgpack:"dropped,omitempty"`
 	// Hop is that of the last home record. It moved Intent.Zone.
 	Hop int `msgpack:"hop"`
 	// stamp is the key's timestamp in milliseconds.
@@ -38,6 +40,16 @@
 	keys map[string]*entry
 	// mark is the watermark in milliseconds.
 	mark int64
+	// bodies are the answers whose bodies are kept, in log order, and size is their total. Keys that Expire forgot are
+	// among them, so that both are the same for all readers.
+	bodies []body
+	size   int
+}
+
+// body is the size of an answer's body. Its fields are exported for the codec only.
+type body struct {
+	Key  string `msgpack:"key"`
+	Size int    `msgpack:"size"`
 }
 
 // New returns an empty table.
@@ -150,9 +162,25 @@
 		return ErrWrongAttempt
 	}
 	e.Answer = &a
+	t.keep(body{Key: a.Key, Size: len(a.Body) + bodyOverhead})
 	return nil
 }
 
+// keep adds an answer to those whose bodies are kept and drops the oldest bodies beyond KeepBodies.
+func (t *Table) keep(b body) {
+	t.bodies = append(t.bodies, b)
+	t.size += b.Size
+	for t.size > KeepBodies {
+		oldest := t.bodies[0]
+		t.bodies[0] = body{}
+		t.bodies = t.bodies[1:]
+		t.size -= oldest.Size
+		if e := t.keys[oldest.Key]; e != nil && e.Answer != nil {
+			e.Answer.Body, e.Dropped = nil, true
+		}
+	}
+}
+
 func (t *Table) close(c Close) error {
 	e, stamp, err := t.find(c.Key)
 	switch {
@@ -233,7 +261,9 @@
 	// Offset is that of Intent.
 	Offset uint64
 	Answer Answer
-	Close  Close
+	// Dropped is set if the body of Answer is no longer kept.
+	Dropped bool
+	Close   Close
 }
 
 // Outcome looks up a key.
@@ -247,7 +277,7 @@
 	}
 	o := Outcome{State: Started, Intent: e.Intent, Offset: e.Offset}
 	if e.Answer != nil {
-		o.State, o.Answer = Answered, *e.Answer
+		o.State, o.Answer, o.Dropped = Answered, *e.Answer, e.Dropped
 	}
 	if e.Close != nil {
 		o.State, o.Close = Closed, *e.Close
@@ -256,13 +286,14 @@
 }
 
 type savedTable struct {
-	Mark int64   `msgpack:"mark"`
-	Keys []entry `msgpack:"keys"`
+	Mark   int64   `msgpack:"mark"`
+	Keys   []entry `msgpack:"keys"`
+	Bodies []body  `msgpack:"bodies"`
 }
 
 // Snapshot encodes the state. It leaves out expired keys, so that readers with equal verdicts have equal snapshots.
 func (t *Table) Snapshot() ([]byte, error) {
-	s := savedTable{Mark: t.mark}
+	s := savedTable{Mark: t.mark, Bodies: t.bodies}
 	for _, e := range t.keys {
 		if !t.expired(e.stamp) {
 			s.Keys = append(s.Keys, *e)
@@ -279,7 +310,13 @@
 	if err != nil {
 		return errors.Wrapf(err, "intent: snapshot at offset %d", base)
 	}
-	n := &Table{keys: make(map[string]*entry, len(s.Keys)), mark: s.Mark}
+	n := &Table{keys: make(map[string]*entry, len(s.Keys)), mark: s.Mark, bodies: s.Bodies}
+	for _, b := range s.Bodies {
+		if b.Size < bodyOverhead || b.Size > MaxBody+bodyOverhead {
+			return errors.Wrapf(malformed("body of %d bytes", b.Size), "intent: snapshot at offset %d", base)
+		}
+		n.size += b.Size
+	}
 	for i := range s.Keys {
 		e := &s.Keys[i]
 		at, err := parseKey(e.Key)
