--- a/internal/work/config/config_test.go
+++ b/internal/work/config/config_test.go
@@ -38,19 +38,27 @@
 	return Class{Name: name, Kind: KindUrgent, Target: Target{Answer: time.Duration(rapid.IntRange(-1, 3).Draw(t, "answer"))}}
 }
 
-func drawItem(t *rapid.T, s *State) record.Item {
-	base := uint64(rapid.IntRange(0, 4).Draw(t, "base"))
+// drawItem returns a change and whether its base is that of the state. Most changes are based on the present version.
+func drawItem(t *rapid.T, s *State) (record.Item, bool) {
 	drop := rapid.Bool().Draw(t, "drop")
 	name := names.Draw(t, "name")
-	var kind record.Kind
+	kind := rapid.SampledFrom([]record.Kind{RecordClass, RecordTeam, RecordZone, RecordApply, "odd"}).Draw(t, "kind")
+	now := versions(s.view())
+	present := map[record.Kind]uint64{
+		RecordTeam: now["team "+name], RecordZone: now["zone "+name], RecordApply: now[""], RecordClass: now["class "+name],
+	}[kind]
+	base := present
+	if rapid.IntRange(0, 3).Draw(t, "stale") == 0 {
+		base = rapid.Uint64Range(0, present+1).Draw(t, "base")
+	}
 	var msg any
-	switch kind = rapid.SampledFrom([]record.Kind{RecordClass, RecordTeam, RecordZone, RecordApply, "odd"}).Draw(t, "kind"); kind {
+	switch kind {
 	case RecordTeam:
 		msg = TeamMsg{Base: base, Team: Team{Name: name}, Drop: drop}
 	case RecordZone:
 		msg = ZoneMsg{Base: base, Name: name, Region: "r", Out: drop}
 	case RecordApply:
-		msg = ApplyMsg{Base: s.Version() - base/4, Doc: drawDoc(t)}
+		msg = ApplyMsg{Base: base, Doc: drawDoc(t)}
 	default:
 		msg = ClassMsg{Base: base, Class: drawClass(t, name), Drop: drop}
 	}
@@ -58,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return item
+	return item, base == present
 }
 
 func versions(v *view) map[string]uint64 {
@@ -96,7 +104,7 @@
 			before := versions(readers[r].view())
 			switch rapid.IntRange(0, 4).Draw(t, "action") {
 			case 0, 1:
-				item := drawItem(t, lead)
+				item, based := drawItem(t, lead)
 				was, _ := lead.Snapshot()
 				offset := offsets[len(log)]
 				if offset == 0 || rapid.Bool().Draw(t, "new record") {
@@ -108,15 +116,25 @@
 				if err != nil && len(was) != len(now) {
 					t.Fatal("a refused record changed the state")
 				}
+				if err == nil && !based {
+					t.Fatalf("%s with a stale base was accepted", item.Kind)
+				}
 				log = append(log, item)
 			case 2:
 				step(r)
+				// A record that was read before is delivered again.
+				if n := read[r]; n > 0 && offsets[1] < offsets[n] && readers[r].Apply(time.Time{}, offsets[1], log[0]) == nil {
+					t.Fatal("an old record was accepted")
+				}
 			case 3:
 				other := readers[rapid.IntRange(0, len(readers)-1).Draw(t, "peer")]
 				data, version, _ := other.Marshal()
 				if err := readers[r].Adopt(data, version); (err == nil) != (version > before[""]) {
 					t.Fatalf("adopting %d over %d: %v", version, before[""], err)
 				}
+				if now := readers[r].Version(); now != max(version, before[""]) {
+					t.Fatalf("version %d is in force after adopting %d over %d", now, version, before[""])
+				}
 			case 4:
 				o := rapid.IntRange(0, len(readers)-1).Draw(t, "writer")
 				if read[o] == len(log) || offsets[read[o]] == offsets[read[o]+1] {
--- /dev/null
+++ b/internal/work/config/fuzz_test.go
@@ -0,0 +1,55 @@
+package config
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+)
+
+// FuzzApply guards against records, snapshots and relayed configurations that crash a host, change something although
+// they are refused, or lower the version.
+func FuzzApply(f *testing.F) {
+	seal := func(kind record.Kind, v any) []byte {
+		i, err := record.Seal(kind, v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		return i.Data
+	}
+	class := Class{Name: "b", Kind: KindBatch, Target: Target{Finished: 1}}
+	f.Add(string(RecordClass), seal(RecordClass, ClassMsg{Class: class}))
+	f.Add(string(RecordTeam), seal(RecordTeam, TeamMsg{Team: Team{Name: "t"}}))
+	f.Add(string(RecordZone), seal(RecordZone, ZoneMsg{Base: 2, Name: "z", Region: "r", Out: true}))
+	f.Add(string(RecordApply), seal(RecordApply, ApplyMsg{Base: 2, Doc: Document{Classes: []Class{class}}}))
+	// An unknown kind, a record of the wrong shape and one that ends early.
+	f.Add("odd", []byte{0xc0})
+	f.Add(string(RecordZone), []byte{0x91, 0x01})
+	f.Add(string(RecordClass), seal(RecordClass, ClassMsg{Class: class})[:9])
+	if full, err := NewState().Snapshot(); err == nil {
+		f.Add("snap", full)
+	}
+	zone := record.Item{Kind: RecordZone, Data: seal(RecordZone, ZoneMsg{Name: "z", Region: "r"})}
+	f.Fuzz(func(t *testing.T, kind string, data []byte) {
+		s := NewState()
+		if err := s.Apply(time.Time{}, 1, zone); err != nil {
+			t.Fatal(err)
+		}
+		before, _ := s.Snapshot()
+		if s.Apply(time.Time{}, 2, record.Item{Kind: record.Kind(kind), Data: data}) != nil {
+			if after, _ := s.Snapshot(); !bytes.Equal(before, after) {
+				t.Fatal("a refused record changed the state")
+			}
+		}
+		version := s.Version()
+		_ = s.Adopt(data, 3)
+		_ = s.Restore(data, 3)
+		if s.Version() < version {
+			t.Fatalf("version went from %d to %d", version, s.Version())
+		}
+		for _, z := range s.Zones() {
+			_ = z.Value.Name
+		}
+	})
+}
