--- a/internal/work/job/table_test.go
+++ b/internal/work/job/table_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -191,6 +192,10 @@
 				if err := b.Restore(data, offset); err != nil {
 					t.Fatal(err)
 				}
+				checkIndexes(t, b)
+				if qa, qb := queued(a), queued(b); !slices.Equal(qa, qb) {
+					t.Fatalf("queued after a restore: %v, want %v", qb, qa)
+				}
 			}
 		}
 		sa, _ := a.Snapshot()
@@ -201,6 +206,19 @@
 	})
 }
 
+// queued returns the pending and the unconfirmed tasks in their order.
+func queued(tb *Table) (ids []string) {
+	for _, class := range tb.Classes() {
+		for task := range tb.Pending(class) {
+			ids = append(ids, task.ID())
+		}
+	}
+	for task := range tb.Unconfirmed() {
+		ids = append(ids, task.ID())
+	}
+	return ids
+}
+
 // checkIndexes compares the indexes with a scan of all tasks.
 func checkIndexes(t *rapid.T, tb *Table) {
 	var counts Counts
