--- a/internal/stream/feed/feed_test.go
+++ b/internal/stream/feed/feed_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
 	"sassafraswind.example/sassafraswind/internal/platform/journal"
@@ -243,12 +244,44 @@
 	})
 }
 
+// newer returns a record of a version that this reader does not know.
+func newer() []byte {
+	data, err := msgpack.Marshal(&record.Envelope{Version: record.Version + 1, Writer: "w", Seq: 9, Items: []record.Item{seal(1)}})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// Guards against a record that a reader cannot read and that stops it, is applied or is not counted.
+func TestSkippedRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, s := newFakeLog(1), &listSink{}
+		f, stop := NewFeed(l, "s", "a", s, WithKinds("n"))
+		defer stop()
+		l.add(t, "w", 1, seal(1), record.Item{Kind: "odd", Data: []byte{1}}, seal(2))
+		l.put([]byte{0xc1})
+		l.put(nil)
+		l.put(newer())
+		l.add(t, "w", 2, record.Item{Kind: "n", Data: []byte{0xa1}}, record.Item{Kind: KindSnap, Data: []byte{0x01}}, seal(4))
+		time.Sleep(2 * time.Second)
+		c := f.Counts()
+		if !slices.Equal(s.values(), []int{1, 2, 4}) || c.Unknown != 1 || c.Malformed != 4 || c.Newer != 1 || c.Records != 2 {
+			t.Errorf("values %v, counts %+v", s.values(), c)
+		}
+	})
+}
+
 // FuzzRecord guards against log content that makes the cursor or the scan panic.
 func FuzzRecord(f *testing.F) {
 	item, _ := record.Seal(KindSnap, Piece{ID: "a", Base: 1, Parts: 1, Data: []byte{1}})
 	data, _ := record.Encode(record.Envelope{Writer: "w", Seq: 1, Items: []record.Item{item}})
 	f.Add(data)
 	f.Add([]byte{})
+	f.Add(data[:len(data)-1])
+	f.Add(newer())
+	odd, _ := record.Encode(record.Envelope{Writer: "w", Seq: 2, Items: []record.Item{{Kind: "odd"}, {Kind: KindSnap, Data: []byte{0xc1}}}})
+	f.Add(odd)
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		r := journal.Record{Offset: 5, Data: data}
 		_, _, _ = NewCursor(5, nil).Next(r)
--- a/internal/stream/record/record_test.go
+++ b/internal/stream/record/record_test.go
@@ -56,6 +56,26 @@
 	})
 }
 
+// Guards against a record that is cut, or followed by bytes of another one, and is taken for whole.
+func TestDecodeRefusesPartsAndExtras(t *testing.T) {
+	item, _ := Seal("sample", sample{Name: "a", N: 1})
+	data, err := Encode(Envelope{Writer: "w", Seq: 1, Items: []Item{item}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range data {
+		if _, err := Decode(data[:n]); !errors.Is(err, ErrMalformed) {
+			t.Errorf("the first %d bytes: %v", n, err)
+		}
+	}
+	if _, err := Decode(append(data, 0xc0)); !errors.Is(err, ErrMalformed) {
+		t.Errorf("one byte more: %v", err)
+	}
+	if _, err := Decode(make([]byte, MaxSize+1)); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("too large: %v", err)
+	}
+}
+
 // indexOf returns the index of the byte after the given map key.
 func indexOf(data []byte, key string) int {
 	for i := range data {
