--- a/internal/host/node/key.go
+++ b/internal/host/node/key.go
@@ -306,7 +306,7 @@
 		return outcome.ReasonWorker
 	case intent.ReasonConflict:
 		return outcome.ReasonConflict
-	case intent.ReasonExpired, intent.ErrOld.Error():
+	case intent.ReasonExpired, intent.ReasonDropped, intent.ErrOld.Error():
 		return outcome.ReasonExpired
 	case intent.ErrBadKey.Error(), intent.ErrAhead.Error():
 		return outcome.ReasonInvalid
--- a/internal/work/intent/flow.go
+++ b/internal/work/intent/flow.go
@@ -28,6 +28,7 @@
 	ReasonRestarted = "worker restarted"
 	ReasonConflict  = "key is in use with other content"
 	ReasonExpired   = "key expired"
+	ReasonDropped   = "ran, but its answer is no longer kept"
 )
 
 // Request is a caller's request on a key, at one host.
@@ -216,8 +217,12 @@
 	switch {
 	case bound && (out.Intent.Digest != f.req.Digest || out.Intent.Kind != Call):
 		return f.reply(ResultNotRun, ReasonConflict)
-	case out.State == Answered:
+	case out.State == Answered && !out.Dropped:
 		return f.done(out.Answer)
+	case out.State == Answered && f.answered && f.answer.Attempt == out.Answer.Attempt:
+		return f.done(f.answer)
+	case out.State == Answered:
+		return f.reply(ResultUnknown, ReasonDropped)
 	case out.State == Closed:
 		return f.reply(ResultNotRun, out.Close.Reason)
 	case out.State == Expired:
