--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -122,13 +122,13 @@
 		switch c := c.(type) {
 		case lease.QueryCmd:
 			n.run(func(ctx context.Context) {
-				n.askWorker(ctx, c.Worker, 0, func(ctx context.Context) (fleet.Status, error) {
-					return n.fleet.Status(ctx, c.Address)
+				n.askWorker(ctx, c.Worker, 0, true, func(ctx context.Context) (fleet.Status, error) {
+					return n.fleet.Brief(ctx, c.Address)
 				})
 			})
 		case lease.LeaseCmd:
 			n.run(func(ctx context.Context) {
-				n.askWorker(ctx, c.Worker, c.Request.Seen, func(ctx context.Context) (fleet.Status, error) {
+				n.askWorker(ctx, c.Worker, c.Request.Seen, false, func(ctx context.Context) (fleet.Status, error) {
 					return n.fleet.Lease(ctx, c.Address, c.Request)
 				})
 			})
@@ -147,7 +147,7 @@
 }
 
 // askWorker sends a status or lease message and feeds the reply back.
-func (n *Node) askWorker(ctx context.Context, id string, seen uint64, ask func(context.Context) (fleet.Status, error)) {
+func (n *Node) askWorker(ctx context.Context, id string, seen uint64, brief bool, ask func(context.Context) (fleet.Status, error)) {
 	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
 	defer cancel()
 	sent := time.Now()
@@ -156,12 +156,13 @@
 	var msg lease.Msg
 	switch {
 	case errors.Is(err, fleet.ErrHeld):
+		s.Worker = id // The worker's refusal has no status.
 		msg = lease.RefusedMsg{Status: s, Sent: sent, Received: received}
 	case err != nil:
 		n.log.WithError(err).WithField("worker", id).Debug("Worker did not answer a lease message.")
 		msg = lease.FailedMsg{Worker: id}
 	default:
-		msg = lease.StatusMsg{Status: s, Sent: sent, Received: received, Seen: seen}
+		msg = lease.StatusMsg{Status: s, Sent: sent, Received: received, Seen: seen, Brief: brief}
 	}
 	n.zone.mu.Lock()
 	cmds := n.zone.holdings.Update(received, msg)
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -49,7 +49,7 @@
 
 // Fleet is what the node needs of the workers.
 type Fleet interface {
-	Status(ctx context.Context, addr string) (fleet.Status, error)
+	Brief(ctx context.Context, addr string) (fleet.Status, error)
 	Lease(ctx context.Context, addr string, l fleet.LeaseRequest) (fleet.Status, error)
 	Release(ctx context.Context, addr string, f fleet.Fence) error
 	Start(ctx context.Context, addr string, o fleet.Order) error
--- a/internal/host/node/worker_test.go
+++ b/internal/host/node/worker_test.go
@@ -68,8 +68,8 @@
 	}
 }
 
-func (l fleetLink) Status(ctx context.Context, addr string) (fleet.Status, error) {
-	return deliver(l, ctx, addr, (*backend.Worker).Status)
+func (l fleetLink) Brief(ctx context.Context, addr string) (fleet.Status, error) {
+	return deliver(l, ctx, addr, (*backend.Worker).Brief)
 }
 
 func (l fleetLink) Lease(ctx context.Context, addr string, r fleet.LeaseRequest) (fleet.Status, error) {
--- a/internal/platform/fleet/client.go
+++ b/internal/platform/fleet/client.go
@@ -107,6 +107,11 @@
 	return exchange[Status](ctx, c, addr, message{step: "status", method: http.MethodGet, path: "/status"})
 }
 
+// Brief returns the state of the worker without its tasks, calls and usage.
+func (c *Client) Brief(ctx context.Context, addr string) (Status, error) {
+	return exchange[Status](ctx, c, addr, message{step: "status", method: http.MethodGet, path: "/status?brief=1"})
+}
+
 // Lease takes or renews the lease. It returns ErrHeld, wrapped, when another holder has it.
 func (c *Client) Lease(ctx context.Context, addr string, l LeaseRequest) (Status, error) {
 	s, err := exchange[Status](ctx, c, addr, message{step: "lease", path: "/lease", body: l})
--- a/internal/standin/backend/http.go
+++ b/internal/standin/backend/http.go
@@ -21,7 +21,13 @@
 // unreachable, their connections are closed without a reply.
 func Handler(w *Worker) http.Handler {
 	r := chi.NewRouter()
-	r.Get("/status", handle(w, func(context.Context, struct{}) (fleet.Status, error) { return w.Status() }, nil))
+	r.Get("/status", func(rw http.ResponseWriter, r *http.Request) {
+		status := w.Status
+		if r.URL.Query().Get("brief") != "" {
+			status = w.Brief
+		}
+		handle(w, func(context.Context, struct{}) (fleet.Status, error) { return status() }, nil)(rw, r)
+	})
 	r.Post("/lease", handle(w, func(_ context.Context, l fleet.LeaseRequest) (fleet.Status, error) { return w.Lease(l) }, nil))
 	r.Post("/release", handle(w, func(_ context.Context, f fleet.Fence) (struct{}, error) {
 		return struct{}{}, w.Release(f)
--- a/internal/standin/backend/worker.go
+++ b/internal/standin/backend/worker.go
@@ -138,6 +138,13 @@
 	return w.status(0), nil
 }
 
+// Brief returns the state without tasks, calls and usage.
+func (w *Worker) Brief() (fleet.Status, error) {
+	s, err := w.Status()
+	s.Tasks, s.Calls, s.Usage = nil, nil, nil
+	return s, err
+}
+
 // Lease takes or renews the lease. It returns fleet.ErrHeld, wrapped, when another holder has it.
 func (w *Worker) Lease(l fleet.LeaseRequest) (fleet.Status, error) {
 	w.mu.Lock()
--- a/internal/zone/lease/guard_test.go
+++ b/internal/zone/lease/guard_test.go
@@ -1,12 +1,51 @@
 package lease
 
 import (
+	"math"
 	"testing"
 	"time"
 
 	"sassafraswind.example/sassafraswind/internal/platform/fleet"
 )
 
+// briefChange marks a status without tasks in the world.
+const briefChange = math.MaxUint64
+
+// problem is the status of a refusal, half of the time only the worker's name.
+func (w *world) problem(s fleet.Status) fleet.Status {
+	if w.rng.IntN(2) == 0 {
+		return fleet.Status{Worker: s.Worker}
+	}
+	return s
+}
+
+// TestRefused guards against a host that repeats a refused lease call for as long as the other host lives, and against a
+// status without tasks that is taken for an empty list.
+func TestRefused(t *testing.T) {
+	h := New("h0")
+	h.Update(epoch, HostsMsg{Workers: []Worker{{ID: "w"}}})
+	h.Update(epoch, PeersMsg{Hosts: []string{"h0"}})
+	free := fleet.Status{Worker: "w", Boot: "b", Clock: time.Hour}
+	h.Update(epoch, StatusMsg{Status: free, Sent: epoch, Received: epoch, Brief: true})
+	now := epoch.Add(time.Second)
+	if _, ok := h.Update(now, TickMsg{})[0].(LeaseCmd); !ok {
+		t.Fatal("a free worker is not asked for its lease")
+	}
+	h.Update(now, RefusedMsg{Status: fleet.Status{Worker: "w"}, Sent: now, Received: now})
+	now = now.Add(2 * time.Second)
+	if _, ok := h.Update(now, TickMsg{})[0].(QueryCmd); !ok {
+		t.Fatal("after a refusal the worker is not asked who holds it")
+	}
+	own := fleet.Status{Worker: "w", Boot: "b", Clock: time.Hour + 3*time.Second, Grant: 1, Holder: "h0", Until: 2 * time.Hour}
+	if cmds := h.Update(now, StatusMsg{Status: own, Sent: now, Received: now, Brief: true}); len(cmds) > 0 {
+		t.Fatalf("a status without tasks is passed on: %+v", cmds)
+	}
+	c, ok := h.Update(now.Add(time.Second), TickMsg{})[0].(LeaseCmd)
+	if !ok || c.Request.Seen != 0 {
+		t.Fatalf("got %+v, want a lease call that asks for the full list", c)
+	}
+}
+
 // TestLateReply guards against a reply that arrives after a newer one and brings back an old grant, an old clock or an
 // old list of tasks.
 func TestLateReply(t *testing.T) {
--- a/internal/zone/lease/lease.go
+++ b/internal/zone/lease/lease.go
@@ -63,6 +63,9 @@
 	// mine is set while the newest reading names this host. The lease itself may have expired since.
 	mine  bool
 	grant uint64
+	// named is set if the newest reading names this host but listed no tasks, so that the lease is to be renewed with
+	// a full list before the worker counts as held.
+	named bool
 	// certain is the time from which the lease may have expired.
 	certain time.Time
 	// tasks is an upper bound of the end of task leases at the worker, in its clock, as long as recorded holds.
@@ -127,9 +130,13 @@
 			h.place(w)
 		}
 	case StatusMsg:
-		return h.status(now, m.Status, m.Sent, m.Received, m.Seen)
+		return h.status(now, m.Status, m.Sent, m.Received, m.Seen, m.Brief)
 	case RefusedMsg:
-		return h.status(now, m.Status, m.Sent, m.Received, 0)
+		if m.Status.Boot == "" {
+			h.refused(now, m.Status.Worker, m.Sent)
+			return nil
+		}
+		return h.status(now, m.Status, m.Sent, m.Received, 0, false)
 	case FailedMsg:
 		if w := h.workers[m.Worker]; w != nil {
 			w.pending = time.Time{}
@@ -192,7 +199,7 @@
 func score(worker, host string) uint64 { return xxhash.Sum64String(worker + "\x00" + host) }
 
 // status applies a reading of the worker.
-func (h *Holdings) status(now time.Time, s fleet.Status, sent, received time.Time, seen uint64) []Command {
+func (h *Holdings) status(now time.Time, s fleet.Status, sent, received time.Time, seen uint64, brief bool) []Command {
 	w := h.workers[s.Worker]
 	if w == nil {
 		return nil
@@ -210,6 +217,11 @@
 	}
 	w.clock, w.sent, w.received, w.drain = s.Clock, sent, received, s.Leaving
 	mine := s.Holder == h.self && s.Until > s.Clock && sent.After(w.barrier)
+	w.named = mine && brief
+	if w.named {
+		w.next = now
+		return nil
+	}
 	if !mine {
 		w.mine, w.seen, w.certain = false, 0, time.Time{}
 		if s.Holder != "" && s.Until > s.Clock {
@@ -244,6 +256,18 @@
 	return []Command{ApplyCmd{Status: s, Sent: sent, Full: seen == 0}}
 }
 
+// refused notes that another host holds the worker. The next call asks who: a lease call that is repeated instead would
+// be refused as long as that host lives, and this one would take the worker for silent.
+func (h *Holdings) refused(now time.Time, id string, sent time.Time) {
+	w := h.workers[id]
+	if w == nil || sent.Before(w.sent) {
+		return
+	}
+	w.pending, w.free, w.named = time.Time{}, time.Time{}, false
+	w.mine, w.seen, w.certain = false, 0, time.Time{}
+	w.next = now.Add(h.renew / 2)
+}
+
 // schedule sets the next call to a worker that this host does not hold.
 func (h *Holdings) schedule(w *holding, now time.Time) {
 	switch {
@@ -322,7 +346,7 @@
 		return nil
 	}
 	turn := !w.free.IsZero() && now.Sub(w.free) >= time.Duration(2*w.rank)*h.ttl && len(h.peers) > 0
-	if w.boot == "" || (!w.mine && !turn) {
+	if w.boot == "" || (!w.mine && !w.named && !turn) {
 		w.next = now.Add(h.renew / 2)
 		return QueryCmd{Worker: w.ID, Address: w.Address}
 	}
--- a/internal/zone/lease/lease_test.go
+++ b/internal/zone/lease/lease_test.go
@@ -182,9 +182,9 @@
 	for _, c := range cmds {
 		switch c := c.(type) {
 		case QueryCmd:
-			w.send(h, c.Worker, 0, func(fw *worker, now time.Time) (bool, bool) { return true, false })
+			w.send(h, c.Worker, 0, true, func(fw *worker, now time.Time) (bool, bool) { return true, false })
 		case LeaseCmd:
-			w.send(h, c.Worker, c.Request.Seen, func(fw *worker, now time.Time) (bool, bool) { return fw.lease(now, c.Request) })
+			w.send(h, c.Worker, c.Request.Seen, false, func(fw *worker, now time.Time) (bool, bool) { return fw.lease(now, c.Request) })
 		case ReleaseCmd:
 			w.after(w.delay(), func(now time.Time) {
 				fw := w.workers[c.Worker]
@@ -200,6 +200,9 @@
 			if last, ok := h.applied[c.Status.Boot]; ok && c.Status.Clock < last && w.late == "" {
 				w.late = fmt.Sprintf("%s passes on clock %s of %s after %s", h.id, c.Status.Clock, c.Status.Boot, last)
 			}
+			if c.Status.Change == briefChange && w.late == "" {
+				w.late = fmt.Sprintf("%s passes on a status without tasks", h.id)
+			}
 			if _, ok := h.applied[c.Status.Boot]; !ok && !c.Full {
 				w.late = fmt.Sprintf("%s passes on a list of changes as the first of %s", h.id, c.Status.Boot)
 			}
@@ -214,7 +217,7 @@
 	}
 }
 
-func (w *world) send(h *host, id string, seen uint64, act func(*worker, time.Time) (bool, bool)) {
+func (w *world) send(h *host, id string, seen uint64, brief bool, act func(*worker, time.Time) (bool, bool)) {
 	sent, answered := h.at(w.now), false
 	w.after(time.Second, func(time.Time) {
 		if !answered {
@@ -232,6 +235,9 @@
 		w.after(w.delay(), func(now time.Time) {
 			ok, held := act(w.workers[id], now)
 			s := w.workers[id].status(now)
+			if brief {
+				s.Change = briefChange
+			}
 			if w.lost(h, id) || now.Before(w.mute[h.id+id]) {
 				return
 			}
@@ -240,9 +246,9 @@
 					answered = true
 					switch {
 					case ok:
-						return StatusMsg{Status: s, Sent: sent, Received: now, Seen: seen}
+						return StatusMsg{Status: s, Sent: sent, Received: now, Seen: seen, Brief: brief}
 					case held:
-						return RefusedMsg{Status: s, Sent: sent, Received: now}
+						return RefusedMsg{Status: w.problem(s), Sent: sent, Received: now}
 					}
 					return FailedMsg{id}
 				})
--- a/internal/zone/lease/message.go
+++ b/internal/zone/lease/message.go
@@ -32,9 +32,12 @@
 	Sent, Received time.Time
 	// Seen is LeaseRequest.Seen of the call, 0 for a status call.
 	Seen uint64
+	// Brief is set for the reply to QueryCmd, which lists no tasks.
+	Brief bool
 }
 
-// RefusedMsg is the reply to a lease call that was refused because another host holds the worker.
+// RefusedMsg is the reply to a lease call that was refused because another host holds the worker. A status without boot
+// id only names the worker.
 type RefusedMsg struct {
 	Status         fleet.Status
 	Sent, Received time.Time
@@ -73,7 +76,8 @@
 // Command is an effect that the caller carries out after Update.
 type Command interface{ isCommand() }
 
-// QueryCmd asks the worker for its full status.
+// QueryCmd asks the worker who holds it. The tasks are not wanted: a host that does not hold the worker asks every
+// few seconds, and the checkpoints of all tasks would be most of what passes between the zone's hosts and workers.
 type QueryCmd struct{ Worker, Address string }
 
 // LeaseCmd asks for or renews the lease of the worker. Request.Tasks is 0 when task leases are to stay as they are.
