--- a/internal/host/node/drain.go
+++ b/internal/host/node/drain.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"sassafraswind.example/sassafraswind/internal/host/peer"
 	"sassafraswind.example/sassafraswind/internal/platform/fleet"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
@@ -130,6 +132,10 @@
 		g.accept.Tasks = append(g.accept.Tasks, t.Carried())
 		g.moves = append(g.moves, job.Move{Task: t.ID(), To: t.To(), Hop: t.Hop(), Done: true})
 	}
+	// An accept lists its tasks by index, whereas moves come in any order.
+	for _, g := range groups {
+		slices.SortFunc(g.accept.Tasks, func(a, b job.Carried) int { return a.Index - b.Index })
+	}
 	return groups
 }
 
@@ -191,6 +197,16 @@
 		n.log.WithField("job", g.accept.ID).Infof("Zone %s has not taken over tasks yet: %s.", g.to, r.Message)
 		return
 	}
+	n.zone.mu.Lock()
+	j := n.zone.jobs.Job(g.accept.ID)
+	cancelled := j != nil && j.Cancelled()
+	n.zone.mu.Unlock()
+	if cancelled {
+		// The cancellation came while the tasks were on their way.
+		if r, ok := n.inZone(ctx, g.to, g.accept.ID, peer.JobCancel); !ok || r.Outcome == outcome.Unknown {
+			return
+		}
+	}
 	items, err := g.confirmations()
 	if err != nil {
 		n.log.WithError(err).Error("Move was not encoded.")
--- a/internal/host/node/sink.go
+++ b/internal/host/node/sink.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -59,6 +58,7 @@
 	}
 	if ended != nil {
 		z.policy.Update(now, *ended)
+		z.dropPlacement(ended.Task)
 	}
 	switch item.Kind {
 	case job.KindHold:
@@ -74,11 +74,22 @@
 	return nil
 }
 
+// dropPlacement forgets the start of an attempt that has ended, with mu held. The attempt may have ended without a
+// status that lists it, for example because its worker restarted, and no host starts a task that it is still placing.
+func (z *zoneView) dropPlacement(id string) {
+	pl, t := z.placing[id], z.jobs.Task(id)
+	if pl == nil {
+		return
+	}
+	if t == nil || t.Attempt() > pl.attempt || t.Attempt() == pl.attempt && t.State() != job.Running {
+		delete(z.placing, id)
+	}
+}
+
 // endedBy returns what the policy is told if the item ends an attempt, with zone.mu held.
 func (s *zoneSink) endedBy(now time.Time, item record.Item) *policy.EndMsg {
 	var id string
 	var attempt int
-	var reason job.Reason
 	outcome := policy.OutcomeEvicted
 	switch item.Kind {
 	case job.KindEnd:
@@ -95,7 +106,7 @@
 		if err != nil {
 			return nil
 		}
-		id, attempt, reason = e.Task, e.Attempt, e.Reason
+		id, attempt = e.Task, e.Attempt
 		if e.Reason == job.ReasonRefused {
 			outcome = policy.OutcomeCancelled
 		}
@@ -109,7 +120,7 @@
 	if t.Cancelling() && outcome == policy.OutcomeEvicted {
 		outcome = policy.OutcomeCancelled
 	}
-	s.n.countEnd(now, t, outcome, reason)
+	s.n.countEnd(now, t, outcome)
 	return &policy.EndMsg{Worker: t.Worker(), Task: id, Attempt: attempt, Outcome: outcome}
 }
 
@@ -128,6 +139,9 @@
 	if err := z.jobs.Restore(data, base); err != nil {
 		return err
 	}
+	for id := range z.placing {
+		z.dropPlacement(id)
+	}
 	now := time.Now()
 	for _, h := range z.jobs.Holds() {
 		z.holdings.Update(now, lease.HoldMsg{Worker: h.Worker, Host: h.Host, Boot: h.Boot, Grant: h.Grant})
@@ -135,9 +149,9 @@
 	return nil
 }
 
-// countEnd counts an attempt that ended. The metrics count it only at the host that holds its worker, so that each end
-// is counted once in a zone. Records that are read while the host catches up happened earlier and are left out.
-func (n *Node) countEnd(now time.Time, t *job.Task, outcome policy.Outcome, reason job.Reason) {
+// countEnd counts an attempt that ended for the status. Records that are read while the host catches up happened earlier
+// and are left out.
+func (n *Node) countEnd(now time.Time, t *job.Task, outcome policy.Outcome) {
 	if n.zone.feed == nil || n.zone.feed.Fresh().IsZero() {
 		return
 	}
@@ -147,15 +161,6 @@
 	case policy.OutcomeEvicted:
 		n.tallyOf(t.Job().Class()).evicted.add(now)
 	}
-	if _, held := n.zone.holdings.Held(t.Worker(), now); !held || n.mtr == nil {
-		return
-	}
-	ctx := context.Background()
-	if reason == "" {
-		n.mtr.TaskEnded(ctx, t.Job().Class(), string(outcome))
-		return
-	}
-	n.mtr.TaskEvicted(ctx, t.Job().Class(), string(reason))
 }
 
 // keyChanged wakes the requests of this host that wait for a key.
