Learn of failures elsewhere and let failed tasks be retried soon

Causes: each host counted failures on its own workers only, and retries of failed tasks waited for room like other tasks.

--- a/internal/zone/policy/placement.go
+++ b/internal/zone/policy/placement.go
@@ -61,6 +61,8 @@
 	// gap that the error of the estimates leaves and stay when it closes.
 	dearFactor, dearLimit = 2, 0.6
 	priceGain             = 0.01
+	// retryLimit is the limit for tasks that failed before, just below the one from which tasks are throttled.
+	retryLimit = 1.2
 	// trialLength bounds a trial on a worker that yields no reports.
 	trialLength = 5 * time.Minute
 )
@@ -108,7 +110,7 @@
 	}
 	tm := p.team(t.Team)
 	within := tm.within(size)
-	if !within {
+	if !within && len(t.Avoid) == 0 {
 		if s := p.starving(now); s != nil && s != tm {
 			return Placement{Reason: ReasonQuota}
 		}
@@ -237,6 +239,10 @@
 	if after-before > dearFactor*p.price*float64(size.Cores)/float64(w.capacity.Cores) {
 		limit = dearLimit
 	}
+	if len(t.Avoid) > 0 {
+		// The next run of a failed task decides whether it is parked, which must not wait for long.
+		limit = retryLimit
+	}
 	if after > limit {
 		return ReasonHarm
 	}
--- a/internal/zone/policy/policy.go
+++ b/internal/zone/policy/policy.go
@@ -83,6 +83,12 @@
 		Attempt      int
 		Outcome      Outcome
 	}
+	// ElsewhereMsg reports the outcome of a task on a worker that another host holds, as read from the
+	// zone's stream, so that faulty jobs and classes are recognized sooner.
+	ElsewhereMsg struct {
+		Worker, Job, Class string
+		Outcome            Outcome
+	}
 	// UsageMsg holds the usage reports of one status of a worker.
 	UsageMsg struct {
 		Worker string
@@ -101,16 +107,17 @@
 	ReturnMsg struct{}
 )
 
-func (ClassMsg) message()   {}
-func (TeamMsg) message()    {}
-func (WorkerMsg) message()  {}
-func (ReleaseMsg) message() {}
-func (StartMsg) message()   {}
-func (EndMsg) message()     {}
-func (UsageMsg) message()   {}
-func (CallMsg) message()    {}
-func (ShapesMsg) message()  {}
-func (ReturnMsg) message()  {}
+func (ClassMsg) message()     {}
+func (TeamMsg) message()      {}
+func (WorkerMsg) message()    {}
+func (ReleaseMsg) message()   {}
+func (StartMsg) message()     {}
+func (EndMsg) message()       {}
+func (ElsewhereMsg) message() {}
+func (UsageMsg) message()     {}
+func (CallMsg) message()      {}
+func (ShapesMsg) message()    {}
+func (ReturnMsg) message()    {}
 
 // Command asks the caller to act on a running task attempt.
 type Command struct {
@@ -215,6 +222,13 @@
 		p.start(now, m)
 	case EndMsg:
 		p.end(now, m)
+	case ElsewhereMsg:
+		switch m.Outcome {
+		case OutcomeDone:
+			p.noteSuccess(now, m.Job, p.class(m.Class))
+		case OutcomeFailed:
+			p.noteFailure(now, m.Job, p.class(m.Class), m.Worker)
+		}
 	case UsageMsg:
 		p.report(now, m)
 	case CallMsg:
