Bound trials by memory and until the size is known; measure parts of the policy

Cause: workers ran out of memory in the first minute: with no answered call yet no pair is unknown and the class was placed widely at its declared size; a trial was bounded by cores only, 7 tasks that use 4 times 12 GB fill the worker.

--- a/internal/zone/policy/class.go
+++ b/internal/zone/policy/class.go
@@ -34,6 +34,8 @@
 	// trial is the only worker that runs tasks of this batch class while one of its pairs is unknown.
 	trial string
 	tried time.Time
+	// first is the begin of the first trial.
+	first time.Time
 	// blocked is the last reason for which a task of the class got no worker.
 	blocked   Reason
 	blockedAt time.Time
--- a/internal/zone/policy/fake_test.go
+++ b/internal/zone/policy/fake_test.go
@@ -267,6 +267,10 @@
 		Task: fmt.Sprint("t", w.serial), Job: fmt.Sprint("j", w.serial/4), Class: cl.name,
 		Team: fmt.Sprint("team", w.serial%teamCount), Size: cl.declared,
 	}
+	if w.sc.idle[1] > 0 && w.serial%4 == 0 && w.serial%16 != 0 {
+		// The team that returns submits a quarter of what each of the others does.
+		t.Team = fmt.Sprint("team", 1+w.serial%3)
+	}
 	f := cl.factor * (0.9 + 0.2*w.rng.Float64())
 	t.cores, t.memory = float64(cl.declared.Cores)*f, float64(cl.declared.Memory)*f
 	if w.sc.badJobs && w.serial%50 == 0 {
@@ -565,3 +569,17 @@
 	}
 	return sum
 }
+
+// teamShare is the share of the planned cores that a team has.
+func (w *world) teamShare(team string) float64 {
+	var of, all float64
+	for _, fw := range w.workers {
+		for _, t := range fw.tasks {
+			all += float64(t.planned.Cores)
+			if t.Team == team {
+				of += float64(t.planned.Cores)
+			}
+		}
+	}
+	return of / max(all, 1)
+}
--- a/internal/zone/policy/placement.go
+++ b/internal/zone/policy/placement.go
@@ -54,8 +54,12 @@
 	samples, lookups = 8, 32
 	// parkWorkers is the number of workers a task may fail on (design section 8).
 	parkWorkers = 3
-	// trialLoad is the largest share of a worker that a class on trial is planned with.
+	// trialLoad is the largest share of a worker's cores or memory that a class on trial is planned with. Four
+	// times that, the largest error of declared sizes expected, still leaves half of the worker.
 	trialLoad = 0.12
+	// sizeReports is the number of reports after which the size of a class counts as known. sizeWait after the
+	// first trial the declared size is used, for workers that report no use.
+	sizeReports, sizeWait = 3, 10 * time.Minute
 	// A task that costs more than dearFactor times the mean harm per core may fill a worker only up to
 	// dearLimit of the accepted harm. Long tasks of harmful classes would otherwise gather: they fill every
 	// gap that the error of the estimates leaves and stay when it closes.
@@ -136,6 +140,9 @@
 	}
 	if trial {
 		c.trial, c.tried = w.name, now
+		if c.first.IsZero() {
+			c.first = now
+		}
 	}
 	if !trial {
 		p.paid(now, w, c, size)
@@ -143,7 +150,7 @@
 	return Placement{Worker: w.name, Size: size}
 }
 
-// trial reports whether the class has an unknown pair with an active urgent class. It ends a trial whose
+// trial reports whether the class has an unknown pair with an active urgent class or an unknown size. It ends a trial whose
 // worker is gone or that lasted too long. A new trial should wait while the undisturbed execution time of the
 // urgent class is unknown, since it cannot be told from the slowdown.
 func (p *Policy) trial(now time.Time, c *class) (unknown, wait bool) {
@@ -157,6 +164,9 @@
 			wait = wait || !u.model.settled(now)
 		}
 	}
+	if c.size.memory.n < sizeReports && (c.first.IsZero() || now.Sub(c.first) < sizeWait) {
+		unknown = true
+	}
 	if c.trial != "" && (!unknown || p.workers[c.trial] == nil || now.Sub(c.tried) > trialLength) {
 		c.trial = ""
 	}
@@ -229,7 +239,13 @@
 		return ReasonQuarantine
 	}
 	if trial {
-		if load := w.load(w.level(c)) + float64(size.Cores)/float64(w.capacity.Cores); load > trialLoad && w.load(w.level(c)) > 0 {
+		l := w.level(c)
+		if l.planned == (fleet.Size{}) {
+			return ""
+		}
+		load := w.load(l) + float64(size.Cores)/float64(w.capacity.Cores)
+		memory := float64(l.planned.Memory+size.Memory) / float64(w.capacity.Memory)
+		if load > trialLoad || memory > trialLoad {
 			return ReasonTrial
 		}
 		return ""
--- a/internal/zone/policy/result_test.go
+++ b/internal/zone/policy/result_test.go
@@ -53,6 +53,9 @@
 	taskSeconds []float64
 	evictedOf   []int
 	fullUse     float64
+	// share is the mean share of the planned cores that the team of the quota case has once it has work again.
+	share float64
+	n     int
 }
 
 func (r *result) evict(cause string, class int, warm bool) {
@@ -108,6 +111,10 @@
 	r.inTarget = append(r.inTarget, ok)
 	r.perMinute = append(r.perMinute, r.workNow/60)
 	r.workNow = 0
+	if w.sc.idle[1] > 0 && w.now > w.sc.idle[1]+300 {
+		r.n++
+		r.share += (w.teamShare("team0") - r.share) / float64(r.n)
+	}
 	r.badStarts, r.quarantine = 0, 0
 	for _, fw := range w.workers {
 		if fw.bad {
