--- a/internal/zone/policy/placement.go
+++ b/internal/zone/policy/placement.go
@@ -132,7 +132,7 @@
 	}
 	w, reason := p.choose(now, c, t, size, trial)
 	if w == nil {
-		if within && reason == ReasonRoom {
+		if within && (reason == ReasonRoom || reason == ReasonHarm) {
 			tm.starved, tm.need = now, size
 			p.starved = tm
 		}
