--- a/internal/zone/policy/placement.go
+++ b/internal/zone/policy/placement.go
@@ -54,13 +54,19 @@
 	samples, lookups = 8, 32
 	// parkWorkers is the number of workers a task may fail on (design section 8).
 	parkWorkers = 3
-	// trialLoad is the largest share of a worker that a class on trial is planned with.
+	// trialLoad is the largest share of a worker's cores or memory that a class on trial is planned with. Four
+	// times that, the largest error of declared sizes expected, still leaves half of the worker.
 	trialLoad = 0.12
+	// sizeReports is the number of reports after which the size of a class counts as known. sizeWait after the
+	// first trial the declared size is used, for workers that report no use.
+	sizeReports, sizeWait = 3, 10 * time.Minute
 	// A task that costs more than dearFactor times the mean harm per core may fill a worker only up to
 	// dearLimit of the accepted harm. Long tasks of harmful classes would otherwise gather: they fill every
 	// gap that the error of the estimates leaves and stay when it closes.
 	dearFactor, dearLimit = 2, 0.6
 	priceGain             = 0.01
+	// retryLimit is the limit for tasks that failed before, just below the one from which tasks are throttled.
+	retryLimit = 1.2
 	// trialLength bounds a trial on a worker that yields no reports.
 	trialLength = 5 * time.Minute
 )
@@ -108,7 +114,7 @@
 	}
 	tm := p.team(t.Team)
 	within := tm.within(size)
-	if !within {
+	if !within && len(t.Avoid) == 0 {
 		if s := p.starving(now); s != nil && s != tm {
 			return Placement{Reason: ReasonQuota}
 		}
@@ -126,7 +132,7 @@
 	}
 	w, reason := p.choose(now, c, t, size, trial)
 	if w == nil {
-		if within && reason == ReasonRoom {
+		if within && (reason == ReasonRoom || reason == ReasonHarm) {
 			tm.starved, tm.need = now, size
 			p.starved = tm
 		}
@@ -134,6 +140,9 @@
 	}
 	if trial {
 		c.trial, c.tried = w.name, now
+		if c.first.IsZero() {
+			c.first = now
+		}
 	}
 	if !trial {
 		p.paid(now, w, c, size)
@@ -141,7 +150,7 @@
 	return Placement{Worker: w.name, Size: size}
 }
 
-// trial reports whether the class has an unknown pair with an active urgent class. It ends a trial whose
+// trial reports whether the class has an unknown pair with an active urgent class or an unknown size. It ends a trial whose
 // worker is gone or that lasted too long. A new trial should wait while the undisturbed execution time of the
 // urgent class is unknown, since it cannot be told from the slowdown.
 func (p *Policy) trial(now time.Time, c *class) (unknown, wait bool) {
@@ -156,6 +165,9 @@
 			wait = wait || !u.model.settled(now)
 		}
 	}
+	if c.size.memory.n < sizeReports && (c.first.IsZero() || now.Sub(c.first) < sizeWait) {
+		unknown = true
+	}
 	if c.trial != "" && (!unknown || p.workers[c.trial] == nil || now.Sub(c.tried) > trialLength) {
 		c.trial = ""
 	}
@@ -228,7 +240,13 @@
 		return ReasonQuarantine
 	}
 	if trial {
-		if load := w.load(w.level(c)) + float64(size.Cores)/float64(w.capacity.Cores); load > trialLoad && w.load(w.level(c)) > 0 {
+		l := w.level(c)
+		if l.planned == (fleet.Size{}) {
+			return ""
+		}
+		load := w.load(l) + float64(size.Cores)/float64(w.capacity.Cores)
+		memory := float64(l.planned.Memory+size.Memory) / float64(w.capacity.Memory)
+		if load > trialLoad || memory > trialLoad {
 			return ReasonTrial
 		}
 		return ""
@@ -238,6 +256,10 @@
 	if after-before > dearFactor*p.price*float64(size.Cores)/float64(w.capacity.Cores) {
 		limit = dearLimit
 	}
+	if len(t.Avoid) > 0 {
+		// The next run of a failed task decides whether it is parked, which must not wait for long.
+		limit = retryLimit
+	}
 	if after > limit {
 		return ReasonHarm
 	}
