--- a/internal/zone/policy/placement.go
+++ b/internal/zone/policy/placement.go
@@ -89,6 +89,12 @@
 // PlaceTask chooses a worker for the task. It looks at a bounded sample of workers.
 func (p *Policy) PlaceTask(now time.Time, t Candidate) (Placement, bool) {
 	c := p.class(t.Class)
+	p.live = p.live[:0]
+	for _, u := range p.urgent {
+		if u.active(now) {
+			p.live = append(p.live, u)
+		}
+	}
 	pl := p.place(now, c, t)
 	if pl.Worker == "" {
 		c.blocked, c.blockedAt = pl.Reason, now
@@ -125,7 +131,7 @@
 	}
 	if trial && c.trial != "" {
 		w := p.workers[c.trial]
-		if reason := p.check(now, w, c, t, size, true); reason != "" {
+		if _, reason := p.check(now, w, c, t, size, true); reason != "" {
 			return Placement{Reason: ReasonTrial}
 		}
 		return Placement{Worker: w.name, Size: size}
@@ -145,7 +151,7 @@
 		}
 	}
 	if !trial {
-		p.paid(now, w, c, size)
+		p.paid(w, c, size)
 	}
 	return Placement{Worker: w.name, Size: size}
 }
@@ -154,10 +160,7 @@
 // worker is gone or that lasted too long. A new trial should wait while the undisturbed execution time of the
 // urgent class is unknown, since it cannot be told from the slowdown.
 func (p *Policy) trial(now time.Time, c *class) (unknown, wait bool) {
-	for _, u := range p.urgent {
-		if !u.active(now) {
-			continue
-		}
+	for _, u := range p.live {
 		u.model.expire(now, c)
 		if !p.known(u, c) {
 			unknown = true
@@ -199,13 +202,14 @@
 				at = p.rand.IntN(n)
 			}
 			w := x.at(size.Cores, at)
-			if r := p.check(now, w, c, t, size, trial); r != "" {
+			h, r := p.check(now, w, c, t, size, trial)
+			if r != "" {
 				if r != ReasonRoom || reason == ReasonRoom {
 					reason = r
 				}
 				continue
 			}
-			h := p.worst(now, w, c, size) - 0.01*float64(w.free().Cores)/float64(w.capacity.Cores)
+			h -= 0.01 * float64(w.free().Cores) / float64(w.capacity.Cores)
 			if best == nil || h < bestHarm {
 				best, bestHarm = w, h
 			}
@@ -220,37 +224,38 @@
 	return nil, reason
 }
 
-// check returns why the worker does not suit the task, or an empty reason.
-func (p *Policy) check(now time.Time, w *worker, c *class, t Candidate, size fleet.Size, trial bool) Reason {
+// check returns why the worker does not suit the task, or an empty reason and the harm predicted with the task,
+// as a share of what is accepted.
+func (p *Policy) check(now time.Time, w *worker, c *class, t Candidate, size fleet.Size, trial bool) (float64, Reason) {
 	free := w.free()
 	if w.closed || !size.Fits(free) {
-		return ReasonRoom
+		return 0, ReasonRoom
 	}
 	if f := p.Ramp(now); f < 1 && float64(w.committed.Cores+size.Cores) > f*float64(w.capacity.Cores) {
-		return ReasonRoom
+		return 0, ReasonRoom
 	}
 	if size.Accelerators == 0 && free.Accelerators > 0 && !w.spares(free, size) {
-		return ReasonRoom
+		return 0, ReasonRoom
 	}
 	if slices.Contains(t.Avoid, w.name) {
-		return ReasonAvoid
+		return 0, ReasonAvoid
 	}
 	if !w.admits(now) {
-		return ReasonQuarantine
+		return 0, ReasonQuarantine
 	}
+	before, after := p.harmOf(w, c, size)
 	if trial {
 		l := w.level(c)
 		if l.planned == (fleet.Size{}) {
-			return ""
+			return after, ""
 		}
 		load := w.load(l) + float64(size.Cores)/float64(w.capacity.Cores)
 		memory := float64(l.planned.Memory+size.Memory) / float64(w.capacity.Memory)
 		if load > trialLoad || memory > trialLoad {
-			return ReasonTrial
+			return 0, ReasonTrial
 		}
-		return ""
+		return after, ""
 	}
-	before, after := p.worst(now, w, nil, size), p.worst(now, w, c, size)
 	limit := 1.0
 	if after-before > dearFactor*p.price*float64(size.Cores)/float64(w.capacity.Cores) {
 		limit = dearLimit
@@ -260,15 +265,15 @@
 		limit = retryLimit
 	}
 	if after > limit {
-		return ReasonHarm
+		return 0, ReasonHarm
 	}
-	return ""
+	return after, ""
 }
 
 // paid updates the running mean of the harm per share of a worker that placements cost.
-func (p *Policy) paid(now time.Time, w *worker, c *class, size fleet.Size) {
-	cost := p.worst(now, w, c, size) - p.worst(now, w, nil, size)
-	p.price += priceGain * (cost*float64(w.capacity.Cores)/float64(max(size.Cores, 1)) - p.price)
+func (p *Policy) paid(w *worker, c *class, size fleet.Size) {
+	before, after := p.harmOf(w, c, size)
+	p.price += priceGain * ((after-before)*float64(w.capacity.Cores)/float64(max(size.Cores, 1)) - p.price)
 }
 
 // spares reports whether the free accelerators keep a proportional half of the cores and memory after a task
@@ -280,14 +285,29 @@
 		float64(left.Memory) >= share*float64(w.capacity.Memory)
 }
 
-// worst is the largest predicted slowdown of an active urgent class, as a share of what is accepted, if a
-// task of class c and that size were added.
-func (p *Policy) worst(now time.Time, w *worker, c *class, size fleet.Size) float64 {
-	var worst float64
-	for _, u := range p.urgent {
-		if u.active(now) {
-			worst = max(worst, p.slowdown(w, u, c, float64(size.Cores))/u.allow)
+// harmOf returns the largest predicted slowdown of the urgent classes in live on the worker, as a share of what
+// is accepted, without and with a task of class c and that size.
+func (p *Policy) harmOf(w *worker, c *class, size fleet.Size) (before, after float64) {
+	p.loads = p.loads[:0]
+	for _, l := range w.levels {
+		if l.value() > 0 {
+			p.loads = append(p.loads, load{l.class, w.load(l)})
 		}
 	}
-	return worst
+	extra := float64(size.Cores) / float64(w.capacity.Cores)
+	for _, u := range p.live {
+		var sum float64
+		for _, l := range p.loads {
+			sum += p.k(u, l.class) * l.share
+		}
+		before = max(before, sum/u.allow)
+		after = max(after, (sum+max(p.k(u, c), 0)*extra)/u.allow)
+	}
+	return before, after
+}
+
+// load is the share of a worker's cores that a class uses.
+type load struct {
+	class *class
+	share float64
 }
--- a/internal/zone/policy/policy.go
+++ b/internal/zone/policy/policy.go
@@ -173,6 +173,9 @@
 	// shapes counts the held workers by capacity, elsewhere holds the capacities of ShapesMsg.
 	shapes, elsewhere shapeSet
 
+	// live holds the active urgent classes and loads the loads of one worker, for the present decision.
+	live  []*class
+	loads []load
 	// price is the mean harm per share of a worker's cores of recent placements.
 	price float64
 
--- a/internal/zone/policy/worker.go
+++ b/internal/zone/policy/worker.go
@@ -213,7 +213,11 @@
 			continue
 		}
 		to := now.Add(-u.Lag)
-		c.size.learn(u.Used, w.level(c).average(to.Add(-u.Window), to))
+		for _, l := range w.levels {
+			if l.class == c {
+				c.size.learn(u.Used, l.average(to.Add(-u.Window), to))
+			}
+		}
 	}
 	w.reserve.Cores = max(w.urgent.Cores, int64(float64(w.reserve.Cores)*(1-reserveDecay)))
 	w.reserve.Memory = max(w.urgent.Memory, int64(float64(w.reserve.Memory)*(1-reserveDecay)))
