--- a/internal/zone/policy/policy_test.go
+++ b/internal/zone/policy/policy_test.go
@@ -1,9 +1,13 @@
 package policy
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"sassafraswind.example/sassafraswind/internal/platform/fleet"
 )
 
@@ -46,3 +50,148 @@
 	}
 	p.Update(epoch, UsageMsg{Worker: "unknown"})
 }
+
+// Sums that drift from the tasks they stand for would overfill a worker or lose room for good.
+func TestPlacementInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, now := New(), epoch
+		p.Update(now, ClassMsg{Name: "u", Kind: KindUrgent, P99: time.Second})
+		attempts := map[string]int{}
+		for i := range rapid.IntRange(10, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 90).Draw(t, "seconds")) * time.Second)
+			name := fmt.Sprint("w", rapid.IntRange(0, 3).Draw(t, "worker"))
+			w := p.workers[name]
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				p.Update(now, WorkerMsg{Name: name, Capacity: fleet.Size{Cores: 8000, Memory: 8192}, Slots: 8})
+			case 1:
+				p.Update(now, ReleaseMsg{Name: name})
+			case 2:
+				p.Update(now, UsageMsg{Worker: name, Usage: []fleet.Usage{{
+					Class: "b", Window: 10 * time.Second, Lag: 5 * time.Second,
+					Used: fleet.Size{Cores: rapid.Int64Range(0, 9000).Draw(t, "cores"), Memory: rapid.Int64Range(0, 9000).Draw(t, "memory")},
+				}}})
+			case 3:
+				if w == nil || len(w.tasks) == 0 {
+					continue
+				}
+				ids := make([]string, 0, len(w.tasks))
+				for id := range w.tasks {
+					ids = append(ids, id)
+				}
+				slices.Sort(ids)
+				outcome := rapid.SampledFrom([]Outcome{OutcomeDone, OutcomeFailed, OutcomeEvicted, OutcomeCancelled}).Draw(t, "outcome")
+				p.Update(now, EndMsg{Worker: name, Task: ids[0], Attempt: attempts[ids[0]], Outcome: outcome})
+			default:
+				c := Candidate{Task: fmt.Sprint("t", i), Job: fmt.Sprint("j", i%5), Class: "b", Team: fmt.Sprint("team", i%2), Size: fleet.Size{
+					Cores: rapid.Int64Range(1, 4000).Draw(t, "size"), Memory: 100,
+				}}
+				if pl, ok := p.PlaceTask(now, c); ok {
+					attempts[c.Task] = 1
+					p.Update(now, StartMsg{
+						Worker: pl.Worker, Task: c.Task, Job: c.Job, Class: c.Class, Team: c.Team, Attempt: 1, Declared: c.Size, Planned: pl.Size,
+					})
+				}
+			}
+			for _, w := range p.order {
+				var sum fleet.Size
+				for _, x := range w.tasks {
+					sum = sum.Add(x.planned)
+				}
+				if sum != w.committed || !sum.Fits(w.capacity) {
+					t.Fatalf("worker %s: committed %v, tasks %v", w.name, w.committed, sum)
+				}
+			}
+		}
+	})
+}
+
+// failAll starts and fails tasks of the job wherever the policy places them and returns the starts by worker.
+func failAll(p *Policy, now time.Time, job string, n int) map[string]int {
+	starts := map[string]int{}
+	for i := range n {
+		now = now.Add(time.Second)
+		c := Candidate{Task: fmt.Sprint(job, "/", i), Job: job, Class: "b", Size: fleet.Size{Cores: 100, Memory: 100}}
+		pl, ok := p.PlaceTask(now, c)
+		if !ok {
+			continue
+		}
+		starts[pl.Worker]++
+		p.Update(now, StartMsg{Worker: pl.Worker, Task: c.Task, Job: job, Class: "b", Attempt: 1, Declared: c.Size, Planned: pl.Size})
+		p.Update(now, EndMsg{Worker: pl.Worker, Task: c.Task, Attempt: 1, Outcome: OutcomeFailed})
+	}
+	return starts
+}
+
+// A bad job that could quarantine worker after worker would take a whole zone out of use.
+func TestBadJobQuarantinesFewWorkers(t *testing.T) {
+	p := New()
+	for i := range 8 {
+		p.Update(epoch, WorkerMsg{Name: fmt.Sprint("w", i), Capacity: fleet.Size{Cores: 8000, Memory: 8192}, Slots: 8})
+	}
+	// The size is known, so that the class is not on trial on one worker.
+	p.class("b").size.memory.n = sizeReports
+	failAll(p, epoch, "bad", 1000)
+	n := 0
+	for w := range p.workers {
+		if p.Quarantined(w) {
+			n++
+		}
+	}
+	if n > blameLimit {
+		t.Fatalf("a bad job quarantined %d workers", n)
+	}
+	if pl, _ := p.PlaceTask(epoch.Add(time.Hour/2), Candidate{Task: "x", Job: "bad", Class: "b", Size: fleet.Size{Cores: 100}}); !pl.Park {
+		t.Fatal("a job that failed on 3 workers is not parked")
+	}
+}
+
+// Stopping before throttling, or without budget, would evict work needlessly.
+func TestThrottleThenCheckpointThenStop(t *testing.T) {
+	for _, evictions := range []float64{0, 1000} {
+		p := New(WithInterference(func(string, string) float64 { return 1 }))
+		p.Update(epoch, ClassMsg{Name: "u", Kind: KindUrgent, P99: time.Millisecond})
+		p.Update(epoch, ClassMsg{Name: "b", Kind: KindBatch, Evictions: evictions})
+		p.Update(epoch, WorkerMsg{Name: "w", Capacity: fleet.Size{Cores: 8000, Memory: 8192}, Slots: 8})
+		size := fleet.Size{Cores: 8000, Memory: 100}
+		p.Update(epoch, StartMsg{Worker: "w", Task: "t", Job: "j", Class: "b", Attempt: 1, Declared: size, Planned: size})
+		var got []fleet.Action
+		for i := range 600 {
+			now := epoch.Add(time.Duration(i) * time.Second)
+			for range 50 {
+				p.Update(now, CallMsg{Worker: "w", Class: "u", Total: time.Second})
+			}
+			for _, c := range p.Tick(now) {
+				if len(got) == 0 || got[len(got)-1] != c.Action {
+					got = append(got, c.Action)
+				}
+			}
+		}
+		want := []fleet.Action{fleet.ActionThrottle}
+		if evictions > 0 {
+			want = append(want, fleet.ActionCheckpoint, fleet.ActionStop)
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("with %v tolerable evictions: actions %v, want %v", evictions, got, want)
+		}
+	}
+}
+
+func ExamplePolicy() {
+	now := time.Date(2026, 1, 5, 6, 0, 0, 0, time.UTC)
+	p := New()
+	p.Update(now, ClassMsg{Name: "plan", Kind: KindBatch, Evictions: 2})
+	p.Update(now, WorkerMsg{Name: "w1", Rack: "r1", Capacity: fleet.Size{Cores: 32000, Memory: 128000}, Slots: 8})
+	c := Candidate{Task: "j/0", Job: "j", Class: "plan", Team: "planning", Size: fleet.Size{Cores: 2000, Memory: 4096}}
+	if pl, ok := p.PlaceTask(now, c); ok {
+		p.Update(now, StartMsg{
+			Worker: pl.Worker, Task: c.Task, Job: c.Job, Class: c.Class, Team: c.Team, Attempt: 1,
+			Declared: c.Size, Planned: pl.Size,
+		})
+		fmt.Println(pl.Worker, p.Running())
+	}
+	fmt.Println(p.Refusal("plan", fleet.Size{Cores: 64000, Memory: 4096}))
+	// Output:
+	// w1 1
+	// no known worker is large enough: 64 cores, 4096 MiB, 0 accelerators
+}
