--- a/internal/zone/policy/cost_test.go
+++ b/internal/zone/policy/cost_test.go
@@ -49,7 +49,7 @@
 	return p, now
 }
 
-func BenchmarkPlaceTask(b *testing.B) {
+func BenchmarkPlaceTaskPlanned(b *testing.B) {
 	p, now := planned(b)
 	i := 0
 	placed := 0
