Ask peers that gave no answer last

Cause: a message for another zone went to the listed host with the most free slots as last heard. If that host had died but its address still took connections, each repetition went to it again for up to a minute, though other hosts of the zone answered: tasks moved to that zone were in no zone meanwhile.

--- a/internal/host/node/call.go
+++ b/internal/host/node/call.go
@@ -287,6 +287,9 @@
 	rep, err := u.n.peer.Call(ctx, c.Peer, peer.Call{
 		Request: u.id, Class: u.req.Class, Team: u.req.Team, Body: u.req.Body, Left: left, Base: c.Base,
 	})
+	if err != nil {
+		u.n.peers.unanswered(c.Peer)
+	}
 	switch {
 	case errors.Is(err, peer.ErrNotSent):
 		u.send(attempt.PeerReplyMsg{Outcome: attempt.NotRun, Reason: string(outcome.ReasonPeer)})
--- a/internal/host/node/job.go
+++ b/internal/host/node/job.go
@@ -189,6 +189,9 @@
 		}
 		m.Left = time.Until(end)
 		rep, err := n.peer.Job(ctx, address, m)
+		if err != nil {
+			n.peers.unanswered(address)
+		}
 		if errors.Is(err, peer.ErrNotSent) {
 			continue
 		}
--- a/internal/host/node/key.go
+++ b/internal/host/node/key.go
@@ -339,6 +339,7 @@
 		Request: r.Key, Class: r.Class, Team: r.Team, Key: r.Key, Body: r.Body, Left: time.Until(end),
 	})
 	if err != nil {
+		n.peers.unanswered(addr)
 		return outcome.Doubt(outcome.ReasonPeer, "the host that ran the request did not answer; send the same key again")
 	}
 	if rep.Request != r.Key || xxhash.Sum64(rep.Reply.Body) != rep.Digest {
--- a/internal/host/node/peers.go
+++ b/internal/host/node/peers.go
@@ -23,6 +23,8 @@
 	state   peer.State
 	// heard is when the sync that brought the state was sent.
 	heard time.Time
+	// silent is set when a message got no answer, until the peer is heard of again. It is asked last.
+	silent bool
 	// taken counts the requests passed on since then, so that a burst does not go to one peer.
 	taken int
 }
@@ -96,7 +98,16 @@
 	if v == nil || sent.Before(v.heard) {
 		return
 	}
-	v.state, v.heard, v.taken = s, sent, 0
+	v.state, v.heard, v.taken, v.silent = s, sent, 0, false
+}
+
+// unanswered notes that a message to a peer got no answer.
+func (p *peersView) unanswered(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if v := p.known[address]; v != nil {
+		v.silent = true
+	}
 }
 
 // ofZone returns the live, ready, not leaving hosts of the zone, sorted, with this one if self is set.
@@ -183,6 +194,9 @@
 		default:
 			r = 2
 		}
+		if v.silent {
+			r -= 10
+		}
 		if best == nil || r > rank || r == rank && free > best.state.Free-best.taken {
 			best, rank = v, r
 		}
@@ -207,7 +221,7 @@
 	return out
 }
 
-// peerIn returns the addresses of live peers in a zone, those with free slots first.
+// peerIn returns the addresses of peers in a zone, those that answer and have free slots first.
 func (n *Node) peerIn(zone string, now time.Time) []string {
 	p := &n.peers
 	p.mu.Lock()
@@ -219,7 +233,15 @@
 			vs = append(vs, v)
 		}
 	}
-	slices.SortStableFunc(vs, func(a, b *peerView) int { return b.state.Free - a.state.Free })
+	slices.SortStableFunc(vs, func(a, b *peerView) int {
+		if a.silent != b.silent {
+			if a.silent {
+				return 1
+			}
+			return -1
+		}
+		return b.state.Free - a.state.Free
+	})
 	out := make([]string, 0, len(vs))
 	for _, v := range vs {
 		out = append(out, v.address)
