Wait for the releases of a planned stop

Cause: the stop waited until the host counted no held worker, but a worker counts as not held from the moment its release is under way, so that the process ended at once and cut the releases off. Ruled out: a renewal that overtakes a release, since all workers kept the holder and not single ones. Before: after a stop all 8 workers of TestStopReleasesWorkers named the stopped host, and load direct in scripts/capacity found them held; a new holder had to wait for the 6 s of the lease. After: none does (3 runs with -race).

--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -212,7 +212,7 @@
 	n.runLeaseCommands(cmds)
 	for ctx.Err() == nil {
 		n.zone.mu.Lock()
-		left := len(n.zone.holdings.Workers(time.Now()))
+		left := n.zone.holdings.Unreleased(time.Now())
 		n.zone.mu.Unlock()
 		if left == 0 {
 			return
--- a/internal/host/node/smoke_test.go
+++ b/internal/host/node/smoke_test.go
@@ -41,3 +41,27 @@
 	})
 	w.noViolations()
 }
+
+// Guards against a planned stop that ends before its releases have reached the workers, which then have no new holder
+// until the leases expire.
+func TestStopReleasesWorkers(t *testing.T) {
+	w := newWorld(t, 1, 8)
+	a := w.start("a-1", "a")
+	w.ready(a)
+	w.eventually(10*time.Second, "all workers are held", func() bool {
+		for _, b := range w.workers {
+			if s, err := b.Status(); err != nil || s.Holder == "" {
+				return false
+			}
+		}
+		return true
+	})
+	if err := a.stop(); err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range w.workers {
+		if s, err := b.Status(); err != nil || s.Holder != "" {
+			t.Errorf("after the stop %s is held by %q, %v", s.Worker, s.Holder, err)
+		}
+	}
+}
--- a/internal/zone/lease/lease.go
+++ b/internal/zone/lease/lease.go
@@ -426,6 +426,17 @@
 	return time.Time{}
 }
 
+// Unreleased returns the number of workers that may still name this host, those whose release is not confirmed included.
+func (h *Holdings) Unreleased(now time.Time) int {
+	n := 0
+	for _, w := range h.workers {
+		if w.mine && now.Before(w.certain) {
+			n++
+		}
+	}
+	return n
+}
+
 // Workers returns the workers that this host certainly holds at now, sorted.
 func (h *Holdings) Workers(now time.Time) []string {
 	var ids []string
