Test which workers may get work and the order of two boots in the lease

The two look-ups of a known key in the intent table are one, and slow tests of that package run in parallel.

--- a/internal/command/cli/declare.go
+++ b/internal/command/cli/declare.go
@@ -78,7 +78,7 @@
 	}
 	v, mistake := config.ParseTree(data)
 	if mistake != nil {
-		return "settings", nil // The check itself reports the syntax error with its line.
+		return "settings", nil //nolint:nilerr // The check itself reports the syntax error with its line.
 	}
 	if v.Find("/classes") != nil || v.Find("/teams") != nil {
 		return "declarations", nil
--- a/internal/work/intent/flow_test.go
+++ b/internal/work/intent/flow_test.go
@@ -218,6 +218,7 @@
 // Guards against a keyed request that runs twice, and a not_run that is false at any time, while hosts race, the log
 // loses answers, and workers restart, freeze and answer late.
 func TestRunsOnce(t *testing.T) {
+	t.Parallel()
 	seen := map[Result]int{}
 	retried := 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/work/intent/table.go
+++ b/internal/work/intent/table.go
@@ -102,6 +102,15 @@
 	return t.keys[key], stamp, nil
 }
 
+// known returns the entry of a key that has one.
+func (t *Table) known(key string) (*entry, error) {
+	e, _, err := t.find(key)
+	if err == nil && e == nil {
+		err = ErrUnknownKey
+	}
+	return e, err
+}
+
 func (t *Table) insert(e *entry) {
 	t.keys[e.Key] = e
 	t.mark = max(t.mark, e.stamp)
@@ -145,12 +154,9 @@
 }
 
 func (t *Table) answer(a Answer) error {
-	e, _, err := t.find(a.Key)
-	switch {
-	case err != nil:
+	e, err := t.known(a.Key)
+	if err != nil {
 		return err
-	case e == nil:
-		return ErrUnknownKey
 	}
 	if err := e.settled(); err != nil {
 		return err
@@ -206,12 +212,10 @@
 }
 
 func (t *Table) home(h Home) error {
-	e, _, err := t.find(h.Key)
+	e, err := t.known(h.Key)
 	switch {
 	case err != nil:
 		return err
-	case e == nil:
-		return ErrUnknownKey
 	case e.Close != nil:
 		return ErrClosed
 	case e.Intent.Kind != Job:
--- a/internal/work/intent/table_test.go
+++ b/internal/work/intent/table_test.go
@@ -58,6 +58,7 @@
 // Guards against readers that disagree on a late record because one of them has forgotten the key or was restored from
 // a snapshot, and against a key with two attempts that follow the same one, two answers, or a life after its close.
 func TestReadersAgree(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := New(), New()
 		keys := []string{key(epoch, 1), key(epoch, 2), key(epoch.Add(24*time.Hour), 3), key(epoch.Add(26*time.Hour), 4)}
--- a/internal/zone/lease/guard_test.go
+++ b/internal/zone/lease/guard_test.go
@@ -31,6 +31,66 @@
 	}
 }
 
+// TestLateBoot guards against a reply of an earlier boot that is taken for a new restart.
+func TestLateBoot(t *testing.T) {
+	h := New("h0")
+	h.Update(epoch, HostsMsg{Workers: []Worker{{ID: "w"}}})
+	give := func(boot string, clock, sent, received time.Duration) int {
+		s := fleet.Status{Worker: "w", Boot: boot, Clock: clock, Grant: 1, Holder: "h0", Until: clock + 6*time.Second}
+		return len(h.Update(epoch.Add(received), StatusMsg{Status: s, Sent: epoch.Add(sent), Received: epoch.Add(received)}))
+	}
+	give("b", time.Hour, 0, 1)
+	give("c", time.Second, 3, 4)
+	if n := give("b", time.Hour+1, 2, 5); n > 0 {
+		t.Errorf("a late reply of the earlier boot had %d effects", n)
+	}
+	if f, ok := h.Held("w", epoch.Add(6)); !ok || f.Boot != "c" {
+		t.Errorf("fence %+v after a late reply of the earlier boot", f)
+	}
+}
+
+// TestUsable guards against new work for a worker that the host list or the worker itself says is leaving, and against
+// batch tasks for one whose task leases this host does not renew yet: a new holder would stop them 30 s later.
+func TestUsable(t *testing.T) {
+	h := New("h0")
+	now := epoch
+	list := func(leaving bool) { h.Update(now, HostsMsg{Workers: []Worker{{ID: "w", Leaving: leaving}}}) }
+	read := func(drain bool) {
+		now = now.Add(time.Second)
+		s := fleet.Status{
+			Worker: "w", Boot: "b", Clock: time.Hour + now.Sub(epoch), Grant: 1, Holder: "h0", Until: 2 * time.Hour, Leaving: drain,
+		}
+		h.Update(now, StatusMsg{Status: s, Sent: now, Received: now})
+	}
+	want := func(step string, usable, batch bool) {
+		if u, b := h.Usable("w", now), h.Batch("w", now); u != usable || b != batch {
+			t.Errorf("%s: usable %v, batch %v, want %v, %v", step, u, b, usable, batch)
+		}
+	}
+	list(false)
+	h.Update(now, PeersMsg{Hosts: []string{"h0"}})
+	read(false)
+	want("taken", true, false)
+	h.Update(now, HoldMsg{Worker: "w", Host: "h0", Boot: "b", Grant: 1, Offset: 1})
+	want("hold read back", true, false)
+	now = now.Add(3 * time.Second)
+	if cmds := h.Update(now, TickMsg{}); len(cmds) != 1 || cmds[0].(LeaseCmd).Request.Tasks == 0 {
+		t.Fatalf("task leases are not renewed: %+v", cmds)
+	}
+	want("renewal sent", true, false)
+	read(false)
+	want("renewal confirmed", true, true)
+	list(true)
+	want("list says leaving", false, false)
+	list(false)
+	read(true)
+	want("worker says leaving", false, false)
+	read(false)
+	want("no longer leaving", true, true)
+	h.Update(now, HoldMsg{Worker: "w", Host: "h1", Boot: "b", Grant: 2, Offset: 2})
+	want("another host's hold", true, false)
+}
+
 // TestTaskLeaseOfMutedWorker guards against a holder whose requests arrive but whose replies are lost, and which so
 // renews task leases that it cannot know to be needed: they would never expire.
 func TestTaskLeaseOfMutedWorker(t *testing.T) {
