--- a/internal/request/attempt/attempt_test.go
+++ b/internal/request/attempt/attempt_test.go
@@ -204,6 +204,9 @@
 			f := w.todo[i]
 			w.todo = slices.Delete(w.todo, i, i+1)
 			f()
+			if w.life.Finished() && (len(w.replies) == 0 || len(w.held) > 0) {
+				t.Fatalf("finished with %d replies and reservations %v", len(w.replies), w.held)
+			}
 		}
 		if len(w.replies) != 1 || len(w.held) > 0 || !w.life.Finished() {
 			t.Fatalf("at the end %d replies, reservations %v", len(w.replies), w.held)
