Wait for starts of an earlier process before the lease passes on a status

A host that is restarted under its name within one lease has the grant of its earlier process. That one's starts may arrive until up to 2 s later, and the new process, which does not know them, would record them as never started and start the tasks elsewhere. Without the wait (TestInheritedLease): guard_test.go: inherited true: statuses passed on at [0s 500ms 1s 1.5s 2s 2.5s 3s], want the first at 2.5s With it: ok. Only the first reading of a worker that already names the host is delayed.

--- a/internal/zone/lease/guard_test.go
+++ b/internal/zone/lease/guard_test.go
@@ -18,6 +18,7 @@
 	give := func(now time.Time, s fleet.Status) int {
 		return len(h.Update(now, StatusMsg{Status: s, Sent: now.Add(-time.Second), Received: now}))
 	}
+	give(epoch.Add(time.Second), fleet.Status{Worker: "w", Boot: "b", Clock: time.Second})
 	give(epoch.Add(time.Second), status(20*time.Second, 3))
 	want, ok := h.Held("w", epoch.Add(2*time.Second))
 	if !ok || want.Grant != 3 {
@@ -39,6 +40,7 @@
 		s := fleet.Status{Worker: "w", Boot: boot, Clock: clock, Grant: 1, Holder: "h0", Until: clock + 6*time.Second}
 		return len(h.Update(epoch.Add(received), StatusMsg{Status: s, Sent: epoch.Add(sent), Received: epoch.Add(received)}))
 	}
+	h.Update(epoch, StatusMsg{Status: fleet.Status{Worker: "w", Boot: "b"}, Sent: epoch, Received: epoch})
 	give("b", time.Hour, 0, 1)
 	give("c", time.Second, 3, 4)
 	if n := give("b", time.Hour+1, 2, 5); n > 0 {
@@ -188,3 +190,32 @@
 		t.Errorf("hold record for a lapsed lease, next %d", n)
 	}
 }
+
+// TestInheritedLease guards against a restarted host that judges by a status while a start of its earlier process, which
+// has the same grant, may still arrive.
+func TestInheritedLease(t *testing.T) {
+	for _, inherited := range []bool{true, false} {
+		h := New("h0")
+		h.Update(epoch, HostsMsg{Workers: []Worker{{ID: "w"}}})
+		var passed []time.Duration
+		for at := time.Duration(0); at <= 3*time.Second; at += 500 * time.Millisecond {
+			s := fleet.Status{Worker: "w", Boot: "b", Clock: time.Hour + at, Grant: 1, Holder: "h0", Until: 2 * time.Hour}
+			if at == 0 && !inherited {
+				s.Holder, s.Until = "", 0
+			}
+			now := epoch.Add(at + time.Second)
+			for _, c := range h.Update(now, StatusMsg{Status: s, Sent: now, Received: now}) {
+				if c, ok := c.(ApplyCmd); ok && c.Full {
+					passed = append(passed, at)
+				}
+			}
+		}
+		want := 500 * time.Millisecond
+		if inherited {
+			want = 2500 * time.Millisecond
+		}
+		if len(passed) == 0 || passed[0] != want {
+			t.Errorf("inherited %v: statuses passed on at %v, want the first at %s", inherited, passed, want)
+		}
+	}
+}
--- a/internal/zone/lease/lease.go
+++ b/internal/zone/lease/lease.go
@@ -73,6 +73,8 @@
 	// is the value of newest at the send of the newest reading that names this host.
 	newest, base uint64
 	read         time.Time
+	// quiet is the worker's clock up to which a start of an earlier process of this host may arrive, 0 if there is none.
+	quiet time.Duration
 	// barrier is when the last release was sent. Earlier requests prove nothing of the lease.
 	barrier   time.Time
 	releasing bool
@@ -203,15 +205,16 @@
 		return nil
 	}
 	w.pending = time.Time{}
+	first := w.boot == ""
 	switch {
-	case w.boot == "":
+	case first:
 	case s.Boot == w.boot && s.Clock < w.clock:
 		return nil // A late reply.
 	case s.Boot != w.boot && sent.Before(w.received):
 		return nil // It cannot be told which of the two boots is the later one; the next reading tells.
 	}
 	if s.Boot != w.boot {
-		w.boot, w.mine, w.grant, w.seen, w.tasks, w.certain = s.Boot, false, 0, 0, 0, time.Time{}
+		w.boot, w.mine, w.grant, w.seen, w.tasks, w.certain, w.quiet = s.Boot, false, 0, 0, 0, time.Time{}, 0
 	}
 	w.clock, w.sent, w.received, w.drain = s.Clock, sent, received, s.Leaving
 	mine := s.Holder == h.self && s.Until > s.Clock && sent.After(w.barrier)
@@ -233,6 +236,11 @@
 			w.kept = now.Add(w.keep)
 		}
 	}
+	if first {
+		// The lease is that of an earlier process, whose starts have the same grant. Without this wait a status would
+		// show them as never started although one may still arrive. The second window covers the difference of clock rates.
+		w.quiet = s.Clock + 2*startWindow
+	}
 	fresh := !w.mine || w.grant != s.Grant
 	if fresh {
 		w.tasked, w.ready = time.Time{}, false
@@ -248,6 +256,9 @@
 		w.next, w.seen = now, 0 // The list is not complete: ask again.
 		return nil
 	}
+	if w.quiet > 0 && s.Clock <= w.quiet {
+		return nil
+	}
 	w.seen = s.Change
 	return []Command{ApplyCmd{Status: s, Sent: sent, Full: seen == 0}}
 }
