--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -33,6 +33,8 @@
 	status fleet.Status
 	sent   time.Time
 	tasks  map[string]fleet.Task
+	// strays has when attempts were first listed that the zone's stream does not have as running here.
+	strays map[fleet.TaskRef]time.Time
 	// reported is the end of the last usage window per class, in the worker's clock.
 	reported map[string]time.Duration
 }
@@ -42,6 +44,7 @@
 	ctx, cancel := context.WithTimeout(n.ctx, workerTimeout)
 	defer cancel()
 	hosts, err := n.hosts.Hosts(ctx)
+	defer n.listRead.Store(true)
 	if err != nil {
 		n.log.WithError(err).Debug("Host list was not read; keeping the last one.")
 		return
@@ -89,6 +92,9 @@
 	if now.Sub(n.started) < n.cfg.Freshness.Cutoff && (fresh.IsZero() || z.feed.Fresh().IsZero()) {
 		stale = false
 	}
+	// In a zone that was taken out no task may outlive the drain: hosts of other zones move its tasks after the cut-off
+	// bound, even if they cannot reach this host.
+	stale = stale || z.out && now.Sub(z.outSince) > n.drainEnd()
 	z.holdings.Update(now, lease.StaleMsg{Stale: stale})
 	z.holdings.Update(now, lease.PeersMsg{Hosts: n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, !n.leaving.Load())})
 	cmds := z.holdings.Update(now, lease.TickMsg{})
@@ -116,13 +122,13 @@
 		switch c := c.(type) {
 		case lease.QueryCmd:
 			n.run(func(ctx context.Context) {
-				n.askWorker(ctx, c.Worker, 0, func(ctx context.Context) (fleet.Status, error) {
-					return n.fleet.Status(ctx, c.Address)
+				n.askWorker(ctx, c.Worker, 0, true, func(ctx context.Context) (fleet.Status, error) {
+					return n.fleet.Brief(ctx, c.Address)
 				})
 			})
 		case lease.LeaseCmd:
 			n.run(func(ctx context.Context) {
-				n.askWorker(ctx, c.Worker, c.Request.Seen, func(ctx context.Context) (fleet.Status, error) {
+				n.askWorker(ctx, c.Worker, c.Request.Seen, false, func(ctx context.Context) (fleet.Status, error) {
 					return n.fleet.Lease(ctx, c.Address, c.Request)
 				})
 			})
@@ -134,14 +140,12 @@
 					return job.HoldItem(job.Hold{Worker: c.Worker, Host: n.cfg.Host, Boot: c.Boot, Grant: c.Grant})
 				})
 			})
-		case lease.ApplyCmd:
-			n.applyStatus(time.Now(), c)
 		}
 	}
 }
 
 // askWorker sends a status or lease message and feeds the reply back.
-func (n *Node) askWorker(ctx context.Context, id string, seen uint64, ask func(context.Context) (fleet.Status, error)) {
+func (n *Node) askWorker(ctx context.Context, id string, seen uint64, brief bool, ask func(context.Context) (fleet.Status, error)) {
 	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
 	defer cancel()
 	sent := time.Now()
@@ -150,17 +154,32 @@
 	var msg lease.Msg
 	switch {
 	case errors.Is(err, fleet.ErrHeld):
+		s.Worker = id // The worker's refusal has no status.
 		msg = lease.RefusedMsg{Status: s, Sent: sent, Received: received}
 	case err != nil:
 		n.log.WithError(err).WithField("worker", id).Debug("Worker did not answer a lease message.")
-		msg = lease.FailedMsg{Worker: id}
+		msg = lease.FailedMsg{Worker: id, Refused: errors.Is(err, fleet.ErrRefused)}
 	default:
-		msg = lease.StatusMsg{Status: s, Sent: sent, Received: received, Seen: seen}
+		msg = lease.StatusMsg{Status: s, Sent: sent, Received: received, Seen: seen, Brief: brief}
 	}
 	n.zone.mu.Lock()
-	cmds := n.zone.holdings.Update(received, msg)
+	// The time is read under the lock, so that a lapse that an earlier tick has seen is seen here as well.
+	now := time.Now()
+	var left []lease.Command
+	var effects []func(context.Context)
+	for _, c := range n.zone.holdings.Update(now, msg) {
+		if a, ok := c.(lease.ApplyCmd); ok {
+			// Under the same lock, so that lists of changes are applied in the order of their requests.
+			effects = append(effects, n.applyStatus(now, a)...)
+			continue
+		}
+		left = append(left, c)
+	}
 	n.zone.mu.Unlock()
-	n.runLeaseCommands(cmds)
+	for _, e := range effects {
+		n.run(e)
+	}
+	n.runLeaseCommands(left)
 }
 
 // releaseWorker gives up the lease of a worker.
@@ -202,14 +221,12 @@
 	}
 }
 
-// applyStatus takes over the status of a held worker.
-func (n *Node) applyStatus(now time.Time, c lease.ApplyCmd) {
+// applyStatus takes over the status of a held worker and returns the effects that follow, with zone.mu held.
+func (n *Node) applyStatus(now time.Time, c lease.ApplyCmd) []func(context.Context) {
 	z := &n.zone
-	z.mu.Lock()
 	w := z.workers[c.Status.Worker]
 	if w == nil {
-		z.mu.Unlock()
-		return
+		return nil
 	}
 	if !w.held {
 		w.held = true
@@ -218,8 +235,7 @@
 		n.log.WithField("worker", c.Status.Worker).Info("Took the lease of a worker.")
 	}
 	if !z.capacity.Apply(c.Status, c.Sent, c.Full) {
-		z.mu.Unlock()
-		return
+		return nil
 	}
 	if c.Full {
 		w.tasks = map[string]fleet.Task{}
@@ -233,11 +249,8 @@
 		Closed: w.leaving || c.Status.Leaving,
 	})
 	n.reportUsage(now, w)
-	effects := n.reconcile(now, w)
-	z.mu.Unlock()
-	for _, e := range effects {
-		n.run(e)
-	}
+	n.serveWaiting(now)
+	return n.reconcile(now, w)
 }
 
 // reportUsage passes on the usage reports that were not seen before, with zone.mu held.
--- a/internal/host/node/key.go
+++ b/internal/host/node/key.go
@@ -284,15 +284,34 @@
 		return out
 	}
 	out.Reason, out.Message = keyedReason(r.Reason), r.Reason
+	if out.Reason == outcome.ReasonInvalid {
+		out.Field = "key"
+		return out
+	}
 	if r.Result == intent.ResultUnknown {
 		out.Message += "; send the same key again to learn the outcome"
 	}
 	return out
 }
 
-// keyedReason maps a reason of the flow to that for the caller.
+// keyedReason maps a reason of the flow to that for the caller. The reason of a close record was written by a host, so
+// that all others are those of a closed key.
 func keyedReason(reason string) outcome.Reason {
-	return outcome.Reason(reason)
+	switch reason {
+	case intent.ReasonLog:
+		return outcome.ReasonLog
+	case intent.ReasonDeadline:
+		return outcome.ReasonDeadline
+	case intent.ReasonRestarted:
+		return outcome.ReasonWorker
+	case intent.ReasonConflict:
+		return outcome.ReasonConflict
+	case intent.ReasonExpired, intent.ReasonDropped, intent.ErrOld.Error():
+		return outcome.ReasonExpired
+	case intent.ErrBadKey.Error(), intent.ErrAhead.Error():
+		return outcome.ReasonInvalid
+	}
+	return outcome.ReasonClosed
 }
 
 // keyedPeer returns the peer to which a key that was not used yet is passed on: when this host has no free slot, or its
@@ -302,7 +321,7 @@
 		return ""
 	}
 	if n.zoneOut(n.cfg.Zone) {
-		return n.bestPeerElsewhere(now)
+		return n.pickPeer(now, true)
 	}
 	n.zone.mu.Lock()
 	free := n.zone.capacity.Free()
@@ -310,17 +329,21 @@
 	if free > 0 {
 		return ""
 	}
-	return n.bestPeer("", now)
+	return n.pickPeer(now, false)
 }
 
 // forwardKeyed passes a keyed request on to a peer that has a slot. After an unclear reply the caller must ask again.
 func (n *Node) forwardKeyed(ctx context.Context, addr string, r caller.Request) outcome.Reply {
 	end, _ := ctx.Deadline()
+	defer n.peers.take(addr)()
 	rep, err := n.peer.Call(ctx, addr, peer.Call{
 		Request: r.Key, Class: r.Class, Team: r.Team, Key: r.Key, Body: r.Body, Left: time.Until(end),
 	})
 	if err != nil {
 		return outcome.Doubt(outcome.ReasonPeer, "the host that ran the request did not answer; send the same key again")
 	}
+	if rep.Request != r.Key || xxhash.Sum64(rep.Reply.Body) != rep.Digest {
+		return outcome.Doubt(outcome.ReasonPeer, "the answer was crossed or damaged on its way; send the same key again")
+	}
 	return rep.Reply
 }
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -49,7 +49,7 @@
 
 // Fleet is what the node needs of the workers.
 type Fleet interface {
-	Status(ctx context.Context, addr string) (fleet.Status, error)
+	Brief(ctx context.Context, addr string) (fleet.Status, error)
 	Lease(ctx context.Context, addr string, l fleet.LeaseRequest) (fleet.Status, error)
 	Release(ctx context.Context, addr string, f fleet.Fence) error
 	Start(ctx context.Context, addr string, o fleet.Order) error
@@ -85,8 +85,15 @@
 	budgetMu sync.Mutex
 	budget   *limit.Budget
 
+	// listRead is set once reading the host list was tried.
+	listRead atomic.Bool
+	// logs is the log, for streams that are read now and then.
+	logs feed.Log
+	// lost has the other zones that are out. Only the loop of rescue uses it.
+	lost map[string]*lostZone
+
 	leaving  atomic.Bool
-	inFlight sync.WaitGroup
+	inFlight gate
 	started  time.Time
 	// ctx ends when the node is closed; effects that outlive a request use it.
 	ctx context.Context
@@ -133,6 +140,8 @@
 	// out is set while the zone is taken out, outSince is when this host noticed.
 	out      bool
 	outSince time.Time
+	// tallies counts finished and evicted tasks by class.
+	tallies map[string]*classTally
 	// doubts has when this host read back its doubt of a worker.
 	doubts map[string]time.Time
 }
@@ -158,6 +167,7 @@
 		writer: cfg.Host + "/" + uuid.NewString(), started: time.Now(), ctx: ctx,
 		budget: limit.NewBudget(retryRatio, retryRate, retryBurst),
 	}
+	n.lost = map[string]*lostZone{}
 	n.config.state = config.NewState()
 	n.keys.table = intent.New()
 	n.keys.waiters = map[string]map[chan struct{}]struct{}{}
@@ -166,6 +176,7 @@
 		holdings: lease.New(cfg.Host, lease.WithTTL(cfg.Lease.TTL), lease.WithRenewal(cfg.Lease.Renew), lease.WithTaskTTL(cfg.Lease.Tasks)),
 		policy:   policy.New(), workers: map[string]*workerView{}, placing: map[string]*placement{},
 		settling: map[string]bool{}, classes: map[string]*classView{}, doubts: map[string]time.Time{},
+		tallies: map[string]*classTally{},
 	}
 	n.zone.capacity = capacity.New(capacity.WithScore(n.callScore))
 	n.peers.known = map[string]*peerView{}
@@ -181,6 +192,7 @@
 	n.loop(schedulePeriod, n.schedule)
 	n.loop(policyPeriod, n.tickPolicy)
 	n.loop(drainPeriod, n.drain)
+	n.loop(rescuePeriod, n.rescue)
 	n.loop(housePeriod, n.housekeep)
 	return n, func() {
 		cancel()
@@ -193,14 +205,17 @@
 // openFeeds starts reading the three streams.
 func (n *Node) openFeeds(log feed.Log) func() {
 	logf := telemetry.Part(n.log.Logger, "feed").Warnf
-	counted := n.countLog(log)
+	n.logs = n.countLog(log)
 	open := func(stream string, sink feed.Sink) (*feed.Feed, func()) {
-		return feed.NewFeed(counted, stream, n.writer, sink, feed.WithLogf(logf), feed.WithSnapshots(snapshotEvery))
+		return feed.NewFeed(n.logs, stream, n.writer, sink, feed.WithLogf(logf), feed.WithSnapshots(snapshotEvery))
 	}
 	var closeConfig, closeKeys, closeZone func()
 	n.config.feed, closeConfig = open(streamConfig, &lockedSink{mu: &n.config.mu, Sink: n.config.state, after: n.configChanged})
 	n.keys.feed, closeKeys = open(streamKeys, &lockedSink{mu: &n.keys.mu, Sink: n.keys.table, after: n.keyChanged})
+	// The sink reads the field, so that records wait for it.
+	n.zone.mu.Lock()
 	n.zone.feed, closeZone = open(streamZone+n.cfg.Zone, &zoneSink{n: n})
+	n.zone.mu.Unlock()
 	return func() {
 		closeConfig()
 		closeKeys()
@@ -260,7 +275,7 @@
 	n.zone.mu.Lock()
 	held := len(n.zone.holdings.Workers(now))
 	n.zone.mu.Unlock()
-	return held > 0 || n.bestPeer("", now) != ""
+	return held > 0 || n.pickPeer(now, false) != ""
 }
 
 // configFresh returns the time at which the configuration in force here was known to be the newest.
@@ -284,15 +299,8 @@
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), "node: stop")
 	}
-	done := make(chan struct{})
-	go func() {
-		n.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "node: stop with requests in flight")
+	if err := n.inFlight.drain(ctx); err != nil {
+		return err
 	}
 	n.releaseAll(ctx)
 	n.log.Info("Stopped.")
--- a/internal/host/node/sink.go
+++ b/internal/host/node/sink.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -53,12 +52,13 @@
 	z := &s.n.zone
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	ended := s.endedBy(item)
+	ended := s.endedBy(now, item)
 	if err := z.jobs.Apply(now, offset, item); err != nil {
 		return err
 	}
 	if ended != nil {
 		z.policy.Update(now, *ended)
+		z.dropPlacement(ended.Task)
 	}
 	switch item.Kind {
 	case job.KindHold:
@@ -74,8 +74,20 @@
 	return nil
 }
 
+// dropPlacement forgets the start of an attempt that has ended, with mu held. The attempt may have ended without a
+// status that lists it, for example because its worker restarted, and no host starts a task that it is still placing.
+func (z *zoneView) dropPlacement(id string) {
+	pl, t := z.placing[id], z.jobs.Task(id)
+	if pl == nil {
+		return
+	}
+	if t == nil || t.Attempt() > pl.attempt || t.Attempt() == pl.attempt && t.State() != job.Running {
+		delete(z.placing, id)
+	}
+}
+
 // endedBy returns what the policy is told if the item ends an attempt, with zone.mu held.
-func (s *zoneSink) endedBy(item record.Item) *policy.EndMsg {
+func (s *zoneSink) endedBy(now time.Time, item record.Item) *policy.EndMsg {
 	var id string
 	var attempt int
 	outcome := policy.OutcomeEvicted
@@ -108,7 +120,7 @@
 	if t.Cancelling() && outcome == policy.OutcomeEvicted {
 		outcome = policy.OutcomeCancelled
 	}
-	s.n.countEnd(t, item.Kind, outcome)
+	s.n.countEnd(now, t, outcome)
 	return &policy.EndMsg{Worker: t.Worker(), Task: id, Attempt: attempt, Outcome: outcome}
 }
 
@@ -127,6 +139,9 @@
 	if err := z.jobs.Restore(data, base); err != nil {
 		return err
 	}
+	for id := range z.placing {
+		z.dropPlacement(id)
+	}
 	now := time.Now()
 	for _, h := range z.jobs.Holds() {
 		z.holdings.Update(now, lease.HoldMsg{Worker: h.Worker, Host: h.Host, Boot: h.Boot, Grant: h.Grant})
@@ -134,17 +149,18 @@
 	return nil
 }
 
-// countEnd counts an attempt that ended, if this host holds its worker, so that each end is counted once per zone.
-func (n *Node) countEnd(t *job.Task, kind record.Kind, outcome policy.Outcome) {
-	if _, held := n.zone.holdings.Held(t.Worker(), time.Now()); !held || n.mtr == nil {
+// countEnd counts an attempt that ended for the status. Records that are read while the host catches up happened earlier
+// and are left out.
+func (n *Node) countEnd(now time.Time, t *job.Task, outcome policy.Outcome) {
+	if n.zone.feed == nil || n.zone.feed.Fresh().IsZero() {
 		return
 	}
-	ctx := context.Background()
-	if kind == job.KindEnd {
-		n.mtr.TaskEnded(ctx, t.Job().Class(), string(outcome))
-		return
+	switch outcome {
+	case policy.OutcomeDone:
+		n.tallyOf(t.Job().Class()).finished.add(now)
+	case policy.OutcomeEvicted:
+		n.tallyOf(t.Job().Class()).evicted.add(now)
 	}
-	n.mtr.TaskEvicted(ctx, t.Job().Class(), string(outcome))
 }
 
 // keyChanged wakes the requests of this host that wait for a key.
--- a/internal/host/node/task.go
+++ b/internal/host/node/task.go
@@ -21,7 +21,7 @@
 	perClass = 32
 	// rotation is how long a pending task is one host's to start before it becomes the next one's.
 	rotation = 2 * time.Second
-	// deadFor is how long a worker must be without any holder before its tasks are doubted.
+	// deadFor is how long a worker must not have answered this host before its tasks are doubted.
 	deadFor = time.Minute
 )
 
@@ -227,40 +227,60 @@
 			add(n.evict(t, job.ReasonRefused, nil))
 		}
 	}
-	// A task that the stream does not have as running here must not go on. The stream has every start before the
-	// worker does, so the list is judged only by a view that is newer than the status.
-	if !z.feed.Fresh().After(w.sent) {
-		return effects
-	}
 	fence, held := z.holdings.Held(w.status.Worker, now)
 	if !held {
 		return effects
 	}
+	// A task that the stream does not have as running here must not go on. The stream has every start before the
+	// worker does, so this is certain once a read that was sent after the task was first listed reached the end.
+	// Reads complete seconds after they were sent, hence the time of the first listing is kept.
+	strays := map[fleet.TaskRef]time.Time{}
 	var done []fleet.TaskRef
 	for id, t := range w.tasks {
 		if running[id] && z.jobs.Task(id).Attempt() == t.Attempt {
 			continue
 		}
-		if t.State == fleet.TaskRunning {
+		ref := fleet.TaskRef{ID: id, Attempt: t.Attempt}
+		since, known := w.strays[ref]
+		if !known {
+			since = now
+		}
+		strays[ref] = since
+		switch {
+		case !z.feed.Fresh().After(since):
+		case t.State == fleet.TaskRunning:
 			add(n.control(w.address, fence, t, fleet.ActionStop, 0))
-			continue
+		default:
+			done = append(done, ref)
 		}
-		done = append(done, fleet.TaskRef{ID: id, Attempt: t.Attempt})
-		delete(w.tasks, id)
 	}
+	w.strays = strays
 	if len(done) > 0 {
-		address := w.address
-		add(func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, workerTimeout)
-			defer cancel()
-			if err := n.fleet.Forget(ctx, address, fence, done); err != nil {
-				n.log.WithError(err).Debug("Finished tasks were not forgotten; trying again with the next full status.")
-			}
-		})
+		add(n.forget(w, fence, done))
 	}
 	return effects
 }
 
+// forget returns the effect that makes a worker drop finished attempts. They stay listed here until it has confirmed.
+func (n *Node) forget(w *workerView, f fleet.Fence, done []fleet.TaskRef) func(context.Context) {
+	address := w.address
+	return func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, workerTimeout)
+		defer cancel()
+		if err := n.fleet.Forget(ctx, address, f, done); err != nil {
+			n.log.WithError(err).Debug("Finished tasks were not forgotten; trying again with the next status.")
+			return
+		}
+		n.zone.mu.Lock()
+		defer n.zone.mu.Unlock()
+		for _, r := range done {
+			if w.tasks[r.ID].Attempt == r.Attempt {
+				delete(w.tasks, r.ID)
+			}
+		}
+	}
+}
+
 // neverStarted reports whether an attempt that the worker's status lacks will certainly not start there.
 // Messages of earlier holders are refused by their grant, so only a start by this process is in doubt.
 func (n *Node) neverStarted(w *workerView, t *job.Task) bool {
@@ -288,9 +308,10 @@
 		if known.State == fleet.TaskFailed {
 			result = job.ResultFailed
 		}
-		return n.settleLater(t.ID(), "end", func() (record.Item, error) {
-			return job.EndItem(job.End{Task: t.ID(), Attempt: known.Attempt, State: result, Output: bounded(known.Output, job.MaxOutput)})
-		})
+		id, class := t.ID(), j.Class()
+		return n.settleLater(id, "end", func() (record.Item, error) {
+			return job.EndItem(job.End{Task: id, Attempt: known.Attempt, State: result, Output: bounded(known.Output, job.MaxOutput)})
+		}, func(ctx context.Context) { n.mtr.TaskEnded(ctx, class, string(result)) })
 	case fleet.TaskStopped:
 		return n.evict(t, job.ReasonStopped, known.Checkpoint)
 	}
@@ -323,7 +344,9 @@
 	if reason == job.ReasonDoubt {
 		e.Doubt, _ = n.zone.jobs.Doubt(t.Worker())
 	}
-	return n.settleLater(t.ID(), "evict", func() (record.Item, error) { return job.EvictItem(e) })
+	class := t.Job().Class()
+	return n.settleLater(t.ID(), "evict", func() (record.Item, error) { return job.EvictItem(e) },
+		func(ctx context.Context) { n.mtr.TaskEvicted(ctx, class, string(reason)) })
 }
 
 // control returns the effect that acts on a task at its worker.
@@ -340,7 +363,7 @@
 
 // settle writes a record about a task, at most one at a time. zone.mu is held.
 func (n *Node) settle(task, step string, item func() (record.Item, error), then func(error)) {
-	if e := n.settleLater(task, step, item); e != nil {
+	if e := n.settleLater(task, step, item, nil); e != nil {
 		n.run(func(ctx context.Context) {
 			e(ctx)
 			if then != nil {
@@ -350,15 +373,19 @@
 	}
 }
 
-// settleLater marks the task and returns the effect that writes the record, or nil if one is being written.
-// zone.mu is held.
-func (n *Node) settleLater(task, step string, item func() (record.Item, error)) func(context.Context) {
+// settleLater marks the task and returns the effect that writes the record, or nil if one is being written. The metrics
+// count the record at its writer, once it was read back as valid. zone.mu is held.
+func (n *Node) settleLater(
+	task, step string, item func() (record.Item, error), count func(context.Context),
+) func(context.Context) {
 	if n.zone.settling[task] {
 		return nil
 	}
 	n.zone.settling[task] = true
 	return func(ctx context.Context) {
-		_ = n.writeZone(ctx, step, item)
+		if err := n.writeZone(ctx, step, item); err == nil && count != nil && n.mtr != nil {
+			count(ctx)
+		}
 		n.zone.mu.Lock()
 		delete(n.zone.settling, task)
 		n.zone.mu.Unlock()
--- a/internal/zone/lease/lease.go
+++ b/internal/zone/lease/lease.go
@@ -58,11 +58,16 @@
 	// clock is the newest reading of the worker's clock, made between sent and received of the host's clock.
 	clock          time.Duration
 	sent, received time.Time
+	// refused is set when the worker refused a lease request. It is read anew before the next request.
+	refused bool
 	// drain is Status.Leaving of the newest reading.
 	drain bool
 	// mine is set while the newest reading names this host. The lease itself may have expired since.
 	mine  bool
 	grant uint64
+	// named is set if the newest reading names this host but listed no tasks, so that the lease is to be renewed with
+	// a full list before the worker counts as held.
+	named bool
 	// certain is the time from which the lease may have expired.
 	certain time.Time
 	// tasks is an upper bound of the end of task leases at the worker, in its clock, as long as recorded holds.
@@ -133,12 +138,16 @@
 			h.place(w)
 		}
 	case StatusMsg:
-		return h.status(now, m.Status, m.Sent, m.Received, m.Seen)
+		return h.status(now, m.Status, m.Sent, m.Received, m.Seen, m.Brief)
 	case RefusedMsg:
-		return h.status(now, m.Status, m.Sent, m.Received, 0)
+		if m.Status.Boot == "" {
+			h.refused(now, m.Status.Worker, m.Sent)
+			return nil
+		}
+		return h.status(now, m.Status, m.Sent, m.Received, 0, false)
 	case FailedMsg:
 		if w := h.workers[m.Worker]; w != nil {
-			w.pending = time.Time{}
+			w.pending, w.refused = time.Time{}, m.Refused
 			w.next = now.Add(h.renew / 4)
 			if !w.mine {
 				w.next = now.Add(h.renew)
@@ -199,12 +208,12 @@
 func score(worker, host string) uint64 { return xxhash.Sum64String(worker + "\x00" + host) }
 
 // status applies a reading of the worker.
-func (h *Holdings) status(now time.Time, s fleet.Status, sent, received time.Time, seen uint64) []Command {
+func (h *Holdings) status(now time.Time, s fleet.Status, sent, received time.Time, seen uint64, brief bool) []Command {
 	w := h.workers[s.Worker]
 	if w == nil {
 		return nil
 	}
-	w.pending = time.Time{}
+	w.pending, w.refused = time.Time{}, false
 	first := w.boot == ""
 	switch {
 	case first:
@@ -218,6 +227,16 @@
 	}
 	w.clock, w.sent, w.received, w.drain = s.Clock, sent, received, s.Leaving
 	mine := s.Holder == h.self && s.Until > s.Clock && sent.After(w.barrier)
+	if first && mine {
+		// The lease is that of an earlier process, whose starts have the same grant. Without this wait a status would
+		// show them as never started although one may still arrive. The second window covers the difference of clock rates.
+		w.quiet = s.Clock + 2*startWindow
+	}
+	w.named = mine && brief
+	if w.named {
+		w.next = now
+		return nil
+	}
 	if !mine {
 		w.mine, w.seen, w.certain = false, 0, time.Time{}
 		if s.Holder != "" && s.Until > s.Clock {
@@ -236,11 +255,8 @@
 			w.kept = now.Add(w.keep)
 		}
 	}
-	if first {
-		// The lease is that of an earlier process, whose starts have the same grant. Without this wait a status would
-		// show them as never started although one may still arrive. The second window covers the difference of clock rates.
-		w.quiet = s.Clock + 2*startWindow
-	}
+	// A lease that had lapsed here was given up by the capacity table, which needs the whole list again.
+	lapsed := w.mine && !now.Before(w.certain)
 	fresh := !w.mine || w.grant != s.Grant
 	if fresh {
 		w.tasked, w.ready = time.Time{}, false
@@ -252,7 +268,7 @@
 	w.mine, w.grant, w.free = true, s.Grant, time.Time{}
 	w.certain = sent.Add(time.Duration(float64(s.Until-s.Clock) / (1 + h.margin)))
 	w.next = sent.Add(h.renew)
-	if fresh && seen != 0 {
+	if (fresh || lapsed) && seen != 0 {
 		w.next, w.seen = now, 0 // The list is not complete: ask again.
 		return nil
 	}
@@ -263,6 +279,18 @@
 	return []Command{ApplyCmd{Status: s, Sent: sent, Full: seen == 0}}
 }
 
+// refused notes that another host holds the worker. The next call asks who: a lease call that is repeated instead would
+// be refused as long as that host lives, and this one would take the worker for silent.
+func (h *Holdings) refused(now time.Time, id string, sent time.Time) {
+	w := h.workers[id]
+	if w == nil || sent.Before(w.sent) {
+		return
+	}
+	w.pending, w.free, w.named = time.Time{}, time.Time{}, false
+	w.mine, w.seen, w.certain = false, 0, time.Time{}
+	w.next = now.Add(h.renew / 2)
+}
+
 // schedule sets the next call to a worker that this host does not hold.
 func (h *Holdings) schedule(w *holding, now time.Time) {
 	switch {
@@ -342,7 +370,7 @@
 		return nil
 	}
 	turn := !w.free.IsZero() && now.Sub(w.free) >= time.Duration(2*w.rank)*h.ttl && len(h.peers) > 0
-	if w.boot == "" || (!w.mine && !turn) {
+	if w.boot == "" || w.refused || (!w.mine && !w.named && !turn) {
 		w.next = now.Add(h.renew / 2)
 		return QueryCmd{Worker: w.ID, Address: w.Address}
 	}
@@ -401,6 +429,14 @@
 	return w.clock+elapsed > w.tasks
 }
 
+// LastReading returns when the worker last answered this host, whoever holds it; the zero time if it never did.
+func (h *Holdings) LastReading(worker string) time.Time {
+	if w := h.workers[worker]; w != nil {
+		return w.received
+	}
+	return time.Time{}
+}
+
 // Workers returns the workers that this host certainly holds at now, sorted.
 func (h *Holdings) Workers(now time.Time) []string {
 	var ids []string
--- a/internal/zone/policy/interference.go
+++ b/internal/zone/policy/interference.go
@@ -10,13 +10,15 @@
 // model learns how batch classes slow down the calls of one urgent class. The mean execution time in a
 // window is modelled as
 //
-//	mean = base * (1 + sum over batch classes of k * load)
+//	mean = base * (1 + own * busy + sum over batch classes of k * load)
 //
-// where load is the share of the worker's cores that the class used in that window. It is a Kalman filter
-// over the base time and the products base*k with a full covariance, because base and k are strongly
+// where busy is the share of the worker's slots that urgent calls kept busy and load the share of its cores
+// that the batch class used in that window. It is a Kalman filter
+// over the base time and the products of base with own and k, with a full covariance, because base and k are strongly
 // correlated when every worker always runs batch tasks.
 type model struct {
-	// state[0] is the base time in seconds, state[i] for i > 0 is base*k of class slot[i].
+	// state[0] is the base time in seconds, state[1] is base*own, and the others are base*k of the batch
+	// classes by slots.
 	state []float64
 	// cov is the covariance of state, row by row.
 	cov [][]float64
@@ -24,30 +26,57 @@
 	slots []int
 	// seen is the number of reports in which the class had a notable load, by position.
 	seen []int
-	last time.Time
+	// at is the end of the newest window with a notable load, by position.
+	at    []time.Time
+	last  time.Time
+	first float64
+	// reports is the number of reports learned from, asked when settled was first called.
+	reports int
+	asked   time.Time
+	// spread is the mean squared prediction error relative to the expected one.
+	spread float64
 }
 
 const (
 	// priorK is the slowdown per unit of load assumed for an unknown pair: half the largest seen in
 	// practice, since a prior of zero would let several unknown classes meet on one worker.
-	priorK = 0.3
+	priorK = 0.15
 	// priorDev is the standard deviation of k of an unknown pair.
-	priorDev = 0.6
+	priorDev = 0.3
 	// driftDev is the standard deviation by which k drifts in an hour.
-	driftDev = 0.15
+	driftDev = 0.05
+	// ownDev is the standard deviation assumed for own, baseDrift that by which base drifts in an hour.
+	ownDev, baseDrift = 0.3, 0.05
 	// callDev is the relative standard deviation of single execution times, modelDev that of the model
 	// itself.
 	callDev, modelDev = 0.8, 0.02
 	// knownReports is the number of reports with a notable load after which a pair counts as known.
-	knownReports = 4
+	// It also needs a standard deviation of at most knownDev, or maxReports reports.
+	knownReports, knownDev, maxReports = 4, 0.1, 20
+	// settleReports is the number of reports about a class after which trials begin, at the latest after
+	// settleWait.
+	settleReports, settleWait = 10, time.Minute
 	// notableLoad is the load from which on a report says something about a class.
 	notableLoad = 0.02
+	// retryAfter is the time without a notable load after which a pair with a large estimate is tried again.
+	retryAfter = 10 * time.Minute
 	// surprise is the squared normalised error from which on the affected pairs are learned anew faster.
 	surprise = 9
+	// spreadGain is the weight of a report in the measured spread of prediction errors.
+	spreadGain, minSpread, maxSpread = 0.02, 0.2, 10
 )
 
 func newModel() *model {
-	return &model{state: []float64{0}, cov: [][]float64{{0}}, seen: []int{0}}
+	return &model{state: []float64{0, 0}, cov: [][]float64{{0, 0}, {0, 0}}, seen: []int{0, 0}, at: make([]time.Time, 2), spread: 1}
+}
+
+// reference returns the mean execution time in seconds of the first report, which is the given one if there
+// was none yet.
+func (m *model) reference(mean time.Duration) float64 {
+	if m.first == 0 {
+		m.first = mean.Seconds()
+	}
+	return m.first
 }
 
 // slot returns the position of the class, 0 if it has none.
@@ -67,6 +96,7 @@
 	base := m.state[0]
 	m.state = append(m.state, priorK*base)
 	m.seen = append(m.seen, 0)
+	m.at = append(m.at, time.Time{})
 	for i := range m.cov {
 		m.cov[i] = append(m.cov[i], 0)
 	}
@@ -82,34 +112,59 @@
 	if i == 0 || m.state[0] <= 0 {
 		return priorK
 	}
-	return max(0, m.state[i]/m.state[0])
+	return m.state[i] / m.state[0]
 }
 
 // known reports whether enough reports covered the pair.
 func (m *model) known(c *class) bool {
 	i := m.slot(c)
-	return i > 0 && m.seen[i] >= knownReports
+	return i > 0 && m.seen[i] >= knownReports && (m.cov[i][i] < knownDev*knownDev*m.state[0]*m.state[0] || m.seen[i] >= maxReports)
+}
+
+// settled reports whether the base time rests on a few reports. It gives up waiting after settleWait, for a
+// host whose workers already run batch tasks or get few calls.
+func (m *model) settled(now time.Time) bool {
+	if m.asked.IsZero() {
+		m.asked = now
+	}
+	return m.reports >= settleReports || now.Sub(m.asked) >= settleWait
+}
+
+// expire forgets a pair whose large estimate kept the class away for retryAfter, so that it is tried anew.
+func (m *model) expire(now time.Time, c *class) {
+	i := m.slot(c)
+	if i == 0 || m.seen[i] < knownReports || m.k(c) <= priorK || now.Sub(m.at[i]) < retryAfter {
+		return
+	}
+	base := m.state[0]
+	m.state[i], m.seen[i] = priorK*base, 0
+	for j := range m.cov {
+		m.cov[i][j], m.cov[j][i] = 0, 0
+	}
+	m.cov[i][i] = priorDev * priorDev * base * base
 }
 
 // learn applies one report about worker w, attributed to what ran there between from and to.
-func (m *model) learn(w *worker, u fleet.Usage, from, to time.Time) {
+func (m *model) learn(w *worker, u fleet.Usage, busy float64, from, to time.Time) {
 	mean := u.Mean.Seconds()
 	if mean <= 0 {
 		return
 	}
+	m.reports++
 	if m.state[0] == 0 {
 		m.state[0] = mean
 		m.cov[0][0] = 0.25 * mean * mean
+		m.cov[1][1] = ownDev * ownDev * mean * mean
 		m.last = to
 	}
 	type input struct {
 		at int
 		x  float64
 	}
-	inputs := make([]input, 1, len(w.levels)+1)
-	inputs[0] = input{0, 1}
+	inputs := make([]input, 2, len(w.levels)+2)
+	inputs[0], inputs[1] = input{0, 1}, input{1, busy}
 	for _, l := range w.levels {
-		x := l.average(from, to) * l.class.size.ratio() / float64(w.capacity.Cores)
+		x := l.average(from, to).cores * l.class.size.ratio() / float64(w.capacity.Cores)
 		if x <= 1e-4 {
 			continue
 		}
@@ -119,6 +174,7 @@
 		}
 		if x >= notableLoad {
 			m.seen[at]++
+			m.at[at] = to
 		}
 		inputs = append(inputs, input{at, x})
 	}
@@ -127,12 +183,12 @@
 		m.last = to
 		q := driftDev * driftDev * base * base * dt.Hours()
 		limit := priorDev * priorDev * base * base
-		for i := 1; i < len(m.state); i++ {
+		for i := 2; i < len(m.state); i++ {
 			m.cov[i][i] = min(m.cov[i][i]+q, max(limit, m.cov[i][i]))
 		}
-		m.cov[0][0] += 0.0001 * base * base * dt.Hours()
+		m.cov[0][0] += baseDrift * baseDrift * base * base * dt.Hours()
 	}
-	noise := base * base * (callDev*callDev/float64(u.Calls) + modelDev*modelDev)
+	noise := base * base * (callDev*callDev/float64(u.Calls) + modelDev*modelDev) * m.spread
 	n := len(m.state)
 	px := make([]float64, n)
 	var s, predicted float64
@@ -151,9 +207,11 @@
 	}
 	gain()
 	e := mean - predicted
+	m.spread += spreadGain * (min(e*e/s, 2*surprise) - 1) * m.spread
+	m.spread = min(max(m.spread, minSpread), maxSpread)
 	if e*e/s > surprise {
-		for _, in := range inputs[1:] {
-			m.cov[in.at][in.at] += 0.05 * base * base
+		for _, in := range inputs[2:] {
+			m.cov[in.at][in.at] += 0.002 * base * base
 		}
 		gain()
 	}
@@ -166,8 +224,22 @@
 		}
 	}
 	m.state[0] = max(m.state[0], 0.1*mean)
-	for i := 1; i < n; i++ {
-		m.state[i] = max(m.state[i], -0.1*m.state[0])
+	m.bound(1, 0)
+	for _, in := range inputs[2:] {
+		m.bound(in.at, -0.1*m.state[0])
+	}
+}
+
+// bound raises a state to the limit and moves the others along their covariance with it. Raising it alone
+// would leave what it had explained in the base time for good.
+func (m *model) bound(i int, limit float64) {
+	d := limit - m.state[i]
+	if d <= 0 || m.cov[i][i] <= 0 {
+		return
+	}
+	scale := d / m.cov[i][i]
+	for j := range m.state {
+		m.state[j] += m.cov[j][i] * scale
 	}
 }
 
@@ -181,9 +253,9 @@
 		}
 	}
 	if c != nil {
-		sum += p.k(u, c) * extra / float64(w.capacity.Cores)
+		sum += max(p.k(u, c), 0) * extra / float64(w.capacity.Cores)
 	}
-	return sum
+	return max(sum, 0)
 }
 
 // k returns the slowdown of urgent class u per unit of load by batch class c.
--- a/internal/zone/policy/placement.go
+++ b/internal/zone/policy/placement.go
@@ -54,28 +54,47 @@
 	samples, lookups = 8, 32
 	// parkWorkers is the number of workers a task may fail on (design section 8).
 	parkWorkers = 3
-	// trialLoad is the largest share of a worker that a class on trial is planned with.
-	trialLoad = 0.35
+	// trialLoad is the largest share of a worker's cores or memory that a class on trial is planned with. Four
+	// times that, the largest error of declared sizes expected, still leaves half of the worker.
+	trialLoad = 0.12
+	// sizeReports is the number of reports after which the size of a class counts as known. sizeWait after the
+	// first trial the declared size is used, for workers that report no use.
+	sizeReports, sizeWait = 3, 10 * time.Minute
+	// A task that costs more than dearFactor times the mean harm per core may fill a worker only up to
+	// dearLimit of the accepted harm. Long tasks of harmful classes would otherwise gather: they fill every
+	// gap that the error of the estimates leaves and stay when it closes.
+	dearFactor, dearLimit = 2, 0.6
+	priceGain             = 0.01
+	// retryLimit is the limit for tasks that failed before, just below the one from which tasks are throttled.
+	retryLimit = 1.2
 	// trialLength bounds a trial on a worker that yields no reports.
 	trialLength = 5 * time.Minute
 )
 
 // Refusal returns why a task of the class and declared size can run on no known worker, or an empty text.
 func (p *Policy) Refusal(className string, size fleet.Size) string {
-	if len(p.shapes) == 0 || p.fits(p.class(className), size) {
+	if len(p.shapes)+len(p.elsewhere) == 0 || p.fits(p.class(className), size) {
 		return ""
 	}
 	return fmt.Sprintf("%s: %d cores, %d MiB, %d accelerators", ReasonTooLarge,
 		(size.Cores+999)/1000, size.Memory, size.Accelerators)
 }
 
+// fits reports whether any known worker is large enough by the declared or by the learned size.
 func (p *Policy) fits(c *class, size fleet.Size) bool {
-	return p.shapes.fits(size) || p.shapes.fits(c.size.plan(size))
+	plan := c.size.plan(size)
+	return p.shapes.fits(size) || p.shapes.fits(plan) || p.elsewhere.fits(size) || p.elsewhere.fits(plan)
 }
 
 // PlaceTask chooses a worker for the task. It looks at a bounded sample of workers.
 func (p *Policy) PlaceTask(now time.Time, t Candidate) (Placement, bool) {
 	c := p.class(t.Class)
+	p.live = p.live[:0]
+	for _, u := range p.urgent {
+		if u.active(now) {
+			p.live = append(p.live, u)
+		}
+	}
 	pl := p.place(now, c, t)
 	if pl.Worker == "" {
 		c.blocked, c.blockedAt = pl.Reason, now
@@ -101,22 +120,25 @@
 	}
 	tm := p.team(t.Team)
 	within := tm.within(size)
-	if !within {
+	if !within && len(t.Avoid) == 0 {
 		if s := p.starving(now); s != nil && s != tm {
 			return Placement{Reason: ReasonQuota}
 		}
 	}
-	trial := p.trial(now, c)
+	trial, wait := p.trial(now, c)
+	if wait && c.trial == "" {
+		return Placement{Reason: ReasonTrial}
+	}
 	if trial && c.trial != "" {
 		w := p.workers[c.trial]
-		if reason := p.check(now, w, c, t, size, true); reason != "" {
+		if _, reason := p.check(now, w, c, t, size, true); reason != "" {
 			return Placement{Reason: ReasonTrial}
 		}
 		return Placement{Worker: w.name, Size: size}
 	}
 	w, reason := p.choose(now, c, t, size, trial)
 	if w == nil {
-		if within && reason == ReasonRoom {
+		if within && (reason == ReasonRoom || reason == ReasonHarm) {
 			tm.starved, tm.need = now, size
 			p.starved = tm
 		}
@@ -124,24 +146,38 @@
 	}
 	if trial {
 		c.trial, c.tried = w.name, now
+		if c.first.IsZero() {
+			c.first = now
+		}
+	}
+	if !trial {
+		p.paid(w, c, size)
 	}
 	return Placement{Worker: w.name, Size: size}
 }
 
-// trial reports whether the class has an unknown pair with an active urgent class. It ends a trial whose
-// worker is gone or that lasted too long.
-func (p *Policy) trial(now time.Time, c *class) bool {
-	unknown := false
-	for _, u := range p.urgent {
-		if u.active(now) && !p.known(u, c) {
+// trial reports whether the class has an unknown pair with an active urgent class or an unknown size. It ends a trial whose
+// worker is gone or that lasted too long. A new trial should wait while the undisturbed execution time of the
+// urgent class is unknown, since it cannot be told from the slowdown.
+func (p *Policy) trial(now time.Time, c *class) (unknown, wait bool) {
+	for _, u := range p.live {
+		// A quiet class must not hold batch work up: its pairs cannot become known.
+		if !u.busy(now) {
+			continue
+		}
+		u.model.expire(now, c)
+		if !p.known(u, c) {
 			unknown = true
-			break
+			wait = wait || !u.model.settled(now)
 		}
 	}
+	if c.size.memory.n < sizeReports && (c.first.IsZero() || now.Sub(c.first) < sizeWait) {
+		unknown = true
+	}
 	if c.trial != "" && (!unknown || p.workers[c.trial] == nil || now.Sub(c.tried) > trialLength) {
 		c.trial = ""
 	}
-	return unknown
+	return unknown, wait
 }
 
 // choose samples workers with enough free cores and returns the one with the least predicted harm. Tasks
@@ -170,13 +206,14 @@
 				at = p.rand.IntN(n)
 			}
 			w := x.at(size.Cores, at)
-			if r := p.check(now, w, c, t, size, trial); r != "" {
+			h, r := p.check(now, w, c, t, size, trial)
+			if r != "" {
 				if r != ReasonRoom || reason == ReasonRoom {
 					reason = r
 				}
 				continue
 			}
-			h := p.worst(now, w, c, size) - 0.01*float64(w.free().Cores)/float64(w.capacity.Cores)
+			h -= 0.01 * float64(w.free().Cores) / float64(w.capacity.Cores)
 			if best == nil || h < bestHarm {
 				best, bestHarm = w, h
 			}
@@ -191,34 +228,56 @@
 	return nil, reason
 }
 
-// check returns why the worker does not suit the task, or an empty reason.
-func (p *Policy) check(now time.Time, w *worker, c *class, t Candidate, size fleet.Size, trial bool) Reason {
+// check returns why the worker does not suit the task, or an empty reason and the harm predicted with the task,
+// as a share of what is accepted.
+func (p *Policy) check(now time.Time, w *worker, c *class, t Candidate, size fleet.Size, trial bool) (float64, Reason) {
 	free := w.free()
 	if w.closed || !size.Fits(free) {
-		return ReasonRoom
+		return 0, ReasonRoom
 	}
 	if f := p.Ramp(now); f < 1 && float64(w.committed.Cores+size.Cores) > f*float64(w.capacity.Cores) {
-		return ReasonRoom
+		return 0, ReasonRoom
 	}
 	if size.Accelerators == 0 && free.Accelerators > 0 && !w.spares(free, size) {
-		return ReasonRoom
+		return 0, ReasonRoom
 	}
 	if slices.Contains(t.Avoid, w.name) {
-		return ReasonAvoid
+		return 0, ReasonAvoid
 	}
 	if !w.admits(now) {
-		return ReasonQuarantine
+		return 0, ReasonQuarantine
 	}
+	before, after := p.harmOf(w, c, size)
 	if trial {
-		if load := w.load(w.level(c)) + float64(size.Cores)/float64(w.capacity.Cores); load > trialLoad && w.load(w.level(c)) > 0 {
-			return ReasonTrial
+		l := w.level(c)
+		if l.planned == (fleet.Size{}) {
+			return after, ""
 		}
-		return ""
+		load := w.load(l) + float64(size.Cores)/float64(w.capacity.Cores)
+		memory := float64(l.planned.Memory+size.Memory) / float64(w.capacity.Memory)
+		if load > trialLoad || memory > trialLoad {
+			return 0, ReasonTrial
+		}
+		return after, ""
+	}
+	limit := 1.0
+	if after-before > dearFactor*p.price*float64(size.Cores)/float64(w.capacity.Cores) {
+		limit = dearLimit
 	}
-	if p.worst(now, w, c, size) > 1 {
-		return ReasonHarm
+	if len(t.Avoid) > 0 {
+		// The next run of a failed task decides whether it is parked, which must not wait for long.
+		limit = retryLimit
 	}
-	return ""
+	if after > limit {
+		return 0, ReasonHarm
+	}
+	return after, ""
+}
+
+// paid updates the running mean of the harm per share of a worker that placements cost.
+func (p *Policy) paid(w *worker, c *class, size fleet.Size) {
+	before, after := p.harmOf(w, c, size)
+	p.price += priceGain * ((after-before)*float64(w.capacity.Cores)/float64(max(size.Cores, 1)) - p.price)
 }
 
 // spares reports whether the free accelerators keep a proportional half of the cores and memory after a task
@@ -230,14 +289,29 @@
 		float64(left.Memory) >= share*float64(w.capacity.Memory)
 }
 
-// worst is the largest predicted slowdown of an active urgent class, as a share of what is accepted, if a
-// task of class c and that size were added.
-func (p *Policy) worst(now time.Time, w *worker, c *class, size fleet.Size) float64 {
-	var worst float64
-	for _, u := range p.urgent {
-		if u.active(now) {
-			worst = max(worst, p.slowdown(w, u, c, float64(size.Cores))/u.allow)
+// harmOf returns the largest predicted slowdown of the urgent classes in live on the worker, as a share of what
+// is accepted, without and with a task of class c and that size.
+func (p *Policy) harmOf(w *worker, c *class, size fleet.Size) (before, after float64) {
+	p.loads = p.loads[:0]
+	for _, l := range w.levels {
+		if l.value() > 0 {
+			p.loads = append(p.loads, load{l.class, w.load(l)})
+		}
+	}
+	extra := float64(size.Cores) / float64(w.capacity.Cores)
+	for _, u := range p.live {
+		var sum float64
+		for _, l := range p.loads {
+			sum += p.k(u, l.class) * l.share
 		}
+		before = max(before, sum/u.allow)
+		after = max(after, (sum+max(p.k(u, c), 0)*extra)/u.allow)
 	}
-	return worst
+	return before, after
+}
+
+// load is the share of a worker's cores that a class uses.
+type load struct {
+	class *class
+	share float64
 }
--- a/internal/zone/policy/policy.go
+++ b/internal/zone/policy/policy.go
@@ -83,6 +83,12 @@
 		Attempt      int
 		Outcome      Outcome
 	}
+	// ElsewhereMsg reports the outcome of a task on a worker that another host holds, as read from the
+	// zone's stream, so that faulty jobs and classes are recognized sooner.
+	ElsewhereMsg struct {
+		Worker, Job, Class string
+		Outcome            Outcome
+	}
 	// UsageMsg holds the usage reports of one status of a worker.
 	UsageMsg struct {
 		Worker string
@@ -94,19 +100,24 @@
 		// Took is the execution time at the worker, Total the answer time seen by the caller.
 		Took, Total time.Duration
 	}
+	// ShapesMsg lists the distinct capacities of workers that other hosts hold, replacing the list before.
+	// A task that fits one of them is not refused or parked for its size.
+	ShapesMsg struct{ Capacities []fleet.Size }
 	// ReturnMsg starts the capacity ramp after the zone was brought back in.
 	ReturnMsg struct{}
 )
 
-func (ClassMsg) message()   {}
-func (TeamMsg) message()    {}
-func (WorkerMsg) message()  {}
-func (ReleaseMsg) message() {}
-func (StartMsg) message()   {}
-func (EndMsg) message()     {}
-func (UsageMsg) message()   {}
-func (CallMsg) message()    {}
-func (ReturnMsg) message()  {}
+func (ClassMsg) message()     {}
+func (TeamMsg) message()      {}
+func (WorkerMsg) message()    {}
+func (ReleaseMsg) message()   {}
+func (StartMsg) message()     {}
+func (EndMsg) message()       {}
+func (ElsewhereMsg) message() {}
+func (UsageMsg) message()     {}
+func (CallMsg) message()      {}
+func (ShapesMsg) message()    {}
+func (ReturnMsg) message()    {}
 
 // Command asks the caller to act on a running task attempt.
 type Command struct {
@@ -159,7 +170,14 @@
 	tasks map[string]*task
 
 	plain, accelerated freeIndex
-	shapes             shapeSet
+	// shapes counts the held workers by capacity, elsewhere holds the capacities of ShapesMsg.
+	shapes, elsewhere shapeSet
+
+	// live holds the active urgent classes and loads the loads of one worker, for the present decision.
+	live  []*class
+	loads []load
+	// price is the mean harm per share of a worker's cores of recent placements.
+	price float64
 
 	returned time.Time
 	// starved is the team that found no room most recently.
@@ -207,10 +225,22 @@
 		p.start(now, m)
 	case EndMsg:
 		p.end(now, m)
+	case ElsewhereMsg:
+		switch m.Outcome {
+		case OutcomeDone:
+			p.noteSuccess(now, m.Job, p.class(m.Class))
+		case OutcomeFailed:
+			p.noteFailure(now, m.Job, p.class(m.Class), m.Worker)
+		}
 	case UsageMsg:
 		p.report(now, m)
 	case CallMsg:
 		p.answered(now, m)
+	case ShapesMsg:
+		p.elsewhere = shapeSet{}
+		for _, c := range m.Capacities {
+			p.elsewhere.add(c)
+		}
 	case ReturnMsg:
 		p.returned = now
 	}
@@ -314,7 +344,9 @@
 	p.tasks[t.id] = t
 	w.tasks[t.id] = t
 	w.committed = w.committed.Add(t.planned)
-	w.level(t.class).add(now, t.weight())
+	l := w.level(t.class)
+	l.add(now, t.weight(), float64(t.declared.Memory))
+	l.planned = l.planned.Add(t.planned)
 	t.class.running++
 	t.class.budget.advance(now, t.class.running)
 	t.team.add(t)
@@ -332,7 +364,9 @@
 	t.class.running--
 	t.team.remove(t)
 	w.committed = w.committed.Sub(t.planned)
-	w.level(t.class).add(now, -t.weight())
+	l := w.level(t.class)
+	l.add(now, -t.weight(), -float64(t.declared.Memory))
+	l.planned = l.planned.Sub(t.planned)
 	if t.share < 100 {
 		w.throttled--
 	}
