Count long-running tasks as successes and probe suspected classes

Cause: no task ended in success, so three bad workers made the class look like the cause and their failures stopped counting.

--- a/internal/zone/policy/class.go
+++ b/internal/zone/policy/class.go
@@ -36,6 +36,8 @@
 	tried time.Time
 	// first is the begin of the first trial.
 	first time.Time
+	// probed is when the class last got a worker while its record was faulty.
+	probed time.Time
 	// blocked is the last reason for which a task of the class got no worker.
 	blocked   Reason
 	blockedAt time.Time
--- a/internal/zone/policy/placement.go
+++ b/internal/zone/policy/placement.go
@@ -24,6 +24,7 @@
 	ReasonQuota      Reason = "team quota is used up and nothing can be lent"
 	ReasonQuarantine Reason = "workers with room are not trusted yet"
 	ReasonAvoid      Reason = "task failed on the workers with room"
+	ReasonClass      Reason = "class failed on 3 workers without a success and gets a probe only"
 	ReasonNone       Reason = "no worker is held"
 )
 
@@ -96,6 +97,9 @@
 		}
 	}
 	pl := p.place(now, c, t)
+	if pl.Worker != "" && c.record.faulty() {
+		c.probed = now
+	}
 	if pl.Worker == "" {
 		c.blocked, c.blockedAt = pl.Reason, now
 		return pl, false
@@ -113,6 +117,8 @@
 		return Placement{Reason: ReasonJobFails, Park: true}
 	case !p.fits(c, t.Size):
 		return Placement{Reason: ReasonTooLarge, Park: true}
+	case c.record.faulty() && len(t.Avoid) == 0 && now.Sub(c.probed) < classProbe:
+		return Placement{Reason: ReasonClass}
 	}
 	size := c.size.plan(t.Size)
 	if !p.shapes.fits(size) {
--- a/internal/zone/policy/policy_test.go
+++ b/internal/zone/policy/policy_test.go
@@ -195,3 +195,41 @@
 	// w1 1
 	// no known worker is large enough: 64 cores, 4096 MiB, 0 accelerators
 }
+
+// Tasks that run for weeks never end in success; a worker that fails everything would then look like the fault
+// of their class and get tasks for good.
+func TestBadWorkerWithLongTasksOnly(t *testing.T) {
+	p := New()
+	for i := range 8 {
+		p.Update(epoch, WorkerMsg{Name: fmt.Sprint("w", i), Capacity: fleet.Size{Cores: 64000, Memory: 64000}, Slots: 8})
+	}
+	p.class("b").size.memory.n = sizeReports
+	bad := map[string]bool{"w0": true, "w1": true, "w2": true, "w3": true}
+	starts, probes := map[string]int{}, 0
+	for i := range 3600 {
+		now := epoch.Add(time.Duration(i) * time.Second)
+		p.Tick(now)
+		c := Candidate{Task: fmt.Sprint("t", i), Job: fmt.Sprint("j", i), Class: "b", Size: fleet.Size{Cores: 100, Memory: 10}}
+		pl, ok := p.PlaceTask(now, c)
+		if !ok {
+			continue
+		}
+		p.Update(now, StartMsg{Worker: pl.Worker, Task: c.Task, Job: c.Job, Class: "b", Attempt: 1, Declared: c.Size, Planned: pl.Size})
+		if bad[pl.Worker] {
+			if p.Quarantined(pl.Worker) {
+				probes++
+			} else {
+				starts[pl.Worker]++
+			}
+			p.Update(now, EndMsg{Worker: pl.Worker, Task: c.Task, Attempt: 1, Outcome: OutcomeFailed})
+		}
+	}
+	for w, n := range starts {
+		if n > trustLimit {
+			t.Errorf("%s fails everything and got %d tasks", w, n)
+		}
+	}
+	if probes == 0 {
+		t.Error("quarantined workers got no probe")
+	}
+}
--- a/internal/zone/policy/pressure.go
+++ b/internal/zone/policy/pressure.go
@@ -32,7 +32,9 @@
 	p.dropRecords(now)
 	for range min(scanWorkers, len(p.order)) {
 		p.next = (p.next + 1) % len(p.order)
-		out = p.relieve(now, p.order[p.next], out)
+		w := p.order[p.next]
+		p.proveByAge(now, w)
+		out = p.relieve(now, w, out)
 	}
 	return p.reclaim(now, out)
 }
--- a/internal/zone/policy/quarantine.go
+++ b/internal/zone/policy/quarantine.go
@@ -35,6 +35,9 @@
 	// quarantinePenalty raises the call score of a quarantined worker.
 	quarantinePenalty = 10
 	recordLife        = time.Hour
+	// classProbe is the time between tasks of a class that failed on several workers without a success: neither
+	// the class nor the workers can be blamed yet.
+	classProbe = 10 * time.Second
 )
 
 // failureRecord counts what failed since the last success of a job or class.
@@ -100,6 +103,14 @@
 	return len(w.young) > 0 && now.Sub(w.young[0].since) >= age
 }
 
+// proveByAge counts a task that has run long enough as a success, since tasks that run for weeks yield no other.
+func (p *Policy) proveByAge(now time.Time, w *worker) {
+	if w.provedByAge(now) {
+		p.noteSuccess(now, w.young[0].job, w.young[0].class)
+		w.prove()
+	}
+}
+
 // prove records that the worker runs tasks.
 func (w *worker) prove() {
 	w.trust = trust{young: w.young[:0], evidence: w.evidence[:0], proven: true}
