Name the lease in holds and evictions

Cause: the node left Hold.Next, Evict.Boot, Evict.Grant and HoldMsg.Offset empty, so that readers compared the name of the host only.

--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -137,7 +137,7 @@
 		case lease.HoldCmd:
 			n.run(func(ctx context.Context) {
 				_ = n.writeZone(ctx, "hold", func() (record.Item, error) {
-					return job.HoldItem(job.Hold{Worker: c.Worker, Host: n.cfg.Host, Boot: c.Boot, Grant: c.Grant})
+					return job.HoldItem(job.Hold{Worker: c.Worker, Host: n.cfg.Host, Boot: c.Boot, Grant: c.Grant, Next: c.Next})
 				})
 			})
 		}
--- a/internal/host/node/sink.go
+++ b/internal/host/node/sink.go
@@ -64,7 +64,7 @@
 	case job.KindHold:
 		if h, err := record.Open[job.Hold](item); err == nil {
 			delete(z.doubts, h.Worker)
-			z.holdings.Update(now, lease.HoldMsg{Worker: h.Worker, Host: h.Host, Boot: h.Boot, Grant: h.Grant})
+			z.holdings.Update(now, lease.HoldMsg{Worker: h.Worker, Host: h.Host, Boot: h.Boot, Grant: h.Grant, Offset: offset})
 		}
 	case job.KindDoubt:
 		if d, err := record.Open[job.Doubt](item); err == nil {
@@ -144,7 +144,7 @@
 	}
 	now := time.Now()
 	for _, h := range z.jobs.Holds() {
-		z.holdings.Update(now, lease.HoldMsg{Worker: h.Worker, Host: h.Host, Boot: h.Boot, Grant: h.Grant})
+		z.holdings.Update(now, lease.HoldMsg{Worker: h.Worker, Host: h.Host, Boot: h.Boot, Grant: h.Grant, Offset: h.At})
 	}
 	return nil
 }
--- a/internal/host/node/task.go
+++ b/internal/host/node/task.go
@@ -341,8 +341,14 @@
 	if len(checkpoint) <= job.MaxCheckpoint {
 		e.Checkpoint = checkpoint
 	}
-	if reason == job.ReasonDoubt {
+	switch reason {
+	case job.ReasonDoubt:
 		e.Doubt, _ = n.zone.jobs.Doubt(t.Worker())
+	case job.ReasonBoot, job.ReasonRefused:
+		// They are concluded from a status, which the record names, so that an old one is not believed.
+		if w := n.zone.workers[t.Worker()]; w != nil {
+			e.Boot, e.Grant = w.status.Boot, w.status.Grant
+		}
 	}
 	class := t.Job().Class()
 	return n.settleLater(t.ID(), "evict", func() (record.Item, error) { return job.EvictItem(e) },
