--- /dev/null
+++ b/internal/host/caller/caller_test.go
@@ -0,0 +1,109 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sassafraswind.example/sassafraswind/internal/request/outcome"
+)
+
+// fakeNode replies with a fixed reply and keeps what it was asked.
+type fakeNode struct {
+	reply outcome.Reply
+	asked int
+	left  time.Duration
+	id    string
+}
+
+func (n *fakeNode) Request(ctx context.Context, _ Request) outcome.Reply {
+	n.asked++
+	end, _ := ctx.Deadline()
+	n.left = time.Until(end)
+	return n.reply
+}
+
+func (n *fakeNode) Submit(context.Context, Submission) outcome.Reply { n.asked++; return n.reply }
+
+func (n *fakeNode) Show(_ context.Context, id string) outcome.Reply { n.id = id; return n.reply }
+
+func (n *fakeNode) Cancel(_ context.Context, id string) outcome.Reply { n.id = id; return n.reply }
+
+// send sends one request and returns the status code and the decoded reply.
+func send(n *fakeNode, method, path, body string) (int, map[string]any) {
+	h := NewHandler(n, Limits{Body: 200, Deadline: time.Second, DeadlineMax: time.Minute})
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	var v map[string]any
+	_ = json.Unmarshal(w.Body.Bytes(), &v)
+	return w.Code, v
+}
+
+// Guards against bad input that reaches the node, or that is refused without naming its field.
+func TestBadInput(t *testing.T) {
+	Convey("Bad input is refused with its field, and nothing is run", t, func() {
+		for _, c := range []struct {
+			path, body, field string
+			code              int
+		}{
+			{"/v1/requests", `{`, "", 400},
+			{"/v1/requests", `{"class":"a","team":"t"} {}`, "", 400},
+			{"/v1/requests", `{"class":"a","team":"t","colour":"red"}`, "", 400},
+			{"/v1/requests", `{"team":"t"}`, "class", 400},
+			{"/v1/requests", `{"class":"a"}`, "team", 400},
+			{"/v1/requests", `{"class":7,"team":"t"}`, "class", 400},
+			{"/v1/requests", `{"class":"a","team":"t","deadline_ms":0}`, "deadline_ms", 400},
+			{"/v1/requests", `{"class":"a","team":"t","deadline_ms":60001}`, "deadline_ms", 400},
+			{"/v1/requests", `{"class":"a","team":"t","body":"` + strings.Repeat("x", 300) + `"}`, "", 413},
+			{"/v1/jobs", `{"class":"a","team":"t"}`, "key", 400},
+			{"/v1/jobs", `{"key":"k","class":"a","team":"t","count":0}`, "count", 400},
+			{"/v1/jobs", `{"key":"k","class":"a","team":"t","count":1001}`, "count", 400},
+			{"/v1/jobs", `{"key":"k","class":"a","team":"t","size":{"cores":-1}}`, "size.cores", 400},
+			{"/v1/jobs", `{"key":"k","class":"a","team":"t","run_ms":-5}`, "run_ms", 400},
+			{"/v2/jobs", `{}`, "", 404},
+		} {
+			n := &fakeNode{}
+			code, v := send(n, http.MethodPost, c.path, c.body)
+			field, _ := v["field"].(string)
+			So([]any{c.body, code, v["outcome"], field, n.asked}, ShouldResemble, []any{c.body, c.code, "not_run", c.field, 0})
+		}
+	})
+}
+
+// Guards against two outcomes with one status code, so that a caller takes a request for not run that may have run.
+func TestStatusCodesTellOutcomesApart(t *testing.T) {
+	Convey("No status code stands for two outcomes", t, func() {
+		reasons := []outcome.Reason{
+			outcome.ReasonNone, outcome.ReasonInvalid, outcome.ReasonConflict, outcome.ReasonExpired, outcome.ReasonBusy,
+			outcome.ReasonDeadline, outcome.ReasonNoWorker, outcome.ReasonRefused, outcome.ReasonLog, outcome.ReasonWorker,
+			outcome.ReasonPeer, outcome.ReasonStopping, outcome.ReasonNotReady, outcome.ReasonCancelled, outcome.ReasonClosed,
+			outcome.ReasonNotFound, outcome.ReasonNeverFits, outcome.ReasonTooLarge, outcome.ReasonQuota, outcome.ReasonUnexpected,
+		}
+		seen := map[int]outcome.Outcome{}
+		for _, o := range []outcome.Outcome{outcome.Done, outcome.NotRun, outcome.Unknown} {
+			for _, r := range reasons {
+				code, v := send(&fakeNode{reply: outcome.Reply{Outcome: o, Reason: r}}, http.MethodPost, "/v1/requests", `{"class":"a","team":"t"}`)
+				So(v["outcome"], ShouldEqual, string(o))
+				if other, ok := seen[code]; ok {
+					So(other, ShouldEqual, o)
+				}
+				seen[code] = o
+			}
+		}
+	})
+	Convey("The caller's deadline bounds the request, and a task is named by job and index", t, func() {
+		n := &fakeNode{reply: outcome.Reply{Outcome: outcome.Done, Body: []byte("text")}}
+		code, v := send(n, http.MethodPost, "/v1/requests", `{"class":"a","team":"t","deadline_ms":5000}`)
+		So(code, ShouldEqual, 200)
+		So(v["answer"], ShouldEqual, "text")
+		So(n.left, ShouldBeBetween, 4*time.Second, 5*time.Second)
+		_, _ = send(n, http.MethodDelete, "/v1/jobs/k/3", "")
+		So(n.id, ShouldEqual, "k/3")
+	})
+}
--- /dev/null
+++ b/internal/host/peer/peer_test.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sassafraswind.example/sassafraswind/internal/request/outcome"
+)
+
+// echo is a node that repeats what it is asked, after hang is cleared.
+type echo struct{ hang atomic.Bool }
+
+func (e *echo) Sync(_ context.Context, r Sync) (SyncReply, error) { return SyncReply{State: r.State}, nil }
+
+func (e *echo) PeerCall(ctx context.Context, r Call) (CallReply, error) {
+	if e.hang.Load() {
+		<-ctx.Done()
+		return CallReply{}, ctx.Err()
+	}
+	return CallReply{Request: r.Request, Reply: outcome.Reply{Outcome: outcome.Done, Body: r.Body}}, nil
+}
+
+func (e *echo) PeerJob(context.Context, Job) (JobReply, error) { return JobReply{}, errors.New("no job") }
+
+// Guards against a connection that went silent and is used again, and against a refused dial that passes for a message
+// that may have arrived.
+func TestCalls(t *testing.T) {
+	Convey("With a peer and a client", t, func() {
+		l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		n := &echo{}
+		_, stop := Serve(l, n, func(error) {})
+		defer stop()
+		c, done := NewClient()
+		defer done()
+		call := func(limit time.Duration, request string) (CallReply, error) {
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			return c.Call(ctx, l.Addr().String(), Call{Request: request, Body: []byte(request)})
+		}
+		Convey("calls are answered after one that went silent", func() {
+			r, err := call(5*time.Second, "a")
+			So(err, ShouldBeNil)
+			So(r.Request, ShouldEqual, "a")
+			n.hang.Store(true)
+			_, err = call(100*time.Millisecond, "b")
+			So(err, ShouldNotBeNil)
+			So(errors.Is(err, ErrNotSent), ShouldBeFalse)
+			n.hang.Store(false)
+			r, err = call(5*time.Second, "c")
+			So(err, ShouldBeNil)
+			So(string(r.Reply.Body), ShouldEqual, "c")
+		})
+		Convey("an error of the peer is an error, and a call needs a deadline", func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := c.Job(ctx, l.Addr().String(), Job{})
+			So(err.Error(), ShouldContainSubstring, "no job")
+			_, err = c.Call(t.Context(), l.Addr().String(), Call{})
+			So(err, ShouldNotBeNil)
+		})
+		Convey("a refused dial was certainly not sent", func() {
+			free, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			addr := free.Addr().String()
+			So(free.Close(), ShouldBeNil)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err = c.Call(ctx, addr, Call{})
+			So(errors.Is(err, ErrNotSent), ShouldBeTrue)
+		})
+	})
+}
