--- a/internal/zone/policy/result_test.go
+++ b/internal/zone/policy/result_test.go
@@ -187,3 +187,44 @@
 	}
 	return part(sc.zone[0], sc.zone[1]) / max(part(sc.warm, sc.zone[0]), 1e-9)
 }
+
+// observe notes what only the fake can see.
+func (w *world) observe() {
+	if sc := w.sc; sc.zone[1] > 0 {
+		if use := w.zoneUse(); w.now == sc.zone[0]-1 {
+			w.before = use
+		} else if w.now >= sc.zone[1] && w.res.fullUse == 0 && use >= 0.9*w.before {
+			w.res.fullUse = w.now - sc.zone[1] + 1
+		}
+	}
+	if int(w.now)%60 == 59 {
+		w.res.minute(w)
+	}
+}
+
+// zoneUse is the work per second of the first zone in cores.
+func (w *world) zoneUse() float64 {
+	var sum float64
+	for _, fw := range w.workers {
+		if fw.zone == 0 {
+			for _, t := range fw.tasks {
+				sum += t.cores * t.share / 1000
+			}
+		}
+	}
+	return sum
+}
+
+// teamShare is the share of the planned cores that a team has.
+func (w *world) teamShare(team string) float64 {
+	var of, all float64
+	for _, fw := range w.workers {
+		for _, t := range fw.tasks {
+			all += float64(t.planned.Cores)
+			if t.Team == team {
+				of += float64(t.planned.Cores)
+			}
+		}
+	}
+	return of / max(all, 1)
+}
