--- a/cmd/capacity/roles.go
+++ b/cmd/capacity/roles.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"strings"
+
+	"sassafraswind.example/sassafraswind/internal/work/job"
 )
 
 // size is a deployment. Counts are named as in the sums of the tables.
@@ -15,21 +17,21 @@
 // sizes are those of section 9 of the design. Running tasks, starts and jobs of today's deployments are not given there;
 // they are scaled from the planned size by the number of workers.
 var sizes = []size{
-	deployment("Ashyq", 66, 3, 3, 1, 5, 1, 1),
-	deployment("Kiskopyörä", 48, 3, 3, 1, 5, 1, 1),
-	deployment("planned", 910, 10, 3, 3, 40, 112, 56),
+	deployment("Ashyq", 66, 3, 3, 1, 5, 2),
+	deployment("Kiskopyörä", 48, 3, 3, 1, 5, 2),
+	deployment("planned", 910, 10, 3, 3, 40, 112),
 }
 
 // deployment returns a size with counts per zone, with the given number of zones, entry hosts of a zone, zones of the
-// smallest remote region, classes, pairs of team and urgent class, and teams.
-func deployment(name string, workers, zones, hosts, remote, classes, pairs, teams float64) size {
+// smallest remote region, classes, and pairs of team and urgent class.
+func deployment(name string, workers, zones, hosts, remote, classes, pairs float64) size {
 	share := workers / 910
 	return size{name: name, n: map[string]float64{
 		"workers": workers / zones, "hosts": hosts, "zones": zones, "held": workers / zones / hosts,
 		"tasks": 25000 * share / zones, "heldTasks": 25000 * share / zones / hosts, "starts": 130 * share / zones,
-		"dayStarts": 130 * share / 3 * 86400 / zones, "calls": 3100 * share / zones / hosts,
+		"perWorker": 25000.0 / 910, "calls": 3100 * share / zones / hosts,
 		"allJobs": 16000 * share * 25 / 24, "allStarts": 130 * share, "allHosts": hosts * zones, "allWorkers": workers,
-		"machines": workers + hosts*zones, "classes": classes, "pairs": pairs, "teams": teams,
+		"machines": workers + hosts*zones, "classes": classes, "pairs": pairs,
 		"syncs": hosts - 1 + zones - 1, "remoteHosts": hosts * remote, "remoteZones": remote,
 		"remoteSyncs": hosts * remote * (zones - remote), "remoteStarts": 130 * share / zones * remote,
 	}}
@@ -124,7 +126,7 @@
 	memory = []term{
 		{series: "workers.rss", part: "base"}, {series: "workers.rss", part: "slope", by: "held"},
 		{series: "tasks.rss", part: "slope", by: "tasks"}, {series: "Teams.heap-B", part: "slope", k: mb, by: "pairs"},
-		{series: "JobKeys.heap-B", part: "slope", k: mb, by: "allJobs"}, {k: 8},
+		{series: "JobKeys.heap-B", part: "slope", k: mb, by: "allJobs"}, {k: job.KeepBytes * mb},
 	}
 	toWorkers = []term{
 		{series: "workers.workers", part: "slope", by: "held"}, {series: "tasks.workers", part: "slope", by: "heldTasks"},
@@ -169,9 +171,37 @@
 		{series: "JobKeys.record-B", part: "slope", k: 0.008 * 4 / 3 * 16000 / 86400 / 910, by: "allWorkers remoteHosts"},
 	}},
 	{"region link", "host list, a region without it", "kbit/s", scaled(listBytes, 0.008, "remoteHosts")},
-	{"log", "appends of all hosts for starts and ends", "a second", []term{{series: "batch.appendsPerStart", part: "at 3", by: "allStarts"}}},
+	{"region link", "snapshots of its zones at peak, both ways", "kbit/s", []term{
+		{series: "Running.snapshot-B", part: "slope", k: 0.008 * 4 / 3 * 4 / 1000, by: "tasks remoteStarts"},
+		{series: "Running.snapshot-B", part: "slope", k: 0.008 * 4 / 3 * 4 / 1000 * finishedTasks, by: "remoteStarts"},
+	}},
+	{"log", "appends of all hosts for starts and ends, grouped as at saturation", "a second", []term{{series: "batch.appendsPerStart", part: "at 3", by: "allStarts"}}},
+	{"log", "appends of all hosts, at most", "a second", []term{
+		{k: 2, by: "allStarts"}, {k: 2.0 * 16000 / 86400 / 910, by: "allWorkers"},
+		{series: "Running.snapshot-B", part: "slope", k: finishedTasks / 65536 / 1000, by: "allStarts"},
+	}},
+	{"start", "state and records that an empty host reads", "kB", []term{
+		{series: "Running.snapshot-B", part: "slope", k: 0.004 / 3, by: "tasks"},
+		{series: "Running.snapshot-B", part: "slope", k: 0.004 / 3 * finishedTasks},
+		{series: "JobKeys.snapshot-B", part: "slope", k: 0.004 / 3, by: "allJobs"},
+		{series: "Running.record-B", part: "slope", k: 0.004 / 3 * 2000},
+	}},
+	{"start", "time to read and restore them, without the transfer", "ms", []term{
+		{series: "Running.ns", part: "slope", k: 1e-6, by: "tasks"}, {series: "Running.ns", part: "slope", k: 1e-6 * finishedTasks},
+		{series: "JobKeys.ns", part: "slope", k: 1e-6, by: "allJobs"}, {series: "Join.ns", part: "slope", k: 1e-6 * 6000},
+	}},
+	{"event", "records of a lost worker", "records", []term{{k: 2, by: "perWorker"}}},
+	{"event", "records of a lost rack of 8 workers", "records", []term{{k: 16, by: "perWorker"}}},
+	{"event", "records of a lost zone and its move", "records", []term{{k: 3, by: "tasks"}}},
+	{"event", "bytes of these records", "kB", []term{{series: "Running.record-B", part: "slope", k: 0.003, by: "tasks"}}},
+	{"event", "records of a day's 72 failed and replaced machines", "records", []term{{k: 2 * 72.0 / 940, by: "allWorkers perWorker"}}},
+	{"event", "starts that wait in an hour without the log, one region, at a third of the peak", "tasks", []term{{k: 1200, by: "remoteStarts"}}},
+	{"event", "bytes read by that region afterwards", "kB", []term{{series: "JobKeys.record-B", part: "slope", k: 0.004 / 3 / 25, by: "allJobs remoteHosts"}}},
 }
 
+// finishedTasks is the number of finished tasks of one attempt and short output that job.KeepBytes retains in a zone.
+const finishedTasks = job.KeepBytes / 192.0
+
 // scaled returns the sum with each term multiplied by a constant and by counts.
 func scaled(sum []term, k float64, by ...string) []term {
 	out := make([]term, len(sum))
