Refuse a job that fits no known worker for good, and learn from other hosts' ends

A job that is too large was answered unknown, since another host might have accepted its key. Its key is now closed in the log first, so that not run is true. Hosts tell their peers the capacities that they hold, so that a job is not refused or parked because this host holds only small workers, and the policy is told of ends on workers of other hosts. The key of a job is bound to what the caller sent: with the class's defaults in the digest, a retry after a change of the class was answered as a conflict, which says not run of a job that was accepted.

--- a/internal/host/caller/caller_test.go
+++ b/internal/host/caller/caller_test.go
@@ -39,7 +39,7 @@
 func send(n *fakeNode, method, path, body string) (int, map[string]any) {
 	h := NewHandler(n, Limits{Body: 200, Deadline: time.Second, DeadlineMax: time.Minute})
 	w := httptest.NewRecorder()
-	h.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	h.ServeHTTP(w, httptest.NewRequestWithContext(context.Background(), method, path, strings.NewReader(body)))
 	var v map[string]any
 	_ = json.Unmarshal(w.Body.Bytes(), &v)
 	return w.Code, v
--- a/internal/host/node/job.go
+++ b/internal/host/node/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +19,9 @@
 	"sassafraswind.example/sassafraswind/internal/work/job"
 )
 
+// settleTime is how long after its start a host does not refuse a job for its size.
+const settleTime = 15 * time.Second
+
 const msgAskAgain = "send the same key again to learn the outcome"
 
 // Submit accepts a batch job durably.
@@ -39,16 +43,21 @@
 		return outcome.Reply{Outcome: outcome.Unknown, Reason: outcome.ReasonInvalid, Field: "class", Message: "not a batch class known here"}
 	}
 	a := job.Accept{ID: s.Key, Class: s.Class, Team: s.Team, Count: s.Count, Size: s.Size, Run: s.Run, Body: s.Body}
+	if len(a.Body) > job.MaxBody {
+		return outcome.Invalid("body", fmt.Sprintf("must be at most %d bytes", job.MaxBody))
+	}
+	// The key is bound to what the caller sent. The class's defaults, filled in below, may change before a retry.
+	data, err := msgpack.Marshal(a)
+	if err != nil {
+		return outcome.Invalid("body", err.Error())
+	}
 	if a.Size == (fleet.Size{}) {
 		a.Size = c.Size
 	}
 	if a.Run == 0 {
 		a.Run = c.Run
 	}
-	if len(a.Body) > job.MaxBody {
-		return outcome.Invalid("body", fmt.Sprintf("must be at most %d bytes", job.MaxBody))
-	}
-	return n.accept(ctx, now, a)
+	return n.accept(ctx, now, a, xxhash.Sum64(data))
 }
 
 // checkJobKey returns a reply if the key cannot be used.
@@ -67,21 +76,17 @@
 }
 
 // accept claims the key for a zone and records the job there.
-func (n *Node) accept(ctx context.Context, now time.Time, a job.Accept) outcome.Reply {
-	data, err := msgpack.Marshal(a)
-	if err != nil {
-		return outcome.Invalid("body", err.Error())
-	}
-	digest := xxhash.Sum64(data)
+func (n *Node) accept(ctx context.Context, now time.Time, a job.Accept, digest uint64) outcome.Reply {
 	known := n.outcomeOf(a.ID)
 	if known.State == intent.None {
-		if why := n.neverFits(a); why != "" {
-			return outcome.Doubt(outcome.ReasonNeverFits, why)
-		}
-		zone := n.zoneForJob(now)
+		zone, why := n.zoneForJob(now, a)
 		item, err := intent.Item(intent.Intent{
 			Key: a.ID, Digest: digest, Kind: intent.Job, Class: a.Class, Zone: zone, Host: n.cfg.Host, Attempt: 1,
 		})
+		if why != "" {
+			// Only a close record makes it true that no host runs the job under this key.
+			item, err = intent.CloseItem(intent.Close{Key: a.ID, Reason: why})
+		}
 		if err != nil {
 			return outcome.Invalid("key", err.Error())
 		}
@@ -91,6 +96,8 @@
 		known = n.outcomeOf(a.ID)
 	}
 	switch {
+	case known.State == intent.Closed:
+		return outcome.Refuse(outcome.ReasonNeverFits, known.Close.Reason+"; use a new key for a smaller job")
 	case known.State == intent.None || known.State == intent.Expired:
 		return outcome.Doubt(outcome.ReasonExpired, "the key is too old for the log")
 	case known.Intent.Kind != intent.Job || known.Intent.Digest != digest:
@@ -99,28 +106,32 @@
 	return n.acceptIn(ctx, known.Intent.Zone, a)
 }
 
-// neverFits returns why no known worker can run the job's tasks, or an empty text.
-func (n *Node) neverFits(a job.Accept) string {
+// zoneForJob returns the zone that gets a new job: this one if it is in and has workers that are large enough, else
+// another one. If no known worker of any zone is large enough, why says so.
+func (n *Node) zoneForJob(now time.Time, a job.Accept) (zone, why string) {
 	n.zone.mu.Lock()
-	defer n.zone.mu.Unlock()
-	if n.zone.policy.Workers() == 0 {
-		return ""
+	held := n.zone.policy.Workers()
+	// A host that has just started does not know the larger workers of its peers yet.
+	if held > 0 && now.Sub(n.started) > settleTime {
+		why = n.zone.policy.Refusal(a.Class, a.Size)
 	}
-	return n.zone.policy.Refusal(a.Class, a.Size)
-}
-
-// zoneForJob returns the zone that gets a new job: this one if it is in and has workers, else another one.
-func (n *Node) zoneForJob(now time.Time) string {
-	n.zone.mu.Lock()
-	held := len(n.zone.holdings.Workers(now))
 	n.zone.mu.Unlock()
+	if why != "" {
+		out := n.zonesOut()
+		for zone, shapes := range n.peers.shapesOf(now) {
+			if zone != n.cfg.Zone && !out[zone] && slices.ContainsFunc(shapes, a.Size.Fits) {
+				return zone, ""
+			}
+		}
+		return n.cfg.Zone, why
+	}
 	if held > 0 && !n.zoneOut(n.cfg.Zone) {
-		return n.cfg.Zone
+		return n.cfg.Zone, ""
 	}
 	if zone := n.otherZone(now); zone != "" {
-		return zone
+		return zone, ""
 	}
-	return n.cfg.Zone
+	return n.cfg.Zone, ""
 }
 
 // otherZone returns another zone that is in and has a live, ready host, the one with the most free slots.
@@ -166,10 +177,9 @@
 	if err != nil {
 		return outcome.Doubt(outcome.ReasonLog, "the job was not recorded in time; "+msgAskAgain)
 	}
-	if v := r.Verdicts[0]; v != nil && !errors.Is(v, job.ErrExists) {
-		if errors.Is(v, job.ErrConflict) {
-			return outcome.Refuse(outcome.ReasonConflict, "the key is in use with other content")
-		}
+	// The key's intent has shown that the content is the same. The record may differ from the one that is known in the
+	// defaults of the class, which may have changed.
+	if v := r.Verdicts[0]; v != nil && !errors.Is(v, job.ErrExists) && !errors.Is(v, job.ErrConflict) {
 		return outcome.Doubt(outcome.ReasonExpired, v.Error())
 	}
 	reply := n.showHere(a.ID)
--- a/internal/host/node/peers.go
+++ b/internal/host/node/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sassafraswind.example/sassafraswind/internal/host/peer"
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
 	"sassafraswind.example/sassafraswind/internal/platform/roster"
 )
 
@@ -326,10 +327,37 @@
 	return peer.State{
 		Host: n.cfg.Host, Zone: n.cfg.Zone, Region: n.cfg.Region, Version: version, Age: age,
 		Free: n.zone.capacity.Free(), Held: len(n.zone.holdings.Workers(now)),
-		Ready: ready, Leaving: n.leaving.Load(),
+		Shapes: n.shapes(now), Ready: ready, Leaving: n.leaving.Load(),
 	}
 }
 
+// maxShapes bounds the capacities that a host tells its peers.
+const maxShapes = 8
+
+// shapes returns the distinct capacities for tasks of the held workers, with zone.mu held.
+func (n *Node) shapes(now time.Time) []fleet.Size {
+	var out []fleet.Size
+	for _, id := range n.zone.holdings.Workers(now) {
+		if s := n.zone.capacity.ForTasks(id); len(out) < maxShapes && !slices.Contains(out, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// shapesOf returns the capacities that the live hosts of each other zone, and the other hosts of this one, hold.
+func (p *peersView) shapesOf(now time.Time) map[string][]fleet.Size {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string][]fleet.Size{}
+	for _, v := range p.known {
+		if !v.heard.IsZero() && now.Sub(v.heard) < time.Minute {
+			out[v.state.Zone] = append(out[v.state.Zone], v.state.Shapes...)
+		}
+	}
+	return out
+}
+
 // Sync answers a peer.
 func (n *Node) Sync(_ context.Context, r peer.Sync) (peer.SyncReply, error) {
 	now := time.Now()
--- a/internal/host/node/sink.go
+++ b/internal/host/node/sink.go
@@ -57,7 +57,7 @@
 		return err
 	}
 	if ended != nil {
-		z.policy.Update(now, *ended)
+		s.n.tellPolicy(now, *ended)
 		z.dropPlacement(ended.Task)
 	}
 	switch item.Kind {
@@ -86,6 +86,18 @@
 	}
 }
 
+// tellPolicy passes on the end of an attempt, also of one on a worker that another host holds, with zone.mu held.
+func (n *Node) tellPolicy(now time.Time, e policy.EndMsg) {
+	z := &n.zone
+	if w := z.workers[e.Worker]; w != nil && w.held {
+		z.policy.Update(now, e)
+		return
+	}
+	if t := z.jobs.Task(e.Task); t != nil && (e.Outcome == policy.OutcomeDone || e.Outcome == policy.OutcomeFailed) {
+		z.policy.Update(now, policy.ElsewhereMsg{Worker: e.Worker, Job: t.Job().ID(), Class: t.Job().Class(), Outcome: e.Outcome})
+	}
+}
+
 // endedBy returns what the policy is told if the item ends an attempt, with zone.mu held.
 func (s *zoneSink) endedBy(now time.Time, item record.Item) *policy.EndMsg {
 	var id string
--- a/internal/host/node/target.go
+++ b/internal/host/node/target.go
@@ -24,6 +24,7 @@
 	zone, _, known := n.config.state.Zone(n.cfg.Zone)
 	n.config.mu.Unlock()
 	total := n.peers.workers()
+	shapes := n.peers.shapesOf(now)[n.cfg.Zone]
 	z := &n.zone
 	z.mu.Lock()
 	defer z.mu.Unlock()
@@ -36,6 +37,7 @@
 	}
 	z.out = known && zone.Out
 	z.capacity.SetCallSize(callSize(classes))
+	z.policy.Update(now, policy.ShapesMsg{Capacities: shapes})
 	share := 1.0
 	if total > 0 {
 		share = float64(z.policy.Workers()) / float64(total)
--- a/internal/host/peer/message.go
+++ b/internal/host/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 )
 
@@ -16,10 +17,12 @@
 	Version uint64        `msgpack:"version"`
 	Age     time.Duration `msgpack:"age"`
 	// Free is the number of free slots on the workers that the host holds, Held the number of those workers.
-	Free    int  `msgpack:"free"`
-	Held    int  `msgpack:"held"`
-	Ready   bool `msgpack:"ready"`
-	Leaving bool `msgpack:"leaving,omitempty"`
+	Free int `msgpack:"free"`
+	Held int `msgpack:"held"`
+	// Shapes are the distinct capacities for tasks of those workers, at most a few.
+	Shapes  []fleet.Size `msgpack:"shapes,omitempty"`
+	Ready   bool         `msgpack:"ready"`
+	Leaving bool         `msgpack:"leaving,omitempty"`
 }
 
 // Sync exchanges states. A host whose version is behind gets the newer configuration with the reply.
--- a/internal/host/peer/peer_test.go
+++ b/internal/host/peer/peer_test.go
@@ -16,7 +16,9 @@
 // echo is a node that repeats what it is asked, after hang is cleared.
 type echo struct{ hang atomic.Bool }
 
-func (e *echo) Sync(_ context.Context, r Sync) (SyncReply, error) { return SyncReply{State: r.State}, nil }
+func (e *echo) Sync(_ context.Context, r Sync) (SyncReply, error) {
+	return SyncReply{State: r.State}, nil
+}
 
 func (e *echo) PeerCall(ctx context.Context, r Call) (CallReply, error) {
 	if e.hang.Load() {
@@ -26,7 +28,9 @@
 	return CallReply{Request: r.Request, Reply: outcome.Reply{Outcome: outcome.Done, Body: r.Body}}, nil
 }
 
-func (e *echo) PeerJob(context.Context, Job) (JobReply, error) { return JobReply{}, errors.New("no job") }
+func (e *echo) PeerJob(context.Context, Job) (JobReply, error) {
+	return JobReply{}, errors.New("no job")
+}
 
 // Guards against a connection that went silent and is used again, and against a refused dial that passes for a message
 // that may have arrived.
