--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -78,10 +78,20 @@
 		}
 	}
 	z.holdings.Update(now, lease.HostsMsg{Workers: workers})
+	z.forgetWorkers(addresses)
 	z.mu.Unlock()
 	n.peers.list(entries, n.cfg.Host, addresses)
 }
 
+// forgetWorkers drops what is known of workers that are neither listed nor held and have no tasks, with mu held.
+func (z *zoneView) forgetWorkers(listed map[string]string) {
+	for id, w := range z.workers {
+		if _, ok := listed[id]; !ok && !w.held && len(z.jobs.RunningOn(id)) == 0 {
+			delete(z.workers, id)
+		}
+	}
+}
+
 // tickLeases runs what is due with the workers.
 func (n *Node) tickLeases(now time.Time) {
 	fresh := n.configFresh()
--- a/internal/host/node/house.go
+++ b/internal/host/node/house.go
@@ -6,6 +6,7 @@
 
 	"sassafraswind.example/sassafraswind/internal/platform/journal"
 	"sassafraswind.example/sassafraswind/internal/stream/feed"
+	"sassafraswind.example/sassafraswind/internal/work/job"
 )
 
 const housePeriod = time.Minute
@@ -15,6 +16,13 @@
 	n.keys.mu.Lock()
 	forgotten := n.keys.table.Expire(now)
 	n.keys.mu.Unlock()
+	n.zone.mu.Lock()
+	for id := range n.zone.failed {
+		if t := n.zone.jobs.Task(id); t == nil || t.State().Final() || t.State() == job.Moved {
+			delete(n.zone.failed, id)
+		}
+	}
+	n.zone.mu.Unlock()
 	if forgotten > 0 {
 		n.log.Debugf("Forgot %d keys that are too old to be used.", forgotten)
 	}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -140,6 +140,8 @@
 	// out is set while the zone is taken out, outSince is when this host noticed.
 	out      bool
 	outSince time.Time
+	// failed has the workers on which an unfinished task failed.
+	failed map[string][]string
 	// tallies counts finished and evicted tasks by class.
 	tallies map[string]*classTally
 	// doubts has when this host read back its doubt of a worker.
@@ -176,7 +178,7 @@
 		holdings: lease.New(cfg.Host, lease.WithTTL(cfg.Lease.TTL), lease.WithRenewal(cfg.Lease.Renew), lease.WithTaskTTL(cfg.Lease.Tasks)),
 		policy:   policy.New(), workers: map[string]*workerView{}, placing: map[string]*placement{},
 		settling: map[string]bool{}, classes: map[string]*classView{}, doubts: map[string]time.Time{},
-		tallies: map[string]*classTally{},
+		tallies: map[string]*classTally{}, failed: map[string][]string{},
 	}
 	n.zone.capacity = capacity.New(capacity.WithScore(n.callScore))
 	n.peers.known = map[string]*peerView{}
--- a/internal/host/node/sink.go
+++ b/internal/host/node/sink.go
@@ -89,6 +89,9 @@
 // tellPolicy passes on the end of an attempt, also of one on a worker that another host holds, with zone.mu held.
 func (n *Node) tellPolicy(now time.Time, e policy.EndMsg) {
 	z := &n.zone
+	if e.Outcome == policy.OutcomeFailed {
+		z.failed[e.Task] = append(z.failed[e.Task], e.Worker)
+	}
 	if w := z.workers[e.Worker]; w != nil && w.held {
 		z.policy.Update(now, e)
 		return
--- a/internal/host/node/task.go
+++ b/internal/host/node/task.go
@@ -98,6 +98,7 @@
 	attempt := t.Attempt() + 1
 	p, ok := z.policy.PlaceTask(now, policy.Candidate{
 		Task: t.ID(), Job: j.ID(), Class: j.Class(), Team: j.Team(), Size: j.Size(), Attempts: t.Attempt(),
+		Avoid: z.failed[t.ID()],
 	})
 	if !ok {
 		if p.Park {
