--- a/internal/host/node/call.go
+++ b/internal/host/node/call.go
@@ -16,7 +16,6 @@
 	"sassafraswind.example/sassafraswind/internal/request/attempt"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 	"sassafraswind.example/sassafraswind/internal/work/config"
-	"sassafraswind.example/sassafraswind/internal/zone/capacity"
 	"sassafraswind.example/sassafraswind/internal/zone/policy"
 )
 
