Test the runtime of an entry host under random and chosen faults

Several zones and hosts run in one process over the stand-ins, each host behind a link with fault switches.

--- /dev/null
+++ b/internal/host/node/host_faults_test.go
@@ -0,0 +1,263 @@
+package node
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/request/outcome"
+	"sassafraswind.example/sassafraswind/internal/standin/logservice"
+	"sassafraswind.example/sassafraswind/internal/work/config"
+)
+
+// finished waits until the tasks of a job have each ended in one zone.
+func (w *world) finished(id string, count int, limit time.Duration) {
+	w.t.Helper()
+	why := ""
+	if !within(limit, func() bool { why = w.unfinished(id, count); return why == "" }) {
+		w.t.Errorf("not within %s: %s", limit, why)
+		for _, n := range w.live() {
+			w.t.Logf("host %s holds %v, may start: %t, tasks wait for %q, policy runs %d", n.id, n.held(), n.mayStart(time.Now()), n.waits(), n.running())
+		}
+	}
+}
+
+// waits returns why the tasks of a host's zone wait.
+func (n *testNode) waits() string {
+	n.zone.mu.Lock()
+	defer n.zone.mu.Unlock()
+	return n.waitReason(time.Now(), "plan")
+}
+
+// running returns the number of tasks that the policy of a host counts as running.
+func (n *testNode) running() int {
+	n.zone.mu.Lock()
+	defer n.zone.mu.Unlock()
+	return n.zone.policy.Running()
+}
+
+// accepted submits a job until it is accepted.
+func (w *world) accepted(n *testNode, count int, run time.Duration) string {
+	w.t.Helper()
+	id := newKey()
+	var r outcome.Reply
+	if !within(15*time.Second, func() bool { r = w.submit(n, id, count, run, 3*time.Second); return r.Outcome == outcome.Done }) {
+		w.t.Fatalf("job at %s: %+v", n.id, r)
+	}
+	return id
+}
+
+// Guards against a start that a host sends after its lease ended while it was paused.
+func TestPausedHostStartsNothingAfterItsLease(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, 1)
+	a, b := w.start("a-1", "a"), w.start("a-2", "a")
+	w.ready(a, b)
+	w.declare(a, b)
+	var paused atomic.Pointer[link]
+	hook := func(l *link, _ string, _ fleet.Order) {
+		if paused.CompareAndSwap(nil, l) {
+			l.set(func(f *linkFaults) { f.Paused = true })
+			time.AfterFunc(4*testTTL, func() { l.set(func(f *linkFaults) { f.Paused = false }) })
+		}
+	}
+	w.beforeStart.Store(&hook)
+	id := w.accepted(a, 3, 300*time.Millisecond)
+	w.eventually(5*time.Second, "a host is paused in the middle of a start", func() bool { return paused.Load() != nil })
+	other := a
+	if paused.Load() == a.link {
+		other = b
+	}
+	w.eventually(4*testTTL, "the other host holds the worker", func() bool { return len(other.held()) == 1 })
+	w.finished(id, 3, 30*time.Second)
+	w.noViolations()
+}
+
+func (n *testNode) held() []string {
+	n.zone.mu.Lock()
+	defer n.zone.mu.Unlock()
+	return n.zone.holdings.Workers(time.Now())
+}
+
+// Guards against double work when a paused host is replaced by one with the same id and then goes on: the worker
+// takes both for one holder.
+func TestTwoHostsThatBothBelieveTheyOwnAWorker(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, 1)
+	a := w.start("a-1", "a")
+	w.ready(a)
+	w.declare(a)
+	a.link.set(func(f *linkFaults) { f.Paused = true })
+	b := w.start("a-1", "a")
+	w.ready(b)
+	a.link.set(func(f *linkFaults) { f.Paused = false })
+	w.eventually(5*time.Second, "both hosts believe they hold the worker", func() bool {
+		return len(a.held()) == 1 && len(b.held()) == 1
+	})
+	jobs := make([]string, 0, 6)
+	for i := range 6 {
+		n := []*testNode{a, b}[i%2]
+		jobs = append(jobs, w.accepted(n, 2, 200*time.Millisecond))
+		key := newKey()
+		body, _ := w.body(20 * time.Millisecond)
+		var wg sync.WaitGroup
+		for _, n := range []*testNode{a, b} {
+			wg.Go(func() { w.request(n, "quote", key, body, 2*time.Second) })
+		}
+		wg.Wait()
+		if ran := w.ledger.Executions(key); ran != 1 {
+			t.Errorf("key %s was executed %d times", key, ran)
+		}
+	}
+	for _, id := range jobs {
+		w.finished(id, 2, 40*time.Second)
+	}
+	w.noViolations()
+}
+
+// Guards against a host that starts while the log is down and serves an older configuration than a peer has.
+func TestHostStartedWithoutLogServesTheNewestOfItsPeers(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, 1)
+	fresh := w.start("b-1", "b")
+	stale := []*testNode{w.start("b-2", "b"), w.start("b-3", "b"), w.start("b-4", "b"), w.start("a-1", "a")}
+	w.ready(append(stale, fresh)...)
+	w.declare(append(stale, fresh)...)
+	for _, n := range stale {
+		n.link.set(func(f *linkFaults) { f.Log, f.Peers = true, true })
+	}
+	old := stale[0].version()
+	w.change(fresh, config.RecordZone, config.ZoneMsg{Name: "b", Region: "north", Out: true})
+	newest := fresh.version()
+	w.log.SetFaults(logservice.Faults{Outage: true})
+	// The peers that are behind answer, but cannot learn of the change from each other before the new host asks.
+	for _, n := range stale {
+		if n.version() != old {
+			t.Fatalf("host %s already has configuration %d", n.id, n.version())
+		}
+	}
+	started := w.start("a-2", "a")
+	for _, n := range stale {
+		n.link.set(func(f *linkFaults) { f.Peers = false })
+	}
+	w.eventually(8*time.Second, "the new host is ready", func() bool {
+		if ok, _ := started.Ready(time.Now()); !ok {
+			return false
+		}
+		if v := started.version(); v < newest {
+			t.Errorf("ready with configuration %d, a peer has %d", v, newest)
+		}
+		return true
+	})
+}
+
+// Guards against a host that is ready although neither the log nor a peer has given it a configuration.
+func TestHostStartedWithoutLogAndPeersIsNotReady(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, 1)
+	w.log.SetFaults(logservice.Faults{Outage: true})
+	n := w.start("a-1", "a")
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok, _ := n.Ready(time.Now()); ok {
+			t.Fatal("ready without a configuration")
+		}
+	}
+	body, _ := w.body(time.Millisecond)
+	if r := w.request(n, "quote", newKey(), body, time.Second); r.Outcome != outcome.Unknown {
+		t.Errorf("a key that may have run elsewhere got %+v", r)
+	}
+	w.log.SetFaults(logservice.Faults{})
+	w.ready(n)
+}
+
+// Guards against starts in a zone that cannot learn that it was taken out, and against the loss of what it can still do.
+func TestZoneCutOffStopsStartsAndServesUrgentRequests(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, 1)
+	a1, a2, b := w.start("a-1", "a"), w.start("a-2", "a"), w.start("b-1", "b")
+	w.ready(a1, a2, b)
+	w.declare(a1, a2, b)
+	long := w.accepted(a1, 1, 7*time.Second)
+	waiting := w.accepted(a1, 30, 1500*time.Millisecond)
+	w.eventually(5*time.Second, "tasks run", func() bool { v, _ := w.show(a1, long); return v.States["running"] == 1 })
+	for _, n := range []*testNode{a1, a2} {
+		n.link.set(func(f *linkFaults) { f.Log, f.Peers = true, true })
+	}
+	w.zoneOut(b, "a", true)
+	out := time.Now()
+	time.Sleep(takeoutBound)
+	for range 5 {
+		body, _ := w.body(10 * time.Millisecond)
+		if r := w.request(a1, "check", "", body, time.Second); r.Outcome != outcome.Done {
+			// Only one of the two hosts holds the zone's worker, and they cannot reach each other.
+			if r = w.request(a2, "check", "", body, time.Second); r.Outcome != outcome.Done {
+				t.Errorf("urgent request in a zone that is cut off: %+v", r)
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	w.startedNone("a", out.Add(takeoutBound), time.Now())
+	s, err := w.worker("a-w0").Status()
+	kept := false
+	for _, task := range s.Tasks {
+		kept = kept || task.ID == long+"/0" && (task.State == fleet.TaskRunning || task.State == fleet.TaskDone) && task.Attempt == 1
+	}
+	if err != nil || !kept {
+		t.Errorf("the running task was not kept: %v, %+v", err, s.Tasks)
+	}
+	for _, n := range []*testNode{a1, a2} {
+		n.link.set(func(f *linkFaults) { *f = linkFaults{} })
+	}
+	w.finished(long, 1, 30*time.Second)
+	w.finished(waiting, 30, 40*time.Second)
+	w.noViolations()
+}
+
+// startedNone fails for starts at workers of a zone between two times.
+func (w *world) startedNone(zone string, from, to time.Time) {
+	w.t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.starts {
+		if w.zones[s.worker] == zone && s.at.After(from) && s.at.Before(to) {
+			w.t.Errorf("task %s was started at %s %s after the bound", s.task, s.worker, s.at.Sub(from))
+		}
+	}
+}
+
+// Guards against the loss of accepted work when every entry host is replaced.
+func TestAcceptedWorkSurvivesReplacementOfAllHosts(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, 1)
+	hosts := []*testNode{w.start("a-1", "a"), w.start("a-2", "a"), w.start("b-1", "b"), w.start("b-2", "b")}
+	w.ready(hosts...)
+	w.declare(hosts...)
+	jobs := make([]string, 0, 2*len(hosts))
+	for _, n := range hosts {
+		jobs = append(jobs, w.accepted(n, 12, 400*time.Millisecond))
+	}
+	for i, n := range hosts {
+		n.kill()
+		w.hosts.Remove(n.id)
+		hosts[i] = w.start(n.id+"r", n.place)
+		time.Sleep(300 * time.Millisecond)
+	}
+	w.ready(hosts...)
+	for _, n := range hosts {
+		jobs = append(jobs, w.accepted(n, 12, 400*time.Millisecond))
+	}
+	for _, n := range hosts {
+		n.kill()
+		w.hosts.Remove(n.id)
+	}
+	for i, n := range hosts {
+		hosts[i] = w.start(n.id+"s", n.place)
+	}
+	w.ready(hosts...)
+	for _, id := range jobs {
+		w.finished(id, 12, 40*time.Second)
+	}
+	w.noViolations()
+}
--- /dev/null
+++ b/internal/host/node/request_faults_test.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/request/outcome"
+	"sassafraswind.example/sassafraswind/internal/standin/logservice"
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+	"sassafraswind.example/sassafraswind/internal/work/config"
+)
+
+// Guards against a second execution, or an untrue refusal, when callers repeat a key everywhere while its first host
+// dies.
+func TestKeyIsRetriedEverywhereWhileItsFirstHostDies(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, 1)
+	hosts := []*testNode{w.start("a-1", "a"), w.start("a-2", "a"), w.start("b-1", "b"), w.start("b-2", "b")}
+	w.ready(hosts...)
+	w.declare(hosts...)
+	for round := range 3 {
+		key := newKey()
+		body, _ := w.body(400 * time.Millisecond)
+		first := hosts[round]
+		l := &workload{w: w, done: map[string]bool{}, refused: map[string]outcome.Reply{}, answers: map[string]string{}, outcomes: map[string]int{}}
+		var wg sync.WaitGroup
+		wg.Go(func() { l.told(key, w.request(first, "quote", key, body, 2*time.Second)) })
+		time.Sleep(time.Duration(round) * 100 * time.Millisecond)
+		for _, n := range hosts {
+			wg.Go(func() { l.told(key, w.request(n, "quote", key, body, 3*time.Second)) })
+		}
+		time.Sleep(time.Duration(round) * 60 * time.Millisecond)
+		first.kill()
+		wg.Wait()
+		ran := w.ledger.Executions(key)
+		if ran > 1 || l.done[key] && ran != 1 || l.refused[key].Outcome != "" && ran > 0 {
+			t.Errorf("round %d: executed %d times; done %t, refused %+v", round, ran, l.done[key], l.refused[key])
+		}
+		hosts[round] = w.start(first.id+"r", first.place)
+		w.ready(hosts...)
+	}
+	w.noViolations()
+}
+
+// Guards against starts later than the bound after a zone was taken out while the log is slow.
+func TestZoneOutWhileTasksStartAndTheLogIsSlow(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, 1)
+	a1, a2, b := w.start("a-1", "a"), w.start("a-2", "a"), w.start("b-1", "b")
+	w.ready(a1, a2, b)
+	w.declare(a1, a2, b)
+	w.log.SetFaults(logservice.Faults{Delay: 300 * time.Millisecond})
+	id := w.accepted(a1, 40, 300*time.Millisecond)
+	w.zoneOut(b, "a", true)
+	out := time.Now()
+	time.Sleep(takeoutBound + 3*time.Second)
+	w.startedNone("a", out.Add(takeoutBound), time.Now())
+	w.log.SetFaults(logservice.Faults{})
+	w.finished(id, 40, 40*time.Second)
+	w.noViolations()
+}
+
+// Guards against operators who both win, and against hosts that end with different configurations.
+func TestOperatorsRaceOnOneClassAndOneZone(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, 1)
+	hosts := []*testNode{w.start("a-1", "a"), w.start("a-2", "a"), w.start("b-1", "b")}
+	w.ready(hosts...)
+	w.declare(hosts...)
+	for round := range 5 {
+		n := hosts[0]
+		n.config.mu.Lock()
+		c, cbase, _ := n.config.state.Class("check")
+		_, zbase, _ := n.config.state.Zone("b")
+		n.config.mu.Unlock()
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		won := map[record.Kind]int{}
+		for i, n := range hosts {
+			c.Target.Answer = time.Duration(round*10+i+100) * time.Millisecond
+			class, _ := record.Seal(config.RecordClass, config.ClassMsg{Base: cbase, Class: c})
+			zone, _ := record.Seal(config.RecordZone, config.ZoneMsg{Base: zbase, Name: "b", Region: "north", Out: round%2 == 0})
+			for _, item := range []record.Item{class, zone} {
+				wg.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+					defer cancel()
+					if r, err := n.Change(ctx, item); err == nil && (r.Changed || item.Kind == config.RecordClass) {
+						mu.Lock()
+						defer mu.Unlock()
+						won[item.Kind]++
+					}
+				})
+			}
+		}
+		wg.Wait()
+		if won[config.RecordClass] != 1 {
+			t.Errorf("round %d: %d operators won on one version of the class", round, won[config.RecordClass])
+		}
+		// In force everywhere within seconds.
+		w.eventually(3*time.Second, "all hosts have one configuration", func() bool {
+			for _, n := range hosts {
+				if n.version() != hosts[0].version() || n.zoneOut("b") != (round%2 == 0) {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+// Guards against a planned stop that cuts off requests, its own and those that peers passed on.
+func TestPlannedStopCutsNothingOff(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, 2)
+	a, b := w.start("a-1", "a"), w.start("a-2", "a")
+	w.ready(a, b)
+	w.declare(a, b)
+	var wg sync.WaitGroup
+	for range 12 {
+		for _, n := range []*testNode{a, b} {
+			body, _ := w.body(400 * time.Millisecond)
+			wg.Go(func() {
+				if r := w.request(n, "check", "", body, 4*time.Second); r.Outcome == outcome.Unknown {
+					t.Errorf("check at %s while a-1 stops: %+v", n.id, r)
+				}
+			})
+		}
+	}
+	key := newKey()
+	body, _ := w.body(500 * time.Millisecond)
+	wg.Go(func() {
+		if r := w.request(a, "quote", key, body, 4*time.Second); r.Outcome != outcome.Done {
+			t.Errorf("quote at the host that stops: %+v", r)
+		}
+	})
+	time.Sleep(50 * time.Millisecond)
+	if err := a.stop(); err != nil {
+		t.Errorf("planned stop: %v", err)
+	}
+	wg.Wait()
+	w.noViolations()
+}
+
+// Guards against new work for a worker that the host list has as leaving.
+func TestLeavingWorkerGetsNothing(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, 2)
+	a := w.start("a-1", "a")
+	w.ready(a)
+	w.declare(a)
+	w.list("a-w0", true)
+	said := time.Now().Add(testLag)
+	w.accepted(a, 60, 300*time.Millisecond)
+	for end := said.Add(leaveBound + 2*time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		body, _ := w.body(5 * time.Millisecond)
+		w.request(a, "check", "", body, time.Second)
+	}
+	w.mu.Lock()
+	last := w.calledAt["a-w0"]
+	for _, s := range w.starts {
+		if s.worker == "a-w0" && s.at.After(last) {
+			last = s.at
+		}
+	}
+	w.mu.Unlock()
+	if last.After(said.Add(leaveBound)) {
+		t.Errorf("the leaving worker got work %s after the list said so", last.Sub(said))
+	}
+}
--- /dev/null
+++ b/internal/host/node/schedule_test.go
@@ -0,0 +1,256 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/standin/backend"
+	"sassafraswind.example/sassafraswind/internal/standin/logservice"
+)
+
+// Environment variables of TestRandomFaults: one seed instead of the fixed ones, the length of the faults of a run, and
+// the time for which runs with fresh seeds are repeated.
+const (
+	envSeed   = "FAULTS_SEED"
+	envLength = "FAULTS_LENGTH"
+	envSoak   = "FAULTS_SOAK"
+)
+
+// retained is the number of records that the log keeps in random runs, so that long runs need snapshots.
+const retained = 2000
+
+// TestRandomFaults guards all promises of docs/design.md, section 9, against random faults of everything at once.
+func TestRandomFaults(t *testing.T) {
+	length := 5 * time.Second
+	if s := os.Getenv(envLength); s != "" {
+		d, err := time.ParseDuration(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		length = d
+	}
+	if s := os.Getenv(envSeed); s != "" {
+		seed, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		randomRun(t, seed, length)
+		return
+	}
+	if s := os.Getenv(envSoak); s != "" {
+		limit, err := time.ParseDuration(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		soak(t, limit, length)
+		return
+	}
+	for _, seed := range []uint64{1, 2} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			randomRun(t, seed, length)
+		})
+	}
+}
+
+// soak repeats runs with fresh seeds, two at a time, until the time is up or one fails.
+func soak(t *testing.T, limit, length time.Duration) {
+	end := time.Now().Add(limit)
+	for runs := 0; time.Now().Before(end) && !t.Failed(); runs += 2 {
+		t.Run("pair", func(t *testing.T) {
+			for range 2 {
+				seed := rand.Uint64N(1 << 32)
+				t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+					t.Parallel()
+					fmt.Printf("seed %d begins at %s\n", seed, time.Now().Format(time.TimeOnly))
+					randomRun(t, seed, length)
+					if t.Failed() {
+						fmt.Printf("seed %d failed; repeat with:\n  %s=%d %s=%s go test -race -count=1 -run '^TestRandomFaults$' ./internal/host/node\n",
+							seed, envSeed, seed, envLength, length)
+					}
+				})
+			}
+		})
+		fmt.Printf("%d runs ended\n", runs+2)
+	}
+}
+
+// schedule applies random faults to a world.
+type schedule struct {
+	w     *world
+	rng   *rand.Rand
+	began time.Time
+	// healing counts the faults that have not ended.
+	healing sync.WaitGroup
+
+	mu     sync.Mutex
+	events []string
+	hosts  int
+}
+
+// note keeps an event for the report of a failure.
+func (s *schedule) note(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, fmt.Sprintf("%6.2f ", time.Since(s.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// after ends a fault later.
+func (s *schedule) after(d time.Duration, heal func()) {
+	s.healing.Add(1)
+	time.AfterFunc(d, func() {
+		defer s.healing.Done()
+		heal()
+	})
+}
+
+func (s *schedule) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.rng.Int64N(int64(high-low)))
+}
+
+// replace starts a host without memory in place of one that has gone.
+func (s *schedule) replace(old *testNode) {
+	s.mu.Lock()
+	s.hosts++
+	id := fmt.Sprintf("%s-n%d", old.place, s.hosts)
+	s.mu.Unlock()
+	s.w.hosts.Remove(old.id)
+	s.w.start(id, old.place)
+	s.note("host %s replaces %s", id, old.id)
+}
+
+// fault begins one random fault.
+func (s *schedule) fault() {
+	switch k := s.rng.IntN(10); {
+	case k < 5:
+		s.hostFault()
+	case k < 8:
+		s.workerFault()
+	default:
+		s.logFault()
+	}
+}
+
+func (s *schedule) hostFault() {
+	hosts := s.w.live()
+	n := hosts[s.rng.IntN(len(hosts))]
+	d := s.between(100*time.Millisecond, 2500*time.Millisecond)
+	cuts := []struct {
+		name string
+		set  func(f *linkFaults, on bool)
+	}{
+		{"paused", func(f *linkFaults, on bool) { f.Paused = on }},
+		{"cut from the log", func(f *linkFaults, on bool) { f.Log = on }},
+		{"cut from workers", func(f *linkFaults, on bool) { f.Workers = on }},
+		{"cut from peers", func(f *linkFaults, on bool) { f.Peers = on }},
+		{"cut from the host list", func(f *linkFaults, on bool) { f.Hosts = on }},
+		{"cut from all", func(f *linkFaults, on bool) { f.Log, f.Workers, f.Peers, f.Hosts = on, on, on, on }},
+		{"answers of workers lost", func(f *linkFaults, on bool) { f.Lose = on }},
+		{"calls delivered twice", func(f *linkFaults, on bool) { f.Twice = on }},
+	}
+	switch k := s.rng.IntN(len(cuts) + 4); {
+	case k < len(cuts):
+		s.note("host %s %s for %s", n.id, cuts[k].name, d)
+		n.link.set(func(f *linkFaults) { cuts[k].set(f, true) })
+		s.after(d, func() { n.link.set(func(f *linkFaults) { cuts[k].set(f, false) }) })
+	case k == len(cuts):
+		late := s.between(10*time.Millisecond, 1500*time.Millisecond)
+		s.note("host %s messages to workers late by %s for %s", n.id, late, d)
+		n.link.set(func(f *linkFaults) { f.Late = late })
+		s.after(d, func() { n.link.set(func(f *linkFaults) { f.Late = 0 }) })
+	case k == len(cuts)+1:
+		s.note("host %s stops as planned", n.id)
+		n.gone.Store(true)
+		s.replace(n)
+		s.after(0, func() { _ = n.stop() })
+	case k == len(cuts)+2 && s.rng.IntN(4) == 0:
+		s.note("all hosts of zone %s are killed", n.place)
+		for _, o := range hosts {
+			if o.place == n.place {
+				o.kill()
+				s.replace(o)
+			}
+		}
+	default:
+		s.note("host %s is killed", n.id)
+		n.kill()
+		s.replace(n)
+	}
+}
+
+func (s *schedule) workerFault() {
+	ids := make([]string, 0, len(s.w.workers))
+	for id := range s.w.workers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	b := s.w.worker(ids[s.rng.IntN(len(ids))])
+	d := s.between(100*time.Millisecond, 2500*time.Millisecond)
+	set := func(name string, d time.Duration, change func(f *backend.Faults, on bool)) {
+		s.note("worker %s %s for %s", b.ID(), name, d)
+		apply := func(on bool) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			f := b.Faults()
+			change(&f, on)
+			b.SetFaults(f)
+		}
+		apply(true)
+		s.after(d, func() { apply(false) })
+	}
+	switch s.rng.IntN(7) {
+	case 0:
+		set("frozen", d, func(f *backend.Faults, on bool) { f.Freeze = on })
+	case 1:
+		set("fails everything", d/8, func(f *backend.Faults, on bool) { f.Fail = on })
+	case 2:
+		set("says it is leaving", d, func(f *backend.Faults, on bool) { f.Leaving = on })
+	case 3:
+		set("unreachable", d, func(f *backend.Faults, on bool) { f.Unreachable = on })
+	case 4:
+		s.note("worker %s restarts", b.ID())
+		b.Restart()
+	case 5:
+		s.note("worker %s listed as leaving for %s", b.ID(), d)
+		s.w.list(b.ID(), true)
+		s.after(d, func() { s.w.list(b.ID(), false) })
+	case 6:
+		s.note("worker %s unlisted for %s", b.ID(), d)
+		s.w.hosts.Remove(b.ID())
+		s.after(d, func() { s.w.list(b.ID(), false) })
+	}
+}
+
+func (s *schedule) logFault() {
+	d := s.between(100*time.Millisecond, 2*time.Second)
+	f := logservice.Faults{Count: retained}
+	switch s.rng.IntN(4) {
+	case 0:
+		f.Outage = true
+	case 1:
+		f.Delay = s.between(50*time.Millisecond, 1500*time.Millisecond)
+	case 2:
+		f.Lose = true
+	case 3:
+		f.Late = s.between(50*time.Millisecond, 1500*time.Millisecond)
+	}
+	s.note("log %+v for %s", f, d)
+	s.w.log.SetFaults(f)
+	s.after(d, func() { s.w.log.SetFaults(logservice.Faults{Count: retained}) })
+}
+
+// run applies faults until the end and then heals all.
+func (s *schedule) run(end time.Time) {
+	for time.Now().Before(end) {
+		s.fault()
+		time.Sleep(s.between(50*time.Millisecond, 450*time.Millisecond))
+	}
+	s.healing.Wait()
+	s.note("all is healed")
+}
--- /dev/null
+++ b/internal/host/node/trace_test.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/stream/record"
+	"sassafraswind.example/sassafraswind/internal/work/job"
+)
+
+// trace logs the records of the log that mention a text, with their verdicts in their zone's stream.
+func (w *world) trace(text string) {
+	for _, stream := range []string{streamKeys, streamZone + "a", streamZone + "b", streamZone + "c"} {
+		table := job.New()
+		seen := map[string]uint64{}
+		page, err := w.log.Read(context.Background(), stream, 0, 1000, 0)
+		if err != nil {
+			w.t.Logf("trace of %s: %v", stream, err)
+			continue
+		}
+		for _, r := range page.Records {
+			e, err := record.Decode(r.Data)
+			if err != nil {
+				w.t.Logf("%s %d: %v", stream, r.Offset, err)
+				continue
+			}
+			again := e.Seq <= seen[e.Writer]
+			seen[e.Writer] = max(seen[e.Writer], e.Seq)
+			for _, i := range e.Items {
+				var verdict error
+				if !again && stream != streamKeys {
+					verdict = table.Apply(time.Now(), r.Offset, i)
+				}
+				if bytes.Contains(i.Data, []byte(text)) {
+					w.t.Logf("%s %d: %s of %s/%d, repeated %t: %v", stream, r.Offset, i.Kind, e.Writer, e.Seq, again, verdict)
+				}
+			}
+		}
+	}
+}
--- a/internal/host/node/worker_test.go
+++ b/internal/host/node/worker_test.go
@@ -22,7 +22,7 @@
 
 // deliver passes a message to a worker as a network does: a frozen worker handles it later, and the message arrives
 // even if its sender has given up.
-func deliver[R any](l fleetLink, ctx context.Context, addr string, fn func(w *backend.Worker) (R, error)) (R, error) {
+func deliver[R any](ctx context.Context, l fleetLink, addr string, fn func(w *backend.Worker) (R, error)) (R, error) {
 	var zero R
 	if err := ctx.Err(); err != nil {
 		return zero, errors.Mark(err, fleet.ErrNotSent)
@@ -69,15 +69,15 @@
 }
 
 func (l fleetLink) Status(ctx context.Context, addr string) (fleet.Status, error) {
-	return deliver(l, ctx, addr, (*backend.Worker).Status)
+	return deliver(ctx, l, addr, (*backend.Worker).Status)
 }
 
 func (l fleetLink) Lease(ctx context.Context, addr string, r fleet.LeaseRequest) (fleet.Status, error) {
-	return deliver(l, ctx, addr, func(w *backend.Worker) (fleet.Status, error) { return w.Lease(r) })
+	return deliver(ctx, l, addr, func(w *backend.Worker) (fleet.Status, error) { return w.Lease(r) })
 }
 
 func (l fleetLink) Release(ctx context.Context, addr string, f fleet.Fence) error {
-	_, err := deliver(l, ctx, addr, func(w *backend.Worker) (struct{}, error) { return struct{}{}, w.Release(f) })
+	_, err := deliver(ctx, l, addr, func(w *backend.Worker) (struct{}, error) { return struct{}{}, w.Release(f) })
 	return err
 }
 
@@ -85,7 +85,7 @@
 	if hook := l.w.beforeStart.Load(); hook != nil {
 		(*hook)(l.link, addr, o)
 	}
-	_, err := deliver(l, ctx, addr, func(w *backend.Worker) (struct{}, error) {
+	_, err := deliver(ctx, l, addr, func(w *backend.Worker) (struct{}, error) {
 		err := w.Start(o)
 		if err == nil {
 			l.w.noteStart(addr, o)
@@ -96,16 +96,16 @@
 }
 
 func (l fleetLink) Control(ctx context.Context, addr string, c fleet.Control) (fleet.Task, error) {
-	return deliver(l, ctx, addr, func(w *backend.Worker) (fleet.Task, error) { return w.Control(c) })
+	return deliver(ctx, l, addr, func(w *backend.Worker) (fleet.Task, error) { return w.Control(c) })
 }
 
 func (l fleetLink) Forget(ctx context.Context, addr string, f fleet.Fence, tasks []fleet.TaskRef) error {
-	_, err := deliver(l, ctx, addr, func(w *backend.Worker) (struct{}, error) { return struct{}{}, w.Forget(f, tasks) })
+	_, err := deliver(ctx, l, addr, func(w *backend.Worker) (struct{}, error) { return struct{}{}, w.Forget(f, tasks) })
 	return err
 }
 
 func (l fleetLink) Lookup(ctx context.Context, addr, request string, attempt int) (fleet.CallStatus, error) {
-	return deliver(l, ctx, addr, func(w *backend.Worker) (fleet.CallStatus, error) { return w.Lookup(request, attempt) })
+	return deliver(ctx, l, addr, func(w *backend.Worker) (fleet.CallStatus, error) { return w.Lookup(request, attempt) })
 }
 
 // Call sends a call.
@@ -118,9 +118,9 @@
 		return w.Run(context.Background(), c)
 	}
 	if f, err := l.gate(); err == nil && f.Twice {
-		go func() { _, _ = deliver(l, ctx, addr, run) }()
+		go func() { _, _ = deliver(ctx, l, addr, run) }()
 	}
-	return deliver(l, ctx, addr, run)
+	return deliver(ctx, l, addr, run)
 }
 
 // tag is the part of a body by which the harness knows its requests.
--- a/internal/host/node/world_test.go
+++ b/internal/host/node/world_test.go
@@ -66,9 +66,10 @@
 // testNode is one process start of an entry host.
 type testNode struct {
 	*Node
-	link  *link
-	id    string
-	zone  string
+	link *link
+	id   string
+	// place is the zone of the host.
+	place string
 	close func()
 	once  sync.Once
 	// gone is set once the host was killed or stopped.
@@ -164,7 +165,7 @@
 	}
 	n, closeNode := New(cfg, p, w.logger, nil, WithRandom(rand.New(rand.NewPCG(xxhash.Sum64String(id), 1))))
 	_, closePeers := peer.Serve(in, peerLink{link: l, n: n}, func(error) {})
-	tn := &testNode{Node: n, link: l, id: id, zone: zone}
+	tn := &testNode{Node: n, link: l, id: id, place: zone}
 	tn.close = func() {
 		tn.once.Do(func() {
 			tn.gone.Store(true)
@@ -296,7 +297,9 @@
 func (w *world) submit(n *testNode, id string, count int, run time.Duration, limit time.Duration) outcome.Reply {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	body, _ := json.Marshal(tag{RunMs: float64(run) / float64(time.Millisecond)})
+	// Without a use of its own, a task of the stand-in uses what was planned for it, and the learned size grows with
+	// each report until no worker has room.
+	body, _ := json.Marshal(backend.Body{RunMs: float64(run) / float64(time.Millisecond), Use: &fleet.Size{Cores: 1000, Memory: 512}})
 	return n.Submit(ctx, caller.Submission{Key: id, Class: "plan", Team: "team", Count: count, Body: body})
 }
 
