Share learned interference and sizes between entry hosts

Cause: a host learns from the 6 to 8 workers that it holds, and one that is restarted learns from nothing. Learned exports what the host itself learned; LearnedMsg takes in the newest message of another host. Pairs are combined by inverse variance, sizes of others serve until the host has 12 reports of its own. The variance is that of the quotient of slowdown and base time.

Ruled out: feeding the estimates of others to the filter, since they would be exported again as own; combining the full states, which exceeds 2 KiB.

--- a/internal/zone/policy/baseline_test.go
+++ b/internal/zone/policy/baseline_test.go
@@ -45,6 +45,9 @@
 	modeNoThrottle   = "no-throttle"
 	modeNoQuarantine = "no-quarantine"
 	modeNoQuota      = "no-quota"
+	// modeNoShare lets no host learn from others, modeShareAll lets it learn from all zones instead of its own.
+	modeNoShare  = "no-share"
+	modeShareAll = "share-all"
 )
 
 // without is the policy without one of its parts.
--- a/internal/zone/policy/class.go
+++ b/internal/zone/policy/class.go
@@ -18,9 +18,10 @@
 
 	running  int
 	finished window
-	size     sizes
-	budget   budget
-	record   failureRecord
+	// size is what is planned with, own and others what this host and other hosts learned.
+	size, own, others sizes
+	budget            budget
+	record            failureRecord
 
 	// model and the fields down to state are used by urgent classes only. allow is the slowdown accepted
 	// on a worker, lowered while the class misses its target.
--- a/internal/zone/policy/fake_test.go
+++ b/internal/zone/policy/fake_test.go
@@ -72,6 +72,7 @@
 	index    int
 	zone     int
 	host     int
+	rack     string
 	capacity fleet.Size
 	planned  fleet.Size
 	tasks    []*fakeTask
@@ -184,14 +185,7 @@
 	for z, n := range w.deployment.hosts {
 		first := len(w.hosts)
 		for range n {
-			h := newDecider(w.mode, w)
-			for _, u := range w.urgents {
-				h.Update(at(0), ClassMsg{Name: u.name, Kind: KindUrgent, P99: time.Duration(u.target * 1e9)})
-			}
-			for _, c := range w.classes {
-				h.Update(at(0), ClassMsg{Name: c.name, Kind: KindBatch, Evictions: disruptionTarget})
-			}
-			w.hosts = append(w.hosts, h)
+			w.hosts = append(w.hosts, nil)
 			w.zoneOf = append(w.zoneOf, z)
 			w.byHost = append(w.byHost, nil)
 		}
@@ -210,21 +204,11 @@
 			}
 			w.workers = append(w.workers, fw)
 			w.byHost[h] = append(w.byHost[h], fw)
-			w.hosts[h].Update(at(0), WorkerMsg{Name: fw.name, Rack: fmt.Sprint(z, i/8), Capacity: fw.capacity, Slots: 8})
+			fw.rack = fmt.Sprint(z, i/8)
 		}
 	}
-	for h, ws := range w.byHost {
-		w.hosts[h].Update(at(0), ShapesMsg{Capacities: []fleet.Size{{Cores: w.cores, Memory: w.memory, Accelerators: 2}}})
-		for i := range teamCount {
-			share := float64(len(ws)) / teamCount
-			if w.sc.idle[1] > 0 {
-				// About what the accepted slowdown leaves, so that the quotas bind.
-				share *= 0.35
-			}
-			w.hosts[h].Update(at(0), TeamMsg{Name: fmt.Sprint("team", i), Quota: fleet.Size{
-				Cores: int64(share * float64(w.cores)), Memory: int64(share * float64(w.memory)), Accelerators: 100,
-			}})
-		}
+	for h := range w.hosts {
+		w.startHost(h)
 	}
 }
 
@@ -232,6 +216,7 @@
 func (w *world) run() *result {
 	for w.now < w.sc.length {
 		w.sc.apply(w)
+		w.exchange()
 		w.arrive()
 		if !w.within(w.sc.outage) {
 			w.place()
--- a/internal/zone/policy/interference.go
+++ b/internal/zone/policy/interference.go
@@ -35,6 +35,11 @@
 	asked   time.Time
 	// spread is the mean squared prediction error relative to the expected one.
 	spread float64
+
+	// others is what other hosts know and mixed the slowdown per unit of load by own and their knowledge, by
+	// class index.
+	others []evidence
+	mixed  []float64
 }
 
 const (
@@ -108,15 +113,17 @@
 
 // k returns the slowdown per unit of load by batch class c.
 func (m *model) k(c *class) float64 {
-	i := m.slot(c)
-	if i == 0 || m.state[0] <= 0 {
-		return priorK
+	if c.index < len(m.mixed) {
+		return m.mixed[c.index]
 	}
-	return m.state[i] / m.state[0]
+	return priorK
 }
 
-// known reports whether enough reports covered the pair.
+// known reports whether enough reports covered the pair, here or at other hosts.
 func (m *model) known(c *class) bool {
+	if c.index < len(m.others) && m.others[c.index].weight > 1/(knownDev*knownDev) {
+		return true
+	}
 	i := m.slot(c)
 	return i > 0 && m.seen[i] >= knownReports && (m.cov[i][i] < knownDev*knownDev*m.state[0]*m.state[0] || m.seen[i] >= maxReports)
 }
@@ -133,7 +140,7 @@
 // expire forgets a pair whose large estimate kept the class away for retryAfter, so that it is tried anew.
 func (m *model) expire(now time.Time, c *class) {
 	i := m.slot(c)
-	if i == 0 || m.seen[i] < knownReports || m.k(c) <= priorK || now.Sub(m.at[i]) < retryAfter {
+	if i == 0 || m.seen[i] < knownReports || !m.stale(now, c) {
 		return
 	}
 	base := m.state[0]
@@ -142,6 +149,7 @@
 		m.cov[i][j], m.cov[j][i] = 0, 0
 	}
 	m.cov[i][i] = priorDev * priorDev * base * base
+	m.blend()
 }
 
 // learn applies one report about worker w, attributed to what ran there between from and to.
@@ -228,6 +236,7 @@
 	for _, in := range inputs[2:] {
 		m.bound(in.at, -0.1*m.state[0])
 	}
+	m.blend()
 }
 
 // bound raises a state to the limit and moves the others along their covariance with it. Raising it alone
--- a/internal/zone/policy/measure_test.go
+++ b/internal/zone/policy/measure_test.go
@@ -64,10 +64,12 @@
 
 // parts names, by case, the parts of the policy that the case justifies.
 var parts = map[string][]string{
-	"steady": {modeNoLearning},
-	"noisy":  {modeNoThrottle, modeNoLearning},
-	"faulty": {modeNoQuarantine},
-	"quota":  {modeNoQuota},
+	"steady":  {modeNoLearning, modeNoShare, modeShareAll},
+	"zone":    {modeNoShare, modeShareAll},
+	"replace": {modeNoShare, modeShareAll},
+	"noisy":   {modeNoThrottle, modeNoLearning},
+	"faulty":  {modeNoQuarantine},
+	"quota":   {modeNoQuota},
 }
 
 // BenchmarkCase reports the figures of every case, deployment and mode.
--- a/internal/zone/policy/policy.go
+++ b/internal/zone/policy/policy.go
@@ -179,6 +179,10 @@
 	// price is the mean harm per share of a worker's cores of recent placements.
 	price float64
 
+	host string
+	// peers holds the newest knowledge of other hosts by name.
+	peers []peer
+
 	returned time.Time
 	// starved is the team that found no room most recently.
 	starved *team
@@ -241,6 +245,8 @@
 		for _, c := range m.Capacities {
 			p.elsewhere.add(c)
 		}
+	case LearnedMsg:
+		p.takeIn(now, m)
 	case ReturnMsg:
 		p.returned = now
 	}
@@ -285,7 +291,7 @@
 func (p *Policy) class(name string) *class {
 	c := p.classes[name]
 	if c == nil {
-		c = &class{name: name, kind: KindBatch, index: len(p.list), size: newSizes()}
+		c = &class{name: name, kind: KindBatch, index: len(p.list), size: newSizes(), own: newSizes()}
 		p.classes[name] = c
 		p.list = append(p.list, c)
 	}
--- a/internal/zone/policy/pressure.go
+++ b/internal/zone/policy/pressure.go
@@ -30,6 +30,7 @@
 		u.judge(now, p.harm)
 	}
 	p.dropRecords(now)
+	p.dropPeers(now)
 	for range min(scanWorkers, len(p.order)) {
 		p.next = (p.next + 1) % len(p.order)
 		w := p.order[p.next]
--- a/internal/zone/policy/scenario_test.go
+++ b/internal/zone/policy/scenario_test.go
@@ -5,9 +5,11 @@
 	name         string
 	length, warm float64
 	// disturbed is the phase in which something is wrong.
-	disturbed                   [2]float64
-	shift, noisy, zone, outage  [2]float64
-	cancel                      [2]float64
+	disturbed                  [2]float64
+	shift, noisy, zone, outage [2]float64
+	cancel                     [2]float64
+	// replace is when hosts are replaced by empty ones, one every two minutes in turn.
+	replace                     [2]float64
 	idle                        [2]float64
 	wrong, badJobs, badWorkers2 bool
 }
@@ -22,6 +24,7 @@
 	{name: "faulty", length: 50 * minute, warm: 20 * minute, badJobs: true, badWorkers2: true},
 	{name: "cancel", length: 50 * minute, warm: 20 * minute, cancel: [2]float64{30 * minute, 31 * minute}, disturbed: [2]float64{30 * minute, 31 * minute}},
 	{name: "zone", length: 110 * minute, warm: 20 * minute, zone: [2]float64{30 * minute, 90 * minute}, disturbed: [2]float64{30 * minute, 90 * minute}},
+	{name: "replace", length: 50 * minute, warm: 20 * minute, replace: [2]float64{20 * minute, 38 * minute}, disturbed: [2]float64{20 * minute, 1e9}},
 	{name: "outage", length: 60 * minute, warm: 20 * minute, outage: [2]float64{25 * minute, 45 * minute}, disturbed: [2]float64{25 * minute, 45 * minute}},
 	{name: "quota", length: 60 * minute, warm: 10 * minute, idle: [2]float64{0, 30 * minute}, disturbed: [2]float64{30 * minute, 1e9}},
 	{
@@ -81,6 +84,9 @@
 			}
 		}
 	}
+	if sc.replace[1] > 0 && w.within(sc.replace) && int(now-sc.replace[0])%120 == 0 {
+		w.startHost(int(now-sc.replace[0]) / 120 % len(w.hosts))
+	}
 	if sc.zone[1] > 0 {
 		w.zone(w.within(sc.zone))
 	}
--- a/internal/zone/policy/worker.go
+++ b/internal/zone/policy/worker.go
@@ -215,7 +215,8 @@
 		to := now.Add(-u.Lag)
 		for _, l := range w.levels {
 			if l.class == c {
-				c.size.learn(u.Used, l.average(to.Add(-u.Window), to))
+				c.own.learn(u.Used, l.average(to.Add(-u.Window), to))
+				c.blend()
 			}
 		}
 	}
