Leave the prior out of shared estimates and share between all hosts

Cause: every host's estimate holds the prior, so that combining several of them counted it once per host and drew large slowdowns down and small ones up. Learned now exports what follows from the reports alone.

--- a/internal/zone/policy/baseline_test.go
+++ b/internal/zone/policy/baseline_test.go
@@ -45,9 +45,9 @@
 	modeNoThrottle   = "no-throttle"
 	modeNoQuarantine = "no-quarantine"
 	modeNoQuota      = "no-quota"
-	// modeNoShare lets no host learn from others, modeShareAll lets it learn from all zones instead of its own.
-	modeNoShare  = "no-share"
-	modeShareAll = "share-all"
+	// modeNoShare lets no host learn from others, modeShareZone lets it learn from its own zone only.
+	modeNoShare   = "no-share"
+	modeShareZone = "share-zone"
 )
 
 // without is the policy without one of its parts.
--- a/internal/zone/policy/exchange_test.go
+++ b/internal/zone/policy/exchange_test.go
@@ -40,15 +40,15 @@
 	}
 }
 
-// exchange sends what every host learned to the others of its zone, or to all others, every 10 seconds.
+// exchange sends what every host learned to all others, or to the others of its zone, every 10 seconds.
 func (w *world) exchange() {
-	if int(w.now)%10 != 9 || w.mode != modePolicy && w.mode != modeShareAll {
+	if int(w.now)%10 != 9 || w.mode != modePolicy && w.mode != modeShareZone {
 		return
 	}
 	for a, from := range w.hosts {
 		m := LearnedMsg{Host: fmt.Sprint("h", a), Learned: from.(*Policy).Learned(at(w.now))}
 		for b, to := range w.hosts {
-			if a != b && (w.mode == modeShareAll || w.zoneOf[a] == w.zoneOf[b]) {
+			if a != b && (w.mode == modePolicy || w.zoneOf[a] == w.zoneOf[b]) {
 				to.Update(at(w.now), m)
 			}
 		}
--- a/internal/zone/policy/measure_test.go
+++ b/internal/zone/policy/measure_test.go
@@ -64,9 +64,9 @@
 
 // parts names, by case, the parts of the policy that the case justifies.
 var parts = map[string][]string{
-	"steady":  {modeNoLearning, modeNoShare, modeShareAll},
-	"zone":    {modeNoShare, modeShareAll},
-	"replace": {modeNoShare, modeShareAll},
+	"steady":  {modeNoLearning, modeNoShare, modeShareZone},
+	"zone":    {modeNoShare, modeShareZone},
+	"replace": {modeNoShare, modeShareZone},
 	"noisy":   {modeNoThrottle, modeNoLearning},
 	"faulty":  {modeNoQuarantine},
 	"quota":   {modeNoQuota},
--- a/internal/zone/policy/share.go
+++ b/internal/zone/policy/share.go
@@ -89,8 +89,7 @@
 		out.Urgent = append(out.Urgent, u.name)
 		for _, c := range batch {
 			var k, dev int16
-			if u.model.shares(now, c) {
-				mean, variance := u.model.own(c)
+			if mean, variance := u.model.observed(c); variance > 0 && u.model.shares(now, c) {
 				k, dev = thousandths(mean), max(thousandths(math.Sqrt(variance)), 1)
 			}
 			out.Slow, out.Error = append(out.Slow, k), append(out.Error, dev)
@@ -217,6 +216,18 @@
 	return k, max(variance, 1e-6)
 }
 
+// observed returns the slowdown and its variance as they follow from the reports alone, without the prior, which
+// would otherwise count once for every host and draw the mean towards it. The variance is 0 if the reports say
+// too little.
+func (m *model) observed(c *class) (k, variance float64) {
+	k, variance = m.own(c)
+	weight := 1/variance - 1/(priorDev*priorDev)
+	if weight < 1 {
+		return 0, 0
+	}
+	return (k/variance - priorK/(priorDev*priorDev)) / weight, 1 / weight
+}
+
 // shares reports whether the pair was learned here and need not be tried again.
 func (m *model) shares(now time.Time, c *class) bool {
 	i := m.slot(c)
