Keep the workers of a stopping host until nothing is in flight

Cause: while a planned stop waited for requests in flight, the host no longer counted itself among the hosts of the zone, so that its holdings handed the workers over. Requests that waited for a slot, and those that a peer had passed on, then waited in vain until their deadline, and the peer's caller was told unknown.

--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -106,7 +106,8 @@
 	// bound, even if they cannot reach this host.
 	stale = stale || z.out && now.Sub(z.outSince) > n.drainEnd()
 	z.holdings.Update(now, lease.StaleMsg{Stale: stale})
-	z.holdings.Update(now, lease.PeersMsg{Hosts: n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, !n.leaving.Load())})
+	// A host that is stopping keeps its workers until nothing is in flight: requests may still wait for their slots.
+	z.holdings.Update(now, lease.PeersMsg{Hosts: n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, true)})
 	cmds := z.holdings.Update(now, lease.TickMsg{})
 	n.unholdLost(now)
 	z.mu.Unlock()
