--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -176,7 +176,7 @@
 	n.zone = zoneView{
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), jobs: job.New(),
 		holdings: lease.New(cfg.Host, lease.WithTTL(cfg.Lease.TTL), lease.WithRenewal(cfg.Lease.Renew), lease.WithTaskTTL(cfg.Lease.Tasks)),
-		policy:   policy.New(), workers: map[string]*workerView{}, placing: map[string]*placement{},
+		policy:   policy.New(policy.WithHost(cfg.Host)), workers: map[string]*workerView{}, placing: map[string]*placement{},
 		settling: map[string]bool{}, classes: map[string]*classView{}, doubts: map[string]time.Time{},
 		tallies: map[string]*classTally{}, failed: map[string][]string{},
 	}
--- a/internal/host/node/peers.go
+++ b/internal/host/node/peers.go
@@ -9,11 +9,14 @@
 	"sassafraswind.example/sassafraswind/internal/host/peer"
 	"sassafraswind.example/sassafraswind/internal/platform/fleet"
 	"sassafraswind.example/sassafraswind/internal/platform/roster"
+	"sassafraswind.example/sassafraswind/internal/zone/policy"
 )
 
 const (
 	syncPeriod  = time.Second
 	syncTimeout = 800 * time.Millisecond
+	// teachPeriod is the time between two messages to one peer of what the policy has learned, up to 2 KiB each.
+	teachPeriod = 10 * time.Second
 	// peerSilent is how long a peer may be silent before it counts as dead.
 	peerSilent = 3500 * time.Millisecond
 )
@@ -28,6 +31,8 @@
 	silent bool
 	// taken counts the requests passed on since then and not answered yet, so that a burst does not go to one peer.
 	taken int
+	// taught is when the peer was last sent what this host's policy has learned.
+	taught time.Time
 }
 
 // peersView has the other entry hosts, by address, and the workers of all zones.
@@ -284,7 +289,14 @@
 	ctx, cancel := context.WithTimeout(n.ctx, syncTimeout)
 	defer cancel()
 	sent := time.Now()
-	rep, err := n.peer.Sync(ctx, address, peer.Sync{State: n.state(now)})
+	m := peer.Sync{State: n.state(now)}
+	if n.peers.teach(address, now) {
+		n.zone.mu.Lock()
+		learned := n.zone.policy.Learned(now)
+		n.zone.mu.Unlock()
+		m.Learned = &learned
+	}
+	rep, err := n.peer.Sync(ctx, address, m)
 	if err != nil {
 		n.log.WithError(err).Debug("Peer did not answer a sync.")
 		return
@@ -293,6 +305,18 @@
 	n.adopt(rep, sent)
 }
 
+// teach reports whether the peer is to be sent what this host has learned, and notes that it was.
+func (p *peersView) teach(address string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := p.known[address]
+	if v == nil || now.Sub(v.taught) < teachPeriod {
+		return false
+	}
+	v.taught = now
+	return true
+}
+
 // adopt takes over a newer configuration of a peer. The view then dates from the send time less the age that the peer
 // reported, so that no clocks of two hosts are compared.
 func (n *Node) adopt(rep peer.SyncReply, sent time.Time) {
@@ -361,6 +385,13 @@
 // Sync answers a peer.
 func (n *Node) Sync(_ context.Context, r peer.Sync) (peer.SyncReply, error) {
 	now := time.Now()
+	if r.Learned != nil {
+		// The clocks of two hosts are not compared: what a peer sends dates from its arrival here.
+		r.Learned.At = now
+		n.zone.mu.Lock()
+		n.zone.policy.Update(now, policy.LearnedMsg{Host: r.State.Host, Learned: *r.Learned})
+		n.zone.mu.Unlock()
+	}
 	// The age is taken before the configuration: a configuration read afterwards can only be newer than it says.
 	rep := peer.SyncReply{State: n.state(now)}
 	n.config.mu.Lock()
--- a/internal/host/peer/message.go
+++ b/internal/host/peer/message.go
@@ -5,6 +5,7 @@
 
 	"sassafraswind.example/sassafraswind/internal/platform/fleet"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
+	"sassafraswind.example/sassafraswind/internal/zone/policy"
 )
 
 // State is what entry hosts tell each other about themselves.
@@ -28,6 +29,8 @@
 // Sync exchanges states. A host whose version is behind gets the newer configuration with the reply.
 type Sync struct {
 	State State `msgpack:"state"`
+	// Learned is what the host's policy has learned itself. It is sent to each peer every few seconds.
+	Learned *policy.Learned `msgpack:"learned,omitempty"`
 }
 
 // SyncReply answers Sync.
--- a/internal/zone/policy/placement.go
+++ b/internal/zone/policy/placement.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -67,6 +66,8 @@
 	// gap that the error of the estimates leaves and stay when it closes.
 	dearFactor, dearLimit = 2, 0.6
 	priceGain             = 0.01
+	// retryLimit is the limit for tasks that failed before, just below the one from which tasks are throttled.
+	retryLimit = 1.2
 	// trialLength bounds a trial on a worker that yields no reports.
 	trialLength = 5 * time.Minute
 )
@@ -131,10 +132,6 @@
 		}
 	}
 	trial, wait := p.trial(now, c)
-	if len(t.Avoid) > 0 {
-		// The next run of a failed task decides whether it is parked, which must not wait for a trial.
-		trial, wait = false, false
-	}
 	if wait && c.trial == "" {
 		return Placement{Reason: ReasonTrial}
 	}
@@ -274,8 +271,8 @@
 		limit = dearLimit
 	}
 	if len(t.Avoid) > 0 {
-		// Nor must it wait for a worker that it would not slow down. Throttling bounds what it does there.
-		limit = math.Inf(1)
+		// The next run of a failed task decides whether it is parked, which must not wait for long.
+		limit = retryLimit
 	}
 	if after > limit {
 		return 0, ReasonHarm
