--- a/internal/host/node/drain.go
+++ b/internal/host/node/drain.go
@@ -78,7 +78,7 @@
 	if to == "" {
 		return
 	}
-	hosts := n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, true)
+	hosts := n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone)
 	z := &n.zone
 	z.mu.Lock()
 	defer z.mu.Unlock()
@@ -164,7 +164,7 @@
 // handOver gives moved tasks to their new zone. It is repeated until the other zone has recorded them, by any host of
 // this zone, and each step is idempotent.
 func (n *Node) handOver(now time.Time) {
-	hosts := n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, true)
+	hosts := n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone)
 	z := &n.zone
 	z.mu.Lock()
 	groups := groupMoved(n.cfg.Zone, z.jobs, func(t *job.Task) bool {
--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -107,7 +107,7 @@
 	stale = stale || z.out && now.Sub(z.outSince) > n.drainEnd()
 	z.holdings.Update(now, lease.StaleMsg{Stale: stale})
 	// A host that is stopping keeps its workers until nothing is in flight: requests may still wait for their slots.
-	z.holdings.Update(now, lease.PeersMsg{Hosts: n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, true)})
+	z.holdings.Update(now, lease.PeersMsg{Hosts: n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone)})
 	cmds := z.holdings.Update(now, lease.TickMsg{})
 	n.unholdLost(now)
 	z.mu.Unlock()
--- a/internal/host/node/peers.go
+++ b/internal/host/node/peers.go
@@ -116,14 +116,11 @@
 	}
 }
 
-// ofZone returns the live, ready, not leaving hosts of the zone, sorted, with this one if self is set.
-func (p *peersView) ofZone(now time.Time, host, zone string, self bool) []string {
+// ofZone returns this host and the other live, not leaving hosts of the zone, sorted.
+func (p *peersView) ofZone(now time.Time, host, zone string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var hosts []string
-	if self {
-		hosts = append(hosts, host)
-	}
+	hosts := []string{host}
 	for _, v := range p.known {
 		if v.state.Zone == zone && v.state.Host != host && v.alive(now) && !v.state.Leaving {
 			hosts = append(hosts, v.state.Host)
--- a/internal/host/node/rescue.go
+++ b/internal/host/node/rescue.go
@@ -76,7 +76,7 @@
 // rescuer reports whether this host is the one of its zone that moves the tasks of a lost zone. Hosts of several zones
 // may do so at once: log order settles which move of a task is valid.
 func (n *Node) rescuer(zone string, now time.Time) bool {
-	hosts := n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, true)
+	hosts := n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone)
 	return len(hosts) > 0 && hosts[xxhash.Sum64String(zone)%uint64(len(hosts))] == n.cfg.Host
 }
 
--- a/internal/host/node/task.go
+++ b/internal/host/node/task.go
@@ -39,7 +39,7 @@
 	if !n.mayStart(now) {
 		return
 	}
-	hosts := n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone, true)
+	hosts := n.peers.ofZone(now, n.cfg.Host, n.cfg.Zone)
 	z := &n.zone
 	z.mu.Lock()
 	defer z.mu.Unlock()
