--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -34,6 +34,7 @@
 	Direct  directCmd  `cmd:"" help:"Send calls directly to stand-in workers at a steady rate, as a baseline for rate."`
 
 	Metric     metricCmd     `cmd:"" help:"Print the zone of an entry host and the sum of a metric over its labels."`
+	Post       postCmd       `cmd:"" help:"Post JSON to a stand-in, such as its faults."`
 	Violations violationsCmd `cmd:"" help:"Fail if stand-in workers saw work beyond their capacity or run twice."`
 }
 
@@ -102,13 +103,16 @@
 	Class string `required:"" help:"Class of the request."`
 	Team  string `default:"demo" help:"Team that the request counts for."`
 	Key   string `help:"Key, for classes that are not idempotent."`
-	Body  string `default:"{}" help:"JSON body."`
+	// Deadline is in milliseconds.
+	Deadline int64  `default:"10000" help:"Deadline in milliseconds."`
+	Body     string `default:"{}" help:"JSON body."`
 }
 
 // Run sends the request.
 func (c *requestCmd) Run() error {
 	return c.print(http.MethodPost, "/v1/requests", map[string]any{
-		"class": c.Class, "team": c.Team, "key": c.Key, "body": json.RawMessage(c.Body),
+		"class": c.Class, "team": c.Team, "key": c.Key, "deadline_ms": c.Deadline,
+		"body": json.RawMessage(c.Body),
 	})
 }
 
@@ -321,6 +325,24 @@
 	return nil
 }
 
+type postCmd struct {
+	target
+	Path string `arg:"" help:"Path, such as /faults."`
+	Body string `arg:"" help:"JSON body."`
+}
+
+// Run posts the body.
+func (c *postCmd) Run() error {
+	code, data, err := c.send(http.MethodPost, c.Path, json.RawMessage(c.Body))
+	if err != nil {
+		return err
+	}
+	if code >= http.StatusMultipleChoices {
+		return errors.Newf("status code %d: %s", code, data)
+	}
+	return nil
+}
+
 type violationsCmd struct {
 	Admin string `required:"" help:"Admin address of the stand-in workers."`
 }
--- /dev/null
+++ b/scripts/common.sh
@@ -0,0 +1,133 @@
+# Functions of scripts/quickstart and scripts/faults: two availability zones on loopback, with two entry hosts and three
+# stand-in workers each, and the platform's stand-ins. To be sourced from the top of the repository.
+
+base="${QUICKSTART_PORT:-$default_port}"
+dir="$(mktemp -d)"
+bin="$dir/bin"
+pids=()
+declare -A pid_of=()
+
+# finish stops everything that was started, by id, and shows the logs after a failure.
+finish() {
+  local code=$?
+  trap - EXIT
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+    kill -TERM "${pids[$i]}" 2>/dev/null || true
+  done
+  for pid in "${pids[@]}"; do
+    wait "$pid" 2>/dev/null || true
+  done
+  if [ "$code" -ne 0 ]; then
+    echo "FAILED; the last lines of each log:"
+    tail -n 15 "$dir"/*.log || true
+  fi
+  rm -rf "$dir"
+  exit "$code"
+}
+trap finish EXIT
+trap 'exit 1' INT TERM
+
+say() { printf '\n-- %s\n' "$1"; }
+
+# start runs a command in the background with its output in a log file.
+start() {
+  local name="$1"
+  shift
+  "$@" >>"$dir/$name.log" 2>&1 &
+  pids+=("$!")
+  pid_of[$name]=$!
+}
+
+# retry repeats a command until it succeeds or the given seconds have passed.
+retry() {
+  local limit=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    if [ "$SECONDS" -ge "$limit" ]; then
+      echo "gave up waiting for: $*"
+      return 1
+    fi
+    sleep 0.2
+  done
+}
+
+# contains succeeds if the output of a command has a text in it. White space is left out.
+contains() {
+  local text="$1" out
+  shift
+  out="$("$@" 2>/dev/null | tr -d ' \n')"
+  [[ "$out" == *"$text"* ]]
+}
+
+port() { echo $((base + $1)); }
+callers() { echo "127.0.0.1:$(port $((100 + 10 * $1)))"; }
+operators() { echo "http://127.0.0.1:$(port $((101 + 10 * $1)))"; }
+
+say "building"
+mkdir -p "$bin"
+go build -o "$bin" ./cmd/sassafraswind ./cmd/standin ./cmd/load
+began=$SECONDS
+load="$bin/load"
+ops() { "$bin/sassafraswind" --operators "$(operators 1)" "$@"; }
+
+# entry N ZONE writes the settings of an entry host: callers on base+100+10N, operators one above, peers two above.
+entry() {
+  local p=$((100 + 10 * $1))
+  cat >"$dir/entry-$1.json" <<JSON
+{
+  "host": "$2-$1", "zone": "$2", "region": "north",
+  "callers": {"listen": "127.0.0.1:$(port $p)"},
+  "operators": {"listen": "127.0.0.1:$(port $((p + 1)))"},
+  "peers": {"listen": "127.0.0.1:$(port $((p + 2)))", "seeds": ["127.0.0.1:$(port 112)", "127.0.0.1:$(port 132)"]},
+  "platform": {"log": "http://127.0.0.1:$(port 0)", "hosts": "http://127.0.0.1:$(port 1)"},
+  "drain": "500ms",
+  "zones": [{"name": "zone-a", "region": "north"}, {"name": "zone-b", "region": "north"}],
+}
+JSON
+}
+
+# The host list names four entry hosts and six workers.
+{
+  echo "["
+  for n in 1 2 3 4; do
+    zone=zone-a
+    [ "$n" -le 2 ] || zone=zone-b
+    entry "$n" "$zone"
+    echo "{\"id\":\"$zone-$n\",\"kind\":\"entry\",\"zone\":\"$zone\",\"region\":\"north\",\"address\":\"127.0.0.1:$(port $((102 + 10 * n)))\"},"
+  done
+  for n in 0 1 2; do
+    echo "{\"id\":\"zone-a-w$n\",\"kind\":\"worker\",\"zone\":\"zone-a\",\"region\":\"north\",\"rack\":\"a\",\"service\":\"desk\",\"address\":\"127.0.0.1:$(port $((20 + n)))\"},"
+    echo "{\"id\":\"zone-b-w$n\",\"kind\":\"worker\",\"zone\":\"zone-b\",\"region\":\"north\",\"rack\":\"b\",\"service\":\"desk\",\"address\":\"127.0.0.1:$(port $((30 + n)))\"},"
+  done
+  echo "]"
+} >"$dir/hosts.json"
+
+cat >"$dir/classes.json" <<JSON
+{
+  "classes": [
+    {"name": "check", "kind": "urgent", "idempotent": true, "size": {"cores": 500, "memory": 256}, "run": "20ms", "target": {"answer": "250ms"}},
+    {"name": "quote", "kind": "urgent", "size": {"cores": 500, "memory": 256}, "run": "20ms", "target": {"answer": "1s"}},
+    {"name": "plan", "kind": "batch", "size": {"cores": 1000, "memory": 1024}, "run": "1s", "target": {"finished": 1000, "disruption": 10}},
+  ],
+  "teams": [{"name": "demo", "quota": {"cores": 192000, "memory": 600000}}],
+}
+JSON
+
+# start_all starts everything and waits until the entry hosts are ready.
+start_all() {
+  say "starting the platform's stand-ins: log, host list, three workers in each zone"
+  start log "$bin/standin" log --listen "127.0.0.1:$(port 0)"
+  start hosts "$bin/standin" hosts --listen "127.0.0.1:$(port 1)" --file "$dir/hosts.json"
+  start workers-a "$bin/standin" workers --port "$(port 20)" --count 3 --zone zone-a --region north --admin "127.0.0.1:$(port 40)"
+  start workers-b "$bin/standin" workers --port "$(port 30)" --count 3 --zone zone-b --region north --admin "127.0.0.1:$(port 41)"
+
+  say "starting four entry hosts, two in each zone"
+  for n in 1 2 3 4; do
+    "$bin/sassafraswind" check "$dir/entry-$n.json"
+    start "entry-$n" "$bin/sassafraswind" serve --settings "$dir/entry-$n.json"
+  done
+  for n in 1 2 3 4; do
+    retry 20 contains '"ready":true' "$bin/sassafraswind" --operators "$(operators "$n")" --json status
+  done
+  echo "all four are ready"
+}
