Ask every known peer for its configuration at the start

Cause: the first round of syncs asked one host of each other zone only, so that a host that starts without the log could serve an older configuration than it could have learned of. Found by reading; the test of this point passed by the order of addresses.

--- a/internal/host/node/peers.go
+++ b/internal/host/node/peers.go
@@ -135,10 +135,13 @@
 }
 
 // addresses returns the peers to sync with now: all of the own zone, and one of each other zone in turn, so that the
-// messages of a host grow with the zones and not with all hosts.
-func (p *peersView) addresses(zone string) []string {
+// messages of a host grow with the zones and not with all hosts. With all set it returns every peer.
+func (p *peersView) addresses(zone string, all bool) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if all {
+		return slices.Clone(p.order)
+	}
 	if p.next == nil {
 		p.next = map[string]int{}
 	}
@@ -271,7 +274,11 @@
 	}
 	n.peers.mu.Unlock()
 	var wg sync.WaitGroup
-	for _, a := range n.peers.addresses(n.cfg.Zone) {
+	// Until every known peer was asked, this host cannot say that its configuration is the newest it could learn of.
+	n.config.mu.Lock()
+	first := !n.config.asked
+	n.config.mu.Unlock()
+	for _, a := range n.peers.addresses(n.cfg.Zone, first) {
 		wg.Go(func() { n.syncPeer(now, a) })
 	}
 	wg.Wait()
