Pass holds on to the holdings once the host list names their workers

Cause: a host that joins reads the zone's stream, and with it the holds, maybe before the host list. The holdings drop a hold of a worker that they do not know, so that the host's own hold named no predecessor and was refused by all readers, again and again: no task lease was renewed and no task started at that worker any more. Ruled out: a full zone (its host held both workers) and the policy (nothing was placing or settling). Before: TestHoldsAreReadBeforeTheHostList, 'not within 20s: task ... attempt 0 is pending' with the fix switched off. After: passes in 8.5 s.

--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -57,6 +57,7 @@
 	var workers []lease.Worker
 	var entries []roster.Host
 	addresses := map[string]string{}
+	added := false
 	z := &n.zone
 	z.mu.Lock()
 	for _, h := range hosts {
@@ -71,6 +72,7 @@
 			if w == nil {
 				w = &workerView{tasks: map[string]fleet.Task{}, reported: map[string]time.Duration{}}
 				z.workers[h.ID] = w
+				added = true
 			}
 			w.address, w.rack, w.service, w.leaving = h.Address, h.Rack, h.Service, h.Leaving
 			workers = append(workers, lease.Worker{ID: h.ID, Address: h.Address, Leaving: h.Leaving})
@@ -78,11 +80,22 @@
 		}
 	}
 	z.holdings.Update(now, lease.HostsMsg{Workers: workers})
+	if added {
+		// The holdings drop holds of workers that they do not know, and the stream may have been read before the list.
+		z.passHolds(now)
+	}
 	z.forgetWorkers(addresses)
 	z.mu.Unlock()
 	n.peers.list(entries, n.cfg.Host, addresses)
 }
 
+// passHolds tells the holdings the newest hold of each worker, with mu held.
+func (z *zoneView) passHolds(now time.Time) {
+	for _, h := range z.jobs.Holds() {
+		z.holdings.Update(now, lease.HoldMsg{Worker: h.Worker, Host: h.Host, Boot: h.Boot, Grant: h.Grant, Offset: h.At})
+	}
+}
+
 // forgetWorkers drops what is known of workers that are neither listed nor held and have no tasks, with mu held.
 func (z *zoneView) forgetWorkers(listed map[string]string) {
 	for id, w := range z.workers {
--- a/internal/host/node/host_faults_test.go
+++ b/internal/host/node/host_faults_test.go
@@ -264,3 +264,27 @@
 	}
 	w.noViolations()
 }
+
+// Guards against a host that reads the holds of the zone's stream before the host list names their workers, drops them,
+// and then cannot write a valid hold of its own, so that it never starts a task.
+func TestHoldsAreReadBeforeTheHostList(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, 1)
+	// The first hold of all may be at offset 0, which passes for none, so a second host writes one behind it.
+	first := w.start("a-1", "a")
+	w.declare(first)
+	w.finished(w.accepted(first, 1, 50*time.Millisecond), 1, 20*time.Second)
+	first.kill()
+	w.hosts.Remove("a-1")
+	second := w.start("a-2", "a")
+	w.ready(second)
+	w.finished(w.accepted(second, 1, 50*time.Millisecond), 1, 20*time.Second)
+	second.kill()
+	w.hosts.Remove("a-2")
+	w.hosts.SetOutage(true)
+	third := w.start("a-3", "a")
+	w.eventually(5*time.Second, "the stream was read", func() bool { return !third.zone.feed.Fresh().IsZero() })
+	w.hosts.SetOutage(false)
+	w.ready(third)
+	w.finished(w.accepted(third, 1, 50*time.Millisecond), 1, 20*time.Second)
+}
--- a/internal/host/node/sink.go
+++ b/internal/host/node/sink.go
@@ -157,10 +157,7 @@
 	for id := range z.placing {
 		z.dropPlacement(id)
 	}
-	now := time.Now()
-	for _, h := range z.jobs.Holds() {
-		z.holdings.Update(now, lease.HoldMsg{Worker: h.Worker, Host: h.Host, Boot: h.Boot, Grant: h.Grant, Offset: h.At})
-	}
+	z.passHolds(time.Now())
 	return nil
 }
 
