--- a/internal/host/node/doubt.go
+++ b/internal/host/node/doubt.go
@@ -22,7 +22,7 @@
 		if silent < deadFor || z.settling[worker] {
 			return false
 		}
-		n.settle(worker, "doubt", func() (record.Item, error) { return job.DoubtItem(job.Doubt{Worker: worker}) }, func(error) {
+		n.settle(worker, "doubt", func() (record.Item, error) { return job.DoubtItem(job.Doubt{Worker: worker}) }, func() {
 			z.mu.Lock()
 			defer z.mu.Unlock()
 			if _, ok := z.jobs.Doubt(worker); ok {
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -148,7 +148,7 @@
 	doubts map[string]time.Time
 }
 
-// WithRandom is an option of New: the source of random choices.
+// WithRandom sets the source of random choices.
 func WithRandom(r *rand.Rand) Option { return func(n *Node) { n.zone.rng = r } }
 
 // Option changes a default of New.
--- a/internal/host/node/task.go
+++ b/internal/host/node/task.go
@@ -369,12 +369,12 @@
 }
 
 // settle writes a record about a task, at most one at a time. zone.mu is held.
-func (n *Node) settle(task, step string, item func() (record.Item, error), then func(error)) {
+func (n *Node) settle(task, step string, item func() (record.Item, error), then func()) {
 	if e := n.settleLater(task, step, item, nil); e != nil {
 		n.run(func(ctx context.Context) {
 			e(ctx)
 			if then != nil {
-				then(nil)
+				then()
 			}
 		})
 	}
