--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -20,7 +20,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/standin/backend"
 )
 
--- a/cmd/sassafraswind/main.go
+++ b/cmd/sassafraswind/main.go
@@ -13,6 +13,7 @@
 	"sassafraswind.example/sassafraswind/internal/command/cli"
 	"sassafraswind.example/sassafraswind/internal/host/node"
 	"sassafraswind.example/sassafraswind/internal/host/settings"
+	"sassafraswind.example/sassafraswind/platform"
 )
 
 // exitKilled is the exit code after a second signal, which ends the process without a planned stop.
@@ -28,7 +29,7 @@
 		<-signals
 		os.Exit(exitKilled)
 	}()
-	f := cli.Functions{Serve: node.Serve, CheckSettings: checkSettings, Version: version()}
+	f := cli.Functions{Serve: node.Serve, Join: platform.Run, CheckSettings: checkSettings, Version: version()}
 	os.Exit(cli.Run(ctx, os.Args[1:], f, os.Stdout, os.Stderr))
 }
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -19,8 +19,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/tailscale/hujson"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
-	"sassafraswind.example/sassafraswind/internal/platform/roster"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/roster"
 	"sassafraswind.example/sassafraswind/internal/standin/backend"
 	"sassafraswind.example/sassafraswind/internal/standin/hostlist"
 	"sassafraswind.example/sassafraswind/internal/standin/logservice"
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -10,7 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/port/journal"
 )
 
 // Guards against a stop that hangs on a long poll or ends in an error.
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -38,6 +38,8 @@
 type Functions struct {
 	// Serve runs an entry host with a settings file until the context ends.
 	Serve func(ctx context.Context, path string) error
+	// Join runs an entry host on the users' platform until the context ends.
+	Join func(ctx context.Context, path, level string) error
 	// CheckSettings reads a settings file. Mistakes in its content are returned as Mistakes, wrapped or not.
 	CheckSettings func(path string) error
 	// Version is what the version command prints.
@@ -78,6 +80,7 @@
 	JSON      bool     `name:"json" help:"Print JSON instead of text."`
 
 	Serve   serveCmd   `cmd:"" help:"Run an entry host."`
+	Join    joinCmd    `cmd:"" help:"Run an entry host with the settings file of the users' platform."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file or a declarations file without using it."`
 	Status  statusCmd  `cmd:"" help:"Show the state of an entry host and whether targets are met."`
 	Diff    diffCmd    `cmd:"" help:"Show what applying a declarations file would change."`
--- a/internal/host/caller/caller.go
+++ b/internal/host/caller/caller.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 )
 
--- /dev/null
+++ b/internal/host/entry/message.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/work/workflow"
+	"sassafraswind.example/sassafraswind/internal/zone/dispatch"
+	"sassafraswind.example/sassafraswind/internal/zone/leadership"
+)
+
+// The names of the methods between hosts.
+const (
+	methodAsk      = "/sassafraswind.entry/Ask"
+	methodBeat     = "/sassafraswind.entry/Beat"
+	methodAnnounce = "/sassafraswind.entry/Announce"
+)
+
+// Action is what a caller asks for.
+type Action string
+
+// The actions.
+const (
+	ActionSubmit Action = "submit"
+	ActionShow   Action = "show"
+	ActionCancel Action = "cancel"
+	ActionCount  Action = "count"
+)
+
+// Ask is a request of a caller, passed on to the leader.
+type Ask struct {
+	Action Action        `msgpack:"a"`
+	Queue  string        `msgpack:"q"`
+	ID     string        `msgpack:"i,omitempty"`
+	Spec   workflow.Spec `msgpack:"s"`
+	// Left is how long the caller still waits.
+	Left time.Duration `msgpack:"l"`
+}
+
+// Told answers an Ask.
+type Told struct {
+	// Outcome is 0 if it is unknown whether the request has been carried out.
+	Outcome    dispatch.Outcome `msgpack:"o"`
+	State      dispatch.State   `msgpack:"s,omitempty"`
+	Count      int              `msgpack:"n,omitempty"`
+	RetryAfter time.Duration    `msgpack:"r,omitempty"`
+	Reason     string           `msgpack:"e,omitempty"`
+	// Elsewhere is set if the host does not lead and has done nothing.
+	Elsewhere bool `msgpack:"w,omitempty"`
+}
+
+// Beat is a host's ping to the leader.
+type Beat struct {
+	Name     string `msgpack:"n"`
+	Address  string `msgpack:"a"`
+	Instance string `msgpack:"i"`
+	// StoreAge is how long ago the store answered the host.
+	StoreAge time.Duration `msgpack:"s"`
+	Version  uint64        `msgpack:"v"`
+}
+
+// BeatReply answers a Beat.
+type BeatReply struct {
+	Instance string `msgpack:"i"`
+	// Leads is set if the host leads.
+	Leads bool `msgpack:"l"`
+	// Manifest is the leader's, if it is newer than the asker's.
+	Manifest *Manifest `msgpack:"m,omitempty"`
+	// Probe asks the host to find out whether the store answers it.
+	Probe bool `msgpack:"p,omitempty"`
+}
+
+// Announcement tells other hosts of a change of leadership.
+type Announcement struct {
+	// Claim is the newest claim and Offset where it stands.
+	Claim  leadership.Claim `msgpack:"c"`
+	Offset int64            `msgpack:"o"`
+	// Vacant is set if its host has given up the leadership.
+	Vacant bool `msgpack:"v,omitempty"`
+}
+
+// Empty is a message without content.
+type Empty struct{}
--- /dev/null
+++ b/internal/host/entry/term.go
@@ -0,0 +1,662 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"sassafraswind.example/sassafraswind/internal/stream/ledger"
+	"sassafraswind.example/sassafraswind/internal/zone/dispatch"
+	"sassafraswind.example/sassafraswind/internal/zone/leadership"
+)
+
+const (
+	// writerName names the leader among the writers of a partition.
+	writerName = "leader"
+	// rosterEvery is the interval at which the list of workers is read: well inside the bounds for a worker that
+	// leaves, and much less often than all workers together write to it.
+	rosterEvery = 500 * time.Millisecond
+	// rosterTimeout bounds one reading.
+	rosterTimeout = 2 * time.Second
+	// decideEvery is the longest pause between two decisions: leases lapse and retries fall due without an event.
+	decideEvery = 250 * time.Millisecond
+	// holdMargin is what a hold may take beside its wait: two round trips between regions and a slow worker.
+	holdMargin = 600 * time.Millisecond
+	// holdPause is the pause after a hold that failed, and while ends wait for a log that does not answer.
+	holdPause = 150 * time.Millisecond
+	// orderTimeout bounds an order.
+	orderTimeout = 900 * time.Millisecond
+	// adviceTimeout bounds a request for advice, which waits its turn at the adviser.
+	adviceTimeout = 4 * time.Second
+	// doubtAfter is how long the store may be silent before the leader looks for a host that it answers.
+	doubtAfter = 1300 * time.Millisecond
+	// freshStore is how recently the store must have answered such a host.
+	freshStore = 700 * time.Millisecond
+	// stuckAfter is how long an append may take before new jobs are refused at once.
+	stuckAfter = 800 * time.Millisecond
+	// stuckRetry is when callers should come back then.
+	stuckRetry = 2 * time.Second
+	// restoreTimeout bounds one try to read the state.
+	restoreTimeout = 4 * time.Second
+)
+
+// term is one host's time as the leader.
+type term struct {
+	h      *Host
+	claim  leadership.Claim
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	ended  sync.Once
+	log    *logrus.Entry
+
+	// mu guards s, committed, loops and ready.
+	mu sync.Mutex
+	s  *dispatch.Scheduler
+	// committed is closed and replaced with each batch that became durable.
+	committed chan struct{}
+	loops     map[string]struct{}
+	ready     chan struct{}
+
+	wake, write chan struct{}
+	// confirmed is the boot clock in nanoseconds when the last call was sent that the store answered under this
+	// term's epoch. writing is when the append in progress was first sent, 0 without one.
+	confirmed, writing atomic.Int64
+}
+
+func newTerm(ctx context.Context, h *Host, claim leadership.Claim) *term {
+	ctx, cancel := context.WithCancel(ctx)
+	t := &term{
+		h: h, claim: claim, ctx: ctx, cancel: cancel, committed: make(chan struct{}), loops: map[string]struct{}{},
+		ready: make(chan struct{}), wake: make(chan struct{}, 1), write: make(chan struct{}, 1),
+		s:   dispatch.New(h.cfg.Limits, claim.Token(), claim.Serial),
+		log: h.part("leader").WithField("token", claim.Token()),
+	}
+	t.confirmed.Store(h.clock.Now().UnixNano())
+	t.run(t.begin)
+	return t
+}
+
+func (t *term) run(fn func()) {
+	t.wg.Add(1)
+	go func() {
+		defer t.wg.Done()
+		fn()
+	}()
+}
+
+// end stops the term. It does not wait for its goroutines, which give no orders any more.
+func (t *term) end(reason string) {
+	t.ended.Do(func() {
+		t.cancel()
+		t.log.WithField("reason", reason).Info("Term ended")
+	})
+}
+
+// begin bars the leader before, restores the state and starts to lead.
+func (t *term) begin() {
+	begun := t.h.clock.Now()
+	writer := t.writer(statePart)
+	renewals := t.writer(renewalPart)
+	if !t.open(writer) || !t.open(renewals) {
+		return
+	}
+	t.confirm(begun)
+	t.run(func() { t.renew(renewals) })
+	var records []dispatch.Record
+	var news WorkerNews
+	for {
+		var err error
+		if records, err = t.readState(); err == nil {
+			news, err = t.readWorkers(-1)
+		}
+		if err == nil {
+			break
+		}
+		t.log.WithError(err).Warn("Can't restore the state yet")
+		if !pause(t.ctx, followPause) {
+			return
+		}
+	}
+	t.restore(begun, records, news)
+	t.run(func() { t.writeBatches(writer) })
+	t.run(t.decide)
+	t.run(func() { t.followWorkers(news.Next) })
+	t.run(func() {
+		if err := t.h.readMembers(t.ctx); err != nil {
+			t.log.WithError(err).Debug("Can't read the list of hosts")
+		}
+		t.h.announce(t.ctx, Announcement{Claim: t.claim, Offset: t.claim.Offset})
+	})
+	close(t.ready)
+}
+
+func (t *term) writer(p ledger.Partition) *ledger.Writer {
+	return ledger.NewWriter(t.h.store, p, writerName, t.claim.Token(), ledger.WithRetryHook(func(err error, try int) {
+		t.log.WithError(err).WithFields(logrus.Fields{"try": try, "topic": p.Topic, "part": p.Part}).Debug("Append has to be repeated")
+	}))
+}
+
+// open bars the writers of earlier terms. It returns false if the term is over.
+func (t *term) open(w *ledger.Writer) bool {
+	if err := w.Open(t.ctx); err != nil {
+		t.lost(err)
+		return false
+	}
+	return true
+}
+
+// lost ends the term after a failure that says that another host leads.
+func (t *term) lost(err error) {
+	if t.ctx.Err() != nil {
+		return
+	}
+	t.log.WithError(err).Warn("Lost the leadership")
+	t.h.mu.Lock()
+	if t.h.term == t {
+		t.h.term = nil
+		t.h.watch.Gone(t.h.clock.Now(), t.h.instance)
+		t.h.watch.Yield(t.h.clock.Now(), followPause)
+	}
+	t.h.mu.Unlock()
+	t.end("fenced")
+}
+
+func (t *term) readState() ([]dispatch.Record, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, restoreTimeout)
+	defer cancel()
+	entries, _, err := ledger.ReadNewest(ctx, t.h.store, statePart)
+	if err != nil {
+		return nil, err
+	}
+	records := make([]dispatch.Record, len(entries))
+	for i, e := range entries {
+		records[i] = dispatch.Record(e.Record)
+	}
+	return records, nil
+}
+
+func (t *term) readWorkers(from int64) (WorkerNews, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, rosterTimeout)
+	defer cancel()
+	return t.h.directory.Workers(ctx, from)
+}
+
+// restore rebuilds the state of the terms before.
+func (t *term) restore(begun time.Time, records []dispatch.Record, news WorkerNews) {
+	t.h.mu.Lock()
+	manifest, zones := t.h.manifest, t.h.zones
+	t.h.mu.Unlock()
+	now := t.h.clock.Now()
+	t.mu.Lock()
+	t.setCatalog(manifest, zones)
+	faults := t.s.Restore(now, t.h.clock.Wall(), records)
+	t.applyWorkers(now, news)
+	load := t.s.Load()
+	t.mu.Unlock()
+	for _, f := range faults {
+		t.log.WithError(f).Error("Left out a record of the state")
+	}
+	t.log.WithFields(logrus.Fields{
+		"records": len(records), "jobs": load.Jobs, "workers": load.Workers, "unaccounted": load.Unaccounted,
+		"took_ms": now.Sub(begun).Milliseconds(), "serial": t.claim.Serial,
+	}).Info("Term began")
+}
+
+func (t *term) setCatalog(m *Manifest, zones map[string]bool) {
+	if m == nil {
+		return
+	}
+	c := m.Catalog
+	c.Evacuated = zones
+	t.s.SetCatalog(c)
+	t.s.SetEvacuated(zones)
+}
+
+// reconfigure takes over the host's newest configuration.
+func (t *term) reconfigure() {
+	t.h.mu.Lock()
+	manifest, zones := t.h.manifest, t.h.zones
+	t.h.mu.Unlock()
+	t.mu.Lock()
+	t.setCatalog(manifest, zones)
+	t.mu.Unlock()
+	signal(t.wake)
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// confirm notes that the store has answered a call under this term's epoch that was sent at the given time.
+func (t *term) confirm(sent time.Time) {
+	n := sent.UnixNano()
+	for old := t.confirmed.Load(); n > old; old = t.confirmed.Load() {
+		if t.confirmed.CompareAndSwap(old, n) {
+			return
+		}
+	}
+}
+
+func (t *term) confirmedAgo(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - t.confirmed.Load())
+}
+
+// mayOrder reports whether the term still stands for certain: a later leader waits for the cut-off before it takes
+// unreachable workers for idle.
+func (t *term) mayOrder(now time.Time) bool {
+	return t.ctx.Err() == nil && t.confirmedAgo(now) < t.h.cfg.Limits.CutOff
+}
+
+// doubtful reports whether the store has been silent for a while.
+func (t *term) doubtful(now time.Time) bool { return t.confirmedAgo(now) > doubtAfter }
+
+// renew keeps the claim renewed and gives the leadership up if the store answers another host but not this one.
+func (t *term) renew(w *ledger.Writer) {
+	mark := []byte(t.h.instance)
+	t.run(func() {
+		for t.ctx.Err() == nil {
+			sent := t.h.clock.Now()
+			if err := w.Write(t.ctx, []ledger.Record{{Key: renewalKey, Value: mark}}); err != nil {
+				t.lost(err)
+				return
+			}
+			// The append may have been repeated: only its last try counts, which took at most the call's timeout.
+			now := t.h.clock.Now()
+			t.confirm(maxTime(sent, now.Add(-renewCall)))
+			pause(t.ctx, leadership.RenewEvery)
+		}
+	})
+	for pause(t.ctx, leadership.RenewEvery/2) {
+		now := t.h.clock.Now()
+		if t.doubtful(now) && t.successor(now) {
+			t.h.abdicate(t.h.detached(), t, "the store answers other hosts but not this one")
+			return
+		}
+	}
+}
+
+// renewCall is the longest time that one call to the log takes, see ledger.WithCallTimeout.
+const renewCall = 700 * time.Millisecond
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// successor reports whether the store answers another host.
+func (t *term) successor(now time.Time) bool {
+	t.h.mu.Lock()
+	defer t.h.mu.Unlock()
+	for _, m := range t.h.members {
+		if !m.seen.IsZero() && now.Sub(m.seen) < freshStore && m.storeAge < freshStore && m.Instance != t.h.instance {
+			return true
+		}
+	}
+	return false
+}
+
+// detached is a context for work that outlives the term.
+func (h *Host) detached() context.Context { return context.Background() }
+
+// writeBatches writes what the scheduler has changed, one batch after the other.
+func (t *term) writeBatches(w *ledger.Writer) {
+	for {
+		t.mu.Lock()
+		b, ok := t.s.Batch()
+		t.mu.Unlock()
+		if !ok {
+			select {
+			case <-t.ctx.Done():
+				return
+			case <-t.write:
+			}
+			continue
+		}
+		records := make([]ledger.Record, len(b.Records))
+		for i, r := range b.Records {
+			records[i] = ledger.Record(r)
+		}
+		sent := t.h.clock.Now()
+		t.writing.Store(sent.UnixNano())
+		if err := w.Write(t.ctx, records); err != nil {
+			t.lost(err)
+			return
+		}
+		t.writing.Store(0)
+		if len(records) > 0 {
+			t.confirm(maxTime(sent, t.h.clock.Now().Add(-renewCall)))
+		}
+		t.mu.Lock()
+		t.s.Committed(b)
+		close(t.committed)
+		t.committed = make(chan struct{})
+		t.mu.Unlock()
+		signal(t.wake)
+	}
+}
+
+// flush waits until what has changed so far is durable.
+func (t *term) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stuckAfter)
+	defer cancel()
+	t.mu.Lock()
+	b := t.s.Open()
+	t.mu.Unlock()
+	signal(t.write)
+	t.await(ctx, b)
+}
+
+// await waits until a ticket is committed. It returns false if the context or the term ended before.
+func (t *term) await(ctx context.Context, k dispatch.Ticket) bool {
+	for {
+		t.mu.Lock()
+		done := t.s.Durable() >= k
+		committed := t.committed
+		t.mu.Unlock()
+		if done {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.ctx.Done():
+			return false
+		case <-committed:
+		}
+	}
+}
+
+// stuck reports whether the append in progress has been unanswered for a while.
+func (t *term) stuck(now time.Time) bool {
+	w := t.writing.Load()
+	return (w != 0 && time.Duration(now.UnixNano()-w) > stuckAfter) || t.confirmedAgo(now) > doubtAfter+leadership.RenewEvery
+}
+
+// ask carries out a request of a caller.
+func (t *term) ask(ctx context.Context, a Ask) Told {
+	select {
+	case <-t.ready:
+	case <-t.ctx.Done():
+		return Told{Elsewhere: true}
+	case <-ctx.Done():
+		return Told{Elsewhere: true}
+	}
+	if t.ctx.Err() != nil {
+		return Told{Elsewhere: true}
+	}
+	now := t.h.clock.Now()
+	switch a.Action {
+	case ActionCount:
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		return Told{Outcome: dispatch.OutcomeAccepted, Count: t.s.Queued(a.Queue)}
+	case ActionShow:
+		t.mu.Lock()
+		r := t.s.Lookup(a.ID)
+		t.mu.Unlock()
+		return t.told(ctx, r)
+	case ActionCancel:
+		t.mu.Lock()
+		r := t.s.Cancel(now, a.ID)
+		t.mu.Unlock()
+		t.changed()
+		return t.told(ctx, r)
+	}
+	t.mu.Lock()
+	if t.stuck(now) && !t.s.Knows(a.ID) {
+		t.mu.Unlock()
+		return Told{Outcome: dispatch.OutcomeRefused, RetryAfter: stuckRetry, Reason: "the store does not answer"}
+	}
+	r := t.s.Submit(now, dispatch.Request{ID: a.ID, Queue: a.Queue, Spec: a.Spec, Wall: t.h.clock.Wall()})
+	t.mu.Unlock()
+	t.changed()
+	return t.told(ctx, r)
+}
+
+// changed wakes the loops after a change of the state.
+func (t *term) changed() {
+	signal(t.write)
+	signal(t.wake)
+}
+
+// told turns a reply into an answer once it is durable.
+func (t *term) told(ctx context.Context, r dispatch.Reply) Told {
+	if r.Ticket != 0 && !t.await(ctx, r.Ticket) {
+		return Told{Reason: "not durable in time"}
+	}
+	return Told{Outcome: r.Outcome, State: r.State, RetryAfter: r.RetryAfter, Reason: r.Reason}
+}
+
+// decide carries out the scheduler's decisions.
+func (t *term) decide() {
+	timer := time.NewTimer(decideEvery)
+	defer timer.Stop()
+	for {
+		now := t.h.clock.Now()
+		t.mu.Lock()
+		orders := t.s.Decide(now)
+		events := t.s.Events()
+		t.mu.Unlock()
+		for _, o := range orders {
+			go t.order(o)
+		}
+		t.logEvents(events)
+		signal(t.write)
+		timer.Reset(decideEvery)
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-t.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// order sends one order and hands the answer to the scheduler.
+func (t *term) order(o dispatch.Order) {
+	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+	defer cancel()
+	if o.Kind == dispatch.OrderAdvise {
+		t.advise(o)
+		return
+	}
+	var a dispatch.Answer
+	var clock int64
+	var err error
+	if t.mayOrder(t.h.clock.Now()) {
+		a, clock, err = t.h.workers.Do(ctx, o)
+	} else {
+		a, err = dispatch.AnswerLate, errors.New("entry: the term is not confirmed")
+	}
+	if err != nil && t.ctx.Err() == nil {
+		t.log.WithError(err).WithFields(logrus.Fields{"task": o.Task, "run": o.Run, "worker": o.Worker}).Debug("Order failed")
+	}
+	if a == dispatch.AnswerFenced {
+		signal(t.write)
+	}
+	now := t.h.clock.Now()
+	t.mu.Lock()
+	switch o.Kind {
+	case dispatch.OrderStart:
+		t.s.Started(now, o, a, clock)
+	case dispatch.OrderStop:
+		t.s.Stopped(now, o, a, clock)
+	case dispatch.OrderPace:
+		t.s.Paced(now, o, a, clock)
+	}
+	t.mu.Unlock()
+	if a != dispatch.AnswerDone {
+		signal(t.wake)
+	}
+}
+
+// advise asks the adviser which workers may run a stage.
+func (t *term) advise(o dispatch.Order) {
+	ctx, cancel := context.WithTimeout(t.ctx, adviceTimeout)
+	defer cancel()
+	asked := t.h.clock.Now()
+	var permits []dispatch.Permit
+	var validity time.Duration
+	err := errors.New("entry: there is no adviser")
+	if t.h.adviser != nil {
+		permits, validity, err = t.h.adviser.Advise(ctx, o.Step, o.Candidates)
+	}
+	if err != nil {
+		t.log.WithError(err).WithField("step", o.Step).Warn("No advice")
+	}
+	now := t.h.clock.Now()
+	t.mu.Lock()
+	t.s.Advised(now, asked, o, permits, validity, err == nil)
+	t.mu.Unlock()
+	signal(t.wake)
+}
+
+// followWorkers keeps the list of workers up to date.
+func (t *term) followWorkers(from int64) {
+	lost := false
+	for pause(t.ctx, rosterEvery) {
+		news, err := t.readWorkers(from)
+		if err != nil {
+			if !lost && t.ctx.Err() == nil {
+				lost = true
+				t.log.WithError(err).Warn("Lost the list of workers")
+			}
+			continue
+		}
+		if lost {
+			lost = false
+			t.log.Info("List of workers is back")
+		}
+		from = news.Next
+		if len(news.Listed) == 0 && len(news.Gone) == 0 && !news.Whole {
+			continue
+		}
+		now := t.h.clock.Now()
+		t.mu.Lock()
+		t.applyWorkers(now, news)
+		t.mu.Unlock()
+		signal(t.wake)
+	}
+}
+
+// applyWorkers hands the news to the scheduler and starts the loops of new workers. t.mu is held.
+func (t *term) applyWorkers(now time.Time, news WorkerNews) {
+	for _, f := range news.Faults {
+		t.log.WithError(f).Debug("Left out the entry of a worker")
+	}
+	listed := map[string]struct{}{}
+	for _, r := range news.Listed {
+		t.s.SetWorker(now, r)
+		listed[r.ID] = struct{}{}
+	}
+	gone := news.Gone
+	if news.Whole {
+		for _, id := range t.s.Listed() {
+			if _, ok := listed[id]; !ok {
+				gone = append(gone, id)
+			}
+		}
+	}
+	for _, id := range gone {
+		t.s.DropWorker(now, id)
+	}
+	for _, id := range t.s.WorkerIDs() {
+		if _, ok := t.loops[id]; !ok {
+			t.loops[id] = struct{}{}
+			t.run(func() { t.hold(id) })
+		}
+	}
+}
+
+// hold renews the leases of a worker and follows what runs there, for as long as it is known.
+func (t *term) hold(id string) {
+	address := ""
+	for t.ctx.Err() == nil {
+		now := t.h.clock.Now()
+		t.mu.Lock()
+		plan, ok := t.s.PlanHold(now, id)
+		if !ok {
+			delete(t.loops, id)
+		}
+		t.mu.Unlock()
+		if !ok {
+			if address != "" {
+				t.h.workers.Forget(address)
+			}
+			return
+		}
+		address = plan.Address
+		if !t.mayOrder(now) {
+			pause(t.ctx, holdPause)
+			continue
+		}
+		t.holdOnce(plan)
+	}
+}
+
+// holdOnce sends one hold and waits until what it brought is durable.
+func (t *term) holdOnce(plan dispatch.Hold) {
+	ctx, cancel := context.WithTimeout(t.ctx, plan.Wait+holdMargin)
+	rep, err := t.h.workers.Hold(ctx, plan)
+	cancel()
+	now := t.h.clock.Now()
+	t.mu.Lock()
+	if err != nil {
+		if t.h.cfg.IsRestarted != nil && t.h.cfg.IsRestarted(err) {
+			t.s.HoldRestarted(plan.Worker)
+		} else {
+			t.s.HoldFailed(now, plan.Worker)
+		}
+	} else {
+		t.s.Held(now, rep)
+	}
+	k := t.s.Open()
+	t.mu.Unlock()
+	if err != nil {
+		if t.ctx.Err() == nil {
+			t.log.WithError(err).WithField("worker", plan.Worker).Debug("Hold failed")
+		}
+		pause(t.ctx, holdPause)
+		return
+	}
+	t.changed()
+	if len(rep.Ended) > 0 {
+		// The ends are acknowledged with the next hold, which has to come after they are durable.
+		ctx, cancel := context.WithTimeout(t.ctx, holdPause)
+		t.await(ctx, k)
+		cancel()
+	}
+}
+
+// logEvents writes the scheduler's decisions.
+func (t *term) logEvents(events []dispatch.Event) {
+	for _, e := range events {
+		f := logrus.Fields{"event": e.Kind}
+		if e.Job != "" {
+			f["job"] = e.Job
+		}
+		if e.Task != "" {
+			f["task"], f["run"] = e.Task, e.Run
+		}
+		if e.Worker != "" {
+			f["worker"] = e.Worker
+		}
+		if e.Reason != "" {
+			f["reason"] = e.Reason
+		}
+		if e.Age > 0 {
+			f["age_ms"] = e.Age.Milliseconds()
+		}
+		t.log.WithFields(f).Info("Decision")
+	}
+}
--- a/internal/host/node/call.go
+++ b/internal/host/node/call.go
@@ -12,7 +12,7 @@
 	"sassafraswind.example/sassafraswind/internal/host/caller"
 	"sassafraswind.example/sassafraswind/internal/host/peer"
 	"sassafraswind.example/sassafraswind/internal/host/telemetry"
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/request/attempt"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 	"sassafraswind.example/sassafraswind/internal/work/config"
--- a/internal/host/node/drain.go
+++ b/internal/host/node/drain.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"sassafraswind.example/sassafraswind/internal/host/peer"
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 	"sassafraswind.example/sassafraswind/internal/work/intent"
--- a/internal/host/node/holding.go
+++ b/internal/host/node/holding.go
@@ -6,8 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
-	"sassafraswind.example/sassafraswind/internal/platform/roster"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/roster"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 	"sassafraswind.example/sassafraswind/internal/work/job"
 	"sassafraswind.example/sassafraswind/internal/zone/lease"
--- a/internal/host/node/host_faults_test.go
+++ b/internal/host/node/host_faults_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 	"sassafraswind.example/sassafraswind/internal/standin/logservice"
 	"sassafraswind.example/sassafraswind/internal/work/config"
--- a/internal/host/node/house.go
+++ b/internal/host/node/house.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/port/journal"
 	"sassafraswind.example/sassafraswind/internal/stream/feed"
 	"sassafraswind.example/sassafraswind/internal/work/job"
 )
--- a/internal/host/node/key.go
+++ b/internal/host/node/key.go
@@ -9,7 +9,7 @@
 
 	"sassafraswind.example/sassafraswind/internal/host/caller"
 	"sassafraswind.example/sassafraswind/internal/host/peer"
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 	"sassafraswind.example/sassafraswind/internal/work/intent"
--- a/internal/host/node/link_test.go
+++ b/internal/host/node/link_test.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"sassafraswind.example/sassafraswind/internal/host/peer"
-	"sassafraswind.example/sassafraswind/internal/platform/journal"
-	"sassafraswind.example/sassafraswind/internal/platform/roster"
+	"sassafraswind.example/sassafraswind/internal/port/journal"
+	"sassafraswind.example/sassafraswind/internal/port/roster"
 	"sassafraswind.example/sassafraswind/internal/stream/feed"
 )
 
--- a/internal/host/node/peers.go
+++ b/internal/host/node/peers.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"sassafraswind.example/sassafraswind/internal/host/peer"
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
-	"sassafraswind.example/sassafraswind/internal/platform/roster"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/roster"
 	"sassafraswind.example/sassafraswind/internal/zone/policy"
 )
 
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -15,9 +15,9 @@
 	"sassafraswind.example/sassafraswind/internal/host/peer"
 	"sassafraswind.example/sassafraswind/internal/host/settings"
 	"sassafraswind.example/sassafraswind/internal/host/telemetry"
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
-	"sassafraswind.example/sassafraswind/internal/platform/journal"
-	"sassafraswind.example/sassafraswind/internal/platform/roster"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/journal"
+	"sassafraswind.example/sassafraswind/internal/port/roster"
 )
 
 const (
--- a/internal/host/node/target.go
+++ b/internal/host/node/target.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/request/limit"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 	"sassafraswind.example/sassafraswind/internal/work/config"
--- a/internal/host/node/task.go
+++ b/internal/host/node/task.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 	"sassafraswind.example/sassafraswind/internal/work/job"
 	"sassafraswind.example/sassafraswind/internal/zone/capacity"
--- a/internal/host/node/worker_test.go
+++ b/internal/host/node/worker_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/standin/backend"
 )
 
--- a/internal/host/peer/message.go
+++ b/internal/host/peer/message.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 	"sassafraswind.example/sassafraswind/internal/zone/policy"
 )
--- a/internal/host/peer/peer.go
+++ b/internal/host/peer/peer.go
@@ -52,11 +52,11 @@
 // Unmarshal implements drpc.Encoding.
 func (codec) Unmarshal(buf []byte, msg drpc.Message) error { return msgpack.Unmarshal(buf, msg) }
 
-// handler serves one method on a stream.
-type handler func(stream drpc.Stream) error
+// Handler serves one method on a stream.
+type Handler func(stream drpc.Stream) error
 
-// handle makes the handler of a unary method.
-func handle[Req, Rep any](fn func(context.Context, Req) (Rep, error)) handler {
+// Handle makes the handler of a unary method.
+func Handle[Req, Rep any](fn func(context.Context, Req) (Rep, error)) Handler {
 	return func(stream drpc.Stream) error {
 		var req Req
 		if err := stream.MsgRecv(&req, codec{}); err != nil {
@@ -70,11 +70,11 @@
 	}
 }
 
-// router dispatches methods by name.
-type router map[string]handler
+// Routes dispatches methods by name.
+type Routes map[string]Handler
 
 // HandleRPC implements drpc.Handler.
-func (r router) HandleRPC(stream drpc.Stream, rpc string) error {
+func (r Routes) HandleRPC(stream drpc.Stream, rpc string) error {
 	h, ok := r[rpc]
 	if !ok {
 		return errors.Newf("peer: unknown method %q", rpc)
@@ -85,11 +85,15 @@
 // Serve answers peers on the listener until the returned function is called. Calls in progress are
 // cancelled then, so that a planned stop has to wait for them first.
 func Serve(l net.Listener, n Node, logError func(error)) (*drpcserver.Server, func()) {
-	routes := router{
-		methodSync: handle(n.Sync),
-		methodCall: handle(n.PeerCall),
-		methodJob:  handle(n.PeerJob),
-	}
+	return ServeRoutes(l, Routes{
+		methodSync: Handle(n.Sync),
+		methodCall: Handle(n.PeerCall),
+		methodJob:  Handle(n.PeerJob),
+	}, logError)
+}
+
+// ServeRoutes answers peers with the given methods until the returned function is called.
+func ServeRoutes(l net.Listener, routes Routes, logError func(error)) (*drpcserver.Server, func()) {
 	s := drpcserver.NewWithOptions(routes, drpcserver.Options{
 		Manager: drpcmanager.Options{
 			Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
@@ -143,17 +147,17 @@
 
 // Sync exchanges states with a peer.
 func (c *Client) Sync(ctx context.Context, addr string, r Sync) (SyncReply, error) {
-	return invoke[Sync, SyncReply](ctx, c, addr, methodSync, r)
+	return Invoke[Sync, SyncReply](ctx, c, addr, methodSync, r)
 }
 
 // Call passes a request on to a peer. ErrNotSent means that the peer did not get it.
 func (c *Client) Call(ctx context.Context, addr string, r Call) (CallReply, error) {
-	return invoke[Call, CallReply](ctx, c, addr, methodCall, r)
+	return Invoke[Call, CallReply](ctx, c, addr, methodCall, r)
 }
 
 // Job asks a peer about a job of its zone.
 func (c *Client) Job(ctx context.Context, addr string, r Job) (JobReply, error) {
-	return invoke[Job, JobReply](ctx, c, addr, methodJob, r)
+	return Invoke[Job, JobReply](ctx, c, addr, methodJob, r)
 }
 
 // counted is a codec that keeps the sizes of the last messages.
@@ -175,9 +179,9 @@
 	return c.codec.Unmarshal(buf, msg)
 }
 
-// invoke sends one message and waits for its reply. Every call needs a deadline in ctx: a connection whose peer
+// Invoke sends one message and waits for its reply. Every call needs a deadline in ctx: a connection whose peer
 // went silent is closed when it passes, and the next call dials a new one.
-func invoke[Req, Rep any](ctx context.Context, c *Client, addr, method string, req Req) (Rep, error) {
+func Invoke[Req, Rep any](ctx context.Context, c *Client, addr, method string, req Req) (Rep, error) {
 	var rep Rep
 	if _, ok := ctx.Deadline(); !ok {
 		return rep, errors.Newf("peer: %s to %s without a deadline", method, addr)
--- /dev/null
+++ b/internal/host/telemetry/async.go
@@ -0,0 +1,77 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+)
+
+// asyncBuffer is the number of bytes that may wait to be written.
+const asyncBuffer = 256 << 10
+
+// AsyncWriter writes in the background. A writer that can't keep up never blocks its callers: what does not fit into
+// the buffer is left out and counted in a line of its own.
+type AsyncWriter struct {
+	mu      sync.Mutex
+	pending []byte
+	dropped int
+	closed  bool
+	wake    chan struct{}
+	done    chan struct{}
+}
+
+// NewAsyncWriter returns a writer to out and a function that writes what is left and stops it.
+func NewAsyncWriter(out io.Writer) (*AsyncWriter, func()) {
+	a := &AsyncWriter{wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go func() {
+		defer close(a.done)
+		for range a.wake {
+			if a.drain(out) {
+				return
+			}
+		}
+	}()
+	return a, func() {
+		a.mu.Lock()
+		a.closed = true
+		a.mu.Unlock()
+		a.signal()
+		<-a.done
+	}
+}
+
+// Write implements io.Writer. It never fails.
+func (a *AsyncWriter) Write(p []byte) (int, error) {
+	a.mu.Lock()
+	if a.closed || len(a.pending)+len(p) > asyncBuffer {
+		a.dropped++
+	} else {
+		a.pending = append(a.pending, p...)
+	}
+	a.mu.Unlock()
+	a.signal()
+	return len(p), nil
+}
+
+func (a *AsyncWriter) signal() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// drain writes what is pending. It reports whether the writer was closed.
+func (a *AsyncWriter) drain(out io.Writer) bool {
+	a.mu.Lock()
+	data, dropped, closed := a.pending, a.dropped, a.closed
+	a.pending, a.dropped = nil, 0
+	a.mu.Unlock()
+	if dropped > 0 {
+		data = fmt.Appendf(data, "{\"level\":\"warning\",\"msg\":\"log: lines left out\",\"lines\":%d}\n", dropped)
+	}
+	if len(data) > 0 {
+		// There is nowhere left to report a failure of the log itself.
+		_, _ = out.Write(data)
+	}
+	return closed
+}
--- a/internal/platform/fleet/client.go
+++ b/internal/port/fleet/client.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"sassafraswind.example/sassafraswind/internal/platform/httpcall"
+	"sassafraswind.example/sassafraswind/internal/port/httpcall"
 )
 
 // ErrNotSent is returned when no connection to the worker could be had, so that nothing was sent.
--- a/internal/platform/fleet/fleet.go
+++ b/internal/port/fleet/fleet.go
@@ -20,11 +20,11 @@
 // Size is an amount of resources.
 type Size struct {
 	// Cores is in thousandths of a core.
-	Cores int64 `json:"cores"`
+	Cores int64 `json:"cores" msgpack:"c,omitempty"`
 	// Memory is in MiB.
-	Memory int64 `json:"memory"`
+	Memory int64 `json:"memory" msgpack:"m,omitempty"`
 	// Accelerators is a count of whole devices.
-	Accelerators int64 `json:"accelerators,omitempty"`
+	Accelerators int64 `json:"accelerators,omitempty" msgpack:"a,omitempty"`
 }
 
 // Add returns the sum of both sizes.
--- a/internal/platform/httpcall/httpcall.go
+++ b/internal/port/httpcall/httpcall.go
@@ -49,20 +49,42 @@
 // one connection at most. Errors that wrap ErrNotSent mean that the message has not
 // left the process; after any other error the peer may have received it.
 func Do(ctx context.Context, t http.RoundTripper, method, url string, body []byte) (Reply, error) {
+	m := Message{Method: method, URL: url, Body: body}
+	if body != nil {
+		m.Header = http.Header{"Content-Type": jsonType}
+	}
+	return Send(ctx, t, m)
+}
+
+// jsonType is the content type of JSON bodies.
+var jsonType = []string{"application/json"}
+
+// Message is a request to a peer.
+type Message struct {
+	Method, URL string
+	Header      http.Header
+	// Body is nil for a message without one.
+	Body []byte
+}
+
+// Send sends one message like Do, with headers of the caller's choice.
+func Send(ctx context.Context, t http.RoundTripper, m Message) (Reply, error) {
 	var conns atomic.Int32
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { conns.Add(1) },
 	})
-	req, err := http.NewRequestWithContext(ctx, method, url, nil)
+	req, err := http.NewRequestWithContext(ctx, m.Method, m.URL, nil)
 	if err != nil {
 		return Reply{}, errors.Mark(errors.Wrap(err, "build request"), ErrNotSent)
 	}
-	if body != nil {
+	for k, v := range m.Header {
+		req.Header[k] = v
+	}
+	if m.Body != nil {
 		// net/http repeats a request with a body on another connection only if GetBody is set, which
 		// http.NewRequest does by itself for the usual readers.
-		req.Body = io.NopCloser(bytes.NewReader(body))
-		req.ContentLength = int64(len(body))
-		req.Header.Set("Content-Type", "application/json")
+		req.Body = io.NopCloser(bytes.NewReader(m.Body))
+		req.ContentLength = int64(len(m.Body))
 	}
 	resp, err := t.RoundTrip(req)
 	if err != nil {
--- a/internal/platform/roster/client.go
+++ b/internal/port/roster/client.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sassafraswind.example/sassafraswind/internal/platform/httpcall"
+	"sassafraswind.example/sassafraswind/internal/port/httpcall"
 )
 
 const (
--- a/internal/request/attempt/attempt.go
+++ b/internal/request/attempt/attempt.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // peerBase separates the attempt numbers of a peer from those of the host that forwarded the request.
--- a/internal/request/attempt/attempt_test.go
+++ b/internal/request/attempt/attempt_test.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"pgregory.net/rapid"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/standin/seed"
 )
 
--- a/internal/request/attempt/message.go
+++ b/internal/request/attempt/message.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // Outcome is what the caller is told.
--- /dev/null
+++ b/internal/request/route/route.go
@@ -0,0 +1,46 @@
+// Package route finds the queue of a request by its host name and path.
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Route sends the paths with a prefix under a host name to a queue.
+type Route struct {
+	Host   string `msgpack:"h"`
+	Prefix string `msgpack:"p"`
+	Queue  string `msgpack:"q"`
+}
+
+// Table finds routes. It is immutable.
+type Table struct {
+	// hosts lists the routes of each host name, the longest prefix first.
+	hosts map[string][]Route
+}
+
+// NewTable returns a table of the routes.
+func NewTable(routes []Route) *Table {
+	t := &Table{hosts: map[string][]Route{}}
+	for _, r := range routes {
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// Find returns the route with the longest prefix of the path, and what follows the prefix.
+func (t *Table) Find(host, path string) (Route, string, bool) {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	for _, r := range t.hosts[host] {
+		if rest, ok := strings.CutPrefix(path, r.Prefix); ok {
+			return r, rest, true
+		}
+	}
+	return Route{}, "", false
+}
--- a/internal/standin/backend/call.go
+++ b/internal/standin/backend/call.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // ErrLost is returned by Run for a call that was in progress when the worker restarted.
--- a/internal/standin/backend/http.go
+++ b/internal/standin/backend/http.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // MaxBody is the largest message in bytes that the handler takes.
--- a/internal/standin/backend/ledger.go
+++ b/internal/standin/backend/ledger.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // Violations counts what a correct scheduler never does.
--- a/internal/standin/backend/server_test.go
+++ b/internal/standin/backend/server_test.go
@@ -12,8 +12,8 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
-	"sassafraswind.example/sassafraswind/internal/platform/httpcall"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/httpcall"
 )
 
 // Guards against a client and a worker that disagree on the protocol, and against a pool that keeps silent connections.
--- a/internal/standin/backend/usage.go
+++ b/internal/standin/backend/usage.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // usage averages the use of each class over windows of equal length.
--- a/internal/standin/backend/worker.go
+++ b/internal/standin/backend/worker.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // ErrUnreachable is returned by all methods while the worker is frozen or unreachable. The message had no effect.
--- a/internal/standin/backend/worker_test.go
+++ b/internal/standin/backend/worker_test.go
@@ -9,7 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/standin/seed"
 )
 
--- a/internal/standin/hostlist/hostlist.go
+++ b/internal/standin/hostlist/hostlist.go
@@ -14,7 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 
-	"sassafraswind.example/sassafraswind/internal/platform/roster"
+	"sassafraswind.example/sassafraswind/internal/port/roster"
 )
 
 // ErrOutage is returned while the list is switched off.
--- a/internal/standin/hostlist/hostlist_test.go
+++ b/internal/standin/hostlist/hostlist_test.go
@@ -10,8 +10,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"sassafraswind.example/sassafraswind/internal/platform/httpcall"
-	"sassafraswind.example/sassafraswind/internal/platform/roster"
+	"sassafraswind.example/sassafraswind/internal/port/httpcall"
+	"sassafraswind.example/sassafraswind/internal/port/roster"
 )
 
 // Guards against changes that appear before their lag, or not at all.
--- a/internal/standin/logservice/http.go
+++ b/internal/standin/logservice/http.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 
-	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/port/journal"
 )
 
 // MaxRecord is the largest record in bytes that the handler takes.
--- a/internal/standin/logservice/log.go
+++ b/internal/standin/logservice/log.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
-	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/port/journal"
 )
 
 // Errors of Append and Read, in addition to those of package journal.
--- a/internal/standin/logservice/log_test.go
+++ b/internal/standin/logservice/log_test.go
@@ -12,7 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
-	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/port/journal"
 	"sassafraswind.example/sassafraswind/internal/standin/seed"
 )
 
--- a/internal/stream/feed/cursor.go
+++ b/internal/stream/feed/cursor.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/port/journal"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 )
 
--- a/internal/stream/feed/feed_test.go
+++ b/internal/stream/feed/feed_test.go
@@ -13,7 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
-	"sassafraswind.example/sassafraswind/internal/platform/journal"
+	"sassafraswind.example/sassafraswind/internal/port/journal"
 	"sassafraswind.example/sassafraswind/internal/standin/seed"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 )
--- /dev/null
+++ b/internal/stream/ledger/writer.go
@@ -0,0 +1,112 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxAppend bounds the bytes of one append, below the platform's limit for a call.
+	maxAppend = 1 << 20
+	// recordOverhead is what a record takes beside its key and value, in bytes.
+	recordOverhead = 5
+	// firstRetry and lastRetry bound the pause before an append is sent again.
+	firstRetry = 20 * time.Millisecond
+	lastRetry  = 250 * time.Millisecond
+)
+
+// Writer appends to one partition under one epoch, one append at a time. It is not safe for concurrent use.
+type Writer struct {
+	store Store
+	part  Partition
+	name  string
+	epoch int64
+	// next is the sequence number of the next append.
+	next int64
+	// callTimeout bounds one call.
+	callTimeout time.Duration
+	sleep       func(ctx context.Context, d time.Duration) error
+	onRetry     func(err error, try int)
+}
+
+// Option changes a Writer.
+type Option func(*Writer)
+
+// WithRetryHook sets a function that is told of each failed try.
+func WithRetryHook(fn func(err error, try int)) Option { return func(w *Writer) { w.onRetry = fn } }
+
+// WithCallTimeout bounds one call to the log.
+func WithCallTimeout(d time.Duration) Option { return func(w *Writer) { w.callTimeout = d } }
+
+// defaultCallTimeout bounds one call: a silent connection has to be given up before callers do.
+const defaultCallTimeout = 700 * time.Millisecond
+
+// NewWriter returns a writer with the given name and epoch.
+func NewWriter(s Store, p Partition, name string, epoch int64, opts ...Option) *Writer {
+	w := &Writer{
+		store: s, part: p, name: name, epoch: epoch, callTimeout: defaultCallTimeout, sleep: sleep,
+		onRetry: func(error, int) {},
+	}
+	for _, o := range opts {
+		o(w)
+	}
+	return w
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// Open bars the writers of lower epochs. Nothing of theirs reaches the partition after it has returned.
+func (w *Writer) Open(ctx context.Context) error {
+	_, err := w.repeat(ctx, Append{Partition: w.part, At: AnyOffset, Writer: w.name, Epoch: w.epoch, Sequence: w.next})
+	return errors.Wrapf(err, "ledger: open %s/%d under epoch %d", w.part.Topic, w.part.Part, w.epoch)
+}
+
+// Write appends the records and returns once they are durable. It sends the same append again until it is answered,
+// so that it only fails with ErrFenced or when the context ends.
+func (w *Writer) Write(ctx context.Context, records []Record) error {
+	for len(records) > 0 {
+		n, size := 0, 0
+		for n < len(records) && (n == 0 || size < maxAppend) {
+			size += recordOverhead + len(records[n].Key) + len(records[n].Value)
+			n++
+		}
+		a := Append{
+			Partition: w.part, Records: records[:n], At: AnyOffset, Writer: w.name, Epoch: w.epoch, Sequence: w.next,
+		}
+		if _, err := w.repeat(ctx, a); err != nil {
+			return errors.Wrapf(err, "ledger: append %d to %s/%d", w.next, w.part.Topic, w.part.Part)
+		}
+		w.next++
+		records = records[n:]
+	}
+	return nil
+}
+
+// repeat sends an append until it is answered. The log answers a repeat with its first answer.
+func (w *Writer) repeat(ctx context.Context, a Append) (Position, error) {
+	pause := firstRetry
+	for try := 1; ; try++ {
+		callCtx, cancel := context.WithTimeout(ctx, w.callTimeout)
+		pos, err := w.store.Append(callCtx, a)
+		cancel()
+		if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrSequence) || errors.Is(err, ErrConflict) {
+			return pos, err
+		}
+		w.onRetry(err, try)
+		if err := w.sleep(ctx, pause); err != nil {
+			return Position{}, err
+		}
+		pause = min(2*pause, lastRetry)
+	}
+}
--- a/internal/work/config/document.go
+++ b/internal/work/config/document.go
@@ -13,7 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // Kind tells how the work of a class is scheduled.
--- a/internal/work/intent/flow.go
+++ b/internal/work/intent/flow.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // MaxAttempts is the number of attempts after which a key is closed instead of tried again.
--- a/internal/work/intent/flow_test.go
+++ b/internal/work/intent/flow_test.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 )
 
--- a/internal/work/job/table.go
+++ b/internal/work/job/table.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 )
 
--- a/internal/work/job/task.go
+++ b/internal/work/job/task.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // State is the state of a task.
--- a/internal/zone/capacity/capacity.go
+++ b/internal/zone/capacity/capacity.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // extraChoices is the number of further workers that ReserveCall tries when no random candidate suits the class.
--- /dev/null
+++ b/internal/zone/dispatch/health.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import "time"
+
+const (
+	// suspectAfter is the number of failed runs in a row, with none done between them, after which a worker is
+	// taken to fail everything. Work that fails by itself is spread over workers and rarely fails twice on one.
+	suspectAfter = 2
+	// suspectFor is how long such a worker gets nothing but a probe.
+	suspectFor = 6 * time.Second
+	// refusedFor is how long a worker that refused an order gets no other.
+	refusedFor = 300 * time.Millisecond
+	// silentFor is how long a worker that left an order unanswered gets no other.
+	silentFor = 400 * time.Millisecond
+)
+
+// health is what is known of how well a worker carries out its tasks.
+type health struct {
+	// failed counts failures in a row.
+	failed int
+	// resumeAt is when the worker may get tasks again.
+	resumeAt time.Time
+	// suspectUntil is set while the worker gets only probes.
+	suspectUntil time.Time
+	// probing is set while a probe runs.
+	probing bool
+	// stalled counts runs in a row that stood still.
+	stalled int
+}
+
+// started notes a start.
+func (h *health) started(now time.Time, _ *Worker) {
+	if now.Before(h.suspectUntil) || h.failed > 0 {
+		h.probing = true
+	}
+}
+
+// ended notes the end of a run.
+func (h *health) ended(now time.Time, _ *Worker, r *run, how How) {
+	switch how {
+	case HowDone:
+		*h = health{resumeAt: h.resumeAt}
+	case HowFailed:
+		h.probing = false
+		if r != nil && r.task.step().Lasting && !r.workSince.IsZero() && now.Sub(r.workSince) > time.Second {
+			// Lasting tasks fail now and then after they have worked for a while.
+			return
+		}
+		h.failed++
+		if h.failed >= suspectAfter {
+			h.suspectUntil = now.Add(suspectFor)
+		}
+	default:
+		h.probing = false
+	}
+}
+
+// refused notes that the worker refused an order although it had room.
+func (h *health) refused(now time.Time) { h.resumeAt = now.Add(refusedFor) }
+
+// full notes that the worker said that it has no room.
+func (h *health) full(now time.Time) { h.resumeAt = now.Add(refusedFor) }
+
+// silent notes that an order got no answer.
+func (h *health) silent(now time.Time) { h.resumeAt = now.Add(silentFor) }
+
+// allows reports whether a task may be started. Tasks that have failed before go to workers without failures, so
+// that one bad worker can't use up the attempts of a task.
+func (h *health) allows(now time.Time, failures int) bool {
+	switch {
+	case now.Before(h.resumeAt):
+		return false
+	case h.failed == 0 && h.stalled == 0:
+		return true
+	case failures > 0 || h.probing:
+		return false
+	}
+	return !now.Before(h.suspectUntil)
+}
--- /dev/null
+++ b/internal/zone/dispatch/placement.go
@@ -0,0 +1,179 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+)
+
+// serveLoad is the share of their declared cores that lasting tasks use on average; the rest is left to tasks that
+// fill.
+const serveLoad = 0.5
+
+// tentative is room that a plan has used up on workers before it is carried out.
+type tentative map[*Worker]fleet.Size
+
+// place returns the worker on which the task should start, nil if none can take it now.
+func (s *Scheduler) place(now time.Time, t *task, plan tentative) *Worker {
+	step := t.step()
+	var best *Worker
+	bestScore := math.Inf(-1)
+	for _, w := range s.byService[t.job().service] {
+		if !s.eligible(now, t, w) || !s.fits(w, step.Size, step.Fills, plan[w]) {
+			continue
+		}
+		if score := s.score(now, t, w, plan); score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// eligible reports whether the task may run on the worker, whatever its room.
+func (s *Scheduler) eligible(now time.Time, t *task, w *Worker) bool {
+	step := t.step()
+	if !w.usable() || s.catalog.Evacuated[w.Zone] || w.recorded == 0 || w.recorded > s.journal.committed {
+		return false
+	}
+	if !w.health.allows(now, len(t.failed)) || (len(t.failed) > 0 && t.avoid == w.ID) {
+		return false
+	}
+	if step.Label != "" && !w.has(step.Label) {
+		return false
+	}
+	if t.job().advised {
+		k, ok := t.stage.tickets[w.ID]
+		if !ok || !now.Before(k.until) {
+			return false
+		}
+	}
+	if _, ok := w.runs[key{t.name, t.run + 1}]; ok {
+		return false
+	}
+	if step.Spread > 0 && t.stage.on(w) >= step.Spread {
+		return false
+	}
+	if step.Rack != "" && w.Rack != step.Rack && now.Sub(t.since) < s.dataWait(step.Estimate) {
+		return false
+	}
+	return true
+}
+
+// dataWait is how long a task waits for a worker near its data before it takes another, which takes longer.
+func (s *Scheduler) dataWait(estimate time.Duration) time.Duration {
+	return min(time.Duration((s.limits.RemoteFactor-1)*float64(estimate)/2), time.Second)
+}
+
+// on counts the tasks of the stage that occupy the worker.
+func (st *stage) on(w *Worker) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task.stage == st {
+			n++
+		}
+	}
+	return n
+}
+
+// fits reports whether the worker has room for the size beside what a plan has put there.
+func (s *Scheduler) fits(w *Worker, size fleet.Size, fills bool, planned fleet.Size) bool {
+	if fills {
+		size.Cores = 0
+	}
+	return w.used.Add(planned).Add(size).Fits(w.Capacity)
+}
+
+// spare is what is left for tasks that fill, in thousandths of a core.
+func (w *Worker) spare() int64 {
+	batch := w.used.Cores - w.serve
+	return w.Capacity.Cores - batch - int64(serveLoad*float64(w.serve)) - w.fill
+}
+
+// score rates a worker for a task; higher is better.
+func (s *Scheduler) score(_ time.Time, t *task, w *Worker, plan tentative) float64 {
+	step := t.step()
+	capacity := float64(max(1, w.Capacity.Cores))
+	score := 0.0
+	if step.Rack != "" && w.Rack == step.Rack {
+		score += 10
+	}
+	switch {
+	case step.Fills:
+		score += float64(w.spare()-step.Size.Cores) / capacity
+		// A worker without lasting tasks has nobody who is disturbed.
+		if w.serve == 0 {
+			score += 0.5
+		}
+	default:
+		// The tightest fit leaves room for large tasks elsewhere.
+		left := w.Capacity.Cores - w.used.Cores - plan[w].Cores - step.Size.Cores
+		score -= float64(left) / capacity
+		if step.Lasting && w.fill > 0 {
+			score -= 0.2
+		}
+	}
+	return score
+}
+
+// planGang finds a worker for each member of a gang, in one rack if its members have to be close. It returns nil if
+// there is no room for all.
+func (s *Scheduler) planGang(now time.Time, st *stage) []*Worker {
+	if st.step().Colocated {
+		for _, rack := range s.racks(st.job().service) {
+			if plan := s.planMembers(now, st, rack); plan != nil {
+				return plan
+			}
+		}
+	}
+	return s.planMembers(now, st, "")
+}
+
+func (s *Scheduler) planMembers(now time.Time, st *stage, rack string) []*Worker {
+	step := st.step()
+	plan := tentative{}
+	count := map[*Worker]int{}
+	out := make([]*Worker, 0, len(st.tasks))
+	for _, t := range st.tasks {
+		var best *Worker
+		bestScore := math.Inf(-1)
+		for _, w := range s.byService[st.job().service] {
+			if (rack != "" && w.Rack != rack) || !s.eligible(now, t, w) {
+				continue
+			}
+			if step.Spread > 0 && count[w] >= step.Spread {
+				continue
+			}
+			if !s.fits(w, step.Size, step.Fills, plan[w]) {
+				continue
+			}
+			if score := s.score(now, t, w, plan); score > bestScore {
+				best, bestScore = w, score
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		size := step.Size
+		if step.Fills {
+			size.Cores = 0
+		}
+		plan[best] = plan[best].Add(size)
+		count[best]++
+		out = append(out, best)
+	}
+	return out
+}
+
+// racks lists the racks of a service's workers.
+func (s *Scheduler) racks(service string) []string {
+	var out []string
+	seen := map[string]struct{}{}
+	for _, w := range s.byService[service] {
+		if _, ok := seen[w.Rack]; !ok && w.Rack != "" {
+			seen[w.Rack] = struct{}{}
+			out = append(out, w.Rack)
+		}
+	}
+	return out
+}
--- a/internal/zone/lease/guard_test.go
+++ b/internal/zone/lease/guard_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // briefChange marks a status without tasks in the world.
--- a/internal/zone/lease/lease.go
+++ b/internal/zone/lease/lease.go
@@ -14,7 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // startWindow is added to the worker's clock for Fence.Before: the time a start may spend on its way.
--- a/internal/zone/lease/lease_test.go
+++ b/internal/zone/lease/lease_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/standin/seed"
 )
 
--- a/internal/zone/lease/message.go
+++ b/internal/zone/lease/message.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // Msg is an input of Holdings.Update.
--- a/internal/zone/policy/baseline_test.go
+++ b/internal/zone/policy/baseline_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // The modes of a run. modeTruth is the policy given the true interference.
--- a/internal/zone/policy/bench_test.go
+++ b/internal/zone/policy/bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // BenchmarkPlaceTask gives the time of one batch placement (ns/op) and the memory of the policy, by held workers with 27
--- a/internal/zone/policy/calls_test.go
+++ b/internal/zone/policy/calls_test.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // callScale is the number of real calls that a sampled one of the class stands for, such that they keep the
--- a/internal/zone/policy/cost_test.go
+++ b/internal/zone/policy/cost_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // planned returns a policy that holds all workers of the planned size: 910 workers, 28,100 tasks in 20 batch
--- a/internal/zone/policy/exchange_test.go
+++ b/internal/zone/policy/exchange_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // startHost gives the workers of host h to a decider that has learned nothing and adopts the running tasks.
--- a/internal/zone/policy/fake_test.go
+++ b/internal/zone/policy/fake_test.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // decider is what the fake asks of an entry host; Policy and the baselines implement it.
--- a/internal/zone/policy/index.go
+++ b/internal/zone/policy/index.go
@@ -3,7 +3,7 @@
 import (
 	"math/bits"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // buckets is the number of buckets of a freeIndex.
--- a/internal/zone/policy/interference.go
+++ b/internal/zone/policy/interference.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // model learns how batch classes slow down the calls of one urgent class. The mean execution time in a
--- a/internal/zone/policy/placement.go
+++ b/internal/zone/policy/placement.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // Reason is why a task got no worker.
--- a/internal/zone/policy/policy.go
+++ b/internal/zone/policy/policy.go
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // Kind tells urgent classes from batch classes.
--- a/internal/zone/policy/policy_test.go
+++ b/internal/zone/policy/policy_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 var epoch = time.Date(2026, 1, 5, 6, 0, 0, 0, time.UTC)
--- a/internal/zone/policy/quota.go
+++ b/internal/zone/policy/quota.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // team holds the quota of a team and what its running tasks were planned with.
--- a/internal/zone/policy/share_test.go
+++ b/internal/zone/policy/share_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // taught returns a policy that learned of one pair that a unit of load prolongs calls by the given share.
--- a/internal/zone/policy/sizes.go
+++ b/internal/zone/policy/sizes.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // sizes learns how much the tasks of a class use per unit declared.
--- a/internal/zone/policy/target_test.go
+++ b/internal/zone/policy/target_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"sassafraswind.example/sassafraswind/internal/platform/fleet"
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // The bounds of these tests are the policy targets of design section 9.
