--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -138,7 +138,7 @@
 	stopping              bool
 	// inflight counts the callers' requests in progress.
 	inflight int
-	poke                  chan struct{}
+	poke     chan struct{}
 }
 
 // routing is the part of the manifest that callers' requests need.
--- a/internal/zone/dispatch/world_test.go
+++ b/internal/zone/dispatch/world_test.go
@@ -120,7 +120,9 @@
 	w.broken = append(w.broken, fmt.Sprintf("%v: ", w.now.Sub(simEpoch))+fmt.Sprintf(format, args...))
 }
 
-func (w *world) after(d time.Duration, fn func()) { w.events = append(w.events, simEvent{w.now.Add(d), fn}) }
+func (w *world) after(d time.Duration, fn func()) {
+	w.events = append(w.events, simEvent{w.now.Add(d), fn})
+}
 
 func (w *world) latency() time.Duration { return time.Duration(1+w.rng.IntN(30)) * time.Millisecond }
 
