Learn interference by pairs of images and place tasks that fill by it

Cause: all tasks that fill on a worker were paced alike by its worst tail, so that fit assessments stood still.

--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -103,6 +103,8 @@
 	journal journal
 	events  []Event
 	expired time.Time
+
+	interference *interference
 }
 
 // New returns a scheduler without jobs and workers. The token fences the orders of earlier terms, the serial counts
@@ -118,6 +120,8 @@
 		timed:       map[*Job]struct{}{},
 		unaccounted: map[string]struct{}{},
 		journal:     newJournal(),
+
+		interference: newInterference(),
 	}
 }
 
--- a/internal/zone/dispatch/pacing.go
+++ b/internal/zone/dispatch/pacing.go
@@ -1,6 +1,14 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/work/workflow"
+)
 
 const (
 	// watchInterval is how often a worker is looked at on which tasks fill beside lasting ones. Readings cover half
@@ -8,72 +16,233 @@
 	watchInterval = 500 * time.Millisecond
 	// paceUnknown stands for a run whose share an earlier term may have changed.
 	paceUnknown = -1
-	// paceStep is the factor by which the share of tasks that fill changes at a time.
-	paceStep = 0.5
-	// paceFloor is the share below which a paced task is held back altogether.
-	paceFloor = 12
-	// calmShare of the target is the tail below which tasks that fill get more again.
-	calmShare = 0.75
+	// paceGrain is the smallest change of a share that is worth an order, in percent.
+	paceGrain = 15
+	// paceFloor is the share below which a paced task is held back altogether, in percent.
+	paceFloor = 10
+	// cutShare is the share of its target that a lasting task's tail should have after tasks beside it were paced
+	// down, and easeShare the one that must be left when they are paced up or another is added. The distance between
+	// both keeps shares from swinging with every reading.
+	cutShare  = 0.85
+	easeShare = 0.65
 	// harmTries is the number of reductions that have to fit into the time for which a lasting task may be over its
 	// target.
 	harmTries = 4
 )
 
-// pace adjusts the shares of the tasks that fill beside lasting tasks with a target, from the worker's last report.
-// It answers a load that moves within seconds: one reading over the target halves the share, calm doubles it.
-func (s *Scheduler) pace(now time.Time, w *Worker) {
-	worst, over := s.strain(now, w)
-	for _, r := range s.runsOf(w) {
-		if !r.task.step().Fills || r.phase != phaseRunning || r.pacing {
+// tail is how the tasks of one lasting image on a worker stand.
+type tail struct {
+	image string
+	// target is in milliseconds.
+	target float64
+	// slack is the least of the tasks', before that of the report before, both 0 without a reading.
+	slack, before float64
+	// over is how long one of them has been over its target.
+	over time.Duration
+}
+
+// tails returns the lasting images with a target on the worker, ordered by name.
+func (s *Scheduler) tails(now time.Time, w *Worker) []tail {
+	var out []tail
+	for _, r := range w.runs {
+		step := r.task.step()
+		if !step.Lasting || step.Target <= 0 {
 			continue
 		}
-		share := r.wanted
-		switch {
-		case worst < 0:
-			share = 100
-		case over > s.limits.Harm*(harmTries-1)/harmTries:
-			share = 0
-		case worst > 1:
-			share = int(float64(share) * paceStep)
-			if share < paceFloor {
-				share = 0
-			}
-		case worst < calmShare:
-			share = min(100, max(paceFloor, int(float64(share)/paceStep)))
+		i := slices.IndexFunc(out, func(t tail) bool { return t.image == step.Image })
+		if i < 0 {
+			i = len(out)
+			out = append(out, tail{image: step.Image, target: math.Inf(1)})
 		}
-		r.wanted = share
-		if r.pace != share {
-			r.pacing = true
-			s.orders = append(s.orders, Order{
-				Kind: OrderPace, Worker: w.ID, Address: w.Address, Boot: w.Boot, Token: s.token, Task: r.task.name,
-				Run: r.number, Percent: share,
-			})
-			s.note(Event{Kind: "pace", Job: r.task.job().id, Task: r.task.name, Run: r.number, Worker: w.ID})
+		t := &out[i]
+		t.target = min(t.target, float64(step.Target.Milliseconds()))
+		if r.slack > 0 && (t.slack == 0 || r.slack < t.slack) {
+			t.slack, t.before = r.slack, r.before
+		}
+		if !r.overSince.IsZero() {
+			t.over = max(t.over, now.Sub(r.overSince))
 		}
 	}
+	slices.SortFunc(out, func(a, b tail) int { return cmp.Compare(a.image, b.image) })
+	return out
 }
 
-// strain returns the worst tail of the worker's lasting tasks as a share of its target, -1 without any, and how long
-// the one that is over its target for longest has been so.
-func (s *Scheduler) strain(now time.Time, w *Worker) (worst float64, over time.Duration) {
-	worst = -1
+// read takes over the readings of the worker's lasting tasks.
+func (s *Scheduler) read(now time.Time, w *Worker) {
 	for _, r := range w.runs {
-		target := r.task.step().Target
-		if !r.task.step().Lasting || target <= 0 || r.phase != phaseRunning || r.tail <= 0 {
+		step := r.task.step()
+		if !step.Lasting || r.phase != phaseRunning || r.tail <= 0 {
 			continue
 		}
-		ratio := float64(r.tail) / float64(target.Milliseconds())
-		worst = max(worst, ratio)
+		r.before, r.slack = r.slack, s.interference.slack(step.Image, r.tail)
 		switch {
-		case ratio <= 1:
+		case step.Target <= 0 || int64(r.tail) <= step.Target.Milliseconds():
 			r.overSince = time.Time{}
 		case r.overSince.IsZero():
 			r.overSince = now
-		default:
-			over = max(over, now.Sub(r.overSince))
 		}
 	}
-	return worst, over
+}
+
+// pace adjusts the shares of the tasks that fill beside lasting tasks with a target, from the worker's last report.
+// It answers a load of the lasting tasks that swings within seconds: what presses on a tail that is over its target is
+// cut by as much as that tail needs, and gets its share back when the load has fallen.
+func (s *Scheduler) pace(now time.Time, w *Worker) {
+	fills := w.filling()
+	s.read(now, w)
+	s.observe(w, fills)
+	if len(fills) == 0 {
+		return
+	}
+	tails := s.tails(now, w)
+	cut := false
+	for _, t := range tails {
+		if t.over == 0 && t.slack >= s.interference.need(t.image, t.target, 1) || t.slack == 0 {
+			continue
+		}
+		cut = true
+		short := s.interference.need(t.image, t.target, cutShare) - t.slack
+		if t.over > s.limits.Harm*(harmTries-1)/harmTries {
+			short = math.Inf(1)
+		}
+		s.cut(now, fills, t.image, short)
+	}
+	if !cut {
+		s.ease(now, fills, tails)
+	}
+	for _, r := range fills {
+		s.orderPace(w, r)
+		s.moveHeld(now, r)
+	}
+}
+
+// heldBound is how long a task may be held back before it is moved: about the time in which a load that only brushed
+// its peak has fallen again.
+const heldBound = 900 * time.Millisecond
+
+// moveHeld stops a task that is held back, so that it goes on from its checkpoint where the load is low. Without a
+// checkpoint its work would be lost.
+func (s *Scheduler) moveHeld(now time.Time, r *run) {
+	switch {
+	case r.wanted > 0:
+		r.heldSince = time.Time{}
+	case r.heldSince.IsZero():
+		r.heldSince = now
+	case now.Sub(r.heldSince) > heldBound && r.task.step().Checkpoints && r.task.step().Disruptable < 0:
+		s.stop(now, r, "held back by lasting tasks")
+	}
+}
+
+// filling returns the running tasks that fill, those that press most first.
+func (w *Worker) filling() []*run {
+	var out []*run
+	for _, r := range w.runs {
+		if r.task.step().Fills && r.phase == phaseRunning {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *run) int { return cmp.Compare(a.task.name, b.task.name) })
+	return out
+}
+
+// observe teaches the model what each lasting image has seen change beside it since the report before.
+func (s *Scheduler) observe(w *Worker, fills []*run) {
+	capacity := float64(max(1, w.Capacity.Cores))
+	use := map[string]float64{}
+	for _, r := range fills {
+		use[r.task.step().Image] += float64(r.tail) / capacity
+	}
+	if w.use != nil {
+		change := maps.Clone(use)
+		for image, share := range w.use {
+			change[image] -= share
+		}
+		seen := map[string]struct{}{}
+		for _, r := range s.runsOf(w) {
+			image := r.task.step().Image
+			if _, ok := seen[image]; ok || !r.task.step().Lasting || r.before < saturated || r.slack < saturated {
+				continue
+			}
+			seen[image] = struct{}{}
+			s.interference.observe(image, r.before-r.slack, change)
+		}
+	}
+	w.use = use
+}
+
+// pressure is what a task that fills puts on a lasting image at its full share.
+func (s *Scheduler) pressure(lasting string, st *workflow.Step, w *Worker) float64 {
+	return s.interference.press(lasting, st.Image) * float64(st.Size.Cores) / float64(max(1, w.Capacity.Cores))
+}
+
+// cut lowers the shares until the pressure on a lasting image has fallen by the given amount, beginning with the jobs
+// that can't be in time any more and then with what presses most.
+func (s *Scheduler) cut(now time.Time, fills []*run, lasting string, amount float64) {
+	slices.SortStableFunc(fills, func(a, b *run) int {
+		late := cmp.Compare(s.rank(now, b.task.stage).urgency, s.rank(now, a.task.stage).urgency)
+		return cmp.Or(late, cmp.Compare(s.pressure(lasting, b.task.step(), b.worker), s.pressure(lasting, a.task.step(), a.worker)))
+	})
+	everything := math.IsInf(amount, 1)
+	for _, r := range fills {
+		full := s.pressure(lasting, r.task.step(), r.worker)
+		if full < minPressure && !everything {
+			continue
+		}
+		full = max(full, minPressure)
+		have := full * float64(r.wanted) / 100
+		take := min(have, amount)
+		r.wanted = max(0, int(100*(have-take)/full))
+		if r.wanted < paceFloor {
+			r.wanted = 0
+		}
+		if amount -= take; amount <= 0 {
+			return
+		}
+	}
+}
+
+// minPressure is the pressure below which a task is taken not to disturb an image.
+const minPressure = 0.008
+
+// ease raises the shares by what the slack of all lasting images allows, beginning with the jobs that can still be in
+// time.
+func (s *Scheduler) ease(now time.Time, fills []*run, tails []tail) {
+	slices.SortStableFunc(fills, func(a, b *run) int {
+		return s.rank(now, a.task.stage).compare(s.rank(now, b.task.stage))
+	})
+	left := make([]float64, len(tails))
+	for i, t := range tails {
+		left[i] = t.slack - s.interference.need(t.image, t.target, easeShare)
+	}
+	for _, r := range fills {
+		give := float64(100 - r.wanted)
+		for i, t := range tails {
+			if full := s.pressure(t.image, r.task.step(), r.worker); full >= minPressure {
+				give = min(give, max(0, 100*left[i]/full))
+			}
+		}
+		for i, t := range tails {
+			left[i] -= s.pressure(t.image, r.task.step(), r.worker) * give / 100
+		}
+		r.wanted = min(100, r.wanted+int(give))
+	}
+}
+
+// orderPace sends a run's share to the worker if it has changed enough.
+func (s *Scheduler) orderPace(w *Worker, r *run) {
+	change := r.wanted - r.pace
+	if r.pacing || change == 0 {
+		return
+	}
+	if r.pace != paceUnknown && r.wanted != 0 && r.wanted != 100 && change < paceGrain && change > -paceGrain {
+		return
+	}
+	r.pacing = true
+	s.orders = append(s.orders, Order{
+		Kind: OrderPace, Worker: w.ID, Address: w.Address, Boot: w.Boot, Token: s.token, Task: r.task.name, Run: r.number,
+		Percent: r.wanted,
+	})
+	s.note(Event{Kind: "pace", Job: r.task.job().id, Task: r.task.name, Run: r.number, Worker: w.ID})
 }
 
 // Paced takes over the answer to a pace.
@@ -94,3 +263,39 @@
 		}
 	}
 }
+
+// trendBound bounds by how much a falling slack is taken to fall on.
+const trendBound = 0.08
+
+// bears returns how much slack the lasting task of the worker that is left with least would have above its need if a
+// task that fills were added, and by how much the task would lower it. Without lasting tasks that suffer it is 1.
+func (s *Scheduler) bears(now time.Time, w *Worker, st *workflow.Step) (left, lowers float64) {
+	left = 1
+	for _, t := range s.tails(now, w) {
+		pressure := s.pressure(t.image, st, w)
+		if pressure < minPressure {
+			continue
+		}
+		slack := t.slack
+		if slack == 0 {
+			slack = 1 - serveLoad
+		} else if t.before > 0 {
+			// The load that swings goes on for another reading.
+			slack += max(-trendBound, min(0, t.slack-t.before))
+		}
+		for _, r := range w.runs {
+			if !r.task.step().Fills {
+				continue
+			}
+			// Tasks that have just started don't show in the readings yet, and paced ones will want their share back.
+			share := 100 - r.wanted
+			if now.Sub(r.begun) < 2*watchInterval {
+				share = 100
+			}
+			slack -= s.pressure(t.image, r.task.step(), w) * float64(share) / 100
+		}
+		left = min(left, slack-s.interference.need(t.image, t.target, cutShare)-pressure)
+		lowers = max(lowers, pressure)
+	}
+	return left, lowers
+}
--- a/internal/zone/dispatch/placement.go
+++ b/internal/zone/dispatch/placement.go
@@ -11,6 +11,15 @@
 // fill.
 const serveLoad = 0.5
 
+const (
+	// fillOvercommit is the share of a worker's cores by which tasks that fill may exceed what the others leave.
+	fillOvercommit = 0.1
+	// pressWeight makes tasks go where they disturb nobody before they go where there is more to spare.
+	pressWeight = 8
+	// sameImage and otherImage outweigh the tightest fit, which is between -1 and 0.
+	sameImage, otherImage = 1.5, 3
+)
+
 // tentative is room that a plan has used up on workers before it is carried out.
 type tentative map[*Worker]fleet.Size
 
@@ -87,11 +96,17 @@
 // spare is what is left for tasks that fill, in thousandths of a core.
 func (w *Worker) spare() int64 {
 	batch := w.used.Cores - w.serve
-	return w.Capacity.Cores - batch - int64(serveLoad*float64(w.serve)) - w.fill
+	fill := int64(0)
+	for _, r := range w.runs {
+		if r.task.step().Fills {
+			fill += r.task.step().Size.Cores * int64(r.wanted) / 100
+		}
+	}
+	return w.Capacity.Cores - batch - int64(serveLoad*float64(w.serve)) - fill
 }
 
 // score rates a worker for a task; higher is better.
-func (s *Scheduler) score(_ time.Time, t *task, w *Worker, plan tentative) float64 {
+func (s *Scheduler) score(now time.Time, t *task, w *Worker, plan tentative) float64 {
 	step := t.step()
 	capacity := float64(max(1, w.Capacity.Cores))
 	score := 0.0
@@ -100,19 +115,41 @@
 	}
 	switch {
 	case step.Fills:
-		score += float64(w.spare()-step.Size.Cores) / capacity
-		// A worker without lasting tasks has nobody who is disturbed.
-		if w.serve == 0 {
-			score += 0.5
+		left, lowers := s.bears(now, w, step)
+		spare := float64(w.spare()-step.Size.Cores) / capacity
+		if left < 0 || spare < -fillOvercommit {
+			return math.Inf(-1)
 		}
+		score += spare + left - lowers*pressWeight
+	case step.Lasting:
+		score += s.companyScore(t, w)
+		score -= float64(w.Capacity.Cores-w.used.Cores-step.Size.Cores) / capacity
 	default:
 		// The tightest fit leaves room for large tasks elsewhere.
 		left := w.Capacity.Cores - w.used.Cores - plan[w].Cores - step.Size.Cores
 		score -= float64(left) / capacity
-		if step.Lasting && w.fill > 0 {
-			score -= 0.2
+	}
+	return score
+}
+
+// companyScore rates a worker for a lasting task by the lasting images that are there already. Images suffer from
+// different tasks that fill, so that a worker with one image has room for all those that don't disturb it.
+func (s *Scheduler) companyScore(t *task, w *Worker) float64 {
+	same, others := false, map[string]struct{}{}
+	for _, r := range w.runs {
+		st := r.task.step()
+		switch {
+		case !st.Lasting:
+		case st.Image == t.step().Image:
+			same = true
+		default:
+			others[st.Image] = struct{}{}
 		}
 	}
+	score := -otherImage * float64(len(others))
+	if same {
+		score += sameImage
+	}
 	return score
 }
 
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -61,8 +61,12 @@
 	// overSince is when a lasting task was first seen over its target, the zero time while it is below.
 	overSince time.Time
 	workSince time.Time
-	reason    string
-	stopSent  time.Time
+	// heldSince is since when a task that fills has been held back, the zero time while it works.
+	heldSince time.Time
+	// slack is that of a lasting task at its last reading and before the one before it, 0 without one.
+	slack, before float64
+	reason        string
+	stopSent      time.Time
 }
 
 // key identifies a run at a worker.
@@ -86,6 +90,9 @@
 	// fill and serve are the cores of the tasks that fill and of those that last, in thousandths.
 	fill, serve int64
 
+	// use is the share of the cores that each image that fills used at the last report.
+	use map[string]float64
+
 	// clock is the worker's clock in milliseconds at the host's time clockAt, a lower bound.
 	clock   int64
 	clockAt time.Time
