Leave workers to the images that are scarce there, and cut below the target

Cause: readings are rough, so that a tail that read 49 of 50 ms was over its target for four seconds; tasks that disturb nobody took the room of those that have little.

--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -25,6 +25,7 @@
 	if now.Sub(s.expired) > expireEvery {
 		s.expired = now
 		s.expire(now)
+		s.appraise()
 	}
 	s.sortReady(now)
 	s.startReady(now)
--- a/internal/zone/dispatch/pacing.go
+++ b/internal/zone/dispatch/pacing.go
@@ -20,10 +20,12 @@
 	paceGrain = 15
 	// paceFloor is the share below which a paced task is held back altogether, in percent.
 	paceFloor = 10
+	// alertShare is the share of its target from which a tail counts as over it: readings are rough.
+	alertShare = 0.9
 	// cutShare is the share of its target that a lasting task's tail should have after tasks beside it were paced
 	// down, and easeShare the one that must be left when they are paced up or another is added. The distance between
 	// both keeps shares from swinging with every reading.
-	cutShare  = 0.85
+	cutShare  = 0.8
 	easeShare = 0.65
 	// harmTries is the number of reductions that have to fit into the time for which a lasting task may be over its
 	// target.
@@ -76,7 +78,7 @@
 		}
 		r.before, r.slack = r.slack, s.interference.slack(step.Image, r.tail)
 		switch {
-		case step.Target <= 0 || int64(r.tail) <= step.Target.Milliseconds():
+		case step.Target <= 0 || float64(r.tail) <= alertShare*float64(step.Target.Milliseconds()):
 			r.overSince = time.Time{}
 		case r.overSince.IsZero():
 			r.overSince = now
@@ -97,7 +99,7 @@
 	tails := s.tails(now, w)
 	cut := false
 	for _, t := range tails {
-		if t.over == 0 && t.slack >= s.interference.need(t.image, t.target, 1) || t.slack == 0 {
+		if t.over == 0 && t.slack >= s.interference.need(t.image, t.target, alertShare) || t.slack == 0 {
 			continue
 		}
 		cut = true
--- a/internal/zone/dispatch/placement.go
+++ b/internal/zone/dispatch/placement.go
@@ -16,6 +16,8 @@
 	fillOvercommit = 0.1
 	// pressWeight makes tasks go where they disturb nobody before they go where there is more to spare.
 	pressWeight = 8
+	// worthWeight makes tasks that may go anywhere leave the workers that scarce images need.
+	worthWeight = 1.5
 	// sameImage and otherImage outweigh the tightest fit, which is between -1 and 0.
 	sameImage, otherImage = 1.5, 3
 )
@@ -120,7 +122,7 @@
 		if left < 0 || spare < -fillOvercommit {
 			return math.Inf(-1)
 		}
-		score += spare + left - lowers*pressWeight
+		score += spare + left - lowers*pressWeight - w.worth*worthWeight
 	case step.Lasting:
 		score += s.companyScore(t, w)
 		score -= float64(w.Capacity.Cores-w.used.Cores-step.Size.Cores) / capacity
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -90,6 +90,8 @@
 	// fill and serve are the cores of the tasks that fill and of those that last, in thousandths.
 	fill, serve int64
 
+	// worth is how scarce the room is for the scarcest image that fills and disturbs nobody here, from 0.
+	worth float64
 	// use is the share of the cores that each image that fills used at the last report.
 	use map[string]float64
 
