Hold back everything that presses long before harm is due

Ruled out: gaps between holds (samples every 0.5 s). Test: pacing_test.go, seen to fail with the bound and share wide.

--- a/internal/zone/dispatch/pacing.go
+++ b/internal/zone/dispatch/pacing.go
@@ -27,9 +27,10 @@
 	// both keeps shares from swinging with every reading.
 	cutShare  = 0.8
 	easeShare = 0.65
-	// harmTries is the number of reductions that have to fit into the time for which a lasting task may be over its
-	// target.
-	harmTries = 4
+	// pressingAfter and everyAfter are the shares of the time for which a lasting task may be over its target after
+	// which first all tasks that are known to press on it are held back, then all others too. Readings are up to half
+	// a second old and an order takes effect with the next one.
+	pressingAfter, everyAfter = 0.35, 0.55
 )
 
 // tail is how the tasks of one lasting image on a worker stand.
@@ -104,10 +105,11 @@
 		}
 		cut = true
 		short := s.interference.need(t.image, t.target, cutShare) - t.slack
-		if t.over > s.limits.Harm*(harmTries-1)/harmTries {
+		over := float64(t.over) / float64(max(1, s.limits.Harm))
+		if over > pressingAfter {
 			short = math.Inf(1)
 		}
-		s.cut(now, fills, t.image, short)
+		s.cut(now, fills, t.image, short, over > everyAfter)
 	}
 	if !cut {
 		s.ease(now, fills, tails)
@@ -178,13 +180,13 @@
 }
 
 // cut lowers the shares until the pressure on a lasting image has fallen by the given amount, beginning with the jobs
-// that can't be in time any more and then with what presses most.
-func (s *Scheduler) cut(now time.Time, fills []*run, lasting string, amount float64) {
+// that can't be in time any more and then with what presses most. Tasks that are known not to press are left out unless
+// everything has to be cut.
+func (s *Scheduler) cut(now time.Time, fills []*run, lasting string, amount float64, everything bool) {
 	slices.SortStableFunc(fills, func(a, b *run) int {
 		late := cmp.Compare(s.rank(now, b.task.stage).urgency, s.rank(now, a.task.stage).urgency)
 		return cmp.Or(late, cmp.Compare(s.pressure(lasting, b.task.step(), b.worker), s.pressure(lasting, a.task.step(), a.worker)))
 	})
-	everything := math.IsInf(amount, 1)
 	for _, r := range fills {
 		full := s.pressure(lasting, r.task.step(), r.worker)
 		if full < minPressure && !everything {
