Bound what a leader may do without the store, and work out margins once a report

Causes: (1) a leader was replaced while workers were down: restored tasks waited 16 s for the leader's cut-off and leases. (3) Jobs that were not handed to the log are withdrawn and refused when it is stuck. (4) Each waiting task worked out the tails of every worker anew, and one image that found no room hid the others. Tests: TestHaltedSchedulerStartsNothing, TestWithdraw.

--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -34,6 +34,8 @@
 	adviceTimeout = 4 * time.Second
 	// doubtAfter is how long the store may be silent before the leader looks for a host that it answers.
 	doubtAfter = 1300 * time.Millisecond
+	// outageBound is how long a leader gives orders without the store at most.
+	outageBound = 30 * time.Second
 	// freshStore is how recently the store must have answered such a host.
 	freshStore = 700 * time.Millisecond
 	// stuckAfter is how long an append may take before new jobs are refused at once.
@@ -54,6 +56,9 @@
 	ended  sync.Once
 	log    *logrus.Entry
 
+	// ordersUntil is when the leader before had given its last order at the latest.
+	ordersUntil time.Time
+
 	// mu guards s, committed, loops and ready.
 	mu sync.Mutex
 	s  *dispatch.Scheduler
@@ -68,10 +73,10 @@
 	confirmed, writing atomic.Int64
 }
 
-func newTerm(ctx context.Context, h *Host, claim leadership.Claim) *term {
+func newTerm(ctx context.Context, h *Host, claim leadership.Claim, ordersUntil time.Time) *term {
 	ctx, cancel := context.WithCancel(ctx)
 	t := &term{
-		h: h, claim: claim, ctx: ctx, cancel: cancel, committed: make(chan struct{}), loops: map[string]struct{}{},
+		h: h, claim: claim, ctx: ctx, cancel: cancel, ordersUntil: ordersUntil, committed: make(chan struct{}), loops: map[string]struct{}{},
 		ready: make(chan struct{}), wake: make(chan struct{}, 1), write: make(chan struct{}, 1),
 		s:   dispatch.New(h.cfg.Limits, claim.Token(), claim.Serial),
 		log: h.part("leader").WithField("token", claim.Token()),
@@ -194,7 +199,7 @@
 	now := t.h.clock.Now()
 	t.mu.Lock()
 	t.setCatalog(manifest, zones)
-	faults := t.s.Restore(now, t.h.clock.Wall(), records)
+	faults := t.s.Restore(now, t.h.clock.Wall(), records, t.ordersUntil)
 	t.applyWorkers(now, news)
 	load := t.s.Load()
 	t.mu.Unlock()
@@ -249,10 +254,14 @@
 	return time.Duration(now.UnixNano() - t.confirmed.Load())
 }
 
-// mayOrder reports whether the term still stands for certain: a later leader waits for the cut-off before it takes
-// unreachable workers for idle.
+// mayOrder reports whether no later leader can rely on this one having stopped: the term was renewed within the
+// cut-off, or the store answers none of the other hosts either, so that none of them can have claimed.
 func (t *term) mayOrder(now time.Time) bool {
-	return t.ctx.Err() == nil && t.confirmedAgo(now) < t.h.cfg.Limits.CutOff
+	if t.ctx.Err() != nil {
+		return false
+	}
+	ago := t.confirmedAgo(now)
+	return ago < t.h.cfg.Limits.CutOff || (ago < outageBound && t.h.allBlind(now, ago))
 }
 
 // doubtful reports whether the store has been silent for a while.
@@ -305,6 +314,35 @@
 	return false
 }
 
+// freshBeat is how recently all other hosts must have pinged the leader for their word to count.
+const freshBeat = 1500 * time.Millisecond
+
+// silentMember is how long before the last renewal a host must have fallen silent to count as removed.
+const silentMember = 3 * time.Second
+
+// allBlind reports whether every other host that is known has said lately that the store does not answer it either.
+// The leader's last renewal was made the given time ago.
+func (h *Host) allBlind(now time.Time, ago time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	heard := false
+	for _, m := range h.members {
+		if m.Name == h.cfg.Name {
+			continue
+		}
+		since := now.Sub(m.seen)
+		if m.seen.IsZero() || since > ago+silentMember {
+			// The host had gone when the leader still renewed its claim, as a host does that is replaced.
+			continue
+		}
+		if since > freshBeat || m.storeAge+since < ago-leadership.RenewEvery {
+			return false
+		}
+		heard = true
+	}
+	return heard
+}
+
 // detached is a context for work that outlives the term.
 func (h *Host) detached() context.Context { return context.Background() }
 
@@ -326,16 +364,12 @@
 		for i, r := range b.Records {
 			records[i] = ledger.Record(r)
 		}
-		sent := t.h.clock.Now()
-		t.writing.Store(sent.UnixNano())
+		t.writing.Store(t.h.clock.Now().UnixNano())
 		if err := w.Write(t.ctx, records); err != nil {
 			t.lost(err)
 			return
 		}
 		t.writing.Store(0)
-		if len(records) > 0 {
-			t.confirm(maxTime(sent, t.h.clock.Now().Add(-renewCall)))
-		}
 		t.mu.Lock()
 		t.s.Committed(b)
 		close(t.committed)
@@ -420,6 +454,28 @@
 	r := t.s.Submit(now, dispatch.Request{ID: a.ID, Queue: a.Queue, Spec: a.Spec, Wall: t.h.clock.Wall()})
 	t.mu.Unlock()
 	t.changed()
+	if r.Ticket == 0 {
+		return t.told(ctx, r)
+	}
+	return t.accept(ctx, a, r)
+}
+
+// accept waits until a job is durable. A job that has not been handed to the log yet when the log turns out to be
+// stuck is withdrawn and refused, so that its caller need not wait in vain.
+func (t *term) accept(ctx context.Context, a Ask, r dispatch.Reply) Told {
+	short, cancel := context.WithTimeout(ctx, stuckAfter)
+	defer cancel()
+	if t.await(short, r.Ticket) {
+		return t.told(ctx, r)
+	}
+	if ctx.Err() == nil && t.ctx.Err() == nil {
+		t.mu.Lock()
+		withdrawn := t.stuck(t.h.clock.Now()) && t.s.Withdraw(a.ID)
+		t.mu.Unlock()
+		if withdrawn {
+			return Told{Outcome: dispatch.OutcomeRefused, RetryAfter: stuckRetry, Reason: "the store does not answer"}
+		}
+	}
 	return t.told(ctx, r)
 }
 
@@ -443,7 +499,9 @@
 	defer timer.Stop()
 	for {
 		now := t.h.clock.Now()
+		may := t.mayOrder(now)
 		t.mu.Lock()
+		t.s.SetHalted(!may)
 		orders := t.s.Decide(now)
 		events := t.s.Events()
 		t.mu.Unlock()
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -28,7 +28,9 @@
 		s.appraise()
 	}
 	s.sortReady(now)
-	s.startReady(now)
+	if !s.halted {
+		s.startReady(now)
+	}
 	out := s.orders
 	s.orders = nil
 	return out
@@ -107,7 +109,9 @@
 type want struct {
 	service string
 	fills   bool
-	size    fleet.Size
+	// image matters for tasks that fill: what disturbs the lasting tasks of one worker may not disturb those of another.
+	image string
+	size  fleet.Size
 }
 
 // startReady starts what fits, most urgent first.
@@ -121,8 +125,11 @@
 			continue
 		}
 		w := want{service: j.service, fills: st.step().Fills, size: st.step().Size}
+		if w.fills {
+			w.image = st.step().Image
+		}
 		if slices.ContainsFunc(failed, func(f want) bool {
-			return f.service == w.service && f.fills == w.fills && f.size.Fits(w.size)
+			return f.service == w.service && f.fills == w.fills && f.image == w.image && f.size.Fits(w.size)
 		}) {
 			continue
 		}
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -95,6 +96,8 @@
 	timed map[*Job]struct{}
 
 	orders []Order
+	// halted is set while the leader may not give orders.
+	halted bool
 	// unaccounted names the workers on which the leader before may have left tasks that this one has not seen.
 	// Restored tasks don't start until it is empty or settleAt has passed.
 	unaccounted map[string]struct{}
@@ -125,6 +128,14 @@
 	}
 }
 
+// SetHalted keeps tasks from being started while the leader may not give orders.
+func (s *Scheduler) SetHalted(halted bool) {
+	if halted != s.halted {
+		s.note(Event{Kind: "halt", Reason: strconv.FormatBool(halted)})
+	}
+	s.halted = halted
+}
+
 // Token returns the fencing token of the term.
 func (s *Scheduler) Token() int64 { return s.token }
 
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -401,3 +401,17 @@
 	_, ok := s.jobs[id]
 	return ok
 }
+
+// Withdraw forgets a job that has not been handed to the log yet. It returns false if the job may have been.
+func (s *Scheduler) Withdraw(id string) bool {
+	j, ok := s.jobs[id]
+	if !ok || j.accepted != s.journal.current || j.final() || j.stored {
+		return false
+	}
+	delete(s.jobs, id)
+	delete(s.timed, j)
+	j.verdict = StateCancelled
+	s.journal.dirty = remove(s.journal.dirty, j)
+	s.note(Event{Kind: "withdraw", Job: id, Reason: "not handed to the log"})
+	return true
+}
--- a/internal/zone/dispatch/pacing.go
+++ b/internal/zone/dispatch/pacing.go
@@ -267,39 +267,3 @@
 		}
 	}
 }
-
-// trendBound bounds by how much a falling slack is taken to fall on.
-const trendBound = 0.08
-
-// bears returns how much slack the lasting task of the worker that is left with least would have above its need if a
-// task that fills were added, and by how much the task would lower it. Without lasting tasks that suffer it is 1.
-func (s *Scheduler) bears(now time.Time, w *Worker, st *workflow.Step) (left, lowers float64) {
-	left = 1
-	for _, t := range s.tails(now, w) {
-		pressure := s.pressure(t.image, st, w)
-		if pressure < minPressure {
-			continue
-		}
-		slack := t.slack
-		if slack == 0 {
-			slack = 1 - serveLoad
-		} else if t.before > 0 {
-			// The load that swings goes on for another reading.
-			slack += max(-trendBound, min(0, t.slack-t.before))
-		}
-		for _, r := range w.runs {
-			if !r.task.step().Fills {
-				continue
-			}
-			// Tasks that have just started don't show in the readings yet, and paced ones will want their share back.
-			share := 100 - r.wanted
-			if now.Sub(r.begun) < 2*watchInterval {
-				share = 100
-			}
-			slack -= s.pressure(t.image, r.task.step(), w) * float64(share) / 100
-		}
-		left = min(left, slack-s.interference.need(t.image, t.target, cutShare)-pressure)
-		lowers = max(lowers, pressure)
-	}
-	return left, lowers
-}
--- a/internal/zone/dispatch/placement.go
+++ b/internal/zone/dispatch/placement.go
@@ -95,16 +95,10 @@
 	return w.used.Add(planned).Add(size).Fits(w.Capacity)
 }
 
-// spare is what is left for tasks that fill, in thousandths of a core.
+// spare is what is left for tasks that fill, in thousandths of a core. The margins have to be known.
 func (w *Worker) spare() int64 {
 	batch := w.used.Cores - w.serve
-	fill := int64(0)
-	for _, r := range w.runs {
-		if r.task.step().Fills {
-			fill += r.task.step().Size.Cores * int64(r.wanted) / 100
-		}
-	}
-	return w.Capacity.Cores - batch - int64(serveLoad*float64(w.serve)) - fill
+	return w.Capacity.Cores - batch - int64(serveLoad*float64(w.serve)) - w.filled
 }
 
 // score rates a worker for a task; higher is better.
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -231,8 +231,9 @@
 }
 
 // Restore rebuilds the state of the terms before from the newest record of each key. The clocks tell how old the
-// jobs are; wall is the host's wall clock. Malformed records are returned as errors and left out.
-func (s *Scheduler) Restore(now, wall time.Time, records []Record) []error {
+// jobs are; wall is the host's wall clock. The leader before has given no order after ordersUntil. Malformed records are
+// returned as errors and left out.
+func (s *Scheduler) Restore(now, wall time.Time, records []Record, ordersUntil time.Time) []error {
 	var faults []error
 	progress := map[string]progressRecord{}
 	for _, r := range records {
@@ -260,7 +261,7 @@
 			}
 		}
 	}
-	s.settleAt = now.Add(s.limits.CutOff + time.Duration(float64(s.limits.Lease)/clockRate) + clockMargin)
+	s.settleAt = ordersUntil.Add(time.Duration(float64(s.limits.Lease)/clockRate) + clockMargin)
 	return faults
 }
 
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -85,7 +85,9 @@
 	if w.recorded == 0 {
 		w.recorded = s.journal.putWorker(w)
 	}
+	w.marginsKnown = false
 	s.pace(now, w)
+	w.marginsKnown = false
 	return true
 }
 
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -90,6 +90,11 @@
 	// fill and serve are the cores of the tasks that fill and of those that last, in thousandths.
 	fill, serve int64
 
+	// margins are those of the lasting images, valid while marginsKnown is set.
+	margins      []margin
+	marginsKnown bool
+	// filled are the cores that tasks that fill may use at their present shares, in thousandths, with the margins.
+	filled int64
 	// worth is how scarce the room is for the scarcest image that fills and disturbs nobody here, from 0.
 	worth float64
 	// use is the share of the cores that each image that fills used at the last report.
@@ -157,6 +162,7 @@
 }
 
 func (w *Worker) account(r *run, sign int64) {
+	w.marginsKnown = false
 	st := r.task.step()
 	size := st.Size
 	switch {
--- a/internal/zone/dispatch/world_faults_test.go
+++ b/internal/zone/dispatch/world_faults_test.go
@@ -143,3 +143,43 @@
 	}
 	return out
 }
+
+func TestHaltedSchedulerStartsNothing(t *testing.T) {
+	Convey("A leader that may not give orders does not use up run numbers, and goes on when it may again", t, func() {
+		w := newWorld(3, 2)
+		w.run(300 * time.Millisecond)
+		s := w.leader.s
+		s.SetHalted(true)
+		w.submit(jobID(1), workflow.Spec{Steps: []workflow.Step{step(1, 1000, time.Second)}})
+		w.run(time.Second)
+		So(s.lookup(jobID(1)+".0.0.0").run, ShouldEqual, 0)
+		s.SetHalted(false)
+		w.run(3 * time.Second)
+		So(w.done, ShouldHaveLength, 1)
+	})
+}
+
+func TestWithdraw(t *testing.T) {
+	Convey("A job that was not handed to the log can be withdrawn, and then never runs", t, func() {
+		w := newWorld(4, 2)
+		w.run(300 * time.Millisecond)
+		w.storeDown = true
+		s := w.leader.s
+		spec := workflow.Spec{Steps: []workflow.Step{step(1, 1000, 100*time.Millisecond)}}
+		s.Submit(w.now, Request{ID: jobID(1), Queue: queueName, Spec: spec, Wall: w.now})
+		So(s.Withdraw(jobID(1)), ShouldBeTrue)
+		So(s.Knows(jobID(1)), ShouldBeFalse)
+		w.storeDown = false
+		w.run(time.Second)
+		So(w.log, ShouldNotContainKey, prefixJob+jobID(1))
+	})
+	Convey("A job in a batch that is on its way can't", t, func() {
+		w := newWorld(4, 2)
+		w.run(300 * time.Millisecond)
+		s := w.leader.s
+		s.Submit(w.now, Request{ID: jobID(1), Queue: queueName, Spec: workflow.Spec{Steps: []workflow.Step{step(1, 1, 1)}}, Wall: w.now})
+		_, ok := s.Batch()
+		So(ok, ShouldBeTrue)
+		So(s.Withdraw(jobID(1)), ShouldBeFalse)
+	})
+}
--- a/internal/zone/dispatch/world_test.go
+++ b/internal/zone/dispatch/world_test.go
@@ -139,7 +139,7 @@
 	for _, k := range slices.Sorted(maps.Keys(w.log)) {
 		records = append(records, Record{Key: k, Value: w.log[k]})
 	}
-	if faults := l.s.Restore(w.now, w.now, records); len(faults) > 0 {
+	if faults := l.s.Restore(w.now, w.now, records, w.now.Add(testLimits().CutOff)); len(faults) > 0 {
 		w.breakRule("restore: %v", faults)
 	}
 	w.leader = l
--- a/internal/zone/leadership/leadership.go
+++ b/internal/zone/leadership/leadership.go
@@ -79,7 +79,9 @@
 	renewal int64
 	renewed time.Time
 	looked  time.Time
-	claimed time.Time
+	// ended and lastRenewed are what was known of the leader before when the present claim was seen.
+	ended, lastRenewed time.Time
+	claimed            time.Time
 	// barred is set once this host should not lead any more, yielded until when it leaves the claim to others.
 	barred  bool
 	yielded time.Time
@@ -99,6 +101,18 @@
 // Yield leaves the claim to other hosts for a while.
 func (w *Watch) Yield(now time.Time, d time.Duration) { w.yielded = now.Add(d) }
 
+// LastWord returns when the leader before the present one had given its last order at the latest: when it was certain
+// to have ended, or else the cut-off after its last renewal was seen for the first time.
+func (w *Watch) LastWord(now time.Time, cutOff time.Duration) time.Time {
+	switch {
+	case !w.ended.IsZero():
+		return w.ended
+	case w.lastRenewed.IsZero():
+		return now.Add(cutOff)
+	}
+	return w.lastRenewed.Add(cutOff)
+}
+
 // Claim returns the newest claim that was seen.
 func (w *Watch) Claim() Claim { return w.claim }
 
@@ -117,6 +131,7 @@
 		}
 		return false
 	}
+	w.ended, w.lastRenewed = w.vacant, w.renewed
 	w.claim = c
 	w.heard, w.vacant = now, time.Time{}
 	w.renewal, w.renewed, w.looked = -1, now, time.Time{}
