Keep the room of a stopped task until its end is listed

Ruled out: orders of an earlier term (barred by the first hold). Test: TestStoppedTaskKeepsItsRoomUntilItsEndIsListed, seen to fail first.

--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -145,7 +145,7 @@
 			r.phase = phaseRunning
 			r.task.job().started = true
 		}
-		r.acked = max(r.acked, clock)
+		r.confirmed, r.acked = true, max(r.acked, clock)
 	case AnswerUnknown:
 		if r.phase == phaseOrdered {
 			r.phase = phaseDoubtful
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -217,9 +217,10 @@
 // progress takes over what the worker says of a run.
 func (s *Scheduler) progress(now time.Time, r *run, rr *RunReport, clock int64) {
 	if r.phase == phaseOrdered || r.phase == phaseDoubtful {
-		r.phase, r.acked = phaseRunning, clock
+		r.phase = phaseRunning
 		r.task.job().started = true
 	}
+	r.confirmed, r.acked = true, max(r.acked, clock)
 	if rr.Checkpoint != "" {
 		r.task.checkpoint = rr.Checkpoint
 	}
@@ -232,6 +233,10 @@
 	r.tail = rr.Reading
 }
 
+// goneAfter is how long a worker may list a run neither as running nor as ended, in its clock. It is longer than any
+// stop takes.
+const goneAfter = 3 * time.Second
+
 // missing handles a run that the worker does not list at the given time of its clock.
 func (s *Scheduler) missing(now time.Time, r *run, clock int64) {
 	switch r.phase {
@@ -243,7 +248,13 @@
 		s.note(Event{Kind: "start expired", Task: r.task.name, Run: r.number, Worker: r.worker.ID})
 	case phaseRunning, phaseStopping:
 		// An answer that overtook the confirmation of the start says nothing.
-		if clock <= r.acked || (r.phase == phaseStopping && r.acked == 0 && clock <= r.until) {
+		// A run keeps its room until its end is listed. One that is being stopped may be listed nowhere, and the answer
+		// to the stop doesn't say whether the run was there.
+		last := r.acked
+		if !r.confirmed {
+			last = max(last, r.until)
+		}
+		if clock <= last+goneAfter.Milliseconds() {
 			return
 		}
 		s.note(Event{Kind: "run gone", Task: r.task.name, Run: r.number, Worker: r.worker.ID})
@@ -258,7 +269,7 @@
 		s.stopStray(w, rr)
 		return nil
 	}
-	r := &run{task: t, number: rr.Number, worker: w, phase: phaseRunning, begun: now, moved: now, pace: paceUnknown, wanted: 100}
+	r := &run{task: t, number: rr.Number, worker: w, phase: phaseRunning, confirmed: true, begun: now, moved: now, pace: paceUnknown, wanted: 100}
 	other := len(t.runs) > 0 && !t.step().Speculative
 	t.run = max(t.run, rr.Number)
 	t.job().started = true
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -50,6 +50,8 @@
 	begun time.Time
 	// until is the worker's clock after which it refuses the start, acked its clock when it confirmed it.
 	until, acked int64
+	// confirmed is set once the worker has confirmed the start or listed the run.
+	confirmed bool
 	// percent is the progress, moved when it last changed.
 	percent int
 	moved   time.Time
--- a/internal/zone/dispatch/world_faults_test.go
+++ b/internal/zone/dispatch/world_faults_test.go
@@ -183,3 +183,22 @@
 		So(s.Withdraw(jobID(1)), ShouldBeFalse)
 	})
 }
+
+func TestStoppedTaskKeepsItsRoomUntilItsEndIsListed(t *testing.T) {
+	Convey("A worker that lists a stopping run neither as running nor as ended gets nothing in its place", t, func() {
+		for seed := range uint64(5) {
+			w := newWorld(seed, 1)
+			w.run(300 * time.Millisecond)
+			for n := range 30 {
+				id := jobID(n)
+				at := time.Duration(n) * 200 * time.Millisecond
+				w.after(at, func() {
+					w.submit(id, workflow.Spec{Steps: []workflow.Step{step(2, 3000, 5*time.Second)}})
+				})
+				w.after(at+700*time.Millisecond, func() { w.leader.s.Cancel(w.now, id) })
+			}
+			w.run(12 * time.Second)
+			So(w.broken, ShouldBeEmpty)
+		}
+	})
+}
