--- a/internal/host/entry/follow.go
+++ b/internal/host/entry/follow.go
@@ -125,7 +125,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, followWait+followMargin)
 	defer cancel()
 	var entries []ledger.Entry
-	next := from
+	var next int64
 	if from < 0 {
 		begun := h.clock.Now()
 		all, end, err := ledger.ReadNewest(callCtx, h.store, claimPart)
--- a/internal/stream/ledger/writer.go
+++ b/internal/stream/ledger/writer.go
@@ -68,7 +68,7 @@
 
 // Open bars the writers of lower epochs. Nothing of theirs reaches the partition after it has returned.
 func (w *Writer) Open(ctx context.Context) error {
-	_, err := w.repeat(ctx, Append{Partition: w.part, At: AnyOffset, Writer: w.name, Epoch: w.epoch, Sequence: w.next})
+	err := w.repeat(ctx, Append{Partition: w.part, At: AnyOffset, Writer: w.name, Epoch: w.epoch, Sequence: w.next})
 	return errors.Wrapf(err, "ledger: open %s/%d under epoch %d", w.part.Topic, w.part.Part, w.epoch)
 }
 
@@ -84,7 +84,7 @@
 		a := Append{
 			Partition: w.part, Records: records[:n], At: AnyOffset, Writer: w.name, Epoch: w.epoch, Sequence: w.next,
 		}
-		if _, err := w.repeat(ctx, a); err != nil {
+		if err := w.repeat(ctx, a); err != nil {
 			return errors.Wrapf(err, "ledger: append %d to %s/%d", w.next, w.part.Topic, w.part.Part)
 		}
 		w.next++
@@ -94,18 +94,18 @@
 }
 
 // repeat sends an append until it is answered. The log answers a repeat with its first answer.
-func (w *Writer) repeat(ctx context.Context, a Append) (Position, error) {
+func (w *Writer) repeat(ctx context.Context, a Append) error {
 	pause := firstRetry
 	for try := 1; ; try++ {
 		callCtx, cancel := context.WithTimeout(ctx, w.callTimeout)
-		pos, err := w.store.Append(callCtx, a)
+		_, err := w.store.Append(callCtx, a)
 		cancel()
 		if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrSequence) || errors.Is(err, ErrConflict) {
-			return pos, err
+			return err
 		}
 		w.onRetry(err, try)
 		if err := w.sleep(ctx, pause); err != nil {
-			return Position{}, err
+			return err
 		}
 		pause = min(2*pause, lastRetry)
 	}
--- a/internal/zone/dispatch/advice.go
+++ b/internal/zone/dispatch/advice.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"strconv"
 	"time"
 )
@@ -56,7 +57,7 @@
 			fresh = append(fresh, w.ID)
 		}
 	}
-	names := append(eligible, fresh...)
+	names := slices.Concat(eligible, fresh)
 	if len(names) == 0 {
 		return false
 	}
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -40,10 +40,8 @@
 type urgency int
 
 const (
-	// urgencyOnTime can still be done in time.
-	urgencyOnTime urgency = iota
-	// urgencyLate is of some use, if late.
-	urgencyLate
+	// urgencyLate is of some use, if late. The zero value can still be done in time.
+	urgencyLate urgency = iota + 1
 	// urgencyMissed can't be done in any time that was asked for.
 	urgencyMissed
 )
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"time"
@@ -29,18 +30,16 @@
 
 // jobRecord is the value of a job's key. Spec is nil once the job is final.
 type jobRecord struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Queue    string
-	Wall     int64
-	Spec     *workflow.Spec
-	Verdict  State
+	Queue   string
+	Wall    int64
+	Spec    *workflow.Spec
+	Verdict State
 	// EndedWall is when the job became final.
 	EndedWall int64
 }
 
 // progressRecord is what has been achieved of a job.
 type progressRecord struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Next is the first occurrence that has not begun.
 	Next int
 	Open []occurrenceRecord
@@ -49,20 +48,18 @@
 // occurrenceRecord is the progress of one occurrence. Done has a bit for each task of each step; nil stands for a
 // step without done tasks and an empty one for a step that is done.
 type occurrenceRecord struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Index    int
-	Done     [][]byte
+	Index int
+	Done  [][]byte
 	// Failed has rows of step, task and run number.
 	Failed [][3]int
 }
 
 // workerRecord says that tasks may run on a worker.
 type workerRecord struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Boot     int64
-	Service  string
-	Address  string
-	Zone     string
+	Boot    int64
+	Service string
+	Address string
+	Zone    string
 }
 
 // journal collects changes until they are written and tracks which are durable.
@@ -112,13 +109,15 @@
 	}
 }
 
-// encode encodes a record; the types of this file always can be.
+// encode encodes a record, structs as arrays; the types of this file always can be.
 func encode(v any) []byte {
-	data, err := msgpack.Marshal(v)
-	if err != nil {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseArrayEncodedStructs(true)
+	if err := enc.Encode(v); err != nil {
 		panic(errors.Wrap(err, "dispatch: encode record"))
 	}
-	return data
+	return buf.Bytes()
 }
 
 // Batch is a set of records that are written together.
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -236,9 +236,8 @@
 }
 
 func (s *Scheduler) index(w *Worker) {
-	list := append(s.byService[w.Service], w)
-	slices.SortFunc(list, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
-	s.byService[w.Service] = list
+	s.byService[w.Service] = append(s.byService[w.Service], w)
+	slices.SortFunc(s.byService[w.Service], func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 func (s *Scheduler) unindex(w *Worker) { s.byService[w.Service] = remove(s.byService[w.Service], w) }
--- a/internal/zone/dispatch/world_test.go
+++ b/internal/zone/dispatch/world_test.go
@@ -45,14 +45,14 @@
 }
 
 type simRun struct {
-	task, checkpoint string
-	number           int
-	left             time.Duration
-	lasting, fills   bool
-	fails            bool
-	size             fleet.Size
-	stopping         bool
-	stopAt           time.Time
+	task           string
+	number         int
+	left           time.Duration
+	lasting, fills bool
+	fails          bool
+	size           fleet.Size
+	stopping       bool
+	stopAt         time.Time
 }
 
 type simWorker struct {
@@ -135,7 +135,7 @@
 	w.serial++
 	l := &simLeader{s: New(testLimits(), int64(w.serial), w.serial), token: int64(w.serial), holding: map[string]bool{}}
 	l.s.SetCatalog(w.catalog)
-	var records []Record
+	records := make([]Record, 0, len(w.log))
 	for _, k := range slices.Sorted(maps.Keys(w.log)) {
 		records = append(records, Record{Key: k, Value: w.log[k]})
 	}
