--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -195,7 +195,11 @@
 }
 
 // stopStray stops a run of a task that nobody knows.
-func (s *Scheduler) stopStray(w *Worker, rr *RunReport) {
+func (s *Scheduler) stopStray(w *Worker, rr *RunReport, clock int64) {
+	if w.strays == nil {
+		w.strays = map[key]int64{}
+	}
+	w.strays[key{rr.Task, rr.Number}] = clock
 	s.orders = append(s.orders, Order{
 		Kind: OrderStop, Worker: w.ID, Address: w.Address, Boot: w.Boot, Token: s.token, Task: rr.Task, Run: rr.Number,
 	})
--- a/internal/zone/dispatch/placement.go
+++ b/internal/zone/dispatch/placement.go
@@ -44,7 +44,7 @@
 // eligible reports whether the task may run on the worker, whatever its room.
 func (s *Scheduler) eligible(now time.Time, t *task, w *Worker) bool {
 	step := t.step()
-	if !w.usable() || s.catalog.Evacuated[w.Zone] || w.recorded == 0 || w.recorded > s.journal.committed {
+	if !w.usable() || len(w.strays) > 0 || s.catalog.Evacuated[w.Zone] || w.recorded == 0 || w.recorded > s.journal.committed {
 		return false
 	}
 	if !w.allows(now, t) {
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -105,6 +105,7 @@
 
 // end takes over the end of one run.
 func (s *Scheduler) end(now time.Time, w *Worker, e EndReport) {
+	delete(w.strays, key{e.Task, e.Number})
 	r := w.runs[key{e.Task, e.Number}]
 	var t *task
 	if r != nil {
@@ -196,7 +197,7 @@
 		listed[k] = struct{}{}
 		r := w.runs[k]
 		if r == nil {
-			r = s.adopt(now, w, rr)
+			r = s.adopt(now, w, rr, p.Clock)
 			if r == nil {
 				continue
 			}
@@ -206,6 +207,11 @@
 	if len(p.Ended) >= maxEnds {
 		return
 	}
+	for k, clock := range w.strays {
+		if p.Clock > clock+goneAfter.Milliseconds() {
+			delete(w.strays, k)
+		}
+	}
 	for _, r := range s.runsOf(w) {
 		if _, ok := listed[key{r.task.name, r.number}]; ok {
 			continue
@@ -263,10 +269,10 @@
 }
 
 // adopt takes over a run that a worker lists and this term did not start. It returns nil for a run that has to end.
-func (s *Scheduler) adopt(now time.Time, w *Worker, rr *RunReport) *run {
+func (s *Scheduler) adopt(now time.Time, w *Worker, rr *RunReport, clock int64) *run {
 	t := s.lookup(rr.Task)
 	if t == nil {
-		s.stopStray(w, rr)
+		s.stopStray(w, rr, clock)
 		return nil
 	}
 	r := &run{task: t, number: rr.Number, worker: w, phase: phaseRunning, confirmed: true, begun: now, moved: now, pace: paceUnknown, wanted: 100}
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -87,6 +87,9 @@
 	listed   bool
 	// runs are those that occupy the worker, also while they end.
 	runs map[key]*run
+	// strays are runs of tasks that nobody knows, with the worker's clock when they were last listed. Their size is
+	// not known, so that nothing is started beside them.
+	strays map[key]int64
 	// used is what runs occupy: the cores of tasks that don't fill, memory and accelerators of all.
 	used fleet.Size
 	// fill and serve are the cores of the tasks that fill and of those that last, in thousandths.
@@ -250,7 +253,7 @@
 	w.seen, w.recorded, w.lapsed, w.failures = false, 0, false, 0
 	w.clock, w.clockAt, w.lease = 0, time.Time{}, 0
 	w.read, w.durable = 0, 0
-	w.health = health{}
+	w.health, w.strays = health{}, nil
 	delete(s.unaccounted, w.ID)
 }
 
