--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -107,25 +107,24 @@
 	begun := t.h.clock.Now()
 	writer := t.writer(statePart)
 	renewals := t.writer(renewalPart)
-	if !t.open(writer) || !t.open(renewals) {
-		return
-	}
-	t.confirm(begun)
-	t.run(func() { t.renew(renewals) })
+	// A slow store makes each call take a good part of a second, so that those which don't depend on each other are
+	// made at the same time. The state may be read only once earlier writers are barred.
 	var records []dispatch.Record
 	var news WorkerNews
-	for {
-		var err error
-		if records, err = t.readState(); err == nil {
-			news, err = t.readWorkers(-1)
-		}
-		if err == nil {
-			break
-		}
-		t.log.WithError(err).Warn("Can't restore the state yet")
-		if !pause(t.ctx, followPause) {
-			return
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if t.open(renewals) {
+			t.confirm(begun)
+			t.run(func() { t.renew(renewals) })
 		}
+	})
+	wg.Go(func() { news = retry(t, func() (WorkerNews, error) { return t.readWorkers(-1) }) })
+	if t.open(writer) {
+		records = retry(t, t.readState)
+	}
+	wg.Wait()
+	if t.ctx.Err() != nil {
+		return
 	}
 	t.restore(begun, records, news)
 	t.run(func() { t.writeBatches(writer) })
@@ -140,6 +139,22 @@
 	close(t.ready)
 }
 
+// retry repeats a call until it succeeds or the term is over.
+func retry[T any](t *term, call func() (T, error)) T {
+	for {
+		v, err := call()
+		if err == nil {
+			return v
+		}
+		if t.ctx.Err() == nil {
+			t.log.WithError(err).Warn("Can't restore the state yet")
+		}
+		if !pause(t.ctx, followPause) {
+			return v
+		}
+	}
+}
+
 func (t *term) writer(p ledger.Partition) *ledger.Writer {
 	return ledger.NewWriter(t.h.store, p, writerName, t.claim.Token(), ledger.WithRetryHook(func(err error, try int) {
 		t.log.WithError(err).WithFields(logrus.Fields{"try": try, "topic": p.Topic, "part": p.Part}).Debug("Append has to be repeated")
