Remove fields and settings that nothing reads

Read as a newcomer would: a sort flag, a count of stalled runs, bounds and addresses that no decision uses yet. The boot clock fails loudly instead of falling back to a clock that stands still during a suspension.

--- a/internal/host/bootclock/bootclock.go
+++ b/internal/host/bootclock/bootclock.go
@@ -14,8 +14,8 @@
 func (Clock) Now() time.Time {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		// The clock exists on every Linux that the project runs on; the wall clock keeps the process going elsewhere.
-		return time.Now()
+		// The clock exists on every Linux since 2.6.39. Another one would break the bounds that rely on it.
+		panic(err)
 	}
 	return time.Unix(ts.Sec, ts.Nsec)
 }
--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -114,7 +114,6 @@
 	adviser   Adviser
 	clock     Clock
 	log       logrus.FieldLogger
-	metrics   *telemetry.Metrics
 	peers     *peer.Client
 
 	// table is the routing of the newest manifest, nil before the first.
@@ -164,9 +163,6 @@
 // WithAdviser sets the adviser.
 func WithAdviser(a Adviser) Option { return func(h *Host) { h.adviser = a } }
 
-// WithMetrics sets the instruments.
-func WithMetrics(m *telemetry.Metrics) Option { return func(h *Host) { h.metrics = m } }
-
 // New starts a host on the listener for other hosts. The returned function stops it: the host leaves and waits for the
 // requests in progress until the context ends.
 func New(
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -100,7 +100,6 @@
 	for _, l := range list {
 		s.ready = append(s.ready, l.st)
 	}
-	s.sorted = true
 }
 
 // want is a size that found no worker, so that larger ones of the same kind need not be tried.
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -18,8 +18,6 @@
 	Lease time.Duration
 	// Retain is how long the state of a finished job is kept.
 	Retain time.Duration
-	// Gang is how long a worker waits for the other members of a gang.
-	Gang time.Duration
 	// RemoteFactor is how many times as long a task takes away from its data or from its colocated peers.
 	RemoteFactor float64
 	// Early is how long before its due time an occurrence may start at most.
@@ -28,10 +26,6 @@
 	CutOff time.Duration
 	// Harm is how long a lasting task may stay over its target because of tasks that fill.
 	Harm time.Duration
-	// Notice is the time without work after which a lasting task counts as unavailable for any cause.
-	Notice time.Duration
-	// Checkpoint is the work between two checkpoints, Restore the time that a start from one takes.
-	Checkpoint, Restore time.Duration
 }
 
 const (
@@ -89,9 +83,8 @@
 	workers map[string]*Worker
 	// byService lists the workers of each service, ordered by id.
 	byService map[string][]*Worker
-	// ready holds the stages with waiting tasks whose dependencies are done; sorted is false after a change.
-	ready  []*stage
-	sorted bool
+	// ready holds the stages with waiting tasks whose dependencies are done.
+	ready []*stage
 	// timed holds the recurring jobs with occurrences to come.
 	timed map[*Job]struct{}
 
@@ -148,7 +141,6 @@
 	for _, j := range s.jobs {
 		s.refresh(j)
 	}
-	s.sorted = false
 }
 
 // SetEvacuated replaces the zones that get no new tasks.
--- a/internal/zone/dispatch/health.go
+++ b/internal/zone/dispatch/health.go
@@ -22,8 +22,6 @@
 	resumeAt time.Time
 	// suspectUntil is set while the worker gets only probes.
 	suspectUntil time.Time
-	// stalled counts runs in a row that stood still.
-	stalled int
 }
 
 // ended notes the end of a run.
@@ -63,7 +61,7 @@
 	switch {
 	case now.Before(h.resumeAt) || (failed && t.avoid == w.ID):
 		return false
-	case h.failed == 0 && h.stalled == 0:
+	case h.failed == 0:
 		return true
 	case failed || now.Before(h.suspectUntil):
 		return false
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -226,7 +226,6 @@
 	}
 	st.listed = true
 	s.ready = append(s.ready, st)
-	s.sorted = false
 }
 
 // lookup returns the task with the name ID.K.STEP.INDEX, nil if there is none.
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -50,8 +50,6 @@
 	Clock   int64
 	Running []RunReport
 	Ended   []EndReport
-	// Sent is when the hold was sent.
-	Sent time.Time
 }
 
 // maxEnds is the number of ends that a worker lists at once; more may follow a full list.
--- a/internal/zone/dispatch/world_test.go
+++ b/internal/zone/dispatch/world_test.go
@@ -91,9 +91,8 @@
 
 func testLimits() Limits {
 	return Limits{
-		Lease: 6 * time.Second, Retain: 120 * time.Second, Gang: 3 * time.Second, RemoteFactor: 2,
-		CutOff: 2 * time.Second, Harm: 4 * time.Second, Notice: 5 * time.Second, Checkpoint: time.Second,
-		Restore: 500 * time.Millisecond,
+		Lease: 6 * time.Second, Retain: 120 * time.Second, RemoteFactor: 2,
+		CutOff: 2 * time.Second, Harm: 4 * time.Second,
 	}
 }
 
@@ -416,7 +415,7 @@
 	}
 	l.holding[id] = true
 	sw := w.worker(id)
-	sent, boot := w.now, sw.boot
+	boot := sw.boot
 	w.after(w.latency(), func() {
 		if sw.dark || sw.boot != boot || w.rng.Float64() < w.lossy {
 			if !sw.dark && sw.boot == boot {
@@ -433,7 +432,6 @@
 			return
 		}
 		rep := sw.report(w.now)
-		rep.Sent = sent
 		w.after(w.latency(), func() {
 			l.holding[id] = false
 			if !l.over {
