--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -144,7 +144,6 @@
 type routing struct {
 	table   *route.Table
 	maxBody int64
-	version uint64
 }
 
 // member is another host as far as it is known.
--- a/internal/host/entry/follow.go
+++ b/internal/host/entry/follow.go
@@ -92,7 +92,7 @@
 		return
 	}
 	h.manifest = m
-	h.table.Store(&routing{table: route.NewTable(m.Routes), maxBody: m.MaxBody, version: m.Catalog.Version})
+	h.table.Store(&routing{table: route.NewTable(m.Routes), maxBody: m.MaxBody})
 	t := h.term
 	h.mu.Unlock()
 	h.part("operators").WithFields(logrus.Fields{
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -129,9 +129,6 @@
 	s.halted = halted
 }
 
-// Token returns the fencing token of the term.
-func (s *Scheduler) Token() int64 { return s.token }
-
 // SetCatalog takes over a newer configuration. An older one is ignored.
 func (s *Scheduler) SetCatalog(c Catalog) {
 	if c.Version < s.catalog.Version {
--- a/internal/zone/dispatch/health.go
+++ b/internal/zone/dispatch/health.go
@@ -25,7 +25,7 @@
 }
 
 // ended notes the end of a run.
-func (h *health) ended(now time.Time, _ *Worker, r *run, how How) {
+func (h *health) ended(now time.Time, r *run, how How) {
 	switch how {
 	case HowDone:
 		*h = health{resumeAt: h.resumeAt}
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -322,12 +322,6 @@
 	return n
 }
 
-// Known reports whether the queue exists in the catalog.
-func (s *Scheduler) Known(queue string) bool {
-	_, ok := s.catalog.Queues[queue]
-	return ok
-}
-
 // chain is the job's longest chain of work, with the waves of steps that are wider than the room.
 func (s *Scheduler) chain(j *Job) time.Duration { return j.spec.Chain() }
 
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -121,7 +121,7 @@
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
-	w.health.ended(now, w, r, e.How)
+	w.health.ended(now, r, e.How)
 	switch {
 	case t.done || t.job().final():
 		return
