Let strong hosts lead before weak ones

Cause: the hosts of the grown deployments have 0.192 or 0.8 of a core, and whichever claimed first led.

Hosts tell their processor time with their pings and in the list of hosts. A weak one (less than half of the strongest known) leaves a vacant leadership to others for half a second, and one that leads hands over to a strong host that pings, knows the same manifest and is answered by the store.

--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -90,8 +90,9 @@
 	// Peers is the address on which other hosts are answered.
 	Peers  string
 	Limits dispatch.Limits
-	// Handicap delays this host's claims of leadership.
-	Handicap time.Duration
+	// Power is the host's processor time per second in thousandths of a core, 0 if it is not known. Much weaker hosts
+	// leave the leadership to others.
+	Power int64
 	// IsRestarted recognises an error of Workers.Hold that another boot of the worker has answered.
 	IsRestarted func(error) bool
 }
@@ -132,6 +133,8 @@
 	operatorsRead bool
 	// members holds the addresses of the other hosts that are known.
 	members map[string]member
+	// distance is the time of a call to the store when this host last read all claims.
+	distance time.Duration
 	// lastStore is when the store last answered, lastLeader when the leader did.
 	lastStore, lastLeader time.Time
 	stopping              bool
@@ -151,6 +154,10 @@
 	Name     string
 	Address  string
 	Instance string
+	// Power is that of Config, 0 if it is not known.
+	Power int64
+	// version is that of the host's manifest when it last said so.
+	version uint64
 	// storeAge is how long ago the store had answered the host when it last said so, at the time seen.
 	storeAge time.Duration
 	seen     time.Time
@@ -174,7 +181,6 @@
 	}
 	h.store = observedStore{store, h}
 	h.watch = leadership.NewWatch(h.instance)
-	h.watch.SetHandicap(cfg.Handicap)
 	for _, o := range opts {
 		o(h)
 	}
--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -156,7 +156,7 @@
 	return dispatch.Report{Worker: "w", Boot: 1, Clock: o.clock(), Ended: slices.Clone(o.ended)}, nil
 }
 
-func startHost(t *testing.T, name string, log ledger.Store, w *oneWorker) (*Host, func()) {
+func startHost(t *testing.T, name string, power int64, log ledger.Store, w *oneWorker) (*Host, func()) {
 	t.Helper()
 	var lc net.ListenConfig
 	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -168,7 +168,7 @@
 	limits := dispatch.Limits{
 		Lease: 6 * time.Second, Retain: time.Minute, RemoteFactor: 1, CutOff: 2 * time.Second, Harm: 4 * time.Second,
 	}
-	h, stop := New(Config{Name: name, Zone: "z", Peers: l.Addr().String(), Limits: limits}, l, log, w, w, bootclock.Clock{}, quiet)
+	h, stop := New(Config{Name: name, Zone: "z", Peers: l.Addr().String(), Limits: limits, Power: power}, l, log, w, w, bootclock.Clock{}, quiet)
 	return h, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
@@ -186,6 +186,12 @@
 	return false
 }
 
+func leads(h *Host) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.term != nil
+}
+
 func ask(h *Host, a Ask) Told {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
@@ -198,7 +204,7 @@
 		hosts := make([]*Host, 2)
 		stops := make([]func(), 2)
 		for i, name := range []string{"a", "b"} {
-			hosts[i], stops[i] = startHost(t, name, log, w)
+			hosts[i], stops[i] = startHost(t, name, 0, log, w)
 		}
 		running := []int{0, 1}
 		Reset(func() {
@@ -235,11 +241,9 @@
 		})
 		Convey("when the leader stops, the other one goes on with what was accepted", func() {
 			leader := 0
-			hosts[1].mu.Lock()
-			if hosts[1].term != nil {
+			if leads(hosts[1]) {
 				leader = 1
 			}
-			hosts[1].mu.Unlock()
 			stops[leader]()
 			running = []int{1 - leader}
 			So(until(10*time.Second, completed(hosts[1-leader])), ShouldBeTrue)
@@ -256,3 +260,35 @@
 		})
 	})
 }
+
+func TestStrongerHost(t *testing.T) {
+	Convey("A weak host leads", t, func() {
+		log, w := newMemoryLog(), &oneWorker{starts: map[string]int{}, begun: time.Now()}
+		weak, stopWeak := startHost(t, "weak", 190, log, w)
+		Reset(stopWeak)
+		So(until(10*time.Second, func() bool { return leads(weak) }), ShouldBeTrue)
+		Convey("and hands over to a much stronger one that has come, with all jobs", func() {
+			id := strings.Repeat("0", 15) + "3"
+			spec := workflow.Spec{Steps: []workflow.Step{{Tasks: 2, Size: fleet.Size{Cores: 500}, Estimate: time.Second, Disruptable: -1}}}
+			So(ask(weak, Ask{Action: ActionSubmit, Queue: "q", ID: id, Spec: spec}).Outcome, ShouldEqual, dispatch.OutcomeAccepted)
+			strong, stopStrong := startHost(t, "strong", 800, log, w)
+			Reset(stopStrong)
+			So(until(10*time.Second, func() bool { return leads(strong) && !leads(weak) }), ShouldBeTrue)
+			So(until(10*time.Second, func() bool {
+				return ask(weak, Ask{Action: ActionShow, Queue: "q", ID: id}).State == dispatch.StateCompleted
+			}), ShouldBeTrue)
+			Convey("and leaves a vacant leadership to it for a while", func() {
+				weak.mu.Lock()
+				defer weak.mu.Unlock()
+				So(weak.handicap(), ShouldBeGreaterThanOrEqualTo, weakHandicap)
+			})
+		})
+		Convey("and stays leader beside one that is not much stronger", func() {
+			other, stopOther := startHost(t, "other", 300, log, w)
+			Reset(stopOther)
+			time.Sleep(4 * time.Second)
+			So(leads(weak), ShouldBeTrue)
+			So(leads(other), ShouldBeFalse)
+		})
+	})
+}
--- a/internal/host/entry/follow.go
+++ b/internal/host/entry/follow.go
@@ -132,7 +132,9 @@
 		if err != nil {
 			return from, err
 		}
-		h.setHandicap(h.clock.Now().Sub(begun))
+		h.mu.Lock()
+		h.distance = h.clock.Now().Sub(begun)
+		h.mu.Unlock()
 		entries, next = all, end
 		if len(all) == 0 {
 			h.observe(leadership.Claim{Offset: -1})
@@ -152,21 +154,6 @@
 	return next, nil
 }
 
-const (
-	// distanceFactor times the time of a call to the store is how long a host leaves a vacant leadership to others:
-	// a leader near the store waits less for each append.
-	distanceFactor = 4
-	// maxHandicap bounds it, since a store that is slow for all says nothing about the hosts.
-	maxHandicap = 400 * time.Millisecond
-)
-
-// setHandicap delays this host's claims by its distance from the store.
-func (h *Host) setHandicap(roundTrip time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.watch.SetHandicap(h.cfg.Handicap + min(distanceFactor*roundTrip, maxHandicap))
-}
-
 func decodeClaim(e ledger.Entry) (leadership.Claim, bool) {
 	var c leadership.Claim
 	if e.Key != claimKey || msgpack.Unmarshal(e.Value, &c) != nil {
--- a/internal/host/entry/message.go
+++ b/internal/host/entry/message.go
@@ -56,6 +56,7 @@
 	// StoreAge is how long ago the store answered the host.
 	StoreAge time.Duration `msgpack:"s"`
 	Version  uint64        `msgpack:"v"`
+	Power    int64         `msgpack:"p"`
 }
 
 // BeatReply answers a Beat.
--- a/internal/host/entry/renew.go
+++ b/internal/host/entry/renew.go
@@ -58,6 +58,9 @@
 			t.h.abdicate(context.Background(), t, "the store answers other hosts but not this one")
 			return
 		}
+		if t.handOver(now) {
+			return
+		}
 	}
 }
 
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -58,6 +58,7 @@
 	ended  sync.Once
 	log    *logrus.Entry
 
+	begun time.Time
 	// ordersUntil is when the leader before had given its last order at the latest.
 	ordersUntil time.Time
 
@@ -78,7 +79,7 @@
 func newTerm(ctx context.Context, h *Host, claim leadership.Claim, ordersUntil time.Time) *term {
 	ctx, cancel := context.WithCancel(ctx)
 	t := &term{
-		h: h, claim: claim, ctx: ctx, cancel: cancel, ordersUntil: ordersUntil, committed: make(chan struct{}), loops: map[string]struct{}{},
+		h: h, claim: claim, ctx: ctx, cancel: cancel, begun: h.clock.Now(), ordersUntil: ordersUntil, committed: make(chan struct{}), loops: map[string]struct{}{},
 		ready: make(chan struct{}), wake: make(chan struct{}, 1), write: make(chan struct{}, 1),
 		s:   dispatch.New(h.cfg.Limits, claim.Token(), claim.Serial),
 		log: h.part("leader").WithField("token", claim.Token()),
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -33,6 +33,7 @@
 	for ctx.Err() == nil {
 		now := h.clock.Now()
 		h.mu.Lock()
+		h.watch.SetHandicap(h.handicap())
 		action, until := h.watch.Next(now)
 		claim := h.watch.Claim()
 		ready := h.manifest != nil && h.operatorsRead
@@ -75,7 +76,7 @@
 	now := h.clock.Now()
 	h.mu.Lock()
 	h.watch.Pinged(now)
-	b := Beat{Name: h.cfg.Name, Address: h.cfg.Peers, Instance: h.instance, StoreAge: now.Sub(h.lastStore)}
+	b := Beat{Name: h.cfg.Name, Address: h.cfg.Peers, Instance: h.instance, StoreAge: now.Sub(h.lastStore), Power: h.cfg.Power}
 	if h.manifest != nil {
 		b.Version = h.manifest.Catalog.Version
 	}
@@ -287,7 +288,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
-	h.members[b.Name] = member{Name: b.Name, Address: b.Address, Instance: b.Instance, storeAge: b.StoreAge, seen: now}
+	h.members[b.Name] = member{
+		Name: b.Name, Address: b.Address, Instance: b.Instance, Power: b.Power, version: b.Version, storeAge: b.StoreAge, seen: now,
+	}
 	r := BeatReply{Instance: h.instance, Leads: h.term != nil}
 	if h.term != nil {
 		r.Probe = h.term.doubtful(now)
@@ -302,7 +305,7 @@
 func (h *Host) register(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
-	m := member{Name: h.cfg.Name, Address: h.cfg.Peers, Instance: h.instance}
+	m := member{Name: h.cfg.Name, Address: h.cfg.Peers, Instance: h.instance, Power: h.cfg.Power}
 	value, err := msgpack.Marshal(&m)
 	if err != nil {
 		return errors.Wrap(err, "entry: encode a host")
--- a/internal/zone/dispatch/scale_test.go
+++ b/internal/zone/dispatch/scale_test.go
@@ -56,7 +56,9 @@
 	return e
 }
 
-func (c *crowd) after(d time.Duration, fn func()) { heap.Push(&c.pending, crowdEvent{c.now.Add(d), fn}) }
+func (c *crowd) after(d time.Duration, fn func()) {
+	heap.Push(&c.pending, crowdEvent{c.now.Add(d), fn})
+}
 
 // newCrowd returns a deployment whose load is the given share of what its workers have room for.
 func newCrowd(workers int, load float64) *crowd {
