Read manifests for as long as their bytes arrive

A read had 0.7 s beside its wait, was given up in the middle and begun anew, for seven seconds on frontend-pohjoinen-a-6; besides, each ping of a host that was still reading was answered with the whole manifest once more.

Ruled out: processor time of decoding (hosts of the store's region had it in force 0.1 to 0.3 s after its ack).

--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -119,6 +119,8 @@
 
 	// table is the routing of the newest manifest, nil before the first.
 	table atomic.Pointer[routing]
+	// blind is set while the operators' records can't be read.
+	blind atomic.Bool
 
 	mu sync.Mutex
 	// watch is this host's view of the leadership.
--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -292,3 +292,24 @@
 		})
 	})
 }
+
+func TestManifestFromLeader(t *testing.T) {
+	Convey("A leader with a newer manifest", t, func() {
+		log, w := newMemoryLog(), &oneWorker{starts: map[string]int{}, begun: time.Now()}
+		h, stop := startHost(t, "a", 0, log, w)
+		Reset(stop)
+		So(until(10*time.Second, func() bool { return leads(h) }), ShouldBeTrue)
+		b := Beat{Name: "b", Address: "127.0.0.1:1", Instance: "b"}
+		Convey("sends it to a host that can't read it from the store", func() {
+			b.Blind = true
+			r, err := h.peerBeat(context.Background(), b)
+			So(err, ShouldBeNil)
+			So(r.Manifest, ShouldNotBeNil)
+		})
+		Convey("does not send it to one that can", func() {
+			r, err := h.peerBeat(context.Background(), b)
+			So(err, ShouldBeNil)
+			So(r.Manifest, ShouldBeNil)
+		})
+	})
+}
--- a/internal/host/entry/follow.go
+++ b/internal/host/entry/follow.go
@@ -19,10 +19,11 @@
 	followWait = 1500 * time.Millisecond
 	// followMargin is what a call may take beside the wait.
 	followMargin = 700 * time.Millisecond
+	// manifestMargin is what reading a manifest may take beside the wait while its bytes arrive: a few megabytes, for
+	// all hosts of a region at once over the link between regions.
+	manifestMargin = 8 * time.Second
 	// followPause is the pause after a call that failed.
 	followPause = 200 * time.Millisecond
-	// wholeTimeout bounds reading the newest record of each key.
-	wholeTimeout = 3 * time.Second
 )
 
 // followOperators keeps the manifest and the evacuated zones up to date.
@@ -30,16 +31,13 @@
 	from := int64(-1)
 	lost := false
 	for ctx.Err() == nil {
-		limit := followWait + followMargin
-		if from < 0 {
-			limit = wholeTimeout
-		}
-		callCtx, cancel := context.WithTimeout(ctx, limit)
+		callCtx, cancel := context.WithTimeout(ctx, followWait+manifestMargin)
 		news, err := h.directory.Operations(callCtx, from, followWait)
 		cancel()
 		if err != nil {
 			if !lost && ctx.Err() == nil {
 				lost = true
+				h.blind.Store(true)
 				h.part("operators").WithError(err).Warn("Lost the operators' records")
 			}
 			pause(ctx, followPause)
@@ -47,6 +45,7 @@
 		}
 		if lost {
 			lost = false
+			h.blind.Store(false)
 			h.part("operators").Info("Operators' records are back")
 		}
 		from = news.Next
--- a/internal/host/entry/message.go
+++ b/internal/host/entry/message.go
@@ -57,6 +57,8 @@
 	StoreAge time.Duration `msgpack:"s"`
 	Version  uint64        `msgpack:"v"`
 	Power    int64         `msgpack:"p"`
+	// Blind is set while the host can't read the operators' records by itself.
+	Blind bool `msgpack:"b"`
 }
 
 // BeatReply answers a Beat.
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -76,7 +76,7 @@
 	now := h.clock.Now()
 	h.mu.Lock()
 	h.watch.Pinged(now)
-	b := Beat{Name: h.cfg.Name, Address: h.cfg.Peers, Instance: h.instance, StoreAge: now.Sub(h.lastStore), Power: h.cfg.Power}
+	b := Beat{Name: h.cfg.Name, Address: h.cfg.Peers, Instance: h.instance, StoreAge: now.Sub(h.lastStore), Power: h.cfg.Power, Blind: h.blind.Load()}
 	if h.manifest != nil {
 		b.Version = h.manifest.Catalog.Version
 	}
@@ -295,7 +295,8 @@
 	if h.term != nil {
 		r.Probe = h.term.doubtful(now)
 	}
-	if h.manifest != nil && h.manifest.Catalog.Version > b.Version {
+	// A host that reads the manifest from the store is not sent it once more over a busy link.
+	if b.Blind && h.manifest != nil && h.manifest.Catalog.Version > b.Version {
 		r.Manifest = h.manifest
 	}
 	return r, nil
--- a/internal/port/httpcall/httpcall.go
+++ b/internal/port/httpcall/httpcall.go
@@ -65,10 +65,46 @@
 	Header      http.Header
 	// Body is nil for a message without one.
 	Body []byte
+	// Silence is the longest time without a byte of the reply, 0 for no bound but the context's. A large reply on a
+	// slow link is not given up while it arrives.
+	Silence time.Duration
+}
+
+// ErrSilent marks a failure because the peer sent nothing for as long as Message.Silence.
+var ErrSilent = errors.New("the peer fell silent")
+
+// silenceReader puts off the end of the call with each byte.
+type silenceReader struct {
+	io.Reader
+	timer   *time.Timer
+	silence time.Duration
+}
+
+func (r silenceReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.timer.Reset(r.silence)
+	}
+	return n, err
 }
 
 // Send sends one message like Do, with headers of the caller's choice.
 func Send(ctx context.Context, t http.RoundTripper, m Message) (Reply, error) {
+	if m.Silence <= 0 {
+		return send(ctx, t, m, nil)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(m.Silence, func() { cancel(ErrSilent) })
+	defer timer.Stop()
+	r, err := send(ctx, t, m, timer)
+	if err != nil && errors.Is(context.Cause(ctx), ErrSilent) {
+		err = errors.Mark(errors.Wrapf(err, "no byte for %v", m.Silence), ErrSilent)
+	}
+	return r, err
+}
+
+func send(ctx context.Context, t http.RoundTripper, m Message, timer *time.Timer) (Reply, error) {
 	var conns atomic.Int32
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { conns.Add(1) },
@@ -94,7 +130,11 @@
 		return Reply{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxReply+1))
+	var body io.Reader = resp.Body
+	if timer != nil {
+		body = silenceReader{resp.Body, timer, m.Silence}
+	}
+	data, err := io.ReadAll(io.LimitReader(body, MaxReply+1))
 	if err != nil {
 		return Reply{}, errors.Wrap(err, "read reply")
 	}
--- a/internal/port/httpcall/httpcall_test.go
+++ b/internal/port/httpcall/httpcall_test.go
@@ -105,3 +105,35 @@
 		So(errors.Is(err, ErrNotSent), ShouldBeTrue)
 	})
 }
+
+func TestSilence(t *testing.T) {
+	Convey("A reply that arrives slowly", t, func() {
+		stopAfter := 100
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			for i := range 8 {
+				if i == stopAfter {
+					<-r.Context().Done()
+					return
+				}
+				_, _ = io.WriteString(w, "x")
+				w.(http.Flusher).Flush()
+				time.Sleep(50 * time.Millisecond)
+			}
+		}))
+		tr := NewTransport(1, time.Second, time.Minute)
+		Reset(func() { tr.CloseIdleConnections(); srv.Close() })
+		m := Message{Method: http.MethodGet, URL: srv.URL, Silence: 200 * time.Millisecond}
+		Convey("is read to its end", func() {
+			r, err := Send(context.Background(), tr, m)
+			So(err, ShouldBeNil)
+			So(string(r.Body), ShouldEqual, "xxxxxxxx")
+		})
+		Convey("is given up once nothing more comes", func() {
+			stopAfter = 2
+			begun := time.Now()
+			_, err := Send(context.Background(), tr, m)
+			So(errors.Is(err, ErrSilent), ShouldBeTrue)
+			So(time.Since(begun), ShouldBeLessThan, 2*time.Second)
+		})
+	})
+}
