Keep the leader while the store is down for all, and respect claims on their way

A leader now gives up only if the store has answered another host after it failed to answer the leader's own probe; hosts ping again as soon as their probe, which the leader asked for, succeeded. A host whose claim is on its way says that it leads. The handicap of weak and distant hosts counts for each try.

Ruled out: the links between hosts (announcements arrived within 0.1 s).

--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -127,6 +127,9 @@
 	watch *leadership.Watch
 	// term is the present term while this host leads, nil otherwise.
 	term *term
+	// claiming is set while a claim of this host is on its way. Others may read it in the log before this host knows
+	// that it leads.
+	claiming bool
 	// changed is closed and replaced whenever the leadership changes.
 	changed chan struct{}
 	// manifest and zones are the newest configuration; operatorsRead is set after the first reading.
--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -313,3 +313,44 @@
 		})
 	})
 }
+
+func TestClaimOnItsWay(t *testing.T) {
+	Convey("A host whose claim is on its way, and may stand in the log already, says that it leads", t, func() {
+		log, w := newMemoryLog(), &oneWorker{starts: map[string]int{}, begun: time.Now()}
+		log.delay = 400 * time.Millisecond
+		h, stop := startHost(t, "a", 0, log, w)
+		Reset(stop)
+		So(until(10*time.Second, func() bool {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return h.claiming && h.term == nil
+		}), ShouldBeTrue)
+		r, err := h.peerBeat(context.Background(), Beat{Name: "b", Address: "127.0.0.1:1", Instance: "b"})
+		So(err, ShouldBeNil)
+		So(r.Leads, ShouldBeTrue)
+	})
+}
+
+func TestSuccessor(t *testing.T) {
+	Convey("A leader that the store does not answer looks for a host that it answers", t, func() {
+		now := time.Unix(1000, 0)
+		h := &Host{instance: "a", members: map[string]member{}}
+		term := &term{h: h}
+		heard := func(ago, storeAge time.Duration) {
+			h.members["b"] = member{Name: "b", Instance: "b", seen: now.Add(-ago), storeAge: storeAge}
+		}
+		failing := now.Add(-500 * time.Millisecond)
+		Convey("which counts if the answer came after the first failure here", func() {
+			heard(50*time.Millisecond, 20*time.Millisecond)
+			So(term.successor(now, failing), ShouldBeTrue)
+		})
+		Convey("but not if it came before: the store may be down for all", func() {
+			heard(50*time.Millisecond, 600*time.Millisecond)
+			So(term.successor(now, failing), ShouldBeFalse)
+		})
+		Convey("and not if the host has not been heard of for a while", func() {
+			heard(time.Second, 0)
+			So(term.successor(now, now.Add(-3*time.Second)), ShouldBeFalse)
+		})
+	})
+}
--- a/internal/host/entry/renew.go
+++ b/internal/host/entry/renew.go
@@ -51,9 +51,16 @@
 			pause(t.ctx, leadership.RenewEvery)
 		}
 	})
-	for pause(t.ctx, leadership.RenewEvery/2) {
+	// failing is when the first of the probes was sent that the store has not answered since.
+	var failing time.Time
+	for pause(t.ctx, leadership.RenewEvery/4) {
 		now := t.h.clock.Now()
-		if t.doubtful(now) && t.successor(now) && !t.h.probe(t.ctx) {
+		switch {
+		case !t.doubtful(now) || t.h.probe(t.ctx):
+			failing = time.Time{}
+		case failing.IsZero():
+			failing = now
+		case t.successor(now, failing):
 			// The announcement outlives the term.
 			t.h.abdicate(context.Background(), t, "the store answers other hosts but not this one")
 			return
@@ -74,12 +81,19 @@
 	return b
 }
 
-// successor reports whether the store answers another host.
-func (t *term) successor(now time.Time) bool {
+// beatDelay is what a ping may take to arrive, by which the age of the store's answer in it is out of date.
+const beatDelay = 100 * time.Millisecond
+
+// successor reports whether the store has answered another host after it failed to answer this one. An answer of
+// before says nothing about a store that is down for all.
+func (t *term) successor(now, failing time.Time) bool {
 	t.h.mu.Lock()
 	defer t.h.mu.Unlock()
 	for _, m := range t.h.members {
-		if !m.seen.IsZero() && now.Sub(m.seen) < freshStore && m.storeAge < freshStore && m.Instance != t.h.instance {
+		if m.seen.IsZero() || now.Sub(m.seen) > freshStore || m.Instance == t.h.instance {
+			continue
+		}
+		if m.seen.Add(-m.storeAge - beatDelay).After(failing) {
 			return true
 		}
 	}
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -71,19 +71,29 @@
 	}
 }
 
-// ping asks the leader whether it is there.
+// ping asks the leader whether it is there, and once more if the leader waits for word whether the store answers.
 func (h *Host) ping(ctx context.Context, claim leadership.Claim) {
+	if h.pingOnce(ctx, claim) && h.probe(ctx) {
+		h.pingOnce(ctx, claim)
+	}
+}
+
+// pingOnce reports whether the leader asks for a probe of the store.
+func (h *Host) pingOnce(ctx context.Context, claim leadership.Claim) (wanted bool) {
 	now := h.clock.Now()
 	h.mu.Lock()
 	h.watch.Pinged(now)
-	b := Beat{Name: h.cfg.Name, Address: h.cfg.Peers, Instance: h.instance, StoreAge: now.Sub(h.lastStore), Power: h.cfg.Power, Blind: h.blind.Load()}
+	b := Beat{
+		Name: h.cfg.Name, Address: h.cfg.Peers, Instance: h.instance, StoreAge: now.Sub(h.lastStore), Power: h.cfg.Power,
+		Blind: h.blind.Load(),
+	}
 	if h.manifest != nil {
 		b.Version = h.manifest.Catalog.Version
 	}
 	h.mu.Unlock()
 	if claim.Address == h.cfg.Peers && claim.Instance != h.instance {
 		h.gone(claim, "this host has started anew since it led")
-		return
+		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, beatTimeout)
 	r, err := peer.Invoke[Beat, BeatReply](callCtx, h.peers, claim.Address, methodBeat, b)
@@ -96,14 +106,13 @@
 		if r.Manifest != nil {
 			h.applyManifest(r.Manifest, "leader")
 		}
-		if r.Probe {
-			h.probe(ctx)
-		}
+		return r.Probe
 	case isRefused(err):
 		h.gone(claim, "connection refused")
 	default:
 		h.part("leadership").WithError(err).WithField("leader", claim.Name).Debug("Ping without an answer")
 	}
+	return false
 }
 
 // isRefused reports whether no process listens at the address.
@@ -169,7 +178,13 @@
 func (h *Host) claim(ctx context.Context, last leadership.Claim) {
 	h.mu.Lock()
 	h.watch.Claimed(h.clock.Now())
+	h.claiming = true
 	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		h.claiming = false
+		h.mu.Unlock()
+	}()
 	c := leadership.Claim{Name: h.cfg.Name, Address: h.cfg.Peers, Instance: h.instance, Serial: last.Serial + 1}
 	value, err := msgpack.Marshal(&c)
 	if err != nil {
@@ -291,7 +306,7 @@
 	h.members[b.Name] = member{
 		Name: b.Name, Address: b.Address, Instance: b.Instance, Power: b.Power, version: b.Version, storeAge: b.StoreAge, seen: now,
 	}
-	r := BeatReply{Instance: h.instance, Leads: h.term != nil}
+	r := BeatReply{Instance: h.instance, Leads: h.term != nil || h.claiming}
 	if h.term != nil {
 		r.Probe = h.term.doubtful(now)
 	}
--- a/internal/zone/leadership/leadership.go
+++ b/internal/zone/leadership/leadership.go
@@ -192,7 +192,7 @@
 		start = w.renewed.Add(renewalBound)
 	}
 	due := start.Add(w.handicap)
-	if again := w.claimed.Add(claimAgain); !w.claimed.IsZero() && due.Before(again) {
+	if again := w.claimed.Add(claimAgain + w.handicap); !w.claimed.IsZero() && due.Before(again) {
 		due = again
 	}
 	if now.Before(due) {
--- a/internal/zone/leadership/leadership_test.go
+++ b/internal/zone/leadership/leadership_test.go
@@ -77,6 +77,16 @@
 			So(action, ShouldEqual, ActionWait)
 			So(until, ShouldEqual, start.Add(200*time.Millisecond))
 		})
+		Convey("again after a pause, in which hosts without a handicap come first", func() {
+			w := follower(start)
+			w.SetHandicap(500 * time.Millisecond)
+			w.Gone(start, "leader")
+			now := start.Add(time.Second)
+			w.Claimed(now)
+			action, until := w.Next(now)
+			So(action, ShouldEqual, ActionWait)
+			So(until, ShouldEqual, now.Add(claimAgain+500*time.Millisecond))
+		})
 	})
 	Convey("A host does not claim", t, func() {
 		Convey("while the leader answers", func() {
