Hand what was learned of interference to the next leader

What is learned of each lasting image is now written to the state every three seconds if it has changed, and restored with a small variance.

--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -27,6 +27,7 @@
 		s.expire(now)
 		s.appraise()
 		s.measureNeed()
+		s.writeLearned(now)
 	}
 	s.sortReady(now)
 	if !s.halted {
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -103,6 +103,8 @@
 	expired time.Time
 
 	interference *interference
+	// learned is when what was learned of interference was last written.
+	learned time.Time
 	// need is what short tasks use and wait for in each service, in thousandths of a core.
 	need map[string]float64
 	// lastingWaits names the services in which lasting tasks wait for room.
--- a/internal/zone/dispatch/interference.go
+++ b/internal/zone/dispatch/interference.go
@@ -11,6 +11,8 @@
 	models map[string]*pressModel
 	// calm is the smallest tail seen of each lasting image, in milliseconds.
 	calm map[string]float64
+	// changed names the lasting images of which something was learned since it was last written.
+	changed map[string]struct{}
 }
 
 // pressModel is what one lasting image suffers from the images that fill.
@@ -38,7 +40,7 @@
 )
 
 func newInterference() *interference {
-	return &interference{models: map[string]*pressModel{}, calm: map[string]float64{}}
+	return &interference{models: map[string]*pressModel{}, calm: map[string]float64{}, changed: map[string]struct{}{}}
 }
 
 // grow adds a coefficient.
@@ -69,6 +71,7 @@
 	t := float64(max(1, tail))
 	if c, ok := m.calm[image]; !ok || t < c {
 		m.calm[image] = t
+		m.changed[image] = struct{}{}
 	}
 	return m.calm[image] / t
 }
@@ -104,6 +107,7 @@
 		}
 	}
 	if moved {
+		m.changed[lasting] = struct{}{}
 		model.update(x, pressure)
 	}
 }
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -254,6 +254,11 @@
 				faults = append(faults, err)
 			}
 		}
+		if image, ok := cutPrefix(r.Key, prefixLearned); ok {
+			if err := s.interference.restoreLearned(image, r.Value); err != nil {
+				faults = append(faults, err)
+			}
+		}
 		if id, ok := cutPrefix(r.Key, prefixWorker); ok {
 			if err := s.restoreWorker(id, r.Value); err != nil {
 				faults = append(faults, err)
