Serve metrics of joined hosts, and keep slow workers from delaying jobs

Slow workers: a job is done when its last task is, and with 6 % of the workers slow most jobs of 40 tasks have one there. Workers whose tasks get on at less than 0.4 of the common speed get no tasks for 4 s, then one at a time; what they have moves if it is done much sooner elsewhere (a copy for speculative steps).

Ruled out: judging by filling tasks too.

--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -39,7 +39,7 @@
 	// Serve runs an entry host with a settings file until the context ends.
 	Serve func(ctx context.Context, path string) error
 	// Join runs an entry host on the users' platform until the context ends.
-	Join func(ctx context.Context, path, level string) error
+	Join func(ctx context.Context, path, level string, metricsPort int) error
 	// CheckSettings reads a settings file. Mistakes in its content are returned as Mistakes, wrapped or not.
 	CheckSettings func(path string) error
 	// Version is what the version command prints.
--- a/internal/command/cli/cli_test.go
+++ b/internal/command/cli/cli_test.go
@@ -118,7 +118,10 @@
 	funcs := Functions{
 		Serve:         func(_ context.Context, path string) error { return errors.Newf("cannot serve %s", path) },
 		CheckSettings: func(path string) error { return Mistakes{{path, 3, "host", "is required"}, {path, 1, "", "odd"}} },
-		Version:       "v1",
+		Join: func(_ context.Context, path, level string, metricsPort int) error {
+			return errors.Newf("settings %s, level %s, port %d", path, level, metricsPort)
+		},
+		Version: "v1",
 	}
 	code = Run(context.Background(), append([]string{"--operators", f.urls}, args...), funcs, &o, &e)
 	return code, o.String(), e.String()
@@ -343,3 +346,16 @@
 		So(code, ShouldEqual, 3)
 	})
 }
+
+func TestJoin(t *testing.T) {
+	Convey("join hands its flags on", t, func() {
+		code, _, errOut := newFixture(t).run("join", "--settings", "node.conf", "--metrics", "9464")
+		So(code, ShouldNotEqual, 0)
+		So(errOut, ShouldContainSubstring, "settings node.conf, level info, port 9464")
+	})
+	Convey("a port that is none is named", t, func() {
+		code, _, errOut := newFixture(t).run("join", "--metrics", "70000")
+		So(code, ShouldNotEqual, 0)
+		So(errOut, ShouldContainSubstring, "70000 is not a port")
+	})
+}
--- a/internal/host/entry/ask.go
+++ b/internal/host/entry/ask.go
@@ -133,9 +133,11 @@
 
 // logAsk writes the line of a caller's request.
 func (h *Host) logAsk(a Ask, t Told, tries int, begun time.Time) {
+	took := h.clock.Now().Sub(begun)
+	h.recorder.Request(string(a.Action), outcomeName(t.Outcome), took)
 	f := logrus.Fields{
 		"action": string(a.Action), "job": a.ID, "outcome": outcomeName(t.Outcome), "tries": tries,
-		"took_ms": h.clock.Now().Sub(begun).Milliseconds(),
+		"took_ms": took.Milliseconds(),
 	}
 	if t.Reason != "" {
 		f["reason"] = t.Reason
--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -113,6 +113,7 @@
 	directory Directory
 	workers   Workers
 	adviser   Adviser
+	recorder  Recorder
 	clock     Clock
 	log       logrus.FieldLogger
 	peers     *peer.Client
@@ -181,7 +182,7 @@
 ) (*Host, func(ctx context.Context)) {
 	h := &Host{
 		cfg: cfg, instance: uuid.NewString(), directory: d, workers: w, clock: c,
-		log: log, zones: map[string]bool{}, members: map[string]member{}, changed: make(chan struct{}),
+		log: log, recorder: noRecorder{}, zones: map[string]bool{}, members: map[string]member{}, changed: make(chan struct{}),
 		poke: make(chan struct{}, 1),
 	}
 	h.store = observedStore{store, h}
--- a/internal/host/entry/orders.go
+++ b/internal/host/entry/orders.go
@@ -25,6 +25,7 @@
 		for _, o := range orders {
 			go t.order(o)
 		}
+		t.h.recordEvents(events)
 		t.logEvents(events)
 		signal(t.write)
 		if !pause(t.ctx, decideGap) {
@@ -48,6 +49,7 @@
 		t.advise(o)
 		return
 	}
+	begun := t.h.clock.Now()
 	var a dispatch.Answer
 	var clock int64
 	var err error
@@ -63,6 +65,7 @@
 		signal(t.write)
 	}
 	now := t.h.clock.Now()
+	t.h.recorder.Order(o.Kind.String(), a.String(), now.Sub(begun))
 	t.mu.Lock()
 	switch o.Kind {
 	case dispatch.OrderStart:
--- a/internal/host/telemetry/async.go
+++ b/internal/host/telemetry/async.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -9,6 +10,25 @@
 // asyncBuffer is the number of bytes that may wait to be written.
 const asyncBuffer = 256 << 10
 
+// atomicWrite is the largest write in bytes that a pipe takes as a whole (PIPE_BUF of Linux), so that readers don't see
+// a part of a line between the lines of other processes.
+const atomicWrite = 4096
+
+// wholeLines returns the length of the lines at the start of data that fit into one write, or of the first line if that
+// is longer.
+func wholeLines(data []byte) int {
+	if len(data) <= atomicWrite {
+		return len(data)
+	}
+	if i := bytes.LastIndexByte(data[:atomicWrite], '\n'); i >= 0 {
+		return i + 1
+	}
+	if i := bytes.IndexByte(data, '\n'); i >= 0 {
+		return i + 1
+	}
+	return len(data)
+}
+
 // AsyncWriter writes in the background. A writer that can't keep up never blocks its callers: what does not fit into
 // the buffer is left out and counted in a line of its own.
 type AsyncWriter struct {
@@ -69,9 +89,11 @@
 	if dropped > 0 {
 		data = fmt.Appendf(data, "{\"level\":\"warning\",\"msg\":\"log: lines left out\",\"lines\":%d}\n", dropped)
 	}
-	if len(data) > 0 {
+	for len(data) > 0 {
+		n := wholeLines(data)
 		// There is nowhere left to report a failure of the log itself.
-		_, _ = out.Write(data)
+		_, _ = out.Write(data[:n])
+		data = data[n:]
 	}
 	return closed
 }
--- /dev/null
+++ b/internal/host/telemetry/async_test.go
@@ -0,0 +1,87 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// blockedWriter waits with its first write until it is released, and keeps each write.
+type blockedWriter struct {
+	mu      sync.Mutex
+	release chan struct{}
+	writes  [][]byte
+}
+
+func (b *blockedWriter) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.writes = append(b.writes, bytes.Clone(p))
+	return len(p), nil
+}
+
+func TestAsyncWriter(t *testing.T) {
+	Convey("A log whose output is blocked", t, func() {
+		out := &blockedWriter{release: make(chan struct{})}
+		w, stop := NewAsyncWriter(out)
+		line := strings.Repeat("x", 99) + "\n"
+		const lines = 2 * asyncBuffer / 100
+		for range lines {
+			n, err := w.Write([]byte(line))
+			So(err, ShouldBeNil)
+			So(n, ShouldEqual, len(line))
+		}
+		close(out.release)
+		stop()
+		Convey("never blocks its writers, and tells how many lines were left out", func() {
+			all := string(bytes.Join(out.writes, nil))
+			So(all, ShouldContainSubstring, "lines left out")
+			So(len(all), ShouldBeLessThan, lines*100)
+		})
+		Convey("writes whole lines, of which each write is taken as a whole by a pipe", func() {
+			for _, p := range out.writes {
+				So(len(p), ShouldBeLessThanOrEqualTo, atomicWrite)
+				So(p[len(p)-1], ShouldEqual, byte('\n'))
+			}
+		})
+	})
+	Convey("A line that is longer than a write goes out as it is", t, func() {
+		long := strings.Repeat("y", 2*atomicWrite) + "\n"
+		So(wholeLines([]byte(long+"z\n")), ShouldEqual, len(long))
+	})
+}
+
+func TestEntryMetrics(t *testing.T) {
+	Convey("The metrics of an entry host are served as text", t, func() {
+		m, stop, err := NewEntryMetrics("a", "z")
+		So(err, ShouldBeNil)
+		Reset(stop)
+		So(m.Observe(func() EntryState { return EntryState{Leads: true, Jobs: 3} }), ShouldBeNil)
+		m.Request("submit", "done", 20e6)
+		m.Order("start", "done", 3e6)
+		m.StoreCall("log-append", 4e6, nil)
+		m.Decision("start")
+		m.Started(1e9)
+		m.Ended("failed")
+		text := scrape(m.Handler())
+		for _, want := range []string{
+			"sassafraswind_entry_jobs 3\n", `sassafraswind_entry_answer_seconds_count{action="submit"`, `kind="start"`,
+			`call="log-append"`, `event="start"`, `how="failed"`, `sassafraswind_entry_start_wait_seconds_sum`,
+		} {
+			So(text, ShouldContainSubstring, want)
+		}
+	})
+}
+
+func scrape(h http.Handler) string {
+	rec := httptest.NewRecorder()
+	h.ServeHTTP(rec, httptest.NewRequestWithContext(context.Background(), http.MethodGet, "/metrics", nil))
+	return rec.Body.String()
+}
--- /dev/null
+++ b/internal/host/telemetry/entry.go
@@ -0,0 +1,128 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// EntryMetrics holds the instruments of an entry host that has joined a deployment. Its methods are safe for concurrent
+// use.
+type EntryMetrics struct {
+	handler http.Handler
+	meter   metric.Meter
+
+	answers   metric.Float64Histogram
+	waits     metric.Float64Histogram
+	orders    metric.Float64Histogram
+	calls     metric.Float64Histogram
+	decisions metric.Int64Counter
+	ends      metric.Int64Counter
+}
+
+// NewEntryMetrics returns the instruments of a host, and a clean-up function.
+func NewEntryMetrics(host, zone string) (*EntryMetrics, func(), error) {
+	meter, handler, closeMeter, err := newMeter(host, zone)
+	if err != nil {
+		return nil, nil, err
+	}
+	i := instruments{meter: meter}
+	m := &EntryMetrics{
+		handler: handler, meter: meter,
+		answers:   i.histogram("sassafraswind.entry.answer", "Time from a caller's request to its answer, by action and outcome."),
+		waits:     i.histogram("sassafraswind.entry.start.wait", "Time that a task waited for its start."),
+		orders:    i.histogram("sassafraswind.entry.order", "Time of an order to a worker, by kind and answer."),
+		calls:     i.histogram("sassafraswind.entry.store.call", "Time of a call to the platform's store, by call and outcome."),
+		decisions: i.counter("sassafraswind.entry.decisions", "Decisions and findings of the leader, by event."),
+		ends:      i.counter("sassafraswind.entry.ends", "Ends of runs that workers have listed, by kind."),
+	}
+	if i.errs != nil {
+		closeMeter()
+		return nil, nil, errors.Wrap(i.errs, "telemetry: instruments")
+	}
+	return m, closeMeter, nil
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *EntryMetrics) Handler() http.Handler { return m.handler }
+
+// EntryState is what the gauges show. Hosts that don't lead know nothing of jobs and workers.
+type EntryState struct {
+	Leads                                      bool
+	Jobs, Waiting, Running, Workers, Reachable int
+}
+
+// Observe registers the gauges, which are read at each scrape.
+func (m *EntryMetrics) Observe(read func() EntryState) error {
+	var errs error
+	gauge := func(name, text string) metric.Int64ObservableGauge {
+		g, err := m.meter.Int64ObservableGauge("sassafraswind.entry."+name, metric.WithDescription(text))
+		errs = errors.CombineErrors(errs, err)
+		return g
+	}
+	leads := gauge("leads", "1 if the host leads the deployment, else 0.")
+	jobs := gauge("jobs", "Jobs that are not finished.")
+	waiting := gauge("tasks.waiting", "Tasks that wait for a worker.")
+	running := gauge("tasks.running", "Runs that occupy workers.")
+	workers := gauge("workers", "Workers that are known.")
+	reachable := gauge("workers.reachable", "Workers that can take tasks.")
+	if errs != nil {
+		return errors.Wrap(errs, "telemetry: gauges of an entry host")
+	}
+	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		s := read()
+		if s.Leads {
+			o.ObserveInt64(leads, 1)
+			o.ObserveInt64(jobs, int64(s.Jobs))
+			o.ObserveInt64(waiting, int64(s.Waiting))
+			o.ObserveInt64(running, int64(s.Running))
+			o.ObserveInt64(workers, int64(s.Workers))
+			o.ObserveInt64(reachable, int64(s.Reachable))
+		} else {
+			o.ObserveInt64(leads, 0)
+		}
+		return nil
+	}, leads, jobs, waiting, running, workers, reachable)
+	return errors.Wrap(err, "telemetry: gauges of an entry host")
+}
+
+// Request counts the answer to a caller.
+func (m *EntryMetrics) Request(action, outcome string, took time.Duration) {
+	m.answers.Record(context.Background(), took.Seconds(),
+		metric.WithAttributes(attribute.String("action", action), attribute.String("outcome", outcome)))
+}
+
+// Order counts an order to a worker.
+func (m *EntryMetrics) Order(kind, answer string, took time.Duration) {
+	m.orders.Record(context.Background(), took.Seconds(),
+		metric.WithAttributes(attribute.String("kind", kind), attribute.String("answer", answer)))
+}
+
+// Decision counts a decision or finding of the leader.
+func (m *EntryMetrics) Decision(event string) {
+	m.decisions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
+}
+
+// Started counts the time that a task waited for its start.
+func (m *EntryMetrics) Started(waited time.Duration) {
+	m.waits.Record(context.Background(), waited.Seconds())
+}
+
+// Ended counts the end of a run.
+func (m *EntryMetrics) Ended(how string) {
+	m.ends.Add(context.Background(), 1, metric.WithAttributes(attribute.String("how", how)))
+}
+
+// StoreCall counts a call to the platform's store.
+func (m *EntryMetrics) StoreCall(call string, took time.Duration, err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.calls.Record(context.Background(), took.Seconds(),
+		metric.WithAttributes(attribute.String("call", call), attribute.String("outcome", outcome)))
+}
--- a/internal/host/telemetry/metrics.go
+++ b/internal/host/telemetry/metrics.go
@@ -44,10 +44,24 @@
 
 // NewMetrics returns the instruments of the host, and a clean-up function.
 func NewMetrics(host, zone string) (*Metrics, func(), error) {
+	meter, handler, closeMeter, err := newMeter(host, zone)
+	if err != nil {
+		return nil, nil, err
+	}
+	m := &Metrics{handler: handler, meter: meter}
+	if err := m.create(); err != nil {
+		return nil, nil, err
+	}
+	return m, closeMeter, nil
+}
+
+// newMeter returns a meter, the handler that serves its instruments in the Prometheus text format, and a clean-up
+// function.
+func newMeter(host, zone string) (metric.Meter, http.Handler, func(), error) {
 	registry := prometheus.NewRegistry()
 	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo())
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "telemetry: prometheus exporter")
+		return nil, nil, nil, errors.Wrap(err, "telemetry: prometheus exporter")
 	}
 	view := sdk.NewView(
 		sdk.Instrument{Kind: sdk.InstrumentKindHistogram},
@@ -55,29 +69,32 @@
 	)
 	// The text format shows no exemplars, and their reservoirs take most of the memory of a histogram.
 	provider := sdk.NewMeterProvider(sdk.WithReader(exporter), sdk.WithView(view), sdk.WithExemplarFilter(exemplar.AlwaysOffFilter))
-	m := &Metrics{
-		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
-		meter:   provider.Meter("sassafraswind", metric.WithInstrumentationAttributes(attribute.String("host", host), attribute.String("zone", zone))),
-	}
-	if err := m.create(); err != nil {
-		return nil, nil, err
-	}
-	return m, func() { _ = provider.Shutdown(context.Background()) }, nil
+	meter := provider.Meter("sassafraswind", metric.WithInstrumentationAttributes(attribute.String("host", host), attribute.String("zone", zone)))
+	return meter, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), func() { _ = provider.Shutdown(context.Background()) }, nil
+}
+
+// instruments makes instruments and collects the errors.
+type instruments struct {
+	meter metric.Meter
+	errs  error
+}
+
+func (i *instruments) histogram(name, text string) metric.Float64Histogram {
+	h, err := i.meter.Float64Histogram(name, metric.WithDescription(text), metric.WithUnit("s"))
+	i.errs = errors.CombineErrors(i.errs, err)
+	return h
+}
+
+func (i *instruments) counter(name, text string) metric.Int64Counter {
+	c, err := i.meter.Int64Counter(name, metric.WithDescription(text))
+	i.errs = errors.CombineErrors(i.errs, err)
+	return c
 }
 
 // create makes the instruments.
 func (m *Metrics) create() error {
-	var errs error
-	histogram := func(name, text string) metric.Float64Histogram {
-		h, err := m.meter.Float64Histogram(name, metric.WithDescription(text), metric.WithUnit("s"))
-		errs = errors.CombineErrors(errs, err)
-		return h
-	}
-	counter := func(name, text string) metric.Int64Counter {
-		c, err := m.meter.Int64Counter(name, metric.WithDescription(text))
-		errs = errors.CombineErrors(errs, err)
-		return c
-	}
+	i := instruments{meter: m.meter}
+	histogram, counter := i.histogram, i.counter
 	m.wait = histogram("sassafraswind.request.wait", "Time from arrival to the send to a worker, per class and team.")
 	m.run = histogram("sassafraswind.request.run", "Execution time at the worker, per class and team.")
 	m.answer = histogram("sassafraswind.request.answer", "Time from arrival to the reply to the caller, per class and team.")
@@ -91,7 +108,7 @@
 	m.evictions = counter("sassafraswind.task.evictions", "Evicted task attempts, by class and reason.")
 	m.throttles = counter("sassafraswind.task.throttles", "Throttle changes of tasks, by class.")
 	m.bytes = counter("sassafraswind.region.bytes", "Bytes to and from other regions, by purpose and direction.")
-	return errors.Wrap(errs, "telemetry: instruments")
+	return errors.Wrap(i.errs, "telemetry: instruments")
 }
 
 // Handler serves the metrics in the Prometheus text format.
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -103,6 +103,8 @@
 	expired time.Time
 
 	interference *interference
+	// speed is that of all workers.
+	speed speed
 	// learned is when what was learned of interference was last written.
 	learned time.Time
 	// need is what short tasks use and wait for in each service, in thousandths of a core.
@@ -161,6 +163,14 @@
 	j.objective = time.Duration(q.Slack*float64(s.chain(j))) + q.Target
 }
 
+// The kinds of the most frequent events.
+const (
+	// EventStart is the start of a run. Its age is how long the task has waited.
+	EventStart = "start"
+	// EventEnd is the end of a run. Its reason is how it ended.
+	EventEnd = "end"
+)
+
 // Event is a decision or finding that is worth a log line.
 type Event struct {
 	Kind   string
--- a/internal/zone/dispatch/health.go
+++ b/internal/zone/dispatch/health.go
@@ -20,6 +20,8 @@
 	failed int
 	// resumeAt is when the worker may get tasks again.
 	resumeAt time.Time
+	// slowUntil is until when a slow worker gets no tasks.
+	slowUntil time.Time
 	// suspectUntil is set while the worker gets only probes.
 	suspectUntil time.Time
 }
@@ -28,7 +30,7 @@
 func (h *health) ended(now time.Time, r *run, how How) {
 	switch how {
 	case HowDone:
-		*h = health{resumeAt: h.resumeAt}
+		*h = health{resumeAt: h.resumeAt, slowUntil: h.slowUntil}
 	case HowFailed:
 		if r != nil && r.task.step().Lasting && !r.workSince.IsZero() && now.Sub(r.workSince) > time.Second {
 			// Lasting tasks fail now and then after they have worked for a while.
@@ -59,7 +61,7 @@
 	h := &w.health
 	failed := len(t.failed) > 0 && now.Sub(t.since) < avoidFor
 	switch {
-	case now.Before(h.resumeAt) || (failed && t.avoid == w.ID):
+	case w.isSlow(now) || now.Before(h.resumeAt) || (failed && t.avoid == w.ID):
 		return false
 	case h.failed == 0:
 		return true
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -16,6 +16,15 @@
 	OrderAdvise
 )
 
+// String returns the kind as it is counted.
+func (k OrderKind) String() string {
+	names := [...]string{"none", "start", "stop", "pace", "advise"}
+	if k < 0 || int(k) >= len(names) {
+		return "unknown"
+	}
+	return names[k]
+}
+
 // Order is something to be sent to a worker.
 type Order struct {
 	Kind            OrderKind
@@ -85,7 +94,7 @@
 		number = st.gangNumber()
 	}
 	r := &run{
-		task: t, number: number, worker: w, phase: phaseOrdered, begun: now, moved: now, pace: 100, wanted: 100,
+		task: t, number: number, worker: w, phase: phaseOrdered, begun: now, pace: 100, wanted: 100,
 		until: w.now(now) + startWindow.Milliseconds(),
 	}
 	t.run = number
@@ -104,7 +113,7 @@
 		o.Ticket = st.tickets[w.ID].text
 	}
 	s.orders = append(s.orders, o)
-	s.note(Event{Kind: "start", Job: t.job().id, Task: t.name, Run: number, Worker: w.ID, Age: now.Sub(t.since)})
+	s.note(Event{Kind: EventStart, Job: t.job().id, Task: t.name, Run: number, Worker: w.ID, Age: now.Sub(t.since)})
 }
 
 // gangNumber is the run number of the members of a gang: that of those which run, or a new one.
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -86,6 +86,7 @@
 	w.marginsKnown = false
 	s.pace(now, w)
 	w.marginsKnown = false
+	s.judge(now, w)
 	return true
 }
 
@@ -113,7 +114,7 @@
 	} else {
 		t = s.lookup(e.Task)
 	}
-	s.note(Event{Kind: "end", Task: e.Task, Run: e.Number, Worker: w.ID, Reason: string(e.How)})
+	s.note(Event{Kind: EventEnd, Task: e.Task, Run: e.Number, Worker: w.ID, Reason: string(e.How)})
 	if t == nil {
 		return
 	}
@@ -232,9 +233,8 @@
 	if rr.Checkpoint != "" {
 		r.task.checkpoint = rr.Checkpoint
 	}
-	if rr.Percent != r.percent {
-		r.percent, r.moved = rr.Percent, now
-	}
+	s.measure(now, r, rr.Percent)
+	r.percent = rr.Percent
 	if rr.Percent == 100 && r.workSince.IsZero() {
 		r.workSince = now
 	}
@@ -277,7 +277,7 @@
 		s.stopStray(w, rr, clock)
 		return nil
 	}
-	r := &run{task: t, number: rr.Number, worker: w, phase: phaseRunning, confirmed: true, begun: now, moved: now, pace: paceUnknown, wanted: 100}
+	r := &run{task: t, number: rr.Number, worker: w, phase: phaseRunning, confirmed: true, begun: now, pace: paceUnknown, wanted: 100}
 	other := len(t.runs) > 0 && !t.step().Speculative
 	t.run = max(t.run, rr.Number)
 	t.job().started = true
--- a/internal/zone/dispatch/scale_test.go
+++ b/internal/zone/dispatch/scale_test.go
@@ -31,11 +31,21 @@
 	runs   map[key]crowdRun
 	ended  []EndReport
 	serial int64
+	// slow is how many times as long tasks take here, 0 like 1.
+	slow float64
 }
 
 type crowdRun struct {
-	lasting bool
-	ends    time.Time
+	lasting     bool
+	begun, ends time.Time
+}
+
+// percent is the progress of a run.
+func (r crowdRun) percent(now time.Time) int {
+	if r.lasting {
+		return 100
+	}
+	return min(99, int(100*now.Sub(r.begun)/max(1, r.ends.Sub(r.begun))))
 }
 
 type crowdEvent struct {
@@ -150,7 +160,8 @@
 	case OrderStart:
 		c.starts++
 		st := c.s.lookup(o.Task).step()
-		r := crowdRun{lasting: st.Lasting, ends: c.now.Add(time.Duration(float64(st.Estimate) * (0.5 + c.rng.Float64())))}
+		took := float64(st.Estimate) * (0.5 + c.rng.Float64()) * max(1, w.slow)
+		r := crowdRun{lasting: st.Lasting, begun: c.now, ends: c.now.Add(time.Duration(took))}
 		w.runs[k] = r
 		c.s.Started(c.now, o, AnswerDone, c.clock())
 	case OrderStop:
@@ -194,7 +205,7 @@
 				w.end(k, HowDone)
 				continue
 			}
-			rep.Running = append(rep.Running, RunReport{Task: k.name, Number: k.number, Percent: 50, Reading: 10 + c.rng.IntN(30)})
+			rep.Running = append(rep.Running, RunReport{Task: k.name, Number: k.number, Percent: r.percent(c.now), Reading: 10 + c.rng.IntN(30)})
 		}
 		rep.Ended = append(rep.Ended, w.ended...)
 		c.s.Held(c.now, rep)
@@ -304,3 +315,31 @@
 		room = waits
 	}
 }
+
+// TestSlowWorkers replays one worker in twelve that takes eight times as long, under a load that leaves room elsewhere.
+// A job of many tasks is done when its last task is.
+func TestSlowWorkers(t *testing.T) {
+	const workers = 120
+	c := newCrowd(1, workers, crowdLoad{short: 0.2, long: 0.2, lasting: 0.2})
+	c.run(10 * time.Second)
+	for i := range workers / 12 {
+		c.workers["w"+strconv.Itoa(i*12)].slow = 8
+	}
+	c.run(35 * time.Second)
+	for _, queue := range []string{"short", "long"} {
+		if share := c.inTime(queue, 15*time.Second, 35*time.Second); share < 0.77 {
+			t.Errorf("%.3f of the %s jobs were in time, want at least 0.77", share, queue)
+		}
+	}
+}
+
+// TestSpeedIsFair checks that tasks which take a few times their estimate don't make a worker slow.
+func TestSpeedIsFair(t *testing.T) {
+	c := newCrowd(1, 120, crowdLoad{short: 0.2, long: 0.3, lasting: 0.2})
+	c.run(30 * time.Second)
+	for id, w := range c.s.workers {
+		if !w.health.slowUntil.IsZero() {
+			t.Errorf("worker %s was taken for slow at %v", id, w.health.slowUntil.Sub(simEpoch)-slowFor)
+		}
+	}
+}
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -52,9 +52,12 @@
 	until, acked int64
 	// confirmed is set once the worker has confirmed the start or listed the run.
 	confirmed bool
-	// percent is the progress, moved when it last changed.
+	// percent is the progress.
 	percent int
-	moved   time.Time
+	// looked is when the progress was last measured, the zero time if it says nothing of the worker; seen was the
+	// percentage then.
+	looked time.Time
+	seen   int
 	// tail is the tail latency of a lasting task in milliseconds, or the cores in use of another, in thousandths.
 	tail int
 	// pace is the share at which the worker was told to let the task work, wanted the share it should have.
@@ -121,6 +124,7 @@
 	lapsed bool
 
 	health health
+	speed  speed
 }
 
 // usable reports whether tasks may be started on the worker.
@@ -253,7 +257,7 @@
 	w.seen, w.recorded, w.lapsed, w.failures = false, 0, false, 0
 	w.clock, w.clockAt, w.lease = 0, time.Time{}, 0
 	w.read, w.durable = 0, 0
-	w.health, w.strays = health{}, nil
+	w.health, w.speed, w.strays = health{}, speed{}, nil
 	delete(s.unaccounted, w.ID)
 }
 
