Count a tail as over its target until two readings in a row are below

A single reading below the target put the clock back to zero, although readings are rough; beside an image that was learned to be harmless nothing is held back before that clock has run, as the new test shows (no order at all in 4 s before).

--- a/internal/zone/dispatch/pacing.go
+++ b/internal/zone/dispatch/pacing.go
@@ -78,12 +78,14 @@
 			continue
 		}
 		r.before, r.slack = r.slack, s.interference.slack(step.Image, r.tail)
+		below := step.Target <= 0 || float64(r.tail) <= alertShare*float64(step.Target.Milliseconds())
 		switch {
-		case step.Target <= 0 || float64(r.tail) <= alertShare*float64(step.Target.Milliseconds()):
+		case below && r.below:
 			r.overSince = time.Time{}
-		case r.overSince.IsZero():
+		case !below && r.overSince.IsZero():
 			r.overSince = now
 		}
+		r.below = below
 	}
 }
 
--- a/internal/zone/dispatch/pacing_test.go
+++ b/internal/zone/dispatch/pacing_test.go
@@ -140,3 +140,58 @@
 		})
 	})
 }
+
+// TestRoughReadings replays readings that swing about the target while the tail is over it, beside a task of an image that
+// was learned to be harmless.
+func TestRoughReadings(t *testing.T) {
+	Convey("A lasting task whose readings swing about its target is relieved in time", t, func() {
+		now := simEpoch
+		s := New(testLimits(), 1, 1)
+		s.SetCatalog(Catalog{Version: 1, Queues: map[string]Queue{"q": {Name: "q", Service: "svc", Attempts: 2, Slack: 2}}})
+		s.SetWorker(now, Registration{ID: "w", Boot: 1, Service: "svc", Address: "w", Capacity: fleet.Size{Cores: 32000, Memory: 128000}})
+		s.Held(now, Report{Worker: "w", Boot: 1, Clock: 1000})
+		commit := func() {
+			for b, ok := s.Batch(); ok; b, ok = s.Batch() {
+				s.Committed(b)
+			}
+		}
+		s.interference.observe("serve", 0, map[string]float64{"fill": 0.1})
+		s.interference.models["serve"].weight[0] = 0
+		s.interference.slack("serve", 20)
+		commit()
+		lasting, fill := step(1, 6000, time.Second), step(1, 4000, time.Minute)
+		lasting.Lasting, lasting.Image, lasting.Target = true, "serve", 50*time.Millisecond
+		fill.Fills, fill.Image = true, "fill"
+		for i, st := range []workflow.Step{lasting, fill} {
+			s.Submit(now, Request{ID: jobID(i + 1), Queue: "q", Spec: workflow.Spec{Steps: []workflow.Step{st}}, Wall: now})
+		}
+		commit()
+		for _, o := range s.Decide(now) {
+			s.Started(now, o, AnswerDone, 1000)
+		}
+		share := 100
+		for i := 1; share > 0 && now.Sub(simEpoch) < testLimits().Harm; i++ {
+			now = now.Add(500 * time.Millisecond)
+			tail := 60
+			if i%2 == 0 {
+				tail = 42
+			}
+			rep := Report{Worker: "w", Boot: 1, Clock: 1000 + now.Sub(simEpoch).Milliseconds()}
+			for _, r := range s.runsOf(s.workers["w"]) {
+				reading := 4000
+				if r.task.step().Lasting {
+					reading = tail
+				}
+				rep.Running = append(rep.Running, RunReport{Task: r.task.name, Number: r.number, Percent: 50, Reading: reading})
+			}
+			s.Held(now, rep)
+			for _, o := range s.Decide(now) {
+				if o.Kind == OrderPace {
+					share = o.Percent
+					s.Paced(now, o, AnswerDone, rep.Clock)
+				}
+			}
+		}
+		So(share, ShouldEqual, 0)
+	})
+}
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -63,8 +63,10 @@
 	// pace is the share at which the worker was told to let the task work, wanted the share it should have.
 	pace, wanted int
 	pacing       bool
-	// overSince is when a lasting task was first seen over its target, the zero time while it is below.
+	// overSince is when a lasting task was first seen over its target, the zero time once two readings in a row were
+	// below it: readings are rough. below is set if the last one was.
 	overSince time.Time
+	below     bool
 	workSince time.Time
 	// heldSince is since when a task that fills has been held back, the zero time while it works.
 	heldSince time.Time
