Refuse jobs at once that no worker is large enough for

A job with a task larger than every worker of its service that was seen in this term waited until its caller gave up. It is refused now, with a minute to come back. Nothing is refused while workers of an earlier leader have not been heard of. The empty step for preemption is removed (open, see docs/platform.md), and names in reserve.go say what they bound.

--- a/internal/zone/dispatch/admission.go
+++ b/internal/zone/dispatch/admission.go
@@ -1,9 +1,43 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
 
-// admit decides whether a new job is refused.
-func (s *Scheduler) admit(_ time.Time, _ *Job, _ Queue) (Reply, bool) { return Reply{}, false }
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+)
 
-// makeRoom takes room back for a task that found none.
-func (s *Scheduler) makeRoom(_ time.Time, _ *task) {}
+// unfitRetry is when a caller should come back with a job that no worker is large enough for: workers of another kind
+// come within minutes at best.
+const unfitRetry = time.Minute
+
+// noteCapacity keeps the capacity of a worker, unless it fits into one that was seen before. Workers that have gone count
+// on: they or their like come back.
+func (s *Scheduler) noteCapacity(service string, capacity fleet.Size) {
+	known := s.capacities[service]
+	if slices.ContainsFunc(known, capacity.Fits) {
+		return
+	}
+	known = slices.DeleteFunc(known, func(k fleet.Size) bool { return k.Fits(capacity) })
+	s.capacities[service] = append(known, capacity)
+}
+
+// admit refuses a job that can't be done: one with a task that no worker of the service has been large enough for in
+// this term. It would wait until its caller gives up.
+func (s *Scheduler) admit(j *Job) (Reply, bool) {
+	capacities := s.capacities[j.service]
+	if len(capacities) == 0 || !s.settled() {
+		// Nothing is known yet of the workers to come, or of some that an earlier leader used.
+		return Reply{}, false
+	}
+	for i := range j.spec.Steps {
+		size := j.spec.Steps[i].Size
+		if j.spec.Steps[i].Fills {
+			size.Cores = 0
+		}
+		if !slices.ContainsFunc(capacities, size.Fits) {
+			return Reply{Outcome: OutcomeRefused, RetryAfter: unfitRetry, Reason: "no worker is large enough"}, true
+		}
+	}
+	return Reply{}, false
+}
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -159,12 +159,11 @@
 		if !t.queued || now.Before(t.notBefore) {
 			continue
 		}
-		if t.step().Lasting && !s.mayLast(now, t) {
+		if t.step().Lasting && !s.mayTakeRoom(now, t) {
 			return true
 		}
 		w := s.place(now, t, nil)
 		if w == nil {
-			s.makeRoom(now, t)
 			return false
 		}
 		s.start(now, t, w)
@@ -190,7 +189,6 @@
 	}
 	plan := s.planGang(now, st)
 	if plan == nil {
-		s.makeRoom(now, st.tasks[0])
 		return false
 	}
 	for i, t := range st.tasks {
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
 // Limits are the platform's bounds and the scheduler's own settings.
@@ -83,6 +85,8 @@
 	workers map[string]*Worker
 	// byService lists the workers of each service, ordered by id.
 	byService map[string][]*Worker
+	// capacities holds for each service the capacities of its workers of which none fits into another.
+	capacities map[string][]fleet.Size
 	// ready holds the stages with waiting tasks whose dependencies are done.
 	ready []*stage
 	// timed holds the recurring jobs with occurrences to come.
@@ -123,6 +127,7 @@
 		jobs:        map[string]*Job{},
 		workers:     map[string]*Worker{},
 		byService:   map[string][]*Worker{},
+		capacities:  map[string][]fleet.Size{},
 		timed:       map[*Job]struct{}{},
 		unaccounted: map[string]struct{}{},
 		journal:     newJournal(),
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -154,13 +154,12 @@
 	if j, ok := s.jobs[r.ID]; ok {
 		return Reply{Outcome: OutcomeAccepted, Ticket: j.accepted}
 	}
-	q, ok := s.catalog.Queues[r.Queue]
-	if !ok {
+	if _, ok := s.catalog.Queues[r.Queue]; !ok {
 		return Reply{Outcome: OutcomeUnknownQueue}
 	}
 	j := s.newJob(r.ID, r.Queue, r.Spec, now, r.Wall)
 	s.refresh(j)
-	if refusal, refused := s.admit(now, j, q); refused {
+	if refusal, refused := s.admit(j); refused {
 		s.note(Event{Kind: "refuse", Job: r.ID, Reason: refusal.Reason})
 		return refusal
 	}
--- a/internal/zone/dispatch/reserve.go
+++ b/internal/zone/dispatch/reserve.go
@@ -12,11 +12,11 @@
 // a while. Restarts don't wait.
 
 const (
-	// leaveFree is how long there must have been room for a lasting task twice over before it starts, while short
+	// twoPlacesFor is how long there must have been room for a lasting task twice over before it starts, while short
 	// tasks use the rest. Lasting tasks are counted by two seconds, and may be left waiting for three.
-	leaveFree = 2200 * time.Millisecond
-	// leaveLast is the same for the only place.
-	leaveLast = 4 * time.Second
+	twoPlacesFor = 2200 * time.Millisecond
+	// onePlaceFor is the same for the only place.
+	onePlaceFor = 4 * time.Second
 	// roomFactor times the cores that short tasks use and wait for is the room at which lasting tasks don't wait: twice
 	// the mean is about the peak of a load that swings.
 	roomFactor = 2
@@ -70,8 +70,8 @@
 	s.need = need
 }
 
-// mayLast reports whether a lasting task may take room now.
-func (s *Scheduler) mayLast(now time.Time, t *task) bool {
+// mayTakeRoom reports whether a lasting task may take room now.
+func (s *Scheduler) mayTakeRoom(now time.Time, t *task) bool {
 	need := s.need[t.job().service]
 	if need == 0 || t.run > s.floor || t.job().restored {
 		return true
@@ -80,7 +80,7 @@
 	if now.Sub(l.looked) >= lookEvery {
 		s.look(now, t, need)
 	}
-	return l.plenty || (!l.twice.IsZero() && now.Sub(l.twice) >= leaveFree) || (!l.once.IsZero() && now.Sub(l.once) >= leaveLast)
+	return l.plenty || (!l.twice.IsZero() && now.Sub(l.twice) >= twoPlacesFor) || (!l.once.IsZero() && now.Sub(l.once) >= onePlaceFor)
 }
 
 // look updates what is known of the room for the stage of a lasting task.
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -218,6 +218,7 @@
 	}
 	w.Registration = r
 	w.listed = true
+	s.noteCapacity(r.Service, r.Capacity)
 }
 
 // DropWorker notes that the worker is no longer in the platform's list. What runs there counts until its lease has
