--- /dev/null
+++ b/internal/request/route/route_test.go
@@ -0,0 +1,40 @@
+package route
+
+import (
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestFind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		part := rapid.StringMatching(`(/[ab]{0,2}){0,3}/?`)
+		host := rapid.SampledFrom([]string{"x.example", "y.example"})
+		var routes []Route
+		seen := map[string]bool{}
+		for range rapid.IntRange(0, 8).Draw(t, "routes") {
+			r := Route{Host: host.Draw(t, "host"), Prefix: part.Draw(t, "prefix")}
+			r.Queue = r.Host + r.Prefix
+			if !seen[r.Queue] {
+				seen[r.Queue] = true
+				routes = append(routes, r)
+			}
+		}
+		name, path := host.Draw(t, "name"), part.Draw(t, "path")
+		var want *Route
+		for i, r := range routes {
+			if r.Host == name && strings.HasPrefix(path, r.Prefix) && (want == nil || len(r.Prefix) > len(want.Prefix)) {
+				want = &routes[i]
+			}
+		}
+		port := rapid.SampledFrom([]string{"", ":80"}).Draw(t, "port")
+		got, rest, ok := NewTable(routes).Find(name+port, path)
+		switch {
+		case ok != (want != nil):
+			t.Fatalf("found %v, want %v", got, want)
+		case ok && (got != *want || got.Prefix+rest != path):
+			t.Fatalf("found %v with rest %q, want %v", got, rest, *want)
+		}
+	})
+}
--- a/internal/stream/ledger/writer.go
+++ b/internal/stream/ledger/writer.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxAppend bounds the bytes of one append, below the platform's limit for a call.
-	maxAppend = 1 << 20
+	// maxAppend bounds the bytes of one append, so that it takes a third of a call's time over a link of 10 Mbit/s.
+	maxAppend = 256 << 10
 	// recordOverhead is what a record takes beside its key and value, in bytes.
 	recordOverhead = 5
 	// firstRetry and lastRetry bound the pause before an append is sent again.
