--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -160,7 +160,7 @@
 			continue
 		}
 		if t.step().Lasting && !s.mayTakeRoom(now, t) {
-			return true
+			continue
 		}
 		w := s.place(now, t, nil)
 		if w == nil {
--- a/internal/zone/dispatch/scale_test.go
+++ b/internal/zone/dispatch/scale_test.go
@@ -343,3 +343,29 @@
 		}
 	}
 }
+
+// TestRestartBesideWaiting replays a lasting job of which one task is lost while others have not found room yet: the lost
+// one starts again at once.
+func TestRestartBesideWaiting(t *testing.T) {
+	c := newCrowd(1, 4, crowdLoad{})
+	lasting := c.spec(1, 2, 20000, 0, true)
+	lasting.Text = "0000000000000001"
+	c.s.Submit(c.now, Request{ID: lasting.Text, Queue: "watch", Spec: lasting, Wall: c.now})
+	c.run(2 * time.Second)
+	st := c.s.jobs[lasting.Text].open[0].stages[0]
+	if st.waiting != 0 {
+		t.Fatalf("%d tasks wait in an idle deployment", st.waiting)
+	}
+	// The first task counts as one that never ran, the second as one that was lost, while short tasks are about.
+	for _, task := range st.tasks {
+		r := task.runs[0]
+		delete(c.workers[r.worker.ID].runs, key{task.name, r.number})
+		c.s.release(c.now, r)
+	}
+	st.tasks[0].run = c.s.floor
+	c.s.need = map[string]float64{"svc": 128000}
+	c.s.Decide(c.now)
+	if !st.tasks[0].queued || st.tasks[1].queued {
+		t.Errorf("the new task waits: %v, the lost one waits: %v; want only the new one to wait", st.tasks[0].queued, st.tasks[1].queued)
+	}
+}
