--- a/internal/port/fleet/client.go
+++ b/internal/port/fleet/client.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,9 +63,7 @@
 type Client struct {
 	timeout time.Duration
 	call    time.Duration
-
-	mu    sync.Mutex
-	pools map[string]*http.Transport
+	pool    *httpcall.Pool
 }
 
 // Option changes a Client.
@@ -84,23 +81,16 @@
 
 // NewClient returns a client and its clean-up function, which closes all idle connections.
 func NewClient(opts ...Option) (*Client, func()) {
-	c := &Client{timeout: defaultTimeout, call: defaultCall, pools: map[string]*http.Transport{}}
+	pool, closePool := httpcall.NewPool(MaxConnections, dialTimeout, idleTimeout)
+	c := &Client{timeout: defaultTimeout, call: defaultCall, pool: pool}
 	for _, o := range opts {
 		o(c)
 	}
-	return c, c.close
+	return c, closePool
 }
 
 // Drop closes the idle connections of a worker that is no longer used and frees its pool.
-func (c *Client) Drop(addr string) {
-	c.mu.Lock()
-	t := c.pools[addr]
-	delete(c.pools, addr)
-	c.mu.Unlock()
-	if t != nil {
-		t.CloseIdleConnections()
-	}
-}
+func (c *Client) Drop(addr string) { c.pool.Drop(addr) }
 
 // Status returns the full state of the worker at addr (host:port).
 func (c *Client) Status(ctx context.Context, addr string) (Status, error) {
@@ -238,7 +228,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.timeout)
 	defer cancel()
-	pool := c.pool(addr)
+	pool := c.pool.Transport(addr)
 	reply, err := httpcall.Do(ctx, pool, m.method, "http://"+addr+m.path, body)
 	if err != nil {
 		if httpcall.IsTimeout(err) {
@@ -268,22 +258,3 @@
 	}
 	return v, nil
 }
-
-func (c *Client) pool(addr string) *http.Transport {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := c.pools[addr]
-	if t == nil {
-		t = httpcall.NewTransport(MaxConnections, dialTimeout, idleTimeout)
-		c.pools[addr] = t
-	}
-	return t
-}
-
-func (c *Client) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, t := range c.pools {
-		t.CloseIdleConnections()
-	}
-}
--- /dev/null
+++ b/internal/port/httpcall/pool.go
@@ -0,0 +1,54 @@
+package httpcall
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Pool keeps one transport for each peer address. It is safe for concurrent use.
+type Pool struct {
+	conns      int
+	dial, idle time.Duration
+
+	mu         sync.Mutex
+	transports map[string]*http.Transport
+}
+
+// NewPool returns a pool whose transports have the bounds of NewTransport, and its clean-up function, which closes all
+// idle connections.
+func NewPool(conns int, dial, idle time.Duration) (*Pool, func()) {
+	p := &Pool{conns: conns, dial: dial, idle: idle, transports: map[string]*http.Transport{}}
+	return p, p.close
+}
+
+// Transport returns the transport of a peer.
+func (p *Pool) Transport(addr string) *http.Transport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.transports[addr]
+	if t == nil {
+		t = NewTransport(p.conns, p.dial, p.idle)
+		p.transports[addr] = t
+	}
+	return t
+}
+
+// Drop closes the idle connections to a peer that is no longer used and frees its transport.
+func (p *Pool) Drop(addr string) {
+	p.mu.Lock()
+	t := p.transports[addr]
+	delete(p.transports, addr)
+	p.mu.Unlock()
+	if t != nil {
+		t.CloseIdleConnections()
+	}
+}
+
+func (p *Pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.transports {
+		t.CloseIdleConnections()
+	}
+}
