Say once what a task reserves, how a run is attached and how gangs are placed

planMembers was a second copy of place, whose plan argument was always nil: place now takes the plan of a gang. What a task takes of a worker's capacity was worked out in five places, a run was attached, confirmed and looked up for an answer in two or three each; health.full was health.refused again, and nobody read the result of Held. Waiting stages are looked through once a second, not twice, for the need of short tasks. Behaviour and tests are unchanged.

--- a/internal/work/workflow/workflow.go
+++ b/internal/work/workflow/workflow.go
@@ -61,6 +61,15 @@
 	Disruptable int `msgpack:"d"`
 }
 
+// Reserved is what a task takes of a worker's capacity: the cores of tasks that fill are not counted.
+func (s *Step) Reserved() fleet.Size {
+	size := s.Size
+	if s.Fills {
+		size.Cores = 0
+	}
+	return size
+}
+
 // Spec is what a caller submits.
 //
 // Each number in After is below that of its step.
--- a/internal/zone/dispatch/admission.go
+++ b/internal/zone/dispatch/admission.go
@@ -31,11 +31,7 @@
 		return Reply{}, false
 	}
 	for i := range j.spec.Steps {
-		size := j.spec.Steps[i].Size
-		if j.spec.Steps[i].Fills {
-			size.Cores = 0
-		}
-		if !slices.ContainsFunc(capacities, size.Fits) {
+		if !slices.ContainsFunc(capacities, j.spec.Steps[i].Reserved().Fits) {
 			return Reply{Outcome: OutcomeRefused, RetryAfter: unfitRetry, Reason: "no worker is large enough"}, true
 		}
 	}
--- a/internal/zone/dispatch/advice.go
+++ b/internal/zone/dispatch/advice.go
@@ -43,7 +43,7 @@
 	}
 	var eligible, fresh []string
 	for _, w := range s.byService[st.job().service] {
-		if !w.usable() || s.catalog.Evacuated[w.Zone] || !s.fits(w, st.step().Size, st.step().Fills, st.step().Size.Sub(st.step().Size)) {
+		if !w.usable() || s.catalog.Evacuated[w.Zone] || !w.fits(st.step().Reserved()) {
 			continue
 		}
 		if l := st.step().Label; l != "" && !w.has(l) {
--- a/internal/zone/dispatch/health.go
+++ b/internal/zone/dispatch/health.go
@@ -43,12 +43,9 @@
 	}
 }
 
-// refused notes that the worker refused an order although it had room.
+// refused notes that the worker refused an order, for want of room or for reasons of its own.
 func (h *health) refused(now time.Time) { h.resumeAt = now.Add(refusedFor) }
 
-// full notes that the worker said that it has no room.
-func (h *health) full(now time.Time) { h.resumeAt = now.Add(refusedFor) }
-
 // silent notes that an order got no answer.
 func (h *health) silent(now time.Time) { h.resumeAt = now.Add(silentFor) }
 
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -332,10 +332,7 @@
 	if t.done {
 		return
 	}
-	if t.queued {
-		t.queued = false
-		st.waiting--
-	}
+	t.dequeue()
 	t.done = true
 	st.done++
 	s.journal.touch(t.job())
@@ -370,6 +367,14 @@
 	}
 }
 
+// dequeue takes a task from those that wait.
+func (t *task) dequeue() {
+	if t.queued {
+		t.queued = false
+		t.stage.waiting--
+	}
+}
+
 // requeue makes a task without runs wait again.
 func (s *Scheduler) requeue(now time.Time, t *task) {
 	if t.done || t.queued || len(t.runs) > 0 || t.job().final() {
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -98,13 +98,8 @@
 		until: w.now(now) + startWindow.Milliseconds(),
 	}
 	t.run = number
-	t.runs = append(t.runs, r)
-	if t.queued {
-		t.queued = false
-		st.waiting--
-	}
 	w.lease = max(w.lease, r.until)
-	w.occupy(r)
+	r.attach()
 	o := Order{
 		Kind: OrderStart, Worker: w.ID, Address: w.Address, Boot: w.Boot, Token: s.token, Task: t.name, Run: number,
 		Text: t.job().spec.Text, Checkpoint: t.checkpoint, Until: r.until,
@@ -116,6 +111,35 @@
 	s.note(Event{Kind: EventStart, Job: t.job().id, Task: t.name, Run: number, Worker: w.ID, Age: now.Sub(t.since)})
 }
 
+// attach adds the run to its task and its worker.
+func (r *run) attach() {
+	r.task.dequeue()
+	r.task.runs = append(r.task.runs, r)
+	r.worker.occupy(r)
+}
+
+// confirm notes that the worker has the run, at the given time of its clock.
+func (r *run) confirm(clock int64) {
+	if r.phase == phaseOrdered || r.phase == phaseDoubtful {
+		r.phase = phaseRunning
+		r.task.job().started = true
+	}
+	r.confirmed, r.acked = true, max(r.acked, clock)
+}
+
+// answered takes over the worker's clock from its answer to an order, 0 for none, and returns the worker and the run that
+// the order was for, nil if it is not known any more.
+func (s *Scheduler) answered(now time.Time, o Order, clock int64) (*Worker, *run) {
+	w := s.workers[o.Worker]
+	if w == nil || w.Boot != o.Boot {
+		return nil, nil
+	}
+	if clock > 0 {
+		w.tick(now, clock)
+	}
+	return w, w.runs[key{o.Task, o.Run}]
+}
+
 // gangNumber is the run number of the members of a gang: that of those which run, or a new one.
 func (st *stage) gangNumber() int {
 	live := false
@@ -132,14 +156,7 @@
 
 // Started takes over the answer to a start.
 func (s *Scheduler) Started(now time.Time, o Order, a Answer, clock int64) {
-	w := s.workers[o.Worker]
-	if w == nil || w.Boot != o.Boot {
-		return
-	}
-	if clock > 0 {
-		w.tick(now, clock)
-	}
-	r := w.runs[key{o.Task, o.Run}]
+	w, r := s.answered(now, o, clock)
 	if r == nil {
 		return
 	}
@@ -151,11 +168,7 @@
 	}
 	switch a {
 	case AnswerDone:
-		if r.phase == phaseOrdered || r.phase == phaseDoubtful {
-			r.phase = phaseRunning
-			r.task.job().started = true
-		}
-		r.confirmed, r.acked = true, max(r.acked, clock)
+		r.confirm(clock)
 	case AnswerUnknown:
 		if r.phase == phaseOrdered {
 			r.phase = phaseDoubtful
@@ -173,7 +186,7 @@
 		r.task.notBefore = now.Add(retryPause)
 		s.release(now, r)
 	case AnswerFull:
-		w.health.full(now)
+		w.health.refused(now)
 		s.release(now, r)
 	case AnswerRestarted:
 		w.unsure = true
@@ -232,18 +245,8 @@
 
 // Stopped takes over the answer to a stop. After it the run can't start any more if it had not yet.
 func (s *Scheduler) Stopped(now time.Time, o Order, a Answer, clock int64) {
-	w := s.workers[o.Worker]
-	if w == nil || w.Boot != o.Boot {
-		return
-	}
-	if clock > 0 {
-		w.tick(now, clock)
-	}
-	r := w.runs[key{o.Task, o.Run}]
-	if r == nil || r.phase != phaseStopping {
-		return
-	}
-	if a == AnswerDone {
+	_, r := s.answered(now, o, clock)
+	if r != nil && r.phase == phaseStopping && a == AnswerDone {
 		r.acked = max(r.acked, clock)
 	}
 }
--- a/internal/zone/dispatch/pacing.go
+++ b/internal/zone/dispatch/pacing.go
@@ -253,14 +253,7 @@
 
 // Paced takes over the answer to a pace.
 func (s *Scheduler) Paced(now time.Time, o Order, a Answer, clock int64) {
-	w := s.workers[o.Worker]
-	if w == nil || w.Boot != o.Boot {
-		return
-	}
-	if clock > 0 {
-		w.tick(now, clock)
-	}
-	if r := w.runs[key{o.Task, o.Run}]; r != nil {
+	if _, r := s.answered(now, o, clock); r != nil {
 		r.pacing = false
 		if a == AnswerDone {
 			r.pace = o.Percent
--- a/internal/zone/dispatch/placement.go
+++ b/internal/zone/dispatch/placement.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	"sassafraswind.example/sassafraswind/internal/work/workflow"
 )
 
 // serveLoad is the share of their declared cores that lasting tasks use on average; the rest is left to tasks that
@@ -22,19 +23,40 @@
 	sameImage, otherImage = 1.5, 3
 )
 
-// tentative is room that a plan has used up on workers before it is carried out.
-type tentative map[*Worker]fleet.Size
+// plan places the members of a gang before any of them is started.
+type plan struct {
+	// rack confines the members, empty for any rack.
+	rack string
+	// used is the room that the plan has taken, count the number of members by worker.
+	used  map[*Worker]fleet.Size
+	count map[*Worker]int
+}
+
+// admits reports whether the plan may put another task of the step on the worker, beside the worker's own rules. A nil
+// plan has put nothing anywhere.
+func (p *plan) admits(w *Worker, step *workflow.Step) bool {
+	return p == nil || ((p.rack == "" || w.Rack == p.rack) && (step.Spread == 0 || p.count[w] < step.Spread))
+}
 
-// place returns the worker on which the task should start, nil if none can take it now.
-func (s *Scheduler) place(now time.Time, t *task, plan tentative) *Worker {
+// on is the room that the plan has taken on the worker.
+func (p *plan) on(w *Worker) fleet.Size {
+	if p == nil {
+		return fleet.Size{}
+	}
+	return p.used[w]
+}
+
+// place returns the worker on which the task should start, beside what a plan has put there, nil if none can take it now.
+func (s *Scheduler) place(now time.Time, t *task, p *plan) *Worker {
 	step := t.step()
+	size := step.Reserved()
 	var best *Worker
 	bestScore := math.Inf(-1)
 	for _, w := range s.byService[t.job().service] {
-		if !s.fits(w, step.Size, step.Fills, plan[w]) || !s.eligible(now, t, w) {
+		if !p.admits(w, step) || !w.fits(p.on(w).Add(size)) || !s.eligible(now, t, w) {
 			continue
 		}
-		if score := s.score(now, t, w, plan); score > bestScore && !w.numbered(t) {
+		if score := s.score(now, t, w, p); score > bestScore && !w.numbered(t) {
 			best, bestScore = w, score
 		}
 	}
@@ -90,13 +112,8 @@
 	return n
 }
 
-// fits reports whether the worker has room for the size beside what a plan has put there.
-func (s *Scheduler) fits(w *Worker, size fleet.Size, fills bool, planned fleet.Size) bool {
-	if fills {
-		size.Cores = 0
-	}
-	return w.used.Add(planned).Add(size).Fits(w.Capacity)
-}
+// fits reports whether the worker has room for the size.
+func (w *Worker) fits(size fleet.Size) bool { return w.used.Add(size).Fits(w.Capacity) }
 
 // spare is what is left for tasks that fill, in thousandths of a core. The margins have to be known.
 func (w *Worker) spare() int64 {
@@ -105,7 +122,7 @@
 }
 
 // score rates a worker for a task; higher is better.
-func (s *Scheduler) score(now time.Time, t *task, w *Worker, plan tentative) float64 {
+func (s *Scheduler) score(now time.Time, t *task, w *Worker, p *plan) float64 {
 	step := t.step()
 	capacity := float64(max(1, w.Capacity.Cores))
 	score := 0.0
@@ -124,7 +141,7 @@
 		score += s.companyScore(t, w)
 		score -= float64(w.Capacity.Cores-w.used.Cores-step.Size.Cores) / capacity
 	default:
-		left := float64(w.Capacity.Cores-w.used.Cores-plan[w].Cores-step.Size.Cores) / capacity
+		left := float64(w.Capacity.Cores-w.used.Cores-p.on(w).Cores-step.Size.Cores) / capacity
 		if s.lastingWaits[t.job().service] {
 			// Spread out, short tasks keep places from lasting ones that they will need again themselves.
 			score += left
@@ -171,37 +188,16 @@
 }
 
 func (s *Scheduler) planMembers(now time.Time, st *stage, rack string) []*Worker {
-	step := st.step()
-	plan := tentative{}
-	count := map[*Worker]int{}
+	p := &plan{rack: rack, used: map[*Worker]fleet.Size{}, count: map[*Worker]int{}}
 	out := make([]*Worker, 0, len(st.tasks))
 	for _, t := range st.tasks {
-		var best *Worker
-		bestScore := math.Inf(-1)
-		for _, w := range s.byService[st.job().service] {
-			if (rack != "" && w.Rack != rack) || !s.eligible(now, t, w) {
-				continue
-			}
-			if step.Spread > 0 && count[w] >= step.Spread {
-				continue
-			}
-			if !s.fits(w, step.Size, step.Fills, plan[w]) {
-				continue
-			}
-			if score := s.score(now, t, w, plan); score > bestScore && !w.numbered(t) {
-				best, bestScore = w, score
-			}
-		}
-		if best == nil {
+		w := s.place(now, t, p)
+		if w == nil {
 			return nil
 		}
-		size := step.Size
-		if step.Fills {
-			size.Cores = 0
-		}
-		plan[best] = plan[best].Add(size)
-		count[best]++
-		out = append(out, best)
+		p.used[w] = p.used[w].Add(st.step().Reserved())
+		p.count[w]++
+		out = append(out, w)
 	}
 	return out
 }
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -55,16 +55,13 @@
 // maxEnds is the number of ends that a worker lists at once; more may follow a full list.
 const maxEnds = 500
 
-// Held takes over the answer to a hold. It reports whether the worker is still known.
-func (s *Scheduler) Held(now time.Time, p Report) bool {
+// Held takes over the answer to a hold.
+func (s *Scheduler) Held(now time.Time, p Report) {
 	w := s.workers[p.Worker]
-	if w == nil {
-		return false
+	if w == nil || p.Boot < w.Boot {
+		return
 	}
 	if p.Boot != w.Boot {
-		if p.Boot < w.Boot {
-			return true
-		}
 		s.reborn(now, w, p.Boot)
 	}
 	if w.failures > 1 {
@@ -87,7 +84,6 @@
 	s.pace(now, w)
 	w.marginsKnown = false
 	s.judge(now, w)
-	return true
 }
 
 // takeEnds takes over the ends that are new.
@@ -225,11 +221,7 @@
 
 // progress takes over what the worker says of a run.
 func (s *Scheduler) progress(now time.Time, r *run, rr *RunReport, clock int64) {
-	if r.phase == phaseOrdered || r.phase == phaseDoubtful {
-		r.phase = phaseRunning
-		r.task.job().started = true
-	}
-	r.confirmed, r.acked = true, max(r.acked, clock)
+	r.confirm(clock)
 	if rr.Checkpoint != "" {
 		r.task.checkpoint = rr.Checkpoint
 	}
@@ -281,12 +273,7 @@
 	other := len(t.runs) > 0 && !t.step().Speculative
 	t.run = max(t.run, rr.Number)
 	t.job().started = true
-	if t.queued {
-		t.queued = false
-		t.stage.waiting--
-	}
-	t.runs = append(t.runs, r)
-	w.occupy(r)
+	r.attach()
 	if t.step().Gang {
 		t.stage.gangRun = max(t.stage.gangRun, rr.Number)
 	}
--- a/internal/zone/dispatch/reserve.go
+++ b/internal/zone/dispatch/reserve.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"sassafraswind.example/sassafraswind/internal/port/fleet"
-)
+import "time"
 
 // Lasting tasks never give their room back, and where more of them are handed in than there is room for they would
 // take every place that is large enough. Short tasks come and go: a place that one of them leaves is needed by the
@@ -45,13 +41,11 @@
 	need := map[string]float64{}
 	s.lastingWaits = map[string]bool{}
 	for _, st := range s.ready {
-		if st.step().Lasting && st.waiting > 0 {
-			s.lastingWaits[st.job().service] = true
-		}
-	}
-	for _, st := range s.ready {
-		if st.isShort() {
+		switch {
+		case st.isShort():
 			need[st.job().service] += float64(st.waiting) * float64(st.step().Size.Cores)
+		case st.step().Lasting && st.waiting > 0:
+			s.lastingWaits[st.job().service] = true
 		}
 	}
 	for _, w := range s.workers {
@@ -94,11 +88,11 @@
 	enough := 2 + int(roomFactor*need/float64(max(1, size.Cores)))
 	places := 0
 	for _, w := range s.byService[t.job().service] {
-		if !s.fits(w, size, false, fleet.Size{}) || !s.eligible(now, t, w) {
+		if !w.fits(size) || !s.eligible(now, t, w) {
 			continue
 		}
 		places++
-		if s.fits(w, size, false, size) {
+		if w.fits(size.Add(size)) {
 			places++
 		}
 		if places >= enough {
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -175,14 +175,13 @@
 func (w *Worker) account(r *run, sign int64) {
 	w.marginsKnown = false
 	st := r.task.step()
-	size := st.Size
 	switch {
 	case st.Fills:
-		w.fill += sign * size.Cores
-		size.Cores = 0
+		w.fill += sign * st.Size.Cores
 	case st.Lasting:
-		w.serve += sign * size.Cores
+		w.serve += sign * st.Size.Cores
 	}
+	size := st.Reserved()
 	if sign > 0 {
 		w.used = w.used.Add(size)
 	} else {
