--- a/internal/host/entry/renew.go
+++ b/internal/host/entry/renew.go
@@ -47,7 +47,7 @@
 			}
 			// The append may have been repeated: only its last try counts, which took at most the call's timeout.
 			now := t.h.clock.Now()
-			t.confirm(maxTime(sent, now.Add(-renewCall)))
+			t.confirm(maxTime(sent, now.Add(-ledger.CallTimeout)))
 			pause(t.ctx, leadership.RenewEvery)
 		}
 	})
@@ -71,9 +71,6 @@
 	}
 }
 
-// renewCall is the longest time that one call to the log takes, see ledger.WithCallTimeout.
-const renewCall = 700 * time.Millisecond
-
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -234,9 +234,7 @@
 	if m == nil {
 		return
 	}
-	c := m.Catalog
-	c.Evacuated = zones
-	t.s.SetCatalog(c)
+	t.s.SetCatalog(m.Catalog)
 	t.s.SetEvacuated(zones)
 }
 
--- a/internal/host/telemetry/entry.go
+++ b/internal/host/telemetry/entry.go
@@ -58,11 +58,9 @@
 
 // Observe registers the gauges, which are read at each scrape.
 func (m *EntryMetrics) Observe(read func() EntryState) error {
-	var errs error
-	gauge := func(name, text string) metric.Int64ObservableGauge {
-		g, err := m.meter.Int64ObservableGauge("sassafraswind.entry."+name, metric.WithDescription(text))
-		errs = errors.CombineErrors(errs, err)
-		return g
+	i := instruments{meter: m.meter}
+	gauge := func(name, text string) metric.Float64ObservableGauge {
+		return i.gauge("sassafraswind.entry."+name, text)
 	}
 	leads := gauge("leads", "1 if the host leads the deployment, else 0.")
 	jobs := gauge("jobs", "Jobs that are not finished.")
@@ -70,20 +68,20 @@
 	running := gauge("tasks.running", "Runs that occupy workers.")
 	workers := gauge("workers", "Workers that are known.")
 	reachable := gauge("workers.reachable", "Workers that can take tasks.")
-	if errs != nil {
-		return errors.Wrap(errs, "telemetry: gauges of an entry host")
+	if i.errs != nil {
+		return errors.Wrap(i.errs, "telemetry: gauges of an entry host")
 	}
 	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		s := read()
 		if s.Leads {
-			o.ObserveInt64(leads, 1)
-			o.ObserveInt64(jobs, int64(s.Jobs))
-			o.ObserveInt64(waiting, int64(s.Waiting))
-			o.ObserveInt64(running, int64(s.Running))
-			o.ObserveInt64(workers, int64(s.Workers))
-			o.ObserveInt64(reachable, int64(s.Reachable))
+			o.ObserveFloat64(leads, 1)
+			o.ObserveFloat64(jobs, float64(s.Jobs))
+			o.ObserveFloat64(waiting, float64(s.Waiting))
+			o.ObserveFloat64(running, float64(s.Running))
+			o.ObserveFloat64(workers, float64(s.Workers))
+			o.ObserveFloat64(reachable, float64(s.Reachable))
 		} else {
-			o.ObserveInt64(leads, 0)
+			o.ObserveFloat64(leads, 0)
 		}
 		return nil
 	}, leads, jobs, waiting, running, workers, reachable)
--- a/internal/host/telemetry/metrics.go
+++ b/internal/host/telemetry/metrics.go
@@ -91,6 +91,12 @@
 	return c
 }
 
+func (i *instruments) gauge(name, text string) metric.Float64ObservableGauge {
+	g, err := i.meter.Float64ObservableGauge(name, metric.WithDescription(text))
+	i.errs = errors.CombineErrors(i.errs, err)
+	return g
+}
+
 // create makes the instruments.
 func (m *Metrics) create() error {
 	i := instruments{meter: m.meter}
@@ -138,18 +144,14 @@
 // Classes registers gauges that show, for each class, whether its target is met, and its tasks. They are read at each
 // scrape.
 func (m *Metrics) Classes(read func() []ClassState) error {
-	var errs error
-	gauge := func(name, text string) metric.Float64ObservableGauge {
-		g, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(text))
-		errs = errors.CombineErrors(errs, err)
-		return g
-	}
+	i := instruments{meter: m.meter}
+	gauge := i.gauge
 	met := gauge("sassafraswind.class.met", "1 if the class meets its target, else 0.")
 	p99 := gauge("sassafraswind.class.p99", "Measured 99th percentile of the answer time in seconds, by urgent class.")
 	pending := gauge("sassafraswind.class.pending", "Pending tasks of the zone, by batch class.")
 	running := gauge("sassafraswind.class.running", "Running tasks of the zone, by batch class.")
-	if errs != nil {
-		return errors.Wrap(errs, "telemetry: gauges of classes")
+	if i.errs != nil {
+		return errors.Wrap(i.errs, "telemetry: gauges of classes")
 	}
 	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		for _, c := range read() {
--- a/internal/stream/ledger/writer.go
+++ b/internal/stream/ledger/writer.go
@@ -40,13 +40,14 @@
 // WithCallTimeout bounds one call to the log.
 func WithCallTimeout(d time.Duration) Option { return func(w *Writer) { w.callTimeout = d } }
 
-// defaultCallTimeout bounds one call: a silent connection has to be given up before callers do.
-const defaultCallTimeout = 700 * time.Millisecond
+// CallTimeout bounds one call of a writer unless WithCallTimeout says otherwise: a silent connection has to be given up
+// before callers do.
+const CallTimeout = 700 * time.Millisecond
 
 // NewWriter returns a writer with the given name and epoch.
 func NewWriter(s Store, p Partition, name string, epoch int64, opts ...Option) *Writer {
 	w := &Writer{
-		store: s, part: p, name: name, epoch: epoch, callTimeout: defaultCallTimeout, sleep: sleep,
+		store: s, part: p, name: name, epoch: epoch, callTimeout: CallTimeout, sleep: sleep,
 		onRetry: func(error, int) {},
 	}
 	for _, o := range opts {
