Record stops before they are sent, so that no task runs twice after a takeover

Cause, from traces of both histories of KNOWN-RED's first entry: a leader cancels a job (or finds a second run) and orders a stop at once; before the cancellation is durable, another host takes over. The worker's first report to the next leader lists the stopping run neither as running nor as ended, so its task is started a second time (both histories), and its room is given away (the second violation of the first history). Ruled out: expired leases, late starts and reused run numbers; none occurs in the traces.

Change: runs that are being stopped are a record of their worker. The order is sent once the record is durable, and the record is removed in the batch that holds the end of the run. The next leader keeps task and room of such a run until its end is listed, the worker has restarted, or unlistedTimeout has passed. Weighed: waiting out the longest stop at each takeover.

--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -19,7 +19,7 @@
 // Decide returns the orders that are due.
 func (s *Scheduler) Decide(now time.Time) []Order {
 	s.expireLeases(now)
-	s.resendStops(now)
+	s.sendStops(now)
 	for j := range s.recurring {
 		s.openDueOccurrences(now.Add(s.limits.MaxEarlyStart/2), j)
 	}
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -104,8 +104,10 @@
 	recurring map[*Job]struct{}
 
 	orders []Order
-	// stopping lists the runs that were ordered to stop and whose ends have not been listed yet.
-	stopping []*run
+	// stops lists the orders to stop runs whose ends have not been listed yet.
+	stops []*stop
+	// restoredStops holds the stops of earlier leaders, by worker, until the worker has reported.
+	restoredStops map[string]stopsRecord
 	// halted is set while the leader may not give orders.
 	halted bool
 	// unaccounted names the workers on which an earlier leader may have left tasks and from which this term has had no
@@ -143,6 +145,7 @@
 		capacities:    map[string][]fleet.Size{},
 		recurring:     map[*Job]struct{}{},
 		unaccounted:   map[string]struct{}{},
+		restoredStops: map[string]stopsRecord{},
 		journal:       newJournal(),
 
 		interference: newInterferenceModel(),
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -304,7 +304,7 @@
 		for _, st := range o.stages {
 			for _, t := range st.tasks {
 				for _, r := range t.runs {
-					s.stopRun(now, r, "job "+string(state))
+					s.stopRun(r, "job "+string(state))
 				}
 			}
 		}
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // OrderKind is the kind of an order.
 type OrderKind int
@@ -205,62 +202,3 @@
 		s.releaseRun(now, r)
 	}
 }
-
-// stopRun orders a run to stop. The run occupies its room until its end is listed.
-func (s *Scheduler) stopRun(now time.Time, r *run, reason string) {
-	if r.phase == phaseStopping {
-		return
-	}
-	r.phase, r.stopReason = phaseStopping, reason
-	s.stopping = append(s.stopping, r)
-	s.sendStop(now, r)
-}
-
-// sendStop adds the order to stop a run.
-func (s *Scheduler) sendStop(now time.Time, r *run) {
-	r.stopSentAt = now
-	w := r.worker
-	s.orders = append(s.orders, Order{
-		Kind: OrderStop, Worker: w.ID, Address: w.Address, Boot: w.Boot, Token: s.token, Task: r.task.name,
-		Run: r.number,
-	})
-	s.recordEvent(Event{
-		Kind: "stop", Job: r.task.job().id, Task: r.task.name, Run: r.number, Worker: w.ID, Reason: r.stopReason,
-	})
-}
-
-// stopUnknownRun orders a worker to stop a run of a task that is not known, listed at the given time of its clock.
-func (s *Scheduler) stopUnknownRun(w *Worker, rr *RunReport, clock int64) {
-	if w.unknownRuns == nil {
-		w.unknownRuns = map[runKey]int64{}
-	}
-	w.unknownRuns[runKey{rr.Task, rr.Number}] = clock
-	s.orders = append(s.orders, Order{
-		Kind: OrderStop, Worker: w.ID, Address: w.Address, Boot: w.Boot, Token: s.token, Task: rr.Task, Run: rr.Number,
-	})
-	s.recordEvent(Event{Kind: "stop", Task: rr.Task, Run: rr.Number, Worker: w.ID, Reason: "unknown task"})
-}
-
-// stopResendInterval is the interval at which an order to stop is repeated while the run is still listed.
-const stopResendInterval = 700 * time.Millisecond
-
-// resendStops repeats the stop orders that seem to be lost.
-func (s *Scheduler) resendStops(now time.Time) {
-	s.stopping = slices.DeleteFunc(s.stopping, func(r *run) bool {
-		return r.worker.runs[runKey{r.task.name, r.number}] != r
-	})
-	for _, r := range s.stopping {
-		if r.worker.failedRenewals == 0 && now.Sub(r.stopSentAt) > stopResendInterval {
-			s.sendStop(now, r)
-		}
-	}
-}
-
-// HandleStopAnswer applies the answer to a stop order. A run that had not started by then can't start any more. If the
-// worker never lists its end, the run is released when unlistedTimeout has passed after the answer.
-func (s *Scheduler) HandleStopAnswer(now time.Time, o Order, a Answer, clock int64) {
-	_, r := s.resolveOrder(now, o, clock)
-	if r != nil && r.phase == phaseStopping && a == AnswerDone {
-		r.confirmedClock = max(r.confirmedClock, clock)
-	}
-}
--- a/internal/zone/dispatch/pacing.go
+++ b/internal/zone/dispatch/pacing.go
@@ -140,7 +140,7 @@
 	case r.pausedSince.IsZero():
 		r.pausedSince = now
 	case now.Sub(r.pausedSince) > maxPauseBeforeMove && r.task.step().Checkpointing && r.task.step().MaxUnavailable < 0:
-		s.stopRun(now, r, "held back by lasting tasks")
+		s.stopRun(r, "held back by lasting tasks")
 	}
 }
 
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -70,13 +71,15 @@
 	committed BatchID
 	dirtyJobs []*Job
 	records   []Record
+	// dirtyStops holds the workers whose stops are to be written.
+	dirtyStops map[*Worker]struct{}
 	// endAcks names the workers whose new ends are acknowledged once the open batch is committed.
 	endAcks map[*Worker]struct{}
 }
 
 // newJournal returns a journal without changes.
 func newJournal() journal {
-	return journal{openBatch: 1, endAcks: map[*Worker]struct{}{}}
+	return journal{openBatch: 1, dirtyStops: map[*Worker]struct{}{}, endAcks: map[*Worker]struct{}{}}
 }
 
 // markDirty adds the job to those to be written and returns the batch that will hold its change.
@@ -100,11 +103,8 @@
 	return j.openBatch
 }
 
-// deleteWorker adds a record that removes the worker.
-func (j *journal) deleteWorker(w *Worker) { j.deleteWorkerID(w.ID) }
-
-// deleteWorkerID adds a record that removes the worker with the ID.
-func (j *journal) deleteWorkerID(id string) {
+// deleteWorker adds a record that removes the worker with the ID.
+func (j *journal) deleteWorker(id string) {
 	j.records = append(j.records, Record{Key: prefixWorker + id})
 }
 
@@ -143,7 +143,7 @@
 // TakeBatch returns the changes since the last batch and opens a new one. It returns false if nothing has changed.
 func (s *Scheduler) TakeBatch() (Batch, bool) {
 	j := &s.journal
-	if len(j.dirtyJobs) == 0 && len(j.records) == 0 && len(j.endAcks) == 0 {
+	if len(j.dirtyJobs) == 0 && len(j.records) == 0 && len(j.dirtyStops) == 0 && len(j.endAcks) == 0 {
 		return Batch{}, false
 	}
 	b := Batch{ID: j.openBatch, Records: j.records}
@@ -151,15 +151,24 @@
 		job.dirty = false
 		b.Records = job.appendRecords(b.Records)
 	}
-	for w := range j.endAcks {
+	for _, w := range sortWorkers(j.dirtyStops) {
+		b.Records = append(b.Records, stopsOf(w))
+	}
+	for _, w := range sortWorkers(j.endAcks) {
 		b.ends = append(b.ends, endAck{worker: w, boot: w.Boot, serial: w.lastEnd})
 	}
-	slices.SortFunc(b.ends, func(a, c endAck) int { return cmp.Compare(a.worker.ID, c.worker.ID) })
-	j.dirtyJobs, j.records, j.endAcks = nil, nil, map[*Worker]struct{}{}
+	j.dirtyJobs, j.records = nil, nil
+	clear(j.dirtyStops)
+	clear(j.endAcks)
 	j.openBatch++
 	return b, true
 }
 
+// sortWorkers returns the workers of a set, ordered by ID.
+func sortWorkers(set map[*Worker]struct{}) []*Worker {
+	return slices.SortedFunc(maps.Keys(set), func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
+}
+
 // MarkCommitted notes that the batch is durable.
 func (s *Scheduler) MarkCommitted(b Batch) {
 	s.journal.committed = max(s.journal.committed, b.ID)
@@ -182,8 +191,7 @@
 	}
 	if !j.stored {
 		j.stored = true
-		rec := jobRecord{Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), Spec: &j.spec}
-		out = append(out, Record{Key: prefixJob + j.id, Value: encode(&rec)})
+		out = append(out, j.specRecord())
 		if j.spec.OccurrenceCount == 0 && j.hasNoProgress() {
 			return out
 		}
@@ -196,6 +204,12 @@
 	return append(out, Record{Key: prefixProgress + j.id, Value: encode(&rec)})
 }
 
+// specRecord returns the record of a job that has not ended.
+func (j *Job) specRecord() Record {
+	rec := jobRecord{Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), Spec: &j.spec}
+	return Record{Key: prefixJob + j.id, Value: encode(&rec)}
+}
+
 // hasNoProgress reports whether no task of the job is done or has failed.
 func (j *Job) hasNoProgress() bool {
 	for _, o := range j.openOccurrences {
@@ -266,12 +280,22 @@
 				errs = append(errs, err)
 			}
 		}
+		if id, ok := cutPrefix(r.Key, prefixStops); ok {
+			if err := s.restoreStops(id, r.Value); err != nil {
+				errs = append(errs, err)
+			}
+		}
 		if id, ok := cutPrefix(r.Key, prefixWorker); ok {
 			if err := s.restoreWorker(id, r.Value); err != nil {
 				errs = append(errs, err)
 			}
 		}
 	}
+	for id := range s.restoredStops {
+		if _, ok := s.unaccounted[id]; !ok {
+			s.deleteRestoredStops(id)
+		}
+	}
 	s.accountingDeadline = ordersUntil.Add(time.Duration(float64(s.limits.MaxLease)/minWorkerClockRate) + clockMargin)
 	return errs
 }
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -80,6 +80,7 @@
 	s.applyEnds(now, w, report.Ended)
 	s.applyRunning(now, w, report)
 	if first {
+		s.applyRestoredStops(now, w, report)
 		delete(s.unaccounted, w.ID)
 	}
 	if w.recordBatch == 0 {
@@ -105,13 +106,12 @@
 
 // applyEnd applies the end of one run.
 func (s *Scheduler) applyEnd(now time.Time, w *Worker, e EndReport) {
-	delete(w.unknownRuns, runKey{e.Task, e.Number})
+	s.unblock(w, runKey{e.Task, e.Number})
 	r := w.runs[runKey{e.Task, e.Number}]
 	var t *task
 	if r != nil {
 		t = r.task
-		w.removeRun(r)
-		t.runs = removeFirst(t.runs, r)
+		s.detach(r)
 	} else {
 		t = s.findTask(e.Task)
 	}
@@ -131,7 +131,7 @@
 		s.finishGang(now, t.stage)
 	case e.Reason == EndDone && !t.step().LongRunning:
 		s.finishTask(now, t)
-		s.stopCopies(now, t)
+		s.stopCopies(t)
 	case e.Reason == EndFailed:
 		s.recordFailure(now, t, e.Number, w)
 	}
@@ -146,9 +146,9 @@
 }
 
 // stopCopies stops the other runs of a task that is done.
-func (s *Scheduler) stopCopies(now time.Time, t *task) {
+func (s *Scheduler) stopCopies(t *task) {
 	for _, r := range t.runs {
-		s.stopRun(now, r, "another copy is done")
+		s.stopRun(r, "another copy is done")
 	}
 }
 
@@ -211,7 +211,7 @@
 	}
 	for k, clock := range w.unknownRuns {
 		if report.Clock > clock+unlistedTimeout.Milliseconds() {
-			delete(w.unknownRuns, k)
+			s.unblock(w, k)
 		}
 	}
 	var unlisted []*run
@@ -278,20 +278,26 @@
 		s.stopUnknownRun(w, rr, clock)
 		return nil
 	}
+	hasOtherRun := len(t.runs) > 0 && !t.step().Speculative
+	r := s.attachReportedRun(now, w, t, rr.Number)
+	s.recordEvent(Event{Kind: "adopt", Job: t.job().id, Task: t.name, Run: r.number, Worker: w.ID})
+	if t.done || t.job().isFinal() || hasOtherRun {
+		s.stopRun(r, "not wanted any more")
+	}
+	return r
+}
+
+// attachReportedRun adds a run that this term did not start to its task and its worker.
+func (s *Scheduler) attachReportedRun(now time.Time, w *Worker, t *task, number int) *run {
 	r := &run{
-		task: t, number: rr.Number, worker: w, phase: phaseRunning, confirmed: true, startedAt: now,
+		task: t, number: number, worker: w, phase: phaseRunning, confirmed: true, startedAt: now,
 		pace: paceUnknown, targetPace: 100,
 	}
-	hasOtherRun := len(t.runs) > 0 && !t.step().Speculative
-	t.lastRun = max(t.lastRun, rr.Number)
+	t.lastRun = max(t.lastRun, number)
 	t.job().started = true
 	r.attach()
 	if t.step().Gang {
-		t.stage.gangRunNumber = max(t.stage.gangRunNumber, rr.Number)
-	}
-	s.recordEvent(Event{Kind: "adopt", Job: t.job().id, Task: t.name, Run: r.number, Worker: w.ID})
-	if t.done || t.job().isFinal() || hasOtherRun {
-		s.stopRun(now, r, "not wanted any more")
+		t.stage.gangRunNumber = max(t.stage.gangRunNumber, number)
 	}
 	return r
 }
--- a/internal/zone/dispatch/speed.go
+++ b/internal/zone/dispatch/speed.go
@@ -126,7 +126,7 @@
 		s.startRun(now, t, w)
 		return
 	}
-	s.stopRun(now, r, "worker is slow")
+	s.stopRun(r, "worker is slow")
 }
 
 // isSlow reports whether the worker should get no further task because it is slow. In the probe period it gets a task
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -78,8 +78,6 @@
 	// headroom is the share of a long-running task's capacity that was free of pressure at its last reading,
 	// previousHeadroom the same at the reading before. Both are 0 without a reading.
 	headroom, previousHeadroom float64
-	stopReason                 string
-	stopSentAt                 time.Time
 }
 
 // runKey identifies a run on a worker.
@@ -103,6 +101,8 @@
 	// unknownRuns holds runs of tasks that are not known, with the time of the worker's clock when they were last
 	// listed. Nothing is started beside them, since their size is not known.
 	unknownRuns map[runKey]int64
+	// stopsRecorded is set while the log may hold a record of stops of the worker.
+	stopsRecorded bool
 	// used is the room that the runs take: the cores of all but best-effort tasks, and the memory and accelerators of
 	// all.
 	used fleet.Size
@@ -276,6 +276,9 @@
 	w.clock, w.clockAt, w.leaseUntil = 0, time.Time{}, 0
 	w.lastEnd, w.durableEnd = 0, 0
 	w.health, w.speed, w.unknownRuns = health{}, speedEstimate{}, nil
+	if w.stopsRecorded {
+		s.journal.recordStops(w)
+	}
 	delete(s.unaccounted, w.ID)
 }
 
@@ -308,9 +311,25 @@
 
 // releaseRun removes a run from its worker and its task. The task waits again unless it is done.
 func (s *Scheduler) releaseRun(now time.Time, r *run) {
+	s.detach(r)
+	s.requeue(now, r.task)
+}
+
+// detach removes a run from its worker and its task.
+func (s *Scheduler) detach(r *run) {
 	r.worker.removeRun(r)
 	r.task.runs = removeFirst(r.task.runs, r)
-	s.requeue(now, r.task)
+	if r.phase == phaseStopping {
+		s.journal.recordStops(r.worker)
+	}
+}
+
+// unblock notes that a run of a task that is not known has ended.
+func (s *Scheduler) unblock(w *Worker, k runKey) {
+	if _, ok := w.unknownRuns[k]; ok {
+		delete(w.unknownRuns, k)
+		s.journal.recordStops(w)
+	}
 }
 
 // LeaseRenewal is the call that renews the leases of a worker, acknowledges its ends and asks what runs there.
@@ -415,7 +434,7 @@
 		delete(s.unaccounted, id)
 		if w.recordBatch != 0 {
 			w.recordBatch = 0
-			s.journal.deleteWorker(w)
+			s.deleteWorkerRecords(id)
 		}
 		s.forgetWorker(w)
 	}
@@ -429,11 +448,9 @@
 				w.leasesExpired = true
 				s.loseRuns(now, w, "lease lapsed")
 				w.recordBatch = 0
-				s.journal.deleteWorker(w)
 				s.forgetWorker(w)
-			} else {
-				s.journal.deleteWorkerID(id)
 			}
+			s.deleteWorkerRecords(id)
 		}
 	}
 }
