--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -75,10 +75,12 @@
 
 // Workers sends orders and lease renewals to workers.
 type Workers interface {
-	// SendOrder sends an order to a worker and returns its answer and its clock in milliseconds, 0 if there is none.
-	SendOrder(ctx context.Context, o dispatch.Order) (dispatch.Answer, int64, error)
-	// RenewLeases renews the leases of a worker and returns what runs there and which runs have ended.
-	RenewLeases(ctx context.Context, r dispatch.LeaseRenewal) (dispatch.Report, error)
+	// SendOrder sends an order to a worker and returns its answer and its clock in milliseconds, 0 if there is none. It
+	// calls permit right before it sends the order, and sends nothing and returns dispatch.AnswerLate if that is false.
+	SendOrder(ctx context.Context, o dispatch.Order, permit func() bool) (dispatch.Answer, int64, error)
+	// RenewLeases renews the leases of a worker and returns what runs there and which runs have ended. It calls permit
+	// right before it sends the renewal, and fails if that is false.
+	RenewLeases(ctx context.Context, r dispatch.LeaseRenewal, permit func() bool) (dispatch.Report, error)
 	// CloseConnections closes the connections to an address.
 	CloseConnections(address string)
 }
--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -131,7 +131,12 @@
 func (f *fakeWorker) workerClock() int64      { return 1000 + time.Since(f.startedAt).Milliseconds() }
 func (f *fakeWorker) CloseConnections(string) {}
 
-func (f *fakeWorker) SendOrder(_ context.Context, order dispatch.Order) (dispatch.Answer, int64, error) {
+func (f *fakeWorker) SendOrder(
+	_ context.Context, order dispatch.Order, permit func() bool,
+) (dispatch.Answer, int64, error) {
+	if !permit() {
+		return dispatch.AnswerLate, 0, nil
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if order.Token < f.highestToken {
@@ -147,7 +152,9 @@
 	return dispatch.AnswerDone, f.workerClock(), nil
 }
 
-func (f *fakeWorker) RenewLeases(ctx context.Context, r dispatch.LeaseRenewal) (dispatch.Report, error) {
+func (f *fakeWorker) RenewLeases(
+	ctx context.Context, r dispatch.LeaseRenewal, _ func() bool,
+) (dispatch.Report, error) {
 	sleep(ctx, 10*time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/host/entry/orders.go
+++ b/internal/host/entry/orders.go
@@ -41,6 +41,9 @@
 	}
 }
 
+// permit reports whether this leader may send an order at this moment.
+func (t *term) permit() bool { return t.maySendOrders(t.host.clock.Now()) }
+
 // sendOrder sends one order and passes the answer to the scheduler.
 func (t *term) sendOrder(o dispatch.Order) {
 	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
@@ -50,14 +53,7 @@
 		return
 	}
 	start := t.host.clock.Now()
-	var a dispatch.Answer
-	var clock int64
-	var err error
-	if t.maySendOrders(t.host.clock.Now()) {
-		a, clock, err = t.host.workers.SendOrder(ctx, o)
-	} else {
-		a, err = dispatch.AnswerLate, errors.New("entry: the term is not confirmed")
-	}
+	a, clock, err := t.host.workers.SendOrder(ctx, o, t.permit)
 	if err != nil && t.ctx.Err() == nil {
 		t.log.WithError(err).WithFields(logrus.Fields{
 			"task": o.Task, "run": o.Run, "worker": o.Worker,
@@ -190,7 +186,7 @@
 // renewLeasesOnce sends one lease renewal and waits until the ends of runs in its report are durable.
 func (t *term) renewLeasesOnce(plan dispatch.LeaseRenewal) {
 	ctx, cancel := context.WithTimeout(t.ctx, plan.Wait+leaseRenewalMargin)
-	report, err := t.host.workers.RenewLeases(ctx, plan)
+	report, err := t.host.workers.RenewLeases(ctx, plan, t.permit)
 	cancel()
 	now := t.host.clock.Now()
 	t.mu.Lock()
--- a/internal/port/httpcall/httpcall.go
+++ b/internal/port/httpcall/httpcall.go
@@ -26,7 +26,7 @@
 // as dialTimeout. Idle connections are closed after idleTimeout, because a dead connection can only be recognised by a
 // request that fails on it.
 func NewTransport(maxConns int, dialTimeout, idleTimeout time.Duration) *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}
+	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	return &http.Transport{
 		DialContext:         d.DialContext,
 		MaxConnsPerHost:     maxConns,
