Rate the workers once for the tasks of a stage, and only those that have changed

Cause: each start compares all workers, and each decision does so again for each waiting stage without room; expired leases are looked for among all workers, and each report builds a set of its runs. Ruled out: the order of the stages and the records, which take a tenth.

Change: the workers are rated once for all tasks of a stage and kept in a heap, of which only the worker that got a task is rated again. A stage without room is compared only with workers that have reported or got room since, and with all of them every 250 ms, since pauses end without an event. Silent workers are kept in a set. Tasks that have failed no longer keep others of their stage waiting, and no longer count as a proof that nothing larger fits.

--- a/internal/zone/dispatch/advice.go
+++ b/internal/zone/dispatch/advice.go
@@ -104,6 +104,7 @@
 	}
 	for _, ticket := range tickets {
 		st.advice.eligible[ticket.Worker] = true
+		st.scan = scanState{}
 		st.tickets[ticket.Worker] = startTicket{text: ticket.Ticket, validUntil: sentAt.Add(validity - ticketMargin)}
 	}
 	s.recordEvent(Event{Kind: "advice", Job: st.job().id, Task: o.Stage, Age: now.Sub(sentAt)})
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -33,6 +33,7 @@
 	s.sortReady(now)
 	if !s.halted {
 		s.startReady(now)
+		s.clearChanges()
 	}
 	out := s.orders
 	s.orders = nil
@@ -139,6 +140,7 @@
 			return f.service == placement.service && f.bestEffort == placement.bestEffort &&
 				f.image == placement.image && f.size.Fits(placement.size)
 		}) {
+			s.markNoRoom(st)
 			continue
 		}
 		var noWorker bool
@@ -159,11 +161,14 @@
 	return step.Label == "" && step.MaxPerWorker == 0 && !step.Gang && !st.job().needsTicket
 }
 
-// startStage starts the waiting tasks of a stage. It returns false if no worker was found for one of them.
+// startStage starts the waiting tasks of a stage. It returns false if no worker has room for a plain one of them.
 func (s *Scheduler) startStage(now time.Time, st *stage) bool {
 	if st.job().needsTicket && !s.ensureTicket(now, st) {
 		return true
 	}
+	var candidates []*Worker
+	var list *shortlist
+	noneForSpecial := false
 	for _, t := range st.tasks {
 		if !t.queued || now.Before(t.notBefore) {
 			continue
@@ -171,11 +176,37 @@
 		if t.step().LongRunning && !s.mayStartLongRunning(now, t) {
 			continue
 		}
-		w := s.findWorker(now, t, nil)
-		if w == nil {
+		if !t.isPlain() {
+			if noneForSpecial {
+				continue
+			}
+			w := s.findWorker(now, t, nil)
+			if w == nil {
+				noneForSpecial = true
+				continue
+			}
+			s.startRun(now, t, w)
+			if list != nil {
+				s.rerate(now, list, t, w)
+			}
+			continue
+		}
+		if list == nil {
+			candidates = s.candidates(now, st)
+			list = s.newShortlist(now, t, candidates)
+		}
+		if list.Len() == 0 {
+			s.markNoRoom(st)
 			return false
 		}
+		w := (*list)[0].worker
+		if w.hasNextRun(t) {
+			if w = s.findAmong(now, t, nil, candidates); w == nil {
+				continue
+			}
+		}
 		s.startRun(now, t, w)
+		s.rerate(now, list, t, w)
 	}
 	return true
 }
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -98,11 +98,18 @@
 	byService map[string][]*Worker
 	// capacities lists the worker capacities of each service, without those that fit into another one of the list.
 	capacities map[string][]fleet.Size
+	// silent holds the workers whose last lease renewal failed, and maybe others.
+	silent map[*Worker]struct{}
 	// ready lists the stages that have waiting tasks and no open dependencies.
 	ready []*stage
 	// recurring holds the recurring jobs that have occurrences to come.
 	recurring map[*Job]struct{}
 
+	// changedWorkers holds the workers that have changed since the last decision, decisions counts these, and scanEpoch
+	// changes when all workers may have changed.
+	changedWorkers       []*Worker
+	decisions, scanEpoch uint64
+
 	orders []Order
 	// stops lists the orders to stop runs whose ends have not been listed yet.
 	stops []*stop
@@ -143,6 +150,7 @@
 		workers:       map[string]*Worker{},
 		byService:     map[string][]*Worker{},
 		capacities:    map[string][]fleet.Size{},
+		silent:        map[*Worker]struct{}{},
 		recurring:     map[*Job]struct{}{},
 		unaccounted:   map[string]struct{}{},
 		restoredStops: map[string]stopsRecord{},
@@ -166,13 +174,17 @@
 		return
 	}
 	s.catalog = c
+	s.markAllChanged()
 	for _, j := range s.jobs {
 		s.applyQueue(j)
 	}
 }
 
 // SetEvacuated replaces the set of zones that get no new tasks.
-func (s *Scheduler) SetEvacuated(zones map[string]bool) { s.catalog.Evacuated = zones }
+func (s *Scheduler) SetEvacuated(zones map[string]bool) {
+	s.catalog.Evacuated = zones
+	s.markAllChanged()
+}
 
 // applyQueue copies the settings of the job's queue from the catalog into the job. A job whose queue was removed keeps
 // the settings that it had.
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -80,6 +80,7 @@
 	advice  adviceState
 	// freeSlots is the free room for a waiting stage of long-running tasks.
 	freeSlots freeSlots
+	scan      scanState
 }
 
 // job returns the job of the stage.
@@ -398,6 +399,7 @@
 	}
 	t.queued, t.waitingSince = true, now
 	t.stage.waiting++
+	t.stage.scan = scanState{}
 	s.addReady(t.stage)
 }
 
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -196,7 +196,9 @@
 		s.releaseRun(now, r)
 	case AnswerNotSent:
 		// The worker gets no other start before it has answered a lease renewal.
-		w.failedRenewals = max(w.failedRenewals, 1)
+		if w.failedRenewals == 0 {
+			s.addFailedRenewal(w)
+		}
 		s.releaseRun(now, r)
 	case AnswerFenced, AnswerLate:
 		s.releaseRun(now, r)
--- a/internal/zone/dispatch/placement.go
+++ b/internal/zone/dispatch/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"sassafraswind.example/sassafraswind/internal/port/fleet"
@@ -52,15 +53,15 @@
 // findWorker returns the best worker for the task, with the room left by the plan, which may be nil. It returns nil if
 // no worker can take the task now.
 func (s *Scheduler) findWorker(now time.Time, t *task, p *gangPlan) *Worker {
-	step := t.step()
-	size := step.Reserved()
+	return s.findAmong(now, t, p, s.byService[t.job().service])
+}
+
+// findAmong is findWorker for some workers of the task's service.
+func (s *Scheduler) findAmong(now time.Time, t *task, p *gangPlan, workers []*Worker) *Worker {
 	var best *Worker
 	bestScore := math.Inf(-1)
-	for _, w := range s.byService[t.job().service] {
-		if !p.allows(w, step) || !w.fits(p.reservedOn(w).Add(size)) || !s.isEligible(now, t, w) {
-			continue
-		}
-		if score := s.score(now, t, w, p); score > bestScore && !w.hasNextRun(t) {
+	for _, w := range workers {
+		if score, ok := s.rate(now, t, w, p); ok && score > bestScore && !w.hasNextRun(t) {
 			best, bestScore = w, score
 		}
 	}
@@ -165,15 +166,17 @@
 // long-running image suffers from different best-effort images, so a worker with a single one has room for all the
 // best-effort images that don't disturb it.
 func (s *Scheduler) colocationScore(t *task, w *Worker) float64 {
-	same, others := false, map[string]struct{}{}
+	same := false
+	var imageArray [16]string
+	others := imageArray[:0]
 	for _, r := range w.runs {
 		step := r.task.step()
 		switch {
 		case !step.LongRunning:
 		case step.Image == t.step().Image:
 			same = true
-		default:
-			others[step.Image] = struct{}{}
+		case !slices.Contains(others, step.Image):
+			others = append(others, step.Image)
 		}
 	}
 	score := -otherImagePenalty * float64(len(others))
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -71,6 +71,8 @@
 	committed BatchID
 	dirtyJobs []*Job
 	records   []Record
+	// recorded holds the workers of which the records say that tasks may run there.
+	recorded []*Worker
 	// dirtyStops holds the workers whose stops are to be written.
 	dirtyStops map[*Worker]struct{}
 	// endAcks names the workers whose new ends are acknowledged once the open batch is committed.
@@ -100,6 +102,7 @@
 func (j *journal) recordWorker(w *Worker) BatchID {
 	rec := workerRecord{Boot: w.Boot, Service: w.Service, Address: w.Address, Zone: w.Zone}
 	j.records = append(j.records, Record{Key: prefixWorker + w.ID, Value: encode(&rec)})
+	j.recorded = append(j.recorded, w)
 	return j.openBatch
 }
 
@@ -131,6 +134,8 @@
 	ID      BatchID
 	Records []Record
 	ends    []endAck
+	// recorded holds the workers on which tasks may be started once the batch is committed.
+	recorded []*Worker
 }
 
 // endAck says that the ends of a worker up to a serial are part of the batch.
@@ -146,7 +151,7 @@
 	if len(j.dirtyJobs) == 0 && len(j.records) == 0 && len(j.dirtyStops) == 0 && len(j.endAcks) == 0 {
 		return Batch{}, false
 	}
-	b := Batch{ID: j.openBatch, Records: j.records}
+	b := Batch{ID: j.openBatch, Records: j.records, recorded: j.recorded}
 	for _, job := range j.dirtyJobs {
 		job.dirty = false
 		b.Records = job.appendRecords(b.Records)
@@ -157,7 +162,7 @@
 	for _, w := range sortWorkers(j.endAcks) {
 		b.ends = append(b.ends, endAck{worker: w, boot: w.Boot, serial: w.lastEnd})
 	}
-	j.dirtyJobs, j.records = nil, nil
+	j.dirtyJobs, j.records, j.recorded = nil, nil, nil
 	clear(j.dirtyStops)
 	clear(j.endAcks)
 	j.openBatch++
@@ -172,6 +177,9 @@
 // MarkCommitted notes that the batch is durable.
 func (s *Scheduler) MarkCommitted(b Batch) {
 	s.journal.committed = max(s.journal.committed, b.ID)
+	for _, w := range b.recorded {
+		s.markChanged(w)
+	}
 	for _, e := range b.ends {
 		if e.worker.Boot == e.boot {
 			e.worker.durableEnd = max(e.worker.durableEnd, e.serial)
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -90,6 +90,7 @@
 	s.adjustPaces(now, w)
 	w.marginsValid = false
 	s.handleSlowWorker(now, w)
+	s.markChanged(w)
 }
 
 // applyEnds applies the ends that are new and has them acknowledged.
@@ -192,11 +193,10 @@
 
 // applyRunning compares the runs that the worker lists with those that it should have.
 func (s *Scheduler) applyRunning(now time.Time, w *Worker, report Report) {
-	listed := make(map[runKey]struct{}, len(report.Running))
+	w.reports++
 	for i := range report.Running {
 		rr := &report.Running[i]
 		k := runKey{rr.Task, rr.Number}
-		listed[k] = struct{}{}
 		r := w.runs[k]
 		if r == nil {
 			r = s.adoptRun(now, w, rr, report.Clock)
@@ -204,6 +204,7 @@
 				continue
 			}
 		}
+		r.listedIn = w.reports
 		s.applyProgress(now, r, rr, report.Clock)
 	}
 	if len(report.Ended) >= maxListedEnds {
@@ -215,8 +216,8 @@
 		}
 	}
 	var unlisted []*run
-	for k, r := range w.runs {
-		if _, ok := listed[k]; !ok {
+	for _, r := range w.runs {
+		if r.listedIn != w.reports {
 			unlisted = append(unlisted, r)
 		}
 	}
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -51,6 +51,8 @@
 	// startUntil is the time of the worker's clock after which it refuses the start. confirmedClock is the latest time
 	// of that clock at which the worker confirmed the run or an order for it.
 	startUntil, confirmedClock int64
+	// listedIn is the last report of the worker that listed the run, counted by Worker.reports.
+	listedIn uint64
 	// confirmed is set once the worker has confirmed the start or listed the run.
 	confirmed bool
 	// progress is the share of the work that is done, in percent.
@@ -101,6 +103,10 @@
 	// unknownRuns holds runs of tasks that are not known, with the time of the worker's clock when they were last
 	// listed. Nothing is started beside them, since their size is not known.
 	unknownRuns map[runKey]int64
+	// reports counts the worker's reports.
+	reports uint64
+	// changed is set while the worker is in Scheduler.changedWorkers.
+	changed bool
 	// stopsRecorded is set while the log may hold a record of stops of the worker.
 	stopsRecorded bool
 	// used is the room that the runs take: the cores of all but best-effort tasks, and the memory and accelerators of
@@ -230,6 +236,7 @@
 	}
 	w.Registration = r
 	w.listed = true
+	s.markChanged(w)
 	s.addCapacity(r.Service, r.Capacity)
 }
 
@@ -319,6 +326,7 @@
 func (s *Scheduler) detach(r *run) {
 	r.worker.removeRun(r)
 	r.task.runs = removeFirst(r.task.runs, r)
+	s.markChanged(r.worker)
 	if r.phase == phaseStopping {
 		s.journal.recordStops(r.worker)
 	}
@@ -329,6 +337,7 @@
 	if _, ok := w.unknownRuns[k]; ok {
 		delete(w.unknownRuns, k)
 		s.journal.recordStops(w)
+		s.markChanged(w)
 	}
 }
 
@@ -411,18 +420,27 @@
 	if w == nil {
 		return
 	}
-	w.failedRenewals++
+	s.addFailedRenewal(w)
 	if w.failedRenewals == 2 {
 		s.recordEvent(Event{Kind: "worker silent", Worker: id, Age: now.Sub(w.answeredAt)})
 	}
 }
 
+// addFailedRenewal counts a call to the worker that got no answer, or that could not be sent.
+func (s *Scheduler) addFailedRenewal(w *Worker) {
+	w.failedRenewals++
+	s.silent[w] = struct{}{}
+}
+
 // expireLeases takes back the tasks of unreachable workers whose leases have certainly expired, and gives up the
 // workers that are still unaccounted for at accountingDeadline.
 func (s *Scheduler) expireLeases(now time.Time) {
 	var ended []*Worker
-	for _, w := range s.workers {
-		if w.failedRenewals > 0 && !w.leasesExpired && !w.clockAt.IsZero() && !now.Before(w.leasesEndAt()) {
+	for w := range s.silent {
+		switch {
+		case w.failedRenewals == 0 || w.leasesExpired:
+			delete(s.silent, w)
+		case !w.clockAt.IsZero() && !now.Before(w.leasesEndAt()):
 			ended = append(ended, w)
 		}
 	}
