Replace a lost leader within a second, and keep one whose store is back

A follower counts the leader's silence from its first own read of the renewals, which come once a second. Ruled out: the takeover itself (0.08 s reading, all 890 workers answered within 0.3 s).

Change: the leader renews every 0.4 s and reports its newest renewal with each answer to a ping, so that a follower knows from when on none has come; it claims 1 s after that. The leader gives up only if the store has answered another host between two of its own failed probes. The new leader compares the newest renewal with the one that was seen, once the old leader is fenced: a renewal that nobody saw prolongs the time in which the old leader may give orders. Before, that time was taken too short by up to the time since the last read.

After: in simulated time, the claim comes within 1.35 s of each of 20 moments of loss.

--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -374,6 +374,10 @@
 			pinged(50*time.Millisecond, 20*time.Millisecond)
 			So(term.storeAnswersOther(now, failingSince), ShouldBeTrue)
 		})
+		Convey("which does not count after the last failed probe was sent: a store that is back may answer others first", func() {
+			pinged(-50*time.Millisecond, 20*time.Millisecond)
+			So(term.storeAnswersOther(now, failingSince), ShouldBeFalse)
+		})
 		Convey("which does not count if the answer came before: the store may be down for all", func() {
 			pinged(50*time.Millisecond, 600*time.Millisecond)
 			So(term.storeAnswersOther(now, failingSince), ShouldBeFalse)
--- a/internal/host/entry/messages.go
+++ b/internal/host/entry/messages.go
@@ -66,6 +66,8 @@
 	Instance string `msgpack:"i"`
 	// IsLeader is set if the host leads or may have become the leader.
 	IsLeader bool `msgpack:"l"`
+	// Renewal is the position of the leader's newest renewal in the log, 0 if there is none.
+	Renewal int64 `msgpack:"r,omitempty"`
 	// Manifest is the leader's manifest. It is sent if it is newer than the manifest of the pinging host and that host
 	// can't read the operators' records.
 	Manifest *Manifest `msgpack:"m,omitempty"`
--- a/internal/host/entry/renew.go
+++ b/internal/host/entry/renew.go
@@ -52,6 +52,7 @@
 				return
 			}
 			// The append may have been retried: only the last attempt counts, which took at most ledger.CallTimeout.
+			t.renewal.Store(w.End())
 			now := t.host.clock.Now()
 			t.recordConfirmation(laterOf(sentAt, now.Add(-ledger.CallTimeout)))
 			sleep(t.ctx, leadership.RenewInterval)
@@ -89,16 +90,17 @@
 // time than the ping reports.
 const maxPingDelay = 100 * time.Millisecond
 
-// storeAnswersOther reports whether the store has answered another host after it failed to answer this one. An earlier
-// answer doesn't count: the store may have failed for all hosts since.
-func (t *term) storeAnswersOther(now, failingSince time.Time) bool {
+// storeAnswersOther reports whether the store has answered another host after it failed to answer this one, and before
+// the last probe of this host, which was sent at probedAt, failed. An earlier answer doesn't count: the store may have
+// failed for all hosts since. Nor does a later one: a store that is back may answer another host first.
+func (t *term) storeAnswersOther(probedAt, failingSince time.Time) bool {
 	t.host.mu.Lock()
 	defer t.host.mu.Unlock()
 	for _, m := range t.host.members {
-		if m.pingedAt.IsZero() || now.Sub(m.pingedAt) > maxCandidatePingAge || m.Instance == t.host.instance {
+		if m.pingedAt.IsZero() || probedAt.Sub(m.pingedAt) > maxCandidatePingAge || m.Instance == t.host.instance {
 			continue
 		}
-		if m.pingedAt.Add(-m.storeAge - maxPingDelay).After(failingSince) {
+		if m.pingedAt.Before(probedAt) && m.pingedAt.Add(-m.storeAge-maxPingDelay).After(failingSince) {
 			return true
 		}
 	}
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -39,7 +39,7 @@
 	adviceTimeout = 4 * time.Second
 	// storeSilenceThreshold is how long the store may leave the leader's renewals unanswered before the leader looks for
 	// another host that the store answers.
-	storeSilenceThreshold = 1300 * time.Millisecond
+	storeSilenceThreshold = 900 * time.Millisecond
 	// maxOutage is the longest time for which a leader sends orders without an answer from the store.
 	maxOutage = 30 * time.Second
 	// maxCandidatePingAge is the maximum age of another host's last ping for the leader to give up the leadership in
@@ -64,7 +64,7 @@
 	log     *logrus.Entry
 
 	startedAt time.Time
-	// previousOrdersUntil is the latest time at which the previous leader may have sent an order.
+	// previousOrdersUntil is the latest time at which the previous leader may send an order. begin sets it.
 	previousOrdersUntil time.Time
 
 	// mu guards scheduler, batchCommitted and leaseLoops.
@@ -83,13 +83,15 @@
 	// the term. appendStartedAt is when the append in progress was first sent, 0 if there is none. Both are in
 	// nanoseconds of the boot clock.
 	confirmedAt, appendStartedAt atomic.Int64
+	// renewal is the position of the term's newest renewal in the log, 0 if there is none.
+	renewal atomic.Int64
 }
 
 // newTerm starts a term for a claim of this host.
-func newTerm(ctx context.Context, h *Host, claim leadership.Claim, ordersUntil time.Time) *term {
+func newTerm(ctx context.Context, h *Host, claim leadership.Claim) *term {
 	ctx, cancel := context.WithCancel(ctx)
 	t := &term{
-		host: h, claim: claim, ctx: ctx, cancel: cancel, startedAt: h.clock.Now(), previousOrdersUntil: ordersUntil,
+		host: h, claim: claim, ctx: ctx, cancel: cancel, startedAt: h.clock.Now(),
 		batchCommitted: make(chan struct{}), leaseLoops: map[string]struct{}{},
 		ready: make(chan struct{}), wakeDecisions: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1),
 		scheduler: dispatch.New(h.cfg.Limits, claim.Token(), claim.Serial),
@@ -130,6 +132,7 @@
 	wg.Go(func() {
 		if t.openWriter(renewals) {
 			t.recordConfirmation(start)
+			t.previousOrdersUntil = t.predecessorEnd()
 			t.run(func() { t.renewClaim(renewals) })
 		}
 	})
@@ -154,6 +157,20 @@
 	close(t.ready)
 }
 
+// predecessorEnd returns the latest time at which the previous leader may send an order. Its renewals must be fenced.
+func (t *term) predecessorEnd() time.Time {
+	ctx, cancel := context.WithTimeout(t.ctx, pingTimeout)
+	defer cancel()
+	newest, err := t.host.newestRenewal(ctx)
+	if err != nil {
+		t.log.WithError(err).Warn("Can't read the previous leader's renewals; it may have renewed until now")
+		newest = -1
+	}
+	t.host.mu.Lock()
+	defer t.host.mu.Unlock()
+	return t.host.elector.PredecessorEnd(t.host.clock.Now(), t.host.cfg.Limits.MaxUnconfirmedTerm, newest)
+}
+
 // retry repeats a call until it succeeds or the term ends. In the latter case, it returns the last result.
 func retry[T any](t *term, call func() (T, error)) T {
 	for {
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -105,6 +105,7 @@
 		h.recordLeaderEnd(claim, "the host does not lead any more")
 	case err == nil:
 		h.recordLeaderAnswer(claim)
+		h.recordReportedRenewal(claim, r.Renewal)
 		if r.Manifest != nil {
 			h.applyManifest(r.Manifest, "leader")
 		}
@@ -131,6 +132,15 @@
 	h.leaderAnsweredAt = now
 }
 
+// recordReportedRenewal records the newest renewal as the leader has reported it.
+func (h *Host) recordReportedRenewal(claim leadership.Claim, renewal int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.elector.Claim().Instance == claim.Instance {
+		h.elector.RecordReportedRenewal(h.clock.Now(), renewal)
+	}
+}
+
 // recordLeaderEnd records that the leader's process has certainly ended or no longer leads.
 func (h *Host) recordLeaderEnd(claim leadership.Claim, reason string) {
 	h.mu.Lock()
@@ -162,21 +172,30 @@
 func (h *Host) readNewestRenewal(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	n, err := h.store.Newest(callCtx, renewalPartition, "")
+	newest, err := h.newestRenewal(callCtx)
 	if err != nil {
 		h.logger("leadership").WithError(err).Debug("Can't read the leader's renewals")
 		sleep(ctx, retryInterval)
 		return
 	}
-	newest := int64(0)
+	h.mu.Lock()
+	h.elector.RecordRenewal(h.clock.Now(), newest)
+	h.mu.Unlock()
+}
+
+// newestRenewal returns the position of the newest renewal in the log, 0 if there is none. It fails with the error of
+// the store.
+func (h *Host) newestRenewal(ctx context.Context) (int64, error) {
+	n, err := h.store.Newest(ctx, renewalPartition, "")
+	if err != nil {
+		return 0, err
+	}
 	for _, e := range n.Entries {
 		if e.Key == renewalKey {
-			newest = e.Offset + 1
+			return e.Offset + 1, nil
 		}
 	}
-	h.mu.Lock()
-	h.elector.RecordRenewal(h.clock.Now(), newest)
-	h.mu.Unlock()
+	return 0, nil
 }
 
 // claimLeadership tries to become the leader. The claim is appended only if no other claim follows the newest one that
@@ -222,7 +241,7 @@
 	if !h.elector.IsLeader() || h.term != nil || h.stopping {
 		return
 	}
-	h.term = newTerm(ctx, h, h.elector.Claim(), h.elector.PredecessorEnd(h.clock.Now(), h.cfg.Limits.MaxUnconfirmedTerm))
+	h.term = newTerm(ctx, h, h.elector.Claim())
 }
 
 // endTerm ends the current term, if there is one.
@@ -316,6 +335,7 @@
 	r := PingResponse{Instance: h.instance, IsLeader: h.term != nil || h.claiming}
 	if h.term != nil {
 		r.ProbeStore = h.term.isStoreSilent(now)
+		r.Renewal = h.term.renewal.Load()
 	}
 	// A host that can read the manifest from the store does not need it from here as well, over a busy link.
 	if p.OperatorRecordsUnreadable && h.manifest != nil && h.manifest.Catalog.Version > p.ManifestVersion {
--- a/internal/stream/ledger/writer.go
+++ b/internal/stream/ledger/writer.go
@@ -26,6 +26,8 @@
 	epoch     int64
 	// nextSequence is the sequence number of the next append.
 	nextSequence int64
+	// end is the offset after the last record that was appended.
+	end int64
 	// callTimeout limits the duration of one call to the log.
 	callTimeout time.Duration
 	sleep       func(ctx context.Context, d time.Duration) error
@@ -72,7 +74,7 @@
 // Open fences the writers of lower epochs: once it has returned nil, they can no longer append to the partition. Its
 // append has no records and uses up no sequence number.
 func (w *Writer) Open(ctx context.Context) error {
-	err := w.appendUntilAnswered(ctx, Append{
+	_, err := w.appendUntilAnswered(ctx, Append{
 		Partition: w.partition, ExpectedEnd: AnyOffset, Writer: w.name, Epoch: w.epoch, Sequence: w.nextSequence,
 	})
 	return errors.Wrapf(err, "ledger: open %s/%d under epoch %d", w.partition.Topic, w.partition.Index, w.epoch)
@@ -92,29 +94,34 @@
 			Partition: w.partition, Records: records[:n], ExpectedEnd: AnyOffset, Writer: w.name, Epoch: w.epoch,
 			Sequence: w.nextSequence,
 		}
-		if err := w.appendUntilAnswered(ctx, a); err != nil {
+		written, err := w.appendUntilAnswered(ctx, a)
+		if err != nil {
 			return errors.Wrapf(err, "ledger: append %d to %s/%d", w.nextSequence, w.partition.Topic, w.partition.Index)
 		}
+		w.end = written.End
 		w.nextSequence++
 		records = records[n:]
 	}
 	return nil
 }
 
+// End returns the offset after the last record that this writer has appended, 0 if there is none.
+func (w *Writer) End() int64 { return w.end }
+
 // appendUntilAnswered sends an append until the log accepts it or refuses it for good. The log gives a repeated append
 // the answer that it gave to the first.
-func (w *Writer) appendUntilAnswered(ctx context.Context, a Append) error {
+func (w *Writer) appendUntilAnswered(ctx context.Context, a Append) (OffsetRange, error) {
 	pause := minRetryDelay
 	for try := 1; ; try++ {
 		callCtx, cancel := context.WithTimeout(ctx, w.callTimeout)
-		_, err := w.store.Append(callCtx, a)
+		written, err := w.store.Append(callCtx, a)
 		cancel()
 		if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrSequence) || errors.Is(err, ErrConflict) {
-			return err
+			return written, err
 		}
 		w.onRetry(err, try)
 		if err := w.sleep(ctx, pause); err != nil {
-			return err
+			return OffsetRange{}, err
 		}
 		pause = min(2*pause, maxRetryDelay)
 	}
--- a/internal/zone/leadership/leadership.go
+++ b/internal/zone/leadership/leadership.go
@@ -11,18 +11,19 @@
 
 const (
 	// PingInterval is the time between pings while the leader answers.
-	PingInterval = 500 * time.Millisecond
+	PingInterval = 400 * time.Millisecond
 	// pingRetryInterval is the time until the next ping after one without an answer.
 	pingRetryInterval = 100 * time.Millisecond
 	// SilenceTimeout is how long the leader may leave pings unanswered before its renewals are read. It covers a long
-	// pause of the garbage collector, a lost packet and a slow host.
-	SilenceTimeout = 900 * time.Millisecond
+	// pause of the garbage collector and a lost packet.
+	SilenceTimeout = 700 * time.Millisecond
 	// RenewInterval is the time between renewals of the leader's claim.
-	RenewInterval = time.Second
-	// renewalTimeout is how long the leader's renewals may fail to appear while pings are unanswered.
-	renewalTimeout = 1300 * time.Millisecond
+	RenewInterval = 400 * time.Millisecond
+	// renewalTimeout is how long the leader's renewals may fail to appear while pings are unanswered: one may be lost,
+	// and a slow store may delay the next.
+	renewalTimeout = time.Second
 	// renewalReadInterval is the time between reads of the renewals.
-	renewalReadInterval = 650 * time.Millisecond
+	renewalReadInterval = 300 * time.Millisecond
 	// claimRetryInterval is the pause after a claim that failed without a decision. It is also the time until the next
 	// check while the log has not been read for a claim and while claims are disabled.
 	claimRetryInterval = 300 * time.Millisecond
@@ -84,9 +85,10 @@
 	renewalSeenAt time.Time
 	// renewalReadAt is when the renewals were last read.
 	renewalReadAt time.Time
-	// predecessorEndedAt and predecessorRenewedAt are vacantSince and renewalSeenAt of the leader before, as they were
-	// when the present claim was seen.
+	// predecessorEndedAt, predecessorRenewedAt and predecessorRenewal are vacantSince, renewalSeenAt and renewal of the
+	// leader before, as they were when the present claim was seen.
 	predecessorEndedAt, predecessorRenewedAt time.Time
+	predecessorRenewal                       int64
 	// claimedAt is when this host last sent a claim.
 	claimedAt time.Time
 	// claimsDisabled is set once this host must not claim any more. yieldUntil is until when it leaves the claim to
@@ -109,14 +111,15 @@
 // Yield leaves the claim to other hosts for the duration d.
 func (e *Elector) Yield(now time.Time, d time.Duration) { e.yieldUntil = now.Add(d) }
 
-// PredecessorEnd returns the time after which the leader before the present one certainly gave no more orders: when it
-// was certain to have ended, or else maxUnconfirmedTerm after its last renewal was first seen. If neither is known, it
-// is maxUnconfirmedTerm after now.
-func (e *Elector) PredecessorEnd(now time.Time, maxUnconfirmedTerm time.Duration) time.Time {
+// PredecessorEnd returns the time after which the leader before the present one certainly gives no more orders: when it
+// was certain to have ended, or else maxUnconfirmedTerm after its last renewal was first seen. The newest renewal is
+// that in the log after the leader was fenced, -1 if it is not known. If it is another than the last that was seen, the
+// leader may have renewed until now.
+func (e *Elector) PredecessorEnd(now time.Time, maxUnconfirmedTerm time.Duration, newestRenewal int64) time.Time {
 	switch {
 	case !e.predecessorEndedAt.IsZero():
 		return e.predecessorEndedAt
-	case e.predecessorRenewedAt.IsZero():
+	case e.predecessorRenewedAt.IsZero() || newestRenewal < 0 || newestRenewal != e.predecessorRenewal:
 		return now.Add(maxUnconfirmedTerm)
 	}
 	return e.predecessorRenewedAt.Add(maxUnconfirmedTerm)
@@ -141,7 +144,7 @@
 		}
 		return false
 	}
-	e.predecessorEndedAt, e.predecessorRenewedAt = e.vacantSince, e.renewalSeenAt
+	e.predecessorEndedAt, e.predecessorRenewedAt, e.predecessorRenewal = e.vacantSince, e.renewalSeenAt, e.renewal
 	e.claim = c
 	e.answeredAt, e.vacantSince = now, time.Time{}
 	e.renewal, e.renewalSeenAt, e.renewalReadAt = -1, now, time.Time{}
@@ -168,6 +171,14 @@
 	}
 }
 
+// RecordReportedRenewal records the newest renewal as the leader itself has just reported it. It was alive then, so
+// that a renewal counts as seen at this time.
+func (e *Elector) RecordReportedRenewal(now time.Time, renewal int64) {
+	if renewal > 0 {
+		e.renewal, e.renewalSeenAt = max(e.renewal, renewal), now
+	}
+}
+
 // RecordRenewal records the newest renewal that was read from the log.
 func (e *Elector) RecordRenewal(now time.Time, renewal int64) {
 	e.renewalReadAt = now
@@ -227,6 +238,9 @@
 			return ActionClaim, now
 		}
 		nextRead := e.renewalReadAt.Add(renewalReadInterval)
+		if due := e.renewalSeenAt.Add(renewalTimeout + time.Millisecond); e.renewalReadAt.Before(due) && due.Before(nextRead) {
+			nextRead = due
+		}
 		if !now.Before(nextRead) {
 			return ActionReadRenewal, now
 		}
--- a/internal/zone/leadership/leadership_test.go
+++ b/internal/zone/leadership/leadership_test.go
@@ -69,6 +69,23 @@
 			So(claimed, ShouldBeTrue)
 			So(took, ShouldBeLessThan, 4*time.Second)
 		})
+		Convey("soon after the host of a leader that has reported its renewals was switched off", func() {
+			// The next leader's first starts are due 1.5 s after the loss, and its takeover takes a tenth of that.
+			const limit = 1350 * time.Millisecond
+			for loss := 5 * time.Second; loss < 6*time.Second; loss += 50 * time.Millisecond {
+				e := newFollower(start)
+				renews := func(now time.Time) bool { return now.Sub(start) <= loss }
+				answers := func(now time.Time) bool {
+					if renews(now) {
+						e.RecordReportedRenewal(now, 1+int64(now.Sub(start)/RenewInterval))
+					}
+					return renews(now)
+				}
+				took, claimed := runElector(e, start, 20*time.Second, 450*time.Millisecond, answers, renews)
+				So(claimed, ShouldBeTrue)
+				So(took-loss, ShouldBeBetween, 300*time.Millisecond, limit)
+			}
+		})
 		Convey("at once when the leader's process is certain to have ended", func() {
 			e := newFollower(start)
 			e.RecordLeaderEnd(start, "leader")
@@ -125,6 +142,32 @@
 	})
 }
 
+// TestPredecessorEnd guards against a new leader that takes the orders of the one before to have ended while that one
+// still has a renewal which nobody saw.
+func TestPredecessorEnd(t *testing.T) {
+	Convey("A host has seen the leader's renewal 7 and claims", t, func() {
+		const maxUnconfirmed = 2500 * time.Millisecond
+		e := newFollower(start)
+		e.RecordRenewal(start, 7)
+		claimedAt := start.Add(1200 * time.Millisecond)
+		e.ObserveClaim(claimedAt, Claim{Offset: 5, Name: "me", Instance: "me"})
+		now := claimedAt.Add(10 * time.Millisecond)
+		Convey("the leader's orders end with that renewal if it is the newest in the log", func() {
+			So(e.PredecessorEnd(now, maxUnconfirmed, 7), ShouldEqual, start.Add(maxUnconfirmed))
+		})
+		Convey("they may go on from now if there is a newer one, or if the log can't be read", func() {
+			So(e.PredecessorEnd(now, maxUnconfirmed, 8), ShouldEqual, now.Add(maxUnconfirmed))
+			So(e.PredecessorEnd(now, maxUnconfirmed, -1), ShouldEqual, now.Add(maxUnconfirmed))
+		})
+	})
+	Convey("The orders of a leader that has certainly ended end then", t, func() {
+		e := newFollower(start)
+		e.RecordLeaderEnd(start.Add(time.Second), "leader")
+		e.ObserveClaim(start.Add(2*time.Second), Claim{Offset: 5, Name: "me", Instance: "me"})
+		So(e.PredecessorEnd(start.Add(2*time.Second), time.Second, -1), ShouldEqual, start.Add(time.Second))
+	})
+}
+
 // TestClaimOffsetNeverDecreases guards against an older claim in place of a newer one, and against a wait that ends in
 // the past.
 func TestClaimOffsetNeverDecreases(t *testing.T) {
