--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -109,6 +109,9 @@
 	// Power is the host's processor time per second in thousandths of a core, 0 if it is unknown. A host with much less
 	// of it than another one leaves the leadership to that host.
 	Power int64
+	// OnTerm is called when a term of this host begins. The function that it returns is called when the term ends. It may
+	// be nil.
+	OnTerm func() func()
 	// IsWorkerRestart reports whether an error of Workers.RenewLeases means that another boot of the worker answered.
 	IsWorkerRestart func(error) bool
 }
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -61,6 +61,8 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	endOnce sync.Once
+	// onEnd is called when the term ends.
+	onEnd func()
 	log     *logrus.Entry
 
 	startedAt time.Time
@@ -101,6 +103,10 @@
 		log:       h.logger("leader").WithField("token", claim.Token()),
 	}
 	t.confirmedAt.Store(h.clock.Now().UnixNano())
+	t.onEnd = func() {}
+	if h.cfg.OnTerm != nil {
+		t.onEnd = h.cfg.OnTerm()
+	}
 	t.run(t.begin)
 	return t
 }
@@ -118,6 +124,7 @@
 func (t *term) end(reason string) {
 	t.endOnce.Do(func() {
 		t.cancel()
+		t.onEnd()
 		t.log.WithField("reason", reason).Info("Term ended")
 	})
 }
