Give up the leadership again when the store answers only other hosts

Ruled out: pings that don't arrive (the other hosts' requests reach the leader).

Change: what the others reported is looked at before the probe is sent; the leader gives up if that probe fails too.

--- a/internal/host/entry/renew.go
+++ b/internal/host/entry/renew.go
@@ -58,19 +58,18 @@
 			sleep(t.ctx, leadership.RenewInterval)
 		}
 	})
-	// failingSince is when the first of the consecutive unanswered probes was sent, the zero time if there is none.
-	var failingSince time.Time
+	var probes probeSeries
 	for sleep(t.ctx, leadership.RenewInterval/4) {
 		now := t.host.clock.Now()
-		switch {
-		case !t.isStoreSilent(now) || t.host.probeStore(t.ctx):
-			failingSince = time.Time{}
-		case failingSince.IsZero():
-			failingSince = now
-		case t.storeAnswersOther(now, failingSince):
-			// The term's context ends before the announcement is sent.
-			t.host.stepDown(context.Background(), t, "the store answers other hosts but not this one")
-			return
+		if !t.isStoreSilent(now) {
+			probes = probeSeries{}
+		} else {
+			answersOther := t.storeAnswersOther(now, probes.failingSince)
+			if probes.add(now, t.host.probeStore(t.ctx), answersOther) {
+				// The term's context ends before the announcement is sent.
+				t.host.stepDown(context.Background(), t, "the store answers other hosts but not this one")
+				return
+			}
 		}
 		if t.handOverToStronger(now) {
 			return
@@ -78,6 +77,27 @@
 	}
 }
 
+// probeSeries tells a store that answers other hosts but not this one from a store that was away for all hosts and is
+// back: that one may answer another host first.
+type probeSeries struct {
+	// failingSince is when the first of the consecutive unanswered probes was sent, the zero time if there is none.
+	failingSince time.Time
+}
+
+// add adds a probe. answersOther says whether the store had answered another host between failingSince and sentAt. It
+// reports whether the store certainly does not answer this host alone.
+func (p *probeSeries) add(sentAt time.Time, answered, answersOther bool) bool {
+	switch {
+	case answered:
+		p.failingSince = time.Time{}
+	case p.failingSince.IsZero():
+		p.failingSince = sentAt
+	default:
+		return answersOther
+	}
+	return false
+}
+
 // laterOf returns the later of two times.
 func laterOf(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -90,17 +110,16 @@
 // time than the ping reports.
 const maxPingDelay = 100 * time.Millisecond
 
-// storeAnswersOther reports whether the store has answered another host after it failed to answer this one, and before
-// the last probe of this host, which was sent at probedAt, failed. An earlier answer doesn't count: the store may have
-// failed for all hosts since. Nor does a later one: a store that is back may answer another host first.
-func (t *term) storeAnswersOther(probedAt, failingSince time.Time) bool {
+// storeAnswersOther reports whether the store has answered another host by now, and after it failed to answer this one.
+// An earlier answer doesn't count: the store may have failed for all hosts since.
+func (t *term) storeAnswersOther(now, failingSince time.Time) bool {
 	t.host.mu.Lock()
 	defer t.host.mu.Unlock()
 	for _, m := range t.host.members {
-		if m.pingedAt.IsZero() || probedAt.Sub(m.pingedAt) > maxCandidatePingAge || m.Instance == t.host.instance {
+		if m.pingedAt.IsZero() || now.Sub(m.pingedAt) > maxCandidatePingAge || m.Instance == t.host.instance {
 			continue
 		}
-		if m.pingedAt.Before(probedAt) && m.pingedAt.Add(-m.storeAge-maxPingDelay).After(failingSince) {
+		if m.pingedAt.Add(-m.storeAge - maxPingDelay).After(failingSince) {
 			return true
 		}
 	}
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -63,7 +63,7 @@
 	endOnce sync.Once
 	// onEnd is called when the term ends.
 	onEnd func()
-	log     *logrus.Entry
+	log   *logrus.Entry
 
 	startedAt time.Time
 	// previousOrdersUntil is the latest time at which the previous leader may send an order. begin sets it.
