Find workers on which tasks stand still by the tasks' progress

Ruled out: silent workers (no renewal fails), refused orders (none).

Change: a worker whose tasks have made no progress for 1.2 s, or a tenth of their estimate, while none was done, gets no further tasks for 4 s, only no best-effort tasks if just those stand still, and its tasks move. A first task after the pause shows whether it works again.

--- a/internal/zone/dispatch/health.go
+++ b/internal/zone/dispatch/health.go
@@ -24,6 +24,10 @@
 	resumeAt time.Time
 	// slowUntil is when the pause of a slow worker ends.
 	slowUntil time.Time
+	// bestEffortAt is when the worker may get best-effort tasks again.
+	bestEffortAt time.Time
+	// doneAt is when a run was last listed as done.
+	doneAt time.Time
 	// suspectUntil is when the pause of a suspected worker ends.
 	suspectUntil time.Time
 }
@@ -32,7 +36,7 @@
 func (h *health) recordEnd(now time.Time, r *run, reason EndReason) {
 	switch reason {
 	case EndDone:
-		*h = health{resumeAt: h.resumeAt, slowUntil: h.slowUntil}
+		*h = health{resumeAt: h.resumeAt, slowUntil: h.slowUntil, bestEffortAt: h.bestEffortAt, doneAt: now}
 	case EndFailed:
 		if r != nil && r.task.step().LongRunning && !r.readySince.IsZero() && now.Sub(r.readySince) > time.Second {
 			// Long-running tasks fail now and then after they have worked for a while.
@@ -60,6 +64,8 @@
 	h := &w.health
 	failed := len(t.failedRuns) > 0 && now.Sub(t.waitingSince) < avoidPeriod
 	switch {
+	case t.step().BestEffort && now.Before(h.bestEffortAt):
+		return false
 	case w.isSlow(now) || now.Before(h.resumeAt) || (failed && t.avoidWorker == w.ID):
 		return false
 	case h.consecutiveFailures == 0:
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -233,6 +233,7 @@
 	if rr.Checkpoint != "" {
 		r.task.checkpoint = rr.Checkpoint
 	}
+	r.recordProgress(now, rr.Progress)
 	s.measureProgress(now, r, rr.Progress)
 	r.progress = rr.Progress
 	if rr.Progress == 100 && r.readySince.IsZero() {
--- a/internal/zone/dispatch/scale_test.go
+++ b/internal/zone/dispatch/scale_test.go
@@ -34,6 +34,32 @@
 	serial int64
 	// slowdown is the factor by which tasks take longer here; 0 counts as 1.
 	slowdown float64
+	// stalledAt is when the tasks began to stand still, the zero time while they do not.
+	stalledAt time.Time
+}
+
+// stall lets the worker's tasks stand still for the given time. The worker still answers and starts tasks.
+func (sim *loadSim) stall(w *loadSimWorker, d time.Duration) {
+	w.stalledAt = sim.now
+	sim.after(d, func() {
+		for k, r := range w.runs {
+			lost := sim.now.Sub(w.stalledAt)
+			if r.startedAt.After(w.stalledAt) {
+				lost = sim.now.Sub(r.startedAt)
+			}
+			r.startedAt, r.endsAt = r.startedAt.Add(lost), r.endsAt.Add(lost)
+			w.runs[k] = r
+		}
+		w.stalledAt = time.Time{}
+	})
+}
+
+// workTime returns the time up to which the worker's tasks have worked.
+func (w *loadSimWorker) workTime(now time.Time) time.Time {
+	if w.stalledAt.IsZero() {
+		return now
+	}
+	return w.stalledAt
 }
 
 // loadSimRun is a run on a simulated worker.
@@ -47,7 +73,7 @@
 	if r.longRunning {
 		return 100
 	}
-	return min(99, int(100*now.Sub(r.startedAt)/max(1, r.endsAt.Sub(r.startedAt))))
+	return max(0, min(99, int(100*now.Sub(r.startedAt)/max(1, r.endsAt.Sub(r.startedAt)))))
 }
 
 // loadSimEvent is a function that is called at a simulated time.
@@ -210,7 +236,7 @@
 	w := sim.workers[id]
 	wait := max(plan.Wait, 2*time.Millisecond)
 	for _, r := range w.runs {
-		if !r.longRunning {
+		if !r.longRunning && w.stalledAt.IsZero() {
 			wait = min(wait, max(2*time.Millisecond, r.endsAt.Sub(sim.now)))
 		}
 	}
@@ -220,12 +246,12 @@
 		}
 		rep := Report{Worker: id, Boot: 1, Clock: sim.clock()}
 		for k, r := range w.runs {
-			if !r.longRunning && !sim.now.Before(r.endsAt) {
+			if !r.longRunning && !w.workTime(sim.now).Before(r.endsAt) {
 				w.end(k, EndDone)
 				continue
 			}
 			rep.Running = append(rep.Running, RunReport{
-				Task: k.task, Number: k.number, Progress: r.progress(sim.now), Reading: 10 + sim.rng.IntN(30),
+				Task: k.task, Number: k.number, Progress: r.progress(w.workTime(sim.now)), Reading: 10 + sim.rng.IntN(30),
 			})
 		}
 		rep.Ended = append(rep.Ended, w.ended...)
@@ -358,14 +384,33 @@
 	}
 }
 
+// TestStalledWorkers guards against workers that answer and start tasks while their tasks stand still, for best-effort
+// tasks as well as for others. One worker in seventeen stalls for six seconds, under a load that leaves room on the
+// others.
+func TestStalledWorkers(t *testing.T) {
+	const workers = 119
+	sim := newLoadSim(1, workers, loadMix{short: 0.15, long: 0.25, longRunning: 0.3})
+	sim.run(12 * time.Second)
+	for i := range workers / 17 {
+		sim.stall(sim.workers["w"+strconv.Itoa(i*17)], 6200*time.Millisecond)
+	}
+	sim.run(30 * time.Second)
+	for _, queue := range []string{"short", "long"} {
+		if share := sim.shareInTime(queue, 9*time.Second, 18*time.Second); share < 0.77 {
+			t.Errorf("%.3f of the %s jobs were in time, want at least 0.77", share, queue)
+		}
+	}
+}
+
 // TestOverrunningTasksDoNotMarkWorkersSlow checks that tasks which take a few times their estimate don't make a worker
 // count as slow.
 func TestOverrunningTasksDoNotMarkWorkersSlow(t *testing.T) {
 	sim := newLoadSim(1, 120, loadMix{short: 0.2, long: 0.3, longRunning: 0.2})
 	sim.run(30 * time.Second)
 	for id, w := range sim.s.workers {
-		if !w.health.slowUntil.IsZero() {
-			t.Errorf("worker %s was marked slow at %v, want no slow worker", id, w.health.slowUntil.Sub(simEpoch)-slowPause)
+		if !w.health.slowUntil.IsZero() || !w.health.bestEffortAt.IsZero() {
+			t.Errorf("worker %s was marked slow at %v or stalled at %v, want neither", id,
+				w.health.slowUntil.Sub(simEpoch)-slowPause, w.health.bestEffortAt.Sub(simEpoch)-slowPause)
 		}
 	}
 }
--- a/internal/zone/dispatch/speed.go
+++ b/internal/zone/dispatch/speed.go
@@ -86,6 +86,10 @@
 
 // handleSlowWorker pauses starts on a worker that has become slow, and moves its tasks.
 func (s *Scheduler) handleSlowWorker(now time.Time, w *Worker) {
+	if stalled := s.stalledRuns(now, w); len(stalled) > 0 {
+		s.handleStalledWorker(now, w, stalled)
+		return
+	}
 	w.speed.decay(now, workerSpeedHalfLife)
 	if w.speed.elapsedSeconds < workerSpeedMinTime.Seconds() ||
 		s.fleetSpeed.elapsedSeconds < fleetSpeedMinTime.Seconds() ||
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -57,6 +57,8 @@
 	confirmed bool
 	// progress is the share of the work that is done, in percent.
 	progress int
+	// progressedAt is when the progress last changed or could not be expected to.
+	progressedAt time.Time
 	// measuredAt is when the progress was last measured, the zero time if the progress says nothing about the worker's
 	// speed. measuredProgress was the progress then.
 	measuredAt       time.Time
