Reclaim room of long-running tasks for short ones that could be in time

Ruled out: memory, order (short tasks rank first once they wait), the processor (not charged), the change of leader. Weighed: reserving more room. A long-running task may not wait for more than three seconds while there is room for two.

Change: when no worker has room for a short task that could still be in time, the long-running tasks whose room is cheapest to reclaim are stopped, and best-effort tasks where memory is missing; the room is reserved for short tasks until the end is listed, and the task waits like a new one. At most an eighth of a step is away, at least one of its tasks stays, a task runs 5 s before, and steps that limit their unavailability are left alone.

--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -33,6 +33,7 @@
 	s.sortReady(now)
 	if !s.halted {
 		s.startReady(now)
+		s.reclaimRoom(now)
 		s.clearChanges()
 	}
 	out := s.orders
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -110,6 +110,9 @@
 	changedWorkers       []*Worker
 	decisions, scanEpoch uint64
 
+	// reclaimedAt is when room was last reclaimed for short tasks.
+	reclaimedAt time.Time
+
 	orders []Order
 	// stops lists the orders to stop runs whose ends have not been listed yet.
 	stops []*stop
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -81,6 +81,10 @@
 	// freeSlots is the free room for a waiting stage of long-running tasks.
 	freeSlots freeSlots
 	scan      scanState
+	// away counts the tasks that are not at work, see maySpareTask.
+	away awayCount
+	// reclaimAt is when room may be reclaimed for the stage again.
+	reclaimAt time.Time
 }
 
 // job returns the job of the stage.
@@ -110,6 +114,8 @@
 	avoidWorker string
 	// notBefore is the earliest time of the next start, set after failures and some refusals.
 	notBefore time.Time
+	// yielded is set once the room of a long-running task was reclaimed. It then waits for room like a new one.
+	yielded bool
 	// waitingSince is when the task last became waiting.
 	waitingSince time.Time
 }
--- /dev/null
+++ b/internal/zone/dispatch/reclaim.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+)
+
+// Long-running tasks take the room that short ones leave free for some seconds, and never give it back. After a lull,
+// a usual load of short tasks then finds no room, and large ones never do. So a short task that could still be in time
+// gets the room of a few long-running tasks, which start again when the load has fallen, and memory of best-effort
+// tasks. Long-running tasks of steps with a limit of unavailability are left alone.
+
+const (
+	// reclaimInterval is the shortest interval between two rounds of reclaiming.
+	reclaimInterval = 50 * time.Millisecond
+	// maxReclaims is the largest number of short tasks for which room is reclaimed in one round.
+	maxReclaims = 16
+	// reclaimReservation is how long reclaimed room is reserved for short tasks: the time of a stop, the report of the
+	// end, and the start.
+	reclaimReservation = 1500 * time.Millisecond
+	// minRunBeforeReclaim is how long a long-running task runs before its room may be reclaimed, which bounds how often
+	// one is interrupted.
+	minRunBeforeReclaim = 5 * time.Second
+	// maxReclaimedShare is the share of the tasks of a long-running step that may be away when its room is reclaimed. One
+	// task may be away in any case, unless it is the only one.
+	maxReclaimedShare = 0.125
+	// bestEffortCost is the cost of stopping a best-effort task relative to a long-running one of the same cores: its
+	// work goes on from the last checkpoint.
+	bestEffortCost = 0.25
+)
+
+// reclaimRoom stops tasks so that waiting short tasks which could still be in time find room. It is called after the
+// stages that have no room were found.
+func (s *Scheduler) reclaimRoom(now time.Time) {
+	if now.Sub(s.reclaimedAt) < reclaimInterval {
+		return
+	}
+	s.reclaimedAt = now
+	left := maxReclaims
+	for _, st := range s.ready {
+		if left <= 0 {
+			return
+		}
+		if !st.isShort() || st.step().Gang || !st.scan.noRoom || st.scan.decision != s.decisions ||
+			now.Before(st.reclaimAt) || s.rank(now, st).urgency != 0 {
+			continue
+		}
+		st.reclaimAt = now.Add(reclaimReservation)
+		for _, t := range st.tasks {
+			if left <= 0 || !t.queued || now.Before(t.notBefore) {
+				continue
+			}
+			if !s.reclaimFor(now, t) {
+				break
+			}
+			left--
+		}
+	}
+}
+
+// reclaimFor stops the tasks whose room is cheapest to reclaim for a short task. It returns false if there are none.
+func (s *Scheduler) reclaimFor(now time.Time, t *task) bool {
+	var best []*run
+	var bestWorker *Worker
+	bestCost := math.Inf(1)
+	for _, w := range s.byService[t.job().service] {
+		if now.Before(w.reservedUntil) || !t.step().Size.Fits(w.Capacity) || !s.isEligible(now, t, w) {
+			continue
+		}
+		if victims, cost := s.victims(now, t, w, bestCost); cost < bestCost {
+			best, bestWorker, bestCost = victims, w, cost
+		}
+	}
+	if bestWorker == nil {
+		return false
+	}
+	bestWorker.reservedUntil = now.Add(reclaimReservation)
+	for _, r := range best {
+		r.task.yielded = true
+		r.task.stage.away.n++
+		s.stopRun(r, "room for a short task")
+	}
+	return true
+}
+
+// victims returns the runs of a worker to stop so that the short task fits, and their cost. The cost is infinite if there
+// is no such choice or none below the limit.
+func (s *Scheduler) victims(now time.Time, t *task, w *Worker, limit float64) ([]*run, float64) {
+	missing := w.used.Add(t.step().Reserved()).Sub(w.Capacity)
+	if missing.Accelerators > 0 {
+		return nil, math.Inf(1)
+	}
+	var longRunning, bestEffort []*run
+	for _, r := range w.runs {
+		switch step := r.task.step(); {
+		case r.phase != phaseRunning || r.task.job().priority < t.job().priority:
+		case step.BestEffort && step.Checkpointing && step.MaxUnavailable < 0:
+			bestEffort = append(bestEffort, r)
+		case step.LongRunning && step.MaxUnavailable < 0 && now.Sub(r.startedAt) >= minRunBeforeReclaim &&
+			s.maySpareTask(r.task.stage):
+			longRunning = append(longRunning, r)
+		}
+	}
+	var out []*run
+	cost := 0.0
+	take := func(runs []*run, weight float64, size func(fleet.Size) int64, needed func() int64) {
+		slices.SortFunc(runs, func(a, b *run) int {
+			return cmp.Or(cmp.Compare(size(a.task.step().Size), size(b.task.step().Size)), cmp.Compare(a.task.name, b.task.name))
+		})
+		for len(runs) > 0 && needed() > 0 && cost < limit {
+			// The smallest that is large enough, or else the largest.
+			i := slices.IndexFunc(runs, func(r *run) bool { return size(r.task.step().Size) >= needed() })
+			if i < 0 {
+				i = len(runs) - 1
+			}
+			out = append(out, runs[i])
+			cost += weight * float64(runs[i].task.step().Size.Cores)
+			missing = missing.Sub(runs[i].task.step().Reserved())
+			runs = slices.Delete(runs, i, i+1)
+		}
+	}
+	cores := func(f fleet.Size) int64 { return f.Cores }
+	memory := func(f fleet.Size) int64 { return f.Memory }
+	take(longRunning, 1, cores, func() int64 { return missing.Cores })
+	take(bestEffort, bestEffortCost, memory, func() int64 { return missing.Memory })
+	if missing.Cores > 0 || missing.Memory > 0 || len(out) == 0 {
+		return nil, math.Inf(1)
+	}
+	return out, cost
+}
+
+// awayCount is the number of tasks of a long-running stage that are not at work, as of one decision.
+type awayCount struct {
+	decision uint64
+	n        int
+}
+
+// maySpareTask reports whether a task of a long-running stage may be stopped to reclaim its room: few enough of the
+// others are away.
+func (s *Scheduler) maySpareTask(st *stage) bool {
+	if st.away.decision != s.decisions+1 {
+		st.away = awayCount{decision: s.decisions + 1}
+		for _, t := range st.tasks {
+			if len(t.runs) == 0 || t.runs[0].phase != phaseRunning || t.runs[0].readySince.IsZero() {
+				st.away.n++
+			}
+		}
+	}
+	n := len(st.tasks)
+	return n > 1 && st.away.n < max(1, int(maxReclaimedShare*float64(n)))
+}
--- a/internal/zone/dispatch/scale_test.go
+++ b/internal/zone/dispatch/scale_test.go
@@ -338,6 +338,30 @@
 	}
 }
 
+// TestShortJobsReclaimRoom guards against short jobs that find no room after a lull, in which long-running tasks have
+// taken it all.
+func TestShortJobsReclaimRoom(t *testing.T) {
+	const workers = 245
+	for seed := range uint64(2) {
+		sim := newLoadSim(seed, workers, loadMix{longRunning: 2.5})
+		sim.run(20 * time.Second)
+		sim.submitAtRate("short", workers*32*0.06/(1.5*10*5.4), func() workflow.Spec {
+			return sim.spec(1+sim.rng.IntN(2), 10, 2400+sim.rng.Int64N(12000), time.Second, false)
+		})
+		sim.run(25 * time.Second)
+		if share := sim.shareInTime("short", 22*time.Second, 40*time.Second); share < 0.77 {
+			t.Errorf("seed %d: %.3f of the short jobs were in time, want at least 0.77", seed, share)
+		}
+		longRunning := int64(0)
+		for _, w := range sim.s.workers {
+			longRunning += w.longRunningCores
+		}
+		if share := float64(longRunning) / (workers * 32000); share < 0.8 {
+			t.Errorf("seed %d: long-running tasks have %.3f of the room, want at least 0.8: short ones use 0.1", seed, share)
+		}
+	}
+}
+
 // TestLongRunningTaskStartsInFreeRoom guards against long-running tasks that wait for short ones which don't come.
 // Short jobs come occasionally and then no more. A long-running task must not wait for more than three seconds while
 // there is room for two of its kind; the platform allows no longer wait.
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -107,6 +107,8 @@
 	unknownRuns map[runKey]int64
 	// reports counts the worker's reports.
 	reports uint64
+	// reservedUntil is until when the worker takes only short tasks, for which room was reclaimed.
+	reservedUntil time.Time
 	// changed is set while the worker is in Scheduler.changedWorkers.
 	changed bool
 	// stopsRecorded is set while the log may hold a record of stops of the worker.
