Refuse malformed jobs before they reach the scheduler

A stored job whose steps depend on steps that don't exist is used before it is validated: index out of range in Spec.RemainingPaths, on each host that takes the leadership. So is a job that another host forwards; the leader's panic leaves its lock held. Negative steps, tasks and occurrences in a progress record do the same.

--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -20,6 +20,7 @@
 	"sassafraswind.example/sassafraswind/internal/stream/ledger"
 	"sassafraswind.example/sassafraswind/internal/work/workflow"
 	"sassafraswind.example/sassafraswind/internal/zone/dispatch"
+	"sassafraswind.example/sassafraswind/internal/zone/leadership"
 )
 
 // memoryLog is an in-memory ledger.Store that follows the rules of the platform's store for conditional appends, epochs
@@ -341,6 +342,22 @@
 	})
 }
 
+// TestMalformedJobOfAnotherHost guards against a leader that another host's malformed job brings down.
+func TestMalformedJobOfAnotherHost(t *testing.T) {
+	Convey("A leader refuses a job whose steps depend on steps that don't exist", t, func() {
+		log, w := newMemoryLog(), &fakeWorker{starts: map[string]int{}, startedAt: time.Now()}
+		h, stop := startHost(t, "a", 0, log, w)
+		Reset(stop)
+		So(eventually(10*time.Second, func() bool { return isLeader(h) }), ShouldBeTrue)
+		resp, err := h.handlePeerRequest(context.Background(), Request{
+			Action: ActionSubmit, Queue: "q", ID: strings.Repeat("0", 15) + "4", TimeLeft: time.Second,
+			Spec: workflow.Spec{Steps: []workflow.Step{{Tasks: 1, DependsOn: []int{7}}}},
+		})
+		So(err, ShouldBeNil)
+		So(resp.Outcome, ShouldEqual, dispatch.OutcomeRefused)
+	})
+}
+
 // TestPingDuringClaim guards against a new leader that is taken to have ended because a host that has read its claim
 // pings it before the claim's append has returned.
 func TestPingDuringClaim(t *testing.T) {
@@ -425,6 +442,23 @@
 	})
 }
 
+// TestLateAnswerOfFormerLeader guards against a leadership that is taken to be vacant because an answer under an earlier
+// claim arrives after the present one was seen.
+func TestLateAnswerOfFormerLeader(t *testing.T) {
+	Convey("A host has seen the claim of a second leader", t, func() {
+		h := &Host{instance: "me", elector: leadership.NewElector("me"), clock: bootclock.Clock{}}
+		first := leadership.Claim{Offset: 3, Name: "a", Address: "a", Instance: "first", Serial: 1}
+		second := leadership.Claim{Offset: 4, Name: "a", Address: "a", Instance: "second", Serial: 2}
+		h.elector.ObserveClaim(h.clock.Now(), first)
+		h.elector.ObserveClaim(h.clock.Now(), second)
+		Convey("an answer to a request that was sent to the first leader does not make the leadership vacant", func() {
+			h.recordLeaderAnswer(first)
+			action, _ := h.elector.NextAction(h.clock.Now())
+			So(action, ShouldEqual, leadership.ActionPing)
+		})
+	})
+}
+
 // TestStoreAnswersOther guards against a leader that gives up the leadership although the store may have failed for all
 // hosts, or in favour of a host that no longer pings it.
 func TestStoreAnswersOther(t *testing.T) {
--- a/internal/host/entry/request.go
+++ b/internal/host/entry/request.go
@@ -131,6 +131,12 @@
 	if t == nil {
 		return Response{NotLeader: true}, nil
 	}
+	if req.Action == ActionSubmit {
+		if err := req.Spec.Validate(); err != nil {
+			h.logger("peers").WithError(err).WithField("job", req.ID).Warn("Refused a malformed job of another host")
+			return Response{Outcome: dispatch.OutcomeRefused, RetryAfter: noLeaderRetryAfter, Reason: err.Error()}, nil
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, min(req.TimeLeft, leaderCallTimeout))
 	defer cancel()
 	return t.handleRequest(ctx, req), nil
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -320,6 +320,11 @@
 	if rec.Spec != nil {
 		spec = *rec.Spec
 	}
+	if rec.FinalState == "" {
+		if err := spec.Validate(); err != nil {
+			return errors.Wrapf(err, "dispatch: validate job %s", id)
+		}
+	}
 	j := s.newJob(id, rec.Queue, spec, acceptedAt, acceptedWall)
 	j.stored = true
 	if rec.FinalState != "" {
@@ -328,13 +333,14 @@
 		s.jobs[id] = j
 		return nil
 	}
-	if err := spec.Validate(); err != nil {
-		return errors.Wrapf(err, "dispatch: validate job %s", id)
-	}
 	s.jobs[id] = j
 	j.restored = true
 	s.applyQueue(j)
 	for _, o := range p.Open {
+		if _, ok := j.openOccurrences[o.Index]; ok || o.Index < 0 || o.Index >= spec.Occurrences() {
+			delete(s.jobs, id)
+			return errors.Newf("dispatch: invalid occurrence %d of %d in the progress of job %s", o.Index, spec.Occurrences(), id)
+		}
 		s.restoreOccurrence(now, j, o)
 	}
 	j.nextOccurrence = max(j.nextOccurrence, p.NextOccurrence)
@@ -349,7 +355,7 @@
 func (s *Scheduler) restoreOccurrence(now time.Time, j *Job, rec occurrenceRecord) {
 	o := s.addOccurrence(now, j, rec.Index)
 	for _, f := range rec.Failed {
-		if f[0] < len(o.stages) && f[1] < len(o.stages[f[0]].tasks) {
+		if f[0] >= 0 && f[0] < len(o.stages) && f[1] >= 0 && f[1] < len(o.stages[f[0]].tasks) {
 			t := o.stages[f[0]].tasks[f[1]]
 			t.failedRuns = append(t.failedRuns, f[2])
 			j.started = true
