Don't take a leadership for vacant because of an answer under an earlier claim

A host that leads again under a new claim answers requests which other hosts had sent under its claim before the restart. These hosts have read the new claim meanwhile; they take the answer for a sign that the leader with the new claim has ended, and claim at once. Each claim is followed by more such answers. Ruled out: pings without an answer (the first claim comes 0.70 s after the one before, sooner than any silence can lead to one), hand-overs to stronger hosts, refused connections. Change: an answer counts only if the claim under which it was asked is still the newest.

--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -123,10 +123,14 @@
 	return errors.Is(err, peer.ErrNotSent) && (errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET))
 }
 
-// recordLeaderAnswer records an answer of the leader.
+// recordLeaderAnswer records an answer of the leader with the claim. An answer to a message that was sent under an
+// earlier claim says nothing about the present leader, also if both lead at the same address.
 func (h *Host) recordLeaderAnswer(claim leadership.Claim) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.elector.Claim().Instance != claim.Instance {
+		return
+	}
 	now := h.clock.Now()
 	h.elector.RecordAnswer(now, claim.Instance)
 	h.leaderAnsweredAt = now
