Let keyed requests wait for a slot

Cause of KNOWN-RED's entry TestPlannedStopFinishesRequestsInFlight: a keyed request that finds no free slot closes its key at once ("not_run closed no_worker"), while other requests wait; here 24 checks hold the slots for 0.4 s each. Change: a keyed request asks again with each look-up interval, for at most 2 s and at most half of its time; after that its key is closed as before, so that one which can't be served is still refused well before its deadline. Tests: TestRequestWaitsForSlot, and TestRequestRunsAtMostOnce with such requests.

--- a/internal/host/node/keyed_request.go
+++ b/internal/host/node/keyed_request.go
@@ -19,6 +19,9 @@
 const (
 	// lookupPeriod is the time between two look-ups of a call at its worker. The flow is also woken at this interval.
 	lookupPeriod = 100 * time.Millisecond
+	// maxSlotWait is the longest time for which a keyed request waits for a free slot: slots are free again within
+	// moments, also when workers change their holder. It waits no longer than half of its time.
+	maxSlotWait = 2 * time.Second
 	// replyMargin is how long before the caller's deadline the request ends here, so that the reply arrives in time.
 	replyMargin = 50 * time.Millisecond
 )
@@ -63,7 +66,7 @@
 	k := &keyedRequest{n: n, ctx: ctx, req: r, msgs: make(chan intent.Msg, 64)}
 	k.flow = intent.NewFlow(intent.Request{
 		Key: r.Key, Digest: requestDigest(r.Class, r.Team, r.Body), Class: r.Class, Zone: n.cfg.Zone, Host: n.cfg.Host,
-		Deadline: deadline, PollInterval: lookupPeriod,
+		Deadline: deadline, PollInterval: lookupPeriod, SlotWait: min(maxSlotWait, deadline.Sub(now)/2),
 	})
 	wake := n.watchKey(r.Key)
 	defer n.unwatchKey(r.Key, wake)
--- a/internal/work/intent/flow.go
+++ b/internal/work/intent/flow.go
@@ -43,6 +43,8 @@
 	Deadline time.Time
 	// PollInterval is the time between two look-ups of a call.
 	PollInterval time.Duration
+	// SlotWait is how long the request waits for a slot while no worker has a free one. After that its key is closed.
+	SlotWait time.Duration
 }
 
 // Msg is an event of a request, which is passed to Flow.Update.
@@ -58,7 +60,7 @@
 		Boot        string
 		LatestStart time.Duration
 	}
-	// NoWorkerMsg responds to ReserveSlotCmd: no slot can be reserved in time.
+	// NoWorkerMsg responds to ReserveSlotCmd: no worker has a free slot now.
 	NoWorkerMsg struct{ Reason string }
 	// WrittenMsg responds to a Write command: the record was read back, and Err is the result of applying it.
 	WrittenMsg struct{ Err error }
@@ -134,6 +136,7 @@
 const (
 	phaseIdle phase = iota
 	phaseReserving
+	phaseAwaitingSlot
 	phaseWritingIntent
 	phaseWritingAnswer
 	phaseWritingClose
@@ -156,6 +159,8 @@
 	unstartedAttempt int
 	// avoidWorker is the worker of that attempt.
 	avoidWorker string
+	// slotWaitUntil is until when the request waits for a slot, the zero time before it has found none.
+	slotWaitUntil time.Time
 	// answer is the answer of the worker, valid if answered is set.
 	answer   Answer
 	answered bool
@@ -210,6 +215,10 @@
 		if f.phase == phaseLookingUp {
 			return f.handleLookedUp(now, status, m)
 		}
+	case TickMsg:
+		if f.phase == phaseAwaitingSlot {
+			f.phase = phaseIdle
+		}
 	}
 	return f.continueFromLog(now, status)
 }
@@ -290,6 +299,13 @@
 	if !f.mayClaim(status) {
 		return f.continueFromLog(now, status)
 	}
+	if f.slotWaitUntil.IsZero() {
+		f.slotWaitUntil = now.Add(f.req.SlotWait)
+	}
+	if now.Before(f.slotWaitUntil) {
+		f.phase = phaseAwaitingSlot
+		return nil
+	}
 	return f.close(status, m.Reason)
 }
 
--- a/internal/work/intent/flow_test.go
+++ b/internal/work/intent/flow_test.go
@@ -243,6 +243,7 @@
 			r := &request{sim: sim, host: sim.hosts[n%3], Flow: NewFlow(Request{
 				Key: sim.key, Digest: digest, Class: "quote", Zone: "z", Host: "h",
 				Deadline: epoch.Add(time.Duration(20+20*n) * time.Second), PollInterval: time.Second,
+				SlotWait: time.Duration(n%2) * 10 * time.Second,
 			})}
 			sim.schedule(func() { r.deliver(StartMsg{}) })
 			for range 6 {
@@ -303,6 +304,32 @@
 	}
 }
 
+// Guards against a key that is closed although a slot becomes free within moments, and against one that waits for long.
+func TestRequestWaitsForSlot(t *testing.T) {
+	f := NewFlow(Request{
+		Key: key(epoch, 1), Digest: 1, Deadline: epoch.Add(time.Minute), PollInterval: time.Second, SlotWait: 2 * time.Second,
+	})
+	for _, step := range []struct {
+		at   time.Duration
+		msg  Msg
+		want Command
+	}{
+		{0, StartMsg{}, ReserveSlotCmd{}},
+		{0, NoWorkerMsg{Reason: "no_worker"}, nil},
+		{time.Second, TickMsg{}, ReserveSlotCmd{}},
+		{time.Second, NoWorkerMsg{Reason: "no_worker"}, nil},
+		{2 * time.Second, TickMsg{}, ReserveSlotCmd{}},
+		{2 * time.Second, NoWorkerMsg{Reason: "no_worker"}, WriteCloseCmd{Close{Key: key(epoch, 1), Reason: "no_worker"}}},
+	} {
+		got := f.Update(epoch.Add(step.at), KeyStatus{}, step.msg)
+		switch {
+		case step.want == nil && len(got) == 0:
+		case step.want == nil || len(got) != 1 || !equal(got[0], step.want):
+			t.Fatalf("%v, %T: got %+v, want %+v", step.at, step.msg, got, step.want)
+		}
+	}
+}
+
 // Guards against the result of a look-up of an earlier attempt that is used for the present attempt.
 func TestLookUpOfEarlierAttempt(t *testing.T) {
 	first, second := callIntent(key(epoch, 1), 1, 0), callIntent(key(epoch, 1), 2, 7)
