--- a/internal/zone/dispatch/reclaim.go
+++ b/internal/zone/dispatch/reclaim.go
@@ -90,47 +90,60 @@
 // victims returns the runs of a worker to stop so that the short task fits, and their cost. The cost is infinite if there
 // is no such choice or none below the limit.
 func (s *Scheduler) victims(now time.Time, t *task, w *Worker, limit float64) ([]*run, float64) {
-	missing := w.used.Add(t.step().Reserved()).Sub(w.Capacity)
-	if missing.Accelerators > 0 {
+	longRunning, bestEffort := s.reclaimable(now, t, w)
+	c := reclaimChoice{missing: w.used.Add(t.step().Reserved()).Sub(w.Capacity), limit: limit}
+	c.take(longRunning, 1, func(f fleet.Size) int64 { return f.Cores })
+	c.take(bestEffort, bestEffortCost, func(f fleet.Size) int64 { return f.Memory })
+	if len(c.runs) == 0 || !c.missing.Fits(fleet.Size{}) {
 		return nil, math.Inf(1)
 	}
-	var longRunning, bestEffort []*run
+	return c.runs, c.cost
+}
+
+// reclaimable returns the long-running and the best-effort runs of a worker whose room may be reclaimed for a task.
+func (s *Scheduler) reclaimable(now time.Time, t *task, w *Worker) (longRunning, bestEffort []*run) {
 	for _, r := range w.runs {
-		switch step := r.task.step(); {
-		case r.phase != phaseRunning || r.task.job().priority < t.job().priority:
-		case step.BestEffort && step.Checkpointing && step.MaxUnavailable < 0:
+		step := r.task.step()
+		if r.phase != phaseRunning || r.task.job().priority < t.job().priority || step.MaxUnavailable >= 0 {
+			continue
+		}
+		switch {
+		case step.BestEffort && step.Checkpointing:
 			bestEffort = append(bestEffort, r)
-		case step.LongRunning && step.MaxUnavailable < 0 && now.Sub(r.startedAt) >= minRunBeforeReclaim &&
-			s.maySpareTask(r.task.stage):
+		case step.LongRunning && now.Sub(r.startedAt) >= minRunBeforeReclaim && s.maySpareTask(r.task.stage):
 			longRunning = append(longRunning, r)
 		}
 	}
-	var out []*run
-	cost := 0.0
-	take := func(runs []*run, weight float64, size func(fleet.Size) int64, needed func() int64) {
-		slices.SortFunc(runs, func(a, b *run) int {
-			return cmp.Or(cmp.Compare(size(a.task.step().Size), size(b.task.step().Size)), cmp.Compare(a.task.name, b.task.name))
-		})
-		for len(runs) > 0 && needed() > 0 && cost < limit {
-			// The smallest that is large enough, or else the largest.
-			i := slices.IndexFunc(runs, func(r *run) bool { return size(r.task.step().Size) >= needed() })
-			if i < 0 {
-				i = len(runs) - 1
-			}
-			out = append(out, runs[i])
-			cost += weight * float64(runs[i].task.step().Size.Cores)
-			missing = missing.Sub(runs[i].task.step().Reserved())
-			runs = slices.Delete(runs, i, i+1)
+	return longRunning, bestEffort
+}
+
+// reclaimChoice is a choice of runs to stop on one worker.
+type reclaimChoice struct {
+	// missing is the room that is still missing; a dimension that is not missing is zero or less.
+	missing fleet.Size
+	runs    []*run
+	// cost is the cost of the runs. Once it has reached the limit, no further run is chosen.
+	cost, limit float64
+}
+
+// take chooses runs until no room is missing in the dimension: the smallest run that is large enough, or else the
+// largest. The weight is the cost of a run per core.
+func (c *reclaimChoice) take(runs []*run, weight float64, dimension func(fleet.Size) int64) {
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(dimension(a.task.step().Size), dimension(b.task.step().Size)),
+			cmp.Compare(a.task.name, b.task.name))
+	})
+	for len(runs) > 0 && dimension(c.missing) > 0 && c.cost < c.limit {
+		i := slices.IndexFunc(runs, func(r *run) bool { return dimension(r.task.step().Size) >= dimension(c.missing) })
+		if i < 0 {
+			i = len(runs) - 1
 		}
+		step := runs[i].task.step()
+		c.runs = append(c.runs, runs[i])
+		c.cost += weight * float64(step.Size.Cores)
+		c.missing = c.missing.Sub(step.Reserved())
+		runs = slices.Delete(runs, i, i+1)
 	}
-	cores := func(f fleet.Size) int64 { return f.Cores }
-	memory := func(f fleet.Size) int64 { return f.Memory }
-	take(longRunning, 1, cores, func() int64 { return missing.Cores })
-	take(bestEffort, bestEffortCost, memory, func() int64 { return missing.Memory })
-	if missing.Cores > 0 || missing.Memory > 0 || len(out) == 0 {
-		return nil, math.Inf(1)
-	}
-	return out, cost
 }
 
 // awayCount is the number of tasks of a long-running stage that are not at work, as of one decision.
--- a/internal/zone/dispatch/scale_test.go
+++ b/internal/zone/dispatch/scale_test.go
@@ -148,17 +148,20 @@
 	}
 	var submit func()
 	submit = func() {
-		spec := spec()
-		sim.jobs++
-		id := fmt.Sprintf("%016x", sim.jobs)
-		spec.Payload = id
-		sim.s.Submit(sim.now, Request{ID: id, Queue: queue, Spec: spec, WallTime: sim.now})
+		sim.submit(queue, spec())
 		sim.decide()
 		sim.after(time.Duration((0.5+sim.rng.Float64())/perSecond*float64(time.Second)), submit)
 	}
 	sim.after(0, submit)
 }
 
+// submit submits a job to the queue.
+func (sim *loadSim) submit(queue string, spec workflow.Spec) {
+	sim.jobs++
+	spec.Payload = fmt.Sprintf("%016x", sim.jobs)
+	sim.s.Submit(sim.now, Request{ID: spec.Payload, Queue: queue, Spec: spec, WallTime: sim.now})
+}
+
 // spec returns a job of steps that follow each other.
 func (sim *loadSim) spec(steps, tasks int, cores int64, estimate time.Duration, longRunning bool) workflow.Spec {
 	var spec workflow.Spec
