Wait for the report of a worker that has restarted before its tasks start elsewhere

The new leader sees the new boot in the list and takes the worker for accounted; the old leader, which does not know yet that it is replaced, sends a start for the boot before, and the new boot carries it out, since it has seen no token. The task runs on two workers. Ruled out: stops (none in the trace), expired leases. Change: a new boot in the list only has the worker asked which boot it is. Its tasks start elsewhere, and the worker counts as accounted, once the new boot has reported under the leader's token. Stops that an earlier leader ordered are ordered again. Test: the history in TestTaskIsNotStartedTwiceAfterStop, which fails without the change.

--- a/internal/zone/dispatch/stop.go
+++ b/internal/zone/dispatch/stop.go
@@ -155,6 +155,9 @@
 	return Record{Key: prefixStops + w.ID, Value: encode(&rec)}
 }
 
+// restoredStopReason is the reason of a stop that an earlier leader has ordered and that is ordered again.
+const restoredStopReason = "ordered by an earlier leader"
+
 // restoreStops keeps the stops of an earlier leader until the worker has reported. It returns an error if the record
 // is malformed.
 func (s *Scheduler) restoreStops(id string, value []byte) error {
@@ -189,10 +192,12 @@
 		t := s.findTask(k.task)
 		if t == nil {
 			w.blockFor(k, report.Clock)
+			s.addStop(stop{worker: w, key: k, reason: restoredStopReason})
 			continue
 		}
 		r := s.attachReportedRun(now, w, t, k.number)
-		r.phase, r.confirmedClock = phaseStopping, report.Clock
+		r.confirmedClock = report.Clock
+		s.stopRun(r, restoredStopReason)
 	}
 }
 
--- a/internal/zone/dispatch/stop_test.go
+++ b/internal/zone/dispatch/stop_test.go
@@ -29,6 +29,20 @@
 			sim.run(9 * time.Second)
 			So(sim.violations, ShouldBeEmpty)
 		})
+		Convey("or on a worker that has restarted and carries out an order of the leader before", func() {
+			sim := newSimulation(0x60, 2)
+			sim.lossRate = 0.02
+			sim.submitJobs(23)
+			sim.after(9*time.Second, sim.takeOver)
+			sim.after(44*time.Millisecond, sim.takeOver)
+			sim.after(9*time.Second, func() { sim.crash(sim.workers[1], 100*time.Millisecond) })
+			sim.after(991*time.Millisecond, func() { sim.takeOver(); sim.after(50*time.Millisecond, sim.takeOver) })
+			sim.after(0, sim.takeOver)
+			sim.after(2*time.Millisecond, func() { sim.storeDown = true })
+			sim.after(2537*time.Millisecond, func() { sim.storeDown = false })
+			sim.run(11 * time.Second)
+			So(sim.violations, ShouldBeEmpty)
+		})
 		Convey("with late orders and one takeover", func() {
 			sim := newSimulation(0x8f9cad09da6, 2)
 			sim.delayRate = 0.05
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -222,7 +222,10 @@
 		if r.Boot < w.Boot {
 			return
 		}
-		s.handleRestart(now, w, r.Boot)
+		// The new boot bars no orders of earlier terms, and carries out those that were meant for the boot before. What runs
+		// there is known once it has reported.
+		r.Boot = w.Boot
+		w.bootUnknown = true
 	}
 	if w == nil {
 		w = &Worker{Registration: r, runs: map[runKey]*run{}}
