Bound how long a task yields, and split the choice of a worker

Reclaimed room is reserved from it even while nobody takes it. Change: after 6 s it waits no longer than for room; its stage ranks behind short tasks that can still be in time for 30 s, so that these keep what they need; reservations end for a long-running task that has waited for 2.2 s. Test: TestYieldedTaskReturns fails with yielding for an hour. chooseWorker is startStage's former middle part.

--- a/internal/host/entry/renew.go
+++ b/internal/host/entry/renew.go
@@ -51,8 +51,8 @@
 				t.loseLeadership(err)
 				return
 			}
-			// The append may have been retried: only the last attempt counts, which took at most ledger.CallTimeout.
 			t.renewal.Store(w.End())
+			// The append may have been retried: only the last attempt counts, which took at most ledger.CallTimeout.
 			now := t.host.clock.Now()
 			t.recordConfirmation(laterOf(sentAt, now.Add(-ledger.CallTimeout)))
 			sleep(t.ctx, leadership.RenewInterval)
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -98,7 +98,8 @@
 	t := &term{
 		host: h, claim: claim, ctx: ctx, cancel: cancel, startedAt: h.clock.Now(),
 		batchCommitted: make(chan struct{}), leaseLoops: map[string]struct{}{},
-		ready: make(chan struct{}), idleSenders: make(chan dispatch.Order), wakeDecisions: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1),
+		ready: make(chan struct{}), idleSenders: make(chan dispatch.Order),
+		wakeDecisions: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1),
 		scheduler: dispatch.New(h.cfg.Limits, claim.Token(), claim.Serial),
 		log:       h.logger("leader").WithField("token", claim.Token()),
 	}
--- a/internal/port/httpcall/client.go
+++ b/internal/port/httpcall/client.go
@@ -78,7 +78,14 @@
 }
 
 // CloseIdle closes the idle connections to a peer.
-func (p *ClientPool) CloseIdle(addr string) { p.client(addr).CloseIdleConnections() }
+func (p *ClientPool) CloseIdle(addr string) {
+	p.mu.Lock()
+	c := p.clients[addr]
+	p.mu.Unlock()
+	if c != nil {
+		c.CloseIdleConnections()
+	}
+}
 
 // Remove closes the idle connections to a peer that is no longer used and frees its client.
 func (p *ClientPool) Remove(addr string) {
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -70,6 +70,8 @@
 	remaining := j.remainingTime[st.index]
 	r := rank{priority: j.priority, latestStartAt: countedFrom.Add(j.objective - remaining)}
 	switch {
+	case st.step().LongRunning && !st.yieldedAt.IsZero() && now.Sub(st.yieldedAt) < yieldPeriod:
+		r.latestStartAt = now.Add(yieldPeriod)
 	case st.step().LongRunning:
 		r.latestStartAt = countedFrom
 	case now.After(countedFrom.Add(lateFactor*j.objective - remaining)):
@@ -167,47 +169,23 @@
 	if st.job().needsTicket && !s.ensureTicket(now, st) {
 		return true
 	}
-	var candidates []*Worker
-	var list *shortlist
-	noneForSpecial := false
+	var c stageChoice
 	for _, t := range st.tasks {
-		if !t.queued || now.Before(t.notBefore) {
+		if !t.queued || now.Before(t.notBefore) || (t.step().LongRunning && !s.mayStartLongRunning(now, t)) {
 			continue
 		}
-		if t.step().LongRunning && !s.mayStartLongRunning(now, t) {
-			continue
-		}
-		if !t.isPlain() {
-			if noneForSpecial {
-				continue
-			}
-			w := s.findWorker(now, t, nil)
-			if w == nil {
-				noneForSpecial = true
-				continue
-			}
-			s.startRun(now, t, w)
-			if list != nil {
-				s.rerate(now, list, t, w)
-			}
-			continue
-		}
-		if list == nil {
-			candidates = s.candidates(now, st)
-			list = s.newShortlist(now, t, candidates)
-		}
-		if list.Len() == 0 {
+		w, noRoom := s.chooseWorker(now, t, &c)
+		if noRoom {
 			s.markNoRoom(st)
 			return false
 		}
-		w := (*list)[0].worker
-		if w.hasNextRun(t) {
-			if w = s.findAmong(now, t, nil, candidates); w == nil {
-				continue
-			}
+		if w == nil {
+			continue
 		}
 		s.startRun(now, t, w)
-		s.rerate(now, list, t, w)
+		if c.list != nil {
+			s.rerate(now, c.list, t, w)
+		}
 	}
 	return true
 }
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -83,6 +83,8 @@
 	scan      scanState
 	// away counts the tasks that are not at work, see maySpareTask.
 	away awayCount
+	// yieldedAt is when room of the stage was last reclaimed, the zero time if it never was.
+	yieldedAt time.Time
 	// reclaimAt is when room may be reclaimed for the stage again.
 	reclaimAt time.Time
 }
@@ -114,8 +116,8 @@
 	avoidWorker string
 	// notBefore is the earliest time of the next start, set after failures and some refusals.
 	notBefore time.Time
-	// yielded is set once the room of a long-running task was reclaimed. It then waits for room like a new one.
-	yielded bool
+	// yieldsUntil is until when a long-running task whose room was reclaimed waits for room like a new one.
+	yieldsUntil time.Time
 	// waitingSince is when the task last became waiting.
 	waitingSince time.Time
 }
--- a/internal/zone/dispatch/placement.go
+++ b/internal/zone/dispatch/placement.go
@@ -75,7 +75,7 @@
 		w.recordBatch == 0 || w.recordBatch > s.journal.committed {
 		return false
 	}
-	if !w.mayStart(now, t) || (now.Before(w.reservedUntil) && !t.stage.isShort()) {
+	if !w.mayStart(now, t) || w.isReservedFrom(now, t) {
 		return false
 	}
 	if step.Label != "" && !w.hasLabel(step.Label) {
--- a/internal/zone/dispatch/reclaim.go
+++ b/internal/zone/dispatch/reclaim.go
@@ -22,6 +22,11 @@
 	// reclaimReservation is how long reclaimed room is reserved for short tasks: the time of a stop, the report of the
 	// end, and the start.
 	reclaimReservation = 1500 * time.Millisecond
+	// maxYield is how long a long-running task leaves free room to short ones after its own was reclaimed. The platform
+	// allows it to be away for nine seconds while there is room for two of its kind.
+	maxYield = 6 * time.Second
+	// yieldPeriod is how long after that a long-running stage ranks behind short tasks that can still be in time.
+	yieldPeriod = 30 * time.Second
 	// minRunBeforeReclaim is how long a long-running task runs before its room may be reclaimed, which bounds how often
 	// one is interrupted.
 	minRunBeforeReclaim = 5 * time.Second
@@ -80,13 +85,21 @@
 	}
 	bestWorker.reservedUntil = now.Add(reclaimReservation)
 	for _, r := range best {
-		r.task.yielded = true
+		r.task.yieldsUntil = now.Add(maxYield)
+		r.task.stage.yieldedAt = now
 		r.task.stage.away.n++
 		s.stopRun(r, "room for a short task")
 	}
 	return true
 }
 
+// isReservedFrom reports whether the worker's free room is reserved and the task may not take it. A long-running task
+// that has waited for as long as any may have to is not held back further.
+func (w *Worker) isReservedFrom(now time.Time, t *task) bool {
+	return now.Before(w.reservedUntil) && !t.stage.isShort() &&
+		!(t.step().LongRunning && now.Sub(t.waitingSince) >= twoSlotsDelay)
+}
+
 // victims returns the runs of a worker to stop so that the short task fits, and their cost. The cost is infinite if there
 // is no such choice or none below the limit.
 func (s *Scheduler) victims(now time.Time, t *task, w *Worker, limit float64) ([]*run, float64) {
--- a/internal/zone/dispatch/reserve.go
+++ b/internal/zone/dispatch/reserve.go
@@ -69,7 +69,7 @@
 // mayStartLongRunning reports whether a long-running task may take room now. Restarts and restored tasks don't wait.
 func (s *Scheduler) mayStartLongRunning(now time.Time, t *task) bool {
 	demand := s.shortDemand[t.job().service]
-	isRestart := (t.lastRun > s.runNumberBase || t.job().restored) && !t.yielded
+	isRestart := (t.lastRun > s.runNumberBase || t.job().restored) && !now.Before(t.yieldsUntil)
 	if demand == 0 || isRestart {
 		return true
 	}
--- a/internal/zone/dispatch/scale_test.go
+++ b/internal/zone/dispatch/scale_test.go
@@ -365,6 +365,30 @@
 	}
 }
 
+// TestYieldedTaskReturns guards against a long-running task that waits on and on after its room was reclaimed, because
+// short tasks are present. The platform allows nine seconds while there is room for two of its kind.
+func TestYieldedTaskReturns(t *testing.T) {
+	sim := newLoadSim(1, 4, loadMix{})
+	longRunning := sim.spec(1, 2, 20000, 0, true)
+	sim.submit("long-running", longRunning)
+	sim.run(7 * time.Second)
+	st := sim.s.jobs[jobID(1)].openOccurrences[0].stages[0]
+	yielded := st.tasks[0]
+	victim := yielded.runs[0]
+	yielded.yieldsUntil, st.yieldedAt = sim.now.Add(maxYield), sim.now
+	sim.s.stopRun(victim, "test")
+	for stoppedAt := sim.now; sim.now.Sub(stoppedAt) < 9*time.Second; {
+		// The demand of short tasks would hold back a new task, and there is never room for two for long.
+		sim.s.shortDemand = map[string]float64{"svc": 128000}
+		st.freeSlots = freeSlots{}
+		sim.run(50 * time.Millisecond)
+		if len(yielded.runs) > 0 && yielded.runs[0] != victim {
+			return
+		}
+	}
+	t.Error("the task has not started within nine seconds")
+}
+
 // TestLongRunningTaskStartsInFreeRoom guards against long-running tasks that wait for short ones which don't come.
 // Short jobs come occasionally and then no more. A long-running task must not wait for more than three seconds while
 // there is room for two of its kind; the platform allows no longer wait.
--- a/internal/zone/dispatch/shortlist.go
+++ b/internal/zone/dispatch/shortlist.go
@@ -124,6 +124,38 @@
 	heap.Fix(l, i)
 }
 
+// stageChoice holds what is known while the tasks of one stage are started.
+type stageChoice struct {
+	// candidates and list are nil until the first plain task.
+	candidates []*Worker
+	list       *shortlist
+	// noneForOthers is set once no worker was found for a task that is not plain.
+	noneForOthers bool
+}
+
+// chooseWorker returns the best worker for a task of a stage, nil if there is none. noRoom is set if no worker has room
+// for any plain task of the stage.
+func (s *Scheduler) chooseWorker(now time.Time, t *task, c *stageChoice) (w *Worker, noRoom bool) {
+	if !t.isPlain() {
+		if !c.noneForOthers {
+			w = s.findWorker(now, t, nil)
+			c.noneForOthers = w == nil
+		}
+		return w, false
+	}
+	if c.list == nil {
+		c.candidates = s.candidates(now, t.stage)
+		c.list = s.newShortlist(now, t, c.candidates)
+	}
+	if c.list.Len() == 0 {
+		return nil, true
+	}
+	if w = (*c.list)[0].worker; w.hasNextRun(t) {
+		w = s.findAmong(now, t, nil, c.candidates)
+	}
+	return w, false
+}
+
 // rate returns the score of a worker for the task, with the room left by the plan, which may be nil. It returns false
 // if the worker can't take the task now.
 func (s *Scheduler) rate(now time.Time, t *task, w *Worker, p *gangPlan) (float64, bool) {
