--- a/internal/host/telemetry/json_test.go
+++ b/internal/host/telemetry/json_test.go
@@ -17,7 +17,7 @@
 		rapid.String().AsAny(), rapid.Int().AsAny(), rapid.Int64().AsAny(), rapid.Uint64().AsAny(), rapid.Bool().AsAny(),
 		rapid.Float64Range(-1e6, 1e6).AsAny(), rapid.SliceOf(rapid.String()).AsAny(),
 		rapid.MapOf(rapid.String(), rapid.Bool()).AsAny(),
-		rapid.Map(rapid.String(), func(s string) error { return errors.New(s) }).AsAny(),
+		rapid.Map(rapid.String(), errors.New).AsAny(),
 	)
 	rapid.Check(t, func(t *rapid.T) {
 		e := logrus.NewEntry(logrus.New()).WithFields(rapid.MapOf(rapid.String(), value).Draw(t, "fields"))
--- a/internal/zone/dispatch/malformed_test.go
+++ b/internal/zone/dispatch/malformed_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -37,7 +38,9 @@
 			{Key: prefixProgress + jobID(1), Value: encode(&progress)},
 			{Key: prefixJob + jobID(2), Value: encode(&jobRecord{Queue: queueName})},
 		}
-		for _, prefix := range []string{prefixJob, prefixProgress, prefixWorker, prefixStops, prefixLearned} {
+		prefixes := []string{prefixJob, prefixProgress, prefixWorker, prefixStops, prefixLearned}
+		records = slices.Grow(records, len(prefixes))
+		for _, prefix := range prefixes {
 			records = append(records, Record{Key: prefix + jobID(3), Value: garbage.Draw(t, "garbage")})
 		}
 		s.Restore(simEpoch, simEpoch, records, simEpoch)
--- a/internal/zone/dispatch/reclaim.go
+++ b/internal/zone/dispatch/reclaim.go
@@ -97,7 +97,7 @@
 // that has waited for as long as any may have to is not held back further.
 func (w *Worker) isReservedFrom(now time.Time, t *task) bool {
 	return now.Before(w.reservedUntil) && !t.stage.isShort() &&
-		!(t.step().LongRunning && now.Sub(t.waitingSince) >= twoSlotsDelay)
+		(!t.step().LongRunning || now.Sub(t.waitingSince) < twoSlotsDelay)
 }
 
 // victims returns the runs of a worker to stop so that the short task fits, and their cost. The cost is infinite if there
