Log why a long-running task waits

The leader's log says nothing about a task that waits, so that the hypotheses in docs/incidents/lost-long-running.md can't be told apart.

Once a second, for at most eight stages of long-running tasks that have waited for three seconds, the leader now logs the rule that held the stage back in the last decision, and how many workers can't take the task for which reason. Nothing else changes. TestLongWaitIsReported shows the event.

--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -29,6 +29,7 @@
 		s.updateScarcity()
 		s.updateShortDemand()
 		s.recordLearned(now)
+		s.reportWaits(now)
 	}
 	s.sortReady(now)
 	if !s.halted {
@@ -132,7 +133,12 @@
 		j := st.job()
 		// A job whose acceptance is not durable may be submitted again to a later leader, which would not know of its
 		// runs. Restored tasks may already run on workers that have not reported in this term.
-		if j.acceptedBatch > s.journal.committed || (j.restored && !s.allWorkersAccounted()) {
+		if j.acceptedBatch > s.journal.committed {
+			st.hold = holdUnconfirmed
+			continue
+		}
+		if j.restored && !s.allWorkersAccounted() {
+			st.hold = holdUnaccounted
 			continue
 		}
 		placement := failedPlacement{service: j.service, bestEffort: st.step().BestEffort, size: st.step().Size}
@@ -143,6 +149,7 @@
 			return f.service == placement.service && f.bestEffort == placement.bestEffort &&
 				f.image == placement.image && f.size.Fits(placement.size)
 		}) {
+			st.hold = holdSmallerFailed
 			s.markNoRoom(st)
 			continue
 		}
@@ -167,14 +174,26 @@
 // startStage starts the waiting tasks of a stage. It returns false if no worker has room for a plain one of them.
 func (s *Scheduler) startStage(now time.Time, st *stage) bool {
 	if st.job().needsTicket && !s.ensureTicket(now, st) {
+		st.hold = holdTicket
 		return true
 	}
 	var c stageChoice
 	for _, t := range st.tasks {
-		if !t.queued || now.Before(t.notBefore) || (t.step().LongRunning && !s.mayStartLongRunning(now, t)) {
+		if !t.queued {
+			continue
+		}
+		if now.Before(t.notBefore) {
+			st.hold = holdPause
+			continue
+		}
+		if t.step().LongRunning && !s.mayStartLongRunning(now, t) {
+			st.hold = holdFreeSlots
 			continue
 		}
 		w, noRoom := s.chooseWorker(now, t, &c)
+		if w == nil {
+			st.hold = holdNoWorker
+		}
 		if noRoom {
 			s.markNoRoom(st)
 			return false
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -81,6 +81,8 @@
 	// freeSlots is the free room for a waiting stage of long-running tasks.
 	freeSlots freeSlots
 	scan      scanState
+	// hold is why the stage started no task in the last decision.
+	hold hold
 	// away counts the tasks that are not at work, see maySpareTask.
 	away awayCount
 	// yieldedAt is when room of the stage was last reclaimed, the zero time if it never was.
