End the suspicion of a worker beside a long-running task

Cause: a worker on which two runs in a row fail is suspected of failing everything. It gets no task for six seconds, and then one at a time until one is done. 'One at a time' was 'while nothing runs there': a long-running task that was at work before the failures runs for ever, so that the worker got no task ever again. Nor did a long-running task that was started as the probe and works end the suspicion, since it is never done. Each spell of failing workers (or of tasks that fail by themselves) thus took workers out of use for the rest of the term.

The probe is now the run that was started after the last failure; older runs tell nothing and don't count. A long-running probe that has been ready for a second ends the suspicion.

The event 'waiting' shows 30 of 350 workers as unhealthy from 22 s to the end, those that failed from 18.0 to 24.5 s, and the others as full.

Evidence: TestSuspicionEndsBesideLongRunningTask failed before (no start after the pause).

--- a/internal/zone/dispatch/health.go
+++ b/internal/zone/dispatch/health.go
@@ -8,8 +8,10 @@
 	// row on one.
 	suspectFailures = 2
 	// suspectPeriod is how long a suspected worker gets no tasks. After that it gets one task at a time until one is
-	// done.
+	// done, or is a long-running one that is at work.
 	suspectPeriod = 6 * time.Second
+	// minReadyTime is how long a long-running task has been ready when its worker counts as able to run it.
+	minReadyTime = time.Second
 	// refusalPause is how long a worker that refused an order gets no other start.
 	refusalPause = 300 * time.Millisecond
 	// noAnswerPause is how long a worker that left an order unanswered gets no other start.
@@ -18,8 +20,9 @@
 
 // health says how well a worker carries out its tasks.
 type health struct {
-	// consecutiveFailures counts the failed runs in a row.
+	// consecutiveFailures counts the failed runs in a row, of which the last ended at failedAt.
 	consecutiveFailures int
+	failedAt            time.Time
 	// resumeAt is when the worker may get tasks again.
 	resumeAt time.Time
 	// slowUntil is when the pause of a slow worker ends.
@@ -36,19 +39,59 @@
 func (h *health) recordEnd(now time.Time, r *run, reason EndReason) {
 	switch reason {
 	case EndDone:
-		*h = health{resumeAt: h.resumeAt, slowUntil: h.slowUntil, bestEffortAt: h.bestEffortAt, doneAt: now}
+		h.clearSuspicion()
+		h.doneAt = now
 	case EndFailed:
-		if r != nil && r.task.step().LongRunning && !r.readySince.IsZero() && now.Sub(r.readySince) > time.Second {
+		if r != nil && r.isAtWork(now) {
 			// Long-running tasks fail now and then after they have worked for a while.
 			return
 		}
 		h.consecutiveFailures++
+		h.failedAt = now
 		if h.consecutiveFailures >= suspectFailures {
 			h.suspectUntil = now.Add(suspectPeriod)
 		}
 	}
 }
 
+// clearSuspicion forgets the failures.
+func (h *health) clearSuspicion() {
+	h.consecutiveFailures, h.failedAt, h.suspectUntil = 0, time.Time{}, time.Time{}
+}
+
+// isAtWork reports whether the run is one of a long-running task that has been ready for a while.
+func (r *run) isAtWork(now time.Time) bool {
+	return r.task.step().LongRunning && !r.readySince.IsZero() && now.Sub(r.readySince) > minReadyTime
+}
+
+// isProbe reports whether the run was started after the last failure on its worker, so that it tells whether the worker
+// still fails. Older runs, which may last for ever, tell nothing.
+func (r *run) isProbe() bool { return r.startedAt.After(r.worker.health.failedAt) }
+
+// recordProbes ends the suspicion of a worker on which a long-running task is at work that was started after the last
+// failure.
+func (w *Worker) recordProbes(now time.Time) {
+	if w.health.consecutiveFailures == 0 {
+		return
+	}
+	for _, r := range w.runs {
+		if r.isProbe() && r.isAtWork(now) {
+			w.health.clearSuspicion()
+			return
+		}
+	}
+}
+
+// hasProbe reports whether a task runs on the worker that was started after the last failure there.
+func (w *Worker) hasProbe() bool {
+	for _, r := range w.runs {
+		if r.isProbe() {
+			return true
+		}
+	}
+	return false
+}
+
 // recordRefusal notes that the worker refused an order, for lack of room or for reasons of its own.
 func (h *health) recordRefusal(now time.Time) { h.resumeAt = now.Add(refusalPause) }
 
@@ -73,5 +116,5 @@
 	case failed || now.Before(h.suspectUntil):
 		return false
 	}
-	return len(w.runs) == 0 || h.consecutiveFailures < suspectFailures
+	return h.consecutiveFailures < suspectFailures || !w.hasProbe()
 }
--- /dev/null
+++ b/internal/zone/dispatch/health_test.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sassafraswind.example/sassafraswind/internal/work/workflow"
+)
+
+// suspectScenario is a worker with three long-running tasks, of which one is at work and two have failed at their start.
+type suspectScenario struct {
+	s       *Scheduler
+	now     time.Time
+	running []RunReport
+}
+
+// newSuspectScenario returns a scenario at the moment at which the worker comes under suspicion.
+func newSuspectScenario() *suspectScenario {
+	sc := &suspectScenario{s: newStopScheduler(simEpoch, 1), now: simEpoch}
+	sc.report()
+	step := newStep(3, 2000, 0)
+	step.LongRunning, step.MaxUnavailable = true, -1
+	sc.s.Submit(sc.now, Request{
+		ID: jobID(1), Queue: queueName, Spec: workflow.Spec{Steps: []workflow.Step{step}}, WallTime: sc.now,
+	})
+	commitAll(sc.s)
+	sc.start()
+	failed := sc.running[1:]
+	sc.running = sc.running[:1]
+	ends := make([]EndReport, 0, len(failed))
+	for i, r := range failed {
+		ends = append(ends, EndReport{Serial: int64(i + 1), Task: r.Task, Number: r.Number, Reason: EndFailed})
+	}
+	sc.report(ends...)
+	return sc
+}
+
+// report has the worker report its runs as ready, and the ends.
+func (sc *suspectScenario) report(ends ...EndReport) {
+	for i := range sc.running {
+		sc.running[i].Progress = 100
+	}
+	sc.s.HandleReport(sc.now, Report{
+		Worker: "w", Boot: 1, Clock: 1000 + sc.now.Sub(simEpoch).Milliseconds(), Running: sc.running, Ended: ends,
+	})
+	commitAll(sc.s)
+}
+
+// start has the worker carry out all starts that are due, and returns their number.
+func (sc *suspectScenario) start() int {
+	n := 0
+	for _, o := range sc.s.Decide(sc.now) {
+		if o.Kind == OrderStart {
+			n++
+			sc.s.HandleStartAnswer(sc.now, o, AnswerDone, 1000+sc.now.Sub(simEpoch).Milliseconds())
+			sc.running = append(sc.running, RunReport{Task: o.Task, Number: o.Run})
+		}
+	}
+	return n
+}
+
+// TestSuspicionEndsBesideLongRunningTask guards against a worker that gets no task ever again once it was suspected while
+// a long-running task was at work on it.
+func TestSuspicionEndsBesideLongRunningTask(t *testing.T) {
+	Convey("A suspected worker with a long-running task", t, func() {
+		sc := newSuspectScenario()
+		Convey("is left alone at first", func() {
+			sc.now = sc.now.Add(suspectPeriod - time.Millisecond)
+			So(sc.start(), ShouldEqual, 0)
+		})
+		Convey("is probed with one task after that", func() {
+			sc.now = sc.now.Add(suspectPeriod + fullScanInterval)
+			So(sc.start(), ShouldEqual, 1)
+			So(sc.start(), ShouldEqual, 0)
+			Convey("and gets others once the probe is at work", func() {
+				sc.report()
+				So(sc.start(), ShouldEqual, 0)
+				sc.now = sc.now.Add(minReadyTime + time.Millisecond)
+				sc.report()
+				So(sc.start(), ShouldEqual, 1)
+			})
+		})
+	})
+}
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -79,6 +79,7 @@
 	w.contacted = true
 	s.applyEnds(now, w, report.Ended)
 	s.applyRunning(now, w, report)
+	w.recordProbes(now)
 	if first {
 		s.applyRestoredStops(now, w, report)
 		delete(s.unaccounted, w.ID)
