Bound how long a long-running task avoids a worker with room

Each pause is bounded, but may be renewed for ever.

Class of fault: a rule by which a long-running task waits, and whose sum over repetitions has no bound.

A long-running task that has waited for three seconds is now overdue: it is compared with all workers four times a second, before its stage is compared with the failures of others, and only a refusal of the last 0.3 s or a probe of the worker holds it back. Sound workers go first. The failure of a long-running placement no longer rules out other kinds of tasks.

--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -118,14 +118,33 @@
 
 // failedPlacement is a size for which no worker was found, so that larger tasks of the same kind need not be tried.
 type failedPlacement struct {
-	service    string
-	bestEffort bool
+	service                 string
+	bestEffort, longRunning bool
 	// image is set for best-effort tasks only: an image that disturbs the long-running tasks of one worker may not
 	// disturb those of another.
 	image string
 	size  fleet.Size
 }
 
+// newFailedPlacement returns the placement of the stage's tasks, should it fail.
+func newFailedPlacement(st *stage) failedPlacement {
+	step := st.step()
+	p := failedPlacement{
+		service: st.job().service, bestEffort: step.BestEffort, longRunning: step.LongRunning, size: step.Size,
+	}
+	if step.BestEffort {
+		p.image = step.Image
+	}
+	return p
+}
+
+// implies reports whether the other placement fails as well. The failure of a long-running task tells nothing about
+// others, to which more room is open.
+func (p failedPlacement) implies(other failedPlacement) bool {
+	return p.service == other.service && p.bestEffort == other.bestEffort && p.image == other.image &&
+		(!p.longRunning || other.longRunning) && p.size.Fits(other.size)
+}
+
 // startReady starts the waiting tasks that fit on a worker, the most urgent first.
 func (s *Scheduler) startReady(now time.Time) {
 	var failed []failedPlacement
@@ -141,14 +160,9 @@
 			st.hold = holdUnaccounted
 			continue
 		}
-		placement := failedPlacement{service: j.service, bestEffort: st.step().BestEffort, size: st.step().Size}
-		if placement.bestEffort {
-			placement.image = st.step().Image
-		}
-		if slices.ContainsFunc(failed, func(f failedPlacement) bool {
-			return f.service == placement.service && f.bestEffort == placement.bestEffort &&
-				f.image == placement.image && f.size.Fits(placement.size)
-		}) {
+		s.startOverdue(now, st)
+		placement := newFailedPlacement(st)
+		if slices.ContainsFunc(failed, func(f failedPlacement) bool { return f.implies(placement) }) {
 			st.hold = holdSmallerFailed
 			s.markNoRoom(st)
 			continue
@@ -179,7 +193,7 @@
 	}
 	var c stageChoice
 	for _, t := range st.tasks {
-		if !t.queued {
+		if !t.queued || t.isOverdue(now) {
 			continue
 		}
 		if now.Before(t.notBefore) {
--- a/internal/zone/dispatch/health.go
+++ b/internal/zone/dispatch/health.go
@@ -82,10 +82,15 @@
 	}
 }
 
-// hasProbe reports whether a task runs on the worker that was started after the last failure there.
-func (w *Worker) hasProbe() bool {
+// hasProbe reports whether a task that was started on the worker after the last failure there may still tell whether the
+// worker fails, so that the task t has to wait. A best-effort task may be paused for any time, and no long-running task
+// waits for it.
+func (w *Worker) hasProbe(now time.Time, t *task) bool {
 	for _, r := range w.runs {
-		if r.isProbe() {
+		if t.step().LongRunning && r.task.step().BestEffort {
+			continue
+		}
+		if r.isProbe() && now.Sub(r.startedAt) < suspectPeriod {
 			return true
 		}
 	}
@@ -101,20 +106,26 @@
 // avoidPeriod is how long a task that has failed waits for a worker without failures before it takes another.
 const avoidPeriod = 2 * time.Second
 
-// mayStart reports whether the worker's health allows it to start the task. Tasks that have failed go to workers
-// without failures, so that one bad worker can't use up the attempts of a task.
+// mayStart reports whether the worker's health allows it to start the task. An overdue task is kept away only from
+// workers that have just refused an order or that another task probes.
 func (w *Worker) mayStart(now time.Time, t *task) bool {
+	h := &w.health
+	if now.Before(h.resumeAt) || (h.consecutiveFailures >= suspectFailures && w.hasProbe(now, t)) {
+		return false
+	}
+	return t.isOverdue(now) || w.isSound(now, t)
+}
+
+// isSound reports whether there is no reason to doubt that the task makes progress on the worker. Tasks that have failed
+// go to workers without failures, so that one bad worker can't use up the attempts of a task.
+func (w *Worker) isSound(now time.Time, t *task) bool {
 	h := &w.health
 	failed := len(t.failedRuns) > 0 && now.Sub(t.waitingSince) < avoidPeriod
 	switch {
 	case t.step().BestEffort && now.Before(h.bestEffortAt):
 		return false
-	case w.isSlow(now) || now.Before(h.resumeAt) || (failed && t.avoidWorker == w.ID):
-		return false
-	case h.consecutiveFailures == 0:
-		return true
-	case failed || now.Before(h.suspectUntil):
+	case w.isSlow(now) || (failed && t.avoidWorker == w.ID):
 		return false
 	}
-	return h.consecutiveFailures < suspectFailures || !w.hasProbe()
+	return h.consecutiveFailures == 0 || (!failed && !now.Before(h.suspectUntil))
 }
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -81,6 +81,8 @@
 	// freeSlots is the free room for a waiting stage of long-running tasks.
 	freeSlots freeSlots
 	scan      scanState
+	// overdueScanAt is when all workers were last looked at for the overdue tasks.
+	overdueScanAt time.Time
 	// hold is why the stage started no task in the last decision.
 	hold hold
 	// away counts the tasks that are not at work, see maySpareTask.
--- /dev/null
+++ b/internal/zone/dispatch/overdue.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import "time"
+
+// Several rules keep a waiting task from a worker with room: the worker is suspected or slow, its room is reserved, or a
+// smaller task has just found none. Each of them may apply again and again. A long-running task that has waited for
+// maxAvoidance in all is overdue, and none of them holds it back any longer.
+
+// maxAvoidance is how long a long-running task waits for a sound worker before it takes any one with room. The platform
+// takes a long-running task for lost that waits for three seconds more while there is room.
+const maxAvoidance = 3 * time.Second
+
+// isOverdue reports whether the task is a long-running one that has waited for maxAvoidance.
+func (t *task) isOverdue(now time.Time) bool {
+	return t.queued && t.step().LongRunning && now.Sub(t.waitingSince) >= maxAvoidance
+}
+
+// startOverdue starts the overdue tasks of a stage for which a worker has room. All workers are looked at, at most every
+// fullScanInterval.
+func (s *Scheduler) startOverdue(now time.Time, st *stage) {
+	if !st.step().LongRunning || now.Sub(st.overdueScanAt) < fullScanInterval {
+		return
+	}
+	st.overdueScanAt = now
+	if st.job().needsTicket && !s.ensureTicket(now, st) {
+		st.hold = holdTicket
+		return
+	}
+	for _, t := range st.tasks {
+		if !t.isOverdue(now) || now.Before(t.notBefore) {
+			continue
+		}
+		if !s.mayStartLongRunning(now, t) {
+			st.hold = holdFreeSlots
+			continue
+		}
+		w := s.findWorker(now, t, nil)
+		if w == nil {
+			st.hold = holdNoWorker
+			return
+		}
+		s.startRun(now, t, w)
+	}
+}
--- /dev/null
+++ b/internal/zone/dispatch/overdue_test.go
@@ -0,0 +1,103 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// maxLongRunningWait is how long a long-running task may be away while there is room for two of its kind: six seconds
+// from the end of its last run, and three more.
+const maxLongRunningWait = 9 * time.Second
+
+// overdueScenario is a long-running task of four cores, the only worker with room for two of its kind, and workers
+// without any room.
+type overdueScenario struct {
+	sim  *loadSim
+	st   *stage
+	task *task
+	free *Worker
+}
+
+// newOverdueScenario returns a scenario in which the task is at work.
+func newOverdueScenario() *overdueScenario {
+	sim := newLoadSim(1, 3, loadMix{})
+	spec := sim.spec(1, 1, 4000, 0, true)
+	sim.submit("long-running", spec)
+	sim.run(7 * time.Second)
+	sc := &overdueScenario{sim: sim, st: sim.s.jobs[jobID(1)].openOccurrences[0].stages[0]}
+	sc.task = sc.st.tasks[0]
+	sc.free = sc.task.runs[0].worker
+	sim.submit("long-running", sim.spec(1, 2, 32000, 0, true))
+	sim.run(2 * time.Second)
+	return sc
+}
+
+// restartAfter stops the task while the rules apply, and returns how long it is away and the worker on which it starts
+// again.
+func (sc *overdueScenario) restartAfter(rules ...func(*overdueScenario)) (time.Duration, *Worker) {
+	victim := sc.task.runs[0]
+	sc.sim.s.stopRun(victim, "test")
+	// A smaller task that waits as well.
+	sc.sim.submit("long-running", sc.sim.spec(1, 1, 3000, 0, true))
+	for stoppedAt := sc.sim.now; ; {
+		for _, apply := range rules {
+			apply(sc)
+		}
+		sc.sim.run(50 * time.Millisecond)
+		away := sc.sim.now.Sub(stoppedAt)
+		if len(sc.task.runs) > 0 && sc.task.runs[0] != victim {
+			return away, sc.task.runs[0].worker
+		}
+		if away > 2*maxLongRunningWait {
+			return away, nil
+		}
+	}
+}
+
+// TestLongRunningTaskIsNotAvoidedForEver guards against rules that keep a long-running task from the only room, each of
+// which applies again before it ends.
+func TestLongRunningTaskIsNotAvoidedForEver(t *testing.T) {
+	rules := map[string]func(*overdueScenario){
+		"its worker is suspected again and again": func(sc *overdueScenario) {
+			h := &sc.free.health
+			h.consecutiveFailures, h.failedAt, h.suspectUntil = suspectFailures, sc.sim.now, sc.sim.now.Add(suspectPeriod)
+		},
+		"its worker is slow": func(sc *overdueScenario) { sc.free.health.slowUntil = sc.sim.now.Add(slowPause) },
+		"its room is reserved": func(sc *overdueScenario) {
+			sc.free.reservedUntil = sc.sim.now.Add(reclaimReservation)
+		},
+		"a smaller task finds no room": func(sc *overdueScenario) {
+			// The free worker is reserved from the new task, which comes first because the other one has yielded.
+			sc.free.reservedUntil = sc.sim.now.Add(reclaimReservation)
+			sc.st.yieldedAt = sc.sim.now
+			for _, st := range sc.sim.s.ready {
+				if st != sc.st {
+					st.tasks[0].waitingSince = sc.sim.now
+				}
+			}
+		},
+	}
+	Convey("A long-running task starts on the only worker with room although", t, func() {
+		sc := newOverdueScenario()
+		isInTime := func(rules ...func(*overdueScenario)) {
+			away, w := sc.restartAfter(rules...)
+			So(away, ShouldBeLessThan, maxLongRunningWait)
+			So(w, ShouldEqual, sc.free)
+		}
+		for name, apply := range rules {
+			Convey(name, func() { isInTime(apply) })
+		}
+		Convey("all of these come together, and it yields to short tasks", func() {
+			sc.task.yieldsUntil = sc.sim.now.Add(maxYield)
+			isInTime(func(sc *overdueScenario) {
+				sc.sim.s.shortDemand = map[string]float64{"svc": 96000}
+				sc.st.freeSlots = freeSlots{}
+				for _, apply := range rules {
+					apply(sc)
+				}
+			})
+		})
+	})
+}
--- a/internal/zone/dispatch/placement.go
+++ b/internal/zone/dispatch/placement.go
@@ -25,6 +25,8 @@
 	scarcityWeight = 1.5
 	// sameImageBonus and otherImagePenalty outweigh the tightest fit, whose score is between -1 and 0.
 	sameImageBonus, otherImagePenalty = 1.5, 3
+	// unsoundPenalty makes an overdue task prefer any sound worker.
+	unsoundPenalty = 100
 )
 
 // gangPlan holds the workers chosen for the members of a gang before any member is started.
@@ -148,6 +150,9 @@
 	case step.LongRunning:
 		score += s.colocationScore(t, w)
 		score -= float64(w.Capacity.Cores-w.used.Cores-step.Size.Cores) / capacity
+		if !w.isSound(now, t) {
+			score -= unsoundPenalty
+		}
 	default:
 		left := float64(w.Capacity.Cores-w.used.Cores-p.reservedOn(w).Cores-step.Size.Cores) / capacity
 		if s.longRunningWaiting[t.job().service] {
