Keep a worker whose newest entry can't be read, and log each such entry

What callers would see: after the store has forgotten its history the leader reads the complete list of workers. A worker whose newest entry was invalid counted as removed there and got no task, though the same entry among the changes leaves the one before it in force. An entry that came alone among the changes was not logged at all, others only at debug level. Cause: a complete list removes the workers that are not in Listed, and invalid entries are in no list; the changes without a listed or removed worker were dropped before the errors were logged. Ruled out: the first reading of a term. Nothing is in force then, so such a worker stays unlisted, as before. Change: WorkerChanges names the workers with an invalid entry, and a complete list leaves them as they were. Each error is a warning. Test: TestInvalidEntryKeepsWorker failed before: no log line, and no listed worker after a complete list.

--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -42,7 +42,9 @@
 	// Listed holds the workers that are new or have changed, Removed the IDs of those that were removed.
 	Listed  []dispatch.Registration
 	Removed []string
-	// Complete is set if Listed contains all workers; any worker that is not in it has been removed.
+	// Invalid holds the IDs of the workers whose newest record could not be decoded. They stay listed as they were.
+	Invalid []string
+	// Complete is set if Listed and Invalid contain all workers; any worker that is in neither has been removed.
 	Complete bool
 	// NextOffset is the offset from which to read the next changes.
 	NextOffset int64
--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"sassafraswind.example/sassafraswind/internal/host/bootclock"
@@ -484,3 +485,58 @@
 		})
 	})
 }
+
+// scriptedDirectory is a Directory that returns the given changes of the list of workers, one at each call, and then
+// calls done.
+type scriptedDirectory struct {
+	Directory
+	changes []WorkerChanges
+	done    func()
+}
+
+func (d *scriptedDirectory) WorkerChanges(context.Context, int64) (WorkerChanges, error) {
+	if len(d.changes) == 0 {
+		d.done()
+		return WorkerChanges{}, errors.New("no further changes")
+	}
+	next := d.changes[0]
+	d.changes = d.changes[1:]
+	return next, nil
+}
+
+// TestInvalidEntryKeepsWorker guards against a worker that is taken to have left because its newest entry can't be read,
+// and against an unreadable entry without a log line.
+func TestInvalidEntryKeepsWorker(t *testing.T) {
+	Convey("A worker is listed, and then its newest entry can't be read", t, func() {
+		logger, hook := test.NewNullLogger()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		registration := dispatch.Registration{ID: "w", Boot: 1, Service: "svc", Address: "w"}
+		unreadable := []error{errors.New("capacity of worker w is out of range")}
+		follow := func(then WorkerChanges) []string {
+			directory := &scriptedDirectory{done: cancel, changes: []WorkerChanges{
+				{Complete: true, Listed: []dispatch.Registration{registration}}, then,
+			}}
+			term := &term{
+				host: &Host{directory: directory, clock: bootclock.Clock{}}, ctx: ctx, log: logrus.NewEntry(logger),
+				leaseLoops: map[string]struct{}{"w": {}}, wakeDecisions: make(chan struct{}, 1),
+				scheduler: dispatch.New(dispatch.Limits{}, 1, 1),
+			}
+			term.followWorkers(0)
+			return term.scheduler.ListedWorkerIDs()
+		}
+		Convey("among the changes: the entry before stays in force", func() {
+			So(follow(WorkerChanges{Errors: unreadable}), ShouldResemble, []string{"w"})
+			So(hook.AllEntries(), ShouldHaveLength, 1)
+			So(hook.LastEntry().Level, ShouldEqual, logrus.WarnLevel)
+		})
+		Convey("in a complete list, after the history has expired: the entry before stays in force", func() {
+			So(follow(WorkerChanges{Complete: true, Invalid: []string{"w"}, Errors: unreadable}),
+				ShouldResemble, []string{"w"})
+			So(hook.AllEntries(), ShouldHaveLength, 1)
+		})
+		Convey("a complete list without it removes it", func() {
+			So(follow(WorkerChanges{Complete: true}), ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/host/entry/orders.go
+++ b/internal/host/entry/orders.go
@@ -143,6 +143,7 @@
 			t.log.Info("The list of workers can be read again")
 		}
 		from = changes.NextOffset
+		t.logInvalidEntries(changes)
 		if len(changes.Listed) == 0 && len(changes.Removed) == 0 && !changes.Complete {
 			continue
 		}
@@ -156,18 +157,18 @@
 
 // applyWorkerChanges passes the changes to the scheduler and starts the lease loops of new workers. t.mu must be held.
 func (t *term) applyWorkerChanges(now time.Time, changes WorkerChanges) {
-	for _, recordErr := range changes.Errors {
-		t.log.WithError(recordErr).Debug("Ignored an invalid entry of a worker")
-	}
-	listed := map[string]struct{}{}
+	present := map[string]struct{}{}
 	for _, r := range changes.Listed {
 		t.scheduler.SetWorker(now, r)
-		listed[r.ID] = struct{}{}
+		present[r.ID] = struct{}{}
+	}
+	for _, id := range changes.Invalid {
+		present[id] = struct{}{}
 	}
 	removed := changes.Removed
 	if changes.Complete {
 		for _, id := range t.scheduler.ListedWorkerIDs() {
-			if _, ok := listed[id]; !ok {
+			if _, ok := present[id]; !ok {
 				removed = append(removed, id)
 			}
 		}
@@ -183,6 +184,13 @@
 	}
 }
 
+// logInvalidEntries logs the entries of workers that could not be decoded.
+func (t *term) logInvalidEntries(changes WorkerChanges) {
+	for _, recordErr := range changes.Errors {
+		t.log.WithError(recordErr).Warn("Ignored an invalid entry of a worker")
+	}
+}
+
 // leaseLoop renews the leases of a worker and follows its runs for as long as the scheduler knows the worker.
 func (t *term) leaseLoop(id string) {
 	address := ""
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -266,6 +266,7 @@
 	t.applyWorkerChanges(now, workerChanges)
 	summary := t.scheduler.Summary()
 	t.mu.Unlock()
+	t.logInvalidEntries(workerChanges)
 	for _, recordErr := range recordErrs {
 		t.log.WithError(recordErr).Error("Ignored an invalid record of the state")
 	}
