Don't take a change of a worker's capacity for a change of its load

What callers would see: on a worker whose Capacity shrinks, best-effort tasks use a larger share of the cores without doing anything else. The model of interference takes that for a change that disturbed nobody: one halving lowered a coefficient from 0.4 to 0.097, as if the image disturbed no long-running task. Such tasks are then started beside long-running ones and not slowed down, which puts those over their targets (HARM). A worker without cores counted as one of a thousandth of a core, so that its readings count a thousandfold. Until its next report, up to two seconds later, the worker was also rated by the pressure relative to its old size. Cause: SetWorker replaced the capacity and left the shares of the last report and the margins as they were. Ruled out: paces and scores. They read the present capacity, and a division by no cores is guarded there. Change: a change of the capacity drops both; the next report begins anew. The change is logged as "worker resized".

--- a/internal/zone/dispatch/pacing.go
+++ b/internal/zone/dispatch/pacing.go
@@ -159,7 +159,11 @@
 // learnInterference updates the interference model with the changes since the previous report: that of each
 // long-running image's headroom, and that of the share of the worker's cores that each best-effort image uses.
 func (s *Scheduler) learnInterference(w *Worker, bestEffort []*run) {
-	capacity := float64(max(1, w.Capacity.Cores))
+	if w.Capacity.Cores <= 0 {
+		w.bestEffortUse = nil
+		return
+	}
+	capacity := float64(w.Capacity.Cores)
 	use := map[string]float64{}
 	for _, r := range bestEffort {
 		use[r.task.step().Image] += float64(r.reading) / capacity
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -128,7 +129,8 @@
 	// scarcity says how scarce room is for the scarcest best-effort image that disturbs no long-running task here, from
 	// 0 to maxScarcity.
 	scarcity float64
-	// bestEffortUse is the share of the worker's cores that each best-effort image used at the last report.
+	// bestEffortUse is the share of the worker's cores that each best-effort image used at the last report, nil if the
+	// worker has no cores or has been resized since.
 	bestEffortUse map[string]float64
 
 	// clock is the worker's clock in milliseconds at the host's time clockAt, a lower bound.
@@ -241,6 +243,13 @@
 	if r.Draining && !w.Draining {
 		s.recordEvent(Event{Kind: "worker draining", Worker: r.ID})
 	}
+	if w.Capacity != r.Capacity {
+		s.recordEvent(Event{
+			Kind: "worker resized", Worker: r.ID, Reason: fmt.Sprintf("from %+v to %+v", w.Capacity, r.Capacity),
+		})
+		// Both are relative to the cores. A share that changes with them says nothing about the load.
+		w.marginsValid, w.bestEffortUse = false, nil
+	}
 	w.Registration = r
 	w.listed = true
 	s.markChanged(w)
