Accept the same jobs under each leader while workers have less room than usual

What callers would see: a worker's Capacity may shrink and grow again. A job that fits only the room before was accepted and waited for it; after a change of leader the same kind of job was refused, to come back after a minute, though the room is back sooner. Cause: the known capacities were those that this term had seen. They were meant to tell jobs that can never be done. Weighed: refusing by the present capacities. It would be as consistent, but room that comes back within seconds would cost the callers a minute, and jobs accepted before the shrink wait in any case. Change: the known capacities of a service are stored under c/SERVICE, once for each batch in which they change. Not changed: a capacity that never comes back keeps such jobs waiting, as it did within a term. Test: TestAdmissionAfterShrink failed before in the second term (refused for accepted).

--- a/internal/zone/dispatch/admission.go
+++ b/internal/zone/dispatch/admission.go
@@ -4,6 +4,9 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
 	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
@@ -11,8 +14,8 @@
 // at best until workers of another kind are added.
 const tooLargeRetryAfter = time.Minute
 
-// addCapacity keeps the capacity of a worker, unless it fits into a known one. Capacities of workers that have gone are
-// kept: these workers or similar ones come back.
+// addCapacity keeps the capacity of a worker, unless it fits into a known one. Capacities of workers that have gone or
+// shrunk are kept: these workers grow again, and they or similar ones come back.
 func (s *Scheduler) addCapacity(service string, capacity fleet.Size) {
 	known := s.capacities[service]
 	if slices.ContainsFunc(known, capacity.Fits) {
@@ -20,10 +23,41 @@
 	}
 	known = slices.DeleteFunc(known, func(k fleet.Size) bool { return k.Fits(capacity) })
 	s.capacities[service] = append(known, capacity)
+	s.journal.dirtyCapacities[service] = struct{}{}
+}
+
+// prefixCapacities is the prefix of the keys under which the capacities known of each service are stored, so that the
+// next leader accepts the same jobs.
+const prefixCapacities = "c/"
+
+// capacitiesRecord is the value of a service's key.
+type capacitiesRecord struct{ Capacities []fleet.Size }
+
+// capacitiesOf returns the record of the capacities known of a service.
+func (s *Scheduler) capacitiesOf(service string) Record {
+	return Record{
+		Key: prefixCapacities + service, Value: encode(&capacitiesRecord{Capacities: s.capacities[service]}),
+	}
+}
+
+// restoreCapacities restores the capacities that an earlier leader knew of a service. It returns an error if the record
+// is malformed.
+func (s *Scheduler) restoreCapacities(service string, value []byte) error {
+	var rec capacitiesRecord
+	if err := msgpack.Unmarshal(value, &rec); err != nil {
+		return errors.Wrapf(err, "dispatch: decode capacities of service %s", service)
+	}
+	for _, capacity := range rec.Capacities {
+		s.addCapacity(service, capacity)
+	}
+	delete(s.journal.dirtyCapacities, service)
+	return nil
 }
 
-// admit refuses a job with a task for which no worker of the service has been large enough in this term. Such a job
-// would wait until its caller gives up. It returns the refusal and true, or false if the job is admitted.
+// admit refuses a job with a task for which no worker of the service has ever been large enough. Such a job would wait
+// until its caller gives up. A job that is too large only for the present capacities waits until one has grown again: it
+// keeps its turn, while a refused caller would have to guess that moment. It returns the refusal and true, or false if
+// the job is admitted.
 func (s *Scheduler) admit(j *Job) (Reply, bool) {
 	capacities := s.capacities[j.service]
 	if len(capacities) == 0 || !s.allWorkersAccounted() {
--- a/internal/zone/dispatch/admission_test.go
+++ b/internal/zone/dispatch/admission_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -62,3 +64,41 @@
 		})
 	})
 }
+
+// TestAdmissionAfterShrink guards against a job that is accepted or refused by which leader it reaches while workers have
+// less room than usual.
+func TestAdmissionAfterShrink(t *testing.T) {
+	Convey("A worker has shrunk, and a job fits only its room before", t, func() {
+		now := simEpoch
+		first := newStopScheduler(now, 1)
+		first.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: 1000})
+		records := map[string]Record{}
+		commit := func(s *Scheduler) {
+			for _, r := range commitAll(s) {
+				records[r.Key] = r
+			}
+		}
+		commit(first)
+		resize(first, now, 8000, 9000)
+		commit(first)
+		resize(first, now, 4000, 4000)
+		large, tooLarge := newStep(1, 8000, time.Second), newStep(1, 8000, time.Second)
+		large.Size.Memory, tooLarge.Size.Memory = 9000, 9001
+		So(submitStep(first, now, 1, large).Outcome, ShouldEqual, OutcomeAccepted)
+		So(submitStep(first, now, 2, tooLarge).Outcome, ShouldEqual, OutcomeRefused)
+		for serial := 2; serial <= 3; serial++ {
+			s := New(testLimits(), int64(serial), serial)
+			s.SetCatalog(first.catalog)
+			So(s.Restore(now, now, slices.Collect(maps.Values(records)), now), ShouldBeEmpty)
+			resize(s, now, 4000, 4000)
+			s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: 1000})
+			commit(s)
+			So(submitStep(s, now, 1, large).Outcome, ShouldEqual, OutcomeAccepted)
+			So(submitStep(s, now, 2, tooLarge).Outcome, ShouldEqual, OutcomeRefused)
+			commitAll(s)
+			So(startsOf(s, now), ShouldEqual, 0)
+			resize(s, now, 8000, 9000)
+			So(startsOf(s, now), ShouldEqual, 1)
+		}
+	})
+}
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -75,13 +75,18 @@
 	recorded []*Worker
 	// dirtyStops holds the workers whose stops are to be written.
 	dirtyStops map[*Worker]struct{}
+	// dirtyCapacities holds the services whose known capacities are to be written.
+	dirtyCapacities map[string]struct{}
 	// endAcks names the workers whose new ends are acknowledged once the open batch is committed.
 	endAcks map[*Worker]struct{}
 }
 
 // newJournal returns a journal without changes.
 func newJournal() journal {
-	return journal{openBatch: 1, dirtyStops: map[*Worker]struct{}{}, endAcks: map[*Worker]struct{}{}}
+	return journal{
+		openBatch: 1, dirtyStops: map[*Worker]struct{}{}, dirtyCapacities: map[string]struct{}{},
+		endAcks: map[*Worker]struct{}{},
+	}
 }
 
 // markDirty adds the job to those to be written and returns the batch that will hold its change.
@@ -148,7 +153,8 @@
 // TakeBatch returns the changes since the last batch and opens a new one. It returns false if nothing has changed.
 func (s *Scheduler) TakeBatch() (Batch, bool) {
 	j := &s.journal
-	if len(j.dirtyJobs) == 0 && len(j.records) == 0 && len(j.dirtyStops) == 0 && len(j.endAcks) == 0 {
+	if len(j.dirtyJobs) == 0 && len(j.records) == 0 && len(j.dirtyStops) == 0 && len(j.dirtyCapacities) == 0 &&
+		len(j.endAcks) == 0 {
 		return Batch{}, false
 	}
 	b := Batch{ID: j.openBatch, Records: j.records, recorded: j.recorded}
@@ -159,11 +165,15 @@
 	for _, w := range sortWorkers(j.dirtyStops) {
 		b.Records = append(b.Records, stopsOf(w))
 	}
+	for _, service := range slices.Sorted(maps.Keys(j.dirtyCapacities)) {
+		b.Records = append(b.Records, s.capacitiesOf(service))
+	}
 	for _, w := range sortWorkers(j.endAcks) {
 		b.ends = append(b.ends, endAck{worker: w, boot: w.Boot, serial: w.lastEnd})
 	}
 	j.dirtyJobs, j.records, j.recorded = nil, nil, nil
 	clear(j.dirtyStops)
+	clear(j.dirtyCapacities)
 	clear(j.endAcks)
 	j.openBatch++
 	return b, true
@@ -288,6 +298,11 @@
 				errs = append(errs, err)
 			}
 		}
+		if service, ok := cutPrefix(r.Key, prefixCapacities); ok {
+			if err := s.restoreCapacities(service, r.Value); err != nil {
+				errs = append(errs, err)
+			}
+		}
 		if id, ok := cutPrefix(r.Key, prefixStops); ok {
 			if err := s.restoreStops(id, r.Value); err != nil {
 				errs = append(errs, err)
