--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -218,6 +218,10 @@
 func (w *Worker) hasLabel(label string) bool { return slices.Contains(w.Labels, label) }
 
 // SetWorker adds or updates a worker from the platform's list. It ignores entries of an older boot.
+//
+// A worker whose capacity has become smaller than what it runs keeps its tasks and takes no other until it has room
+// again. Stopping tasks would throw away work for room that may be back before it is free. Those that get too little
+// are throttled or moved by their readings and progress, as on any worker that has become slow.
 func (s *Scheduler) SetWorker(now time.Time, r Registration) {
 	w := s.workers[r.ID]
 	if w != nil && w.Boot != r.Boot && w.Boot != 0 {
