Test that serve follows a worker's capacity too

Each status of a worker holds its capacity, and the capacity table and the policy take it from each status that is applied. Both tests pass on the code as it is; nothing is changed. Reservations and placements stop while a worker has less room than it uses, and go on when it has grown.

--- a/internal/zone/capacity/capacity_test.go
+++ b/internal/zone/capacity/capacity_test.go
@@ -50,6 +50,26 @@
 	}
 }
 
+// TestReservationsFollowCapacity guards against reservations for which a worker that has shrunk has no room.
+func TestReservationsFollowCapacity(t *testing.T) {
+	table := newTable(1)
+	resize := func(cores int64) {
+		table.ApplyStatus(fleet.Status{
+			Worker: "w0", Boot: "b", Slots: 8, Connections: 64,
+			Capacity: fleet.Size{Cores: cores, Memory: workerCapacity.Memory},
+		}, epoch, false)
+	}
+	for i, step := range []struct {
+		cores int64
+		want  bool
+	}{{4000, true}, {3000, false}, {0, false}, {3999, false}, {4000, true}} {
+		resize(step.cores)
+		if got := table.ReserveTask("w0", Key{fmt.Sprint("t", i), 1}, fleet.Size{Cores: 2000}); got != step.want {
+			t.Errorf("step %d: a task of 2 cores reserved %v, want %v", i, got, step.want)
+		}
+	}
+}
+
 // TestFirstStatusMustBeFull guards against taking a list of changes for the full task list of a worker that was just
 // taken over.
 func TestFirstStatusMustBeFull(t *testing.T) {
--- a/internal/zone/policy/policy_test.go
+++ b/internal/zone/policy/policy_test.go
@@ -39,6 +39,33 @@
 	}
 }
 
+// If placements kept the capacity of the first report, a worker that has shrunk would get more than it has.
+func TestPlaceTaskFollowsCapacity(t *testing.T) {
+	p := New()
+	p.Update(epoch, ClassMsg{Name: "plan", Kind: KindBatch})
+	now, tried, placed := epoch, 0, 0
+	for _, step := range []struct {
+		cores int64
+		want  int
+	}{{4000, 2}, {2000, 2}, {0, 2}, {5999, 2}, {6000, 3}, {8000, 4}} {
+		p.Update(now, WorkerMsg{Name: "w1", Capacity: fleet.Size{Cores: step.cores, Memory: 8192}, Slots: 8})
+		for range 10 {
+			tried++
+			c := Candidate{Task: fmt.Sprint("j/", tried), Job: "j", Class: "plan", Size: fleet.Size{Cores: 2000, Memory: 512}}
+			if pl, ok := p.PlaceTask(now, c); ok {
+				placed++
+				p.Update(now, StartMsg{
+					Worker: pl.Worker, Task: c.Task, Job: c.Job, Class: c.Class, Attempt: 1, Declared: c.Size, Planned: pl.Size,
+				})
+			}
+			now = now.Add(4 * time.Minute)
+		}
+		if placed != step.want {
+			t.Fatalf("%d tasks of 2 cores on a worker of now %d thousandths, want %d", placed, step.cores, step.want)
+		}
+	}
+}
+
 // A report about a class that never ran here under this holder must not cause a panic: tasks of the previous holder may
 // be reported before they are adopted.
 func TestUsageOfUnknownClass(t *testing.T) {
