--- a/internal/zone/dispatch/admission.go
+++ b/internal/zone/dispatch/admission.go
@@ -28,7 +28,7 @@
 
 // prefixCapacities is the prefix of the keys under which the capacities known of each service are stored, so that the
 // next leader accepts the same jobs.
-const prefixCapacities = "c/"
+const prefixCapacities = "r/"
 
 // capacitiesRecord is the value of a service's key.
 type capacitiesRecord struct{ Capacities []fleet.Size }
