Keep connections of ended calls out of the pool of peers

A host took a forwarded request so for unknown and its peer for unresponsive; an entry host answered a submission or cancellation with "the outcome is unknown". Nothing had been sent.

Cause: drpcpool puts a connection back as soon as Invoke returns. When a context ends, drpc's manageStream first ends the stream, which lets Invoke return, and only then terminates the connection. Between the two the connection is open and unblocked, so Take hands it out. The next call waits in acquireSemaphore for the stream before it and gets the error with which the connection is then terminated: the DeadlineExceeded or Canceled of the other context. A call that succeeds does the same if its context is cancelled while its reply is decoded.

Ruled out: that the peer sent the error (the next call never leaves acquireSemaphore), and that a slow Close of the socket opens the window (the connection counts as closed before the socket is). If the context has not ended when Invoke has returned, the stream is finished, and a later cancellation leaves the connection alone.

Why it works: a connection goes back to the pool only after a call that succeeded while its context had not ended. Any other is closed, which waits for drpc's goroutines. A call that ends with an error of the peer now costs a dial.

--- a/internal/host/peer/peer.go
+++ b/internal/host/peer/peer.go
@@ -190,27 +190,40 @@
 	if _, ok := ctx.Deadline(); !ok {
 		return rep, errors.Newf("peer: %s to %s without a deadline", method, addr)
 	}
-	var dialErr error
-	conn := c.pool.Get(ctx, addr, func(ctx context.Context, addr string) (*drpcconn.Conn, error) {
-		d := net.Dialer{Timeout: dialTimeout}
-		raw, err := d.DialContext(ctx, "tcp", addr)
-		if err != nil {
-			dialErr = err
-			return nil, err
-		}
-		return drpcconn.NewWithOptions(raw, drpcconn.Options{
-			Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}},
-		}), nil
-	})
-	defer func() { _ = conn.Close() }()
 	enc := &countingCodec{}
-	err := conn.Invoke(ctx, method, enc, &req, &rep)
+	err := c.invoke(ctx, addr, method, enc, &req, &rep)
 	c.recordSizes(addr, method, enc.sent, enc.received)
-	if dialErr != nil {
-		return rep, errors.Wrapf(errors.Mark(dialErr, ErrNotSent), "peer: dial %s", addr)
+	return rep, err
+}
+
+// invoke makes one call on a pooled or a new connection. A connection goes back to the pool only if its call succeeded
+// and the call's context has not ended: drpc closes the connection of a call whose context ends, possibly after Invoke
+// has returned, and until then the next call on it would wait and get the error of that context.
+func (c *Client) invoke(ctx context.Context, addr, method string, enc drpc.Encoding, req, rep drpc.Message) error {
+	conn, ok := c.pool.Take(addr)
+	if !ok {
+		var err error
+		if conn, err = dial(ctx, addr); err != nil {
+			return errors.Wrapf(errors.Mark(err, ErrNotSent), "peer: dial %s", addr)
+		}
+	}
+	err := conn.Invoke(ctx, method, enc, req, rep)
+	if err != nil || ctx.Err() != nil {
+		_ = conn.Close()
+		return errors.Wrapf(err, "peer: %s to %s", method, addr)
 	}
+	c.pool.Put(addr, conn)
+	return nil
+}
+
+// dial opens a connection to a peer.
+func dial(ctx context.Context, addr string) (*drpcconn.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	raw, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return rep, errors.Wrapf(err, "peer: %s to %s", method, addr)
+		return nil, err
 	}
-	return rep, nil
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{
+		Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}},
+	}), nil
 }
