Restore a configuration whose last record changed it

A host that joined after the older records of the stream config had expired started without any configuration: classes, teams and zones were missing, the feed counted a gap, and every later change was refused here as stale, because its base version was that of the lost entities.

The tables of jobs and keys don't compare versions and are not affected.

--- a/internal/work/config/config.go
+++ b/internal/work/config/config.go
@@ -345,14 +345,14 @@
 }
 
 // Restore replaces the configuration that was read from the stream by that of a snapshot taken at offset base. It never
-// lowers the version: it returns ErrNotNewer, wrapped, for a snapshot older than the state, or whose version is beyond
-// base.
+// lowers the version: it returns ErrNotNewer, wrapped, for a snapshot older than the state, or whose version is that of
+// a record after base.
 func (s *State) Restore(data []byte, base uint64) error {
 	cfg, err := decode(data)
 	if err != nil {
 		return err
 	}
-	if cfg.Version > base || cfg.Version < s.fromLog.Version || base < s.offset {
+	if cfg.Version > base+1 || cfg.Version < s.fromLog.Version || base < s.offset {
 		return errors.Wrapf(ErrNotNewer, "snapshot of version %d at %d", cfg.Version, base)
 	}
 	s.fromLog, s.offset = cfg, base
--- a/internal/work/config/config_test.go
+++ b/internal/work/config/config_test.go
@@ -138,7 +138,12 @@
 					continue // A feed takes snapshots between records only.
 				}
 				data, _ := readers[o].Snapshot()
-				if readers[r].Restore(data, offsets[read[o]]) == nil {
+				base, position := offsets[read[o]], readers[r].offset
+				err := readers[r].Restore(data, base)
+				if (err == nil) != (base >= position) {
+					t.Fatalf("restoring a snapshot at offset %d at position %d returned %v", base, position, err)
+				}
+				if err == nil {
 					read[r] = read[o]
 				}
 			}
