Keep what is known of a worker while its lease may come back

A host panicked on a worker that was taken off the host list while the host could not reach it, and whose lease it then took again: workerStatus and heldSlots read the view of each held worker, which was gone. The first panics under zone.mu with the operators' page (net/http recovers; the lock is released), the second under zone.mu without a deferred unlock: with a request that arrives over HTTP the host hung from then on, with one in a goroutine of its own the process ended. sendCall had the same gap even without a lease: it read the address before it looked whether the worker is held, so a host paused between the reservation of a slot and the send panicked once the worker was removed in between.

Cause: applyHostList dropped the view of an unlisted worker as soon as it was not held, but the lease manager goes on with an unlisted worker until two task TTLs after its last status, and takes it if it is free. The view now stays for as long as the lease manager knows the worker, so that it is there for each held one (the invariant of zoneView.workers).

--- a/internal/host/node/leases.go
+++ b/internal/host/node/leases.go
@@ -101,11 +101,11 @@
 	}
 }
 
-// removeUnlistedWorkers removes the workers that are neither listed nor held and have no running tasks. The caller
-// holds mu.
+// removeUnlistedWorkers removes the workers that are neither listed nor known to the lease manager, which may take an
+// unlisted worker again, and have no running tasks. The caller holds mu.
 func (z *zoneView) removeUnlistedWorkers(listed map[string]string) {
 	for id, w := range z.workers {
-		if _, ok := listed[id]; !ok && !w.held && len(z.jobs.RunningOn(id)) == 0 {
+		if _, ok := listed[id]; !ok && !w.held && !z.leases.Knows(id) && len(z.jobs.RunningOn(id)) == 0 {
 			delete(z.workers, id)
 		}
 	}
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -135,7 +135,8 @@
 	leases   *lease.Manager
 	capacity *capacity.Table
 	policy   *policy.Policy
-	// workers holds what is known of the workers of the zone besides leases, capacity and policy.
+	// workers holds what is known of the workers of the zone besides leases, capacity and policy. It has every worker that
+	// leases knows.
 	workers map[string]*workerView
 	// placements holds the task attempts that this host is starting, with their worker.
 	placements map[string]*placement
--- a/internal/host/node/request.go
+++ b/internal/host/node/request.go
@@ -218,7 +218,10 @@
 	z := &u.n.zone
 	z.mu.Lock()
 	fence, held := z.leases.Fence(c.Worker, now)
-	address := z.workers[c.Worker].address
+	var address string
+	if w := z.workers[c.Worker]; w != nil {
+		address = w.address
+	}
 	z.mu.Unlock()
 	if !held {
 		u.post(attempt.RefusedMsg{Attempt: c.Attempt})
--- a/internal/zone/lease/lease.go
+++ b/internal/zone/lease/lease.go
@@ -489,6 +489,9 @@
 	return n
 }
 
+// Knows reports whether the worker is listed, or was and may still be held or taken again.
+func (m *Manager) Knows(worker string) bool { return m.workers[worker] != nil }
+
 // HeldWorkers returns the IDs of the workers that this host certainly holds at now, sorted.
 func (m *Manager) HeldWorkers(now time.Time) []string {
 	var ids []string
