Give up a task that crashes the workers that start it

Callers saw a submission that was neither done nor failed, and neighbours of it that were lost again and again.

Cause: the end of a run that is lost with its worker counts nowhere. A crash takes all runs of the worker, so counting "was on it" would give up innocent neighbours instead.

- A crash is blamed on the runs that had been on the worker for less than half a second of its clock, as far as its answers show.
A worker has crashed if another boot answers, is listed at its address, or if it left the list without draining while its leases lapsed.
The evidence may come after the runs were taken back, and is withdrawn when the same boot answers.
- A blamed task starts on trial: on a worker whose other runs have survived and which gets no other start until the task has ended or has survived.
The worker is held as soon as it is chosen, while the record is written and its last starts survive, for a second at most.
At most half of the workers are on trial at once; a suspect doesn't wait for the trials of others for more than three seconds.
- The job fails after three crashes, two of them with no other suspect, or after five.

--- /dev/null
+++ b/internal/zone/dispatch/crash.go
@@ -0,0 +1,351 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// A task may crash each worker that starts it, and all other runs of the worker are lost with it. So a crash is blamed
+// on the runs that had just started there. A blamed task is a suspect until it has survived a start: it starts apart
+// from others, see trial.go, so that the next crash shows which task causes it. A task that goes on crashing its
+// workers is given up together with its job.
+
+const (
+	// survivalPeriod is how long a run must have been on its worker, by the worker's clock, to be innocent of a crash.
+	survivalPeriod = 500 * time.Millisecond
+	// minCrashes is the number of crashes blamed on a task after which its job fails if the task was the only suspect of
+	// minCrashesAlone of them.
+	minCrashes, minCrashesAlone = 3, 2
+	// maxCrashes is the number of crashes blamed on a task after which its job fails in any case.
+	maxCrashes = 5
+	// lapseRetention is how long after the loss of a worker's runs it may turn out whether the worker has crashed.
+	lapseRetention = time.Minute
+)
+
+// bootID identifies a boot of a worker.
+type bootID struct {
+	worker string
+	boot   int64
+}
+
+// loss is a run that was lost with its worker.
+type loss struct {
+	Worker  string
+	Boot    int64
+	Address string
+	Run     int
+	// Alone is set if no other run can have crashed the worker.
+	Alone bool
+}
+
+// bootID returns the boot that had the run.
+func (x *loss) bootID() bootID { return bootID{x.Worker, x.Boot} }
+
+// suspicion is what is held against a task. A gang has one, kept for its first task, since its members start together.
+type suspicion struct {
+	task *task
+	// crashes holds the runs under which a worker crashed, pending those that are on trial or of which it is not known
+	// yet whether the worker has crashed. A run occurs once in crashes.
+	crashes, pending []loss
+	// trial is the present start apart from others, nil if there is none.
+	trial *trial
+	// waitsSince is since when the start waits only because of trials, the zero time if it doesn't. retryAt is when a
+	// worker is looked for again.
+	waitsSince, retryAt time.Time
+}
+
+// alone returns the number of crashes of which the task was the only suspect.
+func (u *suspicion) alone() int {
+	n := 0
+	for _, x := range u.crashes {
+		if x.Alone {
+			n++
+		}
+	}
+	return n
+}
+
+// isProven reports whether the task is to be given up.
+func (u *suspicion) isProven() bool {
+	return len(u.crashes) >= maxCrashes || (len(u.crashes) >= minCrashes && u.alone() >= minCrashesAlone)
+}
+
+// addPending adds a loss of which it is not known yet whether the worker has crashed.
+func (u *suspicion) addPending(x loss) {
+	u.removePending(x.bootID(), x.Run)
+	u.pending = append(u.pending, x)
+}
+
+// removePending removes the pending loss of a run.
+func (u *suspicion) removePending(id bootID, run int) {
+	u.pending = slices.DeleteFunc(u.pending, func(x loss) bool { return x.bootID() == id && x.Run == run })
+}
+
+// removeBoot removes all losses with a boot of a worker.
+func (u *suspicion) removeBoot(id bootID) {
+	of := func(x loss) bool { return x.bootID() == id }
+	u.crashes, u.pending = slices.DeleteFunc(u.crashes, of), slices.DeleteFunc(u.pending, of)
+}
+
+// suspectKey returns the task for which the suspicion against the task is kept.
+func (t *task) suspectKey() *task {
+	if t.step().Gang {
+		return t.stage.tasks[0]
+	}
+	return t
+}
+
+// suspicionOf returns the suspicion against a task, nil if there is none.
+func (s *Scheduler) suspicionOf(t *task) *suspicion {
+	if t.stage.suspects == 0 {
+		return nil
+	}
+	return s.suspects[t.suspectKey()]
+}
+
+// suspect returns the suspicion against a task, a new one if there is none.
+func (s *Scheduler) suspect(t *task) *suspicion {
+	t = t.suspectKey()
+	u := s.suspects[t]
+	if u == nil {
+		u = &suspicion{task: t}
+		s.suspects[t] = u
+		t.stage.suspects++
+	}
+	return u
+}
+
+// acquit ends the suspicion against a task, if there is one.
+func (s *Scheduler) acquit(t *task, reason string) {
+	u := s.suspicionOf(t)
+	if u == nil {
+		return
+	}
+	if u.trial != nil {
+		s.endTrial(u.trial)
+	}
+	delete(s.suspects, u.task)
+	u.task.stage.suspects--
+	s.journal.recordCrashes(t.job())
+	s.recordEvent(Event{Kind: "suspect cleared", Job: t.job().id, Task: u.task.name, Reason: reason})
+}
+
+// hasSurvived reports whether the run is known to have been on its worker for longer than a task takes to crash it.
+func (r *run) hasSurvived() bool {
+	return r.firstClock > 0 && r.worker.clock-r.firstClock >= survivalPeriod.Milliseconds()
+}
+
+// freshRuns returns the runs of the worker that may have crashed it, ordered by task name and run number.
+func (s *Scheduler) freshRuns(w *Worker) []*run {
+	return slices.DeleteFunc(s.runsOf(w), (*run).hasSurvived)
+}
+
+// lapse is the loss of all runs on one boot of a worker.
+type lapse struct {
+	bootID
+	address string
+	at      time.Time
+	// replaced is set once another worker or boot is listed at the address, crashed once the losses are blamed.
+	replaced, crashed bool
+	losses            []taskLoss
+}
+
+// taskLoss is the loss of a run of a task that may have crashed the worker.
+type taskLoss struct {
+	task *task
+	loss loss
+}
+
+// addLapse returns the lapse of a boot, a new one if there is none.
+func (s *Scheduler) addLapse(now time.Time, id bootID, address string) *lapse {
+	l := s.lapses[id]
+	if l == nil {
+		l = &lapse{bootID: id, address: address, at: now}
+		for _, w := range s.workers {
+			l.replaced = l.replaced || l.isReplacedBy(&w.Registration)
+		}
+		s.lapses[id] = l
+	}
+	return l
+}
+
+// recordLapse notes that all runs of a worker are about to be lost. A worker that drains may end them.
+func (s *Scheduler) recordLapse(now time.Time, w *Worker) {
+	if w.Draining || len(w.runs) == 0 {
+		return
+	}
+	l := s.addLapse(now, bootID{w.ID, w.Boot}, w.Address)
+	fresh := s.freshRuns(w)
+	alone := len(w.unknownRuns) == 0 && isOneSuspect(fresh)
+	for _, r := range fresh {
+		x := loss{Worker: w.ID, Boot: w.Boot, Address: w.Address, Run: r.number, Alone: alone}
+		l.losses = append(l.losses, taskLoss{r.task.suspectKey(), x})
+		if u := s.suspicionOf(r.task); u != nil {
+			if u.trial != nil {
+				s.endTrial(u.trial)
+			}
+			u.addPending(x)
+			s.journal.recordCrashes(r.task.job())
+		}
+	}
+}
+
+// isOneSuspect reports whether all runs belong to one task or gang.
+func isOneSuspect(runs []*run) bool {
+	for _, r := range runs {
+		if r.task.suspectKey() != runs[0].task.suspectKey() {
+			return false
+		}
+	}
+	return true
+}
+
+// isReplacedBy reports whether a registration shows that the lost boot has ended.
+func (l *lapse) isReplacedBy(r *Registration) bool { return r.Address == l.address && r.Boot > l.boot }
+
+// noteRegistration applies what a worker's registration says about workers whose runs were lost.
+func (s *Scheduler) noteRegistration(r *Registration) {
+	for _, l := range s.lapses {
+		l.replaced = l.replaced || l.isReplacedBy(r)
+	}
+	if id := (bootID{r.ID, r.Boot}); r.Draining && s.lapses[id] != nil {
+		s.withdrawLapse(id, "worker drains")
+	}
+}
+
+// judgeLapses blames the losses with workers that turn out to have crashed.
+func (s *Scheduler) judgeLapses(now time.Time) {
+	if len(s.lapses) == 0 {
+		return
+	}
+	ids := slices.SortedFunc(maps.Keys(s.lapses), func(a, b bootID) int {
+		return cmp.Or(cmp.Compare(a.worker, b.worker), cmp.Compare(a.boot, b.boot))
+	})
+	for _, id := range ids {
+		l := s.lapses[id]
+		reason := s.crashReason(l)
+		if l.crashed || reason == "" {
+			continue
+		}
+		l.crashed = true
+		s.recordEvent(Event{Kind: "worker crashed", Worker: id.worker, Reason: reason, Age: now.Sub(l.at)})
+		for _, x := range l.losses {
+			s.blame(now, x.task, x.loss)
+		}
+	}
+}
+
+// crashReason says why the worker must have crashed, empty if it may live on. A worker that is cut off or frozen stays
+// listed, or answers again under the same boot.
+func (s *Scheduler) crashReason(l *lapse) string {
+	w := s.workers[l.worker]
+	_, unaccounted := s.unaccounted[l.worker]
+	switch {
+	case l.replaced:
+		return "another boot at its address"
+	case w != nil && (w.bootUnknown || w.Boot != l.boot):
+		return "another boot answered"
+	case !unaccounted && (w == nil || !w.listed):
+		return "left the list without draining"
+	}
+	return ""
+}
+
+// blame counts a crash against a task, and fails its job once it is certain enough that the task crashes its workers.
+func (s *Scheduler) blame(now time.Time, t *task, x loss) {
+	if t.done || t.job().isFinal() {
+		return
+	}
+	u := s.suspect(t)
+	u.removePending(x.bootID(), x.Run)
+	s.journal.recordCrashes(t.job())
+	if slices.ContainsFunc(u.crashes, func(other loss) bool { return other.Run == x.Run }) {
+		return
+	}
+	u.crashes = append(u.crashes, x)
+	s.recordEvent(Event{
+		Kind: "suspect", Job: t.job().id, Task: t.name, Run: x.Run, Worker: x.Worker,
+		Reason: "crashes " + strconv.Itoa(len(u.crashes)) + ", alone " + strconv.Itoa(u.alone()),
+	})
+	if u.isProven() {
+		s.recordEvent(Event{
+			Kind: "job failed", Job: t.job().id, Task: t.name, Run: x.Run, Worker: x.Worker, Reason: "crashed its workers",
+		})
+		s.close(now, t.job(), StateFailed)
+	}
+}
+
+// withdrawLapse takes back what was blamed on the runs of a worker that has not crashed.
+func (s *Scheduler) withdrawLapse(id bootID, reason string) {
+	l := s.lapses[id]
+	if l == nil {
+		return
+	}
+	delete(s.lapses, id)
+	if l.crashed {
+		s.recordEvent(Event{Kind: "crash withdrawn", Worker: id.worker, Reason: reason})
+	}
+	for _, x := range l.losses {
+		u := s.suspects[x.task]
+		if u == nil {
+			continue
+		}
+		u.removeBoot(id)
+		s.journal.recordCrashes(x.task.job())
+		if len(u.crashes) == 0 && len(u.pending) == 0 {
+			s.acquit(x.task, reason)
+		}
+	}
+}
+
+// expireLapses forgets the lapses of which nothing more is expected.
+func (s *Scheduler) expireLapses(now time.Time) {
+	for id, l := range s.lapses {
+		if now.Sub(l.at) <= lapseRetention {
+			continue
+		}
+		delete(s.lapses, id)
+		for _, x := range l.losses {
+			if u := s.suspects[x.task]; u != nil {
+				u.removePending(id, x.loss.Run)
+				s.journal.recordCrashes(x.task.job())
+			}
+		}
+	}
+}
+
+// acquitSurvivors ends the suspicion against the tasks that have survived their start on the worker.
+func (s *Scheduler) acquitSurvivors(w *Worker) {
+	if len(s.suspects) == 0 {
+		return
+	}
+	for _, r := range s.runsOf(w) {
+		if s.suspicionOf(r.task) != nil && s.isSurvivor(r) {
+			s.acquit(r.task, "survived")
+		}
+	}
+}
+
+// isSurvivor reports whether the task of the run has survived its start, a gang with all members.
+func (s *Scheduler) isSurvivor(r *run) bool {
+	if !r.task.step().Gang {
+		return r.hasSurvived()
+	}
+	for _, t := range r.task.stage.tasks {
+		if !slices.ContainsFunc(t.runs, (*run).hasSurvived) {
+			return false
+		}
+	}
+	return true
+}
+
+// acquitEnded ends the suspicion against a task whose run has ended by itself or was stopped.
+func (s *Scheduler) acquitEnded(t *task, reason EndReason) {
+	switch {
+	case reason == EndDone, !t.step().Gang && (reason == EndFailed || reason == EndStopped):
+		s.acquit(t, string(reason))
+	}
+}
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -19,6 +19,7 @@
 // Decide returns the orders that are due.
 func (s *Scheduler) Decide(now time.Time) []Order {
 	s.expireLeases(now)
+	s.judgeLapses(now)
 	s.sendStops(now)
 	for j := range s.recurring {
 		s.openDueOccurrences(now.Add(s.limits.MaxEarlyStart/2), j)
@@ -26,6 +27,7 @@
 	if now.Sub(s.lastMaintenanceAt) > maintenanceInterval {
 		s.lastMaintenanceAt = now
 		s.expireJobs(now)
+		s.expireLapses(now)
 		s.updateScarcity()
 		s.updateShortDemand()
 		s.recordLearned(now)
@@ -147,6 +149,7 @@
 
 // startReady starts the waiting tasks that fit on a worker, the most urgent first.
 func (s *Scheduler) startReady(now time.Time) {
+	s.startTrials(now)
 	var failed []failedPlacement
 	for _, st := range slices.Clone(s.ready) {
 		j := st.job()
@@ -161,6 +164,7 @@
 			continue
 		}
 		s.startOverdue(now, st)
+		s.prepareTrials(now, st)
 		placement := newFailedPlacement(st)
 		if slices.ContainsFunc(failed, func(f failedPlacement) bool { return f.implies(placement) }) {
 			st.hold = holdSmallerFailed
@@ -193,7 +197,7 @@
 	}
 	var c stageChoice
 	for _, t := range st.tasks {
-		if !t.queued || t.isOverdue(now) {
+		if !t.queued || t.isOverdue(now) || s.suspicionOf(t) != nil {
 			continue
 		}
 		if now.Before(t.notBefore) {
@@ -239,6 +243,10 @@
 	if live := len(st.tasks) - st.waiting; live > 0 {
 		return s.completeGang(now, st)
 	}
+	if u := s.suspicionOf(st.tasks[0]); u != nil {
+		s.prepareGangTrial(now, st, u)
+		return true
+	}
 	plan := s.planGang(now, st)
 	if plan == nil {
 		return false
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -110,6 +110,12 @@
 	changedWorkers       []*Worker
 	decisions, scanEpoch uint64
 
+	// suspects holds the suspicions against tasks, by suspectKey. trials holds the present trials. lapses holds the
+	// workers whose runs were lost lately.
+	suspects map[*task]*suspicion
+	trials   []*trial
+	lapses   map[bootID]*lapse
+
 	// reclaimedAt is when room was last reclaimed for short tasks.
 	reclaimedAt time.Time
 
@@ -158,6 +164,8 @@
 		unaccounted:   map[string]struct{}{},
 		restoredStops: map[string]stopsRecord{},
 		journal:       newJournal(),
+		suspects:      map[*task]*suspicion{},
+		lapses:        map[bootID]*lapse{},
 
 		interference: newInterferenceModel(),
 	}
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -53,6 +53,8 @@
 	dirty bool
 	// stored is set once the specification was handed to the log.
 	stored bool
+	// crashesRecorded is set while the log may hold a record of the crashes blamed on the job's tasks.
+	crashesRecorded bool
 }
 
 // occurrence is one execution of a job's steps.
@@ -75,6 +77,8 @@
 	inReady bool
 	// gangRunNumber is the run number of the gang, valid while members of it run.
 	gangRunNumber int
+	// suspects counts the tasks that are suspected of crashing their workers.
+	suspects int
 	// tickets holds the adviser's tickets by worker, for queues with an adviser.
 	tickets map[string]startTicket
 	advice  adviceState
@@ -267,8 +271,13 @@
 	if j == nil {
 		return nil
 	}
-	o := j.openOccurrences[k]
-	if o == nil || step >= len(o.stages) || index >= len(o.stages[step].tasks) {
+	return j.task(k, step, index)
+}
+
+// task returns a task of an open occurrence, nil if there is none.
+func (j *Job) task(occurrence, step, index int) *task {
+	o := j.openOccurrences[occurrence]
+	if o == nil || step < 0 || step >= len(o.stages) || index < 0 || index >= len(o.stages[step].tasks) {
 		return nil
 	}
 	return o.stages[step].tasks[index]
@@ -316,6 +325,7 @@
 	for _, o := range j.openOccurrences {
 		for _, st := range o.stages {
 			for _, t := range st.tasks {
+				s.acquit(t, "job "+string(state))
 				for _, r := range t.runs {
 					s.stopRun(r, "job "+string(state))
 				}
@@ -360,6 +370,7 @@
 	if t.done {
 		return
 	}
+	s.acquit(t, "done")
 	t.dequeue()
 	t.done = true
 	st.done++
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -126,6 +126,9 @@
 		r.phase = phaseRunning
 		r.task.job().started = true
 	}
+	if r.firstClock == 0 {
+		r.firstClock = clock
+	}
 	r.confirmed, r.confirmedClock = true, max(r.confirmedClock, clock)
 }
 
--- a/internal/zone/dispatch/placement.go
+++ b/internal/zone/dispatch/placement.go
@@ -77,6 +77,9 @@
 		w.recordBatch == 0 || w.recordBatch > s.journal.committed {
 		return false
 	}
+	if w.trials > 0 && s.suspicionOf(t) == nil {
+		return false
+	}
 	if !w.mayStart(now, t) || w.isReservedFrom(now, t) {
 		return false
 	}
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -77,6 +77,8 @@
 	dirtyStops map[*Worker]struct{}
 	// dirtyCapacities holds the services whose known capacities are to be written.
 	dirtyCapacities map[string]struct{}
+	// dirtyCrashes holds the jobs with tasks on which other crashes are blamed than the log says.
+	dirtyCrashes map[*Job]struct{}
 	// endAcks names the workers whose new ends are acknowledged once the open batch is committed.
 	endAcks map[*Worker]struct{}
 }
@@ -85,7 +87,7 @@
 func newJournal() journal {
 	return journal{
 		openBatch: 1, dirtyStops: map[*Worker]struct{}{}, dirtyCapacities: map[string]struct{}{},
-		endAcks: map[*Worker]struct{}{},
+		dirtyCrashes: map[*Job]struct{}{}, endAcks: map[*Worker]struct{}{},
 	}
 }
 
@@ -154,7 +156,7 @@
 func (s *Scheduler) TakeBatch() (Batch, bool) {
 	j := &s.journal
 	if len(j.dirtyJobs) == 0 && len(j.records) == 0 && len(j.dirtyStops) == 0 && len(j.dirtyCapacities) == 0 &&
-		len(j.endAcks) == 0 {
+		len(j.dirtyCrashes) == 0 && len(j.endAcks) == 0 {
 		return Batch{}, false
 	}
 	b := Batch{ID: j.openBatch, Records: j.records, recorded: j.recorded}
@@ -168,12 +170,14 @@
 	for _, service := range slices.Sorted(maps.Keys(j.dirtyCapacities)) {
 		b.Records = append(b.Records, s.capacitiesOf(service))
 	}
+	b.Records = s.appendCrashes(b.Records)
 	for _, w := range sortWorkers(j.endAcks) {
 		b.ends = append(b.ends, endAck{worker: w, boot: w.Boot, serial: w.lastEnd})
 	}
 	j.dirtyJobs, j.records, j.recorded = nil, nil, nil
 	clear(j.dirtyStops)
 	clear(j.dirtyCapacities)
+	clear(j.dirtyCrashes)
 	clear(j.endAcks)
 	j.openBatch++
 	return b, true
@@ -319,6 +323,7 @@
 			s.deleteRestoredStops(id)
 		}
 	}
+	errs = append(errs, s.restoreCrashes(now, records)...)
 	s.accountingDeadline = ordersUntil.Add(time.Duration(float64(s.limits.MaxLease)/minWorkerClockRate) + clockMargin)
 	return errs
 }
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -69,6 +69,7 @@
 	if report.Boot != w.Boot {
 		s.handleRestart(now, w, report.Boot)
 	}
+	s.withdrawLapse(bootID{w.ID, w.Boot}, "the same boot answered")
 	if w.failedRenewals > 1 {
 		s.recordEvent(Event{Kind: "worker back", Worker: w.ID, Age: now.Sub(w.answeredAt)})
 	}
@@ -80,6 +81,7 @@
 	s.applyEnds(now, w, report.Ended)
 	s.applyRunning(now, w, report)
 	w.recordProbes(now)
+	s.acquitSurvivors(w)
 	if first {
 		s.applyRestoredStops(now, w, report)
 		delete(s.unaccounted, w.ID)
@@ -126,6 +128,7 @@
 		t.checkpoint = e.Checkpoint
 	}
 	w.health.recordEnd(now, r, e.Reason)
+	s.acquitEnded(t, e.Reason)
 	switch {
 	case t.done || t.job().isFinal():
 		return
--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -42,6 +42,13 @@
 	// failRate is the share of runs that fail.
 	failRate float64
 	catalog  Catalog
+	// deadly holds the tasks that crash their worker, with the time after which they do.
+	deadly map[string]time.Duration
+	// crashes counts the workers that have crashed under each deadly task, startsAfterCrashes the starts of the task after
+	// maxTaskCrashes of them.
+	crashes, startsAfterCrashes map[string]int
+	// renames is set if workers come back from such a crash under another ID.
+	renames bool
 }
 
 // simEvent is a function that is called at a simulated time.
@@ -86,6 +93,9 @@
 	zone         string
 	capacity     fleet.Size
 	failsAll     bool
+	// address is where the worker listens. successor is the worker that has taken its place there under another ID.
+	address   string
+	successor *simWorker
 }
 
 // simLeader is a simulated host that leads or has led.
@@ -122,13 +132,15 @@
 		acknowledgedDone: map[string]bool{}, done: map[string]bool{}, failedRuns: map[string]int{},
 		cancelled: map[string]time.Time{},
 		accepted:  map[string]bool{},
+		deadly:    map[string]time.Duration{}, crashes: map[string]int{}, startsAfterCrashes: map[string]int{},
 		catalog: Catalog{Version: 1, Queues: map[string]Queue{
 			queueName: {Name: queueName, Service: "svc", Attempts: maxTaskAttempts, Slack: 2, Target: time.Second},
 		}},
 	}
 	for i := range workers {
+		id := "w" + strconv.Itoa(i)
 		sim.workers = append(sim.workers, &simWorker{
-			id: "w" + strconv.Itoa(i), boot: 1, clockRate: 0.98 + 0.02*sim.rng.Float64(), startedAt: sim.now,
+			id: id, address: id, boot: 1, clockRate: 0.98 + 0.02*sim.rng.Float64(), startedAt: sim.now,
 			runs: map[runKey]*simRun{}, barredRuns: map[string]int{}, zone: "z" + strconv.Itoa(i%2),
 			capacity: fleet.Size{Cores: 8000, Memory: 8000},
 		})
@@ -183,7 +195,7 @@
 			continue
 		}
 		l.s.SetWorker(sim.now, Registration{
-			ID: sw.id, Boot: sw.boot, Service: "svc", Address: sw.id, Zone: sw.zone, Capacity: sw.capacity,
+			ID: sw.id, Boot: sw.boot, Service: "svc", Address: sw.address, Zone: sw.zone, Capacity: sw.capacity,
 			Draining: sw.draining,
 		})
 		l.listed[sw.id] = sw.capacity
@@ -332,6 +344,10 @@
 		return
 	}
 	sim.after(sim.latency(), func() {
+		if sw.isReplaced() {
+			sim.after(sim.latency(), func() { sim.deliverAnswer(l, o, AnswerRestarted, 0) })
+			return
+		}
 		if sw.down || sw.boot != boot {
 			// The connection ended with the worker's process.
 			sim.after(900*time.Millisecond, func() { sim.deliverAnswer(l, o, AnswerMissing, 0) })
@@ -450,6 +466,7 @@
 		longRunning: st.LongRunning, bestEffort: st.BestEffort, size: st.Size,
 		fails: sw.failsAll || sim.rng.Float64() < sim.failRate, decision: decision,
 	}
+	sim.startDeadly(sw, o.Task)
 }
 
 // sendRenewal sends a lease renewal and hands the answer to the leader.
@@ -462,6 +479,11 @@
 	sw := sim.worker(id)
 	boot := sw.boot
 	sim.after(sim.latency(), func() {
+		if sw.isReplaced() {
+			l.renewalPending[id] = false
+			l.s.HandleRenewalRestart(id)
+			return
+		}
 		if sw.down || sw.boot != boot || sim.rng.Float64() < sim.lossRate {
 			if !sw.down && sw.boot == boot {
 				sim.executeRenewal(sw, plan)
--- a/internal/zone/dispatch/stop.go
+++ b/internal/zone/dispatch/stop.go
@@ -196,7 +196,7 @@
 			continue
 		}
 		r := s.attachReportedRun(now, w, t, k.number)
-		r.confirmedClock = report.Clock
+		r.confirm(report.Clock)
 		s.stopRun(r, restoredStopReason)
 	}
 }
--- /dev/null
+++ b/internal/zone/dispatch/trial.go
@@ -0,0 +1,237 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+)
+
+const (
+	// maxTrialHold is how long a worker gets no other starts until the runs there have survived and the suspect starts.
+	maxTrialHold = time.Second
+	// maxTrialWait is how long a suspect waits because of the trials of others. After that it starts beside them.
+	maxTrialWait = 3 * time.Second
+	// maxTrialShare is the share of the workers of a service that are on trial at once.
+	maxTrialShare = 0.5
+	// trialRetryInterval is the interval at which a worker is looked for again.
+	trialRetryInterval = 100 * time.Millisecond
+	// trialRenewalWait is how long a worker with a trial may delay its answer to a lease renewal.
+	trialRenewalWait = 100 * time.Millisecond
+)
+
+// trial is a start of a suspect apart from others. Until the suspect has survived, or has ended, its workers get no
+// other starts. The next leader counts a crash of one of the workers, so the trial is in the log before the start is
+// ordered.
+type trial struct {
+	suspicion *suspicion
+	members   []trialMember
+	// run is the run number.
+	run int
+	// batch is the batch with the record of the trial. The start is not ordered before it is committed.
+	batch BatchID
+	// heldAt is since when the workers get no other starts.
+	heldAt  time.Time
+	started bool
+}
+
+// trialMember is a task on trial: the suspect, or a member of a suspect gang.
+type trialMember struct {
+	task   *task
+	worker *Worker
+	boot   int64
+}
+
+// prepareTrials chooses workers for the waiting suspects of a stage.
+func (s *Scheduler) prepareTrials(now time.Time, st *stage) {
+	if st.suspects == 0 {
+		return
+	}
+	for _, t := range st.tasks {
+		if t.queued && !now.Before(t.notBefore) {
+			if u := s.suspicionOf(t); u != nil {
+				s.prepareTrial(now, u, func() []*Worker { return s.findTrialWorker(now, u) })
+			}
+		}
+	}
+}
+
+// prepareGangTrial chooses workers for a suspect gang.
+func (s *Scheduler) prepareGangTrial(now time.Time, st *stage, u *suspicion) {
+	s.prepareTrial(now, u, func() []*Worker {
+		workers := s.planGang(now, st)
+		if slices.ContainsFunc(workers, func(w *Worker) bool { return w.trials > 0 }) && !u.isOverdue(now) {
+			return nil
+		}
+		return workers
+	})
+}
+
+// prepareTrial holds the workers that find returns for a trial, unless there are too many trials or none is found.
+func (s *Scheduler) prepareTrial(now time.Time, u *suspicion, find func() []*Worker) {
+	if u.trial != nil || now.Before(u.retryAt) {
+		return
+	}
+	u.retryAt = now.Add(trialRetryInterval)
+	if u.waitsSince.IsZero() {
+		u.waitsSince = now
+	}
+	service := u.task.job().service
+	if !u.isOverdue(now) && s.trialsIn(service) >= max(1, int(maxTrialShare*float64(len(s.byService[service])))) {
+		return
+	}
+	if workers := find(); len(workers) > 0 {
+		s.hold(now, u, workers)
+	}
+}
+
+// isOverdue reports whether the suspect waits no longer for the trials of others.
+func (u *suspicion) isOverdue(now time.Time) bool {
+	return !u.waitsSince.IsZero() && now.Sub(u.waitsSince) >= maxTrialWait
+}
+
+// trialsIn returns the number of trials in a service.
+func (s *Scheduler) trialsIn(service string) int {
+	n := 0
+	for _, tr := range s.trials {
+		if tr.suspicion.task.job().service == service {
+			n++
+		}
+	}
+	return n
+}
+
+// findTrialWorker returns the worker on which a crash costs least, nothing if none has room or all of them are on
+// trial.
+func (s *Scheduler) findTrialWorker(now time.Time, u *suspicion) []*Worker {
+	var best *Worker
+	bestCost := math.Inf(1)
+	for _, w := range s.byService[u.task.job().service] {
+		score, ok := s.rate(now, u.task, w, nil)
+		if !ok || w.hasNextRun(u.task) {
+			continue
+		}
+		if cost := s.trialCost(w) - scoreShareOfCost*score; cost < bestCost {
+			best, bestCost = w, cost
+		}
+	}
+	switch {
+	case best == nil:
+		// The suspect waits for room, like any other task.
+		u.waitsSince = time.Time{}
+		return nil
+	case best.trials > 0 && !u.isOverdue(now):
+		return nil
+	}
+	return []*Worker{best}
+}
+
+// The costs of a trial on a worker with another trial, on one with runs that have not survived yet, and for each run
+// that would be lost in a crash, relative to the loss of all cores of a worker.
+const (
+	otherTrialCost = 4
+	freshRunsCost  = 2
+	runCost        = 0.05
+	// scoreShareOfCost weighs the usual score of a worker against these.
+	scoreShareOfCost = 0.02
+)
+
+// trialCost returns what a trial on the worker costs if the worker crashes.
+func (s *Scheduler) trialCost(w *Worker) float64 {
+	cost := otherTrialCost * float64(w.trials)
+	fresh := false
+	for _, r := range w.runs {
+		fresh = fresh || !r.hasSurvived()
+		cost += runCost + float64(r.task.step().Size.Cores)/float64(max(1, w.Capacity.Cores))
+	}
+	if fresh {
+		cost += freshRunsCost
+	}
+	return cost
+}
+
+// hold begins a trial: its workers get no other starts from now on.
+func (s *Scheduler) hold(now time.Time, u *suspicion, workers []*Worker) {
+	tr := &trial{suspicion: u, run: u.task.lastRun + 1, heldAt: now}
+	tasks := []*task{u.task}
+	if st := u.task.stage; st.step().Gang {
+		tasks, tr.run = st.tasks, st.nextGangRunNumber()
+	}
+	for i, w := range workers {
+		w.trials++
+		tr.members = append(tr.members, trialMember{tasks[i], w, w.Boot})
+	}
+	alone := tr.isAlone()
+	for _, w := range workers {
+		u.addPending(loss{Worker: w.ID, Boot: w.Boot, Address: w.Address, Run: tr.run, Alone: alone})
+	}
+	u.trial = tr
+	s.trials = append(s.trials, tr)
+	tr.batch = s.journal.recordCrashes(u.task.job())
+}
+
+// isAlone reports whether all other runs on the workers of the trial have survived.
+func (tr *trial) isAlone() bool {
+	for _, m := range tr.members {
+		for _, r := range m.worker.runs {
+			if !r.hasSurvived() && r.task.suspectKey() != tr.suspicion.task {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// startTrials orders the starts of the trials that are in the log.
+func (s *Scheduler) startTrials(now time.Time) {
+	for _, tr := range slices.Clone(s.trials) {
+		switch {
+		case tr.started:
+		case !s.mayStartTrial(now, tr):
+			s.endTrial(tr)
+		case tr.batch <= s.journal.committed && (tr.isAlone() || now.Sub(tr.heldAt) >= maxTrialHold):
+			tr.started = true
+			tr.suspicion.waitsSince = time.Time{}
+			for _, m := range tr.members {
+				s.startRun(now, m.task, m.worker)
+			}
+		}
+	}
+}
+
+// mayStartTrial reports whether the workers of a trial can still take its tasks.
+func (s *Scheduler) mayStartTrial(now time.Time, tr *trial) bool {
+	st := tr.suspicion.task.stage
+	p := &gangPlan{reserved: map[*Worker]fleet.Size{}, members: map[*Worker]int{}}
+	for _, m := range tr.members {
+		if !m.task.queued || m.task.lastRun >= tr.run || m.worker.Boot != m.boot || now.Before(m.task.notBefore) {
+			return false
+		}
+		if _, ok := s.rate(now, m.task, m.worker, p); !ok {
+			return false
+		}
+		p.reserved[m.worker] = p.reserved[m.worker].Add(st.step().Reserved())
+		p.members[m.worker]++
+	}
+	return true
+}
+
+// endTrial ends a trial without a judgement.
+func (s *Scheduler) endTrial(tr *trial) {
+	s.trials = removeFirst(s.trials, tr)
+	tr.suspicion.trial = nil
+	for _, m := range tr.members {
+		m.worker.trials--
+		s.markChanged(m.worker)
+		tr.suspicion.removePending(bootID{m.worker.ID, m.boot}, tr.run)
+	}
+	s.journal.recordCrashes(tr.suspicion.task.job())
+}
+
+// noteDetached ends the trial of a run that is gone.
+func (s *Scheduler) noteDetached(r *run) {
+	if u := s.suspicionOf(r.task); u != nil && u.trial != nil && u.trial.started && u.trial.run == r.number {
+		s.endTrial(u.trial)
+	}
+}
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -52,6 +52,8 @@
 	// startUntil is the time of the worker's clock after which it refuses the start. confirmedClock is the latest time
 	// of that clock at which the worker confirmed the run or an order for it.
 	startUntil, confirmedClock int64
+	// firstClock is the earliest time of that clock at which the run is known to have been on the worker, 0 if none is.
+	firstClock int64
 	// listedIn is the last report of the worker that listed the run, counted by Worker.reports.
 	listedIn uint64
 	// confirmed is set once the worker has confirmed the start or listed the run.
@@ -110,6 +112,8 @@
 	reports uint64
 	// reservedUntil is until when the worker takes only short tasks, for which room was reclaimed.
 	reservedUntil time.Time
+	// trials counts the trials on the worker. Only suspects start there until they have ended.
+	trials int
 	// changed is set while the worker is in Scheduler.changedWorkers.
 	changed bool
 	// stopsRecorded is set while the log may hold a record of stops of the worker.
@@ -223,6 +227,7 @@
 // again. Stopping tasks would throw away work for room that may be back before it is free. Those that get too little
 // are throttled or moved by their readings and progress, as on any worker that has become slow.
 func (s *Scheduler) SetWorker(now time.Time, r Registration) {
+	s.noteRegistration(&r)
 	w := s.workers[r.ID]
 	if w != nil && w.Boot != r.Boot && w.Boot != 0 {
 		if r.Boot < w.Boot {
@@ -311,6 +316,7 @@
 
 // loseRuns ends all runs of a worker on which certainly nothing runs any more.
 func (s *Scheduler) loseRuns(now time.Time, w *Worker, reason string) {
+	s.recordLapse(now, w)
 	for _, r := range s.runsOf(w) {
 		s.recordEvent(Event{
 			Kind: "lost", Job: r.task.job().id, Task: r.task.name, Run: r.number, Worker: w.ID, Reason: reason,
@@ -347,6 +353,7 @@
 	r.worker.removeRun(r)
 	r.task.runs = removeFirst(r.task.runs, r)
 	s.markChanged(r.worker)
+	s.noteDetached(r)
 	if r.phase == phaseStopping {
 		s.journal.recordStops(r.worker)
 	}
@@ -417,6 +424,8 @@
 		// Ends that wait for the log are to be acknowledged soon, and a worker with ends to list answers at once
 		// anyway.
 		wait = 0
+	case w.trials > 0:
+		wait = min(wait, trialRenewalWait)
 	case w.bestEffortCores > 0 && w.longRunningCores > 0:
 		wait = min(wait, readingInterval)
 	}
