Never start a suspect beside the trial of another one

Callers would see innocent submissions as failed: with many deadly tasks on few workers, suspects had waited for three seconds and then started beside each other, and were blamed for each other's crashes until they were given up at five.

Trials on workers that had crashed were counted until their leases lapsed, which took up all that was allowed at once.

Now a suspect that has waited long enough is no longer held back by the number of trials, but still gets a worker of its own. Trials on workers that don't answer take no room from others and don't count. Tasks that were the only suspect of a crash are most likely deadly, so few of them are tried at once: they cost a worker each time and earn nothing.

A trial that doesn't get into the log in a second gives its worker back, and no further one begins until it has.

--- a/internal/zone/dispatch/crash_test.go
+++ b/internal/zone/dispatch/crash_test.go
@@ -113,3 +113,32 @@
 		})
 	}
 }
+
+// TestInnocentTasksSurviveDeadlyOnes guards against a crowd of suspects that start beside each other: an innocent one was
+// blamed again and again for what the deadly ones did, until it was given up.
+func TestInnocentTasksSurviveDeadlyOnes(t *testing.T) {
+	Convey("Of 400 jobs on four workers, ten crash their workers", t, func() {
+		for seed := range uint64(2) {
+			sim := newSimulation(seed, 4)
+			sim.renames = seed == 0
+			sim.run(300 * time.Millisecond)
+			for n := range 400 {
+				if n >= 100 && n < 300 && n%20 == 0 {
+					sim.deadly[jobID(n)+".0.0.0"] = deadlyDelay
+				}
+				sim.after(time.Duration(n)*50*time.Millisecond, func() {
+					sim.submitAll(n, 1, newStep(1, 1000, 300*time.Millisecond))
+				})
+			}
+			sim.run(100 * time.Second)
+			So(sim.violations, ShouldBeEmpty)
+			for n := range 400 {
+				want := StateCompleted
+				if _, ok := sim.deadly[jobID(n)+".0.0.0"]; ok {
+					want = StateFailed
+				}
+				So(sim.finalState(jobID(n)), ShouldEqual, want)
+			}
+		}
+	})
+}
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -110,11 +110,12 @@
 	changedWorkers       []*Worker
 	decisions, scanEpoch uint64
 
-	// suspects holds the suspicions against tasks, by suspectKey. trials holds the present trials. lapses holds the
-	// workers whose runs were lost lately.
+	// suspects holds the suspicions against tasks, by suspectKey. lapses holds the workers whose runs were lost lately.
 	suspects map[*task]*suspicion
-	trials   []*trial
 	lapses   map[bootID]*lapse
+	// trials holds the present trials. No further one begins before trialBarrier is committed.
+	trials       []*trial
+	trialBarrier BatchID
 
 	// reclaimedAt is when room was last reclaimed for short tasks.
 	reclaimedAt time.Time
--- a/internal/zone/dispatch/trial.go
+++ b/internal/zone/dispatch/trial.go
@@ -9,12 +9,16 @@
 )
 
 const (
-	// maxTrialHold is how long a worker gets no other starts until the runs there have survived and the suspect starts.
+	// maxTrialHold is how long a worker gets no other starts until the runs there have survived and the trial is in the
+	// log.
 	maxTrialHold = time.Second
-	// maxTrialWait is how long a suspect waits because of the trials of others. After that it starts beside them.
-	maxTrialWait = 3 * time.Second
-	// maxTrialShare is the share of the workers of a service that are on trial at once.
+	// maxTrialShare is the share of the workers of a service that are on trial at once, until a suspect has waited for
+	// maxTrialWait because of the trials of others.
 	maxTrialShare = 0.5
+	maxTrialWait  = 3 * time.Second
+	// maxRepeatShare is the share of the workers of a service that are used at once for trials of tasks that were the
+	// only suspect of a crash, and the same for two crashes: most of them crash their worker again.
+	maxRepeatShare = 0.125
 	// trialRetryInterval is the interval at which a worker is looked for again.
 	trialRetryInterval = 100 * time.Millisecond
 	// trialRenewalWait is how long a worker with a trial may delay its answer to a lease renewal.
@@ -61,7 +65,7 @@
 func (s *Scheduler) prepareGangTrial(now time.Time, st *stage, u *suspicion) {
 	s.prepareTrial(now, u, func() []*Worker {
 		workers := s.planGang(now, st)
-		if slices.ContainsFunc(workers, func(w *Worker) bool { return w.trials > 0 }) && !u.isOverdue(now) {
+		if slices.ContainsFunc(workers, func(w *Worker) bool { return w.trials > 0 }) {
 			return nil
 		}
 		return workers
@@ -70,15 +74,14 @@
 
 // prepareTrial holds the workers that find returns for a trial, unless there are too many trials or none is found.
 func (s *Scheduler) prepareTrial(now time.Time, u *suspicion, find func() []*Worker) {
-	if u.trial != nil || now.Before(u.retryAt) {
+	if u.trial != nil || now.Before(u.retryAt) || s.journal.committed < s.trialBarrier {
 		return
 	}
 	u.retryAt = now.Add(trialRetryInterval)
 	if u.waitsSince.IsZero() {
 		u.waitsSince = now
 	}
-	service := u.task.job().service
-	if !u.isOverdue(now) && s.trialsIn(service) >= max(1, int(maxTrialShare*float64(len(s.byService[service])))) {
+	if !s.mayTry(now, u) {
 		return
 	}
 	if workers := find(); len(workers) > 0 {
@@ -86,60 +89,68 @@
 	}
 }
 
-// isOverdue reports whether the suspect waits no longer for the trials of others.
-func (u *suspicion) isOverdue(now time.Time) bool {
-	return !u.waitsSince.IsZero() && now.Sub(u.waitsSince) >= maxTrialWait
-}
-
-// trialsIn returns the number of trials in a service.
-func (s *Scheduler) trialsIn(service string) int {
-	n := 0
+// mayTry reports whether few enough other trials of the service go on. A trial whose worker doesn't answer any more
+// takes no room from other tasks.
+func (s *Scheduler) mayTry(now time.Time, u *suspicion) bool {
+	service := u.task.job().service
+	alone := u.alone()
+	trials, repeated := 0, 0
 	for _, tr := range s.trials {
-		if tr.suspicion.task.job().service == service {
-			n++
+		switch other := tr.suspicion.alone(); {
+		case tr.suspicion.task.job().service != service:
+		case other > 0 && other == alone:
+			repeated++
+		case other == 0 && tr.members[0].worker.isUsable():
+			trials++
 		}
 	}
-	return n
+	workers := float64(len(s.byService[service]))
+	if alone > 0 {
+		return repeated < max(1, int(maxRepeatShare*workers))
+	}
+	return trials < max(1, int(maxTrialShare*workers)) || now.Sub(u.waitsSince) >= maxTrialWait
 }
 
-// findTrialWorker returns the worker on which a crash costs least, nothing if none has room or all of them are on
-// trial.
+// findTrialWorker returns the worker on which a crash costs least, nothing if none without a trial has room.
 func (s *Scheduler) findTrialWorker(now time.Time, u *suspicion) []*Worker {
 	var best *Worker
+	waits := false
 	bestCost := math.Inf(1)
 	for _, w := range s.byService[u.task.job().service] {
 		score, ok := s.rate(now, u.task, w, nil)
 		if !ok || w.hasNextRun(u.task) {
 			continue
 		}
+		if w.trials > 0 {
+			waits = true
+			continue
+		}
 		if cost := s.trialCost(w) - scoreShareOfCost*score; cost < bestCost {
 			best, bestCost = w, cost
 		}
 	}
-	switch {
-	case best == nil:
+	if best != nil {
+		return []*Worker{best}
+	}
+	if !waits {
 		// The suspect waits for room, like any other task.
 		u.waitsSince = time.Time{}
-		return nil
-	case best.trials > 0 && !u.isOverdue(now):
-		return nil
 	}
-	return []*Worker{best}
+	return nil
 }
 
-// The costs of a trial on a worker with another trial, on one with runs that have not survived yet, and for each run
-// that would be lost in a crash, relative to the loss of all cores of a worker.
+// The costs of a trial on a worker with runs that have not survived yet, and for each run that would be lost in a crash,
+// relative to the loss of all cores of a worker.
 const (
-	otherTrialCost = 4
-	freshRunsCost  = 2
-	runCost        = 0.05
+	freshRunsCost = 2
+	runCost       = 0.05
 	// scoreShareOfCost weighs the usual score of a worker against these.
 	scoreShareOfCost = 0.02
 )
 
 // trialCost returns what a trial on the worker costs if the worker crashes.
 func (s *Scheduler) trialCost(w *Worker) float64 {
-	cost := otherTrialCost * float64(w.trials)
+	cost := 0.0
 	fresh := false
 	for _, r := range w.runs {
 		fresh = fresh || !r.hasSurvived()
@@ -190,6 +201,9 @@
 		case tr.started:
 		case !s.mayStartTrial(now, tr):
 			s.endTrial(tr)
+		case tr.batch > s.journal.committed && now.Sub(tr.heldAt) >= maxTrialHold:
+			s.trialBarrier = max(s.trialBarrier, tr.batch)
+			s.endTrial(tr)
 		case tr.batch <= s.journal.committed && (tr.isAlone() || now.Sub(tr.heldAt) >= maxTrialHold):
 			tr.started = true
 			tr.suspicion.waitsSince = time.Time{}
