Test that a change of nothing but the capacity reaches the scheduler of a leading host

Passes on the code as it is: the change is in force after two readings of the list at most, and a waiting task starts within two more once the room is back.

--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -113,11 +113,16 @@
 	serial       int64
 	starts       map[string]int
 	startedAt    time.Time
+	// missingCores is subtracted from the worker's capacity.
+	missingCores int64
 }
 
 func (f *fakeWorker) WorkerChanges(context.Context, int64) (WorkerChanges, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return WorkerChanges{Complete: true, Listed: []dispatch.Registration{{
-		ID: "w", Boot: 1, Service: "svc", Address: "w", Zone: "z", Capacity: fleet.Size{Cores: 8000, Memory: 8000},
+		ID: "w", Boot: 1, Service: "svc", Address: "w", Zone: "z",
+		Capacity: fleet.Size{Cores: 8000 - f.missingCores, Memory: 8000},
 	}}}, nil
 }
 
@@ -486,6 +491,40 @@
 	})
 }
 
+// TestCapacityReachesScheduler guards against a worker whose entry changes in nothing but its capacity and that goes on
+// being used by its room before, and against waiting tasks that don't notice that the room is back.
+func TestCapacityReachesScheduler(t *testing.T) {
+	Convey("A worker shrinks while a host leads", t, func() {
+		log, w := newMemoryLog(), &fakeWorker{starts: map[string]int{}, startedAt: time.Now()}
+		h, stop := startHost(t, "a", 0, log, w)
+		Reset(stop)
+		So(eventually(10*time.Second, func() bool { return isLeader(h) && h.Ready() }), ShouldBeTrue)
+		resize := func(missing int64) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.missingCores = missing
+		}
+		starts := func() int {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return len(w.starts)
+		}
+		resize(4000)
+		time.Sleep(2 * workerListInterval)
+		spec := workflow.Spec{Steps: []workflow.Step{
+			{Tasks: 2, Size: fleet.Size{Cores: 3000}, Estimate: time.Second, MaxUnavailable: -1},
+			{Tasks: 1, Size: fleet.Size{Cores: 6000}, Estimate: time.Second, DependsOn: []int{0}, MaxUnavailable: -1},
+		}}
+		id := strings.Repeat("0", 15) + "5"
+		So(sendRequest(h, Request{Action: ActionSubmit, Queue: "q", ID: id, Spec: spec}).Outcome,
+			ShouldEqual, dispatch.OutcomeAccepted)
+		So(eventually(3*time.Second, func() bool { return starts() > 2 }), ShouldBeFalse)
+		So(starts(), ShouldEqual, 2)
+		resize(0)
+		So(eventually(2*workerListInterval, func() bool { return starts() == 3 }), ShouldBeTrue)
+	})
+}
+
 // scriptedDirectory is a Directory that returns the given changes of the list of workers, one at each call, and then
 // calls done.
 type scriptedDirectory struct {
