Keep running the jobs of a removed queue under the next leader

What callers would see: a job is accepted, the operators remove its queue, and then another host takes over. From then on none of the job's tasks starts, also those that are to last and have lost their worker, with any amount of room; and the first run of it that ends as failed closes the job as failed, whatever attempts it had. Cause: a job's record names its queue only. The next leader doesn't find the queue in its manifest, so that the job has no service, and one attempt. Within a term the job kept the settings that it had. Ruled out: a leader without any manifest; a host claims the leadership only with one. Change: the settings of a queue are stored under q/QUEUE in the batch of its first accepted job, and again when they change. A restored job whose queue is not in the manifest takes them. The record is removed when the queue is gone and its last job has ended. A job without any settings, of a leader before this change, is not closed for its failures. Weighed: the settings in each job's record. Hosts of the version before can't decode a record with one field more.

--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -87,6 +87,8 @@
 type Scheduler struct {
 	limits  Limits
 	catalog Catalog
+	// keptQueues holds the last known settings of the queues that have accepted jobs, also of removed queues.
+	keptQueues map[string]Queue
 	// token is the fencing token of the term. runNumberBase is the number above which the runs of this term are
 	// numbered.
 	token         int64
@@ -156,6 +158,7 @@
 		limits:        limits,
 		token:         token,
 		runNumberBase: max(0, serial-1) * runNumbersPerTerm,
+		keptQueues:    map[string]Queue{},
 		jobs:          map[string]*Job{},
 		workers:       map[string]*Worker{},
 		byService:     map[string][]*Worker{},
@@ -186,6 +189,11 @@
 		return
 	}
 	s.catalog = c
+	for name := range s.keptQueues {
+		if q, ok := c.Queues[name]; ok {
+			s.keepQueue(q)
+		}
+	}
 	s.markAllChanged()
 	for _, j := range s.jobs {
 		s.applyQueue(j)
@@ -198,10 +206,13 @@
 	s.markAllChanged()
 }
 
-// applyQueue copies the settings of the job's queue from the catalog into the job. A job whose queue was removed keeps
-// the settings that it had.
+// applyQueue copies the settings of the job's queue from the catalog into the job. A job whose queue was removed has
+// the last settings of the queue.
 func (s *Scheduler) applyQueue(j *Job) {
 	q, ok := s.catalog.Queues[j.queue]
+	if !ok {
+		q, ok = s.keptQueues[j.queue]
+	}
 	if !ok {
 		return
 	}
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -21,10 +22,11 @@
 
 // Job is an accepted job.
 type Job struct {
-	id          string
-	queue       string
-	service     string
-	priority    int
+	id       string
+	queue    string
+	service  string
+	priority int
+	// maxAttempts is the largest integer while the settings of the queue are not known.
 	maxAttempts int
 	needsTicket bool
 	// objective is the time after its acceptance within which the job should be done.
@@ -182,7 +184,8 @@
 	if j, ok := s.jobs[r.ID]; ok {
 		return Reply{Outcome: OutcomeAccepted, Batch: j.acceptedBatch}
 	}
-	if _, ok := s.catalog.Queues[r.Queue]; !ok {
+	q, ok := s.catalog.Queues[r.Queue]
+	if !ok {
 		return Reply{Outcome: OutcomeUnknownQueue}
 	}
 	j := s.newJob(r.ID, r.Queue, r.Spec, now, r.WallTime)
@@ -193,6 +196,7 @@
 	}
 	s.jobs[r.ID] = j
 	s.openDueOccurrences(now, j)
+	s.keepQueue(q)
 	j.acceptedBatch = s.journal.markDirty(j)
 	return Reply{Outcome: OutcomeAccepted, Batch: j.acceptedBatch}
 }
@@ -201,7 +205,7 @@
 func (s *Scheduler) newJob(id, queue string, spec workflow.Spec, acceptedAt, acceptedWall time.Time) *Job {
 	return &Job{
 		id: id, queue: queue, spec: spec, acceptedAt: acceptedAt, acceptedWall: acceptedWall,
-		remainingTime: spec.RemainingPaths(), maxAttempts: 1, openOccurrences: map[int]*occurrence{},
+		remainingTime: spec.RemainingPaths(), maxAttempts: math.MaxInt, openOccurrences: map[int]*occurrence{},
 	}
 }
 
@@ -428,6 +432,7 @@
 
 // expireJobs removes the finished jobs whose state need not be kept any longer.
 func (s *Scheduler) expireJobs(now time.Time) {
+	s.forgetQueues()
 	for id, j := range s.jobs {
 		if j.isFinal() && now.Sub(j.endedAt) > s.limits.JobRetention && s.journal.committed >= j.finalBatch {
 			delete(s.jobs, id)
--- a/internal/zone/dispatch/malformed_test.go
+++ b/internal/zone/dispatch/malformed_test.go
@@ -38,7 +38,7 @@
 			{Key: prefixProgress + jobID(1), Value: encode(&progress)},
 			{Key: prefixJob + jobID(2), Value: encode(&jobRecord{Queue: queueName})},
 		}
-		prefixes := []string{prefixJob, prefixProgress, prefixWorker, prefixStops, prefixLearned, prefixCapacities}
+		prefixes := []string{prefixJob, prefixProgress, prefixWorker, prefixStops, prefixLearned, prefixCapacities, prefixQueue}
 		records = slices.Grow(records, len(prefixes))
 		for _, prefix := range prefixes {
 			records = append(records, Record{Key: prefix + jobID(3), Value: garbage.Draw(t, "garbage")})
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -279,6 +279,11 @@
 	var errs []error
 	progress := map[string]progressRecord{}
 	for _, r := range records {
+		if name, ok := cutPrefix(r.Key, prefixQueue); ok && len(r.Value) > 0 {
+			if err := s.restoreQueue(name, r.Value); err != nil {
+				errs = append(errs, err)
+			}
+		}
 		if id, ok := cutPrefix(r.Key, prefixProgress); ok && len(r.Value) > 0 {
 			var rec progressRecord
 			if err := msgpack.Unmarshal(r.Value, &rec); err != nil {
@@ -356,6 +361,9 @@
 	s.jobs[id] = j
 	j.restored = true
 	s.applyQueue(j)
+	if q, ok := s.catalog.Queues[j.queue]; ok {
+		s.keepQueue(q)
+	}
 	for _, o := range p.Open {
 		if _, ok := j.openOccurrences[o.Index]; ok || o.Index < 0 || o.Index >= spec.Occurrences() {
 			delete(s.jobs, id)
