Never hand over the last worker of a host

Cause: a host released up to four workers to their preferred holders at a time, however few it held. In a zone with three workers that may be all of them. It is so in the quick start: by their rendezvous scores zone-a-1 is preferred for all three workers of zone-a, and zone-b-3 for all three of zone-b. If zone-a-2 or zone-b-4 takes them first, it releases all three in one tick, and they have no holder until the preferred one asks for their status, every second. Two hosts that hold what the other one prefers do the same to each other.

Ruled out: that releases lasted past the zone's handover, or that a stopping host was needed; two hosts that started before they knew each other are enough.

Evidence: TestHandoverKeepsWorkers starts 2 to 4 hosts that know only themselves and then each other.

Why it works: a host releases a worker only if it keeps at least as many as are on their way, so it keeps the last one. A host that is preferred for no worker thus stays the holder of one; it hands over all others, which the test checks too. In a zone with many workers at each host, four at a time is still the limit.

--- a/internal/zone/lease/lease.go
+++ b/internal/zone/lease/lease.go
@@ -22,7 +22,7 @@
 // startValidity is how long a start may be under way. It is added to the worker's clock to give Fence.Before.
 const startValidity = time.Second
 
-// maxHandovers limits how many workers are released to their preferred holders at a time, so that few workers are
+// maxHandovers limits how many workers a host releases to their preferred holders at a time, so that few workers are
 // without a holder at once.
 const maxHandovers = 4
 
@@ -343,14 +343,7 @@
 // once two task TTLs have passed since their last status.
 func (m *Manager) tick(now time.Time) []Command {
 	var cmds []Command
-	releases := 0
-	for _, w := range m.workers {
-		// A released worker counts until its preferred holder, which queries it every half renewal interval, has had
-		// time to take it.
-		if w.releasing || (!w.releaseSentAt.IsZero() && now.Sub(w.releaseSentAt) < m.renewInterval) {
-			releases++
-		}
-	}
+	handovers := m.countHandovers(now)
 	m.workerIDs = slices.DeleteFunc(m.workerIDs, func(id string) bool {
 		w := m.workers[id]
 		forget := !w.listed && !w.isHolder && now.Sub(w.received) > 2*m.taskTTL
@@ -365,10 +358,10 @@
 			m.markReleased(w, now)
 		}
 		if !w.releasing && w.isHolder && now.Before(w.validUntil) && m.shouldRelease(w, now) &&
-			(m.stopping || releases < maxHandovers) {
+			(m.stopping || handovers.mayAdd()) {
 			w.releasing, w.releaseSentAt = true, now
 			w.messageSentAt = now
-			releases++
+			handovers.add()
 			cmds = append(cmds, ReleaseCmd{Worker: id, Address: w.Address})
 			continue
 		}
@@ -389,6 +382,37 @@
 	return cmds
 }
 
+// handoverCounts says how far the handover of this host's workers to their preferred holders has come.
+type handoverCounts struct {
+	// pending is the number of workers that were released and that their preferred holder may not have taken yet. kept is
+	// the number of workers that this host holds and may give work.
+	pending, kept int
+}
+
+// mayAdd reports whether one more worker may be released. At least as many workers stay here as are pending, so that
+// this host never gives away its last one: its preferred holder may hold no other, and then the zone would have none.
+func (c handoverCounts) mayAdd() bool {
+	return c.pending < maxHandovers && c.pending+1 <= c.kept-1
+}
+
+// add counts one more released worker.
+func (c *handoverCounts) add() { c.pending, c.kept = c.pending+1, c.kept-1 }
+
+// countHandovers counts the workers that are being handed over and those that are kept.
+func (m *Manager) countHandovers(now time.Time) (c handoverCounts) {
+	for id, w := range m.workers {
+		// A released worker counts until its preferred holder, which queries it every half renewal interval, has had
+		// time to take it.
+		if w.releasing || (!w.releaseSentAt.IsZero() && now.Sub(w.releaseSentAt) < m.renewInterval) {
+			c.pending++
+		}
+		if m.AcceptsWork(id, now) {
+			c.kept++
+		}
+	}
+	return c
+}
+
 // shouldRelease reports whether this host is to release the worker.
 func (m *Manager) shouldRelease(w *workerState, now time.Time) bool {
 	return m.stopping || (w.rank > 0 && !now.Before(w.fallbackUntil))
--- a/internal/zone/lease/simulation_test.go
+++ b/internal/zone/lease/simulation_test.go
@@ -481,6 +481,40 @@
 	}
 }
 
+// TestHandoverKeepsWorkers guards against hosts that start one after the other and then release all workers to their
+// preferred holders at once, so that for a moment no host holds one.
+func TestHandoverKeepsWorkers(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		hosts, workers := rapid.IntRange(2, 4).Draw(t, "hosts"), rapid.IntRange(1, 6).Draw(t, "workers")
+		sim := newSimulation(rapid.Uint64().Draw(t, "seed"), hosts, workers)
+		sim.reliable = true
+		for _, h := range sim.hosts {
+			h.Update(h.localTime(sim.now), PeersMsg{Hosts: []string{h.id}})
+			h.pausedUntil = sim.now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "start")) * time.Millisecond)
+		}
+		for range 50 {
+			sim.advance()
+		}
+		sim.updatePeers()
+		for range 400 {
+			sim.advance()
+			if len(sim.unheldWorkers()) == workers {
+				t.Fatalf("no host holds a worker after %s", sim.now.Sub(epoch))
+			}
+		}
+		for _, h := range sim.hosts {
+			n := 0
+			for _, id := range h.HeldWorkers(h.localTime(sim.now)) {
+				n += min(h.workers[id].rank, 1)
+			}
+			if n > 1 {
+				t.Fatalf("%s still holds %d workers that prefer another host", h.id, n)
+			}
+		}
+	})
+}
+
 // TestStaleViewStopsTaskLeaseRenewal guards against renewing task leases while the host's view is stale.
 func TestStaleViewStopsTaskLeaseRenewal(t *testing.T) {
 	sim := newSimulation(9, 1, 1)
