Let no late answer fill the vacancy that a leader has announced

A takeover was put off by up to a ping interval (400 ms), or until the silence of the leader was certain if its host was switched off, when a leader stepped down with requests under way: its announcement makes the leadership vacant, and the answer to a request that another host had sent before made it filled again, since Elector.RecordAnswer cleared the vacancy for every answer of the same instance. The time of the leader's end was lost with it, so that the next leader waited longer than needed before it took the orders of the one before to have ended (PredecessorEnd). A planned stop answers forwarded requests for a while after the announcement, so this needs no fault, only traffic.

An answer now counts against a vacancy only if its message was sent after the vacancy was recorded. A leader whose connection was refused once, and that goes on leading, still fills it with the answer to a later message. Answers under an earlier claim were already left out by recordLeaderAnswer (TestLateAnswerOfFormerLeader).

TestLateAnswerAfterLeaderEnd failed before: after the late answer the elector pings instead of claiming.

--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -458,7 +458,7 @@
 		h.elector.ObserveClaim(h.clock.Now(), first)
 		h.elector.ObserveClaim(h.clock.Now(), second)
 		Convey("an answer to a request that was sent to the first leader does not make the leadership vacant", func() {
-			h.recordLeaderAnswer(first)
+			h.recordLeaderAnswer(first, h.clock.Now())
 			action, _ := h.elector.NextAction(h.clock.Now())
 			So(action, ShouldEqual, leadership.ActionPing)
 		})
--- a/internal/host/entry/request.go
+++ b/internal/host/entry/request.go
@@ -95,6 +95,7 @@
 	req.TimeLeft = time.Until(deadline)
 	callCtx, cancel := context.WithTimeout(ctx, min(req.TimeLeft, leaderCallTimeout))
 	defer cancel()
+	sentAt := h.clock.Now()
 	resp, err := peer.Invoke[Request, Response](callCtx, h.peers, claim.Address, methodRequest, req)
 	if err != nil {
 		if isConnectionRefused(err) {
@@ -106,7 +107,7 @@
 	if resp.NotLeader {
 		h.recordNotLeader(claim)
 	} else {
-		h.recordLeaderAnswer(claim)
+		h.recordLeaderAnswer(claim, sentAt)
 	}
 	return resp, resp.Outcome == 0 && !resp.NotLeader
 }
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -104,7 +104,7 @@
 	case err == nil && (!r.IsLeader || r.Instance != claim.Instance):
 		h.recordLeaderEnd(claim, "the host does not lead any more")
 	case err == nil:
-		h.recordLeaderAnswer(claim)
+		h.recordLeaderAnswer(claim, now)
 		h.recordReportedRenewal(claim, r.Renewal)
 		if r.Manifest != nil {
 			h.applyManifest(r.Manifest, "leader")
@@ -123,16 +123,16 @@
 	return errors.Is(err, peer.ErrNotSent) && (errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET))
 }
 
-// recordLeaderAnswer records an answer of the leader with the claim. An answer to a message that was sent under an
+// recordLeaderAnswer records an answer of the leader with the claim to a message sent at the given time. An answer to a message that was sent under an
 // earlier claim says nothing about the present leader, also if both lead at the same address.
-func (h *Host) recordLeaderAnswer(claim leadership.Claim) {
+func (h *Host) recordLeaderAnswer(claim leadership.Claim, sentAt time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.elector.Claim().Instance != claim.Instance {
 		return
 	}
 	now := h.clock.Now()
-	h.elector.RecordAnswer(now, claim.Instance)
+	h.elector.RecordAnswer(now, sentAt, claim.Instance)
 	h.leaderAnsweredAt = now
 }
 
--- a/internal/zone/leadership/leadership.go
+++ b/internal/zone/leadership/leadership.go
@@ -154,13 +154,17 @@
 // RecordPing records that the leader is being pinged.
 func (e *Elector) RecordPing(now time.Time) { e.pingedAt = now }
 
-// RecordAnswer records an answer of the leader. An answer of another instance shows that the leader's process has
-// ended.
-func (e *Elector) RecordAnswer(now time.Time, instance string) {
+// RecordAnswer records an answer of the leader to a message that was sent at the given time. An answer of another
+// instance shows that the leader's process has ended. One to a message that was sent before the leadership became vacant
+// says nothing: the leader may have given it up since.
+func (e *Elector) RecordAnswer(now, sentAt time.Time, instance string) {
 	if instance != e.claim.Instance {
 		e.RecordLeaderEnd(now, e.claim.Instance)
 		return
 	}
+	if !e.vacantSince.IsZero() && !sentAt.After(e.vacantSince) {
+		return
+	}
 	e.answeredAt, e.vacantSince = now, time.Time{}
 }
 
--- a/internal/zone/leadership/leadership_test.go
+++ b/internal/zone/leadership/leadership_test.go
@@ -27,8 +27,9 @@
 		case ActionPing:
 			e.RecordPing(now)
 			if answers(now) {
+				sentAt := now
 				now = now.Add(2 * time.Millisecond)
-				e.RecordAnswer(now, "leader")
+				e.RecordAnswer(now, sentAt, "leader")
 			} else {
 				now = now.Add(pingCost)
 			}
@@ -142,6 +143,31 @@
 	})
 }
 
+// TestLateAnswerAfterLeaderEnd guards against a takeover that is put off because the answer to an older message arrives
+// after the leader has stepped down.
+func TestLateAnswerAfterLeaderEnd(t *testing.T) {
+	Convey("A leader steps down while a request to it is under way", t, func() {
+		e := newFollower(start)
+		sentAt := start.Add(300 * time.Millisecond)
+		endedAt := sentAt.Add(100 * time.Millisecond)
+		e.RecordLeaderEnd(endedAt, "leader")
+		Convey("its answer does not fill the vacancy", func() {
+			now := endedAt.Add(50 * time.Millisecond)
+			e.RecordAnswer(now, sentAt, "leader")
+			action, _ := e.NextAction(now)
+			So(action, ShouldEqual, ActionClaim)
+			e.ObserveClaim(now, Claim{Offset: 5, Name: "me", Instance: "me"})
+			So(e.PredecessorEnd(now, time.Minute, -1), ShouldEqual, endedAt)
+		})
+		Convey("an answer to a later message does, for the host still leads", func() {
+			now := endedAt.Add(50 * time.Millisecond)
+			e.RecordAnswer(now, endedAt.Add(time.Millisecond), "leader")
+			action, _ := e.NextAction(now)
+			So(action, ShouldNotEqual, ActionClaim)
+		})
+	})
+}
+
 // TestPredecessorEnd guards against a new leader that takes the orders of the one before to have ended while that one
 // still has a renewal which nobody saw.
 func TestPredecessorEnd(t *testing.T) {
@@ -187,7 +213,7 @@
 			case 1:
 				e.RecordLeaderEnd(now, e.Claim().Instance)
 			case 2:
-				e.RecordAnswer(now, e.Claim().Instance)
+				e.RecordAnswer(now, now, e.Claim().Instance)
 			case 3:
 				e.RecordRenewal(now, int64(rapid.IntRange(0, 3).Draw(t, "renewal")))
 			case 4:
