Count the end of an attempt only once its record was accepted

Operators saw more evictions of a class, and a rate nearer to its limit, than took place: an eviction that the zone's stream refuses, such as one by a host whose hold of the worker is older, was counted when it was read. zoneSink.attemptEnd counted before Table.Apply decided. The policy was not affected, as its message was already sent after the decision only.

An end can't be refused once the checks of attemptEnd have passed, so the count of finished tasks was right.

--- a/internal/host/node/sink.go
+++ b/internal/host/node/sink.go
@@ -54,11 +54,12 @@
 	z := &s.n.zone
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	ended := s.attemptEnd(now, item)
+	ended, class := s.attemptEnd(item)
 	if err := z.jobs.Apply(now, offset, item); err != nil {
 		return err
 	}
 	if ended != nil {
+		s.n.countAttemptEnd(now, class, ended.Outcome)
 		s.n.reportEnd(now, *ended)
 		z.dropPlacement(ended.Task)
 	}
@@ -107,9 +108,9 @@
 	}
 }
 
-// attemptEnd returns the message for the policy if the item, which is not applied yet, is to end a running attempt, and
-// nil otherwise. It also counts the end for the status report. The caller holds zone.mu.
-func (s *zoneSink) attemptEnd(now time.Time, item record.Item) *policy.EndMsg {
+// attemptEnd returns the message for the policy and the class of the task if the item, which is not applied yet and may
+// be refused, is to end a running attempt, and nil otherwise. The caller holds zone.mu.
+func (s *zoneSink) attemptEnd(item record.Item) (end *policy.EndMsg, class string) {
 	var id string
 	var attempt int
 	outcome := policy.OutcomeEvicted
@@ -117,7 +118,7 @@
 	case job.KindEnd:
 		e, err := record.DecodeItem[job.End](item)
 		if err != nil {
-			return nil
+			return nil, ""
 		}
 		id, attempt, outcome = e.Task, e.Attempt, policy.OutcomeDone
 		if e.Result == job.ResultFailed {
@@ -126,24 +127,23 @@
 	case job.KindEvict:
 		e, err := record.DecodeItem[job.Evict](item)
 		if err != nil {
-			return nil
+			return nil, ""
 		}
 		id, attempt = e.Task, e.Attempt
 		if e.Reason == job.ReasonRefused {
 			outcome = policy.OutcomeCancelled
 		}
 	default:
-		return nil
+		return nil, ""
 	}
 	t := s.n.zone.jobs.Task(id)
 	if t == nil || t.State() != job.Running || t.Attempt() != attempt {
-		return nil
+		return nil, ""
 	}
 	if t.Cancelling() && outcome == policy.OutcomeEvicted {
 		outcome = policy.OutcomeCancelled
 	}
-	s.n.countAttemptEnd(now, t, outcome)
-	return &policy.EndMsg{Worker: t.Worker(), Task: id, Attempt: attempt, Outcome: outcome}
+	return &policy.EndMsg{Worker: t.Worker(), Task: id, Attempt: attempt, Outcome: outcome}, t.Job().Class()
 }
 
 // Snapshot implements feed.Sink. It returns a snapshot of the jobs.
@@ -171,15 +171,15 @@
 
 // countAttemptEnd counts the end of an attempt for the status report. It leaves out records that are read while the
 // host catches up with the log, since those attempts ended earlier. The caller holds zone.mu.
-func (n *Node) countAttemptEnd(now time.Time, t *job.Task, outcome policy.Outcome) {
+func (n *Node) countAttemptEnd(now time.Time, class string, outcome policy.Outcome) {
 	if n.zone.feed == nil || n.zone.feed.FreshAsOf().IsZero() {
 		return
 	}
 	switch outcome {
 	case policy.OutcomeDone:
-		n.countersOf(t.Job().Class()).finished.add(now)
+		n.countersOf(class).finished.add(now)
 	case policy.OutcomeEvicted:
-		n.countersOf(t.Job().Class()).evicted.add(now)
+		n.countersOf(class).evicted.add(now)
 	}
 }
 
