Close the listeners of a start that has failed

If an address was taken, the listeners that were opened before stayed open until the process ended. A program that starts a host again in the same process could not listen on the addresses.

--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -58,7 +58,7 @@
 	n, closeNode := New(cfg, Platform{Log: logs, Fleet: workers, Hosts: hosts}, logger, metrics)
 	defer closeNode()
 	if err := n.registerGauges(); err != nil {
-		return err
+		return errors.CombineErrors(err, listeners.close())
 	}
 	closeListeners := listeners.serve(n, metrics, logger)
 	defer closeListeners()
@@ -76,7 +76,18 @@
 	callers, operators, peers net.Listener
 }
 
-// listen opens the listeners on the addresses of the settings.
+// close closes the listeners that are open.
+func (s *hostListeners) close() error {
+	var errs error
+	for _, l := range []net.Listener{s.callers, s.operators, s.peers} {
+		if l != nil {
+			errs = errors.CombineErrors(errs, l.Close())
+		}
+	}
+	return errs
+}
+
+// listen opens the listeners on the addresses of the settings. If one can't be opened, it closes the others.
 func listen(cfg settings.Settings) (*hostListeners, error) {
 	s := &hostListeners{cfg: cfg}
 	for _, l := range []struct {
@@ -90,7 +101,7 @@
 	} {
 		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", l.address)
 		if err != nil {
-			return nil, errors.Wrapf(err, "node: listen for %s", l.field)
+			return nil, errors.CombineErrors(errors.Wrapf(err, "node: listen for %s", l.field), s.close())
 		}
 		*l.listener = listener
 	}
