Refuse numbers that are none or overflow, in settings and submissions

Settings for serve: lease.ttl and lease.renew of 2562047h passed, since twice the value overflows and is less than anything. Submissions: a size of 9e18 was accepted, and the sum of two of them is negative and so fits any worker; an estimate of 9e12 ms in two dependent steps has a negative critical path; a first due time of 1e300 ms counted as long ago, and 3 occurrences 9e12 ms apart overflowed. Such a job would be accepted and run at a wrong time, or never; that was read from the code and not played.

An unfinished job that an older build accepted beyond these limits is not restored; none within them is affected.

Looked at and right before: Deadline-Ms (NaN, Inf and 1e300 are tested), deadline_ms, run_ms and count of serve's callers, Retry-After, and the numbers of config.Document, which must be finite.

--- a/internal/host/settings/decode.go
+++ b/internal/host/settings/decode.go
@@ -116,6 +116,9 @@
 	}
 }
 
+// maxDuration is the longest duration in a settings file. Sums and small multiples of it fit a time.Duration.
+const maxDuration = 366 * 24 * time.Hour
+
 // decodeLiteral decodes a duration, string or whole number into a field of that type.
 func (d *decoder) decodeLiteral(path string, line int, l hujson.Literal, into reflect.Value) {
 	switch into.Interface().(type) {
@@ -125,6 +128,10 @@
 			d.addError(path, line, `must be a duration such as "2s"`)
 			return
 		}
+		if v > maxDuration {
+			d.addError(path, line, "must be at most "+maxDuration.String())
+			return
+		}
 		into.SetInt(int64(v))
 		return
 	case string:
--- a/internal/host/settings/settings_test.go
+++ b/internal/host/settings/settings_test.go
@@ -95,6 +95,27 @@
 	}
 }
 
+// Guards against durations so long that the sums and products of them with which limits are checked overflow.
+func TestHugeDurations(t *testing.T) {
+	const huge = "2562047h"
+	_, err := Parse("f.json", []byte(`{
+		"host": "h", "zone": "z", "region": "r", "callers": {"listen": ":1"}, "operators": {"listen": ":2"},
+		"peers": {"listen": ":3"}, "platform": {"log": "http://x", "hosts": "http://x"},
+		"lease": {"ttl": "`+huge+`", "renew": "`+huge+`", "tasks": "30s"}, "drain": "`+huge+`"
+	}`))
+	var got FieldErrors
+	if !errors.As(err, &got) {
+		t.Fatalf("got error %v, want FieldErrors", err)
+	}
+	fields := make([]string, 0, len(got))
+	for _, fieldErr := range got {
+		fields = append(fields, fieldErr.Field)
+	}
+	if want := []string{"lease.ttl", "lease.renew", "drain"}; !slices.Equal(fields, want) {
+		t.Errorf("got errors %v, want one for each of %v", got, want)
+	}
+}
+
 // Guards against a syntax error that is reported without its line.
 func TestSyntaxError(t *testing.T) {
 	_, err := Parse("f.json", []byte("{\n\"host\" 1}"))
--- a/internal/work/workflow/workflow.go
+++ b/internal/work/workflow/workflow.go
@@ -22,8 +22,15 @@
 	MaxPayloadBytes = 64 << 10
 	// MaxOccurrences is the largest number of occurrences of a recurring job.
 	MaxOccurrences = 100000
+	// MaxEstimate is the longest estimate or target latency of a step. The sum over MaxSteps steps fits a time.Duration.
+	MaxEstimate = 366 * 24 * time.Hour
+	// MaxSize is the largest number in the size of a task. The sum over all tasks of a job fits 64 bits.
+	MaxSize = 1e12
 )
 
+// maxTime limits the first due time, from 1970 on, and the time from there to the last one.
+const maxTime = 230 * 366 * 24 * time.Hour
+
 // ErrInvalid marks the error of a specification that can't be carried out in any state of the workers.
 var ErrInvalid = errors.New("workflow: invalid specification")
 
@@ -100,6 +107,9 @@
 		return invalidError("%d occurrences, at most %d are allowed", s.OccurrenceCount, MaxOccurrences)
 	case s.OccurrenceCount > 1 && s.Interval <= 0:
 		return invalidError("%d occurrences without an interval", s.OccurrenceCount)
+	case s.OccurrenceCount > 0 &&
+		(s.FirstDue.After(time.Unix(0, 0).Add(maxTime)) || s.Interval > maxTime/time.Duration(s.OccurrenceCount)):
+		return invalidError("%d occurrences are not due within %v of 1970", s.OccurrenceCount, maxTime)
 	}
 	for i := range s.Steps {
 		if err := s.Steps[i].validate(i); err != nil {
@@ -116,8 +126,12 @@
 		return invalidError("step %d: %d tasks, from 1 to %d are allowed", index, s.Tasks, MaxTasks)
 	case s.Size.IsNegative():
 		return invalidError("step %d: negative size", index)
+	case !s.Size.Fits(fleet.Size{Cores: MaxSize, Memory: MaxSize, Accelerators: MaxSize}):
+		return invalidError("step %d: size over %d", index, int64(MaxSize))
 	case s.Estimate < 0 || s.TargetLatency < 0:
 		return invalidError("step %d: negative time", index)
+	case s.Estimate > MaxEstimate || s.TargetLatency > MaxEstimate:
+		return invalidError("step %d: time over %v", index, MaxEstimate)
 	case s.MaxPerWorker < 0:
 		return invalidError("step %d: negative limit of tasks per worker", index)
 	case s.LongRunning && s.Gang:
