Count no wait below zero

The histogram of start delays got values below zero, which lower its sum, so that averages over time were wrong. The decision loop reads the time before it takes the lock, and a job that is accepted in between has waited since a later time; the same holds for the age of a worker's last answer and of a start. recordEvent now cuts ages at 0. The log was right, as it leaves out ages that aren't positive. No decision uses Event.Age.

TestEventAgeIsNeverNegative failed before with -5 ms.

--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -236,7 +236,7 @@
 	Run    int
 	Worker string
 	Reason string
-	// Age is the age of the input on which the decision rests, 0 if it was current.
+	// Age is the age of the input on which the decision rests, 0 if it was current. It is never negative.
 	Age time.Duration
 }
 
@@ -244,8 +244,10 @@
 // sampling would drop them anyway.
 const maxEvents = 512
 
-// recordEvent adds an event, unless maxEvents are kept already.
+// recordEvent adds an event, unless maxEvents are kept already. Input may be newer than the time of a decision, which the
+// caller reads before it takes its lock.
 func (s *Scheduler) recordEvent(e Event) {
+	e.Age = max(0, e.Age)
 	if len(s.events) < maxEvents {
 		s.events = append(s.events, e)
 	}
