Deliver the result of a reservation without the zone's lock

keyedRequest.reserve sent its result to the request's own channel under zone.mu, with a send that waits for room. Should the channel ever be full, the goroutine that empties it would wait for itself and hold the lock of the whole zone: no request, lease or task of the host would go on. The result is now returned from under the lock and sent after it.

The other sends under zone.mu stay. They are in assignFreeSlots and rejectLate (slotWaiter.post) to the channel of an idempotent request, which has 20 places: a request has at most one slot message and one result for each of its attempts and hedges, one reply of a peer and the timers, about a dozen, and they must be sent under the lock so that a slot can't be assigned to a request that has just left the queue. onKeyRecord sends under keys.mu with a default case.

--- a/internal/host/node/keyed_request.go
+++ b/internal/host/node/keyed_request.go
@@ -153,10 +153,14 @@
 
 // reserve reserves a slot on a held worker and puts the result into msgs.
 func (k *keyedRequest) reserve(c intent.ReserveSlotCmd) {
-	now := time.Now()
-	z := &k.n.zone
 	// The worker's status lists the call under the attempt number of its intent.
 	k.reservation = capacity.Key{ID: k.req.Key, Attempt: k.n.keyStatus(k.req.Key).Intent.Attempt + 1}
+	k.msgs <- k.reserveSlot(time.Now(), c)
+}
+
+// reserveSlot reserves a slot on a held worker and returns the result.
+func (k *keyedRequest) reserveSlot(now time.Time, c intent.ReserveSlotCmd) intent.Msg {
+	z := &k.n.zone
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	var avoid []string
@@ -165,14 +169,12 @@
 	}
 	worker, ok := k.n.reserveCall(now, k.req.Class, k.reservation, avoid)
 	if !ok {
-		k.msgs <- intent.NoWorkerMsg{Reason: string(outcome.ReasonNoWorker)}
-		return
+		return intent.NoWorkerMsg{Reason: string(outcome.ReasonNoWorker)}
 	}
 	fence, held := z.leases.Fence(worker, now)
 	if !held {
 		z.capacity.ReleaseCall(now, worker, k.reservation)
-		k.msgs <- intent.NoWorkerMsg{Reason: string(outcome.ReasonNoWorker)}
-		return
+		return intent.NoWorkerMsg{Reason: string(outcome.ReasonNoWorker)}
 	}
 	// The call is sent only after its intent was read back from the log. latestStart therefore lies after fence.Before,
 	// by the time left to the request's deadline, at least 1 s.
@@ -181,7 +183,7 @@
 		left = max(left, deadline.Sub(now))
 	}
 	k.worker, k.latestStart = worker, fence.Before+left
-	k.msgs <- intent.SlotReservedMsg{Worker: worker, Boot: fence.Boot, LatestStart: k.latestStart}
+	return intent.SlotReservedMsg{Worker: worker, Boot: fence.Boot, LatestStart: k.latestStart}
 }
 
 // writeRecord writes a record to the stream of keys in the background. It posts whether the record was accepted when it
