Release a stopped run that its worker never lists

After a change of leader, a task whose stop is restored while the worker knows nothing of the run would wait for ever as well.

Cause: a run that is being stopped keeps its room until its end is listed, or until the worker has listed it nowhere for three seconds after it answered the stop. The order is repeated every 0.7 s while the run is open, and each answer put off the release by another three seconds. A run whose start never arrived and whose job is cancelled before that is known (or which was barred by the stop) never has an end, so it was never released.

Now only the first answer counts. The worker had the order by then, so the run can't start any more, and one that ran has stopped or is listed within unlistedTimeout of that answer; a listing still puts off the release.

Evidence: TestRepeatedStopReleasesItsRoom failed before (the task beside it was not started at 5.5 s, the bound of the test).

--- a/internal/zone/dispatch/stop.go
+++ b/internal/zone/dispatch/stop.go
@@ -119,11 +119,11 @@
 }
 
 // HandleStopAnswer applies the answer to a stop order. A run that had not started by then can't start any more. If the
-// worker never lists its end, the run is released when unlistedTimeout has passed after the answer.
+// worker never lists its end, the run is released when unlistedTimeout has passed after the first answer.
 func (s *Scheduler) HandleStopAnswer(now time.Time, o Order, a Answer, clock int64) {
 	_, r := s.resolveOrder(now, o, clock)
-	if r != nil && r.phase == phaseStopping && a == AnswerDone {
-		r.confirmedClock = max(r.confirmedClock, clock)
+	if r != nil && r.phase == phaseStopping && a == AnswerDone && !r.stopAnswered {
+		r.stopAnswered, r.confirmedClock = true, max(r.confirmedClock, clock)
 	}
 }
 
--- a/internal/zone/dispatch/stop_test.go
+++ b/internal/zone/dispatch/stop_test.go
@@ -164,3 +164,42 @@
 		So(s.Restore(simEpoch, simEpoch, []Record{{Key: prefixStops + "w", Value: []byte{1}}}, simEpoch), ShouldHaveLength, 1)
 	})
 }
+
+// TestRepeatedStopReleasesItsRoom guards against a run that is never listed and keeps its room for ever because each
+// answer to the repeated order to stop it put off its release.
+func TestRepeatedStopReleasesItsRoom(t *testing.T) {
+	Convey("A start never arrives, and its job is cancelled before that is known", t, func() {
+		now, clock := simEpoch, int64(1000)
+		s := newStopScheduler(now, 1)
+		s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: clock})
+		submit := func(n int) {
+			s.Submit(now, Request{
+				ID: jobID(n), Queue: queueName, Spec: workflow.Spec{Steps: []workflow.Step{newStep(1, 6000, time.Second)}},
+				WallTime: now,
+			})
+			commitAll(s)
+		}
+		submit(1)
+		s.HandleStartAnswer(now, s.Decide(now)[0], AnswerMissing, 0)
+		s.Cancel(now, jobID(1))
+		submit(2)
+		Convey("its room is free once the worker has answered the stop and could have listed the end", func() {
+			started := func() (started bool) {
+				for _, o := range s.Decide(now) {
+					if o.Kind == OrderStop {
+						s.HandleStopAnswer(now, o, AnswerDone, clock)
+					}
+					started = started || o.Kind == OrderStart
+				}
+				return started
+			}
+			for !started() {
+				So(now.Sub(simEpoch), ShouldBeLessThan, startOrderValidity+unlistedTimeout+time.Second)
+				now, clock = now.Add(50*time.Millisecond), clock+50
+				s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: clock})
+				commitAll(s)
+			}
+			So(now.Sub(simEpoch), ShouldBeGreaterThan, unlistedTimeout)
+		})
+	})
+}
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -58,6 +58,9 @@
 	listedIn uint64
 	// confirmed is set once the worker has confirmed the start or listed the run.
 	confirmed bool
+	// stopAnswered is set once the worker has answered an order to stop the run. The order is repeated, and the later
+	// answers don't put off the release of a run that the worker doesn't list.
+	stopAnswered bool
 	// progress is the share of the work that is done, in percent.
 	progress int
 	// progressedAt is when the progress last changed or could not be expected to.
