Count refused starts as part of a long-running task's wait

Cause: a long-running task may take the room of a suspected or slow worker once it has waited for maxAvoidance. The wait began anew with each start that a worker refused or did not carry out, so a worker that refuses for a cause of its own (no room, unhealthy, late) and looks better than the one with room kept the task waiting for ever: each refusal came before the three seconds were over.

A start that the worker never confirmed no longer interrupts the wait. Short tasks are left as they were: no rule bounds their wait by an age.

--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -95,7 +95,7 @@
 	}
 	r := &run{
 		task: t, number: number, worker: w, phase: phaseOrdered, startedAt: now, pace: 100, targetPace: 100,
-		startUntil: w.clockNow(now) + startOrderValidity.Milliseconds(),
+		startUntil: w.clockNow(now) + startOrderValidity.Milliseconds(), waitingSince: t.waitingSince,
 	}
 	t.lastRun = number
 	w.leaseUntil = max(w.leaseUntil, r.startUntil)
--- a/internal/zone/dispatch/overdue_test.go
+++ b/internal/zone/dispatch/overdue_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	"sassafraswind.example/sassafraswind/internal/work/workflow"
 )
 
 // maxLongRunningWait is how long a long-running task may be away while there is room for two of its kind: six seconds
@@ -101,3 +104,34 @@
 		})
 	})
 }
+
+// TestRefusedStartDoesNotRestartTheWait guards against a long-running task that never takes the room of a suspected worker
+// because another worker refuses it again and again.
+func TestRefusedStartDoesNotRestartTheWait(t *testing.T) {
+	Convey("A long-running task that one worker refuses starts on the suspected one beside it", t, func() {
+		now, clock := simEpoch, int64(1000)
+		s := newStopScheduler(now, 1)
+		s.SetWorker(now, Registration{
+			ID: "suspected", Boot: 1, Service: "svc", Address: "v", Capacity: fleet.Size{Cores: 8000, Memory: 8000},
+		})
+		step := newStep(1, 6000, 0)
+		step.LongRunning, step.MaxUnavailable = true, -1
+		s.Submit(now, Request{
+			ID: jobID(1), Queue: queueName, Spec: workflow.Spec{Steps: []workflow.Step{step}}, WallTime: now,
+		})
+		h := &s.workers["suspected"].health
+		for started := ""; started != "suspected"; {
+			So(now.Sub(simEpoch), ShouldBeLessThan, maxLongRunningWait)
+			now, clock = now.Add(50*time.Millisecond), clock+50
+			h.consecutiveFailures, h.failedAt, h.suspectUntil = suspectFailures, now, now.Add(suspectPeriod)
+			for _, id := range s.WorkerIDs() {
+				s.HandleReport(now, Report{Worker: id, Boot: 1, Clock: clock})
+			}
+			commitAll(s)
+			for _, o := range s.Decide(now) {
+				started = o.Worker
+				s.HandleStartAnswer(now, o, AnswerFull, clock)
+			}
+		}
+	})
+}
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -47,8 +47,8 @@
 	number int
 	worker *Worker
 	phase  runPhase
-	// startedAt is when the start was decided.
-	startedAt time.Time
+	// startedAt is when the start was decided, waitingSince when the task had become waiting before that.
+	startedAt, waitingSince time.Time
 	// startUntil is the time of the worker's clock after which it refuses the start. confirmedClock is the latest time
 	// of that clock at which the worker confirmed the run or an order for it.
 	startUntil, confirmedClock int64
@@ -345,10 +345,14 @@
 	})
 }
 
-// releaseRun removes a run from its worker and its task. The task waits again unless it is done.
+// releaseRun removes a run from its worker and its task. The task waits again unless it is done. A start that the worker
+// did not confirm doesn't interrupt the wait of a long-running task.
 func (s *Scheduler) releaseRun(now time.Time, r *run) {
 	s.detach(r)
 	s.requeue(now, r.task)
+	if r.task.queued && r.task.step().LongRunning && !r.confirmed {
+		r.task.waitingSince = r.waitingSince
+	}
 }
 
 // detach removes a run from its worker and its task.
