Keep failing long-running tasks from renewing the suspicion of workers

Callers would see short tasks that never start beside a long-running job whose tasks fail wherever they run, although all workers are free.

Cause: since overdue long-running tasks start on suspected workers, each such task fails there after three seconds of waiting, before the pause of six seconds is over, and renews it. With as many failing tasks as workers, no pause ends. On a single worker this was so before, since the failing task was first at the end of each pause.

A long-running task that has failed before tells nothing new about a worker that is suspected already: its failure no longer renews the pause. Failures of short tasks, and the first one of each long-running task, count as before, so that a worker that fails everything stays suspected; long-running tasks may still fail there (as before), at most one at a time.

Evidence: TestFailingLongRunningTasksDontHoldBackShortOnes failed before (a short task waits for 12 s, the bound of the test).

--- a/internal/zone/dispatch/health.go
+++ b/internal/zone/dispatch/health.go
@@ -46,6 +46,10 @@
 			// Long-running tasks fail now and then after they have worked for a while.
 			return
 		}
+		if h.consecutiveFailures >= suspectFailures && r != nil && r.task.step().LongRunning && len(r.task.failedRuns) > 0 {
+			// It is started without limit, and if it fails everywhere, it would keep all workers suspected.
+			return
+		}
 		h.consecutiveFailures++
 		h.failedAt = now
 		if h.consecutiveFailures >= suspectFailures {
--- a/internal/zone/dispatch/health_test.go
+++ b/internal/zone/dispatch/health_test.go
@@ -95,3 +95,47 @@
 		})
 	})
 }
+
+// TestFailingLongRunningTasksDontHoldBackShortOnes guards against long-running tasks that fail wherever they start and
+// renew the suspicion of all workers before it ends, so that no short task starts any more.
+func TestFailingLongRunningTasksDontHoldBackShortOnes(t *testing.T) {
+	Convey("Beside long-running tasks that always fail, each short task starts after a pause and a probe", t, func() {
+		for _, tasks := range []int{1, 4, 16} {
+			now, clock, serial := simEpoch, int64(1000), int64(0)
+			s := newStopScheduler(now, 1)
+			submit := func(n int, step workflow.Step) {
+				s.Submit(now, Request{
+					ID: jobID(n), Queue: queueName, Spec: workflow.Spec{Steps: []workflow.Step{step}}, WallTime: now,
+				})
+			}
+			step := newStep(tasks, 500, 0)
+			step.LongRunning, step.MaxUnavailable = true, -1
+			submit(0, step)
+			var ended []EndReport
+			waitingSince := map[string]time.Time{}
+			for n := 1; n < 600; n++ {
+				now, clock = now.Add(100*time.Millisecond), clock+100
+				if n%20 == 0 {
+					submit(n, newStep(1, 500, time.Second))
+					waitingSince[jobID(n)+".0.0.0"] = now
+				}
+				s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: clock, Ended: ended})
+				commitAll(s)
+				ended = nil
+				for _, o := range s.Decide(now) {
+					s.HandleStartAnswer(now, o, AnswerDone, clock)
+					reason := EndFailed
+					if _, ok := waitingSince[o.Task]; ok {
+						reason = EndDone
+						delete(waitingSince, o.Task)
+					}
+					serial++
+					ended = append(ended, EndReport{Serial: serial, Task: o.Task, Number: o.Run, Reason: reason})
+				}
+				for _, since := range waitingSince {
+					So(now.Sub(since), ShouldBeLessThan, 2*suspectPeriod)
+				}
+			}
+		}
+	})
+}
