Don't ask for advice on workers that have their share of a step

Callers would see tasks of an advised queue that never start although eligible workers have room.

Cause: a request for advice names at most 30 workers, those first that are known to be eligible. Workers that already run as many tasks of the step as MaxPerWorker allows were named again and again while they had room for another task, so that the workers beyond the first 30 were never asked about.

Evidence: TestAdviceIsNotAskedForWorkersWithTheirShare failed before (30 of 40 tasks started; the other ten not within twice the validity of a ticket, the bound of the test, and not within 40 s in a scratch test).

Open: a stage asks anew only once none of its tickets is valid any more, and a gang that needs more than 30 workers never gets enough tickets at once.

--- a/internal/zone/dispatch/advice.go
+++ b/internal/zone/dispatch/advice.go
@@ -51,6 +51,9 @@
 		if l := st.step().Label; l != "" && !w.hasLabel(l) {
 			continue
 		}
+		if n := st.step().MaxPerWorker; n > 0 && st.tasksOn(w) >= n {
+			continue
+		}
 		isEligible, known := st.advice.eligible[w.ID]
 		switch {
 		case known && isEligible:
