Forward a waiting keyed request once a peer has a free slot

What callers saw: a new key at a host that holds no worker was answered after 2 s with not_run, closed, no_worker, although a peer had free slots all the time.

Cause: a host looked for a peer only when the request came. If it knew none with a free slot at that moment, because it had just started, the last sync was made while the workers changed their holders, or all slots were taken for a moment, the request waited for a slot here alone, and a host that is preferred for no worker of its zone gets none.

Ruled out: that the peer had no slot or could not be reached; with the change the same request is answered by it.

Evidence: TestKeyWaitsForPeerWithSlot starts a host that reaches no worker and learns of its peer's slots just after the request has come.

Open: a request that was forwarded to a peer which has lost its workers since its last sync is not forwarded again; its key is closed there after the wait.

Why it works: while the request waits it has written nothing, has no slot and its key is unused, so it is in the state of a request that has just come. It is forwarded at most once, as before, and the log still decides between attempts.

--- a/internal/host/node/keyed_request.go
+++ b/internal/host/node/keyed_request.go
@@ -54,8 +54,27 @@
 	return d.Sum64()
 }
 
-// runKeyed runs a request with a key, which must be executed at most once, until its reply is decided.
-func (n *Node) runKeyed(ctx context.Context, now time.Time, r caller.Request) outcome.Reply {
+// serveKeyed runs a request with a key of a caller, here or at a peer. While it waits for a slot here, it goes to a peer
+// as soon as one is known to have a free slot, since this host may hold no worker for long.
+func (n *Node) serveKeyed(ctx context.Context, now time.Time, r caller.Request) outcome.Reply {
+	address := n.peerForKey(now, r.Key)
+	if address == "" {
+		reply, decided := n.runKeyed(ctx, now, r, func() bool {
+			address = n.peerForKey(time.Now(), r.Key)
+			return address != ""
+		})
+		if decided {
+			return reply
+		}
+	}
+	return n.forwardKeyed(ctx, address, r)
+}
+
+// runKeyed runs a request with a key, which must be executed at most once, until its reply is decided. While the request
+// waits for a slot, runKeyed calls giveUp and returns false if it reports true.
+func (n *Node) runKeyed(
+	ctx context.Context, now time.Time, r caller.Request, giveUp func() bool,
+) (outcome.Reply, bool) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = now.Add(n.cfg.Limits.DefaultDeadline)
@@ -76,6 +95,9 @@
 	defer deadlineTimer.Stop()
 	k.update(intent.StartMsg{})
 	for k.reply == nil {
+		if k.flow.AwaitsSlot() && giveUp() {
+			return outcome.Reply{}, false
+		}
 		select {
 		case m := <-k.msgs:
 			k.update(m)
@@ -88,7 +110,7 @@
 		}
 	}
 	k.release(k.sends > 0)
-	return *k.reply
+	return *k.reply, true
 }
 
 // watchKey returns a channel that gets a value when records of the key are read. Several records may cause one value.
--- a/internal/host/node/request.go
+++ b/internal/host/node/request.go
@@ -65,10 +65,7 @@
 	case c.Idempotent && r.Key != "":
 		return refuseRequest(r, outcome.InvalidReply("key", "must be empty: the class is idempotent")), sendCounts{}
 	case !c.Idempotent:
-		if address := n.peerForKey(now, r.Key); address != "" {
-			return n.forwardKeyed(ctx, address, r), sendCounts{first: 1}
-		}
-		return n.runKeyed(ctx, now, r), sendCounts{first: 1}
+		return n.serveKeyed(ctx, now, r), sendCounts{first: 1}
 	}
 	return n.runIdempotent(ctx, now, r, uuid.NewString(), 0, false)
 }
@@ -335,7 +332,7 @@
 	req := caller.Request{Class: r.Class, Team: r.Team, Key: r.Key, Body: r.Body}
 	var reply outcome.Reply
 	if r.Key != "" {
-		reply = n.runKeyed(ctx, now, req)
+		reply, _ = n.runKeyed(ctx, now, req, func() bool { return false })
 	} else {
 		reply, _ = n.runIdempotent(ctx, now, req, r.RequestID, r.AttemptOffset, true)
 	}
--- a/internal/host/node/request_faults_test.go
+++ b/internal/host/node/request_faults_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"sassafraswind.example/sassafraswind/internal/host/settings"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 	standinlog "sassafraswind.example/sassafraswind/internal/standin/logservice"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
@@ -45,6 +46,28 @@
 	p.checkNoViolations()
 }
 
+// Guards against a key that is closed at a host without workers although a peer has a free slot, because the host
+// learned of the slot only after the request had come.
+func TestKeyWaitsForPeerWithSlot(t *testing.T) {
+	t.Parallel()
+	p := newTestPlatform(t, 1, 2)
+	a := p.start("a-1", "a")
+	p.declareClasses(a)
+	b := p.start("a-2", "a", func(_ *settings.Settings, clients *Platform) {
+		clients.Fleet.(fleetLink).setFaults(func(f *linkFaults) { f.CutWorkers, f.CutPeers = true, true })
+	})
+	p.eventually(5*time.Second, "host a-2 has the classes", func() bool {
+		_, ok := b.classConfig("quote")
+		return ok
+	})
+	b.link.setFaults(func(f *linkFaults) { f.CutPeers = false })
+	body, _ := p.newBody(5 * time.Millisecond)
+	if r := p.request(b, "quote", newKey(), body, 5*time.Second); r.Outcome != outcome.Done {
+		t.Errorf("the request did not end with the outcome done: %+v", r)
+	}
+	p.checkNoViolations()
+}
+
 // Guards against tasks that are started in a zone more than 5 s after it was taken out, while the log is slow.
 func TestZoneTakenOutWhileTasksStartAndLogIsSlow(t *testing.T) {
 	t.Parallel()
--- a/internal/work/intent/flow.go
+++ b/internal/work/intent/flow.go
@@ -172,6 +172,10 @@
 // Replied reports whether a ReplyCmd was issued for the request.
 func (f *Flow) Replied() bool { return f.phase == phaseReplied }
 
+// AwaitsSlot reports whether the request waits because no worker had a free slot. It has no slot and no call then, and
+// waits for no result of a command.
+func (f *Flow) AwaitsSlot() bool { return f.phase == phaseAwaitingSlot }
+
 // Update handles an event of the request and returns the commands to carry out. status is the key's status in the table
 // of this host.
 //
