Notice a silent connection to the operators' records in 1.7 s

A host whose connection to the store falls silent just as it begins to wait there for the operators' records put a new manifest into force 2.41 s after its append, through a proxy on the loopback interface; with a new connection between regions on top, that is over the platform's ConfigApplyMs of 2,500 ms. A host that the store doesn't answer at all asks the leader for the manifest with its next ping, up to 400 ms later, so that it was over in any case. The time is the wait of 1.5 s, the read timeout of 0.7 s and the pause of 0.2 s after a failed call. The 9.5 s of the issue are the limit of the whole read: they apply only while bytes go on arriving, since the store's client has had a timeout between bytes before. A connection that falls silent within the headers or in the middle of the manifest took as long: 2.40 and 2.41 s.

The wait for the operators' records is now 1 s, and a failed call that itself took longer than the pause is repeated at once: 1.71, 1.70 and 1.71 s. Each host sends 1 such read a second instead of 0.7; the platform allows 2,000 for all hosts. The wait for claims stays: a silent connection there is no reason for a claim.

Ruled out: a shorter timeout between bytes (0.7 s is a slow link's loss of one packet).

TestManifestOverSilentConnection runs a host against a stand-in store through a proxy that goes silent; it failed before in all three cases, with a limit of 2 s: ConfigApplyMs less 500 ms for the way between regions.

TestLeaderWithoutStore failed with the new wait, 5 of 5 runs: the leader gave way although both hosts were cut off from the store. Its double of the directory answered over the cut paths, so that the other host reported an answer of the store; which probe that fell on depended on the wait. The double now keeps to the cut. The test then passed in 3 of 3 runs with the new wait and in 3 of 3 with the old one; its bounds are as they were.

--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -188,8 +188,12 @@
 		MaxLease: 6 * time.Second, JobRetention: time.Minute, RemoteFactor: 1,
 		MaxUnconfirmedTerm: 2 * time.Second, MaxOverTarget: 4 * time.Second,
 	}
+	var directory Directory = w
+	if s, ok := log.(*cutStore); ok {
+		directory = cutDirectory{Directory: w, store: s}
+	}
 	h, stop := New(Config{Name: name, Zone: "z", PeerAddress: l.Addr().String(), Limits: limits, Power: power},
-		l, log, w, w, bootclock.Clock{}, quiet)
+		l, log, directory, w, bootclock.Clock{}, quiet)
 	return h, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
@@ -420,6 +424,20 @@
 	return s.memoryLog.Newest(ctx, p, after)
 }
 
+// cutDirectory is a Directory that reads over the path of a cutStore.
+type cutDirectory struct {
+	Directory
+	store *cutStore
+}
+
+func (d cutDirectory) OperatorChanges(ctx context.Context, from int64, wait time.Duration) (OperatorChanges, error) {
+	changes, err := d.Directory.OperatorChanges(ctx, from, wait)
+	if cutErr := d.store.call(ctx); cutErr != nil {
+		return OperatorChanges{}, cutErr
+	}
+	return changes, err
+}
+
 // TestLeaderWithoutStore guards against a leader that keeps the leadership while the store answers other hosts but not
 // it, and against one that gives it up when the store has been away for all hosts and is back.
 func TestLeaderWithoutStore(t *testing.T) {
--- a/internal/host/entry/follow.go
+++ b/internal/host/entry/follow.go
@@ -14,13 +14,15 @@
 )
 
 const (
-	// longPollWait is how long the store may delay an answer when there are no new records. An unresponsive connection
-	// is noticed only after this time and the margin of the read. Both have to fit into the time within which a new
-	// manifest must be in force.
+	// longPollWait is how long the store may delay an answer when there is no new claim.
 	longPollWait = 1500 * time.Millisecond
+	// operatorPollWait is the same for the operators' records. A silent connection is noticed only after this time and
+	// the read timeout of the store's client. Both have to fit into the time within which a new manifest must be in
+	// force, with time left for the read over another connection or for a ping, whose answer has the manifest too.
+	operatorPollWait = time.Second
 	// claimReadMargin is how long a read of the claims may take in addition to longPollWait.
 	claimReadMargin = 700 * time.Millisecond
-	// manifestReadMargin is how long a read of a manifest may take in addition to longPollWait while its bytes arrive:
+	// manifestReadMargin is how long a read of a manifest may take in addition to operatorPollWait while its bytes arrive:
 	// a few megabytes, for all hosts of a region at once over the link between regions.
 	manifestReadMargin = 8 * time.Second
 	// retryInterval is the pause after a call that failed.
@@ -32,8 +34,9 @@
 	from := int64(-1)
 	failing := false
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, longPollWait+manifestReadMargin)
-		changes, err := h.directory.OperatorChanges(callCtx, from, longPollWait)
+		readAt := h.clock.Now()
+		callCtx, cancel := context.WithTimeout(ctx, operatorPollWait+manifestReadMargin)
+		changes, err := h.directory.OperatorChanges(callCtx, from, operatorPollWait)
 		cancel()
 		if err != nil {
 			if !failing && ctx.Err() == nil {
@@ -41,7 +44,8 @@
 				h.operatorRecordsUnreadable.Store(true)
 				h.logger("operators").WithError(err).Warn("Can't read the operators' records; keeping the last ones that were read")
 			}
-			sleep(ctx, retryInterval)
+			// A read that has timed out was pause enough.
+			sleep(ctx, retryInterval-h.clock.Now().Sub(readAt))
 			continue
 		}
 		if failing {
