Begin the term of a claim that was read only later

A deployment without another host that could claim had no leader until a restart, and refused every request with 503, after the store had lost the answer to the claim and did not answer for as little as 100 ms: claimLeadership appends the claim, gets no answer, can't read the claims again and gives up without a term. followClaims then reads the claim, so that the elector says that this host leads, and watchLeader only waited from then on: terms began in claimLeadership alone. With other hosts, one of them takes the silent leader over after its ping (the host answers that it has no term).

watchLeader now begins the term whenever the host leads by the newest claim and has none. A claim never gets two terms: each way to end one, other than a newer claim or the stop of the host, makes the leadership vacant first.

--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -53,6 +53,8 @@
 				h.waitForWake(ctx, retryInterval)
 			}
 		case leadership.ActionLead:
+			// The claim may have been read from the log only after claimLeadership had given up.
+			h.beginTerm(ctx)
 			h.waitForWake(ctx, leadership.RenewInterval)
 		default:
 			h.waitForWake(ctx, until.Sub(now))
