Start a gang again as a whole after a member has crashed its worker

Callers would see a gang with a deadly member as completed or running for long: the lost member was started again beside those that still ran, under the same run number and without a trial, so that its second crash was not counted. A gang that has lost a member with a crashed worker is now stopped, and starts on trial as one.

--- a/internal/zone/dispatch/crash.go
+++ b/internal/zone/dispatch/crash.go
@@ -275,6 +275,19 @@
 			Kind: "job failed", Job: t.job().id, Task: t.name, Run: x.Run, Worker: x.Worker, Reason: "crashed its workers",
 		})
 		s.close(now, t.job(), StateFailed)
+		return
+	}
+	if t.step().Gang {
+		s.stopGang(t.stage)
+	}
+}
+
+// stopGang stops the members of a gang that has lost one, so that all of them start again on trial.
+func (s *Scheduler) stopGang(st *stage) {
+	for _, t := range st.tasks {
+		for _, r := range t.runs {
+			s.stopRun(r, "a member was lost with its worker")
+		}
 	}
 }
 
--- a/internal/zone/dispatch/crash_test.go
+++ b/internal/zone/dispatch/crash_test.go
@@ -1,12 +1,15 @@
 package dispatch
 
 import (
+	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/work/workflow"
 )
 
@@ -71,6 +74,21 @@
 	})
 }
 
+// mayFail reports whether the job has a deadly task, or one that has failed too often.
+func (sim *simulation) mayFail(id string) bool {
+	for task := range sim.deadly {
+		if strings.HasPrefix(task, id+".") {
+			return true
+		}
+	}
+	for task, n := range sim.failedRuns {
+		if strings.HasPrefix(task, id+".") && n >= maxTaskAttempts {
+			return true
+		}
+	}
+	return false
+}
+
 // submitAll submits jobs of one step and returns their IDs.
 func (sim *simulation) submitAll(first, n int, step workflow.Step) []string {
 	out := make([]string, 0, n)
@@ -114,8 +132,8 @@
 	}
 }
 
-// TestInnocentTasksSurviveDeadlyOnes guards against a crowd of suspects that start beside each other: an innocent one was
-// blamed again and again for what the deadly ones did, until it was given up.
+// TestInnocentTasksSurviveDeadlyOnes guards against a crowd of suspects that start beside each other: an innocent one
+// was blamed again and again for what the deadly ones did, until it was given up.
 func TestInnocentTasksSurviveDeadlyOnes(t *testing.T) {
 	Convey("Of 400 jobs on four workers, ten crash their workers", t, func() {
 		for seed := range uint64(2) {
@@ -142,3 +160,234 @@
 		}
 	})
 }
+
+// crashScenario is a scheduler in which a job with one task has been started on the worker "w".
+type crashScenario struct {
+	s     *Scheduler
+	now   time.Time
+	task  *task
+	order Order
+}
+
+// newCrashScenario returns a scenario in which the worker has confirmed the start at 1010 ms of its clock.
+func newCrashScenario(step workflow.Step) *crashScenario {
+	c := &crashScenario{s: newStopScheduler(simEpoch, 1), now: simEpoch}
+	c.report("w", 1, 1000)
+	c.s.Submit(c.now, Request{
+		ID: jobID(1), Queue: queueName, Spec: workflow.Spec{Steps: []workflow.Step{step}}, WallTime: c.now,
+	})
+	commitAll(c.s)
+	c.order = c.s.Decide(c.now)[0]
+	c.s.HandleStartAnswer(c.now, c.order, AnswerDone, 1010)
+	c.task = c.s.findTask(c.order.Task)
+	return c
+}
+
+// report hands over the answer of a worker that lists no runs.
+func (c *crashScenario) report(id string, boot, clock int64) {
+	c.s.HandleReport(c.now, Report{Worker: id, Boot: boot, Clock: clock})
+}
+
+// list adds a worker to the platform's list.
+func (c *crashScenario) list(id string, boot int64, draining bool) {
+	c.s.SetWorker(c.now, Registration{
+		ID: id, Boot: boot, Service: "svc", Address: "w", Draining: draining,
+		Capacity: fleet.Size{Cores: 8000, Memory: 8000},
+	})
+}
+
+// lapse lets the leases of the worker lapse.
+func (c *crashScenario) lapse() {
+	c.s.HandleRenewalFailure(c.now, "w")
+	c.now = c.now.Add(10 * time.Second)
+	c.s.Decide(c.now)
+}
+
+// crashes returns the number of crashes blamed on the task.
+func (c *crashScenario) crashes() int {
+	c.s.Decide(c.now)
+	if u := c.s.suspicionOf(c.task); u != nil {
+		return len(u.crashes)
+	}
+	return 0
+}
+
+// TestWhichWorkersHaveCrashed guards against tasks that are blamed because their worker was cut off or left, and
+// against crashes that go unnoticed because the worker is back under another ID.
+func TestWhichWorkersHaveCrashed(t *testing.T) {
+	Convey("A run is lost with its worker", t, func() {
+		c := newCrashScenario(newStep(1, 1000, time.Second))
+		Convey("which stays listed and answers again: not a crash", func() {
+			c.lapse()
+			So(c.crashes(), ShouldEqual, 0)
+			c.report("w", 1, 12000)
+			c.s.DropWorker(c.now, "w")
+			So(c.crashes(), ShouldEqual, 0)
+		})
+		Convey("which drains and leaves: not a crash", func() {
+			c.list("w", 1, true)
+			c.s.DropWorker(c.now, "w")
+			c.lapse()
+			So(c.crashes(), ShouldEqual, 0)
+		})
+		Convey("which leaves the list, before or after: a crash, until the same boot answers", func() {
+			c.s.DropWorker(c.now, "w")
+			c.lapse()
+			So(c.crashes(), ShouldEqual, 1)
+			c.list("w", 1, false)
+			So(c.crashes(), ShouldEqual, 1)
+			c.report("w", 1, 12000)
+			So(c.crashes(), ShouldEqual, 0)
+		})
+		Convey("in whose place another one is listed later: a crash", func() {
+			c.lapse()
+			c.list("v", 2, false)
+			So(c.crashes(), ShouldEqual, 1)
+		})
+		Convey("in whose place another one is listed before: a crash", func() {
+			c.list("v", 2, false)
+			c.lapse()
+			So(c.crashes(), ShouldEqual, 1)
+		})
+		Convey("at whose address another boot answers: a crash", func() {
+			c.lapse()
+			c.s.HandleRenewalRestart("w")
+			So(c.crashes(), ShouldEqual, 1)
+			c.report("w", 2, 10)
+			So(c.crashes(), ShouldEqual, 1)
+		})
+		Convey("which answers as another boot at once: a crash", func() {
+			c.report("w", 2, 10)
+			So(c.crashes(), ShouldEqual, 1)
+		})
+		Convey("which has answered after the task survived: a crash, but another task's", func() {
+			c.s.HandleReport(c.now, Report{Worker: "w", Boot: 1, Clock: 1600, Running: []RunReport{
+				{Task: c.order.Task, Number: c.order.Run},
+			}})
+			c.report("w", 2, 10)
+			So(c.crashes(), ShouldEqual, 0)
+		})
+	})
+}
+
+// TestNextLeaderCountsTrials guards against a task that goes on crashing workers because each leader is lost before it
+// has recorded the crash.
+func TestNextLeaderCountsTrials(t *testing.T) {
+	Convey("A suspect starts once the log says that it is on trial", t, func() {
+		c := newCrashScenario(newStep(1, 1000, time.Second))
+		records := commitAll(c.s)
+		c.report("w", 2, 10)
+		records = append(records, commitAll(c.s)...)
+		So(startsOf(c.s, c.now), ShouldEqual, 0)
+		c.now = c.now.Add(maxTrialHold / 2)
+		So(startsOf(c.s, c.now), ShouldEqual, 0)
+		records = append(records, commitAll(c.s)...)
+		So(startsOf(c.s, c.now), ShouldEqual, 1)
+
+		first := c.s
+		records = append(records, first.jobs[jobID(1)].specRecord())
+		c.s = newStopScheduler(c.now, 2)
+		So(c.s.Restore(c.now, c.now, records, c.now), ShouldBeEmpty)
+		c.task = c.s.findTask(c.order.Task)
+		Convey("and the next leader counts the crash if the worker has restarted", func() {
+			c.report("w", 3, 10)
+			So(c.crashes(), ShouldEqual, 2)
+			So(c.s.suspicionOf(c.task).alone(), ShouldEqual, 2)
+		})
+		Convey("or is gone", func() {
+			c.s.DropWorker(c.now, "w")
+			c.now = c.now.Add(time.Minute)
+			So(c.crashes(), ShouldEqual, 2)
+		})
+		Convey("and counts none if the worker lives on, but still suspects the task", func() {
+			c.report("w", 2, 3000)
+			So(c.crashes(), ShouldEqual, 1)
+		})
+		Convey("and a cancelled job leaves no record", func() {
+			c.s.Cancel(c.now, jobID(1))
+			So(commitAll(c.s), ShouldContain, Record{Key: prefixCrashes + jobID(1)})
+		})
+	})
+	Convey("A trial that doesn't get into the log gives its worker back", t, func() {
+		c := newCrashScenario(newStep(1, 1000, time.Second))
+		c.report("w", 2, 10)
+		commitAll(c.s)
+		So(startsOf(c.s, c.now), ShouldEqual, 0)
+		So(c.s.workers["w"].trials, ShouldEqual, 1)
+		c.now = c.now.Add(maxTrialHold)
+		So(startsOf(c.s, c.now), ShouldEqual, 0)
+		So(c.s.workers["w"].trials, ShouldEqual, 0)
+		commitAll(c.s)
+		c.now = c.now.Add(trialRetryInterval)
+		So(startsOf(c.s, c.now), ShouldEqual, 0)
+		commitAll(c.s)
+		So(startsOf(c.s, c.now), ShouldEqual, 1)
+	})
+}
+
+// TestDeadlyTasksOfAllKinds guards against kinds of tasks whose crashes are counted wrongly or not at all.
+func TestDeadlyTasksOfAllKinds(t *testing.T) {
+	step := func(change func(*workflow.Step)) workflow.Spec {
+		st := newStep(3, 1000, 300*time.Millisecond)
+		change(&st)
+		return workflow.Spec{Steps: []workflow.Step{st}}
+	}
+	recurring := step(func(*workflow.Step) {})
+	recurring.OccurrenceCount, recurring.Interval = 3, 2*time.Second
+	for name, spec := range map[string]workflow.Spec{
+		"long-running":  step(func(st *workflow.Step) { st.LongRunning = true }),
+		"best-effort":   step(func(st *workflow.Step) { st.BestEffort = true }),
+		"checkpointing": step(func(st *workflow.Step) { st.Checkpointing = true }),
+		"speculative":   step(func(st *workflow.Step) { st.Speculative = true }),
+		"gang":          step(func(st *workflow.Step) { st.Gang, st.MaxPerWorker, st.Estimate = true, 1, 20*time.Second }),
+		"limited":       step(func(st *workflow.Step) { st.MaxPerWorker, st.MaxUnavailable = 1, 1 }),
+		"recurring":     recurring,
+	} {
+		Convey("A job with a deadly task fails: "+name, t, func() {
+			sim := newSimulation(2, 5)
+			sim.renames = true
+			sim.run(300 * time.Millisecond)
+			sim.deadly[jobID(1)+".0.0.1"] = deadlyDelay
+			sim.submit(jobID(1), spec)
+			others := sim.submitAll(2, 8, newStep(1, 1000, 300*time.Millisecond))
+			sim.after(9*time.Second, sim.takeOver)
+			sim.run(60 * time.Second)
+			So(sim.violations, ShouldBeEmpty)
+			So(sim.finalState(jobID(1)), ShouldEqual, StateFailed)
+			for _, id := range others {
+				So(sim.finalState(id), ShouldEqual, StateCompleted)
+			}
+		})
+	}
+}
+
+// TestChanceCrashesGiveUpNoJob guards against innocent tasks that are given up because unrelated crashes hit their
+// workers.
+func TestChanceCrashesGiveUpNoJob(t *testing.T) {
+	Convey("Each of six workers crashes once a minute on average, and no job fails", t, func() {
+		for seed := range uint64(12) {
+			sim := newSimulation(seed, 6)
+			sim.renames = seed%2 == 0
+			for n := range 600 {
+				st := newStep(1, 1000, 400*time.Millisecond)
+				st.LongRunning = n%50 == 0
+				sim.after(time.Duration(n)*100*time.Millisecond, func() { sim.submitAll(n, 1, st) })
+				if sim.rng.IntN(100) == 0 {
+					sim.after(time.Duration(n)*100*time.Millisecond, func() {
+						up := slices.DeleteFunc(slices.Clone(sim.workers), func(sw *simWorker) bool { return sw.down })
+						sim.crashAndReturn(up[sim.rng.IntN(len(up))])
+					})
+				}
+			}
+			sim.run(80 * time.Second)
+			So(sim.violations, ShouldBeEmpty)
+			for n := range 600 {
+				want := StateCompleted
+				if n%50 == 0 {
+					want = ""
+				}
+				So(sim.finalState(jobID(n)), ShouldEqual, want)
+			}
+		}
+	})
+}
--- a/internal/zone/dispatch/malformed_test.go
+++ b/internal/zone/dispatch/malformed_test.go
@@ -38,7 +38,18 @@
 			{Key: prefixProgress + jobID(1), Value: encode(&progress)},
 			{Key: prefixJob + jobID(2), Value: encode(&jobRecord{Queue: queueName})},
 		}
-		prefixes := []string{prefixJob, prefixProgress, prefixWorker, prefixStops, prefixLearned, prefixCapacities, prefixQueue}
+		suspect := rapid.Custom(func(t *rapid.T) suspectRecord {
+			return suspectRecord{
+				Occurrence: number.Draw(t, "occurrence"), Step: number.Draw(t, "step"), Task: number.Draw(t, "task"),
+				Crashes: make([]loss, rapid.IntRange(0, 2).Draw(t, "crashes")),
+				Pending: make([]loss, rapid.IntRange(0, 2).Draw(t, "pending")),
+			}
+		})
+		crashes := crashesRecord{Suspects: rapid.SliceOfN(suspect, 0, 3).Draw(t, "suspects")}
+		records = append(records, Record{Key: prefixCrashes + jobID(1), Value: encode(&crashes)})
+		prefixes := []string{
+			prefixJob, prefixProgress, prefixWorker, prefixStops, prefixLearned, prefixCapacities, prefixQueue, prefixCrashes,
+		}
 		records = slices.Grow(records, len(prefixes))
 		for _, prefix := range prefixes {
 			records = append(records, Record{Key: prefix + jobID(3), Value: garbage.Draw(t, "garbage")})
--- a/internal/zone/dispatch/simulation_faults_test.go
+++ b/internal/zone/dispatch/simulation_faults_test.go
@@ -89,6 +89,10 @@
 		sim.delayRate = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "late")
 		sim.failRate = rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "failures")
 		sim.submitJobs(rapid.IntRange(1, 25).Draw(t, "jobs"))
+		sim.renames = rapid.Bool().Draw(t, "renames")
+		for range rapid.IntRange(0, 2).Draw(t, "deadly") {
+			sim.deadly[jobID(rapid.IntRange(0, 24).Draw(t, "job"))+".0.0.0"] = deadlyDelay
+		}
 		for range rapid.IntRange(0, 6).Draw(t, "faults") {
 			at := time.Duration(rapid.IntRange(0, 9000).Draw(t, "at")) * time.Millisecond
 			long := time.Duration(rapid.IntRange(100, 5000).Draw(t, "long")) * time.Millisecond
@@ -118,6 +122,7 @@
 			}
 		}
 		sim.run(25 * time.Second)
+		sim.run(time.Duration(len(sim.deadly)) * 25 * time.Second)
 		if len(sim.violations) > 0 {
 			t.Fatalf("seed %d: %d violations, first: %s", seed, len(sim.violations), sim.violations[0])
 		}
@@ -126,6 +131,9 @@
 			if j == nil {
 				t.Fatalf("seed %d: accepted job %s is not known", seed, id)
 			}
+			if j.finalState == StateFailed && !sim.mayFail(id) {
+				t.Fatalf("seed %d: job %s was given up", seed, id)
+			}
 			if !j.isFinal() && !j.spec.HasLongRunning() {
 				t.Fatalf("seed %d: job %s is not done: %s", seed, id, describe(sim, j))
 			}
--- a/internal/zone/dispatch/trial.go
+++ b/internal/zone/dispatch/trial.go
@@ -139,8 +139,8 @@
 	return nil
 }
 
-// The costs of a trial on a worker with runs that have not survived yet, and for each run that would be lost in a crash,
-// relative to the loss of all cores of a worker.
+// The costs of a trial on a worker with runs that have not survived yet, and for each run that would be lost in a
+// crash, relative to the loss of all cores of a worker.
 const (
 	freshRunsCost = 2
 	runCost       = 0.05
