Let long-running suspects that have waited share a worker on trial

A long-running task has to run again soon after its last end. The platform allows nine seconds. TestLongRunningSuspectsRunAgainSoon failed before.

After one second up to four of them now start on one worker, as long as a single crash is blamed on each. A crash there is blamed on all four without proving anything, and from then on each has a worker of its own. The simulated workers answer lease renewals at once; real ones may take two seconds for the first answer.

Tried and left out: the same for short tasks.

--- a/internal/zone/dispatch/crash_test.go
+++ b/internal/zone/dispatch/crash_test.go
@@ -391,3 +391,31 @@
 		}
 	})
 }
+
+// TestLongRunningSuspectsRunAgainSoon guards against long-running tasks that wait for each other's trials for longer
+// than the platform allows one to be away.
+func TestLongRunningSuspectsRunAgainSoon(t *testing.T) {
+	const maxAway = 9 * time.Second
+	Convey("One of three workers crashes right after the starts of most long-running tasks", t, func() {
+		sim := newSimulation(0, 3)
+		sim.renames = true
+		sim.run(300 * time.Millisecond)
+		step := newStep(1, 600, time.Second)
+		step.LongRunning = true
+		ids := sim.submitAll(1, 18, step)
+		sim.run(500 * time.Millisecond)
+		sim.crashAndReturn(slices.MaxFunc(sim.workers, func(a, b *simWorker) int { return len(a.runs) - len(b.runs) }))
+		sim.run(maxAway)
+		running := map[string]bool{}
+		for _, sw := range sim.workers {
+			for k := range sw.runs {
+				running[k.task] = true
+			}
+		}
+		for _, id := range ids {
+			So(running, ShouldContainKey, id+".0.0.0")
+		}
+		sim.run(10 * time.Second)
+		So(sim.leader.s.suspects, ShouldBeEmpty)
+	})
+}
--- a/internal/zone/dispatch/trial.go
+++ b/internal/zone/dispatch/trial.go
@@ -16,6 +16,10 @@
 	// maxTrialWait because of the trials of others.
 	maxTrialShare = 0.5
 	maxTrialWait  = 3 * time.Second
+	// maxLongRunningTrialWait is the same for long-running tasks, which have to run again soon. After that time up to
+	// maxSharedTrials of them are on trial on one worker, if no more than one crash is blamed on each.
+	maxLongRunningTrialWait = time.Second
+	maxSharedTrials         = 4
 	// maxRepeatShare is the share of the workers of a service that are used at once for trials of tasks that were the
 	// only suspect of a crash, and the same for two crashes: most of them crash their worker again.
 	maxRepeatShare = 0.125
@@ -108,7 +112,33 @@
 	if alone > 0 {
 		return repeated < max(1, int(maxRepeatShare*workers))
 	}
-	return trials < max(1, int(maxTrialShare*workers)) || now.Sub(u.waitsSince) >= maxTrialWait
+	return trials < max(1, int(maxTrialShare*workers)) || u.isOverdue(now)
+}
+
+// isOverdue reports whether the suspect has waited for long because of the trials of others.
+func (u *suspicion) isOverdue(now time.Time) bool {
+	limit := maxTrialWait
+	if u.task.step().LongRunning {
+		limit = maxLongRunningTrialWait
+	}
+	return !u.waitsSince.IsZero() && now.Sub(u.waitsSince) >= limit
+}
+
+// mayShare reports whether the suspect may be on trial on the same worker as another one.
+func (u *suspicion) mayShare() bool {
+	return u.task.step().LongRunning && len(u.crashes) <= 1 && u.alone() == 0
+}
+
+// admitsSuspect reports whether another suspect may be on trial beside those on the worker.
+func (s *Scheduler) admitsSuspect(w *Worker) bool {
+	return w.trials < maxSharedTrials && !slices.ContainsFunc(s.trials, func(tr *trial) bool {
+		return tr.isOn(w) && !tr.suspicion.mayShare()
+	})
+}
+
+// isOn reports whether the trial uses the worker.
+func (tr *trial) isOn(w *Worker) bool {
+	return slices.ContainsFunc(tr.members, func(m trialMember) bool { return m.worker == w })
 }
 
 // findTrialWorker returns the worker on which a crash costs least, nothing if none without a trial has room.
@@ -121,7 +151,7 @@
 		if !ok || w.hasNextRun(u.task) {
 			continue
 		}
-		if w.trials > 0 {
+		if w.trials > 0 && (!u.mayShare() || !u.isOverdue(now) || !s.admitsSuspect(w)) {
 			waits = true
 			continue
 		}
@@ -139,18 +169,19 @@
 	return nil
 }
 
-// The costs of a trial on a worker with runs that have not survived yet, and for each run that would be lost in a
-// crash, relative to the loss of all cores of a worker.
+// The costs of a trial on a worker for each other trial there, for runs that have not survived yet, and for each run that
+// would be lost in a crash, relative to the loss of all cores of the worker.
 const (
-	freshRunsCost = 2
-	runCost       = 0.05
+	otherTrialCost = 4
+	freshRunsCost  = 2
+	runCost        = 0.05
 	// scoreShareOfCost weighs the usual score of a worker against these.
 	scoreShareOfCost = 0.02
 )
 
 // trialCost returns what a trial on the worker costs if the worker crashes.
 func (s *Scheduler) trialCost(w *Worker) float64 {
-	cost := 0.0
+	cost := otherTrialCost * float64(w.trials)
 	fresh := false
 	for _, r := range w.runs {
 		fresh = fresh || !r.hasSurvived()
@@ -173,7 +204,11 @@
 		w.trials++
 		tr.members = append(tr.members, trialMember{tasks[i], w, w.Boot})
 	}
-	alone := tr.isAlone()
+	alone := s.isAlone(tr)
+	for _, w := range workers {
+		alone = alone && w.trials == 1
+	}
+	s.share(tr)
 	for _, w := range workers {
 		u.addPending(loss{Worker: w.ID, Boot: w.Boot, Address: w.Address, Run: tr.run, Alone: alone})
 	}
@@ -182,11 +217,26 @@
 	tr.batch = s.journal.recordCrashes(u.task.job())
 }
 
-// isAlone reports whether all other runs on the workers of the trial have survived.
-func (tr *trial) isAlone() bool {
+// share notes for the trials on the workers of a new one that their suspects aren't the only ones any more.
+func (s *Scheduler) share(added *trial) {
+	for _, tr := range s.trials {
+		if !slices.ContainsFunc(added.members, func(m trialMember) bool { return tr.isOn(m.worker) }) {
+			continue
+		}
+		for i := range tr.suspicion.pending {
+			if x := &tr.suspicion.pending[i]; x.Run == tr.run {
+				x.Alone = false
+			}
+		}
+		s.journal.recordCrashes(tr.suspicion.task.job())
+	}
+}
+
+// isAlone reports whether all runs on the workers of the trial have survived, apart from those on trial.
+func (s *Scheduler) isAlone(tr *trial) bool {
 	for _, m := range tr.members {
 		for _, r := range m.worker.runs {
-			if !r.hasSurvived() && r.task.suspectKey() != tr.suspicion.task {
+			if u := s.suspicionOf(r.task); !r.hasSurvived() && (u == nil || u.trial == nil || u.trial.run != r.number) {
 				return false
 			}
 		}
@@ -204,7 +254,7 @@
 		case tr.batch > s.journal.committed && now.Sub(tr.heldAt) >= maxTrialHold:
 			s.trialBarrier = max(s.trialBarrier, tr.batch)
 			s.endTrial(tr)
-		case tr.batch <= s.journal.committed && (tr.isAlone() || now.Sub(tr.heldAt) >= maxTrialHold):
+		case tr.batch <= s.journal.committed && (s.isAlone(tr) || now.Sub(tr.heldAt) >= maxTrialHold):
 			tr.started = true
 			tr.suspicion.waitsSince = time.Time{}
 			for _, m := range tr.members {
