Sort the runs of a worker only if suspects have survived there

No caller saw this. While any task is a suspect, each report sorted all runs of its worker, and hundreds of workers report within milliseconds.

--- a/internal/zone/dispatch/crash.go
+++ b/internal/zone/dispatch/crash.go
@@ -335,11 +335,16 @@
 	if len(s.suspects) == 0 {
 		return
 	}
-	for _, r := range s.runsOf(w) {
+	var survivors []*run
+	for _, r := range w.runs {
 		if s.suspicionOf(r.task) != nil && s.isSurvivor(r) {
-			s.acquit(r.task, "survived")
+			survivors = append(survivors, r)
 		}
 	}
+	sortRuns(survivors)
+	for _, r := range survivors {
+		s.acquit(r.task, "survived")
+	}
 }
 
 // isSurvivor reports whether the task of the run has survived its start, a gang with all members.
