Number restored tasks above their failed runs

What callers would see: nothing fails too early here; a task gets one attempt too many. A term has 64 run numbers. If a task uses more, the next term begins below the last one, and a run may get the number of an earlier failed run. Its failure then counts as a repeated report of that one, and the task is started after its attempts are used up (BUDGET). Cause: lastRun began at the term's base, whatever the progress record says. Ruled out: runs that a worker still lists; these raise lastRun. Not mended: a number that was used by a run which did not fail. The worker that had it refuses the start (old run), and a higher number follows. Test: TestFailureAfterManyRunsCounts failed before: number 65 for 66.

--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -386,6 +386,7 @@
 		if f[0] >= 0 && f[0] < len(o.stages) && f[1] >= 0 && f[1] < len(o.stages[f[0]].tasks) {
 			t := o.stages[f[0]].tasks[f[1]]
 			t.failedRuns = append(t.failedRuns, f[2])
+			t.lastRun = max(t.lastRun, f[2])
 			j.started = true
 		}
 	}
