--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -29,7 +29,9 @@
 	// acknowledgedDone holds the tasks whose end as done was acknowledged, done those that a worker has done.
 	acknowledgedDone map[string]bool
 	done             map[string]bool
-	failedRuns       map[string]int
+	// failedRuns counts the failed runs of each task, lostFailures those among them whose worker has restarted, or whose
+	// lease has expired, before their end was acknowledged: the platform doesn't count these.
+	failedRuns, lostFailures map[string]int
 	// cancelled holds the jobs whose cancellation is durable, with the time since when it is.
 	cancelled map[string]time.Time
 	// accepted holds the jobs whose acceptance is durable.
@@ -88,11 +90,13 @@
 	barredRuns   map[string]int
 	ended        []EndReport
 	serial       int64
-	down         bool
-	draining     bool
-	zone         string
-	capacity     fleet.Size
-	failsAll     bool
+	// lostSerial is that of the last end that loseFailures has counted.
+	lostSerial int64
+	down       bool
+	draining   bool
+	zone       string
+	capacity   fleet.Size
+	failsAll   bool
 	// address is where the worker listens. successor is the worker that has taken its place there under another ID.
 	address   string
 	successor *simWorker
@@ -133,6 +137,7 @@
 		cancelled: map[string]time.Time{},
 		accepted:  map[string]bool{},
 		deadly:    map[string]time.Duration{}, crashes: map[string]int{}, startsAfterCrashes: map[string]int{},
+		lostFailures: map[string]int{},
 		catalog: Catalog{Version: 1, Queues: map[string]Queue{
 			queueName: {Name: queueName, Service: "svc", Attempts: maxTaskAttempts, Slack: 2, Target: time.Second},
 		}},
@@ -257,6 +262,9 @@
 // runTasks advances the runs of a worker by the given time.
 func (sim *simulation) runTasks(sw *simWorker, tick time.Duration) {
 	expired := sw.clock(sim.now) > sw.leaseUntil
+	if expired {
+		sim.loseFailures(sw)
+	}
 	for _, k := range sw.keys() {
 		r := sw.runs[k]
 		r.remaining -= tick
@@ -278,6 +286,16 @@
 	}
 }
 
+// loseFailures counts the failed runs of a worker that are not acknowledged as lost.
+func (sim *simulation) loseFailures(sw *simWorker) {
+	for _, e := range sw.ended {
+		if e.Serial > sw.lostSerial && e.Reason == EndFailed {
+			sim.lostFailures[e.Task]++
+		}
+	}
+	sw.lostSerial = sw.serial
+}
+
 // end ends a run and lists its end.
 func (sw *simWorker) end(k runKey, r *simRun, reason EndReason) {
 	delete(sw.runs, k)
@@ -437,7 +455,7 @@
 			}
 		}
 	}
-	if !st.LongRunning && sim.failedRuns[o.Task] >= maxTaskAttempts {
+	if !st.LongRunning && sim.failedRuns[o.Task]-sim.lostFailures[o.Task] >= maxTaskAttempts {
 		sim.recordViolation("%s started after %d failures", o.Task, maxTaskAttempts)
 	}
 	if at, ok := sim.cancelled[id]; ok && sim.now.Sub(at) > 3*time.Second {
@@ -547,8 +565,9 @@
 		return
 	}
 	sw.down = true
+	sim.loseFailures(sw)
 	sw.runs, sw.ended, sw.barredRuns = map[runKey]*simRun{}, nil, map[string]int{}
-	sw.serial, sw.fencingToken, sw.leaseUntil = 0, 0, 0
+	sw.serial, sw.lostSerial, sw.fencingToken, sw.leaseUntil = 0, 0, 0, 0
 	sim.after(down, func() {
 		sw.down = false
 		sw.boot++
