Give the tasks of a replaced worker back at once

Callers whose tasks were on a worker that has crashed waited for its leases to lapse, 6.2 s after the last renewal, although the worker was back after three seconds: under another ID at the same address. After a change of leader all restored tasks waited for the report of such a worker, which can't come.

A worker that is listed for the first time at the address of one that started earlier now ends that one: one process at a time listens at an address. What is still on its way to the old one is answered by the new one as another boot. A start time that a step of the clock has put back leaves it at the leases.

--- /dev/null
+++ b/internal/zone/dispatch/replaced_test.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+)
+
+// TestReplacedWorkerGivesItsTasksBack guards against tasks that wait for the leases of a worker to lapse although another
+// one already listens at its address, and against restored tasks that wait for its report.
+func TestReplacedWorkerGivesItsTasksBack(t *testing.T) {
+	Convey("A worker with a task has crashed", t, func() {
+		now := simEpoch
+		s := newStopScheduler(now, 1)
+		s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: 1000})
+		submitStep(s, now, 1, newStep(1, 6000, time.Minute))
+		log := map[string]Record{}
+		commitTo(s, log)
+		o := s.Decide(now)[0]
+		s.HandleStartAnswer(now, o, AnswerDone, 1010)
+		now = now.Add(time.Second)
+		s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: 2000, Running: []RunReport{{Task: o.Task, Number: o.Run}}})
+		commitTo(s, log)
+		replacement := Registration{
+			ID: "new", Boot: 2, Service: "svc", Address: "w", Capacity: fleet.Size{Cores: 8000, Memory: 8000},
+		}
+		appear := func(s *Scheduler) {
+			s.SetWorker(now, replacement)
+			s.HandleReport(now, Report{Worker: "new", Boot: 2, Clock: 1})
+			commitAll(s)
+		}
+		_, renews := s.PlanRenewal(now, "w")
+		So(renews, ShouldBeTrue)
+		now = now.Add(3 * time.Second)
+		s.HandleRenewalFailure(now, "w")
+		Convey("and another one listens at its address: the task starts there at once", func() {
+			So(startsOf(s, now), ShouldEqual, 0)
+			appear(s)
+			So(startsOf(s, now), ShouldEqual, 1)
+		})
+		Convey("and one of an earlier start is listed at its address: the task waits", func() {
+			replacement.Boot = 0
+			s.SetWorker(now, replacement)
+			s.HandleReport(now, Report{Worker: "new", Clock: 1})
+			commitAll(s)
+			So(startsOf(s, now), ShouldEqual, 0)
+		})
+		Convey("and another host leads: the task starts once another worker listens at the address", func() {
+			next := New(testLimits(), 2, 2)
+			next.SetCatalog(s.catalog)
+			next.Restore(now, now, slices.Collect(maps.Values(log)), now)
+			So(next.Summary().Unaccounted, ShouldEqual, 1)
+			appear(next)
+			So(next.Summary().Unaccounted, ShouldEqual, 0)
+			So(startsOf(next, now), ShouldEqual, 1)
+		})
+	})
+}
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -246,6 +246,7 @@
 		s.workers[r.ID] = w
 		s.indexWorker(w)
 		s.recordEvent(Event{Kind: "worker listed", Worker: r.ID, Reason: r.Zone})
+		s.endReplaced(now, w)
 	}
 	if w.Service != r.Service {
 		s.unindexWorker(w)
@@ -482,33 +483,51 @@
 	}
 	slices.SortFunc(ended, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
 	for _, w := range ended {
-		id := w.ID
-		w.leasesExpired = true
-		s.loseRuns(now, w, "lease lapsed")
-		delete(s.unaccounted, id)
-		if w.recordBatch != 0 {
-			w.recordBatch = 0
-			s.deleteWorkerRecords(id)
-		}
-		s.forgetWorker(w)
+		s.endWorker(now, w, "lease lapsed")
 	}
 	if len(s.unaccounted) > 0 && now.After(s.accountingDeadline) {
 		for id := range s.unaccounted {
 			s.recordEvent(Event{
 				Kind: "worker given up", Worker: id, Reason: "no answer in this term and leases lapsed",
 			})
-			delete(s.unaccounted, id)
 			if w := s.workers[id]; w != nil {
-				w.leasesExpired = true
-				s.loseRuns(now, w, "lease lapsed")
-				w.recordBatch = 0
-				s.forgetWorker(w)
+				s.endWorker(now, w, "lease lapsed")
+				continue
 			}
+			delete(s.unaccounted, id)
 			s.deleteWorkerRecords(id)
 		}
 	}
 }
 
+// endWorker takes back the tasks of a worker on which certainly nothing runs any more.
+func (s *Scheduler) endWorker(now time.Time, w *Worker, reason string) {
+	_, isUnaccounted := s.unaccounted[w.ID]
+	w.leasesExpired = true
+	s.loseRuns(now, w, reason)
+	delete(s.unaccounted, w.ID)
+	if w.recordBatch != 0 || isUnaccounted {
+		w.recordBatch = 0
+		s.deleteWorkerRecords(w.ID)
+	}
+	s.forgetWorker(w)
+}
+
+// endReplaced ends the workers whose address a new one has taken. One process at a time listens at an address, so that
+// those of an earlier start have ended. Their leases would lapse only seconds later.
+func (s *Scheduler) endReplaced(now time.Time, replacement *Worker) {
+	var ended []*Worker
+	for _, w := range s.workers {
+		if w != replacement && w.Address == replacement.Address && w.Boot < replacement.Boot && !w.leasesExpired {
+			ended = append(ended, w)
+		}
+	}
+	slices.SortFunc(ended, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
+	for _, w := range ended {
+		s.endWorker(now, w, "another worker at its address")
+	}
+}
+
 // allWorkersAccounted reports whether it is known where the tasks of earlier terms run.
 func (s *Scheduler) allWorkersAccounted() bool { return len(s.unaccounted) == 0 }
 
