Return a forwarded keyed request that finds no free slot

What callers saw: a new key that was forwarded to a peer was answered after 2 s with not_run, closed, no_worker, although another peer had free slots, or the host itself had some again.

Cause: the state of a peer is that of the last sync, so a request may come to a peer that has just released its workers or filled its slots. A forwarded request is not forwarded again. The peer waited for a slot of its own, which a host that is preferred for no worker does not get, and closed the key.

Ruled out: the wait of requests at the host that received them.

Evidence: TestKeyForwardedToPeerWithoutSlot gives a host an old state of a peer that reaches no worker, while a host of another zone has free slots.

Why it works: the sender asks for the request back with ReturnIfNoSlot. The peer returns it only if its key is unused, and has written nothing for it, so the sender is where it was and goes on waiting, here or for another peer. It counts the peer as full until the next sync. After three returns, or when the time to wait for a slot is over, it forwards without ReturnIfNoSlot, so a key is still closed in time under overload. A host of an older build ignores the field.

--- a/internal/host/node/keyed_request.go
+++ b/internal/host/node/keyed_request.go
@@ -22,6 +22,8 @@
 	// maxSlotWait is the longest time for which a keyed request waits for a free slot: slots are free again within
 	// moments, also when workers change their holder. It waits no longer than half of its time.
 	maxSlotWait = 2 * time.Second
+	// maxReturns is how often peers without a free slot may return a keyed request.
+	maxReturns = 3
 	// replyMargin is how long before the caller's deadline the request ends here, so that the reply arrives in time.
 	replyMargin = 50 * time.Millisecond
 )
@@ -55,37 +57,57 @@
 }
 
 // serveKeyed runs a request with a key of a caller, here or at a peer. While it waits for a slot here, it goes to a peer
-// as soon as one is known to have a free slot, since this host may hold no worker for long.
+// as soon as one is known to have a free slot, since this host may hold no worker for long. A peer without a free slot
+// returns it, up to maxReturns times while it may wait for one.
 func (n *Node) serveKeyed(ctx context.Context, now time.Time, r caller.Request) outcome.Reply {
-	address := n.peerForKey(now, r.Key)
-	if address == "" {
-		reply, decided := n.runKeyed(ctx, now, r, func() bool {
-			address = n.peerForKey(time.Now(), r.Key)
-			return address != ""
-		})
-		if decided {
+	slotWaitEnd := now.Add(n.slotWait(ctx, now))
+	for returns := 0; ; returns++ {
+		now = time.Now()
+		address := n.peerForKey(now, r.Key)
+		if address == "" {
+			reply, decided := n.runKeyed(ctx, now, r, max(slotWaitEnd.Sub(now), 0), func() bool {
+				address = n.peerForKey(time.Now(), r.Key)
+				return address != ""
+			})
+			if decided {
+				return reply
+			}
+		}
+		mayReturn := returns < maxReturns && time.Now().Before(slotWaitEnd)
+		reply, returned := n.forwardKeyed(ctx, address, r, mayReturn)
+		if !returned {
 			return reply
 		}
+		n.peers.markWithoutSlots(address)
 	}
-	return n.forwardKeyed(ctx, address, r)
 }
 
-// runKeyed runs a request with a key, which must be executed at most once, until its reply is decided. While the request
-// waits for a slot, runKeyed calls giveUp and returns false if it reports true.
-func (n *Node) runKeyed(
-	ctx context.Context, now time.Time, r caller.Request, giveUp func() bool,
-) (outcome.Reply, bool) {
+// keyedDeadline returns when the reply to a keyed request must be decided.
+func (n *Node) keyedDeadline(ctx context.Context, now time.Time) time.Time {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = now.Add(n.cfg.Limits.DefaultDeadline)
 	}
-	deadline = deadline.Add(-replyMargin)
+	return deadline.Add(-replyMargin)
+}
+
+// slotWait returns how long a keyed request that arrived at now waits for a free slot.
+func (n *Node) slotWait(ctx context.Context, now time.Time) time.Duration {
+	return min(maxSlotWait, n.keyedDeadline(ctx, now).Sub(now)/2)
+}
+
+// runKeyed runs a request with a key, which must be executed at most once, until its reply is decided. While the request
+// waits for a slot, for at most slotWait, runKeyed calls giveUp and returns false if it reports true.
+func (n *Node) runKeyed(
+	ctx context.Context, now time.Time, r caller.Request, slotWait time.Duration, giveUp func() bool,
+) (outcome.Reply, bool) {
+	deadline := n.keyedDeadline(ctx, now)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	k := &keyedRequest{n: n, ctx: ctx, req: r, msgs: make(chan intent.Msg, 64)}
 	k.flow = intent.NewFlow(intent.Request{
 		Key: r.Key, Digest: requestDigest(r.Class, r.Team, r.Body), Class: r.Class, Zone: n.cfg.Zone, Host: n.cfg.Host,
-		Deadline: deadline, PollInterval: lookupPeriod, SlotWait: min(maxSlotWait, deadline.Sub(now)/2),
+		Deadline: deadline, PollInterval: lookupPeriod, SlotWait: slotWait,
 	})
 	wake := n.watchKey(r.Key)
 	defer n.unwatchKey(r.Key, wake)
@@ -371,21 +393,25 @@
 }
 
 // forwardKeyed forwards a keyed request to a peer that peerForKey chose. If the peer does not answer, or its answer is
-// damaged or belongs to another request, the outcome is unknown and the caller must send the same key again.
-func (n *Node) forwardKeyed(ctx context.Context, addr string, r caller.Request) outcome.Reply {
+// damaged or belongs to another request, the outcome is unknown and the caller must send the same key again. It returns
+// true instead of a reply if mayReturn is set and the peer has returned the request.
+func (n *Node) forwardKeyed(
+	ctx context.Context, addr string, r caller.Request, mayReturn bool,
+) (reply outcome.Reply, returned bool) {
 	deadline, _ := ctx.Deadline()
 	defer n.peers.countForwarded(addr)()
 	rep, err := n.peerClient.Forward(ctx, addr, peer.ForwardRequest{
 		RequestID: r.Key, Class: r.Class, Team: r.Team, Key: r.Key, Body: r.Body, TimeLeft: time.Until(deadline),
+		ReturnIfNoSlot: mayReturn,
 	})
 	if err != nil {
 		n.peers.markUnresponsive(addr)
 		return outcome.UnknownReply(outcome.ReasonPeer,
-			"the host that ran the request did not answer; send the same key again")
+			"the host that ran the request did not answer; send the same key again"), false
 	}
 	if rep.RequestID != r.Key || xxhash.Sum64(rep.Reply.Body) != rep.Digest {
 		return outcome.UnknownReply(outcome.ReasonPeer,
-			"the answer was crossed or damaged on its way; send the same key again")
+			"the answer was crossed or damaged on its way; send the same key again"), false
 	}
-	return rep.Reply
+	return rep.Reply, rep.Returned && mayReturn
 }
--- a/internal/host/node/peers.go
+++ b/internal/host/node/peers.go
@@ -111,6 +111,15 @@
 	v.state, v.stateAt, v.forwarded, v.unresponsive = s, sentAt, 0, false
 }
 
+// markWithoutSlots records that a peer has no free slot, until it answers a sync.
+func (p *peersView) markWithoutSlots(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if v := p.known[address]; v != nil {
+		v.state.FreeSlots = 0
+	}
+}
+
 // markUnresponsive records that a message to a peer got no answer.
 func (p *peersView) markUnresponsive(address string) {
 	p.mu.Lock()
--- a/internal/host/node/request.go
+++ b/internal/host/node/request.go
@@ -16,6 +16,7 @@
 	"sassafraswind.example/sassafraswind/internal/request/attempt"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 	"sassafraswind.example/sassafraswind/internal/work/config"
+	"sassafraswind.example/sassafraswind/internal/work/intent"
 	"sassafraswind.example/sassafraswind/internal/zone/policy"
 )
 
@@ -331,12 +332,17 @@
 	defer cancel()
 	req := caller.Request{Class: r.Class, Team: r.Team, Key: r.Key, Body: r.Body}
 	var reply outcome.Reply
+	decided := true
 	if r.Key != "" {
-		reply, _ = n.runKeyed(ctx, now, req, func() bool { return false })
+		reply, decided = n.runKeyed(ctx, now, req, n.slotWait(ctx, now), func() bool {
+			return r.ReturnIfNoSlot && n.keyStatus(r.Key).State == intent.StateNone
+		})
 	} else {
 		reply, _ = n.runIdempotent(ctx, now, req, r.RequestID, r.AttemptOffset, true)
 	}
-	return peer.ForwardReply{Reply: reply, RequestID: r.RequestID, Digest: xxhash.Sum64(reply.Body)}, nil
+	return peer.ForwardReply{
+		Reply: reply, RequestID: r.RequestID, Digest: xxhash.Sum64(reply.Body), Returned: !decided,
+	}, nil
 }
 
 // percentiles returns the 95th and 99th percentile of the samples, of which there must be at least one.
--- a/internal/host/node/request_faults_test.go
+++ b/internal/host/node/request_faults_test.go
@@ -68,6 +68,34 @@
 	p.checkNoViolations()
 }
 
+// Guards against a key that is closed at a peer that has lost its workers since its last sync, although another peer has
+// a free slot.
+func TestKeyForwardedToPeerWithoutSlot(t *testing.T) {
+	t.Parallel()
+	p := newTestPlatform(t, 2, 2)
+	cutWorkers := func(_ *settings.Settings, clients *Platform) {
+		clients.Fleet.(fleetLink).setFaults(func(f *linkFaults) { f.CutWorkers = true })
+	}
+	b := p.start("b-1", "b")
+	a1, a2 := p.start("a-1", "a", cutWorkers), p.start("a-2", "a", cutWorkers)
+	p.declareClasses(b, a1, a2)
+	for range 3 {
+		// The state of a-1 that a-2 has is of the time before a-1 lost its workers, until the next sync.
+		a2.peers.mu.Lock()
+		for _, v := range a2.peers.known {
+			if v.state.Host == a1.id {
+				v.state.FreeSlots = 8
+			}
+		}
+		a2.peers.mu.Unlock()
+		body, _ := p.newBody(5 * time.Millisecond)
+		if r := p.request(a2, "quote", newKey(), body, 5*time.Second); r.Outcome != outcome.Done {
+			t.Errorf("the request did not end with the outcome done: %+v", r)
+		}
+	}
+	p.checkNoViolations()
+}
+
 // Guards against tasks that are started in a zone more than 5 s after it was taken out, while the log is slow.
 func TestZoneTakenOutWhileTasksStartAndLogIsSlow(t *testing.T) {
 	t.Parallel()
--- a/internal/host/peer/message.go
+++ b/internal/host/peer/message.go
@@ -56,6 +56,9 @@
 	// AttemptOffset is one less than the number of the first attempt, so that attempts of different hosts have
 	// different numbers.
 	AttemptOffset int `msgpack:"base,omitempty"`
+	// ReturnIfNoSlot asks the receiver to return a request with an unused key at once if it has no free slot, rather than
+	// to wait for one and then close the key.
+	ReturnIfNoSlot bool `msgpack:"return,omitempty"`
 }
 
 // ForwardReply is the reply to a ForwardRequest.
@@ -65,6 +68,9 @@
 	Reply     outcome.Reply `msgpack:"reply"`
 	// Digest is the xxhash64 of the reply's body.
 	Digest uint64 `msgpack:"digest"`
+	// Returned is set if the request was returned because of ReturnIfNoSlot. Nothing was written for its key, and there is
+	// no Reply.
+	Returned bool `msgpack:"returned,omitempty"`
 }
 
 // JobAction is the action that a JobRequest asks for.
