Close the idle connections to a peer after a timeout

What callers would see: after something between two hosts has lost track of their connections, each idle one in the pool costs the call that uses it: a forwarded request whose outcome is then unknown, or a ping.

Cause: the call that timed out closed its own connection only.

Ruled out: that the calls after the first one failed on a connection of their own; new connections work in the test.

Evidence: TestCallAfterSilentConnections silences three idle connections.

Why it works: a call whose deadline has passed empties the pool of that peer, so the next one dials. A cancelled call does not, as it says nothing of the connections.

--- a/internal/host/peer/peer.go
+++ b/internal/host/peer/peer.go
@@ -210,12 +210,23 @@
 	err := conn.Invoke(ctx, method, enc, req, rep)
 	if err != nil || ctx.Err() != nil {
 		_ = conn.Close()
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.closeIdle(addr)
+		}
 		return errors.Wrapf(err, "peer: %s to %s", method, addr)
 	}
 	c.pool.Put(addr, conn)
 	return nil
 }
 
+// closeIdle closes the idle connections to a peer. It is called after a timeout: connections tend to stop responding
+// together, and each of them would cost the call that uses it.
+func (c *Client) closeIdle(addr string) {
+	for conn, ok := c.pool.Take(addr); ok; conn, ok = c.pool.Take(addr) {
+		_ = conn.Close()
+	}
+}
+
 // dial opens a connection to a peer.
 func dial(ctx context.Context, addr string) (*drpcconn.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
--- a/internal/host/peer/reuse_test.go
+++ b/internal/host/peer/reuse_test.go
@@ -112,3 +112,82 @@
 		})
 	})
 }
+
+// silenceableConn is a connection whose received data is discarded once silent is set.
+type silenceableConn struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c silenceableConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// silenceableListener is a listener whose present connections can be silenced, while new ones work.
+type silenceableListener struct {
+	net.Listener
+	mu     sync.Mutex
+	silent []*atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *silenceableListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	silent := &atomic.Bool{}
+	l.silent = append(l.silent, silent)
+	return silenceableConn{c, silent}, nil
+}
+
+// Guards against a call that fails for each idle connection when all connections to a peer have gone silent.
+func TestCallAfterSilentConnections(t *testing.T) {
+	Convey("With a client that has three idle connections to a peer", t, func() {
+		in, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		l := &silenceableListener{Listener: in}
+		var arrived sync.WaitGroup
+		arrived.Add(3)
+		_, stop := ServeRoutes(l, Routes{
+			"/echo": UnaryHandler(func(_ context.Context, s string) (string, error) { return s, nil }),
+			"/meet": UnaryHandler(func(_ context.Context, s string) (string, error) {
+				arrived.Done()
+				arrived.Wait()
+				return s, nil
+			}),
+		}, func(error) {})
+		defer stop()
+		c, closeClient := NewClient()
+		defer closeClient()
+		call := func(method string, limit time.Duration) error {
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			_, err := Invoke[string, string](ctx, c, in.Addr().String(), method, "x")
+			return err
+		}
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() { _ = call("/meet", 5*time.Second) })
+		}
+		wg.Wait()
+		Convey("one call fails after all went silent, and the next one succeeds", func() {
+			l.mu.Lock()
+			So(len(l.silent), ShouldEqual, 3)
+			for _, s := range l.silent {
+				s.Store(true)
+			}
+			l.mu.Unlock()
+			So(call("/echo", 200*time.Millisecond), ShouldNotBeNil)
+			So(call("/echo", 2*time.Second), ShouldBeNil)
+		})
+	})
+}
