--- a/internal/zone/dispatch/advice_test.go
+++ b/internal/zone/dispatch/advice_test.go
@@ -47,7 +47,7 @@
 					running[o.Worker] = []RunReport{{Task: o.Task, Number: o.Run, Progress: 100}}
 					continue
 				}
-				var tickets []AdviceTicket
+				tickets := make([]AdviceTicket, 0, len(o.Candidates))
 				for _, id := range o.Candidates {
 					tickets = append(tickets, AdviceTicket{Worker: id, Ticket: "ticket"})
 				}
--- a/internal/zone/dispatch/health_test.go
+++ b/internal/zone/dispatch/health_test.go
@@ -121,7 +121,7 @@
 				}
 				s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: clock, Ended: ended})
 				commitAll(s)
-				ended = nil
+				ended = ended[:0]
 				for _, o := range s.Decide(now) {
 					s.HandleStartAnswer(now, o, AnswerDone, clock)
 					reason := EndFailed
