Keep the delays before a first start from adding up

Callers would see a long-running task that doesn't start for the first time although there is room for two of its kind (LOST allows three seconds; the six seconds after the last run are for tasks that have one).

Cause: such a task waited for maxAvoidance, three seconds, before it took a suspected or slow worker, and only from then on the free room on that worker counted as left by short tasks, for another 2.2 s. On reserved room the delays added up to 4.4 s.

The free room is now counted from the start, also on workers that the task avoids (not for the start without a delay, which needs open room), and maxAvoidance is twoSlotsDelay, so that a scan and a start fit into three seconds.

Evidence: TestFirstStartIsNotAvoidedForLong failed before in five of six cases (only reserved room without short tasks held).

--- a/internal/zone/dispatch/overdue.go
+++ b/internal/zone/dispatch/overdue.go
@@ -7,8 +7,9 @@
 // maxAvoidance in all is overdue, and none of them holds it back any longer.
 
 // maxAvoidance is how long a long-running task waits for a sound worker before it takes any one with room. The platform
-// takes a long-running task for lost that waits for three seconds more while there is room.
-const maxAvoidance = 3 * time.Second
+// allows a task that has not run yet to wait for three seconds while there is room for two of its kind. The delay leaves
+// time for a scan and a start.
+const maxAvoidance = twoSlotsDelay
 
 // isOverdue reports whether the task is a long-running one that has waited for maxAvoidance.
 func (t *task) isOverdue(now time.Time) bool {
--- a/internal/zone/dispatch/overdue_test.go
+++ b/internal/zone/dispatch/overdue_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -135,3 +136,42 @@
 		}
 	})
 }
+
+// TestFirstStartIsNotAvoidedForLong guards against a long-running task that has not run yet and waits first for a sound
+// worker and then for the free room that it leaves to short tasks.
+func TestFirstStartIsNotAvoidedForLong(t *testing.T) {
+	const maxFirstWait = 3 * time.Second
+	Convey("A long-running task starts for the first time on the only worker with room although", t, func() {
+		now, clock := simEpoch, int64(1000)
+		s := newStopScheduler(now, 1)
+		w := s.workers["w"]
+		step := newStep(1, 3000, 0)
+		step.LongRunning, step.MaxUnavailable = true, -1
+		s.Submit(now, Request{
+			ID: jobID(1), Queue: queueName, Spec: workflow.Spec{Steps: []workflow.Step{step}}, WallTime: now,
+		})
+		startsInTime := func(demand float64, avoid func()) {
+			for startsOf(s, now) == 0 {
+				now, clock = now.Add(50*time.Millisecond), clock+50
+				So(now.Sub(simEpoch), ShouldBeLessThan, maxFirstWait)
+				avoid()
+				s.shortDemand = map[string]float64{"svc": demand}
+				s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: clock})
+				commitAll(s)
+			}
+		}
+		for _, demand := range []float64{0, 10000} {
+			Convey("it is suspected, with short demand "+strconv.Itoa(int(demand)), func() {
+				startsInTime(demand, func() {
+					w.health.consecutiveFailures, w.health.failedAt, w.health.suspectUntil = suspectFailures, now, now.Add(suspectPeriod)
+				})
+			})
+			Convey("it is slow, with short demand "+strconv.Itoa(int(demand)), func() {
+				startsInTime(demand, func() { w.health.slowUntil = now.Add(slowPause) })
+			})
+			Convey("it is reserved, with short demand "+strconv.Itoa(int(demand)), func() {
+				startsInTime(demand, func() { w.reservedUntil = now.Add(reclaimReservation) })
+			})
+		}
+	})
+}
--- a/internal/zone/dispatch/placement.go
+++ b/internal/zone/dispatch/placement.go
@@ -70,17 +70,20 @@
 	return best
 }
 
-// isEligible reports whether the task may run on the worker, regardless of room.
+// isEligible reports whether the task may start on the worker now, regardless of room.
 func (s *Scheduler) isEligible(now time.Time, t *task, w *Worker) bool {
-	step := t.step()
-	if !w.isUsable() || len(w.unknownRuns) > 0 || s.catalog.Evacuated[w.Zone] ||
-		w.recordBatch == 0 || w.recordBatch > s.journal.committed {
-		return false
-	}
 	if w.trials > 0 && s.suspicionOf(t) == nil {
 		return false
 	}
-	if !w.mayStart(now, t) || w.isReservedFrom(now, t) {
+	return s.isSuitable(now, t, w) && w.mayStart(now, t) && !w.isReservedFrom(now, t)
+}
+
+// isSuitable reports whether the task may run on the worker, regardless of room and of the rules that keep it away for a
+// while.
+func (s *Scheduler) isSuitable(now time.Time, t *task, w *Worker) bool {
+	step := t.step()
+	if !w.isUsable() || len(w.unknownRuns) > 0 || s.catalog.Evacuated[w.Zone] ||
+		w.recordBatch == 0 || w.recordBatch > s.journal.committed {
 		return false
 	}
 	if step.Label != "" && !w.hasLabel(step.Label) {
--- a/internal/zone/dispatch/reserve.go
+++ b/internal/zone/dispatch/reserve.go
@@ -91,20 +91,25 @@
 	free.checkedAt = now
 	size := t.step().Size
 	enough := 2 + int(freeRoomFactor*demand/float64(max(1, size.Cores)))
-	slots := 0
+	// The delays run while the task is kept away from a worker, so that both don't add up.
+	slots, open := 0, 0
 	for _, w := range s.byService[t.job().service] {
-		if !w.fits(size) || !s.isEligible(now, t, w) {
+		if !w.fits(size) || !s.isSuitable(now, t, w) {
 			continue
 		}
-		slots++
+		n := 1
 		if w.fits(size.Add(size)) {
-			slots++
+			n++
 		}
-		if slots >= enough {
+		slots += n
+		if w.mayStart(now, t) && !w.isReservedFrom(now, t) {
+			open += n
+		}
+		if open >= enough {
 			break
 		}
 	}
-	free.plenty = slots >= enough
+	free.plenty = open >= enough
 	free.oneSince = conditionSince(free.oneSince, now, slots > 0)
 	free.twoSince = conditionSince(free.twoSince, now, slots > 1)
 }
