Test parts of the end of a suspicion that no test noticed

A review changed the code in seventeen ways; with nine of them all tests of the package still passed. Six are covered now: - an older run that is at work ends the suspicion; a probe counts as at work at once - an open probe keeps tasks away for ever; a best-effort probe keeps long-running tasks away - an overdue task doesn't prefer sound workers - the failed placement of a long-running task rules out short ones

The check that the second task waits for the probe is stricter: it looks after a full scan, not at once.

Three change nothing that a caller sees: an overdue task that ignores the pause after a failure (the wait begins anew with a failure), or the request for a ticket (no worker is eligible without one), or that is compared with the workers twice.

--- a/internal/zone/dispatch/health_test.go
+++ b/internal/zone/dispatch/health_test.go
@@ -70,6 +70,11 @@
 			sc.now = sc.now.Add(maxAvoidance - time.Millisecond)
 			So(sc.start(), ShouldEqual, 0)
 		})
+		Convey("stays suspected while only a task that was started before the failures is at work", func() {
+			sc.now = sc.now.Add(2 * minReadyTime)
+			sc.report()
+			So(sc.s.workers["w"].health.consecutiveFailures, ShouldEqual, suspectFailures)
+		})
 		Convey("gets no short task for suspectPeriod", func() {
 			sc.s.Submit(sc.now, Request{
 				ID: jobID(2), Queue: queueName, Spec: workflow.Spec{Steps: []workflow.Step{newStep(1, 1000, time.Second)}},
@@ -86,9 +91,11 @@
 			So(sc.start(), ShouldEqual, 0)
 			So(sc.running[1].Task, ShouldStartWith, jobID(1))
 			Convey("and gets others once the probe is at work", func() {
+				sc.report()
+				sc.now = sc.now.Add(fullScanInterval)
 				sc.report()
 				So(sc.start(), ShouldEqual, 0)
-				sc.now = sc.now.Add(minReadyTime + time.Millisecond)
+				sc.now = sc.now.Add(minReadyTime)
 				sc.report()
 				So(sc.start(), ShouldEqual, 1)
 			})
@@ -139,3 +146,31 @@
 		}
 	})
 }
+
+// TestOpenProbeDoesNotBlockForEver guards against a suspected worker that gets no task because a probe on it never ends.
+func TestOpenProbeDoesNotBlockForEver(t *testing.T) {
+	newTask := func(step workflow.Step) *task {
+		j := &Job{spec: workflow.Spec{Steps: []workflow.Step{step}}}
+		return &task{name: "probe", stage: &stage{occurrence: &occurrence{job: j}}}
+	}
+	short, longRunning, bestEffort := newStep(1, 1000, time.Second), newStep(1, 1000, 0), newStep(1, 1000, time.Second)
+	longRunning.LongRunning, bestEffort.BestEffort = true, true
+	probedBy := func(step workflow.Step) *Worker {
+		w := &Worker{runs: map[runKey]*run{}}
+		w.addRun(&run{task: newTask(step), worker: w, startedAt: simEpoch})
+		return w
+	}
+	Convey("A probe keeps other tasks away for suspectPeriod", t, func() {
+		for _, step := range []workflow.Step{short, longRunning} {
+			for _, waiting := range []workflow.Step{short, longRunning} {
+				w := probedBy(step)
+				So(w.hasProbe(simEpoch.Add(suspectPeriod-time.Millisecond), newTask(waiting)), ShouldBeTrue)
+				So(w.hasProbe(simEpoch.Add(suspectPeriod), newTask(waiting)), ShouldBeFalse)
+			}
+		}
+	})
+	Convey("A best-effort probe keeps no long-running task away", t, func() {
+		So(probedBy(bestEffort).hasProbe(simEpoch, newTask(short)), ShouldBeTrue)
+		So(probedBy(bestEffort).hasProbe(simEpoch, newTask(longRunning)), ShouldBeFalse)
+	})
+}
--- a/internal/zone/dispatch/overdue_test.go
+++ b/internal/zone/dispatch/overdue_test.go
@@ -175,3 +175,45 @@
 		}
 	})
 }
+
+// TestOverdueTaskPrefersSoundWorkers guards against overdue tasks that go to failing workers while others have room.
+func TestOverdueTaskPrefersSoundWorkers(t *testing.T) {
+	Convey("An overdue task takes a sound worker although a suspected one fits more tightly", t, func() {
+		s := newStopScheduler(simEpoch, 1)
+		s.SetWorker(simEpoch, Registration{
+			ID: "suspected", Boot: 1, Service: "svc", Address: "v", Capacity: fleet.Size{Cores: 6000, Memory: 8000},
+		})
+		step := newStep(1, 6000, 0)
+		step.LongRunning, step.MaxUnavailable = true, -1
+		s.Submit(simEpoch, Request{
+			ID: jobID(1), Queue: queueName, Spec: workflow.Spec{Steps: []workflow.Step{step}}, WallTime: simEpoch,
+		})
+		for _, id := range s.WorkerIDs() {
+			s.HandleReport(simEpoch, Report{Worker: id, Boot: 1, Clock: 1000})
+		}
+		commitAll(s)
+		task := s.findTask(jobID(1) + ".0.0.0")
+		So(s.findWorker(simEpoch, task, nil).ID, ShouldEqual, "suspected")
+		h := &s.workers["suspected"].health
+		h.consecutiveFailures, h.failedAt, h.suspectUntil = suspectFailures, simEpoch, simEpoch.Add(suspectPeriod)
+		So(s.findWorker(simEpoch.Add(maxAvoidance), task, nil).ID, ShouldEqual, "w")
+	})
+}
+
+// TestFailedLongRunningPlacementSaysNothingOfOthers guards against short tasks that aren't tried because a smaller
+// long-running one found no room that it may take.
+func TestFailedLongRunningPlacementSaysNothingOfOthers(t *testing.T) {
+	Convey("A failed placement implies that larger ones fail", t, func() {
+		small, large := fleet.Size{Cores: 1000}, fleet.Size{Cores: 2000}
+		short, longRunning := failedPlacement{size: small}, failedPlacement{size: small, longRunning: true}
+		So(short.implies(failedPlacement{size: large}), ShouldBeTrue)
+		So(short.implies(failedPlacement{size: large, longRunning: true}), ShouldBeTrue)
+		So(longRunning.implies(failedPlacement{size: large, longRunning: true}), ShouldBeTrue)
+		Convey("but that of a long-running task only for its kind", func() {
+			So(longRunning.implies(failedPlacement{size: large}), ShouldBeFalse)
+		})
+		Convey("and not that smaller ones do", func() {
+			So(failedPlacement{size: large}.implies(short), ShouldBeFalse)
+		})
+	})
+}
