Count crashes of tasks that strike some seconds after their start

Callers would see a submission that is never done and never failed, and innocent ones as failed: a task that crashes its worker later than half a second after its start survived each trial and was cleared, and the blame fell on whatever had just started beside it. TestLateDeadlyTaskIsGivenUp (one second) failed before: "started 3 times after 3 crashes".

A run that was lost within five seconds of its start is now blamed late. That alone changes nothing; a task that was lost so twice in a row is a suspect, and its trial lasts five seconds. A late run with a crash held against it makes a trial beside it no proof, once, and trials avoid workers with such runs.

It changes nothing where tasks are short. A task that strikes later than five seconds after its start is still not counted.

Tried and left out: blaming late runs only if no other had just started.

--- a/internal/zone/dispatch/crash.go
+++ b/internal/zone/dispatch/crash.go
@@ -12,10 +12,17 @@
 // on the runs that had just started there. A blamed task is a suspect until it has survived a start: it starts apart
 // from others, see trial.go, so that the next crash shows which task causes it. A task that goes on crashing its
 // workers is given up together with its job.
+//
+// A task may also crash its worker some seconds after its start. Its neighbours are blamed first, and are cleared. So a
+// task that was lost to two crashes in a row within seconds of its starts is a suspect as well.
 
 const (
 	// survivalPeriod is how long a run must have been on its worker, by the worker's clock, to be innocent of a crash.
 	survivalPeriod = 500 * time.Millisecond
+	// lateSurvivalPeriod is the same for a run of a task on which a late crash is blamed.
+	lateSurvivalPeriod = 5 * time.Second
+	// minLateCrashes is the number of late crashes blamed on a task after which it is a suspect.
+	minLateCrashes = 2
 	// minCrashes is the number of crashes blamed on a task after which its job fails if the task was the only suspect of
 	// minCrashesAlone of them.
 	minCrashes, minCrashesAlone = 3, 2
@@ -37,8 +44,8 @@
 	Boot    int64
 	Address string
 	Run     int
-	// Alone is set if no other run can have crashed the worker.
-	Alone bool
+	// Alone is set if no other run can have crashed the worker, Late if the run had survived for survivalPeriod.
+	Alone, Late bool
 }
 
 // bootID returns the boot that had the run.
@@ -68,6 +75,23 @@
 	return n
 }
 
+// late returns the number of late crashes.
+func (u *suspicion) late() int {
+	n := 0
+	for _, x := range u.crashes {
+		if x.Late {
+			n++
+		}
+	}
+	return n
+}
+
+// isSuspect reports whether the task starts on trial.
+func (u *suspicion) isSuspect() bool {
+	late := u.late()
+	return late >= minLateCrashes || len(u.crashes) > late
+}
+
 // isProven reports whether the task is to be given up.
 func (u *suspicion) isProven() bool {
 	return len(u.crashes) >= maxCrashes || (len(u.crashes) >= minCrashes && u.alone() >= minCrashesAlone)
@@ -98,7 +122,7 @@
 	return t
 }
 
-// suspicionOf returns the suspicion against a task, nil if there is none.
+// suspicionOf returns what is held against a task, nil if there is nothing.
 func (s *Scheduler) suspicionOf(t *task) *suspicion {
 	if t.stage.suspects == 0 {
 		return nil
@@ -106,6 +130,14 @@
 	return s.suspects[t.suspectKey()]
 }
 
+// suspectOf returns the suspicion against a task that starts on trial, nil for any other one.
+func (s *Scheduler) suspectOf(t *task) *suspicion {
+	if u := s.suspicionOf(t); u != nil && u.isSuspect() {
+		return u
+	}
+	return nil
+}
+
 // suspect returns the suspicion against a task, a new one if there is none.
 func (s *Scheduler) suspect(t *task) *suspicion {
 	t = t.suspectKey()
@@ -133,14 +165,43 @@
 	s.recordEvent(Event{Kind: "suspect cleared", Job: t.job().id, Task: u.task.name, Reason: reason})
 }
 
-// hasSurvived reports whether the run is known to have been on its worker for longer than a task takes to crash it.
-func (r *run) hasSurvived() bool {
-	return r.firstClock > 0 && r.worker.clock-r.firstClock >= survivalPeriod.Milliseconds()
+// hasSurvived reports whether the run is known to have been on its worker for longer than its task takes to crash it.
+func (s *Scheduler) hasSurvived(r *run) bool {
+	if u := s.suspicionOf(r.task); u != nil && u.late() > 0 {
+		return r.hasLasted(lateSurvivalPeriod)
+	}
+	return r.hasLasted(survivalPeriod)
+}
+
+// hasLasted reports whether the run is known to have been on its worker for the period of the worker's clock.
+func (r *run) hasLasted(period time.Duration) bool {
+	return r.firstClock > 0 && r.worker.clock-r.firstClock >= period.Milliseconds()
+}
+
+// isFresh reports whether the run may crash its worker at any moment. A task that is no suspect isn't expected to do so
+// late.
+func (s *Scheduler) isFresh(r *run) bool {
+	return !r.hasLasted(survivalPeriod) || (s.suspectOf(r.task) != nil && !s.hasSurvived(r))
 }
 
-// freshRuns returns the runs of the worker that may have crashed it, ordered by task name and run number.
-func (s *Scheduler) freshRuns(w *Worker) []*run {
-	return slices.DeleteFunc(s.runsOf(w), (*run).hasSurvived)
+// culprits returns the runs of the worker that may have crashed it, ordered by task name and run number: the fresh
+// ones, and those that may do so late. No late ones are returned if the only fresh one was the only suspect of a crash
+// before.
+func (s *Scheduler) culprits(w *Worker) (fresh, late []*run) {
+	for _, r := range s.runsOf(w) {
+		switch {
+		case s.isFresh(r):
+			fresh = append(fresh, r)
+		case !r.hasLasted(lateSurvivalPeriod):
+			late = append(late, r)
+		}
+	}
+	if len(fresh) > 0 && isOneSuspect(fresh) {
+		if u := s.suspectOf(fresh[0].task); u != nil && u.alone() > 0 {
+			late = nil
+		}
+	}
+	return fresh, late
 }
 
 // lapse is the loss of all runs on one boot of a worker.
@@ -178,10 +239,13 @@
 		return
 	}
 	l := s.addLapse(now, bootID{w.ID, w.Boot}, w.Address)
-	fresh := s.freshRuns(w)
-	alone := len(w.unknownRuns) == 0 && isOneSuspect(fresh)
-	for _, r := range fresh {
-		x := loss{Worker: w.ID, Boot: w.Boot, Address: w.Address, Run: r.number, Alone: alone}
+	fresh, late := s.culprits(w)
+	alone := len(w.unknownRuns) == 0 && s.isOnlySuspect(fresh, late)
+	for i, r := range slices.Concat(fresh, late) {
+		isLate := i >= len(fresh)
+		x := loss{
+			Worker: w.ID, Boot: w.Boot, Address: w.Address, Run: r.number, Alone: alone && !isLate, Late: isLate,
+		}
 		l.losses = append(l.losses, taskLoss{r.task.suspectKey(), x})
 		if u := s.suspicionOf(r.task); u != nil {
 			if u.trial != nil {
@@ -193,6 +257,17 @@
 	}
 }
 
+// isOnlySuspect reports whether all fresh runs belong to one task or gang, and a late run is no more likely to have
+// crashed the worker: one that was lost to a crash before, if the task itself was lost to one crash at most.
+func (s *Scheduler) isOnlySuspect(fresh, late []*run) bool {
+	if len(fresh) == 0 || !isOneSuspect(fresh) {
+		return false
+	}
+	u := s.suspicionOf(fresh[0].task)
+	return (u != nil && len(u.crashes) > 1) ||
+		!slices.ContainsFunc(late, func(r *run) bool { return s.suspicionOf(r.task) != nil })
+}
+
 // isOneSuspect reports whether all runs belong to one task or gang.
 func isOneSuspect(runs []*run) bool {
 	for _, r := range runs {
@@ -266,6 +341,9 @@
 		return
 	}
 	u.crashes = append(u.crashes, x)
+	if !u.isSuspect() {
+		return
+	}
 	s.recordEvent(Event{
 		Kind: "suspect", Job: t.job().id, Task: t.name, Run: x.Run, Worker: x.Worker,
 		Reason: "crashes " + strconv.Itoa(len(u.crashes)) + ", alone " + strconv.Itoa(u.alone()),
@@ -350,10 +428,10 @@
 // isSurvivor reports whether the task of the run has survived its start, a gang with all members.
 func (s *Scheduler) isSurvivor(r *run) bool {
 	if !r.task.step().Gang {
-		return r.hasSurvived()
+		return s.hasSurvived(r)
 	}
 	for _, t := range r.task.stage.tasks {
-		if !slices.ContainsFunc(t.runs, (*run).hasSurvived) {
+		if !slices.ContainsFunc(t.runs, s.hasSurvived) {
 			return false
 		}
 	}
--- a/internal/zone/dispatch/crash_test.go
+++ b/internal/zone/dispatch/crash_test.go
@@ -260,12 +260,23 @@
 			c.report("w", 2, 10)
 			So(c.crashes(), ShouldEqual, 1)
 		})
-		Convey("which has answered after the task survived: a crash, but another task's", func() {
-			c.s.HandleReport(c.now, Report{Worker: "w", Boot: 1, Clock: 1600, Running: []RunReport{
-				{Task: c.order.Task, Number: c.order.Run},
-			}})
-			c.report("w", 2, 10)
-			So(c.crashes(), ShouldEqual, 0)
+		Convey("which has answered after the task survived", func() {
+			answer := func(clock int64) {
+				c.s.HandleReport(c.now, Report{Worker: "w", Boot: 1, Clock: clock, Running: []RunReport{
+					{Task: c.order.Task, Number: c.order.Run},
+				}})
+			}
+			answer(1600)
+			Convey("for a short time: a late crash, which makes no suspect yet", func() {
+				c.report("w", 2, 10)
+				So(c.crashes(), ShouldEqual, 1)
+				So(c.s.suspectOf(c.task), ShouldBeNil)
+			})
+			Convey("for long: a crash, but another task's", func() {
+				answer(6100)
+				c.report("w", 2, 10)
+				So(c.crashes(), ShouldEqual, 0)
+			})
 		})
 	})
 }
@@ -419,3 +430,28 @@
 		So(sim.leader.s.suspects, ShouldBeEmpty)
 	})
 }
+
+// TestLateDeadlyTaskIsGivenUp guards against a task that survives its start on trial and crashes its worker a second
+// later, for which its neighbours were blamed.
+func TestLateDeadlyTaskIsGivenUp(t *testing.T) {
+	Convey("A task crashes each worker a second after its start, beside many short tasks", t, func() {
+		for seed := range uint64(4) {
+			sim := newSimulation(seed, 5)
+			sim.renames = seed%2 == 0
+			sim.run(300 * time.Millisecond)
+			sim.deadly[jobID(1000)+".0.0.0"] = time.Second
+			sim.submitAll(1000, 1, newStep(1, 1000, 4*time.Second))
+			for n := range 600 {
+				sim.after(time.Duration(n)*70*time.Millisecond, func() {
+					sim.submitAll(n, 1, newStep(1, 1000, 300*time.Millisecond))
+				})
+			}
+			sim.run(80 * time.Second)
+			So(sim.violations, ShouldBeEmpty)
+			So(sim.finalState(jobID(1000)), ShouldEqual, StateFailed)
+			for n := range 600 {
+				So(sim.finalState(jobID(n)), ShouldEqual, StateCompleted)
+			}
+		}
+	})
+}
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -197,7 +197,7 @@
 	}
 	var c stageChoice
 	for _, t := range st.tasks {
-		if !t.queued || t.isOverdue(now) || s.suspicionOf(t) != nil {
+		if !t.queued || t.isOverdue(now) || s.suspectOf(t) != nil {
 			continue
 		}
 		if now.Before(t.notBefore) {
@@ -243,7 +243,7 @@
 	if live := len(st.tasks) - st.waiting; live > 0 {
 		return s.completeGang(now, st)
 	}
-	if u := s.suspicionOf(st.tasks[0]); u != nil {
+	if u := s.suspectOf(st.tasks[0]); u != nil {
 		s.prepareGangTrial(now, st, u)
 		return true
 	}
--- a/internal/zone/dispatch/placement.go
+++ b/internal/zone/dispatch/placement.go
@@ -72,7 +72,7 @@
 
 // isEligible reports whether the task may start on the worker now, regardless of room.
 func (s *Scheduler) isEligible(now time.Time, t *task, w *Worker) bool {
-	if w.trials > 0 && s.suspicionOf(t) == nil {
+	if w.trials > 0 && s.suspectOf(t) == nil {
 		return false
 	}
 	return s.isSuitable(now, t, w) && w.mayStart(now, t) && !w.isReservedFrom(now, t)
--- a/internal/zone/dispatch/speed.go
+++ b/internal/zone/dispatch/speed.go
@@ -126,7 +126,7 @@
 	if w == nil || w == r.worker {
 		return
 	}
-	if step.Speculative && s.suspicionOf(t) == nil {
+	if step.Speculative && s.suspectOf(t) == nil {
 		s.startRun(now, t, w)
 		return
 	}
--- a/internal/zone/dispatch/trial.go
+++ b/internal/zone/dispatch/trial.go
@@ -58,7 +58,7 @@
 	}
 	for _, t := range st.tasks {
 		if t.queued && !now.Before(t.notBefore) {
-			if u := s.suspicionOf(t); u != nil {
+			if u := s.suspectOf(t); u != nil {
 				s.prepareTrial(now, u, func() []*Worker { return s.findTrialWorker(now, u) })
 			}
 		}
@@ -169,11 +169,12 @@
 	return nil
 }
 
-// The costs of a trial on a worker for each other trial there, for runs that have not survived yet, and for each run that
-// would be lost in a crash, relative to the loss of all cores of the worker.
+// The costs of a trial on a worker for each other trial there, for fresh runs, and for each run that may crash the
+// worker late or would be lost in a crash, relative to the loss of all cores of the worker.
 const (
 	otherTrialCost = 4
 	freshRunsCost  = 2
+	unclearedCost  = 1
 	runCost        = 0.05
 	// scoreShareOfCost weighs the usual score of a worker against these.
 	scoreShareOfCost = 0.02
@@ -184,7 +185,10 @@
 	cost := otherTrialCost * float64(w.trials)
 	fresh := false
 	for _, r := range w.runs {
-		fresh = fresh || !r.hasSurvived()
+		fresh = fresh || s.isFresh(r)
+		if !s.hasSurvived(r) {
+			cost += unclearedCost
+		}
 		cost += runCost + float64(r.task.step().Size.Cores)/float64(max(1, w.Capacity.Cores))
 	}
 	if fresh {
@@ -236,7 +240,7 @@
 func (s *Scheduler) isAlone(tr *trial) bool {
 	for _, m := range tr.members {
 		for _, r := range m.worker.runs {
-			if u := s.suspicionOf(r.task); !r.hasSurvived() && (u == nil || u.trial == nil || u.trial.run != r.number) {
+			if u := s.suspicionOf(r.task); s.isFresh(r) && (u == nil || u.trial == nil || u.trial.run != r.number) {
 				return false
 			}
 		}
