Keep only the last failure of a long-running task

What callers would see: a job that lasts for weeks, with tasks that may fail at any time, and after enough failures nothing at all any more: its progress record holds each failure and is written again at each. 1,000 failures make 5,628 bytes; from the record limit of 262,144 bytes on the log refuses the batch with it, which is every later batch too (worked out, not played: six tasks that fail twice a second are there in an hour or so). Cause: the failures are kept to count attempts and to recognise repeated reports; a long-running task has no attempts. Change: of a long-running task the last failed run is kept, and runs up to it count as recorded. Test: TestFailuresOfLongRunningTaskStaySmall failed before: 5,628 bytes for less than 100. Found by reading.

--- a/internal/zone/dispatch/failed_test.go
+++ b/internal/zone/dispatch/failed_test.go
@@ -120,3 +120,35 @@
 		So(orders[0].Run, ShouldEqual, runNumbersPerTerm+2)
 	})
 }
+
+// TestFailuresOfLongRunningTaskStaySmall guards against a job that lasts for weeks and whose record grows with each
+// failure until the log refuses it.
+func TestFailuresOfLongRunningTaskStaySmall(t *testing.T) {
+	Convey("A long-running task fails a thousand times", t, func() {
+		now := simEpoch
+		s := newStopScheduler(now, 1)
+		s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: 1000})
+		step := newStep(1, 1000, time.Second)
+		step.LongRunning = true
+		submitStep(s, now, 1, step)
+		log := map[string]Record{}
+		commitTo(s, log)
+		s.Decide(now)
+		for n := range 1000 {
+			s.HandleReport(now, endsOf(1100, int64(n+1), n+1, EndFailed))
+			commitTo(s, log)
+		}
+		Convey("and its record stays small", func() {
+			So(len(log[prefixProgress+jobID(1)].Value), ShouldBeLessThan, 100)
+			So(s.jobs[jobID(1)].isFinal(), ShouldBeFalse)
+		})
+		Convey("and a repeated report of an earlier failure is no new one", func() {
+			s = restoreFrom(now, 2, s.catalog, log)
+			task := s.findTask(jobID(1) + ".0.0.0")
+			s.HandleReport(now, endsOf(1200, 1, 999, EndFailed))
+			So(task.notBefore.IsZero(), ShouldBeTrue)
+			s.HandleReport(now, endsOf(1200, 2, 1001, EndFailed))
+			So(task.notBefore.IsZero(), ShouldBeFalse)
+		})
+	})
+}
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -117,7 +117,8 @@
 	lastRun int
 	// lastEndedRun is the highest run number whose end a worker has listed.
 	lastEndedRun int
-	// failedRuns holds the numbers of the runs that ended in a failure, so that a repeated report counts once.
+	// failedRuns holds the numbers of the runs that ended in a failure, so that a repeated report counts once. Of a
+	// long-running task it holds the last one only.
 	failedRuns []int
 	// runs holds the runs that have not ended yet. Only a speculative task has more than one.
 	runs       []*run
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -161,12 +161,24 @@
 // before it has used up the task's attempts.
 const retryDelay = 100 * time.Millisecond
 
+// hasFailed reports whether the failure of the run with the number was recorded. Of a long-running task only the last one
+// is kept, since its failures are not limited; earlier runs have lower numbers.
+func (t *task) hasFailed(number int) bool {
+	if t.step().LongRunning {
+		return len(t.failedRuns) > 0 && number <= slices.Max(t.failedRuns)
+	}
+	return slices.Contains(t.failedRuns, number)
+}
+
 // recordFailure counts a failed run, and fails the job if its attempts are used up. A repeated report counts once.
 func (s *Scheduler) recordFailure(now time.Time, t *task, number int, w *Worker) {
-	if slices.Contains(t.failedRuns, number) {
+	if t.hasFailed(number) {
 		return
 	}
 	j := t.job()
+	if t.step().LongRunning {
+		t.failedRuns = t.failedRuns[:0]
+	}
 	t.failedRuns = append(t.failedRuns, number)
 	t.avoidWorker = w.ID
 	t.notBefore = now.Add(retryDelay)
