Show a job as running when the end of a run is listed before its start is answered

What callers would see: a short task ends while the answer to its start is on its way or lost. If other tasks of the job still wait, the job is shown as queued, and counted among those of which no task has started, until another one is confirmed. Cause: only the answer to a start and a listed run marked the job as started; the answer finds no run any more. Test: TestEndBeforeAnswerCountsAsStart failed before: queued for running. Found when another test expected the state.

--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -123,6 +123,7 @@
 	if t == nil {
 		return
 	}
+	t.job().started = true
 	t.lastRun, t.lastEndedRun = max(t.lastRun, e.Number), max(t.lastEndedRun, e.Number)
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
