Log a change of capacity only of workers that were listed before

A restored worker has no capacity until it is listed, so that a new leader logged each of them as resized, hundreds on a large site. Test: TestOnlyResizesAreLogged failed before, with one event from a size of 0.

--- a/internal/zone/dispatch/resize_test.go
+++ b/internal/zone/dispatch/resize_test.go
@@ -170,6 +170,19 @@
 	})
 }
 
+// TestOnlyResizesAreLogged guards against a log line for each worker that a new leader lists for the first time.
+func TestOnlyResizesAreLogged(t *testing.T) {
+	Convey("A leader has restored a worker, whose capacity is not known until it is listed", t, func() {
+		s := New(testLimits(), 2, 2)
+		value := encode(&workerRecord{Boot: 1, Service: "svc"})
+		So(s.Restore(simEpoch, simEpoch, []Record{{Key: prefixWorker + "w", Value: value}}, simEpoch), ShouldBeEmpty)
+		resize(s, simEpoch, 8000, 8000)
+		So(s.Events(), ShouldBeEmpty)
+		resize(s, simEpoch, 8000, 4000)
+		So(s.Events(), ShouldHaveLength, 1)
+	})
+}
+
 // TestNoStartBringsResizedWorkerOverItsRoom changes the capacities of workers at random while orders are late or
 // unanswered, and checks that no start that was decided after a report brings the worker over the reported room, and that
 // all work is done once the workers have grown again.
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -257,9 +257,11 @@
 		s.recordEvent(Event{Kind: "worker draining", Worker: r.ID})
 	}
 	if w.Capacity != r.Capacity {
-		s.recordEvent(Event{
-			Kind: "worker resized", Worker: r.ID, Reason: fmt.Sprintf("from %+v to %+v", w.Capacity, r.Capacity),
-		})
+		if w.listed {
+			s.recordEvent(Event{
+				Kind: "worker resized", Worker: r.ID, Reason: fmt.Sprintf("from %+v to %+v", w.Capacity, r.Capacity),
+			})
+		}
 		// Both are relative to the cores. A share that changes with them says nothing about the load.
 		w.marginsValid, w.bestEffortUse = false, nil
 	}
