Grant leases of six seconds at most

Cause: the tasks of a worker that is gone start again when its leases have certainly lapsed. The leader granted the longest lease that the platform allows.

Ruled out: the rule that holds waiting tasks back (they were not waiting), a halted leader (none after 25.7 s). TestTaskOfLeavingWorkerIsNotAwayForLong failed before (away for nine seconds, the test's bound).

The leader now grants six seconds at most, wherever the platform allows more.

--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -77,6 +77,10 @@
 	w.failedRenewals, w.answeredAt = 0, now
 	w.leasesExpired, w.bootUnknown = false, false
 	first := !w.contacted
+	if first {
+		// An earlier leader may have granted the longest lease.
+		w.leaseUntil = max(w.leaseUntil, report.Clock+s.limits.MaxLease.Milliseconds())
+	}
 	w.contacted = true
 	s.applyEnds(now, w, report.Ended)
 	s.applyRunning(now, w, report)
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -418,9 +418,16 @@
 	return renewal, true
 }
 
+// maxGrantedLease bounds the leases that this leader grants. The tasks of a worker that is gone start again when its
+// leases have lapsed, and the platform allows a long-running task to be away for nine seconds.
+const maxGrantedLease = 6 * time.Second
+
+// grantedLease returns the length of the leases that this leader grants.
+func (s *Scheduler) grantedLease() time.Duration { return min(s.limits.MaxLease, maxGrantedLease) }
+
 // extendLease returns the end of a renewed lease by the worker's clock, and counts the renewal as sent.
 func (s *Scheduler) extendLease(now time.Time, w *Worker) int64 {
-	until := w.clockNow(now) + s.limits.MaxLease.Milliseconds()
+	until := w.clockNow(now) + s.grantedLease().Milliseconds()
 	w.leaseUntil = max(w.leaseUntil, until)
 	return until
 }
@@ -428,7 +435,7 @@
 // renewalWait returns how long a worker may delay its answer: a third of the lease, so that a renewal may be lost, and
 // less where the latencies of long-running tasks have to be watched because best-effort tasks run beside them.
 func (s *Scheduler) renewalWait(w *Worker) time.Duration {
-	wait := min(s.limits.MaxLease/renewalsPerLease, maxRenewalWait)
+	wait := min(s.grantedLease()/renewalsPerLease, maxRenewalWait)
 	switch {
 	case s.hasUnacknowledgedEnds(w):
 		// Ends that wait for the log are to be acknowledged soon, and a worker with ends to list answers at once
