Bound how long probes of others keep a long-running task away

Cause: a suspected worker is probed by one task at a time, and an overdue task waits for the probe. Each probe is bounded, but the next one may be that of another task. Where several long-running tasks fail wherever they start, one of them is always the probe, and a task that would work never gets its turn. Class of fault: a pause that is renewed without a bound.

A long-running task that has waited for twice maxAvoidance no longer waits for probes.

Evidence: TestProbesDontKeepLongRunningTaskAwayForEver failed before (away for 9 s, the bound of the test).

Open: a first start behind a chain of probes comes after 4.7 s, not within three.

--- a/internal/zone/dispatch/health.go
+++ b/internal/zone/dispatch/health.go
@@ -111,10 +111,13 @@
 const avoidPeriod = 2 * time.Second
 
 // mayStart reports whether the worker's health allows it to start the task. An overdue task is kept away only from
-// workers that have just refused an order or that another task probes.
+// workers that have just refused an order or, for a while, that another task probes.
 func (w *Worker) mayStart(now time.Time, t *task) bool {
 	h := &w.health
-	if now.Before(h.resumeAt) || (h.consecutiveFailures >= suspectFailures && w.hasProbe(now, t)) {
+	if now.Before(h.resumeAt) {
+		return false
+	}
+	if h.consecutiveFailures >= suspectFailures && w.hasProbe(now, t) && !t.hasWaited(now, maxProbeWait) {
 		return false
 	}
 	return t.isOverdue(now) || w.isSound(now, t)
--- a/internal/zone/dispatch/overdue.go
+++ b/internal/zone/dispatch/overdue.go
@@ -11,9 +11,15 @@
 // time for a scan and a start.
 const maxAvoidance = twoSlotsDelay
 
+// maxProbeWait is how long a long-running task waits for other tasks that probe a suspected worker one after the other.
+const maxProbeWait = 2 * maxAvoidance
+
 // isOverdue reports whether the task is a long-running one that has waited for maxAvoidance.
-func (t *task) isOverdue(now time.Time) bool {
-	return t.queued && t.step().LongRunning && now.Sub(t.waitingSince) >= maxAvoidance
+func (t *task) isOverdue(now time.Time) bool { return t.hasWaited(now, maxAvoidance) }
+
+// hasWaited reports whether the task is a long-running one that has waited for the given time.
+func (t *task) hasWaited(now time.Time, d time.Duration) bool {
+	return t.queued && t.step().LongRunning && now.Sub(t.waitingSince) >= d
 }
 
 // startOverdue starts the overdue tasks of a stage for which a worker has room. All workers are looked at, at most every
--- a/internal/zone/dispatch/overdue_test.go
+++ b/internal/zone/dispatch/overdue_test.go
@@ -217,3 +217,49 @@
 		})
 	})
 }
+
+// TestProbesDontKeepLongRunningTaskAwayForEver guards against a suspected worker that is probed by one failing task after
+// the other, so that the task that would work never gets its turn.
+func TestProbesDontKeepLongRunningTaskAwayForEver(t *testing.T) {
+	Convey("A long-running task starts again on a worker on which sixteen others always fail", t, func() {
+		now, clock, serial := simEpoch, int64(1000), int64(0)
+		s := newStopScheduler(now, 1)
+		submit := func(n, tasks int) {
+			step := newStep(tasks, 200, 0)
+			step.LongRunning, step.MaxUnavailable = true, -1
+			s.Submit(now, Request{
+				ID: jobID(n), Queue: queueName, Spec: workflow.Spec{Steps: []workflow.Step{step}}, WallTime: now,
+			})
+		}
+		submit(1, 16)
+		submit(2, 1)
+		working, good := s.findTask(jobID(2)+".0.0.0"), []RunReport(nil)
+		changedAt, failed := now, []RunReport(nil)
+		for now.Sub(simEpoch) < time.Minute {
+			now, clock = now.Add(100*time.Millisecond), clock+100
+			if len(good) > 0 && now.Sub(changedAt) > 3*time.Second {
+				failed, good, changedAt = append(failed, good...), nil, now
+			}
+			ended := make([]EndReport, 0, len(failed))
+			for _, r := range failed {
+				serial++
+				ended = append(ended, EndReport{Serial: serial, Task: r.Task, Number: r.Number, Reason: EndFailed})
+			}
+			failed = nil
+			s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: clock, Running: good, Ended: ended})
+			commitAll(s)
+			for _, o := range s.Decide(now) {
+				s.HandleStartAnswer(now, o, AnswerDone, clock)
+				r := RunReport{Task: o.Task, Number: o.Run, Progress: 100}
+				if o.Task == working.name {
+					good, changedAt = []RunReport{r}, now
+				} else {
+					failed = append(failed, r)
+				}
+			}
+			if len(good) == 0 {
+				So(now.Sub(changedAt), ShouldBeLessThan, maxLongRunningWait)
+			}
+		}
+	})
+}
