Test that suspects hold no other jobs back

No caller saw this. On two workers, one of which crashes right after many starts, jobs that are submitted while the trials go on are done within a second. The test also passes with all workers allowed on trial at once, since waiting stages keep their order between trials: it guards against a worker that is never given back.

--- a/internal/zone/dispatch/crash_test.go
+++ b/internal/zone/dispatch/crash_test.go
@@ -455,3 +455,29 @@
 		}
 	})
 }
+
+// TestSuspectsHoldNothingBack guards against trials that take all workers while other jobs wait.
+func TestSuspectsHoldNothingBack(t *testing.T) {
+	Convey("One of two workers crashes right after many starts", t, func() {
+		sim := newSimulation(5, 2)
+		sim.run(300 * time.Millisecond)
+		lost := sim.submitAll(1, 12, newStep(1, 1000, 800*time.Millisecond))
+		sim.run(350 * time.Millisecond)
+		sim.crashAndReturn(sim.workers[0])
+		for len(sim.leader.s.suspects) == 0 {
+			sim.advance()
+		}
+		Convey("and jobs that are submitted while there are many suspects are done in time", func() {
+			So(len(sim.leader.s.suspects), ShouldBeGreaterThanOrEqualTo, 8)
+			others := sim.submitAll(100, 8, newStep(1, 1000, 300*time.Millisecond))
+			sim.run(time.Second)
+			for _, id := range others {
+				So(sim.finalState(id), ShouldEqual, StateCompleted)
+			}
+			sim.run(20 * time.Second)
+			for _, id := range lost {
+				So(sim.finalState(id), ShouldEqual, StateCompleted)
+			}
+		})
+	})
+}
