Record what a silent worker had just started before its leases lapse

Callers would see a deadly task started again and again while leaders change. A crash was counted once the leases had lapsed, some six seconds after it, and only trials were in the log before: if the leader was lost in between, the next one found the worker with another boot or gone, and didn't know what had run there.

The fresh runs of a worker are now recorded as soon as two lease renewals in a row got no answer. The next leader blames them if the worker turns out to have crashed, and clears them if the same boot answers. They are no suspects until then.

What remains: a leader that is replaced before the second renewal has failed (1.8 s after the crash in simulated time) has recorded nothing, unless the task was on trial.

--- a/internal/zone/dispatch/crash.go
+++ b/internal/zone/dispatch/crash.go
@@ -162,6 +162,9 @@
 	delete(s.suspects, u.task)
 	u.task.stage.suspects--
 	s.journal.recordCrashes(t.job())
+	if !u.isSuspect() {
+		return
+	}
 	s.recordEvent(Event{Kind: "suspect cleared", Job: t.job().id, Task: u.task.name, Reason: reason})
 }
 
@@ -209,9 +212,10 @@
 	bootID
 	address string
 	at      time.Time
-	// replaced is set once another worker or boot is listed at the address, crashed once the losses are blamed.
-	replaced, crashed bool
-	losses            []taskLoss
+	// lost is set once the runs are lost, and not while the worker is only silent. replaced is set once another worker or
+	// boot is listed at the address, crashed once the losses are blamed.
+	lost, replaced, crashed bool
+	losses                  []taskLoss
 }
 
 // taskLoss is the loss of a run of a task that may have crashed the worker.
@@ -239,6 +243,7 @@
 		return
 	}
 	l := s.addLapse(now, bootID{w.ID, w.Boot}, w.Address)
+	l.lost, l.losses = true, nil
 	fresh, late := s.culprits(w)
 	alone := len(w.unknownRuns) == 0 && s.isOnlySuspect(fresh, late)
 	for i, r := range slices.Concat(fresh, late) {
@@ -246,14 +251,33 @@
 		x := loss{
 			Worker: w.ID, Boot: w.Boot, Address: w.Address, Run: r.number, Alone: alone && !isLate, Late: isLate,
 		}
-		l.losses = append(l.losses, taskLoss{r.task.suspectKey(), x})
-		if u := s.suspicionOf(r.task); u != nil {
-			if u.trial != nil {
-				s.endTrial(u.trial)
-			}
-			u.addPending(x)
-			s.journal.recordCrashes(r.task.job())
+		if u := s.suspicionOf(r.task); u != nil && u.trial != nil {
+			s.endTrial(u.trial)
 		}
+		s.addLoss(l, r, x)
+	}
+}
+
+// recordSilence notes the runs that may have crashed a worker that doesn't answer. The next leader may be the one to
+// learn that it has crashed.
+func (s *Scheduler) recordSilence(now time.Time, w *Worker) {
+	fresh, late := s.culprits(w)
+	if len(fresh) == 0 || w.Draining {
+		return
+	}
+	l := s.addLapse(now, bootID{w.ID, w.Boot}, w.Address)
+	alone := len(w.unknownRuns) == 0 && s.isOnlySuspect(fresh, late)
+	for _, r := range fresh {
+		s.addLoss(l, r, loss{Worker: w.ID, Boot: w.Boot, Address: w.Address, Run: r.number, Alone: alone})
+	}
+}
+
+// addLoss adds a loss of which it is not known yet whether the worker has crashed.
+func (s *Scheduler) addLoss(l *lapse, r *run, x loss) {
+	l.losses = append(l.losses, taskLoss{r.task.suspectKey(), x})
+	if !r.task.done && !r.task.job().isFinal() {
+		s.suspect(r.task).addPending(x)
+		s.journal.recordCrashes(r.task.job())
 	}
 }
 
@@ -265,7 +289,10 @@
 	}
 	u := s.suspicionOf(fresh[0].task)
 	return (u != nil && len(u.crashes) > 1) ||
-		!slices.ContainsFunc(late, func(r *run) bool { return s.suspicionOf(r.task) != nil })
+		!slices.ContainsFunc(late, func(r *run) bool {
+			other := s.suspicionOf(r.task)
+			return other != nil && len(other.crashes) > 0
+		})
 }
 
 // isOneSuspect reports whether all runs belong to one task or gang.
@@ -302,7 +329,7 @@
 	for _, id := range ids {
 		l := s.lapses[id]
 		reason := s.crashReason(l)
-		if l.crashed || reason == "" {
+		if l.crashed || !l.lost || reason == "" {
 			continue
 		}
 		l.crashed = true
@@ -386,9 +413,14 @@
 		}
 		u.removeBoot(id)
 		s.journal.recordCrashes(x.task.job())
-		if len(u.crashes) == 0 && len(u.pending) == 0 {
-			s.acquit(x.task, reason)
-		}
+		s.acquitBlameless(u, reason)
+	}
+}
+
+// acquitBlameless ends a suspicion for which nothing is left.
+func (s *Scheduler) acquitBlameless(u *suspicion, reason string) {
+	if len(u.crashes) == 0 && len(u.pending) == 0 {
+		s.acquit(u.task, reason)
 	}
 }
 
@@ -403,6 +435,7 @@
 			if u := s.suspects[x.task]; u != nil {
 				u.removePending(id, x.loss.Run)
 				s.journal.recordCrashes(x.task.job())
+				s.acquitBlameless(u, "nothing is known of its worker")
 			}
 		}
 	}
--- a/internal/zone/dispatch/crash_record.go
+++ b/internal/zone/dispatch/crash_record.go
@@ -99,7 +99,7 @@
 // restoreSuspect restores the suspicion against a task. A task that is done needs none.
 func (s *Scheduler) restoreSuspect(now time.Time, j *Job, rec *suspectRecord) {
 	t := j.task(rec.Occurrence, rec.Step, rec.Task)
-	if t == nil || t.done || len(rec.Crashes) == 0 {
+	if t == nil || t.done {
 		s.journal.recordCrashes(j)
 		return
 	}
@@ -108,11 +108,12 @@
 	u.crashes, u.pending = rec.Crashes, rec.Pending
 	for _, x := range u.crashes {
 		l := s.addLapse(now, x.bootID(), x.Address)
-		l.crashed = true
+		l.lost, l.crashed = true, true
 		l.losses = append(l.losses, taskLoss{t, x})
 	}
 	for _, x := range u.pending {
 		l := s.addLapse(now, x.bootID(), x.Address)
+		l.lost = true
 		l.losses = append(l.losses, taskLoss{t, x})
 	}
 }
--- a/internal/zone/dispatch/crash_test.go
+++ b/internal/zone/dispatch/crash_test.go
@@ -319,6 +319,23 @@
 			So(commitAll(c.s), ShouldContain, Record{Key: prefixCrashes + jobID(1)})
 		})
 	})
+	Convey("A leader is lost while a worker is silent, and the next one counts the crash", t, func() {
+		c := newCrashScenario(newStep(1, 1000, time.Second))
+		c.s.HandleRenewalFailure(c.now, "w")
+		c.s.HandleRenewalFailure(c.now, "w")
+		records := append(commitAll(c.s), c.s.jobs[jobID(1)].specRecord())
+		c.s = newStopScheduler(c.now, 2)
+		So(c.s.Restore(c.now, c.now, records, c.now), ShouldBeEmpty)
+		c.task = c.s.findTask(c.order.Task)
+		So(c.crashes(), ShouldEqual, 0)
+		Convey("unless the worker answers again", func() {
+			c.report("w", 1, 3000)
+			So(c.crashes(), ShouldEqual, 0)
+			So(commitAll(c.s), ShouldContain, Record{Key: prefixCrashes + jobID(1)})
+		})
+		c.report("w", 2, 10)
+		Convey("if another boot answers", func() { So(c.crashes(), ShouldEqual, 1) })
+	})
 	Convey("A trial that doesn't get into the log gives its worker back", t, func() {
 		c := newCrashScenario(newStep(1, 1000, time.Second))
 		c.report("w", 2, 10)
@@ -481,3 +498,23 @@
 		})
 	})
 }
+
+// TestCrashCountsUnderManyLeaders guards against crashes that no leader counts because each is replaced while the
+// leases of the crashed worker run.
+func TestCrashCountsUnderManyLeaders(t *testing.T) {
+	Convey("Leaders change every five seconds, and a task crashes its workers", t, func() {
+		for seed := range uint64(20) {
+			sim := newSimulation(seed, 6)
+			sim.renames = seed%2 == 0
+			sim.run(300 * time.Millisecond)
+			for at := 4 * time.Second; at < 60*time.Second; at += 5 * time.Second {
+				sim.after(at, sim.takeOver)
+			}
+			sim.deadly[jobID(1)+".0.0.0"] = deadlyDelay
+			sim.submitAll(1, 8, newStep(1, 1000, 300*time.Millisecond))
+			sim.run(80 * time.Second)
+			So(sim.violations, ShouldBeEmpty)
+			So(sim.finalState(jobID(1)), ShouldEqual, StateFailed)
+		}
+	})
+}
--- a/internal/zone/dispatch/trial.go
+++ b/internal/zone/dispatch/trial.go
@@ -297,9 +297,19 @@
 	s.journal.recordCrashes(tr.suspicion.task.job())
 }
 
-// noteDetached ends the trial of a run that is gone.
+// noteDetached ends the trial of a run that is gone. A run that wasn't lost with its worker is innocent.
 func (s *Scheduler) noteDetached(r *run) {
-	if u := s.suspicionOf(r.task); u != nil && u.trial != nil && u.trial.started && u.trial.run == r.number {
+	u := s.suspicionOf(r.task)
+	if u == nil {
+		return
+	}
+	if u.trial != nil && u.trial.started && u.trial.run == r.number {
 		s.endTrial(u.trial)
 	}
+	id := bootID{r.worker.ID, r.worker.Boot}
+	if l := s.lapses[id]; l != nil && !l.lost {
+		u.removePending(id, r.number)
+		s.journal.recordCrashes(r.task.job())
+		s.acquitBlameless(u, "not lost")
+	}
 }
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -469,6 +469,7 @@
 	s.addFailedRenewal(w)
 	if w.failedRenewals == 2 {
 		s.recordEvent(Event{Kind: "worker silent", Worker: id, Age: now.Sub(w.answeredAt)})
+		s.recordSilence(now, w)
 	}
 }
 
