--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -37,7 +37,6 @@
 	if !s.halted {
 		s.startReady(now)
 		s.reclaimRoom(now)
-		s.moveFromDraining(now)
 		s.clearChanges()
 	}
 	out := s.orders
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -119,9 +119,8 @@
 	trials       []*trial
 	trialBarrier BatchID
 
-	// reclaimedAt is when room was last reclaimed for short tasks, drainedAt when tasks were last moved from draining
-	// workers.
-	reclaimedAt, drainedAt time.Time
+	// reclaimedAt is when room was last reclaimed for short tasks.
+	reclaimedAt time.Time
 
 	orders []Order
 	// stops lists the orders to stop runs whose ends have not been listed yet.
--- a/internal/zone/dispatch/reclaim.go
+++ b/internal/zone/dispatch/reclaim.go
@@ -168,13 +168,6 @@
 // maySpareTask reports whether a task of a long-running stage may be stopped to reclaim its room: few enough of the
 // others are away.
 func (s *Scheduler) maySpareTask(st *stage) bool {
-	n := len(st.tasks)
-	return n > 1 && s.countAway(st) < max(1, int(maxReclaimedShare*float64(n)))
-}
-
-// countAway returns the number of tasks of a long-running stage that are not at work, or that were stopped in the present
-// decision.
-func (s *Scheduler) countAway(st *stage) int {
 	if st.away.decision != s.decisions+1 {
 		st.away = awayCount{decision: s.decisions + 1}
 		for _, t := range st.tasks {
@@ -183,5 +176,6 @@
 			}
 		}
 	}
-	return st.away.n
+	n := len(st.tasks)
+	return n > 1 && st.away.n < max(1, int(maxReclaimedShare*float64(n)))
 }
