Take only the answer of a later start as evidence that a worker has ended

Callers would see a task run twice, and blamed for a crash, if an entry of the list of workers had the address of a worker that lives on and a later start time: entries may have any content, since others can write to the list.

Cause: endReplaced and the evidence of a crash took the entry itself as evidence. Now the worker of a later start has to have answered at the address: it does so within a round trip of its entry. A worker under another ID refuses the renewal for a false entry, since each renewal names the ID that it is meant for, and a report of an earlier start is ignored. If there is no answer, the leases decide as before.

TestFalseEntryEndsNoTasks failed before (one crash blamed instead of none, for a worker with a running task and for a frozen one). TestWhichWorkersHaveCrashed listed the other worker and let it say nothing; it now answers, which is what the evidence is.

--- a/internal/zone/dispatch/crash.go
+++ b/internal/zone/dispatch/crash.go
@@ -212,8 +212,8 @@
 	bootID
 	address string
 	at      time.Time
-	// lost is set once the runs are lost, and not while the worker is only silent. replaced is set once another worker or
-	// boot is listed at the address, crashed once the losses are blamed.
+	// lost is set once the runs are lost, and not while the worker is only silent. replaced is set once a worker of
+	// a later start has answered at the address, crashed once the losses are blamed.
 	lost, replaced, crashed bool
 	losses                  []taskLoss
 }
@@ -230,7 +230,7 @@
 	if l == nil {
 		l = &lapse{bootID: id, address: address, at: now}
 		for _, w := range s.workers {
-			l.replaced = l.replaced || l.isReplacedBy(&w.Registration)
+			l.replaced = l.replaced || l.isReplacedBy(w)
 		}
 		s.lapses[id] = l
 	}
@@ -305,14 +305,14 @@
 	return true
 }
 
-// isReplacedBy reports whether a registration shows that the lost boot has ended.
-func (l *lapse) isReplacedBy(r *Registration) bool { return r.Address == l.address && r.Boot > l.boot }
+// isReplacedBy reports whether the worker has answered at the address after a later start, so that the lost boot has
+// ended.
+func (l *lapse) isReplacedBy(w *Worker) bool {
+	return w.contacted && w.Address == l.address && w.Boot > l.boot
+}
 
-// noteRegistration applies what a worker's registration says about workers whose runs were lost.
+// noteRegistration applies what a worker's registration says about its runs if they were lost.
 func (s *Scheduler) noteRegistration(r *Registration) {
-	for _, l := range s.lapses {
-		l.replaced = l.replaced || l.isReplacedBy(r)
-	}
 	if id := (bootID{r.ID, r.Boot}); r.Draining && s.lapses[id] != nil {
 		s.withdrawLapse(id, "worker drains")
 	}
--- a/internal/zone/dispatch/crash_test.go
+++ b/internal/zone/dispatch/crash_test.go
@@ -239,13 +239,15 @@
 			c.report("w", 1, 12000)
 			So(c.crashes(), ShouldEqual, 0)
 		})
-		Convey("in whose place another one is listed later: a crash", func() {
+		Convey("in whose place another one answers later: a crash", func() {
 			c.lapse()
 			c.list("v", 2, false)
+			c.report("v", 2, 1)
 			So(c.crashes(), ShouldEqual, 1)
 		})
-		Convey("in whose place another one is listed before: a crash", func() {
+		Convey("in whose place another one answers before: a crash", func() {
 			c.list("v", 2, false)
+			c.report("v", 2, 1)
 			c.lapse()
 			So(c.crashes(), ShouldEqual, 1)
 		})
--- a/internal/zone/dispatch/replaced_test.go
+++ b/internal/zone/dispatch/replaced_test.go
@@ -11,6 +11,29 @@
 	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
+// TestFalseEntryEndsNoTasks guards against tasks that are started a second time, and blamed for a crash, because a false
+// entry of the list has the address of a worker that lives on.
+func TestFalseEntryEndsNoTasks(t *testing.T) {
+	Convey("A false entry has the address of a worker and a later start", t, func() {
+		c := newCrashScenario(newStep(1, 6000, time.Minute))
+		list := func() {
+			c.list("false", 9, false)
+			c.report("false", 1, 1020)
+			commitAll(c.s)
+		}
+		Convey("and the worker runs a task: it goes on", func() {
+			list()
+			So(c.crashes(), ShouldEqual, 0)
+			So(c.s.workers["w"].runs, ShouldHaveLength, 1)
+		})
+		Convey("and the worker is frozen: its task is not blamed", func() {
+			c.lapse()
+			list()
+			So(c.crashes(), ShouldEqual, 0)
+		})
+	})
+}
+
 // TestReplacedWorkerGivesItsTasksBack guards against tasks that wait for the leases of a worker to lapse although another
 // one already listens at its address, and against restored tasks that wait for its report.
 func TestReplacedWorkerGivesItsTasksBack(t *testing.T) {
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -82,6 +82,9 @@
 		w.leaseUntil = max(w.leaseUntil, report.Clock+s.limits.MaxLease.Milliseconds())
 	}
 	w.contacted = true
+	if first {
+		s.endReplaced(now, w)
+	}
 	s.applyEnds(now, w, report.Ended)
 	s.applyRunning(now, w, report)
 	w.recordProbes(now)
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -246,7 +246,6 @@
 		s.workers[r.ID] = w
 		s.indexWorker(w)
 		s.recordEvent(Event{Kind: "worker listed", Worker: r.ID, Reason: r.Zone})
-		s.endReplaced(now, w)
 	}
 	if w.Service != r.Service {
 		s.unindexWorker(w)
@@ -523,12 +522,16 @@
 	s.forgetWorker(w)
 }
 
-// endReplaced ends the workers whose address a new one has taken. One process at a time listens at an address, so that
-// those of an earlier start have ended. Their leases would lapse only seconds later.
+// endReplaced ends the workers at whose address one of a later start has answered. One process at a time listens at an
+// address, so that the others have ended. Their leases would lapse only seconds later. An entry in the list shows less,
+// since it may have any content.
 func (s *Scheduler) endReplaced(now time.Time, replacement *Worker) {
+	for _, l := range s.lapses {
+		l.replaced = l.replaced || l.isReplacedBy(replacement)
+	}
 	var ended []*Worker
 	for _, w := range s.workers {
-		if w != replacement && w.Address == replacement.Address && w.Boot < replacement.Boot && !w.leasesExpired {
+		if w.Address == replacement.Address && w.Boot < replacement.Boot && !w.leasesExpired {
 			ended = append(ended, w)
 		}
 	}
