Don't let long-running suspects wait for the repeated trials of others

Callers would see a long-running task away for up to 25 s: one that was the only suspect of a crash waited until a deadly short task of the same standing had crashed its worker and that worker's leases had lapsed, and then for the next of them.

Cause: on up to 15 workers one such trial goes on at a time, for tasks of all kinds, and unlike for the other trials the wait has no limit. Counting only trials whose worker still answers is ruled out: it would let the deadly tasks crash a worker a second.

Long-running tasks are now counted apart.

Open: a long-running suspect still waits in the same way for a deadly long-running one.

--- a/internal/zone/dispatch/crash_test.go
+++ b/internal/zone/dispatch/crash_test.go
@@ -448,6 +448,30 @@
 		sim.run(10 * time.Second)
 		So(sim.leader.s.suspects, ShouldBeEmpty)
 	})
+	Convey("Each of five deadly tasks and then a long-running one was the only suspect of a crash", t, func() {
+		for seed := range uint64(4) {
+			sim := newSimulation(seed, 8)
+			sim.renames = true
+			sim.run(300 * time.Millisecond)
+			blame := func(n int, step workflow.Step) string {
+				id := sim.submitAll(n, 1, step)[0]
+				u := sim.leader.s.suspect(sim.leader.s.findTask(id + ".0.0.0"))
+				u.crashes = []loss{{Worker: "x", Boot: 1, Alone: true}}
+				return id
+			}
+			for n := range 5 {
+				sim.deadly[blame(100+n, newStep(1, 1000, time.Second))+".0.0.0"] = deadlyDelay
+			}
+			sim.run(200 * time.Millisecond)
+			step := newStep(1, 1000, time.Second)
+			step.LongRunning = true
+			id := blame(1, step)
+			sim.run(maxAway - testLimits().MaxLease)
+			So(slices.ContainsFunc(sim.workers, func(sw *simWorker) bool {
+				return slices.ContainsFunc(sw.keys(), func(k runKey) bool { return k.task == id+".0.0.0" })
+			}), ShouldBeTrue)
+		}
+	})
 }
 
 // TestLateDeadlyTaskIsGivenUp guards against a task that survives its start on trial and crashes its worker a second
--- a/internal/zone/dispatch/trial.go
+++ b/internal/zone/dispatch/trial.go
@@ -21,7 +21,8 @@
 	maxLongRunningTrialWait = time.Second
 	maxSharedTrials         = 4
 	// maxRepeatShare is the share of the workers of a service that are used at once for trials of tasks that were the
-	// only suspect of a crash, and the same for two crashes: most of them crash their worker again.
+	// only suspect of a crash, and the same for two crashes: most of them crash their worker again. Long-running tasks
+	// are counted apart, so that they don't wait for the others.
 	maxRepeatShare = 0.125
 	// trialRetryInterval is the interval at which a worker is looked for again.
 	trialRetryInterval = 100 * time.Millisecond
@@ -96,13 +97,13 @@
 // mayTry reports whether few enough other trials of the service go on. A trial whose worker doesn't answer any more
 // takes no room from other tasks.
 func (s *Scheduler) mayTry(now time.Time, u *suspicion) bool {
-	service := u.task.job().service
+	service, longRunning := u.task.job().service, u.task.step().LongRunning
 	alone := u.alone()
 	trials, repeated := 0, 0
 	for _, tr := range s.trials {
 		switch other := tr.suspicion.alone(); {
 		case tr.suspicion.task.job().service != service:
-		case other > 0 && other == alone:
+		case other > 0 && other == alone && tr.suspicion.task.step().LongRunning == longRunning:
 			repeated++
 		case other == 0 && tr.members[0].worker.isUsable():
 			trials++
