Let the leases of a worker lapse whose address answers as an older boot

Callers would see a task wait without end if the first sign of its worker's restart is that another boot answers, and that boot seems to be older, as after a clock was put back: its reports are ignored, no renewal counts as failed, and the leases never lapse, whether the worker stays listed or not.

Now such an answer counts as a failed renewal, so that the leases lapse. A report of a newer boot still takes effect at once. Accepting the older boot is ruled out: a late entry of the list may be older too.

TestTaskOfAnotherBootIsGivenBack failed before (the run was still there after seven seconds).

Open: the worker is not used under this leader until it has left the list once.

--- a/internal/zone/dispatch/replaced_test.go
+++ b/internal/zone/dispatch/replaced_test.go
@@ -11,6 +11,23 @@
 	"sassafraswind.example/sassafraswind/internal/port/fleet"
 )
 
+// TestTaskOfAnotherBootIsGivenBack guards against tasks that never start again because the only boot that answers seems to
+// be older than theirs, as after a restart with a clock that was put back.
+func TestTaskOfAnotherBootIsGivenBack(t *testing.T) {
+	Convey("A worker with a task has restarted, and answers as an older boot", t, func() {
+		c := newCrashScenario(newStep(1, 6000, time.Minute))
+		for range 70 {
+			c.now = c.now.Add(100 * time.Millisecond)
+			c.s.HandleRenewalRestart("w")
+			c.report("w", 0, 10)
+			c.s.Decide(c.now)
+		}
+		So(c.task.runs, ShouldBeEmpty)
+		So(c.task.queued, ShouldBeTrue)
+		So(c.crashes(), ShouldEqual, 1)
+	})
+}
+
 // TestFalseEntryEndsNoTasks guards against tasks that are started a second time, and blamed for a crash, because a false
 // entry of the list has the address of a worker that lives on.
 func TestFalseEntryEndsNoTasks(t *testing.T) {
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -452,10 +452,11 @@
 func (s *Scheduler) hasUnacknowledgedEnds(w *Worker) bool { return w.lastEnd > w.durableEnd }
 
 // HandleRenewalRestart notes that another boot of the worker answered a lease renewal. The next renewal asks which boot
-// it is.
+// it is. Until that is known the leases are not extended and lapse: an answer of a boot that seems to be older is ignored.
 func (s *Scheduler) HandleRenewalRestart(id string) {
 	if w := s.workers[id]; w != nil {
 		w.bootUnknown = true
+		s.addFailedRenewal(w)
 	}
 }
 
