Keep a stalled reader of the log from stalling a host of serve

What callers would see: a host of `serve` whose standard error is a pipe that nobody empties (a log shipper that hangs, a paused terminal) stops answering once the pipe is full, gives no order to its workers and cannot be stopped.

Cause: the logger of `serve` wrote to os.Stderr synchronously, and some lines are logged under zone.mu, which requests, ticks and readiness need. `join` has written in the background since it was made.

Change: newLogger puts a telemetry.AsyncWriter in front, as `join` does; lines that don't fit are left out and counted, and Serve writes the rest when it returns, after the planned stop.

--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -36,10 +37,11 @@
 	if err != nil {
 		return err
 	}
-	logger, err := telemetry.NewLogger(os.Stderr, cfg.Log.Level, cfg.Log.Format)
+	logger, closeLogger, err := newLogger(os.Stderr, cfg.Log)
 	if err != nil {
 		return err
 	}
+	defer closeLogger()
 	metrics, closeMetrics, err := telemetry.NewMetrics(cfg.Host, cfg.Zone)
 	if err != nil {
 		return err
@@ -70,6 +72,18 @@
 	return n.Stop(stopCtx)
 }
 
+// newLogger returns the logger of a host, which never waits for out, and a function that writes the lines that are
+// still buffered. Some lines are logged under the locks that requests and ticks need.
+func newLogger(out io.Writer, cfg settings.Log) (*logrus.Logger, func(), error) {
+	w, closeWriter := telemetry.NewAsyncWriter(out)
+	logger, err := telemetry.NewLogger(w, cfg.Level, cfg.Format)
+	if err != nil {
+		closeWriter()
+		return nil, nil, err
+	}
+	return logger, closeWriter, nil
+}
+
 // hostListeners are the three listeners of a host.
 type hostListeners struct {
 	cfg                       settings.Settings
