Bound the wait for a blocked log at the end of a process

What would be seen: a host whose log is blocked carries out its planned stop, then never exits: the supervisor kills it at the end of the grace period.

Cause: the function that ends an AsyncWriter waited for its output without limit.

Change: it waits for at most 500 ms, which fits into the 700 ms that platform.Run reserves for the exit. A reader that is only slow may so miss the last lines, which it also would have at the end of the grace period.

Evidence: TestStalledLogDoesNotBlockExit failed with the unlimited wait ("Expected: true, Actual: false" after 5 s) and passes now.

--- a/internal/host/telemetry/async.go
+++ b/internal/host/telemetry/async.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
 )
 
 // maxPendingBytes is the largest number of bytes that an AsyncWriter buffers.
@@ -14,6 +15,10 @@
 // several processes that write to one pipe are not mixed.
 const maxAtomicWriteBytes = 4096
 
+// flushTimeout is the longest time that the end of an AsyncWriter waits for its output. It is shorter than the time that
+// platform.Run reserves for the exit of the process.
+const flushTimeout = 500 * time.Millisecond
+
 // wholeLinesLength returns the length in bytes of the whole lines at the start of data that fit into one atomic write,
 // or of the first line if that line alone is longer.
 func wholeLinesLength(data []byte) int {
@@ -40,7 +45,8 @@
 	done         chan struct{}
 }
 
-// NewAsyncWriter returns a writer to out and a function that writes the buffered lines and stops the writer.
+// NewAsyncWriter returns a writer to out and a function that writes the buffered lines and stops the writer. That
+// function waits for out up to flushTimeout; the lines that are not written by then are lost.
 func NewAsyncWriter(out io.Writer) (*AsyncWriter, func()) {
 	a := &AsyncWriter{wake: make(chan struct{}, 1), done: make(chan struct{})}
 	go func() {
@@ -56,7 +62,10 @@
 		a.closed = true
 		a.mu.Unlock()
 		a.signal()
-		<-a.done
+		select {
+		case <-a.done:
+		case <-time.After(flushTimeout):
+		}
 	}
 }
 
--- a/internal/host/telemetry/async_test.go
+++ b/internal/host/telemetry/async_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -61,6 +62,30 @@
 	})
 }
 
+// TestStalledLogDoesNotBlockExit guards against a process that does not end because nobody reads its log.
+func TestStalledLogDoesNotBlockExit(t *testing.T) {
+	Convey("An output that stays blocked doesn't block the end of the writer", t, func() {
+		out := &blockedWriter{release: make(chan struct{})}
+		w, stop := NewAsyncWriter(out)
+		_, err := w.Write([]byte("line\n"))
+		So(err, ShouldBeNil)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			stop()
+		}()
+		inTime := false
+		select {
+		case <-stopped:
+			inTime = true
+		case <-time.After(10 * flushTimeout):
+		}
+		close(out.release)
+		<-stopped
+		So(inTime, ShouldBeTrue)
+	})
+}
+
 // Guards against a metric that is not exported, or not under its name and labels.
 func TestEntryMetrics(t *testing.T) {
 	Convey("The metrics of an entry host are served as text", t, func() {
