Share no trial with a suspect whose worker is silent

Callers would see a deadly task started once more than needed, and one time too many (BUDGET) if leaders changed before: a second long-running suspect was put on trial beside it 0.6 s after it had crashed the worker, which had not been noticed yet, so that the crash proved nothing against either.

Cause: a long-running suspect that has waited shares a worker on trial, and a silent worker counts as usable until a call fails.

TestSuspectSharesNoCrashedWorker failed before (two trials on the silent worker instead of one).

--- a/internal/zone/dispatch/crash_test.go
+++ b/internal/zone/dispatch/crash_test.go
@@ -544,3 +544,38 @@
 		}
 	})
 }
+
+// TestSuspectSharesNoCrashedWorker guards against a suspect that is put on trial beside another one which has just crashed
+// the worker, so that the crash proves nothing.
+func TestSuspectSharesNoCrashedWorker(t *testing.T) {
+	Convey("A long-running suspect has waited while another one is on trial on the only worker", t, func() {
+		now, clock := simEpoch, int64(1000)
+		s := newStopScheduler(now, 1)
+		answer := func() { s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: clock}) }
+		answer()
+		step := newStep(1, 1000, time.Second)
+		step.LongRunning, step.MaxUnavailable = true, -1
+		for n := 1; n <= 2; n++ {
+			submitStep(s, now, n, step)
+			s.suspect(s.findTask(jobID(n) + ".0.0.0")).crashes = []loss{{Worker: "x", Boot: 1, Run: n}}
+		}
+		commitAll(s)
+		s.Decide(now)
+		commitAll(s)
+		So(startsOf(s, now), ShouldEqual, 1)
+		wait := func(d time.Duration) { now, clock = now.Add(d), clock+d.Milliseconds() }
+		wait(maxLongRunningTrialWait - survivalPeriod)
+		Convey("and the worker answers: it shares the worker", func() {
+			wait(survivalPeriod - 100*time.Millisecond)
+			s.workers["w"].updateClock(now, clock)
+			wait(2 * trialRetryInterval)
+			s.Decide(now)
+			So(s.workers["w"].trials, ShouldEqual, 2)
+		})
+		Convey("and the worker is silent: it waits", func() {
+			wait(survivalPeriod + trialRetryInterval)
+			s.Decide(now)
+			So(s.workers["w"].trials, ShouldEqual, 1)
+		})
+	})
+}
--- a/internal/zone/dispatch/trial.go
+++ b/internal/zone/dispatch/trial.go
@@ -130,9 +130,10 @@
 	return u.task.step().LongRunning && len(u.crashes) <= 1 && u.alone() == 0
 }
 
-// admitsSuspect reports whether another suspect may be on trial beside those on the worker.
-func (s *Scheduler) admitsSuspect(w *Worker) bool {
-	return w.trials < maxSharedTrials && !slices.ContainsFunc(s.trials, func(tr *trial) bool {
+// admitsSuspect reports whether another suspect may be on trial beside those on the worker. If the worker doesn't answer,
+// one of those may just have crashed it.
+func (s *Scheduler) admitsSuspect(now time.Time, w *Worker) bool {
+	return w.trials < maxSharedTrials && now.Sub(w.clockAt) < survivalPeriod && !slices.ContainsFunc(s.trials, func(tr *trial) bool {
 		return tr.isOn(w) && !tr.suspicion.mayShare()
 	})
 }
@@ -152,7 +153,7 @@
 		if !ok || w.hasNextRun(u.task) {
 			continue
 		}
-		if w.trials > 0 && (!u.mayShare() || !u.isOverdue(now) || !s.admitsSuspect(w)) {
+		if w.trials > 0 && (!u.mayShare() || !u.isOverdue(now) || !s.admitsSuspect(now, w)) {
 			waits = true
 			continue
 		}
