--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -156,18 +156,18 @@
 		// A job whose acceptance is not durable may be submitted again to a later leader, which would not know of its
 		// runs. Restored tasks may already run on workers that have not reported in this term.
 		if j.acceptedBatch > s.journal.committed {
-			st.hold = holdUnconfirmed
+			st.waitReason = waitUnconfirmed
 			continue
 		}
 		if j.restored && !s.allWorkersAccounted() {
-			st.hold = holdUnaccounted
+			st.waitReason = waitUnaccounted
 			continue
 		}
 		s.startOverdue(now, st)
 		s.prepareTrials(now, st)
 		placement := newFailedPlacement(st)
 		if slices.ContainsFunc(failed, func(f failedPlacement) bool { return f.implies(placement) }) {
-			st.hold = holdSmallerFailed
+			st.waitReason = waitSmallerFailed
 			s.markNoRoom(st)
 			continue
 		}
@@ -192,7 +192,7 @@
 // startStage starts the waiting tasks of a stage. It returns false if no worker has room for a plain one of them.
 func (s *Scheduler) startStage(now time.Time, st *stage) bool {
 	if st.job().needsTicket && !s.ensureTicket(now, st) {
-		st.hold = holdTicket
+		st.waitReason = waitTicket
 		return true
 	}
 	var c stageChoice
@@ -201,16 +201,16 @@
 			continue
 		}
 		if now.Before(t.notBefore) {
-			st.hold = holdPause
+			st.waitReason = waitPause
 			continue
 		}
 		if t.step().LongRunning && !s.mayStartLongRunning(now, t) {
-			st.hold = holdFreeSlots
+			st.waitReason = waitFreeSlots
 			continue
 		}
 		w, noRoom := s.chooseWorker(now, t, &c)
 		if w == nil {
-			st.hold = holdNoWorker
+			st.waitReason = waitNoWorker
 		}
 		if noRoom {
 			s.markNoRoom(st)
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -89,8 +89,8 @@
 	scan      scanState
 	// overdueScanAt is when all workers were last looked at for the overdue tasks.
 	overdueScanAt time.Time
-	// hold is why the stage started no task in the last decision.
-	hold hold
+	// waitReason is why the stage started no task in the last decision.
+	waitReason waitReason
 	// away counts the tasks that are not at work, see maySpareTask.
 	away awayCount
 	// yieldedAt is when room of the stage was last reclaimed, the zero time if it never was.
--- a/internal/zone/dispatch/overdue.go
+++ b/internal/zone/dispatch/overdue.go
@@ -30,7 +30,7 @@
 	}
 	st.overdueScanAt = now
 	if st.job().needsTicket && !s.ensureTicket(now, st) {
-		st.hold = holdTicket
+		st.waitReason = waitTicket
 		return
 	}
 	for _, t := range st.tasks {
@@ -38,12 +38,12 @@
 			continue
 		}
 		if !s.mayStartLongRunning(now, t) {
-			st.hold = holdFreeSlots
+			st.waitReason = waitFreeSlots
 			continue
 		}
 		w := s.findWorker(now, t, nil)
 		if w == nil {
-			st.hold = holdNoWorker
+			st.waitReason = waitNoWorker
 			return
 		}
 		s.startRun(now, t, w)
--- a/internal/zone/dispatch/trial.go
+++ b/internal/zone/dispatch/trial.go
@@ -90,7 +90,7 @@
 		return
 	}
 	if workers := find(); len(workers) > 0 {
-		s.hold(now, u, workers)
+		s.beginTrial(now, u, workers)
 	}
 }
 
@@ -133,9 +133,10 @@
 // admitsSuspect reports whether another suspect may be on trial beside those on the worker. If the worker doesn't answer,
 // one of those may just have crashed it.
 func (s *Scheduler) admitsSuspect(now time.Time, w *Worker) bool {
-	return w.trials < maxSharedTrials && now.Sub(w.clockAt) < survivalPeriod && !slices.ContainsFunc(s.trials, func(tr *trial) bool {
-		return tr.isOn(w) && !tr.suspicion.mayShare()
-	})
+	if w.trials >= maxSharedTrials || now.Sub(w.clockAt) >= survivalPeriod {
+		return false
+	}
+	return !slices.ContainsFunc(s.trials, func(tr *trial) bool { return tr.isOn(w) && !tr.suspicion.mayShare() })
 }
 
 // isOn reports whether the trial uses the worker.
@@ -199,8 +200,8 @@
 	return cost
 }
 
-// hold begins a trial: its workers get no other starts from now on.
-func (s *Scheduler) hold(now time.Time, u *suspicion, workers []*Worker) {
+// beginTrial begins a trial: its workers get no other starts from now on.
+func (s *Scheduler) beginTrial(now time.Time, u *suspicion, workers []*Worker) {
 	tr := &trial{suspicion: u, run: u.task.lastRun + 1, heldAt: now}
 	tasks := []*task{u.task}
 	if st := u.task.stage; st.step().Gang {
@@ -214,7 +215,7 @@
 	for _, w := range workers {
 		alone = alone && w.trials == 1
 	}
-	s.share(tr)
+	s.markShared(tr)
 	for _, w := range workers {
 		u.addPending(loss{Worker: w.ID, Boot: w.Boot, Address: w.Address, Run: tr.run, Alone: alone})
 	}
@@ -223,8 +224,8 @@
 	tr.batch = s.journal.recordCrashes(u.task.job())
 }
 
-// share notes for the trials on the workers of a new one that their suspects aren't the only ones any more.
-func (s *Scheduler) share(added *trial) {
+// markShared notes for the trials on the workers of a new one that their suspects aren't the only ones any more.
+func (s *Scheduler) markShared(added *trial) {
 	for _, tr := range s.trials {
 		if !slices.ContainsFunc(added.members, func(m trialMember) bool { return tr.isOn(m.worker) }) {
 			continue
--- a/internal/zone/dispatch/waiting.go
+++ b/internal/zone/dispatch/waiting.go
@@ -13,17 +13,17 @@
 	maxWaitReports = 8
 )
 
-// hold is the rule because of which a waiting stage started no task in the last decision.
-type hold string
+// waitReason is the rule because of which a waiting stage started no task in the last decision.
+type waitReason string
 
 const (
-	holdUnconfirmed   hold = "acceptance is not durable"
-	holdUnaccounted   hold = "workers of an earlier term are unaccounted for"
-	holdSmallerFailed hold = "no worker has room for a smaller task"
-	holdTicket        hold = "no ticket"
-	holdPause         hold = "pause after a failure"
-	holdFreeSlots     hold = "free room is left to short tasks"
-	holdNoWorker      hold = "no worker"
+	waitUnconfirmed   waitReason = "acceptance is not durable"
+	waitUnaccounted   waitReason = "workers of an earlier term are unaccounted for"
+	waitSmallerFailed waitReason = "no worker has room for a smaller task"
+	waitTicket        waitReason = "no ticket"
+	waitPause         waitReason = "pause after a failure"
+	waitFreeSlots     waitReason = "free room is left to short tasks"
+	waitNoWorker      waitReason = "no worker"
 )
 
 // reportWaits records an event for each of the long-running tasks that wait longest, with the rule that holds it back.
@@ -76,5 +76,5 @@
 		}
 	}
 	return fmt.Sprintf("%s; workers: %d free, %d full, %d reserved, %d unhealthy, %d unusable, %d unsuitable",
-		t.stage.hold, free, full, reserved, unhealthy, unusable, other)
+		t.stage.waitReason, free, full, reserved, unhealthy, unusable, other)
 }
