--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -125,8 +125,9 @@
 	return errors.Is(err, peer.ErrNotSent) && (errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET))
 }
 
-// recordLeaderAnswer records an answer of the leader with the claim to a message sent at the given time. An answer to a message that was sent under an
-// earlier claim says nothing about the present leader, also if both lead at the same address.
+// recordLeaderAnswer records an answer of the leader with the claim to a message that was sent at sentAt. An answer to a
+// message that was sent under an earlier claim says nothing about the present leader, also if both lead at the same
+// address.
 func (h *Host) recordLeaderAnswer(claim leadership.Claim, sentAt time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
