--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -44,6 +44,7 @@
 	// failRate is the share of runs that fail.
 	failRate float64
 	catalog  Catalog
+	limits   Limits
 	// deadly holds the tasks that crash their worker, with the time after which they do.
 	deadly map[string]time.Duration
 	// crashes counts the workers that have crashed under each deadly task, startsAfterCrashes the starts of the task after
@@ -131,8 +132,14 @@
 
 // newSimulation returns a simulated deployment with a leader.
 func newSimulation(seed uint64, workers int) *simulation {
+	return newLimitedSimulation(seed, workers, testLimits())
+}
+
+// newLimitedSimulation returns a simulated deployment of a platform with the limits, with a leader.
+func newLimitedSimulation(seed uint64, workers int, limits Limits) *simulation {
 	sim := &simulation{
-		rng: rand.New(rand.NewPCG(seed, 7)), now: simEpoch, log: map[string][]byte{}, jobs: map[string]workflow.Spec{},
+		limits: limits,
+		rng:    rand.New(rand.NewPCG(seed, 7)), now: simEpoch, log: map[string][]byte{}, jobs: map[string]workflow.Spec{},
 		acknowledgedDone: map[string]bool{}, done: map[string]bool{}, failedRuns: map[string]int{},
 		cancelled: map[string]time.Time{},
 		accepted:  map[string]bool{},
@@ -175,9 +182,29 @@
 		sim.deposed = append(sim.deposed, old)
 		sim.after(time.Duration(sim.rng.IntN(1500))*time.Millisecond, func() { old.stopped = true })
 	}
+	sim.lead(sim.now.Add(sim.limits.MaxUnconfirmedTerm))
+}
+
+// handOver makes another host the leader after a planned stop of the present one, which first writes all its changes to
+// the log.
+func (sim *simulation) handOver() {
+	old := sim.leader
+	if old.writing {
+		sim.after(10*time.Millisecond, sim.handOver)
+		return
+	}
+	if b, ok := old.s.TakeBatch(); ok {
+		sim.commit(old, b)
+	}
+	old.stopped = true
+	sim.lead(sim.now)
+}
+
+// lead makes another host the leader. The previous one gives no order after ordersUntil.
+func (sim *simulation) lead(ordersUntil time.Time) {
 	sim.terms++
 	l := &simLeader{
-		s: New(testLimits(), int64(sim.terms), sim.terms), token: int64(sim.terms), renewalPending: map[string]bool{},
+		s: New(sim.limits, int64(sim.terms), sim.terms), token: int64(sim.terms), renewalPending: map[string]bool{},
 		listed: map[string]fleet.Size{},
 	}
 	l.s.SetCatalog(sim.catalog)
@@ -185,7 +212,7 @@
 	for _, k := range slices.Sorted(maps.Keys(sim.log)) {
 		records = append(records, Record{Key: k, Value: sim.log[k]})
 	}
-	if errs := l.s.Restore(sim.now, sim.now, records, sim.now.Add(testLimits().MaxUnconfirmedTerm)); len(errs) > 0 {
+	if errs := l.s.Restore(sim.now, sim.now, records, ordersUntil); len(errs) > 0 {
 		sim.recordViolation("restore: %v", errs)
 	}
 	sim.leader = l
@@ -535,7 +562,7 @@
 	sw.fencingToken = plan.Token
 	clock := sw.clock(sim.now)
 	if plan.LeaseUntil > 0 {
-		sw.leaseUntil = max(sw.leaseUntil, min(plan.LeaseUntil, clock+testLimits().MaxLease.Milliseconds()))
+		sw.leaseUntil = max(sw.leaseUntil, min(plan.LeaseUntil, clock+sim.limits.MaxLease.Milliseconds()))
 	}
 	for len(sw.ended) > 0 && sw.ended[0].Serial <= plan.Acknowledged {
 		if sw.ended[0].Reason == EndDone {
