--- /dev/null
+++ b/internal/zone/dispatch/lease.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// LeaseRenewal is the call that renews the leases of a worker, acknowledges its ends and asks what runs there.
+type LeaseRenewal struct {
+	Worker, Address string
+	Boot            int64
+	Token           int64
+	// LeaseUntil extends the leases up to this time of the worker's clock in milliseconds; 0 extends nothing.
+	LeaseUntil int64
+	// Acknowledged is the serial of the last end that is durable.
+	Acknowledged int64
+	// Wait is how long the worker may wait for a run to end before it answers.
+	Wait time.Duration
+}
+
+// maxRenewalWait is the longest time for which a worker delays its answer to a lease renewal, as stated by the
+// platform.
+const maxRenewalWait = 2 * time.Second
+
+// PlanRenewal returns the next lease renewal for a worker. It returns false if the worker is not known any more, or is
+// unlisted and certainly runs nothing.
+func (s *Scheduler) PlanRenewal(now time.Time, id string) (LeaseRenewal, bool) {
+	w := s.workers[id]
+	if w == nil || (!w.listed && len(w.runs) == 0 && w.leasesExpired) {
+		return LeaseRenewal{}, false
+	}
+	renewal := LeaseRenewal{Worker: id, Address: w.Address, Boot: w.Boot, Token: s.token, Acknowledged: w.durableEnd}
+	if w.bootUnknown {
+		renewal.Boot, renewal.Acknowledged = 0, 0
+	}
+	if w.clockAt.IsZero() || w.bootUnknown {
+		return renewal, true
+	}
+	// A worker that doesn't answer is only queried: each renewal would put off the time at which its tasks have
+	// certainly ended.
+	if w.failedRenewals == 0 {
+		renewal.LeaseUntil = s.extendLease(now, w)
+		renewal.Wait = s.renewalWait(w)
+	}
+	return renewal, true
+}
+
+// maxGrantedLease bounds the leases that this leader grants. The tasks of a worker that is gone start again when its
+// leases have lapsed, and the platform allows a long-running task to be away for nine seconds.
+const maxGrantedLease = 6 * time.Second
+
+// grantedLease returns the length of the leases that this leader grants.
+func (s *Scheduler) grantedLease() time.Duration { return min(s.limits.MaxLease, maxGrantedLease) }
+
+// extendLease returns the end of a renewed lease by the worker's clock, and counts the renewal as sent.
+func (s *Scheduler) extendLease(now time.Time, w *Worker) int64 {
+	until := w.clockNow(now) + s.grantedLease().Milliseconds()
+	w.leaseUntil = max(w.leaseUntil, until)
+	return until
+}
+
+// renewalWait returns how long a worker may delay its answer: a third of the lease, so that a renewal may be lost, and
+// less where the latencies of long-running tasks have to be watched because best-effort tasks run beside them.
+func (s *Scheduler) renewalWait(w *Worker) time.Duration {
+	wait := min(s.grantedLease()/renewalsPerLease, maxRenewalWait)
+	switch {
+	case s.hasUnacknowledgedEnds(w):
+		// Ends that wait for the log are to be acknowledged soon, and a worker with ends to list answers at once
+		// anyway.
+		wait = 0
+	case w.trials > 0:
+		wait = min(wait, trialRenewalWait)
+	case w.bestEffortCores > 0 && w.longRunningCores > 0:
+		wait = min(wait, readingInterval)
+	}
+	return wait
+}
+
+// hasUnacknowledgedEnds reports whether the worker will list ends that this host has already applied.
+func (s *Scheduler) hasUnacknowledgedEnds(w *Worker) bool { return w.lastEnd > w.durableEnd }
+
+// HandleRenewalRestart notes that another boot of the worker answered a lease renewal. The next renewal asks which boot
+// it is. Until that is known the leases are not extended and lapse: an answer of a boot that seems to be older is ignored.
+func (s *Scheduler) HandleRenewalRestart(id string) {
+	if w := s.workers[id]; w != nil {
+		w.bootUnknown = true
+		s.addFailedRenewal(w)
+	}
+}
+
+// HandleRenewalFailure notes that a lease renewal got no answer.
+func (s *Scheduler) HandleRenewalFailure(now time.Time, id string) {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	s.addFailedRenewal(w)
+	if w.failedRenewals == 2 {
+		s.recordEvent(Event{Kind: "worker silent", Worker: id, Age: now.Sub(w.answeredAt)})
+		s.recordSilence(now, w)
+	}
+}
+
+// addFailedRenewal counts a call to the worker that got no answer, or that could not be sent.
+func (s *Scheduler) addFailedRenewal(w *Worker) {
+	w.failedRenewals++
+	s.silent[w] = struct{}{}
+}
+
+// expireLeases takes back the tasks of unreachable workers whose leases have certainly expired, and gives up the
+// workers that are still unaccounted for at accountingDeadline.
+func (s *Scheduler) expireLeases(now time.Time) {
+	var ended []*Worker
+	for w := range s.silent {
+		switch {
+		case w.failedRenewals == 0 || w.leasesExpired:
+			delete(s.silent, w)
+		case !w.clockAt.IsZero() && !now.Before(w.leasesEndAt()):
+			ended = append(ended, w)
+		}
+	}
+	slices.SortFunc(ended, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
+	for _, w := range ended {
+		s.endWorker(now, w, "lease lapsed")
+	}
+	if len(s.unaccounted) > 0 && now.After(s.accountingDeadline) {
+		for id := range s.unaccounted {
+			s.recordEvent(Event{
+				Kind: "worker given up", Worker: id, Reason: "no answer in this term and leases lapsed",
+			})
+			if w := s.workers[id]; w != nil {
+				s.endWorker(now, w, "lease lapsed")
+				continue
+			}
+			delete(s.unaccounted, id)
+			s.deleteWorkerRecords(id)
+		}
+	}
+}
+
+// endWorker takes back the tasks of a worker on which certainly nothing runs any more.
+func (s *Scheduler) endWorker(now time.Time, w *Worker, reason string) {
+	_, isUnaccounted := s.unaccounted[w.ID]
+	w.leasesExpired = true
+	s.loseRuns(now, w, reason)
+	delete(s.unaccounted, w.ID)
+	if w.recordBatch != 0 || isUnaccounted {
+		w.recordBatch = 0
+		s.deleteWorkerRecords(w.ID)
+	}
+	s.forgetWorker(w)
+}
+
+// endReplaced ends the workers at whose address one of a later start has answered. One process at a time listens at an
+// address, so that the others have ended. Their leases would lapse only seconds later. An entry in the list shows less,
+// since it may have any content.
+func (s *Scheduler) endReplaced(now time.Time, replacement *Worker) {
+	for _, l := range s.lapses {
+		l.replaced = l.replaced || l.isReplacedBy(replacement)
+	}
+	var ended []*Worker
+	for _, w := range s.workers {
+		if w.Address == replacement.Address && w.Boot < replacement.Boot && !w.leasesExpired {
+			ended = append(ended, w)
+		}
+	}
+	slices.SortFunc(ended, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
+	for _, w := range ended {
+		s.endWorker(now, w, "another worker at its address")
+	}
+}
+
+// allWorkersAccounted reports whether it is known where the tasks of earlier terms run.
+func (s *Scheduler) allWorkersAccounted() bool { return len(s.unaccounted) == 0 }
