Tell the next leader which leases have been granted

Callers saw long-running tasks that didn't run for ten seconds and more after a change of leader, with room for them. Cause: a new leader knew nothing of the leases that the one before had granted. It took them for the platform's longest, from the last moment at which that one may have given an order, and again from its own first contact with each worker; and each change of leader began the wait anew, also for a worker that had been silent for seconds. Class of fault: a bound that is counted from the observer's start instead of the event.

Each leader now keeps one record in the log: the longest lease that its term grants, until when earlier terms' leases may last, and how long those of each silent worker may last. Times are durations from the record's creation, so that no clocks of two hosts are compared: what is read later has run down further. The leases of a listed worker are not extended, and nothing starts there, before a record without it is durable. The record counts for the next term only (tokens are consecutive, since a claim names the end of the log); without it the platform's longest holds as before.

An event's age is no longer the time since 1970 for a worker that has never answered.

--- a/internal/host/entry/preference.go
+++ b/internal/host/entry/preference.go
@@ -71,7 +71,7 @@
 	t.log.WithFields(logrus.Fields{
 		"stronger": m.Name, "power": t.host.cfg.Power, "its_power": m.Power,
 	}).Info("Handing the leadership over to a stronger host")
-	t.flush(t.ctx)
+	t.prepareHandOver(t.ctx)
 	// The term's context ends before the announcement is sent.
 	t.host.stepDown(context.Background(), t, "a stronger host is there")
 	return true
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -337,11 +337,13 @@
 	}
 }
 
-// flush waits until all changes so far are durable, at most for stuckAppendThreshold.
-func (t *term) flush(ctx context.Context) {
+// prepareHandOver waits until all that the next leader should know is durable, at most for stuckAppendThreshold.
+func (t *term) prepareHandOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, stuckAppendThreshold)
 	defer cancel()
+	now := t.host.clock.Now()
 	t.mu.Lock()
+	t.scheduler.PrepareHandOver(now)
 	batch := t.scheduler.OpenBatch()
 	t.mu.Unlock()
 	signal(t.wakeWriter)
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -287,7 +287,7 @@
 	t := h.term
 	h.mu.Unlock()
 	if t != nil {
-		t.flush(ctx)
+		t.prepareHandOver(ctx)
 		h.stepDown(ctx, t, "planned stop")
 	}
 }
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -129,10 +129,17 @@
 	restoredStops map[string]stopsRecord
 	// halted is set while the leader may not give orders.
 	halted bool
-	// unaccounted names the workers on which an earlier leader may have left tasks and from which this term has had no
-	// report. Restored tasks don't start until it is empty, which is at accountingDeadline at the latest.
-	unaccounted        map[string]struct{}
-	accountingDeadline time.Time
+	// unaccounted holds the workers on which an earlier leader may have left tasks and from which this term has had no
+	// report, each with the time from which its leases have certainly lapsed. Restored tasks don't start until it is
+	// empty.
+	unaccounted map[string]time.Time
+	// earlierLeasesUntil is the time from which the leases of earlier terms have certainly lapsed on all workers for
+	// which unaccounted holds no other.
+	earlierLeasesUntil time.Time
+	// recordedSilent holds the workers that the newest record of leases lists, leasesRecordedAt is the time of that
+	// record.
+	recordedSilent   map[*Worker]struct{}
+	leasesRecordedAt time.Time
 
 	journal journal
 	events  []Event
@@ -165,7 +172,7 @@
 		capacities:    map[string][]fleet.Size{},
 		silent:        map[*Worker]struct{}{},
 		recurring:     map[*Job]struct{}{},
-		unaccounted:   map[string]struct{}{},
+		unaccounted:   map[string]time.Time{},
 		restoredStops: map[string]stopsRecord{},
 		journal:       newJournal(),
 		suspects:      map[*task]*suspicion{},
--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -23,6 +23,12 @@
 // platform.
 const maxRenewalWait = 2 * time.Second
 
+// heldRenewalWait is the longest time for which a worker delays its answer while its leases must not be extended.
+const heldRenewalWait = 100 * time.Millisecond
+
+// minSilentRenewals is the number of lease renewals in a row without an answer after which a worker counts as silent.
+const minSilentRenewals = 2
+
 // PlanRenewal returns the next lease renewal for a worker. It returns false if the worker is not known any more, or is
 // unlisted and certainly runs nothing.
 func (s *Scheduler) PlanRenewal(now time.Time, id string) (LeaseRenewal, bool) {
@@ -39,7 +45,11 @@
 	}
 	// A worker that doesn't answer is only queried: each renewal would put off the time at which its tasks have
 	// certainly ended.
-	if w.failedRenewals == 0 {
+	switch {
+	case w.failedRenewals > 0:
+	case w.recorded.held:
+		renewal.Wait = heldRenewalWait
+	default:
 		renewal.LeaseUntil = s.extendLease(now, w)
 		renewal.Wait = s.renewalWait(w)
 	}
@@ -96,20 +106,37 @@
 		return
 	}
 	s.addFailedRenewal(w)
-	if w.failedRenewals == 2 {
-		s.recordEvent(Event{Kind: "worker silent", Worker: id, Age: now.Sub(w.answeredAt)})
+	if w.failedRenewals == minSilentRenewals {
+		s.recordEvent(Event{Kind: "worker silent", Worker: id, Age: w.sinceAnswer(now)})
 		s.recordSilence(now, w)
+		s.recordLeases(now)
 	}
 }
 
+// sinceAnswer returns the time since the worker's last report, 0 if there is none.
+func (w *Worker) sinceAnswer(now time.Time) time.Duration {
+	if w.answeredAt.IsZero() {
+		return 0
+	}
+	return now.Sub(w.answeredAt)
+}
+
 // addFailedRenewal counts a call to the worker that got no answer, or that could not be sent.
 func (s *Scheduler) addFailedRenewal(w *Worker) {
 	w.failedRenewals++
 	s.silent[w] = struct{}{}
 }
 
+// earlierLeasesEnd returns the time from which the leases of earlier terms have certainly lapsed on a worker.
+func (s *Scheduler) earlierLeasesEnd(w *Worker) time.Time {
+	if until, ok := s.unaccounted[w.ID]; ok {
+		return until
+	}
+	return s.earlierLeasesUntil
+}
+
 // expireLeases takes back the tasks of unreachable workers whose leases have certainly expired, and gives up the
-// workers that are still unaccounted for at accountingDeadline.
+// workers that are still unaccounted for when those of earlier terms have.
 func (s *Scheduler) expireLeases(now time.Time) {
 	var ended []*Worker
 	for w := range s.silent {
@@ -124,19 +151,27 @@
 	for _, w := range ended {
 		s.endWorker(now, w, "lease lapsed")
 	}
-	if len(s.unaccounted) > 0 && now.After(s.accountingDeadline) {
-		for id := range s.unaccounted {
-			s.recordEvent(Event{
-				Kind: "worker given up", Worker: id, Reason: "no answer in this term and leases lapsed",
-			})
-			if w := s.workers[id]; w != nil {
-				s.endWorker(now, w, "lease lapsed")
-				continue
-			}
-			delete(s.unaccounted, id)
-			s.deleteWorkerRecords(id)
+	s.giveUpUnaccounted(now)
+}
+
+// giveUpUnaccounted gives up the workers that have not answered in this term and whose leases have certainly lapsed.
+func (s *Scheduler) giveUpUnaccounted(now time.Time) {
+	var lapsed []string
+	for id, until := range s.unaccounted {
+		if now.After(until) {
+			lapsed = append(lapsed, id)
 		}
 	}
+	slices.Sort(lapsed)
+	for _, id := range lapsed {
+		s.recordEvent(Event{Kind: "worker given up", Worker: id, Reason: "no answer in this term and leases lapsed"})
+		if w := s.workers[id]; w != nil {
+			s.endWorker(now, w, "lease lapsed")
+			continue
+		}
+		delete(s.unaccounted, id)
+		s.deleteWorkerRecords(id)
+	}
 }
 
 // endWorker takes back the tasks of a worker on which certainly nothing runs any more.
@@ -149,6 +184,9 @@
 		w.recordBatch = 0
 		s.deleteWorkerRecords(w.ID)
 	}
+	if w.recorded.listed {
+		s.recordLeases(now)
+	}
 	s.forgetWorker(w)
 }
 
--- /dev/null
+++ b/internal/zone/dispatch/lease_record.go
@@ -0,0 +1,154 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// A new leader knows nothing of the leases on workers that don't answer it. So each leader keeps a record in the log of
+// the longest lease that it grants, and of how long the leases last on the workers that don't answer. The leases of a
+// worker that the record lists are not extended until a record without it is durable.
+
+// leasesKey is the key of the record of leases.
+const leasesKey = "l/leases"
+
+// leaseRecordInterval is the interval at which the record of leases is renewed while its times run down.
+const leaseRecordInterval = time.Second
+
+// leaseRecord is what a leader records of leases. Its times are durations in milliseconds, counted from the record's
+// creation, since the clocks of two hosts are not compared.
+type leaseRecord struct {
+	// Token is the fencing token of the leader's term. The record says nothing about the terms after it.
+	Token int64
+	// Longest is the longest lease that the term grants.
+	Longest int64
+	// Earlier is the time after which all leases of earlier terms have certainly lapsed, but for those in Silent.
+	Earlier int64
+	// Silent lists the workers that don't answer, ordered by ID.
+	Silent []silentLeases
+}
+
+// silentLeases are the leases of a worker that doesn't answer.
+type silentLeases struct {
+	Worker string
+	// Left is the time after which they have certainly lapsed.
+	Left int64
+}
+
+// recordedLeases says what the log holds of a worker's leases.
+type recordedLeases struct {
+	// listed is set while the newest record lists the worker.
+	listed bool
+	// clearBatch is the batch with the first record that doesn't list the worker any more.
+	clearBatch BatchID
+	// held is set while a durable record may list the worker, so that its leases must not be extended.
+	held bool
+}
+
+// recordLeases has the leases recorded as they are at present.
+func (s *Scheduler) recordLeases(now time.Time) {
+	s.journal.leasesAt = now
+}
+
+// PrepareHandOver has everything recorded that the next leader should know, before a planned end of the term.
+func (s *Scheduler) PrepareHandOver(now time.Time) { s.recordLeases(now) }
+
+// renewLeaseRecord has the leases recorded again while the recorded times run down.
+func (s *Scheduler) renewLeaseRecord(now time.Time) {
+	if now.Sub(s.leasesRecordedAt) < leaseRecordInterval {
+		return
+	}
+	if len(s.recordedSilent) > 0 || now.Before(s.earlierLeasesUntil.Add(leaseRecordInterval)) {
+		s.recordLeases(now)
+	}
+}
+
+// takeLeases returns the record of leases as of the given time, and the workers that it lists no longer.
+func (s *Scheduler) takeLeases(at time.Time) (record Record, cleared []*Worker) {
+	s.leasesRecordedAt = at
+	rec := leaseRecord{
+		Token: s.token, Longest: s.grantedLease().Milliseconds(), Earlier: ceilMillis(s.earlierLeasesUntil.Sub(at)),
+	}
+	silent := map[*Worker]struct{}{}
+	for w := range s.silent {
+		until, ok := s.leasesUntil(w)
+		if !ok || w.failedRenewals < minSilentRenewals || w.leasesExpired {
+			continue
+		}
+		rec.Silent = append(rec.Silent, silentLeases{Worker: w.ID, Left: ceilMillis(until.Sub(at))})
+		silent[w] = struct{}{}
+		w.recorded.listed, w.recorded.held = true, true
+	}
+	slices.SortFunc(rec.Silent, func(a, b silentLeases) int { return cmp.Compare(a.Worker, b.Worker) })
+	for w := range s.recordedSilent {
+		if _, ok := silent[w]; !ok {
+			w.recorded.listed, w.recorded.clearBatch = false, s.journal.openBatch
+			cleared = append(cleared, w)
+		}
+	}
+	s.recordedSilent = silent
+	return Record{Key: leasesKey, Value: encode(&rec)}, cleared
+}
+
+// leasesUntil returns the time from which the leases of a silent worker have certainly lapsed. It returns false if no
+// task can be there.
+func (s *Scheduler) leasesUntil(w *Worker) (time.Time, bool) {
+	if until, ok := s.unaccounted[w.ID]; ok {
+		return until, true
+	}
+	return w.leasesEndAt(), w.recordBatch != 0 && !w.clockAt.IsZero()
+}
+
+// releaseLeases allows the leases of workers to be extended again that no durable record lists any more.
+func (s *Scheduler) releaseLeases(cleared []*Worker) {
+	for _, w := range cleared {
+		if !w.recorded.listed && w.recorded.clearBatch <= s.journal.committed {
+			w.recorded.held = false
+			s.markChanged(w)
+		}
+	}
+}
+
+// restoreLeases works out until when leases of earlier terms may last on the restored workers. The previous leader gave
+// no order after ordersUntil. Without a record of its term, its leases may be the longest that the platform allows.
+func (s *Scheduler) restoreLeases(now time.Time, records []Record, ordersUntil time.Time) error {
+	if len(s.unaccounted) == 0 {
+		// No task has been started, since that takes the record of a worker.
+		return nil
+	}
+	var rec leaseRecord
+	var err error
+	if i := slices.IndexFunc(records, func(r Record) bool { return r.Key == leasesKey && len(r.Value) > 0 }); i >= 0 {
+		if err = msgpack.Unmarshal(records[i].Value, &rec); err != nil {
+			rec, err = leaseRecord{}, errors.Wrap(err, "dispatch: decode record of leases")
+		}
+	}
+	longest := s.limits.MaxLease
+	if isKnown := rec.Token == s.token-1 && rec.Longest > 0; isKnown {
+		longest = min(longest, time.Duration(rec.Longest)*time.Millisecond)
+	} else {
+		rec = leaseRecord{}
+	}
+	s.earlierLeasesUntil = ordersUntil.Add(time.Duration(float64(longest)/minWorkerClockRate) + clockMargin)
+	if earlier := now.Add(time.Duration(rec.Earlier) * time.Millisecond); earlier.After(s.earlierLeasesUntil) {
+		s.earlierLeasesUntil = earlier
+	}
+	for id := range s.unaccounted {
+		s.unaccounted[id] = s.earlierLeasesUntil
+	}
+	for _, l := range rec.Silent {
+		if _, ok := s.unaccounted[l.Worker]; ok {
+			s.unaccounted[l.Worker] = now.Add(time.Duration(l.Left) * time.Millisecond)
+		}
+	}
+	return err
+}
+
+// ceilMillis returns a duration in milliseconds, rounded up, and 0 for a negative one.
+func ceilMillis(d time.Duration) int64 {
+	return int64((max(0, d) + time.Millisecond - 1) / time.Millisecond)
+}
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -79,6 +79,8 @@
 	dirtyCapacities map[string]struct{}
 	// dirtyCrashes holds the jobs with tasks on which other crashes are blamed than the log says.
 	dirtyCrashes map[*Job]struct{}
+	// leasesAt is the time as of which the leases are to be recorded, the zero time if nothing is to be recorded of them.
+	leasesAt time.Time
 	// endAcks names the workers whose new ends are acknowledged once the open batch is committed.
 	endAcks map[*Worker]struct{}
 }
@@ -143,6 +145,8 @@
 	ends    []endAck
 	// recorded holds the workers on which tasks may be started once the batch is committed.
 	recorded []*Worker
+	// cleared holds the workers that the record of leases in the batch is the first not to list any more.
+	cleared []*Worker
 }
 
 // endAck says that the ends of a worker up to a serial are part of the batch.
@@ -156,7 +160,7 @@
 func (s *Scheduler) TakeBatch() (Batch, bool) {
 	j := &s.journal
 	if len(j.dirtyJobs) == 0 && len(j.records) == 0 && len(j.dirtyStops) == 0 && len(j.dirtyCapacities) == 0 &&
-		len(j.dirtyCrashes) == 0 && len(j.endAcks) == 0 {
+		len(j.dirtyCrashes) == 0 && len(j.endAcks) == 0 && j.leasesAt.IsZero() {
 		return Batch{}, false
 	}
 	b := Batch{ID: j.openBatch, Records: j.records, recorded: j.recorded}
@@ -174,7 +178,12 @@
 	for _, w := range sortWorkers(j.endAcks) {
 		b.ends = append(b.ends, endAck{worker: w, boot: w.Boot, serial: w.lastEnd})
 	}
-	j.dirtyJobs, j.records, j.recorded = nil, nil, nil
+	if !j.leasesAt.IsZero() {
+		var leases Record
+		leases, b.cleared = s.takeLeases(j.leasesAt)
+		b.Records = append(b.Records, leases)
+	}
+	j.dirtyJobs, j.records, j.recorded, j.leasesAt = nil, nil, nil, time.Time{}
 	clear(j.dirtyStops)
 	clear(j.dirtyCapacities)
 	clear(j.dirtyCrashes)
@@ -194,6 +203,7 @@
 	for _, w := range b.recorded {
 		s.markChanged(w)
 	}
+	s.releaseLeases(b.cleared)
 	for _, e := range b.ends {
 		if e.worker.Boot == e.boot {
 			e.worker.durableEnd = max(e.worker.durableEnd, e.serial)
@@ -329,7 +339,10 @@
 		}
 	}
 	errs = append(errs, s.restoreCrashes(now, records)...)
-	s.accountingDeadline = ordersUntil.Add(time.Duration(float64(s.limits.MaxLease)/minWorkerClockRate) + clockMargin)
+	if err := s.restoreLeases(now, records, ordersUntil); err != nil {
+		errs = append(errs, err)
+	}
+	s.recordLeases(now)
 	return errs
 }
 
@@ -409,7 +422,8 @@
 	if err := msgpack.Unmarshal(value, &rec); err != nil {
 		return errors.Wrapf(err, "dispatch: decode worker %s", id)
 	}
-	s.unaccounted[id] = struct{}{}
+	// restoreLeases sets the time.
+	s.unaccounted[id] = time.Time{}
 	if w := s.workers[id]; w != nil {
 		return nil
 	}
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -78,10 +78,13 @@
 	w.leasesExpired, w.bootUnknown = false, false
 	first := !w.contacted
 	if first {
-		// An earlier leader may have granted the longest lease.
-		w.leaseUntil = max(w.leaseUntil, report.Clock+s.limits.MaxLease.Milliseconds())
+		// A worker's clock is not faster than the host's.
+		w.leaseUntil = max(w.leaseUntil, report.Clock+ceilMillis(s.earlierLeasesEnd(w).Sub(now)))
 	}
 	w.contacted = true
+	if w.recorded.listed {
+		s.recordLeases(now)
+	}
 	if first {
 		s.endReplaced(now, w)
 	}
--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -193,6 +193,7 @@
 		sim.after(10*time.Millisecond, sim.handOver)
 		return
 	}
+	old.s.PrepareHandOver(sim.now)
 	if b, ok := old.s.TakeBatch(); ok {
 		sim.commit(old, b)
 	}
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -154,6 +154,7 @@
 	bootUnknown bool
 	// leasesExpired is set when the leases of an unreachable worker have expired.
 	leasesExpired bool
+	recorded      recordedLeases
 
 	health health
 	speed  speedEstimate
@@ -161,7 +162,8 @@
 
 // isUsable reports whether tasks may be started on the worker.
 func (w *Worker) isUsable() bool {
-	return w.listed && w.contacted && w.failedRenewals == 0 && !w.Draining && !w.leasesExpired && !w.bootUnknown
+	return w.listed && w.contacted && w.failedRenewals == 0 && !w.Draining && !w.leasesExpired && !w.bootUnknown &&
+		!w.recorded.held
 }
 
 // clockNow returns a lower bound of the worker's clock in milliseconds, 0 if no reading of it is known.
@@ -277,7 +279,7 @@
 		return
 	}
 	w.listed = false
-	s.recordEvent(Event{Kind: "worker unlisted", Worker: id, Age: now.Sub(w.answeredAt)})
+	s.recordEvent(Event{Kind: "worker unlisted", Worker: id, Age: w.sinceAnswer(now)})
 	s.forgetWorker(w)
 }
 
