Take a worker that has left as planned for ended

Callers saw long-running tasks, and short ones beside them, wait for seconds after workers had left as planned, longer still when the leader changed meanwhile. Cause: the leader waited for the leases of a worker that had announced its leaving, had been removed from the list and had closed its connections; and the tasks that the next leader restores start only when all workers of the term before are accounted for, so that one such worker held up all of them. Class of fault: evidence that is at hand and not used.

Such a worker is now taken for ended when the third of the three signs is seen: it was draining, the platform has removed its entry, and a connection to it was closed or refused, with no answer since. A worker that is cut off from store and leader leaves its connections open; one whose connection was reset by something between answers on the next. Ruled out: the entry alone, which is also removed after silence.

--- a/internal/zone/dispatch/leader_change_test.go
+++ b/internal/zone/dispatch/leader_change_test.go
@@ -9,18 +9,21 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// leave has a worker that drains go for good: its tasks end, and it is no longer in the list.
-func (sim *simulation) leave(sw *simWorker) {
+// lose ends a worker for good without a word to anyone.
+func (sim *simulation) lose(sw *simWorker) {
 	sw.down = true
 	sw.runs, sw.ended = map[runKey]*simRun{}, nil
 	sim.after(time.Duration(sim.rng.IntN(500))*time.Millisecond, func() { sim.listWorkers(sim.leader) })
 }
 
-// drainAndLeave has a worker drain and leave after the given time.
+// drainAndLeave has a worker drain, and after the given time close its connections and leave.
 func (sim *simulation) drainAndLeave(sw *simWorker, d time.Duration) {
 	sw.draining = true
 	sim.listWorkers(sim.leader)
-	sim.after(d, func() { sim.leave(sw) })
+	sim.after(d, func() {
+		sw.left = true
+		sim.lose(sw)
+	})
 }
 
 // longestAbsence runs the simulation for the given time and returns the longest time for which a task of the
@@ -86,7 +89,7 @@
 func TestLostWorkerBeforeChangesOfLeader(t *testing.T) {
 	leaderChangeCases(t, "a worker is lost right before the leader is stopped, and the next one is stopped as well",
 		func(sim *simulation) {
-			sim.leave(sim.busyWorkers()[0])
+			sim.lose(sim.busyWorkers()[0])
 			sim.after(200*time.Millisecond, sim.handOver)
 			sim.after(6*time.Second, sim.handOver)
 		})
--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -99,13 +99,19 @@
 	}
 }
 
-// HandleRenewalFailure notes that a lease renewal got no answer.
-func (s *Scheduler) HandleRenewalFailure(now time.Time, id string) {
+// HandleRenewalFailure notes that a lease renewal got no answer. closed says that the connection was closed from the
+// worker's side, or that a new one was refused.
+func (s *Scheduler) HandleRenewalFailure(now time.Time, id string, closed bool) {
 	w := s.workers[id]
 	if w == nil {
 		return
 	}
 	s.addFailedRenewal(w)
+	w.closed = w.closed || closed
+	if w.hasLeft() {
+		s.endWorker(now, w, leftReason)
+		return
+	}
 	if w.failedRenewals == minSilentRenewals {
 		s.recordEvent(Event{Kind: "worker silent", Worker: id, Age: w.sinceAnswer(now)})
 		s.recordSilence(now, w)
@@ -190,6 +196,16 @@
 	s.forgetWorker(w)
 }
 
+// leftReason is the reason for which the tasks of a worker that has left as planned are taken back.
+const leftReason = "worker has left"
+
+// hasLeft reports whether the worker has left as planned, so that nothing runs there any more: it was draining, the
+// platform has removed it from the list, and it has closed its connections. An entry that was removed because the worker
+// could not reach the store leaves the connections open, as a partition does.
+func (w *Worker) hasLeft() bool {
+	return w.Draining && !w.listed && w.closed && !w.leasesExpired
+}
+
 // endReplaced ends the workers at whose address one of a later start has answered. One process at a time listens at an
 // address, so that the others have ended. Their leases would lapse only seconds later. An entry in the list shows less,
 // since it may have any content.
--- a/internal/zone/dispatch/lease_test.go
+++ b/internal/zone/dispatch/lease_test.go
@@ -80,7 +80,7 @@
 		s, start, _ := newLeaseScheduler(simEpoch)
 		leftAt := renewUntil(s, start, simEpoch, simEpoch.Add(12*time.Second))
 		s.PlanRenewal(leftAt, start.Worker)
-		s.HandleRenewalFailure(leftAt.Add(500*time.Millisecond), start.Worker)
+		s.HandleRenewalFailure(leftAt.Add(500*time.Millisecond), start.Worker, false)
 		s.DropWorker(leftAt.Add(500*time.Millisecond), start.Worker)
 		Convey("its long-running task starts on another one within nine seconds", func() {
 			for now := leftAt; ; now = now.Add(50 * time.Millisecond) {
@@ -119,7 +119,7 @@
 		lose := func(next *Scheduler) {
 			answer(next, now, start.Worker, RunReport{Task: start.Task, Number: start.Run})
 			commitTo(next, log)
-			next.HandleRenewalFailure(now, start.Worker)
+			next.HandleRenewalFailure(now, start.Worker, false)
 		}
 		Convey("without a record of leases: the longest of the platform", func() {
 			delete(log, leasesKey)
@@ -163,7 +163,7 @@
 		answer(s, now, start.Worker, run)
 		s.PlanRenewal(now, start.Worker)
 		for range minSilentRenewals {
-			s.HandleRenewalFailure(now, start.Worker)
+			s.HandleRenewalFailure(now, start.Worker, false)
 		}
 		commitTo(s, log)
 		now = now.Add(4 * time.Second)
@@ -192,7 +192,7 @@
 			answer(s, now, start.Worker, run)
 			b, _ := s.TakeBatch()
 			for range minSilentRenewals {
-				s.HandleRenewalFailure(now, start.Worker)
+				s.HandleRenewalFailure(now, start.Worker, false)
 			}
 			silent, _ := s.TakeBatch()
 			answer(s, now, start.Worker, run)
@@ -205,3 +205,57 @@
 		})
 	})
 }
+
+// TestWorkerThatHasLeftHasNoLeases guards against tasks that wait for the leases of a worker that left as planned, and
+// against a task that runs twice because a worker only seems to have left.
+func TestWorkerThatHasLeftHasNoLeases(t *testing.T) {
+	Convey("A worker runs a task", t, func() {
+		now := simEpoch
+		s, start, _ := newLeaseScheduler(now)
+		answer(s, now, start.Worker, RunReport{Task: start.Task, Number: start.Run})
+		commitAll(s)
+		drain := func() {
+			r := s.workers[start.Worker].Registration
+			r.Draining = true
+			s.SetWorker(now, r)
+		}
+		unlist := func() { s.DropWorker(now, start.Worker) }
+		fail := func(closed bool) { s.HandleRenewalFailure(now, start.Worker, closed) }
+		Convey("and drains, closes its connections and is removed from the list: the task starts elsewhere", func() {
+			drain()
+			fail(true)
+			So(startsOf(s, now), ShouldEqual, 0)
+			unlist()
+			So(startsOf(s, now), ShouldEqual, 1)
+		})
+		Convey("and drains, is removed from the list and closes its connections: the task starts elsewhere", func() {
+			drain()
+			unlist()
+			So(startsOf(s, now), ShouldEqual, 0)
+			fail(true)
+			So(startsOf(s, now), ShouldEqual, 1)
+		})
+		Convey("and drains, is removed from the list and doesn't answer: the task waits", func() {
+			drain()
+			unlist()
+			fail(false)
+			So(startsOf(s, now), ShouldEqual, 0)
+		})
+		Convey("and closes its connections and is removed from the list without draining: the task waits", func() {
+			fail(true)
+			unlist()
+			So(startsOf(s, now), ShouldEqual, 0)
+		})
+		Convey("and drains, has a connection closed and answers again before it is cut off: the task waits", func() {
+			drain()
+			fail(true)
+			s.HandleReport(now, Report{
+				Worker: start.Worker, Boot: 1, Clock: 1000,
+				Running: []RunReport{{Task: start.Task, Number: start.Run}},
+			})
+			fail(false)
+			unlist()
+			So(startsOf(s, now), ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/zone/dispatch/replaced_test.go
+++ b/internal/zone/dispatch/replaced_test.go
@@ -77,7 +77,7 @@
 		_, renews := s.PlanRenewal(now, "w")
 		So(renews, ShouldBeTrue)
 		now = now.Add(3 * time.Second)
-		s.HandleRenewalFailure(now, "w")
+		s.HandleRenewalFailure(now, "w", false)
 		Convey("and another one listens at its address: the task starts there at once", func() {
 			So(startsOf(s, now), ShouldEqual, 0)
 			appear(s)
--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -95,9 +95,11 @@
 	lostSerial int64
 	down       bool
 	draining   bool
-	zone       string
-	capacity   fleet.Size
-	failsAll   bool
+	// left is set once the worker has left as planned and closed its connections.
+	left     bool
+	zone     string
+	capacity fleet.Size
+	failsAll bool
 	// address is where the worker listens. successor is the worker that has taken its place there under another ID.
 	address   string
 	successor *simWorker
@@ -108,6 +110,8 @@
 	s              *Scheduler
 	token          int64
 	renewalPending map[string]bool
+	// connected holds the workers to which the leader has an open connection.
+	connected map[string]bool
 	// listed holds the capacities of the workers as the leader last read them.
 	listed  map[string]fleet.Size
 	writing bool
@@ -206,7 +210,8 @@
 	sim.terms++
 	l := &simLeader{
 		s: New(sim.limits, int64(sim.terms), sim.terms), token: int64(sim.terms), renewalPending: map[string]bool{},
-		listed: map[string]fleet.Size{},
+		connected: map[string]bool{},
+		listed:    map[string]fleet.Size{},
 	}
 	l.s.SetCatalog(sim.catalog)
 	records := make([]Record, 0, len(sim.log))
@@ -530,13 +535,18 @@
 			l.s.HandleRenewalRestart(id)
 			return
 		}
+		if sw.left && l.connected[id] {
+			l.renewalPending[id], l.connected[id] = false, false
+			l.s.HandleRenewalFailure(sim.now, id, true)
+			return
+		}
 		if sw.down || sw.boot != boot || sim.rng.Float64() < sim.lossRate {
 			if !sw.down && sw.boot == boot {
 				sim.executeRenewal(sw, plan)
 			}
 			sim.after(900*time.Millisecond, func() {
 				l.renewalPending[id] = false
-				l.s.HandleRenewalFailure(sim.now, id)
+				l.s.HandleRenewalFailure(sim.now, id, false)
 			})
 			return
 		}
@@ -546,7 +556,7 @@
 		}
 		rep := sw.report(sim.now)
 		sim.after(sim.latency(), func() {
-			l.renewalPending[id] = false
+			l.renewalPending[id], l.connected[id] = false, true
 			if !l.stopped {
 				l.s.HandleReport(sim.now, rep)
 			}
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -149,7 +149,9 @@
 	lastEnd, durableEnd int64
 	// failedRenewals counts the lease renewals in a row that got no answer.
 	failedRenewals int
-	answeredAt     time.Time
+	// closed is set once the worker has closed a connection and not answered since.
+	closed     bool
+	answeredAt time.Time
 	// bootUnknown is set when another boot than the known one has answered.
 	bootUnknown bool
 	// leasesExpired is set when the leases of an unreachable worker have expired.
@@ -280,6 +282,10 @@
 	}
 	w.listed = false
 	s.recordEvent(Event{Kind: "worker unlisted", Worker: id, Age: w.sinceAnswer(now)})
+	if w.hasLeft() {
+		s.endWorker(now, w, leftReason)
+		return
+	}
 	s.forgetWorker(w)
 }
 
