Log that a leader is late

Neither log nor metrics told whether the leader itself was behind. It now measures how much longer than asked for its decision loop sleeps, and logs the mean once a second from 20 ms on.

--- a/internal/host/entry/orders.go
+++ b/internal/host/entry/orders.go
@@ -15,6 +15,7 @@
 func (t *term) decisionLoop() {
 	timer := time.NewTimer(maxDecisionInterval)
 	defer timer.Stop()
+	var late lag
 	for {
 		now := t.host.clock.Now()
 		mayOrder := t.maySendOrders(now)
@@ -29,9 +30,17 @@
 		t.host.recordEvents(events)
 		t.logEvents(events)
 		signal(t.wakeWriter)
+		sleptAt := t.host.clock.Now()
 		if !sleep(t.ctx, minDecisionInterval) {
 			return
 		}
+		woken := t.host.clock.Now()
+		late.add(minDecisionInterval, woken.Sub(sleptAt))
+		if late.isReportDue(woken) {
+			t.log.WithFields(logrus.Fields{
+				"lag_ms": late.mean.Milliseconds(), "decided_ms": sleptAt.Sub(now).Milliseconds(),
+			}).Info("The leader is late")
+		}
 		timer.Reset(maxDecisionInterval)
 		select {
 		case <-t.ctx.Done():
