Pause after a decision in proportion to its duration

Cause: the leader decides every 5 ms however long a decision takes. The more waits, the longer it takes, and a leader short of processor time spends all of it on decisions (0.2 to 0.4 s each, 0.3 s apart, logged in a trial); its calls to workers time out, their connections are closed and opened again, workers seem silent, their room stays empty, and more waits. Class of fault: congestion collapse, work that grows with the backlog.

The pause after a decision is now twice its duration, 250 ms at most, so that calls and reports get two thirds of the time, and everything that arrives meanwhile is decided together. Ruled out: the lock (waits of 0 in most decisions), and late timers (lag below 20 ms).

--- a/internal/host/entry/orders.go
+++ b/internal/host/entry/orders.go
@@ -30,15 +30,16 @@
 		t.host.recordEvents(events)
 		t.logEvents(events)
 		signal(t.wakeWriter)
-		sleptAt := t.host.clock.Now()
-		if !sleep(t.ctx, minDecisionInterval) {
+		decidedAt := t.host.clock.Now()
+		pause := decisionPause(decidedAt.Sub(now))
+		if !sleep(t.ctx, pause) {
 			return
 		}
 		woken := t.host.clock.Now()
-		late.add(minDecisionInterval, woken.Sub(sleptAt))
+		late.add(pause, woken.Sub(decidedAt))
 		if late.isReportDue(woken) {
 			t.log.WithFields(logrus.Fields{
-				"lag_ms": late.mean.Milliseconds(), "decided_ms": sleptAt.Sub(now).Milliseconds(),
+				"lag_ms": late.mean.Milliseconds(), "pause_ms": pause.Milliseconds(),
 			}).Info("The leader is late")
 		}
 		timer.Reset(maxDecisionInterval)
@@ -51,6 +52,16 @@
 	}
 }
 
+// decisionPauseFactor times the duration of a decision is the pause after it. The more waits, the longer a decision
+// takes. Without a pause in proportion, a leader that is short of processor time would spend all of it on decisions, and
+// calls to workers would time out.
+const decisionPauseFactor = 2
+
+// decisionPause returns the pause after a decision that took the given time.
+func decisionPause(took time.Duration) time.Duration {
+	return min(max(minDecisionInterval, decisionPauseFactor*took), maxDecisionInterval)
+}
+
 // senderIdleTimeout is how long a goroutine that has sent an order waits for the next one.
 const senderIdleTimeout = time.Second
 
