Rate workers by scarcity with less work

Once a second the leader compared each best-effort image with each run of each worker, twice: 150 to 230 ms on a slow host of the large site, in which no call is made. Now each pair of images is compared once, each worker's runs are looked at once, and a stage keeps the pointer to its step, which every rule asks for.

--- a/internal/zone/dispatch/health_test.go
+++ b/internal/zone/dispatch/health_test.go
@@ -155,7 +155,7 @@
 func TestOpenProbeDoesNotBlockForEver(t *testing.T) {
 	newTask := func(step workflow.Step) *task {
 		j := &Job{spec: workflow.Spec{Steps: []workflow.Step{step}}}
-		return &task{name: "probe", stage: &stage{occurrence: &occurrence{job: j}}}
+		return &task{name: "probe", stage: &stage{occurrence: &occurrence{job: j}, spec: &j.spec.Steps[0]}}
 	}
 	short, longRunning, bestEffort := newStep(1, 1000, time.Second), newStep(1, 1000, 0), newStep(1, 1000, time.Second)
 	longRunning.LongRunning, bestEffort.BestEffort = true, true
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -72,7 +72,9 @@
 type stage struct {
 	occurrence *occurrence
 	index      int
-	tasks      []*task
+	// spec is the step with the index in the job's specification.
+	spec  *workflow.Step
+	tasks []*task
 	// waiting and done count tasks. openDependencies counts the steps on which this one depends and that are not done.
 	waiting, done, openDependencies int
 	// inReady is set while the stage is in the ready list.
@@ -103,7 +105,7 @@
 func (st *stage) job() *Job { return st.occurrence.job }
 
 // step returns the specification of the stage's step.
-func (st *stage) step() *workflow.Step { return &st.occurrence.job.spec.Steps[st.index] }
+func (st *stage) step() *workflow.Step { return st.spec }
 
 // task is one task of a stage.
 type task struct {
@@ -238,7 +240,7 @@
 	prefix := j.id + "." + strconv.Itoa(index) + "."
 	for i := range j.spec.Steps {
 		step := &j.spec.Steps[i]
-		st := &stage{occurrence: o, index: i, waiting: step.Tasks, openDependencies: len(step.DependsOn)}
+		st := &stage{occurrence: o, index: i, spec: step, waiting: step.Tasks, openDependencies: len(step.DependsOn)}
 		st.tasks = make([]*task, step.Tasks)
 		head := prefix + strconv.Itoa(i) + "."
 		for n := range st.tasks {
--- a/internal/zone/dispatch/scarcity.go
+++ b/internal/zone/dispatch/scarcity.go
@@ -1,5 +1,10 @@
 package dispatch
 
+import (
+	"maps"
+	"slices"
+)
+
 // maxScarcity is the highest scarcity of a worker. A scarcity is the demand for room divided by what is left of it.
 const maxScarcity = 3
 
@@ -21,40 +26,99 @@
 			}
 		}
 	}
-	supply := map[string]float64{}
+	table := newToleranceTable(s.interference, slices.Sorted(maps.Keys(demand)))
+	supply := make([]float64, len(table.bestEffort))
 	for _, w := range s.workers {
 		w.scarcity = 0
+		tolerated := table.tolerated(w)
 		if !w.isUsable() {
 			continue
 		}
 		room := float64(w.Capacity.Cores) - longRunningUtilisation*float64(w.longRunningCores) -
 			float64(w.used.Cores-w.longRunningCores)
-		for image := range demand {
-			if s.tolerates(w, image) {
-				supply[image] += max(0, room)
+		for i, ok := range tolerated {
+			if ok {
+				supply[i] += max(0, room)
 			}
 		}
 	}
+	scarcity := make([]float64, len(supply))
+	for i, image := range table.bestEffort {
+		scarcity[i] = min(maxScarcity, demand[image]/max(1, supply[i]))
+	}
 	for _, w := range s.workers {
-		for image, d := range demand {
-			if s.tolerates(w, image) {
-				w.scarcity = max(w.scarcity, min(maxScarcity, d/max(1, supply[image])))
+		for i, ok := range table.tolerated(w) {
+			if ok {
+				w.scarcity = max(w.scarcity, scarcity[i])
 			}
 		}
 	}
 }
 
-// toleratedCoefficient is the highest interference coefficient at which a best-effort image is taken not to disturb a
-// long-running one, see interferenceModel.coefficient.
-const toleratedCoefficient = 0.2
+// toleranceTable tells which best-effort images disturb no long-running task of a worker.
+type toleranceTable struct {
+	model      *interferenceModel
+	bestEffort []string
+	// byImage holds, for each long-running image, whether it tolerates each best-effort image, byWorker the same for all
+	// tasks of a worker.
+	byImage  map[string][]bool
+	byWorker map[*Worker][]bool
+	// all is the row of a worker without long-running tasks.
+	all []bool
+}
 
-// tolerates reports whether a best-effort image disturbs no long-running task of the worker.
-func (s *Scheduler) tolerates(w *Worker, image string) bool {
+// newToleranceTable returns an empty table for the best-effort images.
+func newToleranceTable(model *interferenceModel, bestEffort []string) *toleranceTable {
+	all := make([]bool, len(bestEffort))
+	for i := range all {
+		all[i] = true
+	}
+	return &toleranceTable{
+		model: model, bestEffort: bestEffort, byImage: map[string][]bool{}, byWorker: map[*Worker][]bool{}, all: all,
+	}
+}
+
+// tolerated reports for each best-effort image whether it disturbs no long-running task of the worker.
+func (t *toleranceTable) tolerated(w *Worker) []bool {
+	if row, ok := t.byWorker[w]; ok {
+		return row
+	}
+	row := t.all
+	last := ""
 	for _, r := range w.runs {
-		if step := r.task.step(); step.LongRunning && step.TargetLatency > 0 &&
-			s.interference.coefficient(step.Image, image) > toleratedCoefficient {
-			return false
+		step := r.task.step()
+		if !step.LongRunning || step.TargetLatency <= 0 || step.Image == last {
+			continue
 		}
+		last = step.Image
+		row = intersect(row, t.toleratedBy(step.Image))
 	}
-	return true
+	t.byWorker[w] = row
+	return row
 }
+
+// toleratedBy reports for each best-effort image whether it does not disturb the long-running image.
+func (t *toleranceTable) toleratedBy(longRunning string) []bool {
+	row, ok := t.byImage[longRunning]
+	if !ok {
+		row = make([]bool, len(t.bestEffort))
+		for i, image := range t.bestEffort {
+			row[i] = t.model.coefficient(longRunning, image) <= toleratedCoefficient
+		}
+		t.byImage[longRunning] = row
+	}
+	return row
+}
+
+// intersect returns a row that is set where both rows of the same length are.
+func intersect(a, b []bool) []bool {
+	out := make([]bool, len(a))
+	for i := range a {
+		out[i] = a[i] && b[i]
+	}
+	return out
+}
+
+// toleratedCoefficient is the highest interference coefficient at which a best-effort image is taken not to disturb a
+// long-running one, see interferenceModel.coefficient.
+const toleratedCoefficient = 0.2
