--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -181,9 +181,6 @@
 		if noWorker && st.runsAnywhere() {
 			failed = append(failed, placement)
 		}
-		if noWorker && st.step().BestEffort {
-			s.bestEffortFullAt[j.service] = now
-		}
 	}
 }
 
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -154,8 +154,6 @@
 	// shortDemand is the number of cores that short tasks use and wait for in each service, in thousandths. It falls
 	// slowly after a peak, see shortDemandDecay.
 	shortDemand map[string]float64
-	// bestEffortFullAt is when best-effort tasks last found no room in each service.
-	bestEffortFullAt map[string]time.Time
 	// longRunningWaiting names the services in which long-running tasks wait for room.
 	longRunningWaiting map[string]bool
 }
@@ -181,8 +179,6 @@
 		suspects:      map[*task]*suspicion{},
 		lapses:        map[bootID]*lapse{},
 
-		bestEffortFullAt: map[string]time.Time{},
-
 		interference: newInterferenceModel(),
 	}
 }
--- a/internal/zone/dispatch/pacing.go
+++ b/internal/zone/dispatch/pacing.go
@@ -132,16 +132,14 @@
 
 // movePaused stops a task that is paused for too long, so that it continues from its checkpoint on a worker with a
 // lower load. Tasks without checkpoints stay, since their work would be lost, and so do those of steps that limit how
-// many tasks may be unavailable. No task is moved while others find no room: it would change places with them, which is
-// work for the leader and the workers and gains nothing.
+// many tasks may be unavailable.
 func (s *Scheduler) movePaused(now time.Time, r *run) {
 	switch {
 	case r.targetPace > 0:
 		r.pausedSince = time.Time{}
 	case r.pausedSince.IsZero():
 		r.pausedSince = now
-	case now.Sub(r.pausedSince) > maxPauseBeforeMove && r.task.step().Checkpointing && r.task.step().MaxUnavailable < 0 &&
-		now.Sub(s.bestEffortFullAt[r.worker.Service]) > maxPauseBeforeMove:
+	case now.Sub(r.pausedSince) > maxPauseBeforeMove && r.task.step().Checkpointing && r.task.step().MaxUnavailable < 0:
 		s.stopRun(r, "held back by lasting tasks")
 	}
 }
