Submit the jobs of the tests of a zone that is out through the host that holds its worker

TestZoneCutOffStopsStartsAndServesUrgentRequests failed in a good part of its runs (here 2 of 6 alone, and 2 of 8 with a trace): "the task that ran when the zone was cut off was not kept: status error <nil>, tasks []". No task was lost: the test looked at a worker of the wrong zone.

Cause: zone a has two hosts and one worker. Which host takes it is settled by which asks first at the start, and the holder never gives its last worker away. The test submitted its jobs at a-1. A host that holds no worker records a new job for another zone (zoneForJob), so with a-2 as the holder both jobs were accepted by zone b, ran there, and the worker of zone a never had a task.

Ruled out by the trace: a lease or task lease that lapsed, a stop, an eviction, a restart, and a look that came too late. Until the look there was no second attempt and no stopped one in any run, and the worker of zone a kept its holder and grant 1 in all of them.

The other tests with several zones don't depend on which zone gets a job; all others have one zone.

The first one waits, within the same 5 s, until the worker itself lists the long task as running, and looks for the same attempt in the same states as before. It asks the holder first for the urgent requests, so that the task is looked at about 6 s after the cut whichever host holds the worker. The submission at a host without a worker, which the first one exercised by chance, has a test of its own: TestJobOfHostWithoutWorkerFinishes. The comment of zoneForJob said that the zone must have workers; it is this host that must.

--- a/internal/host/node/host_faults_test.go
+++ b/internal/host/node/host_faults_test.go
@@ -53,6 +53,44 @@
 	return id
 }
 
+// awaitHolder waits until one of two hosts has a worker with a free slot, and returns that host and the other one.
+func (p *testPlatform) awaitHolder(a, b *testNode) (holder, other *testNode) {
+	p.t.Helper()
+	p.eventually(5*time.Second, "one of hosts "+a.id+" and "+b.id+" has a worker", func() bool {
+		return a.freeSlots() > 0 || b.freeSlots() > 0
+	})
+	if a.freeSlots() > 0 {
+		return a, b
+	}
+	return b, a
+}
+
+// submitInOwnZone submits a job through a host that holds a worker. It stops the test unless the host's own zone has
+// the job: a host that holds no worker passes jobs on to another zone.
+func (p *testPlatform) submitInOwnZone(holder *testNode, count int, run time.Duration) string {
+	p.t.Helper()
+	id := p.submitAccepted(holder, count, run)
+	if r := holder.showInOwnZone(id); r.Outcome != outcome.Done {
+		p.t.Fatalf("job %s submitted at host %s is not in zone %s: %+v", id, holder.id, holder.zoneName, r)
+	}
+	return id
+}
+
+// attemptState returns the state in which a worker lists the attempt of a task, or an empty one if it does not.
+func (p *testPlatform) attemptState(worker, task string, attempt int) fleet.TaskState {
+	p.t.Helper()
+	s, err := p.worker(worker).Status()
+	if err != nil {
+		p.t.Fatalf("worker %s has no status: %v", worker, err)
+	}
+	for _, t := range s.Tasks {
+		if t.ID == task && t.Attempt == attempt {
+			return t.State
+		}
+	}
+	return ""
+}
+
 // Guards against the start of a task after the host that sends it has lost its lease: the host is paused between the
 // check of the lease and the send.
 func TestPausedHostStartsNothingAfterItsLease(t *testing.T) {
@@ -191,9 +229,12 @@
 	p := newTestPlatform(t, 2, 1)
 	a1, a2, b := p.start("a-1", "a"), p.start("a-2", "a"), p.start("b-1", "b")
 	p.declareClasses(a1, a2, b)
-	long := p.submitAccepted(a1, 1, 7*time.Second)
-	waiting := p.submitAccepted(a1, 30, 1500*time.Millisecond)
-	p.eventually(5*time.Second, "tasks run", func() bool { v, _ := p.show(a1, long); return v.States["running"] == 1 })
+	holder, other := p.awaitHolder(a1, a2)
+	long := p.submitInOwnZone(holder, 1, 7*time.Second)
+	waiting := p.submitInOwnZone(holder, 30, 1500*time.Millisecond)
+	p.eventually(5*time.Second, "the long task runs in zone a", func() bool {
+		return p.attemptState("a-w0", long+"/0", 1) == fleet.TaskRunning
+	})
 	for _, n := range []*testNode{a1, a2} {
 		n.link.setFaults(func(f *linkFaults) { f.CutLog, f.CutPeers = true, true })
 	}
@@ -202,23 +243,17 @@
 	time.Sleep(zoneOutStartLimit)
 	for range 5 {
 		body, _ := p.newBody(10 * time.Millisecond)
-		if r := p.request(a1, "check", "", body, time.Second); r.Outcome != outcome.Done {
-			// Only one of the two hosts holds the zone's worker, and they cannot reach each other.
-			if r = p.request(a2, "check", "", body, time.Second); r.Outcome != outcome.Done {
+		if r := p.request(holder, "check", "", body, time.Second); r.Outcome != outcome.Done {
+			// The hosts cannot reach each other, and the other one may hold the zone's worker by now.
+			if r = p.request(other, "check", "", body, time.Second); r.Outcome != outcome.Done {
 				t.Errorf("urgent request in a zone that is cut off was not answered: %+v", r)
 			}
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
 	p.checkNoStarts("a", takenOutAt.Add(zoneOutStartLimit), time.Now())
-	s, err := p.worker("a-w0").Status()
-	kept := false
-	for _, task := range s.Tasks {
-		kept = kept || task.ID == long+"/0" && (task.State == fleet.TaskRunning || task.State == fleet.TaskDone) &&
-			task.Attempt == 1
-	}
-	if err != nil || !kept {
-		t.Errorf("the task that ran when the zone was cut off was not kept: status error %v, tasks %+v", err, s.Tasks)
+	if s := p.attemptState("a-w0", long+"/0", 1); s != fleet.TaskRunning && s != fleet.TaskDone {
+		t.Errorf("the task that ran when the zone was cut off was not kept: its worker lists it as %q", s)
 	}
 	for _, n := range []*testNode{a1, a2} {
 		n.link.setFaults(func(f *linkFaults) { *f = linkFaults{} })
@@ -228,6 +263,31 @@
 	p.checkNoViolations()
 }
 
+// Guards against the loss of a job that was submitted at a host without a worker, while another host of its zone holds
+// one.
+func TestJobOfHostWithoutWorkerFinishes(t *testing.T) {
+	t.Parallel()
+	p := newTestPlatform(t, 2, 1)
+	a1, a2, b := p.start("a-1", "a"), p.start("a-2", "a"), p.start("b-1", "b")
+	p.declareClasses(a1, a2, b)
+	_, other := p.awaitHolder(a1, a2)
+	p.awaitFinished(p.submitAccepted(other, 4, 300*time.Millisecond), 4, 20*time.Second)
+	p.checkNoViolations()
+}
+
+// startCount returns the number of task starts at workers of the zone.
+func (p *testPlatform) startCount(zone string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for _, s := range p.starts {
+		if p.zones[s.worker] == zone {
+			count++
+		}
+	}
+	return count
+}
+
 // checkNoStarts fails the test for each task start at a worker of the zone between two times.
 func (p *testPlatform) checkNoStarts(zone string, from, to time.Time) {
 	p.t.Helper()
--- a/internal/host/node/job.go
+++ b/internal/host/node/job.go
@@ -114,8 +114,9 @@
 	return n.acceptInZone(ctx, known.Intent.Zone, a)
 }
 
-// zoneForJob returns the zone that gets a new job: this one if it is in service and has workers that are large enough,
-// otherwise another one. If no known worker of any zone is large enough, refusalReason says so.
+// zoneForJob returns the zone that gets a new job: this one if it is in service, this host holds a worker there and a
+// known worker of the zone is large enough, otherwise another one if there is any. If no known worker of any zone is
+// large enough, refusalReason says so.
 func (n *Node) zoneForJob(now time.Time, a job.Accept) (zone, refusalReason string) {
 	n.zone.mu.Lock()
 	held := n.zone.policy.WorkerCount()
