Look for reclaimable runs once in a round

A round now works out the runs of each worker once; a run is left out if its step can't spare a task any more.

Which runs are reclaimed is unchanged.

--- a/internal/zone/dispatch/reclaim.go
+++ b/internal/zone/dispatch/reclaim.go
@@ -45,6 +45,7 @@
 		return
 	}
 	s.reclaimedAt = now
+	round := reclaimRound{}
 	left := maxReclaims
 	for _, st := range s.ready {
 		if left <= 0 {
@@ -59,7 +60,7 @@
 			if left <= 0 || !t.queued || now.Before(t.notBefore) {
 				continue
 			}
-			if !s.reclaimFor(now, t) {
+			if !s.reclaimFor(now, t, round) {
 				break
 			}
 			left--
@@ -67,8 +68,32 @@
 	}
 }
 
+// reclaimRound holds the reclaimable runs of each worker for tasks of one priority, worked out once in a round: they are
+// compared with each task for which room is reclaimed.
+type reclaimRound map[reclaimKey]reclaimableRuns
+
+// reclaimKey is a worker and the priority of the task for which room is reclaimed.
+type reclaimKey struct {
+	worker   *Worker
+	priority int
+}
+
+// reclaimableRuns are runs of one worker whose room may be reclaimed, the smallest first.
+type reclaimableRuns struct{ longRunning, bestEffort []*run }
+
+// runs returns the reclaimable runs of the worker for a task.
+func (round reclaimRound) runs(s *Scheduler, now time.Time, t *task, w *Worker) reclaimableRuns {
+	k := reclaimKey{w, t.job().priority}
+	runs, ok := round[k]
+	if !ok {
+		runs = s.reclaimable(now, t, w)
+		round[k] = runs
+	}
+	return runs
+}
+
 // reclaimFor stops the tasks whose room is cheapest to reclaim for a short task. It returns false if there are none.
-func (s *Scheduler) reclaimFor(now time.Time, t *task) bool {
+func (s *Scheduler) reclaimFor(now time.Time, t *task, round reclaimRound) bool {
 	var best []*run
 	var bestWorker *Worker
 	bestCost := math.Inf(1)
@@ -76,7 +101,7 @@
 		if now.Before(w.reservedUntil) || !t.step().Size.Fits(w.Capacity) || !s.isEligible(now, t, w) {
 			continue
 		}
-		if victims, cost := s.victims(now, t, w, bestCost); cost < bestCost {
+		if victims, cost := s.victims(t, w, round.runs(s, now, t, w), bestCost); cost < bestCost {
 			best, bestWorker, bestCost = victims, w, cost
 		}
 	}
@@ -102,19 +127,34 @@
 
 // victims returns the runs of a worker to stop so that the short task fits, and their cost. The cost is infinite if there
 // is no such choice or none below the limit.
-func (s *Scheduler) victims(now time.Time, t *task, w *Worker, limit float64) ([]*run, float64) {
-	longRunning, bestEffort := s.reclaimable(now, t, w)
+func (s *Scheduler) victims(t *task, w *Worker, runs reclaimableRuns, limit float64) ([]*run, float64) {
 	c := reclaimChoice{missing: w.used.Add(t.step().Reserved()).Sub(w.Capacity), limit: limit}
-	c.take(longRunning, 1, func(f fleet.Size) int64 { return f.Cores })
-	c.take(bestEffort, bestEffortCost, func(f fleet.Size) int64 { return f.Memory })
+	c.take(s.spareable(runs.longRunning), 1, coresOf)
+	c.take(slices.Clone(runs.bestEffort), bestEffortCost, memoryOf)
 	if len(c.runs) == 0 || !c.missing.Fits(fleet.Size{}) {
 		return nil, math.Inf(1)
 	}
 	return c.runs, c.cost
 }
 
-// reclaimable returns the long-running and the best-effort runs of a worker whose room may be reclaimed for a task.
-func (s *Scheduler) reclaimable(now time.Time, t *task, w *Worker) (longRunning, bestEffort []*run) {
+// spareable returns those of the long-running runs whose stages may still spare a task.
+func (s *Scheduler) spareable(runs []*run) []*run {
+	var out []*run
+	for _, r := range runs {
+		if s.maySpareTask(r.task.stage) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// coresOf and memoryOf are the dimensions in which long-running and best-effort tasks take room.
+func coresOf(f fleet.Size) int64  { return f.Cores }
+func memoryOf(f fleet.Size) int64 { return f.Memory }
+
+// reclaimable returns the runs of a worker whose room may be reclaimed for a task.
+func (s *Scheduler) reclaimable(now time.Time, t *task, w *Worker) reclaimableRuns {
+	var runs reclaimableRuns
 	for _, r := range w.runs {
 		step := r.task.step()
 		if r.phase != phaseRunning || r.task.job().priority < t.job().priority || step.MaxUnavailable >= 0 {
@@ -122,12 +162,22 @@
 		}
 		switch {
 		case step.BestEffort && step.Checkpointing:
-			bestEffort = append(bestEffort, r)
+			runs.bestEffort = append(runs.bestEffort, r)
 		case step.LongRunning && now.Sub(r.startedAt) >= minRunBeforeReclaim && s.maySpareTask(r.task.stage):
-			longRunning = append(longRunning, r)
+			runs.longRunning = append(runs.longRunning, r)
 		}
 	}
-	return longRunning, bestEffort
+	sortRunsBy(runs.longRunning, coresOf)
+	sortRunsBy(runs.bestEffort, memoryOf)
+	return runs
+}
+
+// sortRunsBy orders runs by a dimension of their tasks' sizes.
+func sortRunsBy(runs []*run, dimension func(fleet.Size) int64) {
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(dimension(a.task.step().Size), dimension(b.task.step().Size)),
+			cmp.Compare(a.task.name, b.task.name))
+	})
 }
 
 // reclaimChoice is a choice of runs to stop on one worker.
@@ -139,13 +189,9 @@
 	cost, limit float64
 }
 
-// take chooses runs until no room is missing in the dimension: the smallest run that is large enough, or else the
-// largest. The weight is the cost of a run per core.
+// take chooses among runs, the smallest first, until no room is missing in the dimension: the smallest run that is large
+// enough, or else the largest. The weight is the cost of a run per core. It changes runs.
 func (c *reclaimChoice) take(runs []*run, weight float64, dimension func(fleet.Size) int64) {
-	slices.SortFunc(runs, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(dimension(a.task.step().Size), dimension(b.task.step().Size)),
-			cmp.Compare(a.task.name, b.task.name))
-	})
 	for len(runs) > 0 && dimension(c.missing) > 0 && c.cost < c.limit {
 		i := slices.IndexFunc(runs, func(r *run) bool { return dimension(r.task.step().Size) >= dimension(c.missing) })
 		if i < 0 {
