Tell a peer that can't be reached from one that has closed the connection

A worker that drains, and is then cut off by a network that reports it as unreachable, would have been taken for one that has left, and its tasks would have started a second time. Cause: fasthttp returns io.EOF for most errors before the first byte of a response, also for 'no route to host', and a closed connection is one of the three signs that a worker has left. The first byte is now awaited apart, with the error of the connection. Found by reading; TestUnreachablePeerIsNotClosed fails without the change.

--- a/internal/port/httpcall/client.go
+++ b/internal/port/httpcall/client.go
@@ -206,6 +206,10 @@
 	r := p.readers.Get().(*bufio.Reader)
 	defer p.readers.Put(r)
 	r.Reset(conn)
+	// fasthttp returns io.EOF for most errors before the first byte, also if the peer can't be reached any more.
+	if _, err := r.Peek(1); err != nil {
+		return err
+	}
 	return resp.ReadLimitBody(r, MaxResponseBytes)
 }
 
--- a/internal/port/httpcall/closed_test.go
+++ b/internal/port/httpcall/closed_test.go
@@ -3,12 +3,22 @@
 import (
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/valyala/fasthttp"
 )
 
+// unreachableConn is a connection to a peer that can't be reached any more.
+type unreachableConn struct{ net.Conn }
+
+func (unreachableConn) Read([]byte) (int, error) {
+	return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.EHOSTUNREACH)}
+}
+
 // TestIsClosed guards against a peer that has left being taken for one that is cut off, and the reverse.
 func TestIsClosed(t *testing.T) {
 	Convey("A request waits at a peer", t, func() {
@@ -46,3 +56,14 @@
 		So(IsClosed(err), ShouldBeTrue)
 	})
 }
+
+// TestUnreachablePeerIsNotClosed guards against a worker that is cut off being taken for one that has left.
+func TestUnreachablePeerIsNotClosed(t *testing.T) {
+	Convey("A peer can't be reached any more while a response is awaited", t, func() {
+		p, done := NewClientPool(2, time.Second, time.Minute)
+		defer done()
+		err := p.read(unreachableConn{}, &fasthttp.Response{})
+		So(err, ShouldNotBeNil)
+		So(IsClosed(err), ShouldBeFalse)
+	})
+}
