--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,234 @@
+// Package platform is a stand-in for the users' platform, on which entry hosts run under the command join: its store,
+// its workers, its operators and the addresses at which callers reach the entry hosts. It follows the platform's
+// protocols on loopback addresses, records what it is told, and reports from this record alone what a correct
+// scheduler never does. It has no groups, gangs, advisers or moves of machines, and no limits of calls.
+//
+// Locks: the lock of a worker is taken before that of the recorder and never after it. No other two locks of the package
+// are held together.
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+)
+
+const (
+	// stepInterval is the interval at which the time of the workers advances between calls.
+	stepInterval = 20 * time.Millisecond
+	// headerTimeout is the longest time to read the header of a request.
+	headerTimeout = 5 * time.Second
+)
+
+// Config configures a Platform.
+type Config struct {
+	// Zones are the availability zones. Each has the given number of workers at the start, in two racks.
+	Zones   []string
+	Workers int
+	// Capacity is the capacity of a worker.
+	Capacity fleet.Size
+	// IP is the address on which everything listens. ControlPort, IngressPort, StorePort and WorkerPort are ports on it:
+	// the last two are the first of a range. Port 0 stands for any free port.
+	IP                                              string
+	ControlPort, IngressPort, StorePort, WorkerPort int
+	// Seed determines all random choices.
+	Seed uint64
+	// Manifest is the manifest at the start.
+	Manifest []byte
+}
+
+// Platform is a running stand-in.
+type Platform struct {
+	cfg      Config
+	ctx      context.Context
+	log      logrus.FieldLogger
+	recorder *recorder
+	store    *store
+	faults   *faultTable
+	workers  *pool
+	ingress  *ingress
+
+	controlAddress, ingressAddress string
+
+	mu sync.Mutex
+	// closers are the clean-up functions in the order in which what they close was started.
+	closers []func()
+	// stores counts the callers of AddStore.
+	stores int
+}
+
+// New starts a stand-in. The returned function stops it and closes all its listeners.
+func New(cfg Config, log logrus.FieldLogger) (*Platform, func(), error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	rec := newRecorder(log)
+	p := &Platform{
+		cfg: cfg, ctx: ctx, log: log, recorder: rec, store: newStore(0), faults: newFaultTable(rec),
+		ingress: newIngress(rec, log),
+	}
+	p.workers = newPool(cfg, p.store, rec, log)
+	closeAll := func() {
+		cancel()
+		p.mu.Lock()
+		closers := p.closers
+		p.closers = nil
+		p.mu.Unlock()
+		for i := len(closers) - 1; i >= 0; i-- {
+			closers[i]()
+		}
+		p.workers.close()
+	}
+	if err := p.start(); err != nil {
+		closeAll()
+		return nil, nil, err
+	}
+	return p, closeAll, nil
+}
+
+// start writes the first manifest and starts the workers, the servers and the passage of time.
+func (p *Platform) start() error {
+	if err := p.SetManifest(p.cfg.Manifest); err != nil {
+		return err
+	}
+	for _, zone := range p.cfg.Zones {
+		for range p.cfg.Workers {
+			if err := p.workers.add(p.ctx, zone, time.Now()); err != nil {
+				return err
+			}
+		}
+	}
+	var err error
+	if p.ingressAddress, err = p.serve(p.cfg.IngressPort, p.ingress.handler()); err != nil {
+		return err
+	}
+	if p.controlAddress, err = p.serve(p.cfg.ControlPort, controlHandler(p)); err != nil {
+		return err
+	}
+	p.runEvery(stepInterval, func() {
+		now := time.Now()
+		p.workers.step(now)
+		p.recorder.check(now)
+	})
+	p.runEvery(probeInterval, func() { p.ingress.probe(p.ctx) })
+	return nil
+}
+
+// runEvery calls fn at an interval until the platform is closed.
+func (p *Platform) runEvery(interval time.Duration, fn func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		t := time.NewTicker(interval)
+		defer t.Stop()
+		for {
+			select {
+			case <-p.ctx.Done():
+				return
+			case <-t.C:
+				fn()
+			}
+		}
+	}()
+	p.addCloser(func() { <-done })
+}
+
+// addCloser adds a clean-up function.
+func (p *Platform) addCloser(fn func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closers = append(p.closers, fn)
+}
+
+// serve serves the handler on the port, or on any free one if it is 0, and returns the address.
+func (p *Platform) serve(port int, h http.Handler) (string, error) {
+	address, closeServer, err := serve(p.ctx, net.JoinHostPort(p.cfg.IP, strconv.Itoa(port)), h)
+	if err != nil {
+		return "", err
+	}
+	p.addCloser(closeServer)
+	return address, nil
+}
+
+// serve serves the handler on the address. It returns the address with its port and a function that stops the server
+// and closes its connections at once. The requests' contexts derive from ctx.
+func serve(ctx context.Context, address string, h http.Handler) (string, func(), error) {
+	l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+	if err != nil {
+		return "", nil, errors.Wrapf(err, "standin: listen on %s", address)
+	}
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, BaseContext: func(net.Listener) context.Context { return ctx },
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		// Serve always returns an error, ErrServerClosed after the clean-up.
+		_ = srv.Serve(l)
+	}()
+	return l.Addr().String(), func() {
+		// An error means that the listener is already closed.
+		_ = srv.Close()
+		<-done
+	}, nil
+}
+
+// ControlAddress returns the address of the fault switches and of the report.
+func (p *Platform) ControlAddress() string { return p.controlAddress }
+
+// IngressAddress returns the address at which callers reach the entry hosts.
+func (p *Platform) IngressAddress() string { return p.ingressAddress }
+
+// AddStore opens an address of the store for one caller, so that faults can be limited to that caller, and returns it.
+func (p *Platform) AddStore(caller string) (string, error) {
+	p.mu.Lock()
+	port := p.cfg.StorePort
+	if port != 0 {
+		port += p.stores
+	}
+	p.stores++
+	p.mu.Unlock()
+	return p.serve(port, storeHandler(p.store, p.faults, caller))
+}
+
+// AddHost adds an entry host, to which callers are forwarded while it is ready.
+func (p *Platform) AddHost(name, callersAddress, readyAddress string) {
+	p.ingress.add(&entryHost{name: name, callers: callersAddress, ready: readyAddress})
+}
+
+// SetManifest writes a manifest as an operator.
+func (p *Platform) SetManifest(manifest []byte) error {
+	if err := p.ingress.setManifest(manifest); err != nil {
+		return err
+	}
+	p.store.put(operatorTopic, "config", manifest)
+	return nil
+}
+
+// SetEvacuated begins or ends the evacuation of a zone as an operator.
+func (p *Platform) SetEvacuated(zone string, on bool) {
+	var value []byte
+	if on {
+		value = []byte("{}")
+	}
+	p.store.put(operatorTopic, "evacuate/"+zone, value)
+	p.recorder.setEvacuated(zone, on, time.Now())
+}
+
+// SetFaults replaces the store's faults for a caller, or for all callers if the name is empty.
+func (p *Platform) SetFaults(caller string, f Faults) { p.faults.set(caller, f, time.Now()) }
+
+// ChangeWorkers applies an action to a number of workers that are ready, of the given zone or of any if it is empty, and
+// returns their IDs.
+func (p *Platform) ChangeWorkers(a Action, n int, zone string) ([]string, error) {
+	return p.workers.change(p.ctx, a, n, zone, time.Now())
+}
+
+// Report returns what was seen so far.
+func (p *Platform) Report() Report { return p.recorder.report() }
--- /dev/null
+++ b/internal/standin/platform/pool.go
@@ -0,0 +1,254 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// Service is the name of the service whose workers the stand-in runs.
+	Service = "pool"
+	// workerKind is the first label of each worker.
+	workerKind = "std"
+	// racksPerZone is the number of racks over which the workers of a zone are spread.
+	racksPerZone = 2
+	// drainTime is how long a worker goes on after it has announced that it will leave, and drainExcess how much longer
+	// it does so than announced.
+	drainTime   = 2500 * time.Millisecond
+	drainExcess = 500 * time.Millisecond
+	// crashNoticeTime is the time after which the entry of a worker that has crashed is removed: three intervals of its
+	// heartbeat.
+	crashNoticeTime = 3300 * time.Millisecond
+	// maxClockStart bounds the reading of a worker's clock at its start, in milliseconds.
+	maxClockStart = 1_000_000
+	// maxClockLag is the largest share by which a worker's clock is slow.
+	maxClockLag = 0.02
+)
+
+// Action is a change of a worker.
+type Action string
+
+// The actions on workers.
+const (
+	// ActionDrain announces that a worker will leave. It leaves after a while.
+	ActionDrain Action = "drain"
+	// ActionKill ends a worker without notice.
+	ActionKill Action = "kill"
+	// ActionRestart ends a worker without notice and starts it again under the same ID and at the same address.
+	ActionRestart Action = "restart"
+	// ActionAdd starts a new worker.
+	ActionAdd Action = "add"
+)
+
+// ErrAction marks errors about an action that can't be applied.
+var ErrAction = errors.New("standin: action can't be applied")
+
+// pool runs the workers and registers them in the store.
+type pool struct {
+	cfg      Config
+	store    *store
+	recorder *recorder
+	log      logrus.FieldLogger
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	members []*member
+	// added is the number of workers that were ever added, lastBoot the boot of the newest worker.
+	added    int
+	lastBoot int64
+	// removals holds when the entries of crashed workers are removed, by ID.
+	removals map[string]time.Time
+}
+
+// member is a worker that is served.
+type member struct {
+	worker  *worker
+	address string
+	close   func()
+	// leaveAt is when the worker leaves, zero unless it drains.
+	leaveAt time.Time
+}
+
+// newPool returns a pool without workers.
+func newPool(cfg Config, s *store, r *recorder, log logrus.FieldLogger) *pool {
+	return &pool{
+		cfg: cfg, store: s, recorder: r, log: log, rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		removals: map[string]time.Time{},
+	}
+}
+
+// close stops the servers of all workers.
+func (p *pool) close() {
+	p.mu.Lock()
+	members := p.members
+	p.members = nil
+	p.mu.Unlock()
+	for _, m := range members {
+		m.worker.leave(time.Now())
+		m.close()
+	}
+}
+
+// add starts a new worker in the zone and registers it.
+func (p *pool) add(ctx context.Context, zone string, now time.Time) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	port := p.cfg.WorkerPort
+	if port != 0 {
+		port += p.added
+	}
+	id := fmt.Sprintf("i-%08x", p.rng.Uint32())
+	rack := fmt.Sprintf("%s-r%d", zone, p.added%racksPerZone)
+	p.added++
+	return p.serveWorker(ctx, id, zone, rack, net.JoinHostPort(p.cfg.IP, strconv.Itoa(port)), now)
+}
+
+// serveWorker starts a new boot of a worker and registers it. The caller holds mu.
+func (p *pool) serveWorker(ctx context.Context, id, zone, rack, address string, now time.Time) error {
+	p.lastBoot = max(p.lastBoot+1, now.UnixMilli())
+	w := &worker{
+		life: life{id: id, boot: p.lastBoot}, zone: zone, labels: []string{workerKind, rack}, capacity: p.cfg.Capacity,
+		recorder: p.recorder, startedAt: now, clockStart: 1 + p.rng.Int64N(maxClockStart),
+		clockRate: 1 - maxClockLag*p.rng.Float64(), runs: map[runKey]*run{}, closed: map[string]int{},
+		changed: make(chan struct{}),
+	}
+	p.recorder.workerUp(w)
+	address, closeServer, err := serve(ctx, address, workerHandler(w))
+	if err != nil {
+		return err
+	}
+	m := &member{worker: w, address: address, close: closeServer}
+	p.members = append(p.members, m)
+	delete(p.removals, id)
+	p.register(m, now)
+	return nil
+}
+
+// register writes the registration of a worker.
+func (p *pool) register(m *member, now time.Time) {
+	w := m.worker
+	b := registrationBody{
+		ID: w.id, Service: Service, Address: m.address, Zone: w.zone, State: "ready", Labels: w.labels, Born: w.boot,
+		Capacity: capacityBody{CPU: w.capacity.Cores, MemMb: w.capacity.Memory, GPU: w.capacity.Accelerators},
+	}
+	if !m.leaveAt.IsZero() {
+		b.State, b.RemainingMs = "draining", m.leaveAt.Sub(now).Milliseconds()
+	}
+	data, err := json.Marshal(b)
+	if err != nil {
+		p.log.WithError(err).Error("standin: encode registration")
+		return
+	}
+	p.store.put(workerTopic, w.id, data)
+}
+
+// step lets time pass for all workers: runs end, draining workers leave, and entries of crashed workers are removed.
+func (p *pool) step(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := 0; i < len(p.members); i++ {
+		m := p.members[i]
+		m.worker.advance(now)
+		if m.leaveAt.IsZero() || now.Before(m.leaveAt.Add(drainExcess)) {
+			continue
+		}
+		p.remove(m, now)
+		i--
+		p.store.put(workerTopic, m.worker.id, nil)
+		p.log.WithField("worker", m.worker.id).Info("standin: worker has left")
+	}
+	for id, at := range p.removals {
+		if !now.Before(at) {
+			delete(p.removals, id)
+			p.store.put(workerTopic, id, nil)
+		}
+	}
+}
+
+// remove ends a worker and closes its address. The caller holds mu.
+func (p *pool) remove(m *member, now time.Time) {
+	m.worker.leave(now)
+	m.close()
+	for i, o := range p.members {
+		if o == m {
+			p.members = append(p.members[:i], p.members[i+1:]...)
+			return
+		}
+	}
+}
+
+// change applies an action to n random workers that don't drain, in the zone or in any zone if it is empty, and returns
+// their IDs. It fails with an error marked with ErrAction if there are fewer.
+func (p *pool) change(ctx context.Context, a Action, n int, zone string, now time.Time) ([]string, error) {
+	if a == ActionAdd {
+		for range n {
+			to := zone
+			if to == "" {
+				to = p.cfg.Zones[p.intN(len(p.cfg.Zones))]
+			}
+			if err := p.add(ctx, to, now); err != nil {
+				return nil, err
+			}
+		}
+		return []string{}, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ready []*member
+	for _, m := range p.members {
+		if m.leaveAt.IsZero() && (zone == "" || m.worker.zone == zone) {
+			ready = append(ready, m)
+		}
+	}
+	if n < 0 || n > len(ready) {
+		return nil, errors.Mark(errors.Newf("standin: %s %d of %d workers", a, n, len(ready)), ErrAction)
+	}
+	p.rng.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
+	ids := make([]string, 0, n)
+	for _, m := range ready[:n] {
+		if err := p.apply(ctx, a, m, now); err != nil {
+			return ids, err
+		}
+		ids = append(ids, m.worker.id)
+	}
+	p.log.WithFields(logrus.Fields{"action": a, "workers": ids}).Info("standin: changed workers")
+	return ids, nil
+}
+
+// intN returns a random number below n.
+func (p *pool) intN(n int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rng.IntN(n)
+}
+
+// apply applies an action to a worker. The caller holds mu.
+func (p *pool) apply(ctx context.Context, a Action, m *member, now time.Time) error {
+	w := m.worker
+	switch a {
+	case ActionDrain:
+		m.leaveAt = now.Add(drainTime)
+		p.recorder.workerDraining(w.life)
+		p.register(m, now)
+	case ActionKill:
+		p.recorder.disturb(now)
+		p.remove(m, now)
+		p.removals[w.id] = now.Add(crashNoticeTime)
+	case ActionRestart:
+		p.recorder.disturb(now)
+		p.remove(m, now)
+		return p.serveWorker(ctx, w.id, w.zone, w.labels[1], m.address, now)
+	default:
+		return errors.Mark(errors.Newf("standin: no action %q", a), ErrAction)
+	}
+	return nil
+}
