--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -35,6 +35,7 @@
 
 	Metric     metricCmd     `cmd:"" help:"Print the zone of an entry host and the sum of a metric over its labels."`
 	Post       postCmd       `cmd:"" help:"Post JSON to a stand-in, such as its faults."`
+	Send       sendCmd       `cmd:"" help:"Send any request and print the body of its answer."`
 	Violations violationsCmd `cmd:"" help:"Fail if stand-in workers recorded work beyond their capacity or work that ran twice."`
 }
 
@@ -365,6 +366,42 @@
 	return nil
 }
 
+// sendCmd sends a request.
+type sendCmd struct {
+	target
+	Host   string `help:"Host header, that of the address if empty."`
+	Method string `arg:"" help:"Method, such as GET."`
+	Path   string `arg:"" help:"Path."`
+	Body   string `arg:"" optional:"" help:"Body."`
+}
+
+// Run sends the request and prints the body of the answer. It fails for codes from 300.
+func (c *sendCmd) Run() error {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.To[0]+c.Path, strings.NewReader(c.Body))
+	if err != nil {
+		return err
+	}
+	if c.Host != "" {
+		req.Host = c.Host
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return errors.Newf("status code %d: %s", resp.StatusCode, data)
+	}
+	fmt.Println(strings.TrimSpace(string(data)))
+	return nil
+}
+
 // violationsCmd fails if the stand-in workers recorded violations.
 type violationsCmd struct {
 	Admin string `required:"" help:"Admin address of the stand-in workers."`
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,5 @@
-// Command standin serves stand-ins for the platform: its log service, its host list and its workers.
+// Command standin serves stand-ins for the platform: its log service, its host list and its workers, or the users'
+// platform as a whole.
 package main
 
 import (
@@ -27,9 +28,10 @@
 )
 
 var cli struct {
-	Log     logCmd     `cmd:"" help:"Serve the log service."`
-	Hosts   hostsCmd   `cmd:"" help:"Serve the host list."`
-	Workers workersCmd `cmd:"" help:"Serve workers, each on its own port."`
+	Log      logCmd      `cmd:"" help:"Serve the log service."`
+	Hosts    hostsCmd    `cmd:"" help:"Serve the host list."`
+	Workers  workersCmd  `cmd:"" help:"Serve workers, each on its own port."`
+	Platform platformCmd `cmd:"" help:"Serve the users' platform, on which entry hosts run under the command join."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/standin/platform/hosts_test.go
@@ -0,0 +1,205 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	product "sassafraswind.example/sassafraswind/platform"
+)
+
+// deployment is a stand-in with entry hosts in this process.
+type deployment struct {
+	t        *testing.T
+	platform *Platform
+	hosts    []*runningHost
+}
+
+// runningHost is an entry host that runs in this process.
+type runningHost struct {
+	settings    HostSettings
+	path        string
+	metricsPort int
+	// stop stops the host as the platform does before planned work and returns its error.
+	stop func() error
+}
+
+// portsOfHost is the number of ports that a host needs.
+const portsOfHost = 5
+
+// startDeployment starts a stand-in with three zones of four workers, and entry hosts in all of them.
+func startDeployment(t *testing.T, seed uint64, hosts int) *deployment {
+	t.Helper()
+	manifest, err := DefaultManifest(1)
+	So(err, ShouldBeNil)
+	log, _ := test.NewNullLogger()
+	p, closePlatform, err := New(Config{
+		Zones: []string{"a", "b", "c"}, Workers: 4, Capacity: fleet.Size{Cores: 8000, Memory: 16000}, IP: "127.0.0.1",
+		Seed: seed, Manifest: manifest,
+	}, log)
+	So(err, ShouldBeNil)
+	d := &deployment{t: t, platform: p}
+	listeners := make([]net.Listener, 0, portsOfHost*hosts)
+	for i := range hosts {
+		// The host gets the addresses of listeners that are closed again: it can't be given listeners.
+		ports := make([]int, 0, portsOfHost)
+		for range portsOfHost {
+			l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			listeners = append(listeners, l)
+			ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		}
+		s := HostSettings{
+			Name: fmt.Sprintf("h%d", i), Zone: p.cfg.Zones[i%3], IP: "127.0.0.1", CallersPort: ports[0], ReadyPort: ports[1],
+			FirstPort: min(ports[2], ports[3]), LastPort: max(ports[2], ports[3]), MemoryMiB: 1024,
+		}
+		s.StoreAddress, err = p.AddStore(s.Name)
+		So(err, ShouldBeNil)
+		path := filepath.Join(t.TempDir(), s.Name+".conf")
+		So(os.WriteFile(path, []byte(s.File()), 0o600), ShouldBeNil)
+		d.hosts = append(d.hosts, &runningHost{settings: s, path: path, metricsPort: ports[4]})
+	}
+	for _, l := range listeners {
+		So(l.Close(), ShouldBeNil)
+	}
+	for _, h := range d.hosts {
+		h.start()
+		p.AddHost(h.settings.Name, h.settings.CallersAddress(), h.settings.ReadyAddress())
+	}
+	Reset(func() {
+		var wg sync.WaitGroup
+		for _, h := range d.hosts {
+			wg.Go(func() { _ = h.stop() })
+		}
+		wg.Wait()
+		closePlatform()
+	})
+	return d
+}
+
+// start starts the host.
+func (h *runningHost) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- product.Run(ctx, h.path, "error", h.metricsPort) }()
+	h.stop = sync.OnceValue(func() error {
+		cancel()
+		return <-stopped
+	})
+}
+
+// leads reports whether the host leads.
+func (h *runningHost) leads() bool {
+	_, body := send(http.MethodGet, fmt.Sprintf("127.0.0.1:%d", h.metricsPort), "", "/metrics", nil)
+	for line := range strings.Lines(body) {
+		if strings.HasPrefix(line, "sassafraswind_entry_leads") && strings.HasSuffix(strings.TrimSpace(line), " 1") {
+			return true
+		}
+	}
+	return false
+}
+
+// leader returns the only host that leads, nil if there is none.
+func (d *deployment) leader() *runningHost {
+	for _, h := range d.hosts {
+		if h.leads() {
+			return h
+		}
+	}
+	return nil
+}
+
+// send sends a request and returns the status, 0 if there is no answer, and the body.
+func send(method, address, host, path string, body any) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return 0, err.Error()
+	}
+	if host != "" {
+		req.Host = host
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(answer)
+}
+
+// call sends a request of a caller, again until it has an answer that tells the outcome.
+func (d *deployment) call(method, path string, body any) string {
+	var answer string
+	So(eventually(10*time.Second, func() bool {
+		var status int
+		status, answer = send(method, d.platform.IngressAddress(), RouteHost, path, body)
+		return status == http.StatusOK
+	}), ShouldBeTrue)
+	return answer
+}
+
+// eventually waits up to the given time until fn returns true and reports whether it did.
+func eventually(limit time.Duration, fn func() bool) bool {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		if fn() {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a handover or a leaving worker that costs a run too much, one run too few, or a job.
+func TestPlannedChangesOfLeader(t *testing.T) {
+	Convey("Two planned changes of the leader while workers leave break no rule", t, func() {
+		d := startDeployment(t, 1, 3)
+		So(eventually(15*time.Second, func() bool { return d.leader() != nil && d.platform.ingress.readyHosts() == 3 }), ShouldBeTrue)
+		const serving, chain = ServingPrefix + "00000000000000a1", BatchPrefix + "00000000000000b1"
+		d.call(http.MethodPost, serving, submissionBody{Spec: "s", Steps: []stepBody{{
+			Count: 6, CPU: 1000, MemMb: 512, EstimatedMs: 1000, LongRunning: true, TargetMs: 200,
+		}}})
+		d.call(http.MethodPost, chain, submissionBody{Spec: "c", Steps: []stepBody{
+			{Count: 8, CPU: 1000, MemMb: 512, EstimatedMs: 2500, Checkpointing: true},
+			{Count: 8, CPU: 2000, MemMb: 512, EstimatedMs: 1000, DependsOn: []int{0}},
+		}})
+		for range 2 {
+			leader := d.leader()
+			So(leader, ShouldNotBeNil)
+			_, err := d.platform.ChangeWorkers(ActionDrain, 2, "")
+			So(err, ShouldBeNil)
+			So(leader.stop(), ShouldBeNil)
+			leader.start()
+			So(eventually(10*time.Second, func() bool { return d.leader() != nil }), ShouldBeTrue)
+		}
+		So(eventually(30*time.Second, func() bool {
+			return strings.Contains(d.call(http.MethodGet, chain, nil), `"completed"`)
+		}), ShouldBeTrue)
+		// Long enough for a long-running task to count as lost.
+		time.Sleep(restartTime + time.Second)
+		So(d.call(http.MethodGet, serving, nil), ShouldContainSubstring, `"running"`)
+		r := d.platform.Report()
+		So(r.Violations, ShouldBeEmpty)
+		So(r.Accepted, ShouldEqual, 2)
+		So(r.Done, ShouldEqual, 16)
+		So(r.Running, ShouldEqual, 6)
+	})
+}
