--- a/internal/standin/platform/hosts_test.go
+++ b/internal/standin/platform/hosts_test.go
@@ -88,6 +88,9 @@
 		wg.Wait()
 		closePlatform()
 	})
+	So(eventually(15*time.Second, func() bool {
+		return d.leader() != nil && p.ingress.readyHosts() == hosts
+	}), ShouldBeTrue)
 	return d
 }
 
@@ -172,7 +175,6 @@
 func TestPlannedChangesOfLeader(t *testing.T) {
 	Convey("Two planned changes of the leader while workers leave break no rule", t, func() {
 		d := startDeployment(t, 1, 3)
-		So(eventually(15*time.Second, func() bool { return d.leader() != nil && d.platform.ingress.readyHosts() == 3 }), ShouldBeTrue)
 		const serving, chain = ServingPrefix + "00000000000000a1", BatchPrefix + "00000000000000b1"
 		d.call(http.MethodPost, serving, submissionBody{Spec: "s", Steps: []stepBody{{
 			Count: 6, CPU: 1000, MemMb: 512, EstimatedMs: 1000, LongRunning: true, TargetMs: 200,
@@ -203,3 +205,31 @@
 		So(r.Running, ShouldEqual, 6)
 	})
 }
+
+// Guards against a deadline that each leader begins anew, so that tasks of a worker that has left wait for several terms.
+func TestSuccessiveChangesOfLeader(t *testing.T) {
+	Convey("Two planned changes of the leader in succession, right after workers have left, break no rule", t, func() {
+		d := startDeployment(t, 1, 3)
+		const tasks, drained, serving = 8, 5, ServingPrefix + "00000000000000a1"
+		d.call(http.MethodPost, serving, submissionBody{Spec: "s", Steps: []stepBody{{
+			Count: tasks, CPU: 1000, MemMb: 512, EstimatedMs: 1000, LongRunning: true, TargetMs: 200, AntiAffinity: 1,
+		}}})
+		So(eventually(5*time.Second, func() bool { return d.platform.Report().Running == tasks }), ShouldBeTrue)
+		// Of the 12 workers 8 run a task, so that at least one of those that leave does.
+		_, err := d.platform.ChangeWorkers(ActionAdd, drained, "")
+		So(err, ShouldBeNil)
+		_, err = d.platform.ChangeWorkers(ActionDrain, drained, "")
+		So(err, ShouldBeNil)
+		time.Sleep(drainTime + drainExcess + 100*time.Millisecond)
+		for range 2 {
+			leader := d.leader()
+			So(leader, ShouldNotBeNil)
+			So(leader.stop(), ShouldBeNil)
+			leader.start()
+			time.Sleep(3 * time.Second)
+		}
+		So(eventually(15*time.Second, func() bool { return d.platform.Report().Running == tasks }), ShouldBeTrue)
+		r := d.platform.Report()
+		So(r.Violations, ShouldBeEmpty)
+	})
+}
