--- a/internal/standin/platform/check.go
+++ b/internal/standin/platform/check.go
@@ -47,7 +47,7 @@
 
 // calm reports whether there was no disturbance for calmTime. The caller holds mu.
 func (r *recorder) calm(now time.Time) bool {
-	return !r.storeFaulty && now.Sub(r.disturbedAt) >= calmTime
+	return len(r.faulty) == 0 && now.Sub(r.disturbedAt) >= calmTime
 }
 
 // runStarted records that a worker has started a run on an order and checks the rules on starts. It returns the step of
--- a/internal/standin/platform/log_test.go
+++ b/internal/standin/platform/log_test.go
@@ -20,7 +20,7 @@
 	ctx := context.Background()
 	Convey("A store with a client", t, func() {
 		s := newStore(700)
-		faults := newFaultTable(newRecorder(log))
+		faults := newFaultTable("store", newRecorder(log))
 		address, closeServer, err := serve(ctx, "127.0.0.1:0", storeHandler(s, faults, "h1"))
 		So(err, ShouldBeNil)
 		client, closeClient := product.NewStore(address)
@@ -99,19 +99,19 @@
 				return err
 			}
 			end := func() int64 { return s.newest(partitionID{topic: part.Topic, index: part.Index}, "").End }
-			faults.set("h2", Faults{Silent: true}, time.Now())
+			faults.set([]string{"h2"}, Faults{Silent: true}, time.Now())
 			So(call(), ShouldBeNil)
 			So(end(), ShouldEqual, 1)
-			faults.set("h1", Faults{Silent: true}, time.Now())
+			faults.set([]string{"h1"}, Faults{Silent: true}, time.Now())
 			So(call(), ShouldNotBeNil)
 			So(end(), ShouldEqual, 1)
-			faults.set("h1", Faults{Lose: true}, time.Now())
+			faults.set([]string{"h1"}, Faults{Lose: true}, time.Now())
 			So(call(), ShouldNotBeNil)
 			So(end(), ShouldEqual, 2)
-			faults.set("h1", Faults{Delay: 300 * time.Millisecond}, time.Now())
+			faults.set([]string{"h1"}, Faults{Delay: 300 * time.Millisecond}, time.Now())
 			So(call(), ShouldNotBeNil)
 			So(eventually(time.Second, func() bool { return end() == 3 }), ShouldBeTrue)
-			faults.set("", Faults{}, time.Now())
+			faults.set(nil, Faults{}, time.Now())
 			So(call(), ShouldBeNil)
 		})
 	})
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -53,8 +53,10 @@
 	recorder *recorder
 	store    *store
 	faults   *faultTable
-	workers  *pool
-	ingress  *ingress
+	// workerFaults are the faults of the workers.
+	workerFaults *faultTable
+	workers      *pool
+	ingress      *ingress
 
 	controlAddress, ingressAddress string
 
@@ -70,10 +72,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	rec := newRecorder(log)
 	p := &Platform{
-		cfg: cfg, ctx: ctx, log: log, recorder: rec, store: newStore(0), faults: newFaultTable(rec),
-		ingress: newIngress(rec, log),
+		cfg: cfg, ctx: ctx, log: log, recorder: rec, store: newStore(0), faults: newFaultTable("store", rec),
+		workerFaults: newFaultTable("workers", rec), ingress: newIngress(rec, log),
 	}
-	p.workers = newPool(cfg, p.store, rec, log)
+	p.workers = newPool(cfg, p.store, p.workerFaults, rec, log)
 	closeAll := func() {
 		cancel()
 		p.mu.Lock()
@@ -221,8 +223,22 @@
 	p.recorder.setEvacuated(zone, on, time.Now())
 }
 
-// SetFaults replaces the store's faults for a caller, or for all callers if the name is empty.
-func (p *Platform) SetFaults(caller string, f Faults) { p.faults.set(caller, f, time.Now()) }
+// SetFaults replaces the store's faults for the callers, or for all callers if there is no name.
+func (p *Platform) SetFaults(f Faults, callers ...string) { p.faults.set(callers, f, time.Now()) }
+
+// SetWorkerFaults replaces the faults of n random workers that are ready, of the given zone or of any if it is empty, and
+// returns their IDs. If n is 0, it replaces those of all workers.
+func (p *Platform) SetWorkerFaults(f Faults, n int, zone string) ([]string, error) {
+	ids := []string{}
+	if n > 0 {
+		var err error
+		if ids, err = p.workers.pick(n, zone); err != nil {
+			return nil, err
+		}
+	}
+	p.workerFaults.set(ids, f, time.Now())
+	return ids, nil
+}
 
 // ChangeWorkers applies an action to a number of workers that are ready, of the given zone or of any if it is empty, and
 // returns their IDs.
--- a/internal/standin/platform/pool.go
+++ b/internal/standin/platform/pool.go
@@ -56,6 +56,7 @@
 type pool struct {
 	cfg      Config
 	store    *store
+	faults   *faultTable
 	recorder *recorder
 	log      logrus.FieldLogger
 
@@ -79,9 +80,9 @@
 }
 
 // newPool returns a pool without workers.
-func newPool(cfg Config, s *store, r *recorder, log logrus.FieldLogger) *pool {
+func newPool(cfg Config, s *store, t *faultTable, r *recorder, log logrus.FieldLogger) *pool {
 	return &pool{
-		cfg: cfg, store: s, recorder: r, log: log, rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		cfg: cfg, store: s, faults: t, recorder: r, log: log, rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		removals: map[string]time.Time{},
 	}
 }
@@ -122,7 +123,7 @@
 		changed: make(chan struct{}),
 	}
 	p.recorder.workerUp(w)
-	address, closeServer, err := serve(ctx, address, workerHandler(w))
+	address, closeServer, err := serve(ctx, address, workerHandler(w, p.faults))
 	if err != nil {
 		return err
 	}
@@ -203,6 +204,23 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	ready, err := p.choose(n, zone)
+	if err != nil {
+		return nil, errors.Wrapf(err, "standin: %s", a)
+	}
+	ids := make([]string, 0, n)
+	for _, m := range ready {
+		if err := p.apply(ctx, a, m, now); err != nil {
+			return ids, err
+		}
+		ids = append(ids, m.worker.id)
+	}
+	p.log.WithFields(logrus.Fields{"action": a, "workers": ids}).Info("standin: changed workers")
+	return ids, nil
+}
+
+// choose returns n random workers that don't drain, in the zone or in any zone if it is empty. The caller holds mu.
+func (p *pool) choose(n int, zone string) ([]*member, error) {
 	var ready []*member
 	for _, m := range p.members {
 		if m.leaveAt.IsZero() && (zone == "" || m.worker.zone == zone) {
@@ -210,18 +228,22 @@
 		}
 	}
 	if n < 0 || n > len(ready) {
-		return nil, errors.Mark(errors.Newf("standin: %s %d of %d workers", a, n, len(ready)), ErrAction)
+		return nil, errors.Mark(errors.Newf("standin: %d of %d workers", n, len(ready)), ErrAction)
 	}
 	p.rng.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
-	ids := make([]string, 0, n)
-	for _, m := range ready[:n] {
-		if err := p.apply(ctx, a, m, now); err != nil {
-			return ids, err
-		}
+	return ready[:n], nil
+}
+
+// pick returns the IDs of n random workers that don't drain, in the zone or in any zone if it is empty.
+func (p *pool) pick(n int, zone string) ([]string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	chosen, err := p.choose(n, zone)
+	ids := make([]string, 0, len(chosen))
+	for _, m := range chosen {
 		ids = append(ids, m.worker.id)
 	}
-	p.log.WithFields(logrus.Fields{"action": a, "workers": ids}).Info("standin: changed workers")
-	return ids, nil
+	return ids, err
 }
 
 // intN returns a random number below n.
--- a/internal/standin/platform/record.go
+++ b/internal/standin/platform/record.go
@@ -71,9 +71,9 @@
 	workers map[life]*workerRecord
 	// evacuated holds the beginning of the evacuation of each evacuated zone.
 	evacuated map[string]time.Time
-	// disturbedAt is the time of the last disturbance. While storeFaulty is set, the disturbance lasts.
+	// disturbedAt is the time of the last disturbance. While a kind of server is in faulty, the disturbance lasts.
 	disturbedAt time.Time
-	storeFaulty bool
+	faulty      map[string]struct{}
 	counts      Report
 	violations  []Violation
 	// lastCheck is the time of the last check of what must happen in time.
@@ -129,7 +129,8 @@
 func newRecorder(log logrus.FieldLogger) *recorder {
 	return &recorder{
 		log: log, begun: time.Now(), jobs: map[string]*jobRecord{}, tasks: map[string]*taskRecord{},
-		workers: map[life]*workerRecord{}, evacuated: map[string]time.Time{}, counts: Report{Ended: map[string]int{}},
+		workers: map[life]*workerRecord{}, evacuated: map[string]time.Time{}, faulty: map[string]struct{}{},
+		counts: Report{Ended: map[string]int{}},
 	}
 }
 
@@ -222,11 +223,15 @@
 	r.disturbedAt = now
 }
 
-// setStoreFaulty records whether the store has a fault for any caller.
-func (r *recorder) setStoreFaulty(faulty bool, now time.Time) {
+// setFaulty records whether a kind of server has a fault.
+func (r *recorder) setFaulty(kind string, faulty bool, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.storeFaulty, r.disturbedAt = faulty, now
+	r.disturbedAt = now
+	delete(r.faulty, kind)
+	if faulty {
+		r.faulty[kind] = struct{}{}
+	}
 }
 
 // setEvacuated records that the evacuation of a zone has begun or ended.
--- a/internal/standin/platform/storehttp.go
+++ b/internal/standin/platform/storehttp.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -63,44 +62,6 @@
 	return r
 }
 
-// withFaults returns a handler that reads the body and carries out the request under the caller's faults of the time at
-// which it arrived.
-func withFaults(
-	t *faultTable, caller string, next func(w http.ResponseWriter, r *http.Request, body []byte),
-) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-		if err != nil {
-			writeStoreError(w, &refusal{status: http.StatusBadRequest, reason: err.Error()})
-			return
-		}
-		f := t.of(caller)
-		if f.Silent {
-			hang(r)
-		}
-		// The request is carried out even if its caller has disconnected meanwhile.
-		time.Sleep(f.Delay)
-		if f.Lose && r.Method == http.MethodPost {
-			next(discardWriter{header: http.Header{}}, r, body)
-			hang(r)
-		}
-		next(w, r, body)
-	}
-}
-
-// hang waits until the caller disconnects and closes the connection without a response.
-func hang(r *http.Request) {
-	<-r.Context().Done()
-	panic(http.ErrAbortHandler)
-}
-
-// discardWriter discards a response.
-type discardWriter struct{ header http.Header }
-
-func (d discardWriter) Header() http.Header         { return d.header }
-func (d discardWriter) Write(p []byte) (int, error) { return len(p), nil }
-func (d discardWriter) WriteHeader(int)             {}
-
 // parseAppend parses an append.
 func parseAppend(values url.Values, body []byte) (appendCall, error) {
 	q := queryReader{values: values}
--- a/internal/standin/platform/worker_test.go
+++ b/internal/standin/platform/worker_test.go
@@ -202,9 +202,9 @@
 			})
 			Convey("after a disturbance", func() {
 				f.pass(8 * time.Second)
-				f.recorder.setStoreFaulty(true, f.now)
+				f.recorder.setFaulty("store", true, f.now)
 				f.pass(10 * time.Second)
-				f.recorder.setStoreFaulty(false, f.now)
+				f.recorder.setFaulty("store", false, f.now)
 				f.pass(calmTime - time.Second)
 			})
 			Convey("after a cancellation", func() {
