--- a/internal/standin/platform/worker_test.go
+++ b/internal/standin/platform/worker_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -9,6 +10,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	"sassafraswind.example/sassafraswind/internal/zone/dispatch"
+	product "sassafraswind.example/sassafraswind/platform"
 )
 
 // fixture is a recorder with two workers and the time.
@@ -224,3 +227,47 @@
 		})
 	})
 }
+
+// Guards against a start whose lost answer undoes it, and an order to another boot that is carried out.
+func TestWorkerOverHTTP(t *testing.T) {
+	Convey("A worker that is served", t, func() {
+		f := newFixture()
+		f.a.startedAt = time.Now()
+		faults := newFaultTable("workers", f.recorder)
+		address, closeServer, err := serve(t.Context(), "127.0.0.1:0", workerHandler(f.a, faults))
+		So(err, ShouldBeNil)
+		client, closeClient := product.NewWorkers()
+		Reset(func() {
+			closeClient()
+			closeServer()
+		})
+		order := dispatch.Order{
+			Kind: dispatch.OrderStart, Worker: "a", Address: address, Task: "j.0.2.0", Run: 1, Payload: "s", ValidUntil: 6000,
+			Token: 1,
+		}
+		send := func() dispatch.Answer {
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			answer, _, _ := client.SendOrder(ctx, order, nil)
+			return answer
+		}
+		Convey("carries out an order whose answer is lost", func() {
+			faults.set([]string{"a"}, Faults{Lose: true}, f.now)
+			So(send(), ShouldEqual, dispatch.AnswerMissing)
+			faults.set(nil, Faults{}, f.now)
+			report, err := client.RenewLeases(t.Context(), dispatch.LeaseRenewal{
+				Worker: "a", Address: address, LeaseUntil: 6000, Token: 1,
+			}, nil)
+			So(err, ShouldBeNil)
+			So(report.Boot, ShouldEqual, f.a.boot)
+			So(report.Running, ShouldHaveLength, 1)
+			So(send(), ShouldEqual, dispatch.AnswerDone)
+			So(f.recorder.report().Starts, ShouldEqual, 1)
+		})
+		Convey("refuses an order to another one", func() {
+			order.Worker = "b"
+			So(send(), ShouldEqual, dispatch.AnswerRestarted)
+			So(f.a.runs, ShouldBeEmpty)
+		})
+	})
+}
