--- a/internal/standin/platform/hosts_test.go
+++ b/internal/standin/platform/hosts_test.go
@@ -53,19 +53,12 @@
 	}, log)
 	So(err, ShouldBeNil)
 	d := &deployment{t: t, platform: p}
-	listeners := make([]net.Listener, 0, portsOfHost*hosts)
+	free := freePorts(t, portsOfHost*hosts)
 	for i := range hosts {
-		// The host gets the addresses of listeners that are closed again: it can't be given listeners.
-		ports := make([]int, 0, portsOfHost)
-		for range portsOfHost {
-			l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
-			So(err, ShouldBeNil)
-			listeners = append(listeners, l)
-			ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-		}
+		ports := free[portsOfHost*i:]
 		s := HostSettings{
 			Name: fmt.Sprintf("h%d", i), Zone: p.cfg.Zones[i%3], IP: "127.0.0.1", CallersPort: ports[0], ReadyPort: ports[1],
-			FirstPort: min(ports[2], ports[3]), LastPort: max(ports[2], ports[3]), MemoryMiB: 1024,
+			FirstPort: ports[2], LastPort: ports[3], MemoryMiB: 1024,
 		}
 		s.StoreAddress, err = p.AddStore(s.Name)
 		So(err, ShouldBeNil)
@@ -73,9 +66,6 @@
 		So(os.WriteFile(path, []byte(s.File()), 0o600), ShouldBeNil)
 		d.hosts = append(d.hosts, &runningHost{settings: s, path: path, metricsPort: ports[4]})
 	}
-	for _, l := range listeners {
-		So(l.Close(), ShouldBeNil)
-	}
 	for _, h := range d.hosts {
 		h.start()
 		p.AddHost(h.settings.Name, h.settings.CallersAddress(), h.settings.ReadyAddress())
@@ -94,6 +84,23 @@
 	return d
 }
 
+// freePorts returns n ports that were free just now, in ascending order. Hosts can't be given listeners. The ports are
+// below the range from which the system chooses one for a connection.
+func freePorts(t *testing.T, n int) []int {
+	t.Helper()
+	const first, last = 24000, 28000
+	ports := make([]int, 0, n)
+	for port := first; port < last && len(ports) < n; port++ {
+		l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			So(l.Close(), ShouldBeNil)
+			ports = append(ports, port)
+		}
+	}
+	So(ports, ShouldHaveLength, n)
+	return ports
+}
+
 // start starts the host.
 func (h *runningHost) start() {
 	ctx, cancel := context.WithCancel(context.Background())
