--- a/cmd/standin/platform_test.go
+++ b/cmd/standin/platform_test.go
@@ -16,23 +16,27 @@
 	"sassafraswind.example/sassafraswind/platform"
 )
 
-// freePorts returns the first port of a range of which those that the stand-in uses were free just now.
-func freePorts(t *testing.T) int {
+// reservePorts returns the first port of a range that no other process that calls it uses at the same time.
+func reservePorts(t *testing.T) int {
 	t.Helper()
 	for port := 28200; port < 32000; port += 600 {
-		listeners := make([]net.Listener, 0, 4)
-		for _, offset := range []int{controlPort, ingressPort, firstStorePort, firstWorkerPort} {
+		// This port of the range is not used. It is kept open until the end of the test, as a lock.
+		lock, err := new(net.ListenConfig).Listen(t.Context(), "tcp", fmt.Sprintf("127.0.0.1:%d", port+firstHostPort-1))
+		if err != nil {
+			continue
+		}
+		free := true
+		for _, offset := range []int{controlPort, ingressPort, firstStorePort, firstStorePort + 1, firstWorkerPort} {
 			l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", fmt.Sprintf("127.0.0.1:%d", port+offset))
-			if err == nil {
-				listeners = append(listeners, l)
+			if free = free && err == nil; err == nil {
+				_ = l.Close()
 			}
 		}
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-		if len(listeners) == cap(listeners) {
+		if free {
+			t.Cleanup(func() { _ = lock.Close() })
 			return port
 		}
+		_ = lock.Close()
 	}
 	t.Fatal("no free ports")
 	return 0
@@ -43,7 +47,7 @@
 	Convey("The platform writes settings files that entry hosts accept, and fails if a rule was broken", t, func() {
 		for _, broken := range []bool{false, true} {
 			c := &platformCmd{
-				Dir: t.TempDir(), Listen: "127.0.0.1", Port: freePorts(t), Zones: []string{"a"}, Workers: 1, Hosts: 2, Cores: 8,
+				Dir: t.TempDir(), Listen: "127.0.0.1", Port: reservePorts(t), Zones: []string{"a"}, Workers: 1, Hosts: 2, Cores: 8,
 				Memory: 16000, Limit: 256, Seed: 1,
 			}
 			So(c.Validate(), ShouldBeNil)
--- a/internal/standin/platform/hosts_test.go
+++ b/internal/standin/platform/hosts_test.go
@@ -53,7 +53,7 @@
 	}, log)
 	So(err, ShouldBeNil)
 	d := &deployment{t: t, platform: p}
-	free := freePorts(t, portsOfHost*hosts)
+	free := reservePorts(t, portsOfHost*hosts)
 	for i := range hosts {
 		ports := free[portsOfHost*i:]
 		s := HostSettings{
@@ -84,21 +84,33 @@
 	return d
 }
 
-// freePorts returns n ports that were free just now, in ascending order. Hosts can't be given listeners. The ports are
-// below the range from which the system chooses one for a connection.
-func freePorts(t *testing.T, n int) []int {
+// reservePorts returns n ports that no other process that calls it uses at the same time. Hosts can't be given
+// listeners. The ports are below the range from which the system chooses one for a connection.
+func reservePorts(t *testing.T, n int) []int {
 	t.Helper()
-	const first, last = 24000, 28000
-	ports := make([]int, 0, n)
-	for port := first; port < last && len(ports) < n; port++ {
-		l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			So(l.Close(), ShouldBeNil)
-			ports = append(ports, port)
+	const first, last, block = 24000, 28000, 40
+	for base := first; base < last; base += block {
+		// The first port of the block is kept open until the end of the test, as a lock.
+		lock, err := new(net.ListenConfig).Listen(t.Context(), "tcp", fmt.Sprintf("127.0.0.1:%d", base))
+		if err != nil {
+			continue
 		}
+		ports := make([]int, 0, n)
+		for port := base + 1; port < base+block && len(ports) < n; port++ {
+			l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", fmt.Sprintf("127.0.0.1:%d", port))
+			if err == nil {
+				So(l.Close(), ShouldBeNil)
+				ports = append(ports, port)
+			}
+		}
+		if len(ports) == n {
+			t.Cleanup(func() { _ = lock.Close() })
+			return ports
+		}
+		So(lock.Close(), ShouldBeNil)
 	}
-	So(ports, ShouldHaveLength, n)
-	return ports
+	t.Fatal("no free ports")
+	return nil
 }
 
 // start starts the host.
