Measure a decision without the wait for its lock

The pause after a decision counted the wait for the scheduler's lock and the logging, and came on top of the timer for the next decision, which then could be 500 ms away instead of 250 (found by the review).

--- a/internal/host/entry/orders.go
+++ b/internal/host/entry/orders.go
@@ -20,9 +20,11 @@
 		now := t.host.clock.Now()
 		mayOrder := t.maySendOrders(now)
 		t.mu.Lock()
+		lockedAt := t.host.clock.Now()
 		t.scheduler.SetHalted(!mayOrder)
 		orders := t.scheduler.Decide(now)
 		events := t.scheduler.Events()
+		took := t.host.clock.Now().Sub(lockedAt)
 		t.mu.Unlock()
 		for _, o := range orders {
 			t.dispatchOrder(o)
@@ -30,19 +32,18 @@
 		t.host.recordEvents(events)
 		t.logEvents(events)
 		signal(t.wakeWriter)
-		decidedAt := t.host.clock.Now()
-		pause := decisionPause(decidedAt.Sub(now))
+		pause, pausedAt := decisionPause(took), t.host.clock.Now()
 		if !sleep(t.ctx, pause) {
 			return
 		}
 		woken := t.host.clock.Now()
-		late.add(pause, woken.Sub(decidedAt))
+		late.add(pause, woken.Sub(pausedAt))
 		if late.isReportDue(woken) {
 			t.log.WithFields(logrus.Fields{
 				"lag_ms": late.mean.Milliseconds(), "pause_ms": pause.Milliseconds(),
 			}).Info("The leader is late")
 		}
-		timer.Reset(maxDecisionInterval)
+		timer.Reset(max(time.Millisecond, maxDecisionInterval-pause))
 		select {
 		case <-t.ctx.Done():
 			return
