--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -140,6 +140,8 @@
 	// record.
 	recordedSilent   map[*Worker]struct{}
 	leasesRecordedAt time.Time
+	// handingOver is set once a planned end of the term is being prepared.
+	handingOver bool
 
 	journal journal
 	events  []Event
--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -24,7 +24,7 @@
 const maxRenewalWait = 2 * time.Second
 
 // heldRenewalWait is the longest time for which a worker delays its answer while its leases must not be extended.
-const heldRenewalWait = 100 * time.Millisecond
+const heldRenewalWait = 400 * time.Millisecond
 
 // minSilentRenewals is the number of lease renewals in a row without an answer after which a worker counts as silent.
 const minSilentRenewals = 2
@@ -107,7 +107,9 @@
 		return
 	}
 	s.addFailedRenewal(w)
-	w.closed = w.closed || closed
+	if closed && w.closedAt.IsZero() {
+		w.closedAt = now
+	}
 	if w.hasLeft() {
 		s.endWorker(now, w, leftReason)
 		return
@@ -115,7 +117,6 @@
 	if w.failedRenewals == minSilentRenewals {
 		s.recordEvent(Event{Kind: "worker silent", Worker: id, Age: w.sinceAnswer(now)})
 		s.recordSilence(now, w)
-		s.recordLeases(now)
 	}
 }
 
@@ -199,11 +200,17 @@
 // leftReason is the reason for which the tasks of a worker that has left as planned are taken back.
 const leftReason = "worker has left"
 
-// hasLeft reports whether the worker has left as planned, so that nothing runs there any more: it was draining, the
-// platform has removed it from the list, and it has closed its connections. An entry that was removed because the worker
-// could not reach the store leaves the connections open, as a partition does.
+// maxLeaveSpan is the longest time between the signs that a worker has left as planned. It is shorter than the silence
+// after which the platform removes the entry of a worker that lives on.
+const maxLeaveSpan = time.Second
+
+// hasLeft reports whether the worker has left as planned, so that nothing runs there any more: it was draining, it closed
+// a connection and has not answered on a new one, and the platform removed its entry at about the same time. Each sign
+// alone has other causes: something between the two ends resets connections, and an entry is also removed if its worker
+// can't reach the store.
 func (w *Worker) hasLeft() bool {
-	return w.Draining && !w.listed && w.closed && !w.leasesExpired
+	return w.Draining && !w.listed && !w.leasesExpired && w.failedRenewals >= minSilentRenewals &&
+		!w.closedAt.IsZero() && w.closedAt.Sub(w.unlistedAt).Abs() < maxLeaveSpan
 }
 
 // endReplaced ends the workers at whose address one of a later start has answered. One process at a time listens at an
--- a/internal/zone/dispatch/lease_record.go
+++ b/internal/zone/dispatch/lease_record.go
@@ -26,9 +26,10 @@
 	Token int64
 	// Longest is the longest lease that the term grants.
 	Longest int64
-	// Earlier is the time after which all leases of earlier terms have certainly lapsed, but for those in Silent.
+	// Earlier is the time after which all leases of earlier terms have certainly lapsed.
 	Earlier int64
-	// Silent lists the workers that don't answer, ordered by ID.
+	// Silent lists the workers that don't answer, ordered by ID. Theirs have lapsed at the times given there, if these are
+	// earlier.
 	Silent []silentLeases
 }
 
@@ -55,10 +56,19 @@
 }
 
 // PrepareHandOver has everything recorded that the next leader should know, before a planned end of the term.
-func (s *Scheduler) PrepareHandOver(now time.Time) { s.recordLeases(now) }
+func (s *Scheduler) PrepareHandOver(now time.Time) {
+	s.handingOver = true
+	s.recordLeases(now)
+}
 
 // renewLeaseRecord has the leases recorded again while the recorded times run down.
 func (s *Scheduler) renewLeaseRecord(now time.Time) {
+	for w := range s.silent {
+		if !w.recorded.listed && s.isSilent(w) {
+			s.recordLeases(now)
+			return
+		}
+	}
 	if now.Sub(s.leasesRecordedAt) < leaseRecordInterval {
 		return
 	}
@@ -74,12 +84,13 @@
 		Token: s.token, Longest: s.grantedLease().Milliseconds(), Earlier: ceilMillis(s.earlierLeasesUntil.Sub(at)),
 	}
 	silent := map[*Worker]struct{}{}
-	for w := range s.silent {
-		until, ok := s.leasesUntil(w)
-		if !ok || w.failedRenewals < minSilentRenewals || w.leasesExpired {
+	for _, w := range s.workers {
+		if !s.isSilent(w) {
 			continue
 		}
-		rec.Silent = append(rec.Silent, silentLeases{Worker: w.ID, Left: ceilMillis(until.Sub(at))})
+		rec.Silent = append(rec.Silent, silentLeases{
+			Worker: w.ID, Left: ceilMillis(s.silentLeasesEnd(w).Sub(at)),
+		})
 		silent[w] = struct{}{}
 		w.recorded.listed, w.recorded.held = true, true
 	}
@@ -94,13 +105,26 @@
 	return Record{Key: leasesKey, Value: encode(&rec)}, cleared
 }
 
-// leasesUntil returns the time from which the leases of a silent worker have certainly lapsed. It returns false if no
-// task can be there.
-func (s *Scheduler) leasesUntil(w *Worker) (time.Time, bool) {
+// isSilent reports whether the worker's leases are to be recorded because it doesn't answer. At a planned end of the term
+// that is each worker that has not answered the last renewal.
+func (s *Scheduler) isSilent(w *Worker) bool {
+	_, isUnaccounted := s.unaccounted[w.ID]
+	mayRunTasks := isUnaccounted || (w.recordBatch != 0 && !w.clockAt.IsZero())
+	if !mayRunTasks || w.leasesExpired {
+		return false
+	}
+	if s.handingOver {
+		return isUnaccounted || w.failedRenewals > 0
+	}
+	return w.failedRenewals >= minSilentRenewals
+}
+
+// silentLeasesEnd returns the time from which the leases of a silent worker have certainly lapsed.
+func (s *Scheduler) silentLeasesEnd(w *Worker) time.Time {
 	if until, ok := s.unaccounted[w.ID]; ok {
-		return until, true
+		return until
 	}
-	return w.leasesEndAt(), w.recordBatch != 0 && !w.clockAt.IsZero()
+	return w.leasesEndAt()
 }
 
 // releaseLeases allows the leases of workers to be extended again that no durable record lists any more.
@@ -131,23 +155,32 @@
 	if isKnown := rec.Token == s.token-1 && rec.Longest > 0; isKnown {
 		longest = min(longest, time.Duration(rec.Longest)*time.Millisecond)
 	} else {
+		// The leader before may never have begun its term, and have left the one before that unfenced until now.
 		rec = leaseRecord{}
+		ordersUntil = laterOf(ordersUntil, now.Add(s.limits.MaxUnconfirmedTerm))
 	}
 	s.earlierLeasesUntil = ordersUntil.Add(time.Duration(float64(longest)/minWorkerClockRate) + clockMargin)
-	if earlier := now.Add(time.Duration(rec.Earlier) * time.Millisecond); earlier.After(s.earlierLeasesUntil) {
-		s.earlierLeasesUntil = earlier
-	}
+	s.earlierLeasesUntil = laterOf(s.earlierLeasesUntil, now.Add(time.Duration(rec.Earlier)*time.Millisecond))
 	for id := range s.unaccounted {
 		s.unaccounted[id] = s.earlierLeasesUntil
 	}
 	for _, l := range rec.Silent {
-		if _, ok := s.unaccounted[l.Worker]; ok {
-			s.unaccounted[l.Worker] = now.Add(time.Duration(l.Left) * time.Millisecond)
+		left := now.Add(time.Duration(l.Left) * time.Millisecond)
+		if until, ok := s.unaccounted[l.Worker]; ok && left.Before(until) {
+			s.unaccounted[l.Worker] = left
 		}
 	}
 	return err
 }
 
+// laterOf returns the later of two times.
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // ceilMillis returns a duration in milliseconds, rounded up, and 0 for a negative one.
 func ceilMillis(d time.Duration) int64 {
 	return int64((max(0, d) + time.Millisecond - 1) / time.Millisecond)
--- a/internal/zone/dispatch/lease_test.go
+++ b/internal/zone/dispatch/lease_test.go
@@ -110,6 +110,7 @@
 	Convey("Another leader follows, and a worker with a task is lost", t, func() {
 		now := simEpoch
 		s, start, log := newLeaseScheduler(now)
+		unknown := leaseLimits().MaxUnconfirmedTerm + leaseLimits().MaxLease
 		lead := func(token int64) *Scheduler {
 			next := New(leaseLimits(), token, int(token))
 			next.SetCatalog(s.catalog)
@@ -123,17 +124,17 @@
 		}
 		Convey("without a record of leases: the longest of the platform", func() {
 			delete(log, leasesKey)
-			Convey("on a worker that has never answered", func() {
-				So(startAfter(lead(2), now, start), ShouldBeBetween, leaseLimits().MaxLease, 10500*time.Millisecond)
+			Convey("on a worker that has never answered, after the last order that is possible", func() {
+				So(startAfter(lead(2), now, start), ShouldBeBetween, unknown, unknown+500*time.Millisecond)
 			})
 			Convey("on a worker that has answered", func() {
 				next := lead(2)
 				lose(next)
-				So(startAfter(next, now, start), ShouldBeBetween, leaseLimits().MaxLease, 11*time.Second)
+				So(startAfter(next, now, start), ShouldBeBetween, leaseLimits().MaxLease, 10500*time.Millisecond)
 			})
 		})
 		Convey("with the record of another term than the one before: the longest of the platform", func() {
-			So(startAfter(lead(3), now, start), ShouldBeBetween, leaseLimits().MaxLease, 10500*time.Millisecond)
+			So(startAfter(lead(3), now, start), ShouldBeBetween, unknown, unknown+500*time.Millisecond)
 		})
 		Convey("with the record of the term before: those that were granted", func() {
 			Convey("on a worker that has never answered", func() {
@@ -148,7 +149,7 @@
 		Convey("after three terms: the longest of all that are recorded", func() {
 			delete(log, leasesKey)
 			commitTo(lead(2), log)
-			So(startAfter(lead(3), now, start), ShouldBeBetween, leaseLimits().MaxLease, 10500*time.Millisecond)
+			So(startAfter(lead(3), now, start), ShouldBeBetween, unknown, unknown+500*time.Millisecond)
 		})
 	})
 }
@@ -165,8 +166,18 @@
 		for range minSilentRenewals {
 			s.HandleRenewalFailure(now, start.Worker, false)
 		}
+		s.Decide(now)
 		commitTo(s, log)
 		now = now.Add(4 * time.Second)
+		Convey("under the next leader, which reads the state four seconds later, its task starts at once", func() {
+			s.PrepareHandOver(now)
+			commitTo(s, log)
+			next := New(leaseLimits(), 2, 2)
+			next.SetCatalog(s.catalog)
+			later := now.Add(8 * time.Second)
+			So(next.Restore(later, later, slices.Collect(maps.Values(log)), now), ShouldBeEmpty)
+			So(startAfter(next, later, start), ShouldBeLessThan, 500*time.Millisecond)
+		})
 		Convey("under the next leader its task starts two seconds later", func() {
 			s.PrepareHandOver(now)
 			commitTo(s, log)
@@ -194,6 +205,7 @@
 			for range minSilentRenewals {
 				s.HandleRenewalFailure(now, start.Worker, false)
 			}
+			s.Decide(now)
 			silent, _ := s.TakeBatch()
 			answer(s, now, start.Worker, run)
 			s.MarkCommitted(b)
@@ -214,48 +226,106 @@
 		s, start, _ := newLeaseScheduler(now)
 		answer(s, now, start.Worker, RunReport{Task: start.Task, Number: start.Run})
 		commitAll(s)
+		s.PlanRenewal(now, start.Worker)
+		at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
 		drain := func() {
 			r := s.workers[start.Worker].Registration
 			r.Draining = true
 			s.SetWorker(now, r)
 		}
-		unlist := func() { s.DropWorker(now, start.Worker) }
-		fail := func(closed bool) { s.HandleRenewalFailure(now, start.Worker, closed) }
-		Convey("and drains, closes its connections and is removed from the list: the task starts elsewhere", func() {
+		unlist := func(ms int) { s.DropWorker(at(ms), start.Worker) }
+		fail := func(ms int, closed bool) { s.HandleRenewalFailure(at(ms), start.Worker, closed) }
+		starts := func(ms int) int { return startsOf(s, at(ms)) }
+		Convey("and drains, closes a connection, opens none and is removed from the list: the task starts elsewhere", func() {
 			drain()
-			fail(true)
-			So(startsOf(s, now), ShouldEqual, 0)
-			unlist()
-			So(startsOf(s, now), ShouldEqual, 1)
+			fail(0, true)
+			fail(750, false)
+			So(starts(800), ShouldEqual, 0)
+			unlist(900)
+			So(starts(900), ShouldEqual, 1)
 		})
-		Convey("and drains, is removed from the list and closes its connections: the task starts elsewhere", func() {
+		Convey("and drains, is removed from the list, closes a connection and opens none: the task starts elsewhere", func() {
 			drain()
-			unlist()
-			So(startsOf(s, now), ShouldEqual, 0)
-			fail(true)
-			So(startsOf(s, now), ShouldEqual, 1)
+			unlist(0)
+			fail(100, true)
+			So(starts(100), ShouldEqual, 0)
+			fail(850, false)
+			So(starts(850), ShouldEqual, 1)
 		})
 		Convey("and drains, is removed from the list and doesn't answer: the task waits", func() {
 			drain()
-			unlist()
-			fail(false)
-			So(startsOf(s, now), ShouldEqual, 0)
+			unlist(0)
+			fail(100, false)
+			fail(850, false)
+			So(starts(900), ShouldEqual, 0)
 		})
-		Convey("and closes its connections and is removed from the list without draining: the task waits", func() {
-			fail(true)
-			unlist()
-			So(startsOf(s, now), ShouldEqual, 0)
+		Convey("and closes a connection and is removed from the list without draining: the task waits", func() {
+			fail(0, true)
+			fail(750, false)
+			unlist(900)
+			So(starts(900), ShouldEqual, 0)
 		})
-		Convey("and drains, has a connection closed and answers again before it is cut off: the task waits", func() {
+		Convey("and drains, has a connection reset and answers again before it is cut off: the task waits", func() {
 			drain()
-			fail(true)
-			s.HandleReport(now, Report{
-				Worker: start.Worker, Boot: 1, Clock: 1000,
+			fail(0, true)
+			s.HandleReport(at(10), Report{
+				Worker: start.Worker, Boot: 1, Clock: 1010,
 				Running: []RunReport{{Task: start.Task, Number: start.Run}},
 			})
-			fail(false)
-			unlist()
-			So(startsOf(s, now), ShouldEqual, 0)
+			fail(100, false)
+			fail(850, false)
+			unlist(900)
+			So(starts(900), ShouldEqual, 0)
+		})
+		Convey("and drains, has a connection reset and is cut off, so that its entry expires later: the task waits", func() {
+			drain()
+			fail(0, true)
+			fail(750, false)
+			fail(1500, false)
+			unlist(2000)
+			So(starts(2000), ShouldEqual, 0)
 		})
+		Convey("and drains, and its entry has expired before a connection is reset and it is cut off: the task waits", func() {
+			drain()
+			unlist(0)
+			fail(2000, true)
+			fail(2750, false)
+			So(starts(2800), ShouldEqual, 0)
+		})
+	})
+}
+
+// TestLateFirstReportEndsNoLease guards against a task that runs twice because the first report of its worker was read
+// late: the worker's clock is then older than it seems.
+func TestLateFirstReportEndsNoLease(t *testing.T) {
+	Convey("A worker's leases are silent to the next leader, its first report is read two seconds late", t, func() {
+		now := simEpoch
+		s, start, log := newLeaseScheduler(now)
+		run := RunReport{Task: start.Task, Number: start.Run}
+		answer(s, now, start.Worker, run)
+		plan, _ := s.PlanRenewal(now, start.Worker)
+		commitTo(s, log)
+		next := New(leaseLimits(), 2, 2)
+		next.SetCatalog(s.catalog)
+		So(next.Restore(now, now, slices.Collect(maps.Values(log)), now), ShouldBeEmpty)
+		next.SetWorker(now, s.workers[start.Worker].Registration)
+		for range minSilentRenewals {
+			next.HandleRenewalFailure(now.Add(time.Second), start.Worker, false)
+		}
+		next.Decide(now.Add(time.Second))
+		_, ok := next.TakeBatch()
+		So(ok, ShouldBeTrue)
+		clock := func(at time.Duration) int64 { return 1000 + int64(minWorkerClockRate*float64(at.Milliseconds())) }
+		report := func(clockAt, readAt time.Duration) {
+			next.HandleReport(now.Add(readAt), Report{
+				Worker: start.Worker, Boot: 1, Clock: clock(clockAt), Running: []RunReport{run},
+			})
+		}
+		report(time.Second, 3*time.Second)
+		held, _ := next.PlanRenewal(now.Add(3*time.Second), start.Worker)
+		So(held.LeaseUntil, ShouldEqual, 0)
+		report(3100*time.Millisecond, 3100*time.Millisecond)
+		end := now.Add(time.Duration(float64(plan.LeaseUntil-1000)/minWorkerClockRate) * time.Millisecond)
+		So(next.workers[start.Worker].leasesEndAt(), ShouldHappenOnOrAfter, end)
 	})
 }
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -74,12 +74,12 @@
 		s.recordEvent(Event{Kind: "worker back", Worker: w.ID, Age: now.Sub(w.answeredAt)})
 	}
 	w.updateClock(now, report.Clock)
-	w.failedRenewals, w.closed, w.answeredAt = 0, false, now
+	w.failedRenewals, w.closedAt, w.answeredAt = 0, time.Time{}, now
 	w.leasesExpired, w.bootUnknown = false, false
 	first := !w.contacted
 	if first {
-		// A worker's clock is not faster than the host's.
-		w.leaseUntil = max(w.leaseUntil, report.Clock+ceilMillis(s.earlierLeasesEnd(w).Sub(now)))
+		// Orders of earlier terms are barred from now on, and the platform shortens their leases.
+		w.earlierUntil, w.earlierLease = s.earlierLeasesEnd(w), report.Clock+s.limits.MaxLease.Milliseconds()
 	}
 	w.contacted = true
 	if w.recorded.listed {
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -145,13 +145,18 @@
 	clockAt time.Time
 	// leaseUntil is the latest time of the worker's clock up to which any order may have extended its leases.
 	leaseUntil int64
+	// earlierUntil is the time from which the leases of earlier terms have certainly lapsed, earlierLease the time of the
+	// worker's clock for which the same holds. They are set with contacted.
+	earlierUntil time.Time
+	earlierLease int64
 	// lastEnd is the serial of the last end that was applied, durableEnd that of the last one that is in the log.
 	lastEnd, durableEnd int64
 	// failedRenewals counts the lease renewals in a row that got no answer.
 	failedRenewals int
-	// closed is set once the worker has closed a connection and not answered since.
-	closed     bool
-	answeredAt time.Time
+	// closedAt is when the worker closed a connection, the zero time if it has answered since. unlistedAt is when it was
+	// last removed from the list.
+	closedAt, unlistedAt time.Time
+	answeredAt           time.Time
 	// bootUnknown is set when another boot than the known one has answered.
 	bootUnknown bool
 	// leasesExpired is set when the leases of an unreachable worker have expired.
@@ -179,7 +184,16 @@
 // leasesEndAt returns the time from which all runs on the worker have certainly ended, unless their leases are
 // extended.
 func (w *Worker) leasesEndAt() time.Time {
-	left := time.Duration(float64(max(0, w.leaseUntil-w.clock))/minWorkerClockRate) * time.Millisecond
+	earlier := w.passedAt(w.earlierLease)
+	if w.earlierUntil.Before(earlier) {
+		earlier = w.earlierUntil
+	}
+	return laterOf(w.passedAt(w.leaseUntil), earlier)
+}
+
+// passedAt returns the time from which the worker's clock has certainly passed the given time.
+func (w *Worker) passedAt(clock int64) time.Time {
+	left := time.Duration(float64(max(0, clock-w.clock))/minWorkerClockRate) * time.Millisecond
 	return w.clockAt.Add(left + clockMargin)
 }
 
@@ -280,7 +294,7 @@
 	if w == nil {
 		return
 	}
-	w.listed = false
+	w.listed, w.unlistedAt = false, now
 	s.recordEvent(Event{Kind: "worker unlisted", Worker: id, Age: w.sinceAnswer(now)})
 	if w.hasLeft() {
 		s.endWorker(now, w, leftReason)
@@ -324,6 +338,7 @@
 	w.Boot = boot
 	w.contacted, w.recordBatch, w.leasesExpired, w.failedRenewals = false, 0, false, 0
 	w.clock, w.clockAt, w.leaseUntil = 0, time.Time{}, 0
+	w.earlierUntil, w.earlierLease = time.Time{}, 0
 	w.lastEnd, w.durableEnd = 0, 0
 	w.health, w.speed, w.unknownRuns = health{}, speedEstimate{}, nil
 	if w.stopsRecorded {
