--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -36,10 +36,8 @@
 	}
 	s.sortReady(now)
 	if !s.halted {
-		s.startHeld(now)
 		s.startReady(now)
 		s.reclaimRoom(now)
-		s.holdRoom(now)
 		s.clearChanges()
 	}
 	out := s.orders
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -119,12 +119,8 @@
 	trials       []*trial
 	trialBarrier BatchID
 
-	// holds lists the workers that are held for long-running tasks. heldAt is when further ones were last chosen.
-	holds  []*hold
-	heldAt time.Time
-
-	// reclaimedAt is when room was last to be reclaimed for short tasks, yieldedAt when some last was.
-	reclaimedAt, yieldedAt time.Time
+	// reclaimedAt is when room was last reclaimed for short tasks.
+	reclaimedAt time.Time
 
 	orders []Order
 	// stops lists the orders to stop runs whose ends have not been listed yet.
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -131,8 +131,6 @@
 	notBefore time.Time
 	// yieldsUntil is until when a long-running task whose room was reclaimed waits for room like a new one.
 	yieldsUntil time.Time
-	// hasRun is set once a worker has confirmed or listed a run of the task in this term.
-	hasRun bool
 	// waitingSince is when the task last became waiting.
 	waitingSince time.Time
 }
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -124,7 +124,7 @@
 func (r *run) confirm(clock int64) {
 	if r.phase == phaseOrdered || r.phase == phaseUnanswered {
 		r.phase = phaseRunning
-		r.task.hasRun, r.task.job().started = true, true
+		r.task.job().started = true
 	}
 	if r.firstClock == 0 {
 		r.firstClock = clock
--- a/internal/zone/dispatch/reclaim.go
+++ b/internal/zone/dispatch/reclaim.go
@@ -108,27 +108,19 @@
 	if bestWorker == nil {
 		return false
 	}
-	bestWorker.reservedUntil, s.yieldedAt = now.Add(reclaimReservation), now
+	bestWorker.reservedUntil = now.Add(reclaimReservation)
 	for _, r := range best {
-		s.reclaimRun(now, r, "room for a short task")
+		r.task.yieldsUntil = now.Add(maxYield)
+		r.task.stage.yieldedAt = now
+		r.task.stage.away.n++
+		s.stopRun(r, "room for a short task")
 	}
 	return true
 }
 
-// reclaimRun stops a run to reclaim its room.
-func (s *Scheduler) reclaimRun(now time.Time, r *run, reason string) {
-	r.task.yieldsUntil = now.Add(maxYield)
-	r.task.stage.yieldedAt = now
-	r.task.stage.away.n++
-	s.stopRun(r, reason)
-}
-
 // isReservedFrom reports whether the worker's free room is reserved and the task may not take it. A long-running task
-// that has waited for as long as any may have to is held back only by the hold of another.
+// that has waited for as long as any may have to is not held back further.
 func (w *Worker) isReservedFrom(now time.Time, t *task) bool {
-	if w.heldFor != nil {
-		return w.heldFor != t && !w.sparesRoom(t)
-	}
 	return now.Before(w.reservedUntil) && !t.stage.isShort() &&
 		(!t.step().LongRunning || now.Sub(t.waitingSince) < twoSlotsDelay)
 }
@@ -165,13 +157,13 @@
 	var runs reclaimableRuns
 	for _, r := range w.runs {
 		step := r.task.step()
-		if !mayReclaim(t, r) {
+		if r.phase != phaseRunning || r.task.job().priority < t.job().priority || step.MaxUnavailable >= 0 {
 			continue
 		}
 		switch {
 		case step.BestEffort && step.Checkpointing:
 			runs.bestEffort = append(runs.bestEffort, r)
-		case step.LongRunning && r.hasRunBeforeReclaim(now) && s.maySpareTask(r.task.stage):
+		case step.LongRunning && now.Sub(r.startedAt) >= minRunBeforeReclaim && s.maySpareTask(r.task.stage):
 			runs.longRunning = append(runs.longRunning, r)
 		}
 	}
@@ -188,16 +180,6 @@
 	})
 }
 
-// mayReclaim reports whether the room of the run may be reclaimed for the task, as far as its job and step tell.
-func mayReclaim(t *task, r *run) bool {
-	return r.phase == phaseRunning && r.task.job().priority >= t.job().priority && r.task.step().MaxUnavailable < 0
-}
-
-// hasRunBeforeReclaim reports whether the run has lasted for minRunBeforeReclaim.
-func (r *run) hasRunBeforeReclaim(now time.Time) bool {
-	return now.Sub(r.startedAt) >= minRunBeforeReclaim
-}
-
 // reclaimChoice is a choice of runs to stop on one worker.
 type reclaimChoice struct {
 	// missing is the room that is still missing; a dimension that is not missing is zero or less.
@@ -229,18 +211,13 @@
 	n        int
 }
 
-// isAtWork reports whether the task has a run that has become ready and isn't being stopped.
-func (t *task) isAtWork() bool {
-	return len(t.runs) > 0 && t.runs[0].phase == phaseRunning && !t.runs[0].readySince.IsZero()
-}
-
 // maySpareTask reports whether a task of a long-running stage may be stopped to reclaim its room: few enough of the
-// others are away. One for which a worker is held returns in a moment and doesn't count.
+// others are away.
 func (s *Scheduler) maySpareTask(st *stage) bool {
 	if st.away.decision != s.decisions+1 {
 		st.away = awayCount{decision: s.decisions + 1}
 		for _, t := range st.tasks {
-			if !s.isHeldFor(t) && !t.isAtWork() {
+			if len(t.runs) == 0 || t.runs[0].phase != phaseRunning || t.runs[0].readySince.IsZero() {
 				st.away.n++
 			}
 		}
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -134,7 +134,7 @@
 		return
 	}
 	t.job().started = true
-	t.lastRun, t.lastEndedRun, t.hasRun = max(t.lastRun, e.Number), max(t.lastEndedRun, e.Number), true
+	t.lastRun, t.lastEndedRun = max(t.lastRun, e.Number), max(t.lastEndedRun, e.Number)
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
@@ -318,7 +318,6 @@
 
 // attachReportedRun adds a run that this term did not start to its task and its worker.
 func (s *Scheduler) attachReportedRun(now time.Time, w *Worker, t *task, number int) *run {
-	t.hasRun = true
 	r := &run{
 		task: t, number: number, worker: w, phase: phaseRunning, confirmed: true, startedAt: now,
 		pace: paceUnknown, targetPace: 100,
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -115,8 +115,6 @@
 	reports uint64
 	// reservedUntil is until when the worker takes only short tasks, for which room was reclaimed.
 	reservedUntil time.Time
-	// heldFor is the long-running task for which the worker is held, nil if it isn't. See hold.
-	heldFor *task
 	// trials counts the trials on the worker. Only suspects start there until they have ended.
 	trials int
 	// changed is set while the worker is in Scheduler.changedWorkers.
