--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -19,7 +19,7 @@
 // Decide returns the orders that are due.
 func (s *Scheduler) Decide(now time.Time) []Order {
 	s.expireLeases(now)
-	s.renewLeaseRecord(now)
+	s.refreshLeaseRecord(now)
 	s.judgeLapses(now)
 	s.sendStops(now)
 	for j := range s.recurring {
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -136,9 +136,9 @@
 	// earlierLeasesUntil is the time from which the leases of earlier terms have certainly lapsed on all workers for
 	// which unaccounted holds no other.
 	earlierLeasesUntil time.Time
-	// recordedSilent holds the workers that the newest record of leases lists, leasesRecordedAt is the time of that
+	// silentInRecord holds the workers that the newest record of leases lists, leasesRecordedAt is the time of that
 	// record.
-	recordedSilent   map[*Worker]struct{}
+	silentInRecord   map[*Worker]struct{}
 	leasesRecordedAt time.Time
 	// handingOver is set once a planned end of the term is being prepared.
 	handingOver bool
--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -47,7 +47,7 @@
 	// certainly ended.
 	switch {
 	case w.failedRenewals > 0:
-	case w.recorded.held:
+	case w.leaseRecord.held:
 		renewal.Wait = heldRenewalWait
 	default:
 		renewal.LeaseUntil = s.extendLease(now, w)
@@ -134,8 +134,8 @@
 	s.silent[w] = struct{}{}
 }
 
-// earlierLeasesEnd returns the time from which the leases of earlier terms have certainly lapsed on a worker.
-func (s *Scheduler) earlierLeasesEnd(w *Worker) time.Time {
+// earlierLeasesUntilOn returns the time from which the leases of earlier terms have certainly lapsed on a worker.
+func (s *Scheduler) earlierLeasesUntilOn(w *Worker) time.Time {
 	if until, ok := s.unaccounted[w.ID]; ok {
 		return until
 	}
@@ -191,7 +191,7 @@
 		w.recordBatch = 0
 		s.deleteWorkerRecords(w.ID)
 	}
-	if w.recorded.listed {
+	if w.leaseRecord.listed {
 		s.recordLeases(now)
 	}
 	s.forgetWorker(w)
--- a/internal/zone/dispatch/lease_record.go
+++ b/internal/zone/dispatch/lease_record.go
@@ -40,8 +40,8 @@
 	Left int64
 }
 
-// recordedLeases says what the log holds of a worker's leases.
-type recordedLeases struct {
+// leaseRecordState says what the log holds of a worker's leases.
+type leaseRecordState struct {
 	// listed is set while the newest record lists the worker.
 	listed bool
 	// clearBatch is the batch with the first record that doesn't list the worker any more.
@@ -61,10 +61,10 @@
 	s.recordLeases(now)
 }
 
-// renewLeaseRecord has the leases recorded again while the recorded times run down.
-func (s *Scheduler) renewLeaseRecord(now time.Time) {
+// refreshLeaseRecord has the leases recorded again while the recorded times run down.
+func (s *Scheduler) refreshLeaseRecord(now time.Time) {
 	for w := range s.silent {
-		if !w.recorded.listed && s.isSilent(w) {
+		if !w.leaseRecord.listed && s.isSilent(w) {
 			s.recordLeases(now)
 			return
 		}
@@ -72,13 +72,13 @@
 	if now.Sub(s.leasesRecordedAt) < leaseRecordInterval {
 		return
 	}
-	if len(s.recordedSilent) > 0 || now.Before(s.earlierLeasesUntil.Add(leaseRecordInterval)) {
+	if len(s.silentInRecord) > 0 || now.Before(s.earlierLeasesUntil.Add(leaseRecordInterval)) {
 		s.recordLeases(now)
 	}
 }
 
-// takeLeases returns the record of leases as of the given time, and the workers that it lists no longer.
-func (s *Scheduler) takeLeases(at time.Time) (record Record, cleared []*Worker) {
+// makeLeaseRecord returns the record of leases as of the given time, and the workers that it lists no longer.
+func (s *Scheduler) makeLeaseRecord(at time.Time) (record Record, cleared []*Worker) {
 	s.leasesRecordedAt = at
 	rec := leaseRecord{
 		Token: s.token, Longest: s.grantedLease().Milliseconds(), Earlier: ceilMillis(s.earlierLeasesUntil.Sub(at)),
@@ -92,16 +92,16 @@
 			Worker: w.ID, Left: ceilMillis(s.silentLeasesEnd(w).Sub(at)),
 		})
 		silent[w] = struct{}{}
-		w.recorded.listed, w.recorded.held = true, true
+		w.leaseRecord.listed, w.leaseRecord.held = true, true
 	}
 	slices.SortFunc(rec.Silent, func(a, b silentLeases) int { return cmp.Compare(a.Worker, b.Worker) })
-	for w := range s.recordedSilent {
+	for w := range s.silentInRecord {
 		if _, ok := silent[w]; !ok {
-			w.recorded.listed, w.recorded.clearBatch = false, s.journal.openBatch
+			w.leaseRecord.listed, w.leaseRecord.clearBatch = false, s.journal.openBatch
 			cleared = append(cleared, w)
 		}
 	}
-	s.recordedSilent = silent
+	s.silentInRecord = silent
 	return Record{Key: leasesKey, Value: encode(&rec)}, cleared
 }
 
@@ -130,8 +130,8 @@
 // releaseLeases allows the leases of workers to be extended again that no durable record lists any more.
 func (s *Scheduler) releaseLeases(cleared []*Worker) {
 	for _, w := range cleared {
-		if !w.recorded.listed && w.recorded.clearBatch <= s.journal.committed {
-			w.recorded.held = false
+		if !w.leaseRecord.listed && w.leaseRecord.clearBatch <= s.journal.committed {
+			w.leaseRecord.held = false
 			s.markChanged(w)
 		}
 	}
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -180,7 +180,7 @@
 	}
 	if !j.leasesAt.IsZero() {
 		var leases Record
-		leases, b.cleared = s.takeLeases(j.leasesAt)
+		leases, b.cleared = s.makeLeaseRecord(j.leasesAt)
 		b.Records = append(b.Records, leases)
 	}
 	j.dirtyJobs, j.records, j.recorded, j.leasesAt = nil, nil, nil, time.Time{}
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -79,10 +79,10 @@
 	first := !w.contacted
 	if first {
 		// Orders of earlier terms are barred from now on, and the platform shortens their leases.
-		w.earlierUntil, w.earlierLease = s.earlierLeasesEnd(w), report.Clock+s.limits.MaxLease.Milliseconds()
+		w.earlierUntil, w.earlierLease = s.earlierLeasesUntilOn(w), report.Clock+s.limits.MaxLease.Milliseconds()
 	}
 	w.contacted = true
-	if w.recorded.listed {
+	if w.leaseRecord.listed {
 		s.recordLeases(now)
 	}
 	if first {
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -161,7 +161,7 @@
 	bootUnknown bool
 	// leasesExpired is set when the leases of an unreachable worker have expired.
 	leasesExpired bool
-	recorded      recordedLeases
+	leaseRecord   leaseRecordState
 
 	health health
 	speed  speedEstimate
@@ -170,7 +170,7 @@
 // isUsable reports whether tasks may be started on the worker.
 func (w *Worker) isUsable() bool {
 	return w.listed && w.contacted && w.failedRenewals == 0 && !w.Draining && !w.leasesExpired && !w.bootUnknown &&
-		!w.recorded.held
+		!w.leaseRecord.held
 }
 
 // clockNow returns a lower bound of the worker's clock in milliseconds, 0 if no reading of it is known.
