--- a/internal/zone/dispatch/scale_test.go
+++ b/internal/zone/dispatch/scale_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -22,6 +24,9 @@
 	pending loadSimQueue
 	workers map[string]*loadSimWorker
 	jobs    int
+	// log holds what the leaders have written, terms counts the leaders.
+	log   map[string][]byte
+	terms int
 	// starts counts the start orders, decisions the calls of Decide.
 	starts, decisions int
 }
@@ -32,6 +37,9 @@
 	runs   map[runKey]loadSimRun
 	ended  []EndReport
 	serial int64
+	// stopping holds the runs that are being stopped. answer answers the pending lease renewal.
+	stopping map[runKey]bool
+	answer   func()
 	// slowdown is the factor by which tasks take longer here; 0 counts as 1.
 	slowdown float64
 	// stalledAt is when the tasks began to stand still, the zero time while they do not.
@@ -62,6 +70,9 @@
 	return w.stalledAt
 }
 
+// stopTime is how long a simulated worker takes to stop a run.
+const stopTime = 300 * time.Millisecond
+
 // loadSimRun is a run on a simulated worker.
 type loadSimRun struct {
 	longRunning       bool
@@ -108,23 +119,17 @@
 // newLoadSim returns a simulated deployment under the load.
 func newLoadSim(seed uint64, workers int, load loadMix) *loadSim {
 	sim := &loadSim{
-		s: New(testLimits(), 1, 1), rng: rand.New(rand.NewPCG(seed, 1)), now: simEpoch,
-		workers: map[string]*loadSimWorker{},
+		rng: rand.New(rand.NewPCG(seed, 1)), now: simEpoch, workers: map[string]*loadSimWorker{},
+		log: map[string][]byte{},
 	}
-	sim.s.SetCatalog(Catalog{Version: 1, Queues: map[string]Queue{
-		"short":        {Name: "short", Service: "svc", Attempts: 4, Slack: 2, Target: time.Second},
-		"long":         {Name: "long", Service: "svc", Priority: 2, Attempts: 2, Slack: 2, Target: time.Second},
-		"long-running": {Name: "long-running", Service: "svc", Attempts: 4, Slack: 2, Target: time.Second},
-	}})
 	for i := range workers {
 		id := "w" + strconv.Itoa(i)
-		sim.workers[id] = &loadSimWorker{id: id, runs: map[runKey]loadSimRun{}}
-		sim.s.SetWorker(sim.now, Registration{
-			ID: id, Boot: 1, Service: "svc", Address: id, Zone: "z" + strconv.Itoa(i%6), Rack: "r" + strconv.Itoa(i/12),
-			Capacity: fleet.Size{Cores: 32000, Memory: 128000},
-		})
+		sim.workers[id] = &loadSimWorker{
+			id: id, runs: map[runKey]loadSimRun{}, stopping: map[runKey]bool{}, answer: func() {},
+		}
 		sim.after(time.Duration(i)*time.Millisecond, func() { sim.sendRenewal(id) })
 	}
+	sim.lead(workers)
 	sim.after(0, sim.decidePeriodically)
 	// Each rate is the share of the cores divided by the core seconds of an average job: its steps, tasks, cores and
 	// seconds. For long-running tasks the last factor is the time in which they are submitted.
@@ -141,6 +146,54 @@
 	return sim
 }
 
+// lead makes another host the leader of the workers.
+func (sim *loadSim) lead(workers int) {
+	sim.terms++
+	s := New(testLimits(), int64(sim.terms), sim.terms)
+	s.SetCatalog(Catalog{Version: 1, Queues: map[string]Queue{
+		"short":        {Name: "short", Service: "svc", Attempts: 4, Slack: 2, Target: time.Second},
+		"long":         {Name: "long", Service: "svc", Priority: 2, Attempts: 2, Slack: 2, Target: time.Second},
+		"long-running": {Name: "long-running", Service: "svc", Attempts: 4, Slack: 2, Target: time.Second},
+	}})
+	if sim.terms > 1 {
+		records := make([]Record, 0, len(sim.log))
+		for _, k := range slices.Sorted(maps.Keys(sim.log)) {
+			records = append(records, Record{Key: k, Value: sim.log[k]})
+		}
+		if errs := s.Restore(sim.now, sim.now, records, sim.now); len(errs) > 0 {
+			panic(fmt.Sprint("restore: ", errs))
+		}
+	}
+	for i := range workers {
+		id := "w" + strconv.Itoa(i)
+		s.SetWorker(sim.now, Registration{
+			ID: id, Boot: 1, Service: "svc", Address: id, Zone: "z" + strconv.Itoa(i%6), Rack: "r" + strconv.Itoa(i/12),
+			Capacity: fleet.Size{Cores: 32000, Memory: 128000},
+		})
+	}
+	sim.s = s
+}
+
+// handOver makes another host the leader after a planned stop of the present one.
+func (sim *loadSim) handOver() {
+	sim.s.PrepareHandOver(sim.now)
+	if b, ok := sim.s.TakeBatch(); ok {
+		sim.write(b)
+	}
+	sim.lead(len(sim.workers))
+}
+
+// write writes a batch to the log.
+func (sim *loadSim) write(b Batch) {
+	for _, r := range b.Records {
+		if len(r.Value) == 0 {
+			delete(sim.log, r.Key)
+		} else {
+			sim.log[r.Key] = r.Value
+		}
+	}
+}
+
 // submitAtRate submits jobs to the queue at the rate.
 func (sim *loadSim) submitAtRate(queue string, perSecond float64, spec func() workflow.Spec) {
 	if perSecond <= 0 {
@@ -188,12 +241,18 @@
 
 // decide writes the open batch and executes the orders that are due.
 func (sim *loadSim) decide() {
-	if b, ok := sim.s.TakeBatch(); ok {
-		sim.after(8*time.Millisecond, func() { sim.s.MarkCommitted(b) })
+	s := sim.s
+	if b, ok := s.TakeBatch(); ok {
+		sim.write(b)
+		sim.after(8*time.Millisecond, func() { s.MarkCommitted(b) })
 	}
 	sim.decisions++
-	for _, o := range sim.s.Decide(sim.now) {
-		sim.after(5*time.Millisecond, func() { sim.executeOrder(o) })
+	for _, o := range s.Decide(sim.now) {
+		sim.after(5*time.Millisecond, func() {
+			if s == sim.s {
+				sim.executeOrder(o)
+			}
+		})
 	}
 	sim.s.Events()
 }
@@ -211,8 +270,15 @@
 		w.runs[k] = r
 		sim.s.HandleStartAnswer(sim.now, o, AnswerDone, sim.clock())
 	case OrderStop:
-		if _, ok := w.runs[k]; ok {
-			w.end(k, EndStopped)
+		if _, ok := w.runs[k]; ok && !w.stopping[k] {
+			w.stopping[k] = true
+			sim.after(stopTime, func() {
+				delete(w.stopping, k)
+				if _, ok := w.runs[k]; ok {
+					w.end(k, EndStopped)
+					w.answer()
+				}
+			})
 		}
 		sim.s.HandleStopAnswer(sim.now, o, AnswerDone, sim.clock())
 	case OrderPace:
@@ -232,7 +298,8 @@
 
 // sendRenewal answers a lease renewal after its wait or the worker's first end, and then sends the next.
 func (sim *loadSim) sendRenewal(id string) {
-	plan, ok := sim.s.PlanRenewal(sim.now, id)
+	s := sim.s
+	plan, ok := s.PlanRenewal(sim.now, id)
 	if !ok {
 		return
 	}
@@ -243,7 +310,16 @@
 			wait = min(wait, max(2*time.Millisecond, r.endsAt.Sub(sim.now)))
 		}
 	}
-	sim.after(wait, func() {
+	answered := false
+	w.answer = func() {
+		if answered {
+			return
+		}
+		answered = true
+		if s != sim.s {
+			sim.sendRenewal(id)
+			return
+		}
 		for len(w.ended) > 0 && w.ended[0].Serial <= plan.Acknowledged {
 			w.ended = w.ended[1:]
 		}
@@ -261,7 +337,8 @@
 		sim.s.HandleReport(sim.now, rep)
 		sim.decide()
 		sim.after(10*time.Millisecond, func() { sim.sendRenewal(id) })
-	})
+	}
+	sim.after(wait, w.answer)
 }
 
 // run advances the simulation by the given time.
