Count the leases of a leader that was refused from its renewals

Cause: a connection that is refused or reset counted as proof that the leader's process had ended, and that moment as the end of its orders. Behind a partition it proves nothing: the leader lives on and extends the leases of its zone until 2.5 s after its last answer from the store.

Zone cuts without resets broke nothing.

Change: a refusal, and the answer "I don't lead", only make the leader suspect. A host may claim then, since the log fences the former leader, but that leader's orders count from its last renewal. The new leader asks the former one's host and counts from an answer that shows its end, so that a process that was killed and has started anew costs little. Refusals count only from a leader that has answered before: otherwise two sides of a partition would claim over each other in turn.

On the same path: news of the end of a term named the process and not the claim, so that late news ended a later term of the same process. A host that answers that it doesn't lead has barred its orders before.

Before, the tests fail: with a refusal recorded as the end, TestRefusedConnectionIsNoProof expects 16:42.5 and gets 16:40.4, the moment of the refusal.

--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -17,6 +17,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"sassafraswind.example/sassafraswind/internal/host/bootclock"
+	"sassafraswind.example/sassafraswind/internal/host/peer"
 	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/stream/ledger"
 	"sassafraswind.example/sassafraswind/internal/work/workflow"
@@ -483,6 +484,44 @@
 	})
 }
 
+// TestPredecessorIsAsked guards against a new leader that waits for leases of a leader whose process has certainly ended,
+// and against one that takes a leader which still leads to have ended.
+func TestPredecessorIsAsked(t *testing.T) {
+	Convey("A host has claimed the leadership", t, func() {
+		log, w := newMemoryLog(), &fakeWorker{starts: map[string]int{}, startedAt: time.Now()}
+		previous, stop := startHost(t, "a", 0, log, w)
+		Reset(stop)
+		So(eventually(10*time.Second, func() bool { return isLeader(previous) }), ShouldBeTrue)
+		logger, hook := test.NewNullLogger()
+		ask := func(instance string) int {
+			h := &Host{elector: leadership.NewElector("me"), clock: bootclock.Clock{}, log: logger}
+			client, closeClient := peer.NewClient()
+			defer closeClient()
+			h.peers = client
+			now := h.clock.Now()
+			h.elector.ObserveClaim(now, leadership.Claim{
+				Offset: 3, Name: "a", Address: previous.cfg.PeerAddress, Instance: instance,
+			})
+			h.elector.ObserveClaim(now, leadership.Claim{Offset: 4, Name: "b", Instance: "me"})
+			term := &term{
+				host: h, ctx: context.Background(), log: logrus.NewEntry(logger),
+				scheduler: dispatch.New(dispatch.Limits{}, 1, 1), previousOrdersUntil: now.Add(time.Second),
+			}
+			term.confirmPredecessorEnd()
+			return len(hook.AllEntries())
+		}
+		Convey("the process of the leader before has ended if another one answers at its address", func() {
+			So(ask("gone"), ShouldEqual, 1)
+		})
+		Convey("it has not as long as it answers that it leads", func() {
+			So(ask(previous.instance), ShouldEqual, 0)
+		})
+	})
+	Convey("A leader that has lost its term has ended", t, func() {
+		So(hasEnded(leadership.Claim{Instance: "a"}, PingResponse{Instance: "a"}), ShouldBeTrue)
+	})
+}
+
 // TestStoreAnswersOther guards against a leader that gives up the leadership although the store may have failed for all
 // hosts, or in favour of a host that no longer pings it.
 func TestStoreAnswersOther(t *testing.T) {
--- a/internal/host/entry/follow.go
+++ b/internal/host/entry/follow.go
@@ -180,7 +180,7 @@
 		close(h.leaderChanged)
 		h.leaderChanged = make(chan struct{})
 		if h.term != nil && h.term.claim.Offset != c.Offset {
-			endedTerm, h.term = h.term, nil
+			endedTerm = h.dropTerm()
 		}
 	}
 	h.mu.Unlock()
--- a/internal/host/entry/request.go
+++ b/internal/host/entry/request.go
@@ -99,7 +99,7 @@
 	resp, err := peer.Invoke[Request, Response](callCtx, h.peers, claim.Address, methodRequest, req)
 	if err != nil {
 		if isConnectionRefused(err) {
-			h.recordLeaderEnd(claim, "connection refused")
+			h.suspectLeader(claim, "connection refused", h.elector.RecordRefusal)
 			h.wakeWatch()
 		}
 		return Response{}, !errors.Is(err, peer.ErrNotSent)
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -156,6 +156,7 @@
 		return
 	}
 	t.restore(start, records, workerChanges)
+	t.run(t.confirmPredecessorEnd)
 	t.run(func() { t.writeBatches(writer) })
 	t.run(t.decisionLoop)
 	t.run(func() { t.followWorkers(workerChanges.NextOffset) })
@@ -182,6 +183,37 @@
 	return t.host.elector.PredecessorEnd(t.host.clock.Now(), t.host.cfg.Limits.MaxUnconfirmedTerm, newest)
 }
 
+// confirmPredecessorEnd asks the host of the previous leader whether that has ended, until it has or can send no order any
+// more. Without an answer, the leases that it may have granted until then are waited for.
+func (t *term) confirmPredecessorEnd() {
+	t.host.mu.Lock()
+	predecessor := t.host.elector.Predecessor()
+	t.host.mu.Unlock()
+	if !predecessor.Known() || predecessor.Address == t.host.cfg.PeerAddress {
+		return
+	}
+	for now := t.host.clock.Now(); now.Before(t.previousOrdersUntil); now = t.host.clock.Now() {
+		if r, err := t.host.sendPing(t.ctx, predecessor.Address, now); err == nil && hasEnded(predecessor, r) {
+			endedAt := t.host.clock.Now()
+			t.mu.Lock()
+			t.scheduler.EndPreviousOrders(endedAt)
+			t.mu.Unlock()
+			t.log.WithFields(logrus.Fields{
+				"leader": predecessor.Name, "gained_ms": t.previousOrdersUntil.Sub(endedAt).Milliseconds(),
+			}).Info("The previous leader has confirmed its end")
+			return
+		}
+		if !sleep(t.ctx, retryInterval) {
+			return
+		}
+	}
+}
+
+// hasEnded reports whether a host's answer shows that the leader with the claim has ended. The claim must be fenced.
+func hasEnded(c leadership.Claim, r PingResponse) bool {
+	return r.Instance != c.Instance || !r.IsLeader
+}
+
 // retry repeats a call until it succeeds or the term ends. In the latter case, it returns the last result.
 func retry[T any](t *term, call func() (T, error)) T {
 	for {
@@ -224,8 +256,8 @@
 	t.log.WithError(err).Warn("Another host has taken over the leadership; ending the term")
 	t.host.mu.Lock()
 	if t.host.term == t {
-		t.host.term = nil
-		t.host.elector.RecordLeaderEnd(t.host.clock.Now(), t.host.instance)
+		t.host.dropTerm()
+		t.host.elector.RecordLeaderEnd(t.host.clock.Now(), t.claim.Offset)
 		t.host.elector.Yield(t.host.clock.Now(), retryInterval)
 	}
 	t.host.mu.Unlock()
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -81,11 +81,9 @@
 	}
 }
 
-// pingOnce sends one ping and reports whether the leader asks for a probe of the store.
-func (h *Host) pingOnce(ctx context.Context, claim leadership.Claim) (probeWanted bool) {
-	now := h.clock.Now()
+// sendPing sends a ping with this host's status at the given time to the host at an address.
+func (h *Host) sendPing(ctx context.Context, address string, now time.Time) (PingResponse, error) {
 	h.mu.Lock()
-	h.elector.RecordPing(now)
 	p := Ping{
 		Name: h.cfg.Name, Address: h.cfg.PeerAddress, Instance: h.instance,
 		StoreAge: now.Sub(h.storeAnsweredAt), Power: h.cfg.Power,
@@ -95,16 +93,28 @@
 		p.ManifestVersion = h.manifest.Catalog.Version
 	}
 	h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	return peer.Invoke[Ping, PingResponse](ctx, h.peers, address, methodPing, p)
+}
+
+// pingOnce sends one ping to the leader and reports whether it asks for a probe of the store.
+func (h *Host) pingOnce(ctx context.Context, claim leadership.Claim) (probeWanted bool) {
+	now := h.clock.Now()
+	h.mu.Lock()
+	h.elector.RecordPing(now)
+	h.mu.Unlock()
 	if claim.Address == h.cfg.PeerAddress && claim.Instance != h.instance {
 		h.recordLeaderEnd(claim, "this host has started anew since it led")
 		return false
 	}
-	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-	r, err := peer.Invoke[Ping, PingResponse](callCtx, h.peers, claim.Address, methodPing, p)
-	cancel()
+	r, err := h.sendPing(ctx, claim.Address, now)
 	switch {
-	case err == nil && (!r.IsLeader || r.Instance != claim.Instance):
-		h.recordLeaderEnd(claim, "the host does not lead any more")
+	case err == nil && r.Instance != claim.Instance:
+		h.recordLeaderEnd(claim, "its host has started anew")
+	case err == nil && !r.IsLeader:
+		// The host may not have read its own claim yet, and begin its term later.
+		h.suspectLeader(claim, "the host does not lead", h.elector.RecordSuspicion)
 	case err == nil:
 		h.recordLeaderAnswer(claim, now)
 		h.recordReportedRenewal(claim, r.Renewal)
@@ -113,29 +123,28 @@
 		}
 		return r.ProbeStore
 	case isConnectionRefused(err):
-		h.recordLeaderEnd(claim, "connection refused")
+		h.suspectLeader(claim, "connection refused", h.elector.RecordRefusal)
 	default:
 		h.logger("leadership").WithError(err).WithField("leader", claim.Name).Debug("Leader did not answer a ping")
 	}
 	return false
 }
 
-// isConnectionRefused reports whether an error means that no process listens at the address.
+// isConnectionRefused reports whether an error means that no process seems to listen at the address. Behind a partition,
+// connections may be refused or reset as well.
 func isConnectionRefused(err error) bool {
 	return errors.Is(err, peer.ErrNotSent) && (errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET))
 }
 
-// recordLeaderAnswer records an answer of the leader with the claim to a message that was sent at sentAt. An answer to a
-// message that was sent under an earlier claim says nothing about the present leader, also if both lead at the same
-// address.
+// recordLeaderAnswer records an answer of the leader with the claim to a message that was sent at sentAt.
 func (h *Host) recordLeaderAnswer(claim leadership.Claim, sentAt time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.elector.Claim().Instance != claim.Instance {
+	if h.elector.Claim().Offset != claim.Offset {
 		return
 	}
 	now := h.clock.Now()
-	h.elector.RecordAnswer(now, sentAt, claim.Instance)
+	h.elector.RecordAnswer(now, sentAt, claim.Offset)
 	h.leaderAnsweredAt = now
 }
 
@@ -143,7 +152,7 @@
 func (h *Host) recordReportedRenewal(claim leadership.Claim, renewal int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.elector.Claim().Instance == claim.Instance {
+	if h.elector.Claim().Offset == claim.Offset {
 		h.elector.RecordReportedRenewal(h.clock.Now(), renewal)
 	}
 }
@@ -151,8 +160,8 @@
 // recordLeaderEnd records that the leader's process has certainly ended or no longer leads.
 func (h *Host) recordLeaderEnd(claim leadership.Claim, reason string) {
 	h.mu.Lock()
-	isCurrent := h.elector.Claim().Instance == claim.Instance
-	h.elector.RecordLeaderEnd(h.clock.Now(), claim.Instance)
+	isCurrent := h.elector.Claim().Offset == claim.Offset
+	h.elector.RecordLeaderEnd(h.clock.Now(), claim.Offset)
 	h.mu.Unlock()
 	if isCurrent {
 		h.logger("leadership").WithFields(logrus.Fields{
@@ -161,6 +170,20 @@
 	}
 }
 
+// suspectLeader passes a sign that the leader may have ended to a method of the elector.
+func (h *Host) suspectLeader(claim leadership.Claim, reason string, record func(now time.Time, offset int64)) {
+	h.mu.Lock()
+	wasSuspected := h.elector.IsSuspected()
+	record(h.clock.Now(), claim.Offset)
+	isSuspected := h.elector.IsSuspected()
+	h.mu.Unlock()
+	if isSuspected && !wasSuspected {
+		h.logger("leadership").WithFields(logrus.Fields{
+			"leader": claim.Name, "reason": reason,
+		}).Info("Leader seems to have ended")
+	}
+}
+
 // probeStore reports whether the store answers this host.
 func (h *Host) probeStore(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
@@ -251,11 +274,21 @@
 	h.term = newTerm(ctx, h, h.elector.Claim())
 }
 
+// dropTerm takes the current term from the host and returns it, nil if there is none. The term sends no orders from then
+// on, so that the host may answer that it does not lead. h.mu must be held.
+func (h *Host) dropTerm() *term {
+	t := h.term
+	h.term = nil
+	if t != nil {
+		t.cancel()
+	}
+	return t
+}
+
 // endTerm ends the current term, if there is one.
 func (h *Host) endTerm(reason string) {
 	h.mu.Lock()
-	t := h.term
-	h.term = nil
+	t := h.dropTerm()
 	h.mu.Unlock()
 	if t != nil {
 		t.end(reason)
@@ -269,9 +302,9 @@
 		h.mu.Unlock()
 		return
 	}
-	h.term = nil
+	h.dropTerm()
 	now := h.clock.Now()
-	h.elector.RecordLeaderEnd(now, h.instance)
+	h.elector.RecordLeaderEnd(now, t.claim.Offset)
 	h.elector.Yield(now, reclaimDelay)
 	h.mu.Unlock()
 	t.end(reason)
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -136,6 +136,11 @@
 	// earlierLeasesUntil is the time from which the leases of earlier terms have certainly lapsed on all workers for
 	// which unaccounted holds no other.
 	earlierLeasesUntil time.Time
+	// previousLease is the longest lease of the previous term, and olderLeasesUntil the time from which those of the terms
+	// before it have certainly lapsed. previousKnown is set if the previous term has recorded both.
+	previousLease    time.Duration
+	olderLeasesUntil time.Time
+	previousKnown    bool
 	// silentInRecord holds the workers that the newest record of leases lists, leasesRecordedAt is the time of that
 	// record.
 	silentInRecord   map[*Worker]struct{}
--- a/internal/zone/dispatch/lease_record.go
+++ b/internal/zone/dispatch/lease_record.go
@@ -152,15 +152,16 @@
 		}
 	}
 	longest := s.limits.MaxLease
-	if isKnown := rec.Token == s.token-1 && rec.Longest > 0; isKnown {
+	s.previousKnown = rec.Token == s.token-1 && rec.Longest > 0
+	if s.previousKnown {
 		longest = min(longest, time.Duration(rec.Longest)*time.Millisecond)
 	} else {
 		// The leader before may never have begun its term, and have left the one before that unfenced until now.
 		rec = leaseRecord{}
 		ordersUntil = laterOf(ordersUntil, now.Add(s.limits.MaxUnconfirmedTerm))
 	}
-	s.earlierLeasesUntil = ordersUntil.Add(time.Duration(float64(longest)/minWorkerClockRate) + clockMargin)
-	s.earlierLeasesUntil = laterOf(s.earlierLeasesUntil, now.Add(time.Duration(rec.Earlier)*time.Millisecond))
+	s.previousLease, s.olderLeasesUntil = longest, now.Add(time.Duration(rec.Earlier)*time.Millisecond)
+	s.earlierLeasesUntil = laterOf(leaseEnd(ordersUntil, longest), s.olderLeasesUntil)
 	for id := range s.unaccounted {
 		s.unaccounted[id] = s.earlierLeasesUntil
 	}
@@ -173,6 +174,31 @@
 	return err
 }
 
+// leaseEnd returns the time from which all leases of the given length have certainly lapsed that were granted by the given
+// time.
+func leaseEnd(grantedBy time.Time, lease time.Duration) time.Time {
+	return grantedBy.Add(time.Duration(float64(lease)/minWorkerClockRate) + clockMargin)
+}
+
+// EndPreviousOrders notes that the previous leader has certainly given no order after the time, which may be earlier than
+// the one that was known when the state was restored.
+func (s *Scheduler) EndPreviousOrders(ordersUntil time.Time) {
+	if !s.previousKnown {
+		// The leader before the previous one may not have been fenced until this term began.
+		return
+	}
+	until := laterOf(leaseEnd(ordersUntil, s.previousLease), s.olderLeasesUntil)
+	if !until.Before(s.earlierLeasesUntil) {
+		return
+	}
+	s.earlierLeasesUntil = until
+	for id, at := range s.unaccounted {
+		if until.Before(at) {
+			s.unaccounted[id] = until
+		}
+	}
+}
+
 // laterOf returns the later of two times.
 func laterOf(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/zone/dispatch/lease_test.go
+++ b/internal/zone/dispatch/lease_test.go
@@ -329,3 +329,38 @@
 		So(next.workers[start.Worker].leasesEndAt(), ShouldHappenOnOrAfter, end)
 	})
 }
+
+// TestPreviousLeaderConfirmsItsEnd guards against tasks that wait for leases which the previous leader can't have
+// granted, since it has answered that it has ended, and against a shorter wait where older leases may last.
+func TestPreviousLeaderConfirmsItsEnd(t *testing.T) {
+	Convey("The previous leader may go on for two seconds, and a worker with a task is lost", t, func() {
+		now := simEpoch
+		s, start, log := newLeaseScheduler(now)
+		ordersUntil := now.Add(leaseLimits().MaxUnconfirmedTerm)
+		lead := func(token int64) *Scheduler {
+			next := New(leaseLimits(), token, int(token))
+			next.SetCatalog(s.catalog)
+			So(next.Restore(now, now, slices.Collect(maps.Values(log)), ordersUntil), ShouldBeEmpty)
+			return next
+		}
+		longest := leaseLimits().MaxUnconfirmedTerm + maxGrantedLease
+		Convey("the task waits for leases that are granted until then", func() {
+			So(startAfter(lead(2), now, start), ShouldBeBetween, longest, longest+500*time.Millisecond)
+		})
+		Convey("the task waits for leases that are granted until the leader has confirmed its end", func() {
+			next := lead(2)
+			next.EndPreviousOrders(now.Add(200 * time.Millisecond))
+			So(startAfter(next, now, start), ShouldBeBetween, maxGrantedLease+200*time.Millisecond, 7*time.Second)
+		})
+		Convey("an end after that time changes nothing", func() {
+			next := lead(2)
+			next.EndPreviousOrders(now.Add(time.Minute))
+			So(startAfter(next, now, start), ShouldBeBetween, longest, longest+500*time.Millisecond)
+		})
+		Convey("the task waits for the longest lease if the previous leader has recorded nothing", func() {
+			next := lead(3)
+			next.EndPreviousOrders(now)
+			So(startAfter(next, now, start), ShouldBeGreaterThan, leaseLimits().MaxUnconfirmedTerm+leaseLimits().MaxLease)
+		})
+	})
+}
--- a/internal/zone/leadership/leadership.go
+++ b/internal/zone/leadership/leadership.go
@@ -2,7 +2,12 @@
 //
 // A host leads from the time its claim is in the log until a later claim is. The offset after a claim is the fencing
 // token of its term. The leader renews its claim in the log every second and answers pings of the other hosts. A host
-// claims the leadership when it is certain that the leader is gone, or when the leader neither answers nor renews.
+// claims the leadership when it is certain that the leader is gone, when it suspects that, or when the leader neither
+// answers nor renews.
+//
+// A suspicion may be wrong: behind a partition, a connection is refused or reset although the leader lives on. It lets a
+// host claim early, which is safe since the log fences the former leader. It never says when the former leader gave its
+// last order: only certain knowledge and renewals do.
 //
 // The package makes no calls and reads no clock: the present time is an argument.
 package leadership
@@ -77,16 +82,22 @@
 	// answeredAt is when the leader last answered, or else when its claim was seen. pingedAt is when a leader was last
 	// pinged.
 	answeredAt, pingedAt time.Time
+	// answered is set once the leader has answered this host under the present claim.
+	answered bool
 	// vacantSince is when the leadership certainly became vacant, zero while it is not.
 	vacantSince time.Time
+	// suspectedSince and suspectedAt are when the leader was first and last suspected to have ended, with no answer in
+	// between. Both are zero while it is not suspected.
+	suspectedSince, suspectedAt time.Time
 	// renewal is the newest renewal that was read, -1 if none was read since the claim was seen. renewalSeenAt is when it
 	// was first read, or else when the claim was seen.
 	renewal       int64
 	renewalSeenAt time.Time
 	// renewalReadAt is when the renewals were last read.
 	renewalReadAt time.Time
-	// predecessorEndedAt, predecessorRenewedAt and predecessorRenewal are vacantSince, renewalSeenAt and renewal of the
-	// leader before, as they were when the present claim was seen.
+	// predecessor is the claim before the present one. predecessorEndedAt, predecessorRenewedAt and predecessorRenewal are
+	// vacantSince, renewalSeenAt and renewal of its leader, as they were when the present claim was seen.
+	predecessor                              Claim
 	predecessorEndedAt, predecessorRenewedAt time.Time
 	predecessorRenewal                       int64
 	// claimedAt is when this host last sent a claim.
@@ -99,7 +110,7 @@
 
 // NewElector returns the elector of a process that has just started. The instance identifies that process.
 func NewElector(instance string) *Elector {
-	return &Elector{instance: instance, claim: Claim{Offset: -1}}
+	return &Elector{instance: instance, claim: Claim{Offset: -1}, predecessor: Claim{Offset: -1}}
 }
 
 // SetClaimDelay delays this host's claims by d, so that hosts that are better placed claim first.
@@ -128,6 +139,9 @@
 // Claim returns the newest claim that was seen.
 func (e *Elector) Claim() Claim { return e.claim }
 
+// Predecessor returns the claim that was the newest one until the present one was seen.
+func (e *Elector) Predecessor() Claim { return e.predecessor }
+
 // IsLeader reports whether the newest claim that was seen is that of this host and the host has not given up the
 // leadership.
 func (e *Elector) IsLeader() bool {
@@ -144,9 +158,11 @@
 		}
 		return false
 	}
+	e.predecessor = e.claim
 	e.predecessorEndedAt, e.predecessorRenewedAt, e.predecessorRenewal = e.vacantSince, e.renewalSeenAt, e.renewal
 	e.claim = c
-	e.answeredAt, e.vacantSince = now, time.Time{}
+	e.answered, e.answeredAt, e.vacantSince = false, now, time.Time{}
+	e.suspectedSince, e.suspectedAt = time.Time{}, time.Time{}
 	e.renewal, e.renewalSeenAt, e.renewalReadAt = -1, now, time.Time{}
 	return true
 }
@@ -154,27 +170,49 @@
 // RecordPing records that the leader is being pinged.
 func (e *Elector) RecordPing(now time.Time) { e.pingedAt = now }
 
-// RecordAnswer records an answer of the leader to a message that was sent at the given time. An answer of another
-// instance shows that the leader's process has ended. One to a message that was sent before the leadership became vacant
-// says nothing: the leader may have given it up since.
-func (e *Elector) RecordAnswer(now, sentAt time.Time, instance string) {
-	if instance != e.claim.Instance {
-		e.RecordLeaderEnd(now, e.claim.Instance)
+// RecordAnswer records that the leader with the claim at the offset has answered a message that was sent at the given
+// time. An answer under another claim says nothing about the present leader, and neither does one to a message that was
+// sent before the leadership became vacant: the leader may have given it up since.
+func (e *Elector) RecordAnswer(now, sentAt time.Time, offset int64) {
+	if offset != e.claim.Offset || (!e.vacantSince.IsZero() && !sentAt.After(e.vacantSince)) {
 		return
 	}
-	if !e.vacantSince.IsZero() && !sentAt.After(e.vacantSince) {
-		return
+	e.answered, e.answeredAt, e.vacantSince = true, now, time.Time{}
+	if sentAt.After(e.suspectedAt) {
+		e.suspectedSince, e.suspectedAt = time.Time{}, time.Time{}
 	}
-	e.answeredAt, e.vacantSince = now, time.Time{}
 }
 
-// RecordLeaderEnd records that the leading process has ended or has given up the leadership.
-func (e *Elector) RecordLeaderEnd(now time.Time, instance string) {
-	if instance == e.claim.Instance && e.vacantSince.IsZero() {
+// RecordLeaderEnd records that the leader with the claim at the offset has certainly ended: its process has, or it has
+// given up the leadership.
+func (e *Elector) RecordLeaderEnd(now time.Time, offset int64) {
+	if offset == e.claim.Offset && e.vacantSince.IsZero() {
 		e.vacantSince = now
 	}
 }
 
+// RecordRefusal records that no process seems to listen at the address of the leader with the claim at the offset. It
+// makes the leader suspect if that has answered before. A host that never reached the leader may be cut off from it.
+func (e *Elector) RecordRefusal(now time.Time, offset int64) {
+	if e.answered {
+		e.RecordSuspicion(now, offset)
+	}
+}
+
+// RecordSuspicion records that the leader with the claim at the offset has probably ended.
+func (e *Elector) RecordSuspicion(now time.Time, offset int64) {
+	if offset != e.claim.Offset {
+		return
+	}
+	if e.suspectedSince.IsZero() {
+		e.suspectedSince = now
+	}
+	e.suspectedAt = now
+}
+
+// IsSuspected reports whether there are signs that the leader has ended.
+func (e *Elector) IsSuspected() bool { return !e.suspectedAt.IsZero() }
+
 // RecordReportedRenewal records the newest renewal as the leader itself has just reported it. It was alive then, so
 // that a renewal counts as seen at this time.
 func (e *Elector) RecordReportedRenewal(now time.Time, renewal int64) {
@@ -214,7 +252,11 @@
 		return ActionWait, e.yieldUntil
 	}
 	start := e.vacantSince
-	if start.IsZero() {
+	switch {
+	case !start.IsZero():
+	case e.IsSuspected():
+		start = e.suspectedSince
+	default:
 		start = e.renewalSeenAt.Add(renewalTimeout)
 	}
 	due := start.Add(e.claimDelay)
@@ -227,10 +269,13 @@
 	return ActionClaim, now
 }
 
-// checkLeader returns ActionClaim once the leader neither answers nor renews, and otherwise the next ping, read or
-// wait. A ping to a host that is switched off takes long, so a read of the renewals that is due goes before the next
-// ping.
+// checkLeader returns ActionClaim once the leader neither answers nor renews, or while it is suspected to have ended, and
+// otherwise the next ping, read or wait. A ping to a host that is switched off takes long, so a read of the renewals that
+// is due goes before the next ping.
 func (e *Elector) checkLeader(now time.Time) (Action, time.Time) {
+	if e.IsSuspected() {
+		return ActionClaim, now
+	}
 	silence := now.Sub(e.answeredAt)
 	interval := PingInterval
 	if silence > interval+pingRetryInterval {
--- a/internal/zone/leadership/leadership_test.go
+++ b/internal/zone/leadership/leadership_test.go
@@ -29,7 +29,7 @@
 			if answers(now) {
 				sentAt := now
 				now = now.Add(2 * time.Millisecond)
-				e.RecordAnswer(now, sentAt, "leader")
+				e.RecordAnswer(now, sentAt, e.Claim().Offset)
 			} else {
 				now = now.Add(pingCost)
 			}
@@ -89,14 +89,14 @@
 		})
 		Convey("at once when the leader's process is certain to have ended", func() {
 			e := newFollower(start)
-			e.RecordLeaderEnd(start, "leader")
+			e.RecordLeaderEnd(start, 4)
 			action, _ := e.NextAction(start)
 			So(action, ShouldEqual, ActionClaim)
 		})
 		Convey("later if it has a claim delay", func() {
 			e := newFollower(start)
 			e.SetClaimDelay(200 * time.Millisecond)
-			e.RecordLeaderEnd(start, "leader")
+			e.RecordLeaderEnd(start, 4)
 			action, until := e.NextAction(start)
 			So(action, ShouldEqual, ActionWait)
 			So(until, ShouldEqual, start.Add(200*time.Millisecond))
@@ -104,7 +104,7 @@
 		Convey("again after a pause, in which hosts without a claim delay come first", func() {
 			e := newFollower(start)
 			e.SetClaimDelay(500 * time.Millisecond)
-			e.RecordLeaderEnd(start, "leader")
+			e.RecordLeaderEnd(start, 4)
 			now := start.Add(time.Second)
 			e.RecordClaim(now)
 			action, until := e.NextAction(now)
@@ -124,7 +124,7 @@
 		Convey("when it is stopping", func() {
 			e := newFollower(start)
 			e.DisableClaims()
-			e.RecordLeaderEnd(start, "leader")
+			e.RecordLeaderEnd(start, 4)
 			action, _ := e.NextAction(start)
 			So(action, ShouldEqual, ActionWait)
 		})
@@ -132,7 +132,7 @@
 			e := NewElector("me")
 			e.ObserveClaim(start, Claim{Offset: 4, Name: "me", Instance: "me"})
 			So(e.IsLeader(), ShouldBeTrue)
-			e.RecordLeaderEnd(start, "me")
+			e.RecordLeaderEnd(start, 4)
 			e.Yield(start, time.Second)
 			So(e.IsLeader(), ShouldBeFalse)
 			action, _ := e.NextAction(start)
@@ -150,10 +150,10 @@
 		e := newFollower(start)
 		sentAt := start.Add(300 * time.Millisecond)
 		endedAt := sentAt.Add(100 * time.Millisecond)
-		e.RecordLeaderEnd(endedAt, "leader")
+		e.RecordLeaderEnd(endedAt, 4)
 		Convey("its answer does not fill the vacancy", func() {
 			now := endedAt.Add(50 * time.Millisecond)
-			e.RecordAnswer(now, sentAt, "leader")
+			e.RecordAnswer(now, sentAt, e.Claim().Offset)
 			action, _ := e.NextAction(now)
 			So(action, ShouldEqual, ActionClaim)
 			e.ObserveClaim(now, Claim{Offset: 5, Name: "me", Instance: "me"})
@@ -161,7 +161,7 @@
 		})
 		Convey("an answer to a later message does, for the host still leads", func() {
 			now := endedAt.Add(50 * time.Millisecond)
-			e.RecordAnswer(now, endedAt.Add(time.Millisecond), "leader")
+			e.RecordAnswer(now, endedAt.Add(time.Millisecond), 4)
 			action, _ := e.NextAction(now)
 			So(action, ShouldNotEqual, ActionClaim)
 		})
@@ -188,12 +188,52 @@
 	})
 	Convey("The orders of a leader that has certainly ended end then", t, func() {
 		e := newFollower(start)
-		e.RecordLeaderEnd(start.Add(time.Second), "leader")
+		e.RecordLeaderEnd(start.Add(time.Second), 4)
 		e.ObserveClaim(start.Add(2*time.Second), Claim{Offset: 5, Name: "me", Instance: "me"})
 		So(e.PredecessorEnd(start.Add(2*time.Second), time.Second, -1), ShouldEqual, start.Add(time.Second))
 	})
 }
 
+// TestRefusedConnectionIsNoProof guards against a new leader that counts the leases of the one before from the moment at
+// which a partition reset a connection, although that leader lives on and extends them.
+func TestRefusedConnectionIsNoProof(t *testing.T) {
+	Convey("A host has seen the leader's renewal 7, and is refused a connection", t, func() {
+		const maxUnconfirmed = 2500 * time.Millisecond
+		e := newFollower(start)
+		e.RecordAnswer(start, start, 4)
+		e.RecordReportedRenewal(start, 7)
+		refusedAt := start.Add(400 * time.Millisecond)
+		e.RecordPing(refusedAt)
+		e.RecordRefusal(refusedAt, 4)
+		Convey("it claims at once, and the leader's orders may go on as if it had not been refused", func() {
+			action, _ := e.NextAction(refusedAt)
+			So(action, ShouldEqual, ActionClaim)
+			e.ObserveClaim(refusedAt, Claim{Offset: 5, Name: "me", Instance: "me"})
+			So(e.PredecessorEnd(refusedAt, maxUnconfirmed, 7), ShouldEqual, start.Add(maxUnconfirmed))
+			So(e.PredecessorEnd(refusedAt, maxUnconfirmed, 8), ShouldEqual, refusedAt.Add(maxUnconfirmed))
+		})
+	})
+	Convey("A host that a leader has never answered does not claim when it is refused a connection", t, func() {
+		e := newFollower(start)
+		e.RecordPing(start)
+		e.RecordRefusal(start, 4)
+		action, _ := e.NextAction(start)
+		So(action, ShouldEqual, ActionWait)
+	})
+}
+
+// TestLateNewsOfEarlierTerm guards against a leadership that is taken to be vacant because news of the end of an earlier
+// term of the same process arrives late.
+func TestLateNewsOfEarlierTerm(t *testing.T) {
+	Convey("A leader has given the leadership up and has claimed it again", t, func() {
+		e := newFollower(start)
+		e.ObserveClaim(start, Claim{Offset: 6, Name: "other", Address: "a", Instance: "leader", Serial: 2})
+		e.RecordLeaderEnd(start, 4)
+		action, _ := e.NextAction(start)
+		So(action, ShouldNotEqual, ActionClaim)
+	})
+}
+
 // TestClaimOffsetNeverDecreases guards against an older claim in place of a newer one, and against a wait that ends in
 // the past.
 func TestClaimOffsetNeverDecreases(t *testing.T) {
@@ -203,7 +243,7 @@
 		highest := int64(-1)
 		for range rapid.IntRange(1, 50).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * time.Millisecond)
-			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0:
 				offset := int64(rapid.IntRange(0, 20).Draw(t, "offset"))
 				e.ObserveClaim(now, Claim{
@@ -211,13 +251,15 @@
 				})
 				highest = max(highest, offset)
 			case 1:
-				e.RecordLeaderEnd(now, e.Claim().Instance)
+				e.RecordLeaderEnd(now, e.Claim().Offset)
 			case 2:
-				e.RecordAnswer(now, now, e.Claim().Instance)
+				e.RecordAnswer(now, now, e.Claim().Offset)
 			case 3:
 				e.RecordRenewal(now, int64(rapid.IntRange(0, 3).Draw(t, "renewal")))
 			case 4:
 				e.NextAction(now)
+			case 5:
+				e.RecordRefusal(now, e.Claim().Offset)
 			}
 			if e.Claim().Offset != highest {
 				t.Fatalf("the newest claim has offset %d, want %d, the highest one seen", e.Claim().Offset, highest)
