Check the suspicion against a leader again before each claim

Cause: a vacancy was never checked again. No ping was sent while it stood, and nothing bounded its age when a claim was made.

Ruled out: that the leader was disturbed. It renews all along.

Change: a suspicion is good for 0.1 s. Then the leader is pinged again; an answer or a ping without an answer ends the suspicion, and after the latter the renewals decide as usual.

Before, the test fails: TestOldSuspicionIsCheckedAgain expects a ping after twelve seconds and gets a claim.

--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -125,6 +125,7 @@
 	case isConnectionRefused(err):
 		h.suspectLeader(claim, "connection refused", h.elector.RecordRefusal)
 	default:
+		h.recordLeaderSilence(claim)
 		h.logger("leadership").WithError(err).WithField("leader", claim.Name).Debug("Leader did not answer a ping")
 	}
 	return false
@@ -157,6 +158,15 @@
 	}
 }
 
+// recordLeaderSilence records that the leader has left a ping unanswered.
+func (h *Host) recordLeaderSilence(claim leadership.Claim) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.elector.Claim().Offset == claim.Offset {
+		h.elector.RecordSilence()
+	}
+}
+
 // recordLeaderEnd records that the leader's process has certainly ended or no longer leads.
 func (h *Host) recordLeaderEnd(claim leadership.Claim, reason string) {
 	h.mu.Lock()
--- a/internal/zone/leadership/leadership.go
+++ b/internal/zone/leadership/leadership.go
@@ -29,6 +29,8 @@
 	renewalTimeout = time.Second
 	// renewalReadInterval is the time between reads of the renewals.
 	renewalReadInterval = 300 * time.Millisecond
+	// suspicionTimeout is how long a suspicion lets this host claim before the leader is pinged again.
+	suspicionTimeout = 100 * time.Millisecond
 	// claimRetryInterval is the pause after a claim that failed without a decision. It is also the time until the next
 	// check while the log has not been read for a claim and while claims are disabled.
 	claimRetryInterval = 300 * time.Millisecond
@@ -213,6 +215,9 @@
 // IsSuspected reports whether there are signs that the leader has ended.
 func (e *Elector) IsSuspected() bool { return !e.suspectedAt.IsZero() }
 
+// RecordSilence records that the leader has left a ping unanswered, which is no sign that it has ended.
+func (e *Elector) RecordSilence() { e.suspectedSince, e.suspectedAt = time.Time{}, time.Time{} }
+
 // RecordReportedRenewal records the newest renewal as the leader itself has just reported it. It was alive then, so
 // that a renewal counts as seen at this time.
 func (e *Elector) RecordReportedRenewal(now time.Time, renewal int64) {
@@ -270,10 +275,13 @@
 }
 
 // checkLeader returns ActionClaim once the leader neither answers nor renews, or while it is suspected to have ended, and
-// otherwise the next ping, read or wait. A ping to a host that is switched off takes long, so a read of the renewals that
-// is due goes before the next ping.
+// otherwise the next ping, read or wait. A suspicion is checked again by a ping before each claim that it leads to. A ping
+// to a host that is switched off takes long, so a read of the renewals that is due goes before the next ping.
 func (e *Elector) checkLeader(now time.Time) (Action, time.Time) {
 	if e.IsSuspected() {
+		if !now.Before(e.suspectedAt.Add(suspicionTimeout)) {
+			return ActionPing, now
+		}
 		return ActionClaim, now
 	}
 	silence := now.Sub(e.answeredAt)
--- a/internal/zone/leadership/leadership_test.go
+++ b/internal/zone/leadership/leadership_test.go
@@ -222,6 +222,39 @@
 	})
 }
 
+// TestOldSuspicionIsCheckedAgain guards against a host that was cut off with resets, and claims over the living leader
+// when it returns.
+func TestOldSuspicionIsCheckedAgain(t *testing.T) {
+	Convey("A host is refused by the leader and can't claim for twelve seconds", t, func() {
+		e := newFollower(start)
+		e.RecordAnswer(start, start, 4)
+		e.RecordPing(start)
+		e.RecordRefusal(start, 4)
+		e.RecordClaim(start)
+		now := start.Add(12 * time.Second)
+		action, _ := e.NextAction(now)
+		So(action, ShouldEqual, ActionPing)
+		Convey("it does not claim if the leader answers then", func() {
+			e.RecordPing(now)
+			e.RecordAnswer(now.Add(time.Millisecond), now, 4)
+			action, _ := e.NextAction(now.Add(time.Millisecond))
+			So(action, ShouldEqual, ActionWait)
+		})
+		Convey("it does not claim if the ping gets no answer, as long as the leader renews", func() {
+			e.RecordPing(now)
+			e.RecordSilence()
+			_, claimed := runElector(e, now, time.Minute, 450*time.Millisecond, never, always)
+			So(claimed, ShouldBeFalse)
+		})
+		Convey("it claims if it is refused again", func() {
+			e.RecordPing(now)
+			e.RecordRefusal(now, 4)
+			action, _ := e.NextAction(now)
+			So(action, ShouldEqual, ActionClaim)
+		})
+	})
+}
+
 // TestLateNewsOfEarlierTerm guards against a leadership that is taken to be vacant because news of the end of an earlier
 // term of the same process arrives late.
 func TestLateNewsOfEarlierTerm(t *testing.T) {
@@ -243,7 +276,7 @@
 		highest := int64(-1)
 		for range rapid.IntRange(1, 50).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * time.Millisecond)
-			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
 			case 0:
 				offset := int64(rapid.IntRange(0, 20).Draw(t, "offset"))
 				e.ObserveClaim(now, Claim{
@@ -260,6 +293,8 @@
 				e.NextAction(now)
 			case 5:
 				e.RecordRefusal(now, e.Claim().Offset)
+			case 6:
+				e.RecordSilence()
 			}
 			if e.Claim().Offset != highest {
 				t.Fatalf("the newest claim has offset %d, want %d, the highest one seen", e.Claim().Offset, highest)
