Bound what a job opens at once, and end appends that the log rejects

The writer repeated an append that the store refuses for good (413) like one without an answer. And nothing bounded what one submission opens at once: all open occurrences were one record of some 350,000 bytes, where the store takes 262,144; 1.6 million tasks took a leader over its memory limit.

Ruled out: an outage of the store, since it answers and the leader renews.

Change: a job opens as many due occurrences as fit into one record of the log with all failures that may come, and 20,000 tasks at most; the others follow. What can't be held that way gets 413 with the reason when it is submitted. A job whose specification is left out was never accepted; one whose progress is left out fails. Retries are a warning at each twentieth try.

--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -293,6 +293,49 @@
 	})
 }
 
+// rejectingLog is a memoryLog that rejects appends with a record of more than maxBytes.
+type rejectingLog struct {
+	*memoryLog
+	maxBytes int
+}
+
+func (l rejectingLog) Append(ctx context.Context, a ledger.Append) (ledger.OffsetRange, error) {
+	for _, r := range a.Records {
+		if len(r.Key)+len(r.Value) > l.maxBytes {
+			return ledger.OffsetRange{}, ledger.ErrRejected
+		}
+	}
+	return l.memoryLog.Append(ctx, a)
+}
+
+// TestSubmissionThatLogRejects guards against a submission whose record the log never takes and that keeps everything
+// after it from becoming durable.
+func TestSubmissionThatLogRejects(t *testing.T) {
+	Convey("A host leads whose log takes records of at most 1000 bytes", t, func() {
+		w := &fakeWorker{starts: map[string]int{}, startedAt: time.Now()}
+		h, stop := startHost(t, "a", 0, rejectingLog{newMemoryLog(), 1000}, w)
+		Reset(stop)
+		So(eventually(10*time.Second, func() bool { return isLeader(h) && h.Ready() }), ShouldBeTrue)
+		submit := func(digit, payload string) Response {
+			spec := workflow.Spec{Payload: payload, Steps: []workflow.Step{
+				{Tasks: 1, Size: fleet.Size{Cores: 500}, Estimate: time.Second, MaxUnavailable: -1},
+			}}
+			return sendRequest(h, Request{
+				Action: ActionSubmit, Queue: "q", ID: strings.Repeat("0", 15) + digit, Spec: spec,
+			})
+		}
+		So(submit("1", "x").Outcome, ShouldEqual, dispatch.OutcomeAccepted)
+		large := submit("2", strings.Repeat("x", 2000))
+		So(large.Outcome, ShouldEqual, dispatch.OutcomeRejected)
+		So(large.Reason, ShouldNotBeEmpty)
+		So(submit("3", "x").Outcome, ShouldEqual, dispatch.OutcomeAccepted)
+		So(sendRequest(h, Request{Action: ActionCancel, Queue: "q", ID: strings.Repeat("0", 15) + "1"}).Outcome,
+			ShouldEqual, dispatch.OutcomeAccepted)
+		So(sendRequest(h, Request{Action: ActionShow, Queue: "q", ID: strings.Repeat("0", 15) + "2"}).Outcome,
+			ShouldEqual, dispatch.OutcomeUnknownJob)
+	})
+}
+
 // TestHandOverToStrongerHost guards against a leader that stays on a host with little processor time, and against a
 // leadership that moves between hosts of similar strength.
 func TestHandOverToStrongerHost(t *testing.T) {
--- a/internal/host/entry/request.go
+++ b/internal/host/entry/request.go
@@ -159,7 +159,7 @@
 	}
 	entry := h.logger("callers").WithFields(fields)
 	if req.Action == ActionSubmit || req.Action == ActionCancel || resp.Outcome == 0 ||
-		resp.Outcome == dispatch.OutcomeRefused {
+		resp.Outcome == dispatch.OutcomeRefused || resp.Outcome == dispatch.OutcomeRejected {
 		entry.Info("Request")
 	} else {
 		entry.Debug("Request")
@@ -173,6 +173,8 @@
 		return "done"
 	case dispatch.OutcomeRefused:
 		return "refused"
+	case dispatch.OutcomeRejected:
+		return "rejected"
 	case dispatch.OutcomeUnknownQueue:
 		return "unknown queue"
 	case dispatch.OutcomeUnknownJob:
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -133,7 +133,7 @@
 // begin fences the previous leader, restores the state and starts the loops of the term.
 func (t *term) begin() {
 	start := t.host.clock.Now()
-	writer := t.newWriter(statePartition)
+	writer := t.newWriter(statePartition, ledger.WithRejectHook(t.rejectRecord))
 	renewals := t.newWriter(renewalPartition)
 	// With a slow store, each call takes a considerable part of a second, so independent calls are made concurrently.
 	// The state may be read only after earlier writers are fenced.
@@ -230,13 +230,31 @@
 	}
 }
 
+// retriesPerWarning is the number of failed tries of an append after which the next warning is logged.
+const retriesPerWarning = 20
+
 // newWriter returns a writer for a partition with the term's token as its epoch.
-func (t *term) newWriter(p ledger.Partition) *ledger.Writer {
-	return ledger.NewWriter(t.host.store, p, leaderWriter, t.claim.Token(), ledger.WithRetryHook(func(err error, try int) {
+func (t *term) newWriter(p ledger.Partition, opts ...ledger.Option) *ledger.Writer {
+	opts = append(opts, ledger.WithRetryHook(func(err error, try int) {
+		level := logrus.DebugLevel
+		if try%retriesPerWarning == 0 {
+			level = logrus.WarnLevel
+		}
 		t.log.WithError(err).WithFields(logrus.Fields{
 			"try": try, "topic": p.Topic, "part": p.Index,
-		}).Debug("Append failed; trying again")
+		}).Log(level, "Append failed; trying again")
 	}))
+	return ledger.NewWriter(t.host.store, p, leaderWriter, t.claim.Token(), opts...)
+}
+
+// rejectRecord handles a record of the state that the log refuses for good. The batch that holds it goes on without it.
+func (t *term) rejectRecord(r ledger.Record, err error) {
+	t.log.WithError(err).WithFields(logrus.Fields{
+		"key": r.Key, "bytes": len(r.Key) + len(r.Value),
+	}).Error("The log refuses a record of the state for good; it is left out")
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.scheduler.RejectRecord(t.host.clock.Now(), r.Key)
 }
 
 // openWriter fences the writers of earlier terms. It returns false if the term has ended.
@@ -464,6 +482,12 @@
 	short, cancel := context.WithTimeout(ctx, stuckAppendThreshold)
 	defer cancel()
 	if t.awaitDurable(short, r.Batch) {
+		t.mu.Lock()
+		known := t.scheduler.HasJob(req.ID)
+		t.mu.Unlock()
+		if !known {
+			return Response{Outcome: dispatch.OutcomeRejected, Reason: "the log does not take the job"}
+		}
 		return t.durableResponse(ctx, r)
 	}
 	if ctx.Err() == nil && t.ctx.Err() == nil {
--- a/internal/stream/ledger/ledger.go
+++ b/internal/stream/ledger/ledger.go
@@ -23,6 +23,8 @@
 	ErrSequence = errors.New("ledger: sequence number does not follow")
 	// ErrNotDone means that the log refused the call and it had no effect.
 	ErrNotDone = errors.New("ledger: the log refused the call")
+	// ErrRejected means that the log refused the call and always will, for instance because a record is too large.
+	ErrRejected = errors.New("ledger: the log refuses the call for good")
 	// ErrExpired means that the requested records are no longer retained.
 	ErrExpired = errors.New("ledger: records have expired")
 )
@@ -87,8 +89,8 @@
 
 // Store is the platform's partitioned log. The streams of package feed are in another log service.
 type Store interface {
-	// Append appends records. It fails with ErrFenced, ErrConflict, ErrSequence, ErrNotDone or an error after which it is
-	// unknown whether the append took effect.
+	// Append appends records. It fails with ErrFenced, ErrConflict, ErrSequence, ErrNotDone, ErrRejected or an error after
+	// which it is unknown whether the append took effect.
 	Append(ctx context.Context, a Append) (OffsetRange, error)
 	// Read returns the records from an offset on. If there are none, it waits up to the given time for one. It fails with
 	// ErrExpired if the offset is no longer retained.
--- a/internal/stream/ledger/writer.go
+++ b/internal/stream/ledger/writer.go
@@ -32,6 +32,8 @@
 	callTimeout time.Duration
 	sleep       func(ctx context.Context, d time.Duration) error
 	onRetry     func(err error, try int)
+	// onReject is nil if a record that the log refuses for good makes Write fail.
+	onReject func(r Record, err error)
 }
 
 // Option changes a default of NewWriter.
@@ -40,6 +42,10 @@
 // WithRetryHook sets a function that is called with the error and number of each failed try, numbered from 1.
 func WithRetryHook(fn func(err error, try int)) Option { return func(w *Writer) { w.onRetry = fn } }
 
+// WithRejectHook sets a function that is called with each record that the log refuses for good and its error. Write leaves
+// the record out and appends the others.
+func WithRejectHook(fn func(r Record, err error)) Option { return func(w *Writer) { w.onReject = fn } }
+
 // WithCallTimeout sets the timeout of one call to the log, by default CallTimeout.
 func WithCallTimeout(d time.Duration) Option { return func(w *Writer) { w.callTimeout = d } }
 
@@ -74,15 +80,13 @@
 // Open fences the writers of lower epochs: once it has returned nil, they can no longer append to the partition. Its
 // append has no records and uses up no sequence number.
 func (w *Writer) Open(ctx context.Context) error {
-	_, err := w.appendUntilAnswered(ctx, Append{
-		Partition: w.partition, ExpectedEnd: AnyOffset, Writer: w.name, Epoch: w.epoch, Sequence: w.nextSequence,
-	})
+	_, err := w.appendUntilAnswered(ctx, w.newAppend(nil))
 	return errors.Wrapf(err, "ledger: open %s/%d under epoch %d", w.partition.Topic, w.partition.Index, w.epoch)
 }
 
 // Write appends the records in order and returns once they are durable. It may need several appends, each of which is
 // atomic. It retries an append until the log accepts it or refuses it for good, so that Write fails only with
-// ErrFenced, ErrSequence or ErrConflict, or when the context ends.
+// ErrFenced, ErrSequence or ErrConflict, with ErrRejected if there is no reject hook, or when the context ends.
 func (w *Writer) Write(ctx context.Context, records []Record) error {
 	for len(records) > 0 {
 		n, size := 0, 0
@@ -90,21 +94,60 @@
 			size += recordOverhead + len(records[n].Key) + len(records[n].Value)
 			n++
 		}
-		a := Append{
-			Partition: w.partition, Records: records[:n], ExpectedEnd: AnyOffset, Writer: w.name, Epoch: w.epoch,
-			Sequence: w.nextSequence,
-		}
-		written, err := w.appendUntilAnswered(ctx, a)
-		if err != nil {
+		if err := w.write(ctx, records[:n]); err != nil {
 			return errors.Wrapf(err, "ledger: append %d to %s/%d", w.nextSequence, w.partition.Topic, w.partition.Index)
 		}
-		w.end = written.End
-		w.nextSequence++
 		records = records[n:]
 	}
 	return nil
 }
 
+// newAppend returns the writer's next append.
+func (w *Writer) newAppend(records []Record) Append {
+	return Append{
+		Partition: w.partition, Records: records, ExpectedEnd: AnyOffset, Writer: w.name, Epoch: w.epoch,
+		Sequence: w.nextSequence,
+	}
+}
+
+// write appends the records with one append. If the log refuses that for good, it appends each half by itself, down to
+// the records that are at fault.
+func (w *Writer) write(ctx context.Context, records []Record) error {
+	written, err := w.appendUntilAnswered(ctx, w.newAppend(records))
+	switch {
+	case err == nil:
+		w.end = written.End
+		w.nextSequence++
+		return nil
+	case !errors.Is(err, ErrRejected) || w.onReject == nil:
+		return err
+	case len(records) == 1:
+		return w.writeRejected(ctx, records[0])
+	}
+	if err := w.write(ctx, records[:len(records)/2]); err != nil {
+		return err
+	}
+	return w.write(ctx, records[len(records)/2:])
+}
+
+// writeRejected appends a record that was rejected again, after the log has accepted an append without records: a log
+// that refuses everything for a while is not at fault for good.
+func (w *Writer) writeRejected(ctx context.Context, r Record) error {
+	if err := w.Open(ctx); err != nil {
+		return err
+	}
+	written, err := w.appendUntilAnswered(ctx, w.newAppend([]Record{r}))
+	switch {
+	case err == nil:
+		w.end = written.End
+		w.nextSequence++
+	case errors.Is(err, ErrRejected):
+		w.onReject(r, err)
+		return nil
+	}
+	return err
+}
+
 // End returns the offset after the last record that this writer has appended, 0 if there is none.
 func (w *Writer) End() int64 { return w.end }
 
@@ -116,7 +159,8 @@
 		callCtx, cancel := context.WithTimeout(ctx, w.callTimeout)
 		written, err := w.store.Append(callCtx, a)
 		cancel()
-		if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrSequence) || errors.Is(err, ErrConflict) {
+		if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrSequence) || errors.Is(err, ErrConflict) ||
+			(errors.Is(err, ErrRejected) && len(a.Records) > 0) {
 			return written, err
 		}
 		w.onRetry(err, try)
--- a/internal/stream/ledger/writer_test.go
+++ b/internal/stream/ledger/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -96,3 +97,77 @@
 		}
 	})
 }
+
+// pickyStore rejects appends with a record whose value begins with bad, and all appends as long as rejectAll is above 0.
+type pickyStore struct {
+	Store
+	accepted  []string
+	sequences []int64
+	rejectAll int
+}
+
+func (s *pickyStore) Append(_ context.Context, a Append) (OffsetRange, error) {
+	if s.rejectAll > 0 {
+		s.rejectAll--
+		return OffsetRange{}, ErrRejected
+	}
+	for _, r := range a.Records {
+		if strings.HasPrefix(string(r.Value), "bad") {
+			return OffsetRange{}, ErrRejected
+		}
+	}
+	for _, r := range a.Records {
+		s.accepted = append(s.accepted, string(r.Value))
+	}
+	if len(a.Records) > 0 {
+		s.sequences = append(s.sequences, a.Sequence)
+	}
+	return OffsetRange{End: int64(len(s.accepted))}, nil
+}
+
+// TestRejectedRecordIsLeftOut guards against a writer that repeats an append for ever although the log never takes one of
+// its records, and against one that leaves out records while the log refuses everything for a while.
+func TestRejectedRecordIsLeftOut(t *testing.T) {
+	write := func(s *pickyStore, values []string) (left []string, err error) {
+		w := NewWriter(s, Partition{Topic: "t"}, "me", 7, WithRejectHook(func(r Record, _ error) {
+			left = append(left, string(r.Value))
+		}))
+		w.sleep = func(ctx context.Context, _ time.Duration) error { return ctx.Err() }
+		records := make([]Record, 0, len(values))
+		for _, v := range values {
+			records = append(records, Record{Key: "k", Value: []byte(v)})
+		}
+		return left, w.Write(context.Background(), records)
+	}
+	Convey("A writer leaves out exactly the records that the log rejects, in any order", t, func() {
+		rapid.Check(t, func(t *rapid.T) {
+			values := rapid.SliceOfN(rapid.SampledFrom([]string{"good1", "good2", "bad1", "bad2"}), 1, 12).Draw(t, "values")
+			s := &pickyStore{rejectAll: rapid.IntRange(0, 9).Draw(t, "rejectAll")}
+			left, err := write(s, values)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var good, bad []string
+			for _, v := range values {
+				if strings.HasPrefix(v, "bad") {
+					bad = append(bad, v)
+				} else {
+					good = append(good, v)
+				}
+			}
+			if !slices.Equal(good, s.accepted) || !slices.Equal(bad, left) {
+				t.Fatalf("of %v the log has %v and %v were left out", values, s.accepted, left)
+			}
+			for i, n := range s.sequences {
+				if n != int64(i) {
+					t.Fatalf("sequence numbers %v have gaps", s.sequences)
+				}
+			}
+		})
+	})
+	Convey("A writer without a reject hook fails", t, func() {
+		w := testWriter(&pickyStore{})
+		err := w.Write(context.Background(), []Record{{Key: "k", Value: []byte("bad")}})
+		So(errors.Is(err, ErrRejected), ShouldBeTrue)
+	})
+}
--- a/internal/work/workflow/workflow.go
+++ b/internal/work/workflow/workflow.go
@@ -20,6 +20,8 @@
 	MaxTasks = 10000
 	// MaxPayloadBytes is the largest size of Spec.Payload.
 	MaxPayloadBytes = 64 << 10
+	// MaxNameBytes is the largest size of a label, a rack or an image. An image is part of a key in the log.
+	MaxNameBytes = 200
 	// MaxOccurrences is the largest number of occurrences of a recurring job.
 	MaxOccurrences = 100000
 	// MaxEstimate is the longest estimate or target latency of a step. The sum over MaxSteps steps fits a time.Duration.
@@ -132,6 +134,8 @@
 		return invalidError("step %d: negative time", index)
 	case s.Estimate > MaxEstimate || s.TargetLatency > MaxEstimate:
 		return invalidError("step %d: time over %v", index, MaxEstimate)
+	case max(len(s.Label), len(s.DataRack), len(s.Image)) > MaxNameBytes:
+		return invalidError("step %d: label, rack or image of over %d bytes", index, MaxNameBytes)
 	case s.MaxPerWorker < 0:
 		return invalidError("step %d: negative limit of tasks per worker", index)
 	case s.LongRunning && s.Gang:
--- /dev/null
+++ b/internal/zone/dispatch/bounds.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+)
+
+// The progress of a job is one record of the log, whose size is limited, and all open tasks are held in the memory of the
+// leader. A job opens only as many due occurrences at once as fit into both, the others follow as these end. A job that
+// can't be held that way is rejected when it is submitted.
+
+const (
+	// maxOpenTasks is the largest number of open tasks of one job.
+	maxOpenTasks = 20000
+	// maxRunsPerWorker is the largest number of runs on one worker: all of them may be stopped at once, and their stops
+	// are one record.
+	maxRunsPerWorker = 4096
+	// maxRecordedSuspects is the largest number of tasks of one job in the record of its crashes.
+	maxRecordedSuspects = 1000
+	// maxCountedFailures is the largest number of failed runs of a task for which a job's progress reserves space.
+	maxCountedFailures = 100
+	// overloadRetryAfter is the time after which callers of jobs that were refused for want of memory should retry: a few
+	// short tasks end within it.
+	overloadRetryAfter = 2 * time.Second
+)
+
+// Upper bounds of the encoded sizes in bytes of a job's progress and specification.
+const (
+	recordBytes     = 512
+	occurrenceBytes = 16
+	stepBytes       = 6
+	failedRunBytes  = 11
+	// stepSpecBytes is that of a step of the specification without its texts and dependencies.
+	stepSpecBytes   = 256
+	dependencyBytes = 9
+)
+
+// demand is what open occurrences take.
+type demand struct {
+	tasks int
+	// progress is the size of their progress in bytes.
+	progress int
+}
+
+// times returns the demand of n times as many occurrences.
+func (d demand) times(n int) demand { return demand{d.tasks * n, d.progress * n} }
+
+// occurrenceDemand returns the largest demand of one occurrence of the job.
+func (j *Job) occurrenceDemand() demand {
+	d := demand{progress: occurrenceBytes}
+	for i := range j.spec.Steps {
+		step := &j.spec.Steps[i]
+		failures := min(j.maxAttempts-1, maxCountedFailures)
+		if step.LongRunning {
+			failures = 1
+		}
+		d.tasks += step.Tasks
+		d.progress += stepBytes + (step.Tasks+7)/8 + step.Tasks*failures*failedRunBytes
+	}
+	return d
+}
+
+// canHold reports whether a job may hold occurrences with the demand open at once.
+func (s *Scheduler) canHold(d demand) bool {
+	return d.tasks <= maxOpenTasks && (s.limits.MaxRecord == 0 || recordBytes+d.progress <= s.limits.MaxRecord)
+}
+
+// mayOpen reports whether the job may have another occurrence open beside the present ones. One is always allowed.
+func (s *Scheduler) mayOpen(j *Job) bool {
+	open := len(j.openOccurrences)
+	if open == 0 {
+		return true
+	}
+	d := j.occurrenceDemand()
+	return s.canHold(d.times(open+1)) && (s.limits.MaxTasks == 0 || s.heldTasks+d.tasks <= s.limits.MaxTasks)
+}
+
+// rejectUnholdable rejects a job that can't be held whatever else there is, with the reason. It returns false if the job
+// can be held.
+func (s *Scheduler) rejectUnholdable(j *Job) (Reply, bool) {
+	d := j.occurrenceDemand()
+	occurrences := "an occurrence"
+	if j.spec.HasLongRunning() {
+		// No occurrence ever ends.
+		d = d.times(j.spec.Occurrences())
+		occurrences = "the occurrences, which never end,"
+	}
+	size := j.specBytes()
+	switch {
+	case s.limits.MaxRecord > 0 && size > s.limits.MaxRecord:
+		return reject("the specification takes up to %d bytes of the log, at most %d are allowed", size, s.limits.MaxRecord)
+	case !s.canHold(d):
+		return reject("%s of %d tasks and up to %d bytes of progress can't be held, at most %d and %d can",
+			occurrences, d.tasks, d.progress, maxOpenTasks, s.limits.MaxRecord-recordBytes)
+	case s.limits.MaxTasks > 0 && d.tasks > s.limits.MaxTasks:
+		return reject("%s of %d tasks can't be held, at most %d can", occurrences, d.tasks, s.limits.MaxTasks)
+	}
+	return Reply{}, false
+}
+
+// reject returns the reply to a job that can never be accepted.
+func reject(format string, args ...any) (Reply, bool) {
+	return Reply{Outcome: OutcomeRejected, Reason: fmt.Sprintf(format, args...)}, true
+}
+
+// refuseOverload refuses a job for which there is no memory at present. It returns false if there is.
+func (s *Scheduler) refuseOverload(j *Job) (Reply, bool) {
+	if s.limits.MaxTasks == 0 || s.heldTasks+j.occurrenceDemand().tasks <= s.limits.MaxTasks {
+		return Reply{}, false
+	}
+	return Reply{Outcome: OutcomeRefused, RetryAfter: overloadRetryAfter, Reason: "too many tasks are open"}, true
+}
+
+// specBytes returns an upper bound of the size of the job's specification in the log.
+func (j *Job) specBytes() int {
+	n := recordBytes + len(j.queue) + len(j.spec.Payload)
+	for i := range j.spec.Steps {
+		step := &j.spec.Steps[i]
+		n += stepSpecBytes + len(step.Label) + len(step.DataRack) + len(step.Image) + dependencyBytes*len(step.DependsOn)
+	}
+	return n
+}
+
+// heldBy returns the number of the job's tasks that are held in memory.
+func (j *Job) heldBy() int {
+	n := 0
+	for _, o := range j.openOccurrences {
+		n += o.taskCount()
+	}
+	return n
+}
+
+// taskCount returns the number of tasks of the occurrence.
+func (o *occurrence) taskCount() int {
+	n := 0
+	for _, st := range o.stages {
+		n += len(st.tasks)
+	}
+	return n
+}
+
+// removeJob forgets a job with all its tasks.
+func (s *Scheduler) removeJob(j *Job) {
+	s.heldTasks -= j.heldBy()
+	delete(s.jobs, j.id)
+	delete(s.recurring, j)
+}
+
+// RejectRecord handles a record of a batch that the log will never take. It must be called before the batch is marked as
+// committed. A job whose specification can't be stored was never accepted; one whose progress can't be stored fails.
+func (s *Scheduler) RejectRecord(now time.Time, key string) {
+	if id, ok := cutPrefix(key, prefixJob); ok {
+		if j := s.jobs[id]; j != nil && !j.isFinal() && j.acceptedBatch > s.journal.committed {
+			s.removeJob(j)
+			j.finalState = StateCancelled
+			s.journal.dirtyJobs = removeFirst(s.journal.dirtyJobs, j)
+			s.journal.records = append(s.journal.records, Record{Key: prefixProgress + id})
+			s.recordEvent(Event{Kind: "withdraw", Job: id, Reason: "the log does not take its specification"})
+		}
+	}
+	if id, ok := cutPrefix(key, prefixProgress); ok {
+		if j := s.jobs[id]; j != nil && !j.isFinal() {
+			s.recordEvent(Event{Kind: "job failed", Job: id, Reason: "the log does not take its progress"})
+			s.close(now, j, StateFailed)
+		}
+	}
+}
--- a/internal/zone/dispatch/crash_record.go
+++ b/internal/zone/dispatch/crash_record.go
@@ -53,10 +53,15 @@
 	return out
 }
 
-// appendCrashes appends the record of the job's suspects to out, without a value if it has none, which rec says by nil.
+// appendCrashes appends the record of the job's suspects to out, without a value if it has none, which rec says by nil. Of
+// more suspects than a record holds, those with the fewest crashes are left out.
 func (j *Job) appendCrashes(out []Record, rec *crashesRecord) []Record {
 	switch {
 	case rec != nil:
+		if len(rec.Suspects) > maxRecordedSuspects {
+			slices.SortFunc(rec.Suspects, func(a, b suspectRecord) int { return cmp.Compare(len(b.Crashes), len(a.Crashes)) })
+			rec.Suspects = rec.Suspects[:maxRecordedSuspects]
+		}
 		slices.SortFunc(rec.Suspects, func(a, b suspectRecord) int {
 			return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Task, b.Task))
 		})
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -32,6 +32,10 @@
 	MaxUnconfirmedTerm time.Duration
 	// MaxOverTarget is how long best-effort tasks may keep a long-running task over its latency target.
 	MaxOverTarget time.Duration
+	// MaxRecord is the size in bytes of the largest record that the log takes, with its key; 0 means no limit.
+	MaxRecord int
+	// MaxTasks is the largest number of open tasks of all jobs for which the host has memory; 0 means no limit.
+	MaxTasks int
 }
 
 const (
@@ -94,8 +98,10 @@
 	token         int64
 	runNumberBase int
 
-	jobs    map[string]*Job
-	workers map[string]*Worker
+	jobs map[string]*Job
+	// heldTasks is the number of tasks of all jobs that are held in memory.
+	heldTasks int
+	workers   map[string]*Worker
 	// byService lists the workers of each service, ordered by ID, byAddress those that are listed at each address.
 	byService, byAddress map[string][]*Worker
 	// capacities lists the worker capacities of each service, without those that fit into another one of the list.
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -180,6 +180,8 @@
 	OutcomeUnknownQueue
 	// OutcomeUnknownJob means that no such job exists.
 	OutcomeUnknownJob
+	// OutcomeRejected means that the job was not accepted and never can be.
+	OutcomeRejected
 )
 
 // Submit accepts or refuses a job. A job that is already known gets the same answer as the first time.
@@ -212,7 +214,7 @@
 	}
 }
 
-// openDueOccurrences adds the occurrences of the job that are due by now.
+// openDueOccurrences adds the occurrences of the job that are due by now, as many as may be open at once.
 func (s *Scheduler) openDueOccurrences(now time.Time, j *Job) {
 	if j.isFinal() {
 		return
@@ -224,7 +226,7 @@
 		return
 	}
 	wallNow := j.acceptedWall.Add(now.Sub(j.acceptedAt))
-	for j.nextOccurrence < j.spec.OccurrenceCount && !wallNow.Before(j.spec.DueTime(j.nextOccurrence)) {
+	for j.nextOccurrence < j.spec.OccurrenceCount && !wallNow.Before(j.spec.DueTime(j.nextOccurrence)) && s.mayOpen(j) {
 		s.addOccurrence(now, j, j.nextOccurrence)
 	}
 	if j.nextOccurrence < j.spec.OccurrenceCount {
@@ -252,6 +254,7 @@
 		o.stages = append(o.stages, st)
 	}
 	j.openOccurrences[index] = o
+	s.heldTasks += o.taskCount()
 	j.nextOccurrence = max(j.nextOccurrence, index+1)
 	for _, st := range o.stages {
 		s.addReady(st)
@@ -408,6 +411,7 @@
 		return
 	}
 	delete(o.job.openOccurrences, o.index)
+	s.heldTasks -= o.taskCount()
 	j := o.job
 	if len(j.openOccurrences) == 0 && j.nextOccurrence >= j.spec.Occurrences() && !j.isFinal() {
 		s.close(now, j, StateCompleted)
@@ -436,9 +440,9 @@
 // expireJobs removes the finished jobs whose state need not be kept any longer.
 func (s *Scheduler) expireJobs(now time.Time) {
 	s.forgetQueues()
-	for id, j := range s.jobs {
+	for _, j := range s.jobs {
 		if j.isFinal() && now.Sub(j.endedAt) > s.limits.JobRetention && s.journal.committed >= j.finalBatch {
-			delete(s.jobs, id)
+			s.removeJob(j)
 			s.journal.deleteJob(j)
 		}
 	}
@@ -456,8 +460,7 @@
 	if !ok || j.acceptedBatch != s.journal.openBatch || j.isFinal() || j.stored {
 		return false
 	}
-	delete(s.jobs, id)
-	delete(s.recurring, j)
+	s.removeJob(j)
 	j.finalState = StateCancelled
 	s.journal.dirtyJobs = removeFirst(s.journal.dirtyJobs, j)
 	s.recordEvent(Event{Kind: "withdraw", Job: id, Reason: "not handed to the log"})
--- a/internal/zone/dispatch/placement.go
+++ b/internal/zone/dispatch/placement.go
@@ -128,7 +128,9 @@
 }
 
 // fits reports whether the worker has room for the size.
-func (w *Worker) fits(size fleet.Size) bool { return w.used.Add(size).Fits(w.Capacity) }
+func (w *Worker) fits(size fleet.Size) bool {
+	return len(w.runs) < maxRunsPerWorker && w.used.Add(size).Fits(w.Capacity)
+}
 
 // spareCores returns the cores that are left for best-effort tasks, in thousandths. It needs a current value of
 // pacedCores, which Scheduler.margins computes.
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -379,7 +379,7 @@
 	}
 	for _, o := range p.Open {
 		if _, ok := j.openOccurrences[o.Index]; ok || o.Index < 0 || o.Index >= spec.Occurrences() {
-			delete(s.jobs, id)
+			s.removeJob(j)
 			return errors.Newf("dispatch: invalid occurrence %d of %d in the progress of job %s", o.Index, spec.Occurrences(), id)
 		}
 		s.restoreOccurrence(now, j, o)
