Deny a job only once the store has confirmed the term

Cause: a leader answered "no such job" (410, which acknowledges a cancel) from the memory of its term. A former leader that has been frozen or cut off doesn't know what its successor has accepted.

Ruled out by reading: a cancel of a known job waits for a batch that the log fences, and the next term reads the state after the fence.

Change: "unknown" is answered only after the store has confirmed the term by a call that was sent after the request arrived; the claim is renewed at once for that, at most each 50 ms.

Before, the test fails: TestFormerLeaderDoesNotDenyJobs expects outcome 0 and gets 4 (unknown job).

--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -510,6 +510,37 @@
 	})
 }
 
+// TestFormerLeaderDoesNotDenyJobs guards against a leader that has been cut off and tells callers that a job is unknown
+// which a later leader has accepted.
+func TestFormerLeaderDoesNotDenyJobs(t *testing.T) {
+	Convey("A host leads", t, func() {
+		log, w := newMemoryLog(), &fakeWorker{starts: map[string]int{}, startedAt: time.Now()}
+		store := &cutStore{memoryLog: log}
+		h, stop := startHost(t, "a", 0, store, w)
+		Reset(stop)
+		So(eventually(10*time.Second, func() bool { return isLeader(h) && h.Ready() }), ShouldBeTrue)
+		send := func(a Action) Response {
+			return sendRequest(h, Request{Action: a, Queue: "q", ID: strings.Repeat("f", 16)})
+		}
+		Convey("it says that a job is unknown while the store confirms its term", func() {
+			for _, a := range []Action{ActionCancel, ActionShow} {
+				start := time.Now()
+				So(send(a).Outcome, ShouldEqual, dispatch.OutcomeUnknownJob)
+				So(time.Since(start), ShouldBeLessThan, leadership.RenewInterval)
+			}
+		})
+		Convey("it does not while the store leaves it unanswered", func() {
+			store.cut.Store(true)
+			So(send(ActionCancel).Outcome, ShouldEqual, dispatch.Outcome(0))
+			So(send(ActionShow).Outcome, ShouldNotEqual, dispatch.OutcomeUnknownJob)
+			Convey("and does again once it is back", func() {
+				store.cut.Store(false)
+				So(send(ActionCancel).Outcome, ShouldEqual, dispatch.OutcomeUnknownJob)
+			})
+		})
+	})
+}
+
 // TestLateAnswerOfFormerLeader guards against a leadership that is taken to be vacant because an answer under an earlier
 // claim arrives after the present one was seen.
 func TestLateAnswerOfFormerLeader(t *testing.T) {
--- a/internal/host/entry/renew.go
+++ b/internal/host/entry/renew.go
@@ -13,11 +13,33 @@
 	n := sentAt.UnixNano()
 	for old := t.confirmedAt.Load(); n > old; old = t.confirmedAt.Load() {
 		if t.confirmedAt.CompareAndSwap(old, n) {
+			if c, ok := t.confirmed.Swap(make(chan struct{})).(chan struct{}); ok {
+				close(c)
+			}
 			return
 		}
 	}
 }
 
+// awaitConfirmation waits until the store has answered a call under this term's epoch that was sent after the given time,
+// so that no later leader had begun its term by then. It returns false if the context or the term ended before.
+func (t *term) awaitConfirmation(ctx context.Context, since time.Time) bool {
+	for {
+		confirmed, _ := t.confirmed.Load().(chan struct{})
+		if t.confirmedAt.Load() > since.UnixNano() {
+			return true
+		}
+		signal(t.wakeRenewal)
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.ctx.Done():
+			return false
+		case <-confirmed:
+		}
+	}
+}
+
 // sinceConfirmed returns the time since the last call that the store answered under this term's epoch was sent.
 func (t *term) sinceConfirmed(now time.Time) time.Duration {
 	return time.Duration(now.UnixNano() - t.confirmedAt.Load())
@@ -55,7 +77,7 @@
 			// The append may have been retried: only the last attempt counts, which took at most ledger.CallTimeout.
 			now := t.host.clock.Now()
 			t.recordConfirmation(laterOf(sentAt, now.Add(-ledger.CallTimeout)))
-			sleep(t.ctx, leadership.RenewInterval)
+			t.waitForRenewal()
 		}
 	})
 	var probes probeSeries
@@ -77,6 +99,23 @@
 	}
 }
 
+// minRenewInterval is the shortest interval between two renewals that requests ask for.
+const minRenewInterval = 50 * time.Millisecond
+
+// waitForRenewal waits until the next renewal is due, or is asked for by awaitConfirmation.
+func (t *term) waitForRenewal() {
+	if !sleep(t.ctx, minRenewInterval) {
+		return
+	}
+	timer := time.NewTimer(leadership.RenewInterval - minRenewInterval)
+	defer timer.Stop()
+	select {
+	case <-t.ctx.Done():
+	case <-t.wakeRenewal:
+	case <-timer.C:
+	}
+}
+
 // probeSeries tells a store that answers other hosts but not this one from a store that was away for all hosts and is
 // back: that one may answer another host first.
 type probeSeries struct {
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -84,10 +84,14 @@
 
 	// wakeDecisions wakes decisionLoop, wakeWriter wakes writeBatches.
 	wakeDecisions, wakeWriter chan struct{}
+	// wakeRenewal has the claim renewed at once.
+	wakeRenewal chan struct{}
 	// confirmedAt is when the last call was sent that the store answered under this term's epoch, at first the start of
 	// the term. appendStartedAt is when the append in progress was first sent, 0 if there is none. Both are in
 	// nanoseconds of the boot clock.
 	confirmedAt, appendStartedAt atomic.Int64
+	// confirmed is closed and replaced whenever confirmedAt has changed. It holds a chan struct{}.
+	confirmed atomic.Value
 	// renewal is the position of the term's newest renewal in the log, 0 if there is none.
 	renewal atomic.Int64
 }
@@ -99,11 +103,12 @@
 		host: h, claim: claim, ctx: ctx, cancel: cancel, startedAt: h.clock.Now(),
 		batchCommitted: make(chan struct{}), leaseLoops: map[string]struct{}{},
 		ready: make(chan struct{}), idleSenders: make(chan dispatch.Order),
-		wakeDecisions: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1),
+		wakeDecisions: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), wakeRenewal: make(chan struct{}, 1),
 		scheduler: dispatch.New(h.cfg.Limits, claim.Token(), claim.Serial),
 		log:       h.logger("leader").WithField("token", claim.Token()),
 	}
 	t.confirmedAt.Store(h.clock.Now().UnixNano())
+	t.confirmed.Store(make(chan struct{}))
 	t.onEnd = func() {}
 	if h.cfg.OnTerm != nil {
 		t.onEnd = h.cfg.OnTerm()
@@ -450,13 +455,13 @@
 		t.mu.Lock()
 		r := t.scheduler.JobStatus(req.ID)
 		t.mu.Unlock()
-		return t.durableResponse(ctx, r)
+		return t.currentResponse(ctx, now, r)
 	case ActionCancel:
 		t.mu.Lock()
 		r := t.scheduler.Cancel(now, req.ID)
 		t.mu.Unlock()
 		t.wakeLoops()
-		return t.durableResponse(ctx, r)
+		return t.currentResponse(ctx, now, r)
 	}
 	t.mu.Lock()
 	if t.isAppendStuck(now) && !t.scheduler.HasJob(req.ID) {
@@ -509,6 +514,15 @@
 	signal(t.wakeDecisions)
 }
 
+// currentResponse converts the scheduler's reply to a request that arrived at the given time to a Response. That a job is
+// unknown is known only once the term is confirmed: a later leader may have accepted the job before.
+func (t *term) currentResponse(ctx context.Context, arrivedAt time.Time, r dispatch.Reply) Response {
+	if r.Outcome == dispatch.OutcomeUnknownJob && !t.awaitConfirmation(ctx, arrivedAt) {
+		return Response{Reason: "the leadership is not confirmed in time"}
+	}
+	return t.durableResponse(ctx, r)
+}
+
 // durableResponse converts the scheduler's reply to a Response once it is durable.
 func (t *term) durableResponse(ctx context.Context, r dispatch.Reply) Response {
 	if r.Batch != 0 && !t.awaitDurable(ctx, r.Batch) {
