Take leases for lapsed only in a confirmed term, and bound an outage

It went on for 30 s without the store while every host that it had heard of in the last three seconds reported the same, so that a partition before the outage made the other side count as removed. Its successor took its orders to have ended 2.5 s after its last renewal all the same.

Ruled out by reading: a start that is repeated within a term (no call is ever sent twice), and a start that is carried out after its validity.

Change: leases have lapsed once the store has confirmed the term by a call that was sent after their end; the claim is renewed at once for that. In an outage a leader counts on the hosts of which it has heard in the ten seconds before its last renewal, and on pings that were certainly sent in the last 1.5 s: each returns the stamp of the leader's last answer. A host on which the leader may not have counted allows for its orders until 30 s after that renewal, unless it confirms its end. A renewal names its term: that of an earlier one counted for a leader that had written none.

Tests: TestLapsedLeaseNeedsConfirmation fails without the condition.

--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -159,6 +159,8 @@
 	manifest            *Manifest
 	evacuatedZones      map[string]bool
 	operatorRecordsRead bool
+	// leaderStamp is the newest stamp of the leader with the newest known claim, 0 if there is none.
+	leaderStamp int64
 	// members holds the other known hosts by name.
 	members map[string]member
 	// storeLatency is the time of a call to the store, measured when this host last read all claims.
@@ -191,6 +193,8 @@
 	// arrived, the zero time if there was none.
 	storeAge time.Duration
 	pingedAt time.Time
+	// sentAfter is a time after which the last ping was sent, the zero time if none is known: it may have been held up.
+	sentAfter time.Time
 }
 
 // Option configures a Host.
--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -458,7 +458,9 @@
 	if err := s.call(ctx); err != nil {
 		return ledger.Page{}, err
 	}
-	return s.memoryLog.Read(ctx, p, from, wait)
+	page, err := s.memoryLog.Read(ctx, p, from, wait)
+	// The answer to a read that was waiting is cut off as well.
+	return page, errors.CombineErrors(err, s.call(ctx))
 }
 
 func (s *cutStore) Newest(ctx context.Context, p ledger.Partition, after string) (ledger.NewestPage, error) {
--- a/internal/host/entry/follow.go
+++ b/internal/host/entry/follow.go
@@ -177,6 +177,7 @@
 	leads := h.elector.IsLeader()
 	var endedTerm *term
 	if isNew {
+		h.leaderStamp = 0
 		close(h.leaderChanged)
 		h.leaderChanged = make(chan struct{})
 		if h.term != nil && h.term.claim.Offset != c.Offset {
--- a/internal/host/entry/messages.go
+++ b/internal/host/entry/messages.go
@@ -57,6 +57,9 @@
 	StoreAge        time.Duration `msgpack:"s"`
 	ManifestVersion uint64        `msgpack:"v"`
 	Power           int64         `msgpack:"p"`
+	// Stamp is the newest PingResponse.Stamp that the sender has got from the leader under its present claim, 0 if there
+	// is none.
+	Stamp int64 `msgpack:"t,omitempty"`
 	// OperatorRecordsUnreadable is set while the host can't read the operators' records from the store.
 	OperatorRecordsUnreadable bool `msgpack:"b"`
 }
@@ -71,6 +74,8 @@
 	// Manifest is the leader's manifest. It is sent if it is newer than the manifest of the pinging host and that host
 	// can't read the operators' records.
 	Manifest *Manifest `msgpack:"m,omitempty"`
+	// Stamp is the time of the answer by the leader's boot clock in nanoseconds. A ping that returns it was sent later.
+	Stamp int64 `msgpack:"t,omitempty"`
 	// ProbeStore asks the host to check whether the store answers it.
 	ProbeStore bool `msgpack:"p,omitempty"`
 }
--- a/internal/host/entry/orders.go
+++ b/internal/host/entry/orders.go
@@ -22,7 +22,8 @@
 		t.mu.Lock()
 		lockedAt := t.host.clock.Now()
 		t.scheduler.SetHalted(!mayOrder)
-		orders := t.scheduler.Decide(now)
+		orders := t.scheduler.Decide(now, time.Unix(0, t.confirmedAt.Load()))
+		wantsConfirmation := t.scheduler.WantsConfirmation(now)
 		events := t.scheduler.Events()
 		took := t.host.clock.Now().Sub(lockedAt)
 		t.mu.Unlock()
@@ -32,6 +33,9 @@
 		t.host.recordEvents(events)
 		t.logEvents(events)
 		signal(t.wakeWriter)
+		if wantsConfirmation {
+			signal(t.wakeRenewal)
+		}
 		pause, pausedAt := decisionPause(took), t.host.clock.Now()
 		if !sleep(t.ctx, pause) {
 			return
@@ -109,6 +113,7 @@
 	}
 	if a == dispatch.AnswerFenced {
 		signal(t.wakeWriter)
+		signal(t.wakeRenewal)
 	}
 	now := t.host.clock.Now()
 	t.host.recorder.RecordOrder(o.Kind.String(), a.String(), now.Sub(start))
--- a/internal/host/entry/renew.go
+++ b/internal/host/entry/renew.go
@@ -46,15 +46,16 @@
 }
 
 // maySendOrders reports whether this leader may still send orders, because no later leader can yet assume that it has
-// stopped: the term was renewed within Limits.MaxUnconfirmedTerm, or, for at most maxOutage, the store does not answer
-// any other host either, so that none of them can have claimed the leadership.
+// stopped: the term was confirmed within Limits.MaxUnconfirmedTerm, or, for at most leadership.MaxOutage, the store does
+// not answer any other host either on which this leader counts. A host on which it doesn't count may lead meanwhile, and
+// allows for this leader's orders.
 func (t *term) maySendOrders(now time.Time) bool {
 	if t.ctx.Err() != nil {
 		return false
 	}
 	sinceConfirmed := t.sinceConfirmed(now)
 	return sinceConfirmed < t.host.cfg.Limits.MaxUnconfirmedTerm ||
-		(sinceConfirmed < maxOutage && t.host.storeSilentForOthers(now, sinceConfirmed))
+		(sinceConfirmed < leadership.MaxOutage && t.host.storeSilentForOthers(now, sinceConfirmed))
 }
 
 // isStoreSilent reports whether the last renewal that the store answered was sent more than storeSilenceThreshold ago.
@@ -65,7 +66,7 @@
 // renewClaim renews the claim until the term ends. It gives up the leadership if the store answers another host but not
 // this one, or if a stronger host can lead.
 func (t *term) renewClaim(w *ledger.Writer) {
-	value := []byte(t.host.instance)
+	value := []byte(renewalValue(t.claim))
 	t.run(func() {
 		for t.ctx.Err() == nil {
 			sentAt := t.host.clock.Now()
@@ -166,29 +167,22 @@
 }
 
 // maxStatusAge is the maximum age of another host's last ping for its report on the store to count in
-// storeSilentForOthers. In strongerHost it is the maximum age of the store's last answer to the other host.
+// storeSilentForOthers. It is below Limits.MaxUnconfirmedTerm, for which that host allows since the leader's last answer.
+// In strongerHost it is the maximum age of the store's last answer to the other host.
 const maxStatusAge = 1500 * time.Millisecond
 
-// removedHostSilence is how long before the last renewal a host's pings must have stopped for it to count as removed.
-const removedHostSilence = 3 * time.Second
-
-// storeSilentForOthers reports whether every other known host has recently reported that the store does not answer it
-// either. Removed hosts do not count, and there must be at least one report. sinceConfirmed is the time since the
-// leader's last renewal.
+// storeSilentForOthers reports whether every other host on which the leader counts has recently reported that the store
+// does not answer it either. There must be at least one report. sinceConfirmed is the time since the leader's last renewal.
 func (h *Host) storeSilentForOthers(now time.Time, sinceConfirmed time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	anyReported := false
 	for _, m := range h.members {
-		if m.Name == h.cfg.Name {
-			continue
-		}
 		since := now.Sub(m.pingedAt)
-		if m.pingedAt.IsZero() || since > sinceConfirmed+removedHostSilence {
-			// The host stopped while the leader still renewed its claim, as a host does that is being replaced.
+		if m.Name == h.cfg.Name || m.pingedAt.IsZero() || since > sinceConfirmed+leadership.ForgetAfter {
 			continue
 		}
-		if since > maxStatusAge || m.storeAge+since < sinceConfirmed-leadership.RenewInterval {
+		if now.Sub(m.sentAfter) > maxStatusAge || m.storeAge+since < sinceConfirmed-leadership.RenewInterval {
 			return false
 		}
 		anyReported = true
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -40,8 +40,6 @@
 	// storeSilenceThreshold is how long the store may leave the leader's renewals unanswered before the leader looks for
 	// another host that the store answers.
 	storeSilenceThreshold = 900 * time.Millisecond
-	// maxOutage is the longest time for which a leader sends orders without an answer from the store.
-	maxOutage = 30 * time.Second
 	// maxCandidatePingAge is the maximum age of another host's last ping for the leader to give up the leadership in
 	// favour of that host.
 	maxCandidatePingAge = 700 * time.Millisecond
@@ -178,7 +176,10 @@
 func (t *term) predecessorEnd() time.Time {
 	ctx, cancel := context.WithTimeout(t.ctx, pingTimeout)
 	defer cancel()
-	newest, err := t.host.newestRenewal(ctx)
+	t.host.mu.Lock()
+	predecessor := t.host.elector.Predecessor()
+	t.host.mu.Unlock()
+	newest, err := t.host.newestRenewal(ctx, predecessor)
 	if err != nil {
 		t.log.WithError(err).Warn("Can't read the previous leader's renewals; it may have renewed until now")
 		newest = -1
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -45,7 +46,7 @@
 		case leadership.ActionPing:
 			h.ping(ctx, claim)
 		case leadership.ActionReadRenewal:
-			h.readNewestRenewal(ctx)
+			h.readNewestRenewal(ctx, claim)
 		case leadership.ActionClaim:
 			if ready {
 				h.claimLeadership(ctx, claim)
@@ -87,7 +88,7 @@
 	p := Ping{
 		Name: h.cfg.Name, Address: h.cfg.PeerAddress, Instance: h.instance,
 		StoreAge: now.Sub(h.storeAnsweredAt), Power: h.cfg.Power,
-		OperatorRecordsUnreadable: h.operatorRecordsUnreadable.Load(),
+		OperatorRecordsUnreadable: h.operatorRecordsUnreadable.Load(), Stamp: h.leaderStamp,
 	}
 	if h.manifest != nil {
 		p.ManifestVersion = h.manifest.Catalog.Version
@@ -117,7 +118,7 @@
 		h.suspectLeader(claim, "the host does not lead", h.elector.RecordSuspicion)
 	case err == nil:
 		h.recordLeaderAnswer(claim, now)
-		h.recordReportedRenewal(claim, r.Renewal)
+		h.recordReport(claim, r)
 		if r.Manifest != nil {
 			h.applyManifest(r.Manifest, "leader")
 		}
@@ -149,12 +150,13 @@
 	h.leaderAnsweredAt = now
 }
 
-// recordReportedRenewal records the newest renewal as the leader has reported it.
-func (h *Host) recordReportedRenewal(claim leadership.Claim, renewal int64) {
+// recordReport records the newest renewal and the stamp that the leader has reported.
+func (h *Host) recordReport(claim leadership.Claim, r PingResponse) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.elector.Claim().Offset == claim.Offset {
-		h.elector.RecordReportedRenewal(h.clock.Now(), renewal)
+		h.elector.RecordReportedRenewal(h.clock.Now(), r.Renewal)
+		h.leaderStamp = max(h.leaderStamp, r.Stamp)
 	}
 }
 
@@ -209,29 +211,34 @@
 const renewalKey = "renewal"
 
 // readNewestRenewal reads the leader's newest renewal and passes its position to the elector.
-func (h *Host) readNewestRenewal(ctx context.Context) {
+func (h *Host) readNewestRenewal(ctx context.Context, claim leadership.Claim) {
 	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	newest, err := h.newestRenewal(callCtx)
+	newest, err := h.newestRenewal(callCtx, claim)
 	if err != nil {
 		h.logger("leadership").WithError(err).Debug("Can't read the leader's renewals")
 		sleep(ctx, retryInterval)
 		return
 	}
 	h.mu.Lock()
-	h.elector.RecordRenewal(h.clock.Now(), newest)
-	h.mu.Unlock()
+	defer h.mu.Unlock()
+	if h.elector.Claim().Offset == claim.Offset {
+		h.elector.RecordRenewal(h.clock.Now(), newest)
+	}
 }
 
-// newestRenewal returns the position of the newest renewal in the log, 0 if there is none. It fails with the error of
-// the store.
-func (h *Host) newestRenewal(ctx context.Context) (int64, error) {
+// renewalValue returns the value of a renewal of the claim.
+func renewalValue(claim leadership.Claim) string { return strconv.FormatInt(claim.Token(), 10) }
+
+// newestRenewal returns the position of the newest renewal in the log, 0 if that is none of the claim. It fails with the
+// error of the store.
+func (h *Host) newestRenewal(ctx context.Context, claim leadership.Claim) (int64, error) {
 	n, err := h.store.Newest(ctx, renewalPartition, "")
 	if err != nil {
 		return 0, err
 	}
 	for _, e := range n.Entries {
-		if e.Key == renewalKey {
+		if e.Key == renewalKey && string(e.Value) == renewalValue(claim) {
 			return e.Offset + 1, nil
 		}
 	}
@@ -378,11 +385,15 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
-	h.members[p.Name] = member{
+	m := member{
 		Name: p.Name, Address: p.Address, Instance: p.Instance, Power: p.Power,
 		manifestVersion: p.ManifestVersion, storeAge: p.StoreAge, pingedAt: now,
 	}
-	r := PingResponse{Instance: h.instance, IsLeader: h.term != nil || h.claiming}
+	if p.Stamp > 0 {
+		m.sentAfter = time.Unix(0, p.Stamp)
+	}
+	h.members[p.Name] = m
+	r := PingResponse{Instance: h.instance, IsLeader: h.term != nil || h.claiming, Stamp: now.UnixNano()}
 	if h.term != nil {
 		r.ProbeStore = h.term.isStoreSilent(now)
 		r.Renewal = h.term.renewal.Load()
--- a/internal/zone/dispatch/advice_test.go
+++ b/internal/zone/dispatch/advice_test.go
@@ -41,7 +41,7 @@
 				s.HandleReport(now, Report{Worker: id, Boot: 1, Clock: clock, Running: running[id]})
 			}
 			commitAll(s)
-			for _, o := range s.Decide(now) {
+			for _, o := range s.Decide(now, now) {
 				if o.Kind == OrderStart {
 					s.HandleStartAnswer(now, o, AnswerDone, clock)
 					running[o.Worker] = []RunReport{{Task: o.Task, Number: o.Run, Progress: 100}}
--- a/internal/zone/dispatch/bounds_test.go
+++ b/internal/zone/dispatch/bounds_test.go
@@ -106,7 +106,7 @@
 				}
 			}
 			now = now.Add(100 * time.Millisecond)
-			s.Decide(now)
+			s.Decide(now, now)
 		}
 		So(j.finalState, ShouldEqual, StateCompleted)
 		So(seen, ShouldHaveLength, occurrences)
@@ -170,7 +170,7 @@
 		commitAll(s)
 		s.Cancel(simEpoch, jobID(1))
 		commitAll(s)
-		s.Decide(simEpoch.Add(testLimits().JobRetention + time.Minute))
+		s.Decide(simEpoch.Add(testLimits().JobRetention+time.Minute), simEpoch.Add(testLimits().JobRetention+time.Minute))
 		So(submitSpec(s, 2, small).Outcome, ShouldEqual, OutcomeAccepted)
 	})
 }
--- a/internal/zone/dispatch/crash_test.go
+++ b/internal/zone/dispatch/crash_test.go
@@ -177,7 +177,7 @@
 		ID: jobID(1), Queue: queueName, Spec: workflow.Spec{Steps: []workflow.Step{step}}, WallTime: c.now,
 	})
 	commitAll(c.s)
-	c.order = c.s.Decide(c.now)[0]
+	c.order = c.s.Decide(c.now, c.now)[0]
 	c.s.HandleStartAnswer(c.now, c.order, AnswerDone, 1010)
 	c.task = c.s.findTask(c.order.Task)
 	return c
@@ -200,12 +200,12 @@
 func (c *crashScenario) lapse() {
 	c.s.HandleRenewalFailure(c.now, "w", false)
 	c.now = c.now.Add(10 * time.Second)
-	c.s.Decide(c.now)
+	c.s.Decide(c.now, c.now)
 }
 
 // crashes returns the number of crashes blamed on the task.
 func (c *crashScenario) crashes() int {
-	c.s.Decide(c.now)
+	c.s.Decide(c.now, c.now)
 	if u := c.s.suspicionOf(c.task); u != nil {
 		return len(u.crashes)
 	}
@@ -560,7 +560,7 @@
 			s.suspect(s.findTask(jobID(n) + ".0.0.0")).crashes = []loss{{Worker: "x", Boot: 1, Run: n}}
 		}
 		commitAll(s)
-		s.Decide(now)
+		s.Decide(now, now)
 		commitAll(s)
 		So(startsOf(s, now), ShouldEqual, 1)
 		wait := func(d time.Duration) { now, clock = now.Add(d), clock+d.Milliseconds() }
@@ -569,12 +569,12 @@
 			wait(survivalPeriod - 100*time.Millisecond)
 			s.workers["w"].updateClock(now, clock)
 			wait(2 * trialRetryInterval)
-			s.Decide(now)
+			s.Decide(now, now)
 			So(s.workers["w"].trials, ShouldEqual, 2)
 		})
 		Convey("and the worker is silent: it waits", func() {
 			wait(survivalPeriod + trialRetryInterval)
-			s.Decide(now)
+			s.Decide(now, now)
 			So(s.workers["w"].trials, ShouldEqual, 1)
 		})
 	})
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -16,9 +16,9 @@
 	maintenanceInterval = time.Second
 )
 
-// Decide returns the orders that are due.
-func (s *Scheduler) Decide(now time.Time) []Order {
-	s.expireLeases(now)
+// Decide returns the orders that are due. No later leader had begun its term by confirmedAt.
+func (s *Scheduler) Decide(now, confirmedAt time.Time) []Order {
+	s.expireLeases(now, confirmedAt)
 	s.refreshLeaseRecord(now)
 	s.judgeLapses(now)
 	s.sendStops(now)
--- a/internal/zone/dispatch/event_test.go
+++ b/internal/zone/dispatch/event_test.go
@@ -26,7 +26,7 @@
 			WallTime: accepted,
 		})
 		commitAll(s)
-		s.Decide(accepted.Add(-5 * time.Millisecond))
+		s.Decide(accepted.Add(-5*time.Millisecond), accepted.Add(-5*time.Millisecond))
 		starts := 0
 		for _, e := range s.Events() {
 			So(e.Age, ShouldBeGreaterThanOrEqualTo, 0)
--- a/internal/zone/dispatch/failed_test.go
+++ b/internal/zone/dispatch/failed_test.go
@@ -115,7 +115,7 @@
 		s = restoreFrom(now, 2, s.catalog, log)
 		s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: 1000})
 		commitTo(s, log)
-		orders := s.Decide(now)
+		orders := s.Decide(now, now)
 		So(orders, ShouldHaveLength, 1)
 		So(orders[0].Run, ShouldEqual, runNumbersPerTerm+2)
 	})
@@ -133,7 +133,7 @@
 		submitStep(s, now, 1, step)
 		log := map[string]Record{}
 		commitTo(s, log)
-		s.Decide(now)
+		s.Decide(now, now)
 		for n := range 1000 {
 			s.HandleReport(now, endsOf(1100, int64(n+1), n+1, EndFailed))
 			commitTo(s, log)
--- a/internal/zone/dispatch/health_test.go
+++ b/internal/zone/dispatch/health_test.go
@@ -51,7 +51,7 @@
 // start has the worker carry out all starts that are due, and returns their number.
 func (sc *suspectScenario) start() int {
 	n := 0
-	for _, o := range sc.s.Decide(sc.now) {
+	for _, o := range sc.s.Decide(sc.now, sc.now) {
 		if o.Kind == OrderStart {
 			n++
 			sc.s.HandleStartAnswer(sc.now, o, AnswerDone, 1000+sc.now.Sub(simEpoch).Milliseconds())
@@ -133,7 +133,7 @@
 				s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: clock, Ended: ended})
 				commitAll(s)
 				ended = ended[:0]
-				for _, o := range s.Decide(now) {
+				for _, o := range s.Decide(now, now) {
 					s.HandleStartAnswer(now, o, AnswerDone, clock)
 					reason := EndFailed
 					if _, ok := waitingSince[o.Task]; ok {
--- a/internal/zone/dispatch/learned_test.go
+++ b/internal/zone/dispatch/learned_test.go
@@ -17,7 +17,7 @@
 			s.interference.observe("serve", 0.09, map[string]float64{"loud": 0.1})
 			s.interference.observe("serve", 0, map[string]float64{"quiet": 0.1})
 		}
-		s.Decide(now.Add(time.Minute))
+		s.Decide(now.Add(time.Minute), now.Add(time.Minute))
 		b, ok := s.TakeBatch()
 		So(ok, ShouldBeTrue)
 		next := New(testLimits(), 2, 2)
@@ -36,7 +36,7 @@
 		})
 		Convey("writes nothing as long as nothing changes", func() {
 			s.MarkCommitted(b)
-			s.Decide(now.Add(2 * time.Minute))
+			s.Decide(now.Add(2*time.Minute), now.Add(2*time.Minute))
 			_, ok := s.TakeBatch()
 			So(ok, ShouldBeFalse)
 		})
--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -143,14 +143,15 @@
 }
 
 // expireLeases takes back the tasks of unreachable workers whose leases have certainly expired, and gives up the
-// workers that are still unaccounted for when those of earlier terms have.
-func (s *Scheduler) expireLeases(now time.Time) {
+// workers that are still unaccounted for when those of earlier terms have. A later leader that reaches such a worker may
+// have extended its leases, so that they have only expired if the term was confirmed since.
+func (s *Scheduler) expireLeases(now, confirmedAt time.Time) {
 	var ended []*Worker
 	for w := range s.silent {
 		switch {
 		case w.failedRenewals == 0 || w.leasesExpired:
 			delete(s.silent, w)
-		case !w.clockAt.IsZero() && !now.Before(w.leasesEndAt()):
+		case !w.clockAt.IsZero() && !confirmedAt.Before(w.leasesEndAt()):
 			ended = append(ended, w)
 		}
 	}
@@ -158,14 +159,29 @@
 	for _, w := range ended {
 		s.endWorker(now, w, "lease lapsed")
 	}
-	s.giveUpUnaccounted(now)
+	s.giveUpUnaccounted(now, confirmedAt)
+}
+
+// WantsConfirmation reports whether leases have expired unless a later leader has begun its term.
+func (s *Scheduler) WantsConfirmation(now time.Time) bool {
+	for _, until := range s.unaccounted {
+		if now.After(until) {
+			return true
+		}
+	}
+	for w := range s.silent {
+		if w.failedRenewals > 0 && !w.leasesExpired && !w.clockAt.IsZero() && !now.Before(w.leasesEndAt()) {
+			return true
+		}
+	}
+	return false
 }
 
 // giveUpUnaccounted gives up the workers that have not answered in this term and whose leases have certainly lapsed.
-func (s *Scheduler) giveUpUnaccounted(now time.Time) {
+func (s *Scheduler) giveUpUnaccounted(now, confirmedAt time.Time) {
 	var lapsed []string
 	for id, until := range s.unaccounted {
-		if now.After(until) {
+		if confirmedAt.After(until) {
 			lapsed = append(lapsed, id)
 		}
 	}
--- a/internal/zone/dispatch/lease_test.go
+++ b/internal/zone/dispatch/lease_test.go
@@ -34,7 +34,7 @@
 	submitStep(s, now, 1, step)
 	log = map[string]Record{}
 	commitTo(s, log)
-	start = s.Decide(now)[0]
+	start = s.Decide(now, now)[0]
 	s.HandleStartAnswer(now, start, AnswerDone, 1000)
 	return s, start, log
 }
@@ -166,7 +166,7 @@
 		for range minSilentRenewals {
 			s.HandleRenewalFailure(now, start.Worker, false)
 		}
-		s.Decide(now)
+		s.Decide(now, now)
 		commitTo(s, log)
 		now = now.Add(4 * time.Second)
 		Convey("under the next leader, which reads the state four seconds later, its task starts at once", func() {
@@ -205,7 +205,7 @@
 			for range minSilentRenewals {
 				s.HandleRenewalFailure(now, start.Worker, false)
 			}
-			s.Decide(now)
+			s.Decide(now, now)
 			silent, _ := s.TakeBatch()
 			answer(s, now, start.Worker, run)
 			s.MarkCommitted(b)
@@ -312,7 +312,7 @@
 		for range minSilentRenewals {
 			next.HandleRenewalFailure(now.Add(time.Second), start.Worker, false)
 		}
-		next.Decide(now.Add(time.Second))
+		next.Decide(now.Add(time.Second), now.Add(time.Second))
 		_, ok := next.TakeBatch()
 		So(ok, ShouldBeTrue)
 		clock := func(at time.Duration) int64 { return 1000 + int64(minWorkerClockRate*float64(at.Milliseconds())) }
@@ -364,3 +364,45 @@
 		})
 	})
 }
+
+// TestLapsedLeaseNeedsConfirmation guards against a task that a leader starts again because it can't reach the worker,
+// although a later leader reaches it and has extended the leases there.
+func TestLapsedLeaseNeedsConfirmation(t *testing.T) {
+	Convey("A worker with a task does not answer the leader until its leases have ended", t, func() {
+		now := simEpoch
+		s, start, log := newLeaseScheduler(now)
+		run := RunReport{Task: start.Task, Number: start.Run}
+		answer(s, now, start.Worker, run)
+		s.PlanRenewal(now, start.Worker)
+		lost := now.Add(10 * time.Second)
+		starts := func(s *Scheduler, confirmedAt time.Time) int {
+			answer(s, lost, otherWorker(start))
+			commitAll(s)
+			orders := s.Decide(lost, confirmedAt)
+			commitAll(s)
+			return len(append(orders, s.Decide(lost, confirmedAt)...))
+		}
+		Convey("and the store has not confirmed the term since", func() {
+			for range minSilentRenewals {
+				s.HandleRenewalFailure(now, start.Worker, false)
+			}
+			So(s.WantsConfirmation(now), ShouldBeFalse)
+			So(starts(s, now.Add(2*time.Second)), ShouldEqual, 0)
+			So(s.WantsConfirmation(lost), ShouldBeTrue)
+			Convey("the task starts once it has", func() {
+				So(starts(s, lost), ShouldEqual, 1)
+				So(s.WantsConfirmation(lost), ShouldBeFalse)
+			})
+		})
+		Convey("under the next leader, which the store has not confirmed since either", func() {
+			next := New(leaseLimits(), 2, 2)
+			next.SetCatalog(s.catalog)
+			So(next.Restore(now, now, slices.Collect(maps.Values(log)), now), ShouldBeEmpty)
+			So(starts(next, now.Add(2*time.Second)), ShouldEqual, 0)
+			So(next.WantsConfirmation(lost), ShouldBeTrue)
+			Convey("the task starts once it has", func() {
+				So(starts(next, lost), ShouldEqual, 1)
+			})
+		})
+	})
+}
--- a/internal/zone/dispatch/malformed_test.go
+++ b/internal/zone/dispatch/malformed_test.go
@@ -55,7 +55,7 @@
 			records = append(records, Record{Key: prefix + jobID(3), Value: garbage.Draw(t, "garbage")})
 		}
 		s.Restore(simEpoch, simEpoch, records, simEpoch)
-		s.Decide(simEpoch.Add(time.Minute))
+		s.Decide(simEpoch.Add(time.Minute), simEpoch.Add(time.Minute))
 		s.TakeBatch()
 	})
 }
--- a/internal/zone/dispatch/overdue_test.go
+++ b/internal/zone/dispatch/overdue_test.go
@@ -129,7 +129,7 @@
 				s.HandleReport(now, Report{Worker: id, Boot: 1, Clock: clock})
 			}
 			commitAll(s)
-			for _, o := range s.Decide(now) {
+			for _, o := range s.Decide(now, now) {
 				started = o.Worker
 				s.HandleStartAnswer(now, o, AnswerFull, clock)
 			}
@@ -248,7 +248,7 @@
 			failed = nil
 			s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: clock, Running: good, Ended: ended})
 			commitAll(s)
-			for _, o := range s.Decide(now) {
+			for _, o := range s.Decide(now, now) {
 				s.HandleStartAnswer(now, o, AnswerDone, clock)
 				r := RunReport{Task: o.Task, Number: o.Run, Progress: 100}
 				if o.Task == working.name {
--- a/internal/zone/dispatch/overload_test.go
+++ b/internal/zone/dispatch/overload_test.go
@@ -20,7 +20,7 @@
 	for b.Loop() {
 		sim.s.markAllChanged()
 		sim.now = sim.now.Add(300 * time.Millisecond)
-		sim.s.Decide(sim.now)
+		sim.s.Decide(sim.now, sim.now)
 		sim.s.Events()
 	}
 	b.ReportMetric(float64(len(sim.s.ready)), "stages")
--- a/internal/zone/dispatch/pacing_test.go
+++ b/internal/zone/dispatch/pacing_test.go
@@ -62,7 +62,7 @@
 			}
 		}
 	}
-	executeOrders(s.Decide(now))
+	executeOrders(s.Decide(now, now))
 	var over time.Duration
 	var sum, count float64
 	for at := time.Duration(0); at < length; at += 500 * time.Millisecond {
@@ -93,7 +93,7 @@
 		longest = max(longest, over)
 		s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: 1000 + now.Sub(simEpoch).Milliseconds(), Running: running})
 		commit()
-		executeOrders(s.Decide(now))
+		executeOrders(s.Decide(now, now))
 	}
 	return longest, sum / max(1, count)
 }
@@ -187,7 +187,7 @@
 			})
 		}
 		commit()
-		for _, o := range s.Decide(now) {
+		for _, o := range s.Decide(now, now) {
 			s.HandleStartAnswer(now, o, AnswerDone, 1000)
 		}
 		share := 100
@@ -208,7 +208,7 @@
 				})
 			}
 			s.HandleReport(now, rep)
-			for _, o := range s.Decide(now) {
+			for _, o := range s.Decide(now, now) {
 				if o.Kind == OrderPace {
 					share = o.Pace
 					s.HandlePaceAnswer(now, o, AnswerDone, rep.Clock)
--- a/internal/zone/dispatch/removed_queue_test.go
+++ b/internal/zone/dispatch/removed_queue_test.go
@@ -42,7 +42,7 @@
 				commitTo(s, log)
 				So(s.JobStatus(jobID(1)).State, ShouldEqual, StateFailed)
 				So(log, ShouldContainKey, prefixQueue+queueName)
-				s.Decide(now.Add(2 * maintenanceInterval))
+				s.Decide(now.Add(2*maintenanceInterval), now.Add(2*maintenanceInterval))
 				commitTo(s, log)
 				So(log[prefixQueue+queueName].Value, ShouldBeEmpty)
 			})
--- a/internal/zone/dispatch/replaced_test.go
+++ b/internal/zone/dispatch/replaced_test.go
@@ -20,7 +20,7 @@
 			c.now = c.now.Add(100 * time.Millisecond)
 			c.s.HandleRenewalRestart("w")
 			c.report("w", 0, 10)
-			c.s.Decide(c.now)
+			c.s.Decide(c.now, c.now)
 		}
 		So(c.task.runs, ShouldBeEmpty)
 		So(c.task.queued, ShouldBeTrue)
@@ -61,7 +61,7 @@
 		submitStep(s, now, 1, newStep(1, 6000, time.Minute))
 		log := map[string]Record{}
 		commitTo(s, log)
-		o := s.Decide(now)[0]
+		o := s.Decide(now, now)[0]
 		s.HandleStartAnswer(now, o, AnswerDone, 1010)
 		now = now.Add(time.Second)
 		s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: 2000, Running: []RunReport{{Task: o.Task, Number: o.Run}}})
--- a/internal/zone/dispatch/resize_test.go
+++ b/internal/zone/dispatch/resize_test.go
@@ -37,7 +37,7 @@
 	submitStep(s, now, 1, longRunning)
 	submitStep(s, now, 2, bestEffort)
 	commitAll(s)
-	s.Decide(now)
+	s.Decide(now, now)
 	return s, func(at time.Time, tail, use int) {
 		s.HandleReport(at, Report{
 			Worker: "w", Boot: 1, Clock: 1000 + at.Sub(simEpoch).Milliseconds(), Running: []RunReport{
@@ -98,7 +98,7 @@
 		submitStep(s, now, 3, bestEffort)
 		commitAll(s)
 		Convey("its task stays, and nothing starts beside it", func() {
-			So(s.Decide(now), ShouldBeEmpty)
+			So(s.Decide(now, now), ShouldBeEmpty)
 			So(s.stops, ShouldBeEmpty)
 			Convey("until it is done", func() {
 				end(EndDone)
--- a/internal/zone/dispatch/scale_test.go
+++ b/internal/zone/dispatch/scale_test.go
@@ -247,7 +247,7 @@
 		sim.after(8*time.Millisecond, func() { s.MarkCommitted(b) })
 	}
 	sim.decisions++
-	for _, o := range s.Decide(sim.now) {
+	for _, o := range s.Decide(sim.now, sim.now) {
 		sim.after(5*time.Millisecond, func() {
 			if s == sim.s {
 				sim.executeOrder(o)
@@ -374,7 +374,7 @@
 	}
 	sim.s.ready = nil
 	allocs := testing.AllocsPerRun(20, func() {
-		sim.s.Decide(sim.now)
+		sim.s.Decide(sim.now, sim.now)
 		sim.s.Events()
 	})
 	if allocs > 10 {
@@ -564,7 +564,7 @@
 	}
 	st.tasks[0].lastRun = sim.s.runNumberBase
 	sim.s.shortDemand = map[string]float64{"svc": 128000}
-	sim.s.Decide(sim.now)
+	sim.s.Decide(sim.now, sim.now)
 	if !st.tasks[0].queued || st.tasks[1].queued {
 		t.Errorf("the new task waits: %v, the lost one waits: %v; want only the new one to wait",
 			st.tasks[0].queued, st.tasks[1].queued)
--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -116,6 +116,8 @@
 	listed  map[string]fleet.Size
 	writing bool
 	stopped bool
+	// deposedAt is when a later leader began its term, the zero time before.
+	deposedAt time.Time
 }
 
 var simEpoch = time.Unix(5_000_000, 0)
@@ -184,11 +186,20 @@
 func (sim *simulation) takeOver() {
 	if old := sim.leader; old != nil {
 		sim.deposed = append(sim.deposed, old)
+		old.deposedAt = sim.now
 		sim.after(time.Duration(sim.rng.IntN(1500))*time.Millisecond, func() { old.stopped = true })
 	}
 	sim.lead(sim.now.Add(sim.limits.MaxUnconfirmedTerm))
 }
 
+// confirmedAt returns the time of the newest renewal of the leader's term that the log has accepted.
+func (l *simLeader) confirmedAt(now time.Time) time.Time {
+	if !l.deposedAt.IsZero() {
+		return l.deposedAt
+	}
+	return now
+}
+
 // handOver makes another host the leader after a planned stop of the present one, which first writes all its changes to
 // the log.
 func (sim *simulation) handOver() {
@@ -343,7 +354,7 @@
 		return
 	}
 	current := l == sim.leader
-	for _, o := range l.s.Decide(sim.now) {
+	for _, o := range l.s.Decide(sim.now, l.confirmedAt(sim.now)) {
 		sim.sendOrder(l, o)
 	}
 	l.s.Events()
--- a/internal/zone/dispatch/started_test.go
+++ b/internal/zone/dispatch/started_test.go
@@ -16,7 +16,7 @@
 		s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: 1000})
 		submitStep(s, now, 1, newStep(2, 5000, time.Second))
 		commitAll(s)
-		o := s.Decide(now)[0]
+		o := s.Decide(now, now)[0]
 		So(s.QueuedJobs(queueName), ShouldEqual, 1)
 		s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: 1100, Ended: []EndReport{
 			{Serial: 1, Task: o.Task, Number: o.Run, Reason: EndDone},
--- a/internal/zone/dispatch/stop_test.go
+++ b/internal/zone/dispatch/stop_test.go
@@ -65,7 +65,7 @@
 		WallTime: now,
 	})
 	commitAll(s)
-	o := s.Decide(now)[0]
+	o := s.Decide(now, now)[0]
 	s.HandleStartAnswer(now, o, AnswerDone, 1010)
 	return s, RunReport{Task: o.Task, Number: o.Run}
 }
@@ -92,7 +92,7 @@
 // startsOf returns the number of start orders that are due.
 func startsOf(s *Scheduler, now time.Time) int {
 	n := 0
-	for _, o := range s.Decide(now) {
+	for _, o := range s.Decide(now, now) {
 		if o.Kind == OrderStart {
 			n++
 		}
@@ -105,14 +105,14 @@
 		now := simEpoch
 		s, _ := newStopScenario(now)
 		s.Cancel(now, jobID(1))
-		So(s.Decide(now), ShouldBeEmpty)
+		So(s.Decide(now, now), ShouldBeEmpty)
 		commitAll(s)
-		orders := s.Decide(now)
+		orders := s.Decide(now, now)
 		So(orders, ShouldHaveLength, 1)
 		So(orders[0].Kind, ShouldEqual, OrderStop)
 		Convey("and again while the run is listed", func() {
-			So(s.Decide(now.Add(stopResendInterval)), ShouldBeEmpty)
-			So(s.Decide(now.Add(stopResendInterval+time.Millisecond)), ShouldHaveLength, 1)
+			So(s.Decide(now.Add(stopResendInterval), now.Add(stopResendInterval)), ShouldBeEmpty)
+			So(s.Decide(now.Add(stopResendInterval+time.Millisecond), now.Add(stopResendInterval+time.Millisecond)), ShouldHaveLength, 1)
 		})
 	})
 }
@@ -180,12 +180,12 @@
 			commitAll(s)
 		}
 		submit(1)
-		s.HandleStartAnswer(now, s.Decide(now)[0], AnswerMissing, 0)
+		s.HandleStartAnswer(now, s.Decide(now, now)[0], AnswerMissing, 0)
 		s.Cancel(now, jobID(1))
 		submit(2)
 		Convey("its room is free once the worker has answered the stop and could have listed the end", func() {
 			started := func() (started bool) {
-				for _, o := range s.Decide(now) {
+				for _, o := range s.Decide(now, now) {
 					if o.Kind == OrderStop {
 						s.HandleStopAnswer(now, o, AnswerDone, clock)
 					}
--- a/internal/zone/dispatch/unknown_run_test.go
+++ b/internal/zone/dispatch/unknown_run_test.go
@@ -32,7 +32,7 @@
 		s.MarkCommitted(b)
 		starts := func() int {
 			n := 0
-			for _, o := range s.Decide(now) {
+			for _, o := range s.Decide(now, now) {
 				if o.Kind == OrderStart {
 					n++
 				}
--- a/internal/zone/dispatch/waiting_test.go
+++ b/internal/zone/dispatch/waiting_test.go
@@ -25,11 +25,11 @@
 		So(startsOf(s, now), ShouldEqual, 1)
 		isWait := func(e Event) bool { return e.Kind == "waiting" }
 		now = now.Add(waitReportAge - time.Millisecond)
-		s.Decide(now)
+		s.Decide(now, now)
 		So(slices.ContainsFunc(s.Events(), isWait), ShouldBeFalse)
 		Convey("is reported with the rule and the workers that hold it back", func() {
 			now = now.Add(2 * maintenanceInterval)
-			s.Decide(now)
+			s.Decide(now, now)
 			events := s.Events()
 			i := slices.IndexFunc(events, isWait)
 			So(i, ShouldBeGreaterThanOrEqualTo, 0)
--- a/internal/zone/leadership/leadership.go
+++ b/internal/zone/leadership/leadership.go
@@ -36,6 +36,18 @@
 	claimRetryInterval = 300 * time.Millisecond
 )
 
+// A leader may go on for a while although the store does not answer it, as long as it does not answer the other hosts
+// either. It counts on the hosts from which it has heard lately. Any other host that claims allows for the orders that the
+// leader may give until MaxOutage.
+const (
+	// MaxOutage is the longest time for which a leader gives orders without an answer from the store.
+	MaxOutage = 30 * time.Second
+	// ForgetAfter is how long before its last renewal a leader must have heard from a host to count on it.
+	ForgetAfter = 10 * time.Second
+	// clockMargin is how much longer a host waits than another counts on. It covers clocks of different rates.
+	clockMargin = 100 * time.Millisecond
+)
+
 // Claim is a claim of the leadership in the log. It is encoded under its Go field names.
 type Claim struct {
 	// Offset is the offset of the claim in the log. It is negative if there is no claim.
@@ -84,8 +96,9 @@
 	// answeredAt is when the leader last answered, or else when its claim was seen. pingedAt is when a leader was last
 	// pinged.
 	answeredAt, pingedAt time.Time
-	// answered is set once the leader has answered this host under the present claim.
-	answered bool
+	// heardAt is when the newest message was sent that the leader has answered under the present claim, the zero time if
+	// there is none.
+	heardAt time.Time
 	// vacantSince is when the leadership certainly became vacant, zero while it is not.
 	vacantSince time.Time
 	// suspectedSince and suspectedAt are when the leader was first and last suspected to have ended, with no answer in
@@ -97,10 +110,12 @@
 	renewalSeenAt time.Time
 	// renewalReadAt is when the renewals were last read.
 	renewalReadAt time.Time
-	// predecessor is the claim before the present one. predecessorEndedAt, predecessorRenewedAt and predecessorRenewal are
-	// vacantSince, renewalSeenAt and renewal of its leader, as they were when the present claim was seen.
+	// predecessor is the claim before the present one. predecessorEndedAt, predecessorRenewedAt, predecessorHeardAt and
+	// predecessorRenewal are vacantSince, renewalSeenAt, heardAt and renewal of its leader, as they were when the present
+	// claim was seen.
 	predecessor                              Claim
 	predecessorEndedAt, predecessorRenewedAt time.Time
+	predecessorHeardAt                       time.Time
 	predecessorRenewal                       int64
 	// claimedAt is when this host last sent a claim.
 	claimedAt time.Time
@@ -125,17 +140,22 @@
 func (e *Elector) Yield(now time.Time, d time.Duration) { e.yieldUntil = now.Add(d) }
 
 // PredecessorEnd returns the time after which the leader before the present one certainly gives no more orders: when it
-// was certain to have ended, or else maxUnconfirmedTerm after its last renewal was first seen. The newest renewal is
-// that in the log after the leader was fenced, -1 if it is not known. If it is another than the last that was seen, the
-// leader may have renewed until now.
+// was certain to have ended, or else maxUnconfirmedTerm after its last renewal was first seen or reported. The newest
+// renewal is that in the log after the leader was fenced, -1 if it is not known, and 0 if the leader has written none. If
+// it is not the last that was seen, the leader may have confirmed its term until now. A leader that may not have counted
+// on this host may go on for MaxOutage.
 func (e *Elector) PredecessorEnd(now time.Time, maxUnconfirmedTerm time.Duration, newestRenewal int64) time.Time {
-	switch {
-	case !e.predecessorEndedAt.IsZero():
+	if !e.predecessorEndedAt.IsZero() {
 		return e.predecessorEndedAt
-	case e.predecessorRenewedAt.IsZero() || newestRenewal < 0 || newestRenewal != e.predecessorRenewal:
-		return now.Add(maxUnconfirmedTerm)
 	}
-	return e.predecessorRenewedAt.Add(maxUnconfirmedTerm)
+	renewedAt := e.predecessorRenewedAt
+	if renewedAt.IsZero() || newestRenewal <= 0 || newestRenewal != e.predecessorRenewal {
+		renewedAt = now
+	}
+	if e.predecessorHeardAt.Before(renewedAt.Add(clockMargin - ForgetAfter)) {
+		return renewedAt.Add(MaxOutage + clockMargin)
+	}
+	return renewedAt.Add(maxUnconfirmedTerm)
 }
 
 // Claim returns the newest claim that was seen.
@@ -162,8 +182,10 @@
 	}
 	e.predecessor = e.claim
 	e.predecessorEndedAt, e.predecessorRenewedAt, e.predecessorRenewal = e.vacantSince, e.renewalSeenAt, e.renewal
+	e.predecessorHeardAt = e.heardAt
 	e.claim = c
-	e.answered, e.answeredAt, e.vacantSince = false, now, time.Time{}
+	e.heardAt = time.Time{}
+	e.answeredAt, e.vacantSince = now, time.Time{}
 	e.suspectedSince, e.suspectedAt = time.Time{}, time.Time{}
 	e.renewal, e.renewalSeenAt, e.renewalReadAt = -1, now, time.Time{}
 	return true
@@ -179,7 +201,10 @@
 	if offset != e.claim.Offset || (!e.vacantSince.IsZero() && !sentAt.After(e.vacantSince)) {
 		return
 	}
-	e.answered, e.answeredAt, e.vacantSince = true, now, time.Time{}
+	e.answeredAt, e.vacantSince = now, time.Time{}
+	if sentAt.After(e.heardAt) {
+		e.heardAt = sentAt
+	}
 	if sentAt.After(e.suspectedAt) {
 		e.suspectedSince, e.suspectedAt = time.Time{}, time.Time{}
 	}
@@ -196,7 +221,7 @@
 // RecordRefusal records that no process seems to listen at the address of the leader with the claim at the offset. It
 // makes the leader suspect if that has answered before. A host that never reached the leader may be cut off from it.
 func (e *Elector) RecordRefusal(now time.Time, offset int64) {
-	if e.answered {
+	if !e.heardAt.IsZero() {
 		e.RecordSuspicion(now, offset)
 	}
 }
--- a/internal/zone/leadership/leadership_test.go
+++ b/internal/zone/leadership/leadership_test.go
@@ -174,6 +174,7 @@
 	Convey("A host has seen the leader's renewal 7 and claims", t, func() {
 		const maxUnconfirmed = 2500 * time.Millisecond
 		e := newFollower(start)
+		e.RecordAnswer(start, start, 4)
 		e.RecordRenewal(start, 7)
 		claimedAt := start.Add(1200 * time.Millisecond)
 		e.ObserveClaim(claimedAt, Claim{Offset: 5, Name: "me", Instance: "me"})
@@ -181,8 +182,9 @@
 		Convey("the leader's orders end with that renewal if it is the newest in the log", func() {
 			So(e.PredecessorEnd(now, maxUnconfirmed, 7), ShouldEqual, start.Add(maxUnconfirmed))
 		})
-		Convey("they may go on from now if there is a newer one, or if the log can't be read", func() {
+		Convey("they may go on from now if there is a newer one or none of the leader's, or if the log can't be read", func() {
 			So(e.PredecessorEnd(now, maxUnconfirmed, 8), ShouldEqual, now.Add(maxUnconfirmed))
+			So(e.PredecessorEnd(now, maxUnconfirmed, 0), ShouldEqual, now.Add(maxUnconfirmed))
 			So(e.PredecessorEnd(now, maxUnconfirmed, -1), ShouldEqual, now.Add(maxUnconfirmed))
 		})
 	})
@@ -194,6 +196,34 @@
 	})
 }
 
+// TestLeaderInOutage guards against a new leader that takes the orders of the one before to have ended, although that one
+// did not count on this host and goes on in an outage of the store.
+func TestLeaderInOutage(t *testing.T) {
+	const maxUnconfirmed = 2500 * time.Millisecond
+	mine := Claim{Offset: 5, Name: "me", Instance: "me"}
+	Convey("A host that the leader had not heard of for long allows for orders as long as any outage lasts", t, func() {
+		e := newFollower(start)
+		e.RecordAnswer(start, start, 4)
+		renewedAt := start.Add(ForgetAfter)
+		e.RecordRenewal(renewedAt, 8)
+		e.ObserveClaim(renewedAt.Add(time.Second), mine)
+		So(e.PredecessorEnd(renewedAt.Add(time.Second), maxUnconfirmed, 8), ShouldHappenAfter, renewedAt.Add(MaxOutage))
+	})
+	Convey("So does a host that has started anew", t, func() {
+		e := newFollower(start)
+		e.ObserveClaim(start, mine)
+		So(e.PredecessorEnd(start, maxUnconfirmed, 7), ShouldHappenAfter, start.Add(MaxOutage))
+	})
+	Convey("A host that the leader has answered shortly before its last renewal does not", t, func() {
+		e := newFollower(start)
+		e.RecordAnswer(start, start, 4)
+		renewedAt := start.Add(ForgetAfter / 2)
+		e.RecordRenewal(renewedAt, 8)
+		e.ObserveClaim(renewedAt.Add(time.Second), mine)
+		So(e.PredecessorEnd(renewedAt.Add(time.Second), maxUnconfirmed, 8), ShouldEqual, renewedAt.Add(maxUnconfirmed))
+	})
+}
+
 // TestRefusedConnectionIsNoProof guards against a new leader that counts the leases of the one before from the moment at
 // which a partition reset a connection, although that leader lives on and extends them.
 func TestRefusedConnectionIsNoProof(t *testing.T) {
