Wait for all ends of a worker before its restored tasks start

Cause: a worker lists 500 ends at a time. Its first report accounted for it, though more ends may follow a full list.

Change: a worker of an earlier term counts as accounted for once a report of it holds fewer ends than a full list.

--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -136,9 +136,11 @@
 	// halted is set while the leader may not give orders.
 	halted bool
 	// unaccounted holds the workers on which an earlier leader may have left tasks and from which this term has had no
-	// report, each with the time from which its leases have certainly lapsed. Restored tasks don't start until it is
-	// empty.
+	// report, each with the time from which its leases have certainly lapsed. Restored tasks don't start until it and
+	// backlogged are empty.
 	unaccounted map[string]time.Time
+	// backlogged holds the workers on which an earlier leader may have left tasks and that have more ends to list.
+	backlogged map[*Worker]struct{}
 	// earlierLeasesUntil is the time from which the leases of earlier terms have certainly lapsed on all workers for
 	// which unaccounted holds no other.
 	earlierLeasesUntil time.Time
@@ -187,6 +189,7 @@
 		silent:        map[*Worker]struct{}{},
 		recurring:     map[*Job]struct{}{},
 		unaccounted:   map[string]time.Time{},
+		backlogged:    map[*Worker]struct{}{},
 		restoredStops: map[string]stopsRecord{},
 		journal:       newJournal(),
 		suspects:      map[*task]*suspicion{},
--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -203,6 +203,7 @@
 	w.leasesExpired = true
 	s.loseRuns(now, w, reason)
 	delete(s.unaccounted, w.ID)
+	delete(s.backlogged, w)
 	if w.recordBatch != 0 || isUnaccounted {
 		w.recordBatch = 0
 		s.deleteWorkerRecords(w.ID)
@@ -249,4 +250,6 @@
 }
 
 // allWorkersAccounted reports whether it is known where the tasks of earlier terms run.
-func (s *Scheduler) allWorkersAccounted() bool { return len(s.unaccounted) == 0 }
+func (s *Scheduler) allWorkersAccounted() bool {
+	return len(s.unaccounted) == 0 && len(s.backlogged) == 0
+}
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -94,7 +94,10 @@
 	s.acquitSurvivors(w)
 	if first {
 		s.applyRestoredStops(now, w, report)
-		delete(s.unaccounted, w.ID)
+		s.account(w)
+	}
+	if len(report.Ended) < maxListedEnds {
+		delete(s.backlogged, w)
 	}
 	if w.recordBatch == 0 {
 		w.recordBatch = s.journal.recordWorker(w)
@@ -106,6 +109,15 @@
 	s.markChanged(w)
 }
 
+// account notes that a worker has reported for the first time in this term. Until it has listed all its ends, tasks that
+// an earlier leader has started may be done.
+func (s *Scheduler) account(w *Worker) {
+	if _, ok := s.unaccounted[w.ID]; ok {
+		delete(s.unaccounted, w.ID)
+		s.backlogged[w] = struct{}{}
+	}
+}
+
 // applyEnds applies the ends that are new and has them acknowledged.
 func (s *Scheduler) applyEnds(now time.Time, w *Worker, ends []EndReport) {
 	for _, e := range ends {
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -345,6 +345,7 @@
 		s.journal.recordStops(w)
 	}
 	delete(s.unaccounted, w.ID)
+	delete(s.backlogged, w)
 }
 
 // loseRuns ends all runs of a worker on which certainly nothing runs any more.
