Count a host as heard of only by the pings that the leader answered

A leader counts on the hosts whose pings have reached it, and a host took any answer, also one to a caller's request, as a sign that the leader counts on it. Names and comments follow.

--- a/internal/host/entry/renew.go
+++ b/internal/host/entry/renew.go
@@ -100,10 +100,10 @@
 	}
 }
 
-// minRenewInterval is the shortest interval between two renewals that requests ask for.
+// minRenewInterval is the shortest interval between two renewals that are asked for by wakeRenewal.
 const minRenewInterval = 50 * time.Millisecond
 
-// waitForRenewal waits until the next renewal is due, or is asked for by awaitConfirmation.
+// waitForRenewal waits until the next renewal is due, or is asked for by wakeRenewal.
 func (t *term) waitForRenewal() {
 	if !sleep(t.ctx, minRenewInterval) {
 		return
--- a/internal/zone/leadership/leadership.go
+++ b/internal/zone/leadership/leadership.go
@@ -1,8 +1,8 @@
 // Package leadership decides which host leads a deployment.
 //
 // A host leads from the time its claim is in the log until a later claim is. The offset after a claim is the fencing
-// token of its term. The leader renews its claim in the log every second and answers pings of the other hosts. A host
-// claims the leadership when it is certain that the leader is gone, when it suspects that, or when the leader neither
+// token of its term. The leader renews its claim in the log every RenewInterval and answers pings of the other hosts. A
+// host claims the leadership when it is certain that the leader is gone, when it suspects that, or when the leader neither
 // answers nor renews.
 //
 // A suspicion may be wrong: behind a partition, a connection is refused or reset although the leader lives on. It lets a
@@ -96,8 +96,8 @@
 	// answeredAt is when the leader last answered, or else when its claim was seen. pingedAt is when a leader was last
 	// pinged.
 	answeredAt, pingedAt time.Time
-	// heardAt is when the newest message was sent that the leader has answered under the present claim, the zero time if
-	// there is none.
+	// heardAt is when the newest ping was sent that the leader has answered under the present claim, the zero time if there
+	// is none.
 	heardAt time.Time
 	// vacantSince is when the leadership certainly became vacant, zero while it is not.
 	vacantSince time.Time
@@ -202,9 +202,6 @@
 		return
 	}
 	e.answeredAt, e.vacantSince = now, time.Time{}
-	if sentAt.After(e.heardAt) {
-		e.heardAt = sentAt
-	}
 	if sentAt.After(e.suspectedAt) {
 		e.suspectedSince, e.suspectedAt = time.Time{}, time.Time{}
 	}
@@ -218,8 +215,8 @@
 	}
 }
 
-// RecordRefusal records that no process seems to listen at the address of the leader with the claim at the offset. It
-// makes the leader suspect if that has answered before. A host that never reached the leader may be cut off from it.
+// RecordRefusal records that no process seems to listen at the address of the leader with the claim at the offset. That is
+// a sign of its end if it has answered a ping before. A host that never reached the leader may be cut off from it.
 func (e *Elector) RecordRefusal(now time.Time, offset int64) {
 	if !e.heardAt.IsZero() {
 		e.RecordSuspicion(now, offset)
@@ -243,9 +240,12 @@
 // RecordSilence records that the leader has left a ping unanswered, which is no sign that it has ended.
 func (e *Elector) RecordSilence() { e.suspectedSince, e.suspectedAt = time.Time{}, time.Time{} }
 
-// RecordReportedRenewal records the newest renewal as the leader itself has just reported it. It was alive then, so
-// that a renewal counts as seen at this time.
-func (e *Elector) RecordReportedRenewal(now time.Time, renewal int64) {
+// RecordReport records the leader's answer to a ping that was sent at the given time, with its newest renewal, 0 if there
+// is none. The leader was alive then, so that a renewal counts as seen at this time.
+func (e *Elector) RecordReport(now, sentAt time.Time, renewal int64) {
+	if sentAt.After(e.heardAt) {
+		e.heardAt = sentAt
+	}
 	if renewal > 0 {
 		e.renewal, e.renewalSeenAt = max(e.renewal, renewal), now
 	}
