Let a previous leader without a record confirm its end as well

A leader that had claimed and recorded nothing could not shorten the wait by its answer, which may now be 30 s long where the next leader was not heard of. The leader before it is fenced with this term, so that its orders end 2.5 s later.

--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -145,10 +145,11 @@
 	// which unaccounted holds no other.
 	earlierLeasesUntil time.Time
 	// previousLease is the longest lease of the previous term, and olderLeasesUntil the time from which those of the terms
-	// before it have certainly lapsed. previousKnown is set if the previous term has recorded both.
+	// before it have certainly lapsed. otherOrdersUntil is until when a leader before the previous one may give orders, the
+	// zero time if none may.
 	previousLease    time.Duration
 	olderLeasesUntil time.Time
-	previousKnown    bool
+	otherOrdersUntil time.Time
 	// silentInRecord holds the workers that the newest record of leases lists, leasesRecordedAt is the time of that
 	// record.
 	silentInRecord   map[*Worker]struct{}
--- a/internal/zone/dispatch/lease_record.go
+++ b/internal/zone/dispatch/lease_record.go
@@ -152,13 +152,13 @@
 		}
 	}
 	longest := s.limits.MaxLease
-	s.previousKnown = rec.Token == s.token-1 && rec.Longest > 0
-	if s.previousKnown {
+	if isKnown := rec.Token == s.token-1 && rec.Longest > 0; isKnown {
 		longest = min(longest, time.Duration(rec.Longest)*time.Millisecond)
 	} else {
 		// The leader before may never have begun its term, and have left the one before that unfenced until now.
 		rec = leaseRecord{}
-		ordersUntil = laterOf(ordersUntil, now.Add(s.limits.MaxUnconfirmedTerm))
+		s.otherOrdersUntil = now.Add(s.limits.MaxUnconfirmedTerm)
+		ordersUntil = laterOf(ordersUntil, s.otherOrdersUntil)
 	}
 	s.previousLease, s.olderLeasesUntil = longest, now.Add(time.Duration(rec.Earlier)*time.Millisecond)
 	s.earlierLeasesUntil = laterOf(leaseEnd(ordersUntil, longest), s.olderLeasesUntil)
@@ -183,10 +183,7 @@
 // EndPreviousOrders notes that the previous leader has certainly given no order after the time, which may be earlier than
 // the one that was known when the state was restored.
 func (s *Scheduler) EndPreviousOrders(ordersUntil time.Time) {
-	if !s.previousKnown {
-		// The leader before the previous one may not have been fenced until this term began.
-		return
-	}
+	ordersUntil = laterOf(ordersUntil, s.otherOrdersUntil)
 	until := laterOf(leaseEnd(ordersUntil, s.previousLease), s.olderLeasesUntil)
 	if !until.Before(s.earlierLeasesUntil) {
 		return
