--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -90,6 +90,8 @@
 	confirmedAt, appendStartedAt atomic.Int64
 	// confirmed is closed and replaced whenever confirmedAt has changed. It holds a chan struct{}.
 	confirmed atomic.Value
+	// recordsLeftOut is set once the log has refused a record of the state for good.
+	recordsLeftOut atomic.Bool
 	// renewal is the position of the term's newest renewal in the log, 0 if there is none.
 	renewal atomic.Int64
 }
@@ -258,6 +260,7 @@
 	t.log.WithError(err).WithFields(logrus.Fields{
 		"key": r.Key, "bytes": len(r.Key) + len(r.Value),
 	}).Error("The log refuses a record of the state for good; it is left out")
+	t.recordsLeftOut.Store(true)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.scheduler.RejectRecord(t.host.clock.Now(), r.Key)
@@ -488,10 +491,7 @@
 	short, cancel := context.WithTimeout(ctx, stuckAppendThreshold)
 	defer cancel()
 	if t.awaitDurable(short, r.Batch) {
-		t.mu.Lock()
-		known := t.scheduler.HasJob(req.ID)
-		t.mu.Unlock()
-		if !known {
+		if t.hasLeftOut(req.ID) {
 			return Response{Outcome: dispatch.OutcomeRejected, Reason: "the log does not take the job"}
 		}
 		return t.durableResponse(ctx, r)
@@ -509,6 +509,16 @@
 	return t.durableResponse(ctx, r)
 }
 
+// hasLeftOut reports whether a submitted job is not in the log although its batch is durable.
+func (t *term) hasLeftOut(id string) bool {
+	if !t.recordsLeftOut.Load() {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.scheduler.HasJob(id)
+}
+
 // wakeLoops wakes the loops that write batches and make decisions after a change of the state.
 func (t *term) wakeLoops() {
 	signal(t.wakeWriter)
