--- a/internal/host/entry/outage_test.go
+++ b/internal/host/entry/outage_test.go
@@ -319,7 +319,7 @@
 		a.mu.Lock()
 		leading := a.term
 		a.mu.Unlock()
-		So(leading, ShouldNotBeNil)
+		So(leading != nil, ShouldBeTrue)
 		So(leading.permit(), ShouldBeTrue)
 		running = false
 		stopB()
