--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -22,7 +22,6 @@
 	s.refreshLeaseRecord(now)
 	s.judgeLapses(now)
 	s.sendStops(now)
-	s.sendRecordedStarts(now)
 	for j := range s.recurring {
 		s.openDueOccurrences(now.Add(s.limits.MaxEarlyStart/2), j)
 	}
@@ -161,7 +160,7 @@
 			st.waitReason = waitUnconfirmed
 			continue
 		}
-		if j.restored && !s.allWorkersAccounted() && !s.hasStartableTask(st) {
+		if j.restored && !s.allWorkersAccounted() {
 			st.waitReason = waitUnaccounted
 			continue
 		}
@@ -202,10 +201,6 @@
 		if !t.queued || t.isOverdue(now) || s.suspectOf(t) != nil {
 			continue
 		}
-		if s.mayRunUnaccounted(t) {
-			st.waitReason = waitUnaccounted
-			continue
-		}
 		if now.Before(t.notBefore) {
 			st.waitReason = waitPause
 			continue
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -129,8 +129,6 @@
 	reclaimedAt time.Time
 
 	orders []Order
-	// recordedStarts lists the runs whose start waits for the record of their worker.
-	recordedStarts []*run
 	// stops lists the orders to stop runs whose ends have not been listed yet.
 	stops []*stop
 	// restoredStops holds the stops of earlier leaders, by worker, until the worker has reported.
--- a/internal/zone/dispatch/lease_test.go
+++ b/internal/zone/dispatch/lease_test.go
@@ -34,8 +34,6 @@
 	submitStep(s, now, 1, step)
 	log = map[string]Record{}
 	commitTo(s, log)
-	s.Decide(now, now)
-	commitTo(s, log)
 	start = s.Decide(now, now)[0]
 	s.HandleStartAnswer(now, start, AnswerDone, 1000)
 	return s, start, log
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -95,25 +95,13 @@
 	}
 	r := &run{
 		task: t, number: number, worker: w, phase: phaseOrdered, startedAt: now, pace: 100, targetPace: 100,
-		waitingSince: t.waitingSince,
+		startUntil: w.clockNow(now) + startOrderValidity.Milliseconds(), waitingSince: t.waitingSince,
 	}
 	t.lastRun = number
-	r.attach()
-	if t.recordsPlacement() {
-		r.placementBatch = s.journal.recordPlacement(r)
-		s.recordedStarts = append(s.recordedStarts, r)
-		return
-	}
-	s.orderStart(now, r)
-}
-
-// orderStart orders the start of a run.
-func (s *Scheduler) orderStart(now time.Time, r *run) {
-	t, w, st := r.task, r.worker, r.task.stage
-	r.startedAt, r.startUntil = now, w.clockNow(now)+startOrderValidity.Milliseconds()
 	w.leaseUntil = max(w.leaseUntil, r.startUntil)
+	r.attach()
 	o := Order{
-		Kind: OrderStart, Worker: w.ID, Address: w.Address, Boot: w.Boot, Token: s.token, Task: t.name, Run: r.number,
+		Kind: OrderStart, Worker: w.ID, Address: w.Address, Boot: w.Boot, Token: s.token, Task: t.name, Run: number,
 		Payload: t.job().spec.Payload, Checkpoint: t.checkpoint, ValidUntil: r.startUntil,
 	}
 	if st.tickets != nil {
@@ -121,7 +109,7 @@
 	}
 	s.orders = append(s.orders, o)
 	s.recordEvent(Event{
-		Kind: EventStart, Job: t.job().id, Task: t.name, Run: r.number, Worker: w.ID, Age: now.Sub(r.waitingSince),
+		Kind: EventStart, Job: t.job().id, Task: t.name, Run: number, Worker: w.ID, Age: now.Sub(t.waitingSince),
 	})
 }
 
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -38,8 +38,6 @@
 	FinalState   State
 	// EndedWall is when the job became final, in milliseconds since 1970.
 	EndedWall int64
-	// Placements is set if the workers of the job's long-running tasks are recorded.
-	Placements bool
 }
 
 // progressRecord is the progress of a job.
@@ -221,8 +219,7 @@
 	if j.isFinal() {
 		rec := jobRecord{Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), FinalState: j.finalState}
 		rec.EndedWall = j.acceptedWall.Add(j.endedAt.Sub(j.acceptedAt)).UnixMilli()
-		out = append(out, Record{Key: prefixJob + j.id, Value: encode(&rec)}, Record{Key: prefixProgress + j.id})
-		return j.appendPlacementRemovals(out)
+		return append(out, Record{Key: prefixJob + j.id, Value: encode(&rec)}, Record{Key: prefixProgress + j.id})
 	}
 	if !j.stored {
 		j.stored = true
@@ -241,9 +238,7 @@
 
 // specRecord returns the record of a job that has not ended.
 func (j *Job) specRecord() Record {
-	rec := jobRecord{
-		Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), Spec: &j.spec, Placements: j.placementsRecorded,
-	}
+	rec := jobRecord{Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), Spec: &j.spec}
 	return Record{Key: prefixJob + j.id, Value: encode(&rec)}
 }
 
@@ -343,7 +338,6 @@
 			s.deleteRestoredStops(id)
 		}
 	}
-	errs = append(errs, s.restorePlacements(records)...)
 	errs = append(errs, s.restoreCrashes(now, records)...)
 	if err := s.restoreLeases(now, records, ordersUntil); err != nil {
 		errs = append(errs, err)
@@ -370,7 +364,7 @@
 		}
 	}
 	j := s.newJob(id, rec.Queue, spec, acceptedAt, acceptedWall)
-	j.stored, j.placementsRecorded = true, rec.Placements
+	j.stored = true
 	if rec.FinalState != "" {
 		j.finalState = rec.FinalState
 		j.endedAt = now.Add(-max(0, wall.Sub(time.UnixMilli(rec.EndedWall))))
--- a/internal/zone/dispatch/trial.go
+++ b/internal/zone/dispatch/trial.go
@@ -58,7 +58,7 @@
 		return
 	}
 	for _, t := range st.tasks {
-		if t.queued && !now.Before(t.notBefore) && !s.mayRunUnaccounted(t) {
+		if t.queued && !now.Before(t.notBefore) {
 			if u := s.suspectOf(t); u != nil {
 				s.prepareTrial(now, u, func() []*Worker { return s.findTrialWorker(now, u) })
 			}
