--- a/internal/host/entry/outage_test.go
+++ b/internal/host/entry/outage_test.go
@@ -254,7 +254,7 @@
 			answered = true
 			m.busyUntil = m.now
 			m.other.RecordAnswer(m.now, sentAt, 4)
-			m.other.RecordReport(m.now, sentAt, r.Renewal)
+			m.other.RecordPingAnswer(m.now, sentAt, r.Renewal)
 			m.stamp = max(m.stamp, r.Stamp)
 		})
 	})
--- a/internal/host/entry/renew.go
+++ b/internal/host/entry/renew.go
@@ -47,8 +47,7 @@
 
 // maySendOrders reports whether this leader may still send orders, because no later leader can yet assume that it has
 // stopped: the term was confirmed within Limits.MaxUnconfirmedTerm, or, for at most leadership.MaxOutage, the store does
-// not answer any other host either on which this leader counts. A host on which it doesn't count may lead meanwhile, and
-// allows for this leader's orders.
+// not answer any active member either. A host that is none may lead meanwhile, and allows for this leader's orders.
 func (t *term) maySendOrders(now time.Time) bool {
 	if t.ctx.Err() != nil {
 		return false
@@ -171,15 +170,15 @@
 // In strongerHost it is the maximum age of the store's last answer to the other host.
 const maxStatusAge = 1500 * time.Millisecond
 
-// storeSilentForOthers reports whether every other host on which the leader counts has recently reported that the store
-// does not answer it either. There must be at least one report. sinceConfirmed is the time since the leader's last renewal.
+// storeSilentForOthers reports whether every active member has recently reported that the store does not answer it either.
+// There must be at least one report. sinceConfirmed is the time since the leader's last renewal.
 func (h *Host) storeSilentForOthers(now time.Time, sinceConfirmed time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	anyReported := false
 	for _, m := range h.members {
 		since := now.Sub(m.pingedAt)
-		if m.Name == h.cfg.Name || m.pingedAt.IsZero() || since > sinceConfirmed+leadership.ForgetAfter {
+		if m.Name == h.cfg.Name || m.pingedAt.IsZero() || since > sinceConfirmed+leadership.MemberTimeout {
 			continue
 		}
 		if now.Sub(m.sentAfter) > maxStatusAge || m.storeAge+since < sinceConfirmed-leadership.RenewInterval {
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -90,7 +90,7 @@
 	confirmedAt, appendStartedAt atomic.Int64
 	// confirmed is closed and replaced whenever confirmedAt has changed. It holds a chan struct{}.
 	confirmed atomic.Value
-	// recordsLeftOut is set once the log has refused a record of the state for good.
+	// recordsLeftOut is set once the log has permanently rejected a record of the state.
 	recordsLeftOut atomic.Bool
 	// renewal is the position of the term's newest renewal in the log, 0 if there is none.
 	renewal atomic.Int64
@@ -207,7 +207,7 @@
 			t.scheduler.EndPreviousOrders(endedAt)
 			t.mu.Unlock()
 			t.log.WithFields(logrus.Fields{
-				"leader": predecessor.Name, "gained_ms": t.previousOrdersUntil.Sub(endedAt).Milliseconds(),
+				"leader": predecessor.Name, "shortened_ms": t.previousOrdersUntil.Sub(endedAt).Milliseconds(),
 			}).Info("The previous leader has confirmed its end")
 			return
 		}
@@ -255,11 +255,11 @@
 	return ledger.NewWriter(t.host.store, p, leaderWriter, t.claim.Token(), opts...)
 }
 
-// rejectRecord handles a record of the state that the log refuses for good. The batch that holds it goes on without it.
+// rejectRecord handles a record of the state that the log rejects permanently. The batch that holds it goes on without it.
 func (t *term) rejectRecord(r ledger.Record, err error) {
 	t.log.WithError(err).WithFields(logrus.Fields{
 		"key": r.Key, "bytes": len(r.Key) + len(r.Value),
-	}).Error("The log refuses a record of the state for good; it is left out")
+	}).Error("The log permanently rejects a record of the state; it is left out")
 	t.recordsLeftOut.Store(true)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -491,7 +491,7 @@
 	short, cancel := context.WithTimeout(ctx, stuckAppendThreshold)
 	defer cancel()
 	if t.awaitDurable(short, r.Batch) {
-		if t.hasLeftOut(req.ID) {
+		if t.isLeftOut(req.ID) {
 			return Response{Outcome: dispatch.OutcomeRejected, Reason: "the log does not take the job"}
 		}
 		return t.durableResponse(ctx, r)
@@ -509,8 +509,8 @@
 	return t.durableResponse(ctx, r)
 }
 
-// hasLeftOut reports whether a submitted job is not in the log although its batch is durable.
-func (t *term) hasLeftOut(id string) bool {
+// isLeftOut reports whether a submitted job is not in the log although its batch is durable.
+func (t *term) isLeftOut(id string) bool {
 	if !t.recordsLeftOut.Load() {
 		return false
 	}
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -118,7 +118,7 @@
 		h.suspectLeader(claim, "the host does not lead", h.elector.RecordSuspicion)
 	case err == nil:
 		h.recordLeaderAnswer(claim, now)
-		h.recordReport(claim, now, r)
+		h.recordPingAnswer(claim, now, r)
 		if r.Manifest != nil {
 			h.applyManifest(r.Manifest, "leader")
 		}
@@ -150,12 +150,12 @@
 	h.leaderAnsweredAt = now
 }
 
-// recordReport records what the leader has reported in its answer to a ping that was sent at sentAt.
-func (h *Host) recordReport(claim leadership.Claim, sentAt time.Time, r PingResponse) {
+// recordPingAnswer records what the leader has reported in its answer to a ping that was sent at sentAt.
+func (h *Host) recordPingAnswer(claim leadership.Claim, sentAt time.Time, r PingResponse) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.elector.Claim().Offset == claim.Offset {
-		h.elector.RecordReport(h.clock.Now(), sentAt, r.Renewal)
+		h.elector.RecordPingAnswer(h.clock.Now(), sentAt, r.Renewal)
 		h.leaderStamp = max(h.leaderStamp, r.Stamp)
 	}
 }
--- a/internal/stream/ledger/ledger.go
+++ b/internal/stream/ledger/ledger.go
@@ -24,7 +24,7 @@
 	// ErrNotDone means that the log refused the call and it had no effect.
 	ErrNotDone = errors.New("ledger: the log refused the call")
 	// ErrRejected means that the log refused the call and always will, for instance because a record is too large.
-	ErrRejected = errors.New("ledger: the log refuses the call for good")
+	ErrRejected = errors.New("ledger: the log permanently rejects the call")
 	// ErrExpired means that the requested records are no longer retained.
 	ErrExpired = errors.New("ledger: records have expired")
 )
--- a/internal/stream/ledger/writer.go
+++ b/internal/stream/ledger/writer.go
@@ -32,7 +32,7 @@
 	callTimeout time.Duration
 	sleep       func(ctx context.Context, d time.Duration) error
 	onRetry     func(err error, try int)
-	// onReject is nil if a record that the log refuses for good makes Write fail.
+	// onReject is nil if a record that the log rejects permanently makes Write fail.
 	onReject func(r Record, err error)
 }
 
@@ -42,8 +42,8 @@
 // WithRetryHook sets a function that is called with the error and number of each failed try, numbered from 1.
 func WithRetryHook(fn func(err error, try int)) Option { return func(w *Writer) { w.onRetry = fn } }
 
-// WithRejectHook sets a function that is called with each record that the log refuses for good and its error. Write leaves
-// the record out and appends the others.
+// WithRejectHook sets a function that is called with each record that the log rejects permanently and its error. Write
+// leaves the record out and appends the others.
 func WithRejectHook(fn func(r Record, err error)) Option { return func(w *Writer) { w.onReject = fn } }
 
 // WithCallTimeout sets the timeout of one call to the log, by default CallTimeout.
@@ -85,7 +85,7 @@
 }
 
 // Write appends the records in order and returns once they are durable. It may need several appends, each of which is
-// atomic. It retries an append until the log accepts it or refuses it for good, so that Write fails only with
+// atomic. It retries an append until the log accepts or permanently rejects it, so that Write fails only with
 // ErrFenced, ErrSequence or ErrConflict, with ErrRejected if there is no reject hook, or when the context ends.
 func (w *Writer) Write(ctx context.Context, records []Record) error {
 	for len(records) > 0 {
@@ -110,7 +110,7 @@
 	}
 }
 
-// write appends the records with one append. If the log refuses that for good, it appends each half by itself, down to
+// write appends the records with one append. If the log permanently rejects that, it appends each half by itself, down to
 // the records that are at fault.
 func (w *Writer) write(ctx context.Context, records []Record) error {
 	written, err := w.appendUntilAnswered(ctx, w.newAppend(records))
@@ -131,7 +131,7 @@
 }
 
 // writeRejected appends a record that was rejected again, after the log has accepted an append without records: a log
-// that refuses everything for a while is not at fault for good.
+// that rejects everything for a while will accept the record later.
 func (w *Writer) writeRejected(ctx context.Context, r Record) error {
 	if err := w.Open(ctx); err != nil {
 		return err
@@ -151,7 +151,7 @@
 // End returns the offset after the last record that this writer has appended, 0 if there is none.
 func (w *Writer) End() int64 { return w.end }
 
-// appendUntilAnswered sends an append until the log accepts it or refuses it for good. The log gives a repeated append
+// appendUntilAnswered sends an append until the log accepts or permanently rejects it. The log gives a repeated append
 // the answer that it gave to the first.
 func (w *Writer) appendUntilAnswered(ctx context.Context, a Append) (OffsetRange, error) {
 	pause := minRetryDelay
--- a/internal/zone/dispatch/admission.go
+++ b/internal/zone/dispatch/admission.go
@@ -54,12 +54,12 @@
 	return nil
 }
 
-// admit refuses a job that can't be held, and one with a task for which no worker of the service has ever been large
+// admit refuses a job that exceeds a limit, and one with a task for which no worker of the service has ever been large
 // enough. The latter would wait until its caller gives up. A job that is too large only for the present capacities waits
 // until one has grown again: it keeps its turn, while a refused caller would have to guess that moment. It returns the
 // refusal and true, or false if the job is admitted.
 func (s *Scheduler) admit(j *Job) (Reply, bool) {
-	if reply, rejected := s.rejectUnholdable(j); rejected {
+	if reply, rejected := s.rejectOversized(j); rejected {
 		return reply, true
 	}
 	if reply, refused := s.refuseOverload(j); refused {
--- a/internal/zone/dispatch/bounds.go
+++ b/internal/zone/dispatch/bounds.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// The progress of a job is one record of the log, whose size is limited, and all open tasks are held in the memory of the
-// leader. A job opens only as many due occurrences at once as fit into both, the others follow as these end. A job that
-// can't be held that way is rejected when it is submitted.
+// The progress of a job is one record of the log, whose size is limited, and all open tasks are in the memory of the
+// leader. A job opens only as many due occurrences at once as fit into both, the others follow as these end. A job of which
+// not even one fits is rejected when it is submitted.
 
 const (
 	// maxOpenTasks is the largest number of open tasks of one job.
@@ -35,19 +35,20 @@
 	dependencyBytes = 9
 )
 
-// demand is what open occurrences take.
-type demand struct {
+// footprint is what open occurrences take.
+type footprint struct {
+	// tasks is the number of their tasks.
 	tasks int
 	// progress is the size of their progress in bytes.
 	progress int
 }
 
-// times returns the demand of n times as many occurrences.
-func (d demand) times(n int) demand { return demand{d.tasks * n, d.progress * n} }
+// times returns the footprint of n times as many occurrences.
+func (d footprint) times(n int) footprint { return footprint{d.tasks * n, d.progress * n} }
 
-// occurrenceDemand returns the largest demand of one occurrence of the job.
-func (j *Job) occurrenceDemand() demand {
-	d := demand{progress: occurrenceBytes}
+// occurrenceFootprint returns the largest footprint of one occurrence of the job.
+func (j *Job) occurrenceFootprint() footprint {
+	d := footprint{progress: occurrenceBytes}
 	for i := range j.spec.Steps {
 		step := &j.spec.Steps[i]
 		failures := min(j.maxAttempts-1, maxCountedFailures)
@@ -60,25 +61,24 @@
 	return d
 }
 
-// canHold reports whether a job may hold occurrences with the demand open at once.
-func (s *Scheduler) canHold(d demand) bool {
+// fitsLimits reports whether a job may have occurrences with the footprint open at once.
+func (s *Scheduler) fitsLimits(d footprint) bool {
 	return d.tasks <= maxOpenTasks && (s.limits.MaxRecord == 0 || recordBytes+d.progress <= s.limits.MaxRecord)
 }
 
-// mayOpen reports whether the job may have another occurrence open beside the present ones. One is always allowed.
-func (s *Scheduler) mayOpen(j *Job) bool {
+// mayOpenOccurrence reports whether the job may have another occurrence open beside the present ones. One is always allowed.
+func (s *Scheduler) mayOpenOccurrence(j *Job) bool {
 	open := len(j.openOccurrences)
 	if open == 0 {
 		return true
 	}
-	d := j.occurrenceDemand()
-	return s.canHold(d.times(open+1)) && (s.limits.MaxTasks == 0 || s.heldTasks+d.tasks <= s.limits.MaxTasks)
+	d := j.occurrenceFootprint()
+	return s.fitsLimits(d.times(open+1)) && (s.limits.MaxTasks == 0 || s.taskCount+d.tasks <= s.limits.MaxTasks)
 }
 
-// rejectUnholdable rejects a job that can't be held whatever else there is, with the reason. It returns false if the job
-// can be held.
-func (s *Scheduler) rejectUnholdable(j *Job) (Reply, bool) {
-	d := j.occurrenceDemand()
+// rejectOversized rejects a job that exceeds a limit by itself, with the reason. It returns false if the job exceeds none.
+func (s *Scheduler) rejectOversized(j *Job) (Reply, bool) {
+	d := j.occurrenceFootprint()
 	occurrences := "an occurrence"
 	if j.spec.HasLongRunning() {
 		// No occurrence ever ends.
@@ -89,11 +89,11 @@
 	switch {
 	case s.limits.MaxRecord > 0 && size > s.limits.MaxRecord:
 		return reject("the specification takes up to %d bytes of the log, at most %d are allowed", size, s.limits.MaxRecord)
-	case !s.canHold(d):
-		return reject("%s of %d tasks and up to %d bytes of progress can't be held, at most %d and %d can",
+	case !s.fitsLimits(d):
+		return reject("%s of %d tasks and up to %d bytes of progress, at most %d and %d are allowed",
 			occurrences, d.tasks, d.progress, maxOpenTasks, s.limits.MaxRecord-recordBytes)
 	case s.limits.MaxTasks > 0 && d.tasks > s.limits.MaxTasks:
-		return reject("%s of %d tasks can't be held, at most %d can", occurrences, d.tasks, s.limits.MaxTasks)
+		return reject("%s of %d tasks, at most %d are allowed", occurrences, d.tasks, s.limits.MaxTasks)
 	}
 	return Reply{}, false
 }
@@ -105,7 +105,7 @@
 
 // refuseOverload refuses a job for which there is no memory at present. It returns false if there is.
 func (s *Scheduler) refuseOverload(j *Job) (Reply, bool) {
-	if s.limits.MaxTasks == 0 || s.heldTasks+j.occurrenceDemand().tasks <= s.limits.MaxTasks {
+	if s.limits.MaxTasks == 0 || s.taskCount+j.occurrenceFootprint().tasks <= s.limits.MaxTasks {
 		return Reply{}, false
 	}
 	return Reply{Outcome: OutcomeRefused, RetryAfter: overloadRetryAfter, Reason: "too many tasks are open"}, true
@@ -121,8 +121,8 @@
 	return n
 }
 
-// heldBy returns the number of the job's tasks that are held in memory.
-func (j *Job) heldBy() int {
+// taskCount returns the number of the job's tasks in memory.
+func (j *Job) taskCount() int {
 	n := 0
 	for _, o := range j.openOccurrences {
 		n += o.taskCount()
@@ -141,12 +141,12 @@
 
 // removeJob forgets a job with all its tasks.
 func (s *Scheduler) removeJob(j *Job) {
-	s.heldTasks -= j.heldBy()
+	s.taskCount -= j.taskCount()
 	delete(s.jobs, j.id)
 	delete(s.recurring, j)
 }
 
-// RejectRecord handles a record of a batch that the log will never take. It must be called before the batch is marked as
+// RejectRecord handles a record of a batch that the log rejects permanently. It must be called before the batch is marked as
 // committed. A job whose specification can't be stored was never accepted; one whose progress can't be stored fails.
 func (s *Scheduler) RejectRecord(now time.Time, key string) {
 	if id, ok := cutPrefix(key, prefixJob); ok {
--- a/internal/zone/dispatch/bounds_test.go
+++ b/internal/zone/dispatch/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -77,8 +78,8 @@
 				t.Fatalf("record %s has %d bytes, more than the %d that the log takes", r.Key, n, testMaxRecord)
 			}
 		}
-		if s.heldTasks > maxOpenTasks {
-			t.Fatalf("one job holds %d open tasks, more than %d", s.heldTasks, maxOpenTasks)
+		if s.taskCount > maxOpenTasks {
+			t.Fatalf("one job has %d open tasks, more than %d", s.taskCount, maxOpenTasks)
 		}
 	})
 }
@@ -96,7 +97,7 @@
 		now, rng := simEpoch, rand.New(rand.NewPCG(1, 1))
 		for round := 0; !j.isFinal(); round++ {
 			So(round, ShouldBeLessThan, 10*occurrences)
-			So(s.heldTasks, ShouldBeBetweenOrEqual, 1, room)
+			So(s.taskCount, ShouldBeBetweenOrEqual, 1, room)
 			for index, o := range j.openOccurrences {
 				seen[index] = true
 				if rng.IntN(2) == 0 {
@@ -110,13 +111,13 @@
 		}
 		So(j.finalState, ShouldEqual, StateCompleted)
 		So(seen, ShouldHaveLength, occurrences)
-		So(s.heldTasks, ShouldEqual, 0)
+		So(s.taskCount, ShouldEqual, 0)
 	})
 }
 
-// TestUnholdableJobIsRejected guards against a job that is accepted although it can never be held, and against a caller
-// that is told to try such a job again.
-func TestUnholdableJobIsRejected(t *testing.T) {
+// TestOversizedJobIsRejected guards against a job that is accepted although it exceeds a limit by itself, and against a
+// caller that is told to try such a job again.
+func TestOversizedJobIsRejected(t *testing.T) {
 	Convey("A leader whose log takes records of 256 KiB", t, func() {
 		s := newBoundedScheduler(3, testMaxRecord, 100000)
 		rejects := func(spec workflow.Spec, reason string) {
@@ -124,7 +125,7 @@
 			So(r.Outcome, ShouldEqual, OutcomeRejected)
 			So(r.Reason, ShouldContainSubstring, reason)
 			So(s.HasJob(jobID(1)), ShouldBeFalse)
-			So(s.heldTasks, ShouldEqual, 0)
+			So(s.taskCount, ShouldEqual, 0)
 		}
 		many := func(n int) []workflow.Step {
 			steps := make([]workflow.Step, n)
@@ -133,7 +134,7 @@
 			}
 			return steps
 		}
-		Convey("rejects a job with more open tasks than it holds", func() {
+		Convey("rejects a job with more open tasks than are allowed", func() {
 			rejects(workflow.Spec{Steps: many(3)}, "30000 tasks")
 		})
 		Convey("rejects a job whose failures may not fit into a record", func() {
@@ -216,7 +217,7 @@
 // TestRejectedRecord guards against a job that counts as accepted although the log did not take its specification, and
 // against one that goes on although its progress can't be stored.
 func TestRejectedRecord(t *testing.T) {
-	Convey("The log refuses a record of a job for good", t, func() {
+	Convey("The log permanently rejects a record of a job", t, func() {
 		s := newBoundedScheduler(2, 0, 0)
 		answer(s, simEpoch, "w")
 		commitAll(s)
@@ -238,3 +239,25 @@
 		})
 	})
 }
+
+// BenchmarkTaskMemory measures the heap of an open task, in bytes, of jobs with one task and with sixteen.
+func BenchmarkTaskMemory(b *testing.B) {
+	const tasks = 20000
+	for _, width := range []int{1, 16} {
+		b.Run(strconv.Itoa(width), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				s := newBoundedScheduler(2, 0, 0)
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				for i := range tasks / width {
+					submitSpec(s, i, workflow.Spec{Payload: "x", Steps: []workflow.Step{newStep(width, 1, time.Second)}})
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(s)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/tasks, "B/task")
+		})
+	}
+}
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -99,8 +99,8 @@
 	runNumberBase int
 
 	jobs map[string]*Job
-	// heldTasks is the number of tasks of all jobs that are held in memory.
-	heldTasks int
+	// taskCount is the number of tasks of all jobs in memory.
+	taskCount int
 	workers   map[string]*Worker
 	// byService lists the workers of each service, ordered by ID, byAddress those that are listed at each address.
 	byService, byAddress map[string][]*Worker
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -226,7 +226,7 @@
 		return
 	}
 	wallNow := j.acceptedWall.Add(now.Sub(j.acceptedAt))
-	for j.nextOccurrence < j.spec.OccurrenceCount && !wallNow.Before(j.spec.DueTime(j.nextOccurrence)) && s.mayOpen(j) {
+	for j.nextOccurrence < j.spec.OccurrenceCount && !wallNow.Before(j.spec.DueTime(j.nextOccurrence)) && s.mayOpenOccurrence(j) {
 		s.addOccurrence(now, j, j.nextOccurrence)
 	}
 	if j.nextOccurrence < j.spec.OccurrenceCount {
@@ -254,7 +254,7 @@
 		o.stages = append(o.stages, st)
 	}
 	j.openOccurrences[index] = o
-	s.heldTasks += o.taskCount()
+	s.taskCount += o.taskCount()
 	j.nextOccurrence = max(j.nextOccurrence, index+1)
 	for _, st := range o.stages {
 		s.addReady(st)
@@ -411,7 +411,7 @@
 		return
 	}
 	delete(o.job.openOccurrences, o.index)
-	s.heldTasks -= o.taskCount()
+	s.taskCount -= o.taskCount()
 	j := o.job
 	if len(j.openOccurrences) == 0 && j.nextOccurrence >= j.spec.Occurrences() && !j.isFinal() {
 		s.close(now, j, StateCompleted)
--- a/internal/zone/leadership/leadership.go
+++ b/internal/zone/leadership/leadership.go
@@ -36,14 +36,14 @@
 	claimRetryInterval = 300 * time.Millisecond
 )
 
-// A leader may go on for a while although the store does not answer it, as long as it does not answer the other hosts
-// either. It counts on the hosts from which it has heard lately. Any other host that claims allows for the orders that the
-// leader may give until MaxOutage.
+// A leader may go on for a while although the store does not answer it, as long as it does not answer the active members
+// either: the hosts that have pinged the leader lately. Any other host that claims allows for the orders that the leader
+// may give until MaxOutage.
 const (
 	// MaxOutage is the longest time for which a leader gives orders without an answer from the store.
 	MaxOutage = 30 * time.Second
-	// ForgetAfter is how long before its last renewal a leader must have heard from a host to count on it.
-	ForgetAfter = 10 * time.Second
+	// MemberTimeout is how long before a leader's last renewal a host must have pinged it to be an active member.
+	MemberTimeout = 10 * time.Second
 	// clockMargin is how much longer a host waits than another counts on. It covers clocks of different rates.
 	clockMargin = 100 * time.Millisecond
 )
@@ -96,9 +96,9 @@
 	// answeredAt is when the leader last answered, or else when its claim was seen. pingedAt is when a leader was last
 	// pinged.
 	answeredAt, pingedAt time.Time
-	// heardAt is when the newest ping was sent that the leader has answered under the present claim, the zero time if there
+	// reachedAt is when the newest ping was sent that the leader has answered under the present claim, the zero time if there
 	// is none.
-	heardAt time.Time
+	reachedAt time.Time
 	// vacantSince is when the leadership certainly became vacant, zero while it is not.
 	vacantSince time.Time
 	// suspectedSince and suspectedAt are when the leader was first and last suspected to have ended, with no answer in
@@ -110,12 +110,12 @@
 	renewalSeenAt time.Time
 	// renewalReadAt is when the renewals were last read.
 	renewalReadAt time.Time
-	// predecessor is the claim before the present one. predecessorEndedAt, predecessorRenewedAt, predecessorHeardAt and
-	// predecessorRenewal are vacantSince, renewalSeenAt, heardAt and renewal of its leader, as they were when the present
+	// predecessor is the claim before the present one. predecessorEndedAt, predecessorRenewedAt, predecessorReachedAt and
+	// predecessorRenewal are vacantSince, renewalSeenAt, reachedAt and renewal of its leader, as they were when the present
 	// claim was seen.
 	predecessor                              Claim
 	predecessorEndedAt, predecessorRenewedAt time.Time
-	predecessorHeardAt                       time.Time
+	predecessorReachedAt                     time.Time
 	predecessorRenewal                       int64
 	// claimedAt is when this host last sent a claim.
 	claimedAt time.Time
@@ -142,8 +142,8 @@
 // PredecessorEnd returns the time after which the leader before the present one certainly gives no more orders: when it
 // was certain to have ended, or else maxUnconfirmedTerm after its last renewal was first seen or reported. The newest
 // renewal is that in the log after the leader was fenced, -1 if it is not known, and 0 if the leader has written none. If
-// it is not the last that was seen, the leader may have confirmed its term until now. A leader that may not have counted
-// on this host may go on for MaxOutage.
+// it is not the last that was seen, the leader may have confirmed its term until now. A leader of which this host may not
+// have been an active member may go on for MaxOutage.
 func (e *Elector) PredecessorEnd(now time.Time, maxUnconfirmedTerm time.Duration, newestRenewal int64) time.Time {
 	if !e.predecessorEndedAt.IsZero() {
 		return e.predecessorEndedAt
@@ -152,7 +152,7 @@
 	if renewedAt.IsZero() || newestRenewal <= 0 || newestRenewal != e.predecessorRenewal {
 		renewedAt = now
 	}
-	if e.predecessorHeardAt.Before(renewedAt.Add(clockMargin - ForgetAfter)) {
+	if e.predecessorReachedAt.Before(renewedAt.Add(clockMargin - MemberTimeout)) {
 		return renewedAt.Add(MaxOutage + clockMargin)
 	}
 	return renewedAt.Add(maxUnconfirmedTerm)
@@ -182,9 +182,9 @@
 	}
 	e.predecessor = e.claim
 	e.predecessorEndedAt, e.predecessorRenewedAt, e.predecessorRenewal = e.vacantSince, e.renewalSeenAt, e.renewal
-	e.predecessorHeardAt = e.heardAt
+	e.predecessorReachedAt = e.reachedAt
 	e.claim = c
-	e.heardAt = time.Time{}
+	e.reachedAt = time.Time{}
 	e.answeredAt, e.vacantSince = now, time.Time{}
 	e.suspectedSince, e.suspectedAt = time.Time{}, time.Time{}
 	e.renewal, e.renewalSeenAt, e.renewalReadAt = -1, now, time.Time{}
@@ -218,7 +218,7 @@
 // RecordRefusal records that no process seems to listen at the address of the leader with the claim at the offset. That is
 // a sign of its end if it has answered a ping before. A host that never reached the leader may be cut off from it.
 func (e *Elector) RecordRefusal(now time.Time, offset int64) {
-	if !e.heardAt.IsZero() {
+	if !e.reachedAt.IsZero() {
 		e.RecordSuspicion(now, offset)
 	}
 }
@@ -240,11 +240,11 @@
 // RecordSilence records that the leader has left a ping unanswered, which is no sign that it has ended.
 func (e *Elector) RecordSilence() { e.suspectedSince, e.suspectedAt = time.Time{}, time.Time{} }
 
-// RecordReport records the leader's answer to a ping that was sent at the given time, with its newest renewal, 0 if there
+// RecordPingAnswer records the leader's answer to a ping that was sent at the given time, with its newest renewal, 0 if there
 // is none. The leader was alive then, so that a renewal counts as seen at this time.
-func (e *Elector) RecordReport(now, sentAt time.Time, renewal int64) {
-	if sentAt.After(e.heardAt) {
-		e.heardAt = sentAt
+func (e *Elector) RecordPingAnswer(now, sentAt time.Time, renewal int64) {
+	if sentAt.After(e.reachedAt) {
+		e.reachedAt = sentAt
 	}
 	if renewal > 0 {
 		e.renewal, e.renewalSeenAt = max(e.renewal, renewal), now
--- a/internal/zone/leadership/leadership_test.go
+++ b/internal/zone/leadership/leadership_test.go
@@ -78,7 +78,7 @@
 				renews := func(now time.Time) bool { return now.Sub(start) <= loss }
 				answers := func(now time.Time) bool {
 					if renews(now) {
-						e.RecordReport(now, now, 1+int64(now.Sub(start)/RenewInterval))
+						e.RecordPingAnswer(now, now, 1+int64(now.Sub(start)/RenewInterval))
 					}
 					return renews(now)
 				}
@@ -175,7 +175,7 @@
 		const maxUnconfirmed = 2500 * time.Millisecond
 		e := newFollower(start)
 		e.RecordAnswer(start, start, 4)
-		e.RecordReport(start, start, 0)
+		e.RecordPingAnswer(start, start, 0)
 		e.RecordRenewal(start, 7)
 		claimedAt := start.Add(1200 * time.Millisecond)
 		e.ObserveClaim(claimedAt, Claim{Offset: 5, Name: "me", Instance: "me"})
@@ -205,8 +205,8 @@
 	Convey("A host that the leader had not heard of for long allows for orders as long as any outage lasts", t, func() {
 		e := newFollower(start)
 		e.RecordAnswer(start, start, 4)
-		e.RecordReport(start, start, 0)
-		renewedAt := start.Add(ForgetAfter)
+		e.RecordPingAnswer(start, start, 0)
+		renewedAt := start.Add(MemberTimeout)
 		e.RecordRenewal(renewedAt, 8)
 		e.ObserveClaim(renewedAt.Add(time.Second), mine)
 		So(e.PredecessorEnd(renewedAt.Add(time.Second), maxUnconfirmed, 8), ShouldHappenAfter, renewedAt.Add(MaxOutage))
@@ -219,8 +219,8 @@
 	Convey("A host that the leader has answered shortly before its last renewal does not", t, func() {
 		e := newFollower(start)
 		e.RecordAnswer(start, start, 4)
-		e.RecordReport(start, start, 0)
-		renewedAt := start.Add(ForgetAfter / 2)
+		e.RecordPingAnswer(start, start, 0)
+		renewedAt := start.Add(MemberTimeout / 2)
 		e.RecordRenewal(renewedAt, 8)
 		e.ObserveClaim(renewedAt.Add(time.Second), mine)
 		So(e.PredecessorEnd(renewedAt.Add(time.Second), maxUnconfirmed, 8), ShouldEqual, renewedAt.Add(maxUnconfirmed))
@@ -234,7 +234,7 @@
 		const maxUnconfirmed = 2500 * time.Millisecond
 		e := newFollower(start)
 		e.RecordAnswer(start, start, 4)
-		e.RecordReport(start, start, 7)
+		e.RecordPingAnswer(start, start, 7)
 		refusedAt := start.Add(400 * time.Millisecond)
 		e.RecordPing(refusedAt)
 		e.RecordRefusal(refusedAt, 4)
@@ -261,7 +261,7 @@
 	Convey("A host is refused by the leader and can't claim for twelve seconds", t, func() {
 		e := newFollower(start)
 		e.RecordAnswer(start, start, 4)
-		e.RecordReport(start, start, 0)
+		e.RecordPingAnswer(start, start, 0)
 		e.RecordPing(start)
 		e.RecordRefusal(start, 4)
 		e.RecordClaim(start)
