Deliver a call to the stand-in worker as one message

Cause: the link of the tests started each call twice, once to count it and once more within RunCall. A worker that restarts between the two has executed the call and then refuses it, which the host reads, as it should, as 'will never start'. It starts the next attempt elsewhere.

RunCall is split, so that the link starts a call and then waits for it. The test now logs what reached the workers when a key was executed twice.

--- a/internal/host/node/platform_test.go
+++ b/internal/host/node/platform_test.go
@@ -63,6 +63,9 @@
 	executed map[int]int
 	lastTag  int
 	starts   []taskStart
+	// deliveries describes, by request, the calls that reached a worker and their results. They are logged with a request
+	// that was executed twice.
+	deliveries map[string][]string
 	// lastCallAt holds, by worker, when it last started to execute a call.
 	lastCallAt map[string]time.Time
 }
@@ -87,7 +90,7 @@
 		t: t, log: standinlog.New(), hosts: standinhosts.New(nil, testHostListLag, nil),
 		recorder: backend.NewExecutionRecorder(), logger: logrus.New(), closed: make(chan struct{}),
 		workers: map[string]*backend.Worker{}, zones: map[string]string{},
-		executed: map[int]int{}, lastCallAt: map[string]time.Time{},
+		executed: map[int]int{}, lastCallAt: map[string]time.Time{}, deliveries: map[string][]string{},
 	}
 	p.logger.SetOutput(io.Discard)
 	if os.Getenv("FAULTS_LOG") != "" {
--- a/internal/host/node/verify_test.go
+++ b/internal/host/node/verify_test.go
@@ -166,6 +166,11 @@
 	for _, r := range p.recorder.RepeatedRequests() {
 		if len(r) > 14 && r[14] == '7' {
 			p.t.Errorf("key %s was executed %d times, want at most 1", r, p.recorder.Executions(r))
+			p.mu.Lock()
+			for _, d := range p.deliveries[r] {
+				p.t.Log("delivered " + d)
+			}
+			p.mu.Unlock()
 		}
 	}
 }
--- a/internal/host/node/worker_test.go
+++ b/internal/host/node/worker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -112,10 +113,13 @@
 func (l fleetLink) Call(ctx context.Context, addr string, c fleet.Call) (fleet.Answer, error) {
 	run := func(w *backend.Worker) (fleet.Answer, error) {
 		if err := w.StartCall(c); err != nil {
+			l.platform.recordDelivery(addr, c, err)
 			return fleet.Answer{}, err
 		}
 		l.platform.recordCall(addr, c)
-		return w.RunCall(context.Background(), c)
+		a, err := w.AwaitCall(context.Background(), c)
+		l.platform.recordDelivery(addr, c, err)
+		return a, err
 	}
 	if f, err := l.awaitUnpaused(); err == nil && f.DuplicateCalls {
 		go func() { _, _ = deliver(ctx, l, addr, run) }()
@@ -138,6 +142,14 @@
 	p.lastCallAt[worker] = time.Now()
 }
 
+// recordDelivery records the result of a call that reached a worker.
+func (p *testPlatform) recordDelivery(worker string, c fleet.Call, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deliveries[c.Request] = append(p.deliveries[c.Request],
+		fmt.Sprintf("%s attempt %d at %s, %+v: %v", time.Now().Format("05.000"), c.Attempt, worker, c.Fence, err))
+}
+
 func (p *testPlatform) recordStart(worker string, r fleet.StartRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/standin/backend/call.go
+++ b/internal/standin/backend/call.go
@@ -97,12 +97,17 @@
 	return w.callStatus(callKey{request: request, attempt: attempt}), nil
 }
 
-// RunCall starts a call and waits in real time for its answer. It returns the errors of StartCall, ErrCallLost if the
-// worker restarts meanwhile, and the error of the context, wrapped, if that ends first; the call then goes on.
+// RunCall starts a call and waits for its answer. It returns the errors of StartCall and AwaitCall.
 func (w *Worker) RunCall(ctx context.Context, m fleet.Call) (fleet.Answer, error) {
 	if err := w.StartCall(m); err != nil {
 		return fleet.Answer{}, err
 	}
+	return w.AwaitCall(ctx, m)
+}
+
+// AwaitCall waits in real time for the answer to a call that StartCall has started. It returns ErrCallLost, wrapped, if the
+// worker has restarted since, and the error of the context, wrapped, if that ends first; the call then goes on.
+func (w *Worker) AwaitCall(ctx context.Context, m fleet.Call) (fleet.Answer, error) {
 	k := callKey{request: m.Request, attempt: m.Attempt}
 	for {
 		w.mu.Lock()
--- a/internal/standin/backend/worker_test.go
+++ b/internal/standin/backend/worker_test.go
@@ -191,6 +191,28 @@
 	})
 }
 
+// TestCallLostInRestart guards against a call that is reported as refused although it was started before the worker
+// restarted, so that its sender would start it elsewhere.
+func TestCallLostInRestart(t *testing.T) {
+	Convey("A worker restarts after the start of a call", t, func() {
+		w := newTestWorker()
+		f, err := w.acquireLease("a")
+		So(err, ShouldBeNil)
+		m := fleet.Call{Fence: f, Request: "q", Attempt: 1}
+		So(w.StartCall(m), ShouldBeNil)
+		w.Restart()
+		Convey("its sender, who waits for the answer, learns that the call was lost", func() {
+			_, err := w.AwaitCall(t.Context(), m)
+			So(errors.Is(err, ErrCallLost), ShouldBeTrue)
+			So(errors.Is(err, fleet.ErrRefused), ShouldBeFalse)
+		})
+		Convey("the same call of another sender is refused", func() {
+			_, err := w.RunCall(t.Context(), m)
+			So(errors.Is(err, fleet.ErrRefused), ShouldBeTrue)
+		})
+	})
+}
+
 // TestNeverBeyondCapacity guards against a worker that exceeds its capacity or slots, or that runs an attempt or a call
 // twice, for random sequences of messages.
 func TestNeverBeyondCapacity(t *testing.T) {
