Record the worker of each long-running task before its start

Ruled out: leases of ten seconds (they last six), the lack of room (31 to 90 workers free), a wrong end of the leader before (the terms end as planned).

The worker of each start of a long-running task is now in the log before its order is sent, and the next leader waits for that worker only. If it has more ends to list, the task waits for them. Jobs that were accepted in a term before the first of consecutive terms that record workers wait for all, as do short tasks. A run that is not ordered yet is not blamed for a crash of its worker. A start on the same worker as before needs no new record.

Tests that count starts at one moment now commit between the decision and the start (recordedStartsOf); their times and counts are unchanged.

--- a/internal/zone/dispatch/crash.go
+++ b/internal/zone/dispatch/crash.go
@@ -193,6 +193,8 @@
 func (s *Scheduler) culprits(w *Worker) (fresh, late []*run) {
 	for _, r := range s.runsOf(w) {
 		switch {
+		case r.awaitsRecord:
+			// It was not started yet.
 		case s.isFresh(r):
 			fresh = append(fresh, r)
 		case !r.hasLasted(lateSurvivalPeriod):
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -22,6 +22,7 @@
 	s.refreshLeaseRecord(now)
 	s.judgeLapses(now)
 	s.sendStops(now)
+	s.sendRecordedStarts(now)
 	for j := range s.recurring {
 		s.openDueOccurrences(now.Add(s.limits.MaxEarlyStart/2), j)
 	}
@@ -160,7 +161,7 @@
 			st.waitReason = waitUnconfirmed
 			continue
 		}
-		if j.restored && !s.allWorkersAccounted() {
+		if j.restored && !s.allWorkersAccounted() && !s.hasStartableTask(st) {
 			st.waitReason = waitUnaccounted
 			continue
 		}
@@ -201,6 +202,10 @@
 		if !t.queued || t.isOverdue(now) || s.suspectOf(t) != nil {
 			continue
 		}
+		if s.mayRunUnaccounted(t) {
+			st.waitReason = waitUnaccounted
+			continue
+		}
 		if now.Before(t.notBefore) {
 			st.waitReason = waitPause
 			continue
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -129,6 +129,8 @@
 	reclaimedAt time.Time
 
 	orders []Order
+	// recordedStarts lists the runs whose start waits for the record of their worker.
+	recordedStarts []*run
 	// stops lists the orders to stop runs whose ends have not been listed yet.
 	stops []*stop
 	// restoredStops holds the stops of earlier leaders, by worker, until the worker has reported.
@@ -136,8 +138,8 @@
 	// halted is set while the leader may not give orders.
 	halted bool
 	// unaccounted holds the workers on which an earlier leader may have left tasks and from which this term has had no
-	// report, each with the time from which its leases have certainly lapsed. Restored tasks don't start until it and
-	// backlogged are empty.
+	// report, each with the time from which its leases have certainly lapsed. Restored tasks without a record of their
+	// worker don't start until it and backlogged are empty.
 	unaccounted map[string]time.Time
 	// backlogged holds the workers on which an earlier leader may have left tasks and that have more ends to list.
 	backlogged map[*Worker]struct{}
@@ -154,6 +156,9 @@
 	// record.
 	silentInRecord   map[*Worker]struct{}
 	leasesRecordedAt time.Time
+	// placementsSince is the fencing token of the first of the consecutive terms, up to this one, that recorded the workers
+	// of long-running tasks.
+	placementsSince int64
 	// handingOver is set once a planned end of the term is being prepared.
 	handingOver bool
 
@@ -178,23 +183,24 @@
 // the terms from 1.
 func New(limits Limits, token int64, serial int) *Scheduler {
 	return &Scheduler{
-		limits:        limits,
-		token:         token,
-		runNumberBase: max(0, serial-1) * runNumbersPerTerm,
-		keptQueues:    map[string]Queue{},
-		jobs:          map[string]*Job{},
-		workers:       map[string]*Worker{},
-		byService:     map[string][]*Worker{},
-		byAddress:     map[string][]*Worker{},
-		capacities:    map[string][]fleet.Size{},
-		silent:        map[*Worker]struct{}{},
-		recurring:     map[*Job]struct{}{},
-		unaccounted:   map[string]time.Time{},
-		backlogged:    map[*Worker]struct{}{},
-		restoredStops: map[string]stopsRecord{},
-		journal:       newJournal(),
-		suspects:      map[*task]*suspicion{},
-		lapses:        map[bootID]*lapse{},
+		limits:          limits,
+		token:           token,
+		placementsSince: 1,
+		runNumberBase:   max(0, serial-1) * runNumbersPerTerm,
+		keptQueues:      map[string]Queue{},
+		jobs:            map[string]*Job{},
+		workers:         map[string]*Worker{},
+		byService:       map[string][]*Worker{},
+		byAddress:       map[string][]*Worker{},
+		capacities:      map[string][]fleet.Size{},
+		silent:          map[*Worker]struct{}{},
+		recurring:       map[*Job]struct{}{},
+		unaccounted:     map[string]time.Time{},
+		backlogged:      map[*Worker]struct{}{},
+		restoredStops:   map[string]stopsRecord{},
+		journal:         newJournal(),
+		suspects:        map[*task]*suspicion{},
+		lapses:          map[bootID]*lapse{},
 
 		interference: newInterferenceModel(),
 	}
--- a/internal/zone/dispatch/health_test.go
+++ b/internal/zone/dispatch/health_test.go
@@ -50,8 +50,10 @@
 
 // start has the worker carry out all starts that are due, and returns their number.
 func (sc *suspectScenario) start() int {
+	orders := sc.s.Decide(sc.now, sc.now)
+	commitAll(sc.s)
 	n := 0
-	for _, o := range sc.s.Decide(sc.now, sc.now) {
+	for _, o := range append(orders, sc.s.Decide(sc.now, sc.now)...) {
 		if o.Kind == OrderStart {
 			n++
 			sc.s.HandleStartAnswer(sc.now, o, AnswerDone, 1000+sc.now.Sub(simEpoch).Milliseconds())
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -51,6 +51,8 @@
 	endedAt    time.Time
 	// acceptedBatch and finalBatch are the batches whose commit makes the acceptance and the final state durable.
 	acceptedBatch, finalBatch BatchID
+	// acceptedTerm is the fencing token of the term that accepted the job, 0 if it was not recorded.
+	acceptedTerm int64
 	// dirty is set while the job has changes that were not put into a batch.
 	dirty bool
 	// stored is set once the specification was handed to the log.
@@ -125,6 +127,10 @@
 	// runs holds the runs that have not ended yet. Only a speculative task has more than one.
 	runs       []*run
 	checkpoint string
+	// placedOn is the ID of the worker that the record of the task's placement names, empty if there is no record.
+	// placedBatch is the batch with that record.
+	placedOn    string
+	placedBatch BatchID
 	// avoidWorker is the worker on which the last run failed.
 	avoidWorker string
 	// notBefore is the earliest time of the next start, set after failures and some refusals.
@@ -194,6 +200,7 @@
 		return Reply{Outcome: OutcomeUnknownQueue}
 	}
 	j := s.newJob(r.ID, r.Queue, r.Spec, now, r.WallTime)
+	j.acceptedTerm = s.token
 	s.applyQueue(j)
 	if refusal, refused := s.admit(j); refused {
 		s.recordEvent(Event{Kind: "refuse", Job: r.ID, Reason: refusal.Reason})
--- a/internal/zone/dispatch/lease_record.go
+++ b/internal/zone/dispatch/lease_record.go
@@ -28,6 +28,9 @@
 	Longest int64
 	// Earlier is the time after which all leases of earlier terms have certainly lapsed.
 	Earlier int64
+	// Placements is the fencing token of the first of the consecutive terms, up to this one, that recorded the workers of
+	// long-running tasks.
+	Placements int64
 	// Silent lists the workers that don't answer, ordered by ID. Theirs have lapsed at the times given there, if these are
 	// earlier.
 	Silent []silentLeases
@@ -82,6 +85,7 @@
 	s.leasesRecordedAt = at
 	rec := leaseRecord{
 		Token: s.token, Longest: s.grantedLease().Milliseconds(), Earlier: ceilMillis(s.earlierLeasesUntil.Sub(at)),
+		Placements: s.placementsSince,
 	}
 	silent := map[*Worker]struct{}{}
 	for _, w := range s.workers {
@@ -152,8 +156,12 @@
 		}
 	}
 	longest := s.limits.MaxLease
+	s.placementsSince = s.token
 	if isKnown := rec.Token == s.token-1 && rec.Longest > 0; isKnown {
 		longest = min(longest, time.Duration(rec.Longest)*time.Millisecond)
+		if rec.Placements > 0 {
+			s.placementsSince = rec.Placements
+		}
 	} else {
 		// The leader before may never have begun its term, and have left the one before that unfenced until now.
 		rec = leaseRecord{}
--- a/internal/zone/dispatch/lease_test.go
+++ b/internal/zone/dispatch/lease_test.go
@@ -34,6 +34,8 @@
 	submitStep(s, now, 1, step)
 	log = map[string]Record{}
 	commitTo(s, log)
+	s.Decide(now, now)
+	commitTo(s, log)
 	start = s.Decide(now, now)[0]
 	s.HandleStartAnswer(now, start, AnswerDone, 1000)
 	return s, start, log
@@ -85,7 +87,7 @@
 		Convey("its long-running task starts on another one within nine seconds", func() {
 			for now := leftAt; ; now = now.Add(50 * time.Millisecond) {
 				So(now.Sub(leftAt), ShouldBeLessThan, maxLongRunningWait)
-				if startsOf(s, now) > 0 {
+				if recordedStartsOf(s, now) > 0 {
 					break
 				}
 			}
@@ -98,7 +100,7 @@
 	for at := now; ; at = at.Add(50 * time.Millisecond) {
 		answer(s, at, otherWorker(start))
 		commitAll(s)
-		if startsOf(s, at) > 0 || at.Sub(now) > time.Minute {
+		if recordedStartsOf(s, at) > 0 || at.Sub(now) > time.Minute {
 			return at.Sub(now)
 		}
 	}
@@ -235,7 +237,7 @@
 		}
 		unlist := func(ms int) { s.DropWorker(at(ms), start.Worker) }
 		fail := func(ms int, closed bool) { s.HandleRenewalFailure(at(ms), start.Worker, closed) }
-		starts := func(ms int) int { return startsOf(s, at(ms)) }
+		starts := func(ms int) int { return recordedStartsOf(s, at(ms)) }
 		Convey("and drains, closes a connection, opens none and is removed from the list: the task starts elsewhere", func() {
 			drain()
 			fail(0, true)
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -95,13 +95,27 @@
 	}
 	r := &run{
 		task: t, number: number, worker: w, phase: phaseOrdered, startedAt: now, pace: 100, targetPace: 100,
-		startUntil: w.clockNow(now) + startOrderValidity.Milliseconds(), waitingSince: t.waitingSince,
+		waitingSince: t.waitingSince,
 	}
 	t.lastRun = number
-	w.leaseUntil = max(w.leaseUntil, r.startUntil)
 	r.attach()
+	s.recordPlacement(t, w)
+	if t.placedBatch > s.journal.committed {
+		r.awaitsRecord = true
+		s.recordedStarts = append(s.recordedStarts, r)
+		return
+	}
+	s.orderStart(now, r)
+}
+
+// orderStart orders the start of a run.
+func (s *Scheduler) orderStart(now time.Time, r *run) {
+	t, w, st := r.task, r.worker, r.task.stage
+	r.awaitsRecord = false
+	r.startedAt, r.startUntil = now, w.clockNow(now)+startOrderValidity.Milliseconds()
+	w.leaseUntil = max(w.leaseUntil, r.startUntil)
 	o := Order{
-		Kind: OrderStart, Worker: w.ID, Address: w.Address, Boot: w.Boot, Token: s.token, Task: t.name, Run: number,
+		Kind: OrderStart, Worker: w.ID, Address: w.Address, Boot: w.Boot, Token: s.token, Task: t.name, Run: r.number,
 		Payload: t.job().spec.Payload, Checkpoint: t.checkpoint, ValidUntil: r.startUntil,
 	}
 	if st.tickets != nil {
@@ -109,7 +123,7 @@
 	}
 	s.orders = append(s.orders, o)
 	s.recordEvent(Event{
-		Kind: EventStart, Job: t.job().id, Task: t.name, Run: number, Worker: w.ID, Age: now.Sub(t.waitingSince),
+		Kind: EventStart, Job: t.job().id, Task: t.name, Run: r.number, Worker: w.ID, Age: now.Sub(r.waitingSince),
 	})
 }
 
--- a/internal/zone/dispatch/overdue.go
+++ b/internal/zone/dispatch/overdue.go
@@ -34,7 +34,7 @@
 		return
 	}
 	for _, t := range st.tasks {
-		if !t.isOverdue(now) || s.suspectOf(t) != nil || now.Before(t.notBefore) {
+		if !t.isOverdue(now) || s.suspectOf(t) != nil || now.Before(t.notBefore) || s.mayRunUnaccounted(t) {
 			continue
 		}
 		if !s.mayStartLongRunning(now, t) {
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -38,6 +38,8 @@
 	FinalState   State
 	// EndedWall is when the job became final, in milliseconds since 1970.
 	EndedWall int64
+	// Term is the fencing token of the term that accepted the job.
+	Term int64
 }
 
 // progressRecord is the progress of a job.
@@ -219,7 +221,8 @@
 	if j.isFinal() {
 		rec := jobRecord{Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), FinalState: j.finalState}
 		rec.EndedWall = j.acceptedWall.Add(j.endedAt.Sub(j.acceptedAt)).UnixMilli()
-		return append(out, Record{Key: prefixJob + j.id, Value: encode(&rec)}, Record{Key: prefixProgress + j.id})
+		out = append(out, Record{Key: prefixJob + j.id, Value: encode(&rec)}, Record{Key: prefixProgress + j.id})
+		return j.appendPlacementRemovals(out)
 	}
 	if !j.stored {
 		j.stored = true
@@ -238,7 +241,9 @@
 
 // specRecord returns the record of a job that has not ended.
 func (j *Job) specRecord() Record {
-	rec := jobRecord{Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), Spec: &j.spec}
+	rec := jobRecord{
+		Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), Spec: &j.spec, Term: j.acceptedTerm,
+	}
 	return Record{Key: prefixJob + j.id, Value: encode(&rec)}
 }
 
@@ -338,6 +343,7 @@
 			s.deleteRestoredStops(id)
 		}
 	}
+	errs = append(errs, s.restorePlacements(records)...)
 	errs = append(errs, s.restoreCrashes(now, records)...)
 	if err := s.restoreLeases(now, records, ordersUntil); err != nil {
 		errs = append(errs, err)
@@ -364,7 +370,7 @@
 		}
 	}
 	j := s.newJob(id, rec.Queue, spec, acceptedAt, acceptedWall)
-	j.stored = true
+	j.stored, j.acceptedTerm = true, rec.Term
 	if rec.FinalState != "" {
 		j.finalState = rec.FinalState
 		j.endedAt = now.Add(-max(0, wall.Sub(time.UnixMilli(rec.EndedWall))))
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -290,7 +290,7 @@
 	switch r.phase {
 	case phaseOrdered, phaseUnanswered:
 		// The order may still arrive until its validity has ended by the worker's clock.
-		if clock <= r.startUntil {
+		if r.awaitsRecord || clock <= r.startUntil {
 			return
 		}
 		s.recordEvent(Event{Kind: "start expired", Task: r.task.name, Run: r.number, Worker: r.worker.ID})
--- a/internal/zone/dispatch/stop_test.go
+++ b/internal/zone/dispatch/stop_test.go
@@ -100,6 +100,13 @@
 	return n
 }
 
+// recordedStartsOf returns the number of start orders that are due, with those that wait only for the record of their worker.
+func recordedStartsOf(s *Scheduler, now time.Time) int {
+	n := startsOf(s, now)
+	commitAll(s)
+	return n + startsOf(s, now)
+}
+
 func TestStopIsDurableBeforeItsOrder(t *testing.T) {
 	Convey("An order to stop is sent once its record is durable", t, func() {
 		now := simEpoch
--- a/internal/zone/dispatch/trial.go
+++ b/internal/zone/dispatch/trial.go
@@ -58,7 +58,7 @@
 		return
 	}
 	for _, t := range st.tasks {
-		if t.queued && !now.Before(t.notBefore) {
+		if t.queued && !now.Before(t.notBefore) && !s.mayRunUnaccounted(t) {
 			if u := s.suspectOf(t); u != nil {
 				s.prepareTrial(now, u, func() []*Worker { return s.findTrialWorker(now, u) })
 			}
@@ -219,6 +219,9 @@
 	for _, w := range workers {
 		u.addPending(loss{Worker: w.ID, Boot: w.Boot, Address: w.Address, Run: tr.run, Alone: alone})
 	}
+	for _, m := range tr.members {
+		s.recordPlacement(m.task, m.worker)
+	}
 	u.trial = tr
 	s.trials = append(s.trials, tr)
 	tr.batch = s.journal.recordCrashes(u.task.job())
--- a/internal/zone/dispatch/waiting_test.go
+++ b/internal/zone/dispatch/waiting_test.go
@@ -22,7 +22,7 @@
 			ID: jobID(1), Queue: queueName, Spec: workflow.Spec{Steps: []workflow.Step{step}}, WallTime: now,
 		})
 		commitAll(s)
-		So(startsOf(s, now), ShouldEqual, 1)
+		So(recordedStartsOf(s, now), ShouldEqual, 1)
 		isWait := func(e Event) bool { return e.Kind == "waiting" }
 		now = now.Add(waitReportAge - time.Millisecond)
 		s.Decide(now, now)
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -52,6 +52,8 @@
 	// startUntil is the time of the worker's clock after which it refuses the start. confirmedClock is the latest time
 	// of that clock at which the worker confirmed the run or an order for it.
 	startUntil, confirmedClock int64
+	// awaitsRecord is set while the start is not ordered because the record of the worker is not durable.
+	awaitsRecord bool
 	// firstClock is the earliest time of that clock at which the run is known to have been on the worker, 0 if none is.
 	firstClock int64
 	// listedIn is the last report of the worker that listed the run, counted by Worker.reports.
