Take back a recorded start if its worker has shrunk meanwhile

A worker may be listed with less room in between, and the start went out over it. The start is now taken back, like one on a worker that begins to drain.

--- a/internal/zone/dispatch/placement_record.go
+++ b/internal/zone/dispatch/placement_record.go
@@ -37,8 +37,8 @@
 	s.journal.records = append(s.journal.records, Record{Key: prefixPlacement + t.name, Value: encode(&rec)})
 }
 
-// sendRecordedStarts orders the starts whose workers are in the log. A start whose worker takes no tasks any more is taken
-// back.
+// sendRecordedStarts orders the starts whose workers are in the log. A start whose worker takes no tasks any more, or has
+// shrunk meanwhile, is taken back.
 func (s *Scheduler) sendRecordedStarts(now time.Time) {
 	if s.halted {
 		return
@@ -47,7 +47,7 @@
 		switch {
 		case r.worker.runs[runKey{r.task.name, r.number}] != r || r.phase != phaseOrdered:
 			return true
-		case !r.worker.isUsable() || s.catalog.Evacuated[r.worker.Zone]:
+		case !r.worker.isUsable() || s.catalog.Evacuated[r.worker.Zone] || !r.worker.used.Fits(r.worker.Capacity):
 			s.releaseRun(now, r)
 			return true
 		case r.task.placedBatch > s.journal.committed:
--- a/internal/zone/dispatch/placement_record_test.go
+++ b/internal/zone/dispatch/placement_record_test.go
@@ -114,6 +114,12 @@
 			So(s.suspects, ShouldBeEmpty)
 			So(s.jobs[jobID(1)].openOccurrences[0].stages[0].tasks[0].queued, ShouldBeTrue)
 		})
+		Convey("its start is taken back if the worker has no room for it any more", func() {
+			resize(s, now, 50, 8000)
+			s.MarkCommitted(b)
+			So(startsOf(s, now), ShouldEqual, 0)
+			So(s.jobs[jobID(1)].openOccurrences[0].stages[0].tasks[0].queued, ShouldBeTrue)
+		})
 		Convey("its start is taken back if the worker takes no tasks any more", func() {
 			s.workers["w"].Draining = true
 			s.MarkCommitted(b)
