Start no best-effort task beside a task that stays over its target

A long-running task is over its target for as long as the rule allows, while best-effort tasks beside it are stopped and others start.

A best-effort task doesn't start any more on a worker on which a long-running task has been over its target for 0.35 of the allowed time; those that are known to disturb it are paused by then.

newInterferenceScenario and TestNoisyReadingsAboutTheTarget commit the record of the long-running task's worker, so that it is started; their bounds are unchanged.

--- a/internal/zone/dispatch/margin.go
+++ b/internal/zone/dispatch/margin.go
@@ -24,11 +24,14 @@
 	}
 	w.marginsValid = true
 	w.margins = w.margins[:0]
-	w.pacedCores = 0
+	w.pacedCores, w.overTargetSince = 0, time.Time{}
 	for _, r := range w.runs {
 		if step := r.task.step(); step.BestEffort {
 			w.pacedCores += step.Size.Cores * int64(r.targetPace) / 100
 		}
+		if !r.overSince.IsZero() && (w.overTargetSince.IsZero() || r.overSince.Before(w.overTargetSince)) {
+			w.overTargetSince = r.overSince
+		}
 	}
 	for _, state := range s.latencies(now, w) {
 		headroom := state.headroom
@@ -56,6 +59,14 @@
 	return w.margins
 }
 
+// isOverTarget reports whether a long-running task on the worker has been over its target for so long that the best-effort
+// tasks that are known to disturb it are paused. What keeps it over its target is then not known.
+func (s *Scheduler) isOverTarget(now time.Time, w *Worker) bool {
+	s.margins(now, w)
+	return !w.overTargetSince.IsZero() &&
+		float64(now.Sub(w.overTargetSince)) > pauseInterferingAfter*float64(s.limits.MaxOverTarget)
+}
+
 // marginWith returns the smallest margin of a long-running image on the worker once a best-effort task has been added
 // there, and the largest reduction of a margin by the task. Images that the task does not disturb are left out; if it
 // disturbs none, the smallest margin is 1.
--- a/internal/zone/dispatch/pacing_test.go
+++ b/internal/zone/dispatch/pacing_test.go
@@ -187,8 +187,11 @@
 			})
 		}
 		commit()
-		for _, o := range s.Decide(now, now) {
-			s.HandleStartAnswer(now, o, AnswerDone, 1000)
+		for range 2 {
+			for _, o := range s.Decide(now, now) {
+				s.HandleStartAnswer(now, o, AnswerDone, 1000)
+			}
+			commit()
 		}
 		share := 100
 		for i := 1; share > 0 && now.Sub(simEpoch) < testLimits().MaxOverTarget; i++ {
--- a/internal/zone/dispatch/resize_test.go
+++ b/internal/zone/dispatch/resize_test.go
@@ -38,6 +38,8 @@
 	submitStep(s, now, 2, bestEffort)
 	commitAll(s)
 	s.Decide(now, now)
+	commitAll(s)
+	s.Decide(now, now)
 	return s, func(at time.Time, tail, use int) {
 		s.HandleReport(at, Report{
 			Worker: "w", Boot: 1, Clock: 1000 + at.Sub(simEpoch).Milliseconds(), Running: []RunReport{
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -130,11 +130,13 @@
 	// thousandths.
 	bestEffortCores, longRunningCores int64
 
-	// margins are those of the long-running images. They and pacedCores are valid while marginsValid is set.
+	// margins are those of the long-running images. They, pacedCores and overTargetSince are valid while marginsValid is set.
 	margins      []headroomMargin
 	marginsValid bool
 	// pacedCores are the cores that best-effort tasks may use at their target paces, in thousandths.
 	pacedCores int64
+	// overTargetSince is since when one of the long-running tasks has been over its target, the zero time if none is.
+	overTargetSince time.Time
 	// scarcity says how scarce room is for the scarcest best-effort image that disturbs no long-running task here, from
 	// 0 to maxScarcity.
 	scarcity float64
