--- a/internal/zone/dispatch/interference.go
+++ b/internal/zone/dispatch/interference.go
@@ -74,15 +74,6 @@
 	return priorCoefficient
 }
 
-// harmlessCoefficient is the coefficient below which an image is taken not to disturb another one.
-const harmlessCoefficient = 0.03
-
-// isHarmless reports whether a best-effort image is known not to disturb a long-running image, however many of its tasks
-// run beside it.
-func (m *interferenceModel) isHarmless(longRunning, image string) bool {
-	return m.coefficient(longRunning, image) < harmlessCoefficient
-}
-
 // headroom returns the share of a long-running task's capacity that is not under pressure, from its tail latency in
 // milliseconds. It lowers the image's baseline if the latency is the lowest seen.
 func (m *interferenceModel) headroom(image string, tail int) float64 {
--- a/internal/zone/dispatch/margin.go
+++ b/internal/zone/dispatch/margin.go
@@ -73,10 +73,10 @@
 func (s *Scheduler) marginWith(now time.Time, w *Worker, st *workflow.Step) (minMargin, reduction float64) {
 	minMargin = 1
 	for _, m := range s.margins(now, w) {
-		if s.interference.isHarmless(m.image, st.Image) {
+		pressure := s.pressure(m.image, st, w)
+		if pressure < minPressure {
 			continue
 		}
-		pressure := s.pressure(m.image, st, w)
 		minMargin = min(minMargin, m.margin-pressure)
 		reduction = max(reduction, pressure)
 	}
--- a/internal/zone/dispatch/pacing.go
+++ b/internal/zone/dispatch/pacing.go
@@ -194,8 +194,8 @@
 }
 
 // lowerPaces lowers the paces until the pressure on a long-running image has fallen by the given amount. It begins with
-// the jobs that can't be in time any more, and then with the tasks that put most pressure on the image. Tasks of images
-// that are known to be harmless are left out unless everything is to be lowered.
+// the jobs that can't be in time any more, and then with the tasks that put most pressure on the image. Tasks that are
+// known not to disturb the image are left out unless everything is to be lowered.
 func (s *Scheduler) lowerPaces(now time.Time, bestEffort []*run, longRunning string, amount float64, everything bool) {
 	slices.SortStableFunc(bestEffort, func(a, b *run) int {
 		late := cmp.Compare(s.rank(now, b.task.stage).urgency, s.rank(now, a.task.stage).urgency)
@@ -203,10 +203,11 @@
 			s.pressure(longRunning, a.task.step(), a.worker)))
 	})
 	for _, r := range bestEffort {
-		if s.interference.isHarmless(longRunning, r.task.step().Image) && !everything {
+		fullPressure := s.pressure(longRunning, r.task.step(), r.worker)
+		if fullPressure < minPressure && !everything {
 			continue
 		}
-		fullPressure := max(s.pressure(longRunning, r.task.step(), r.worker), minPressure)
+		fullPressure = max(fullPressure, minPressure)
 		currentPressure := fullPressure * float64(r.targetPace) / 100
 		reduction := min(currentPressure, amount)
 		r.targetPace = max(0, int(100*(currentPressure-reduction)/fullPressure))
@@ -219,8 +220,8 @@
 	}
 }
 
-// minPressure is the pressure that each task is taken to put on an image when everything is lowered.
-const minPressure = 1e-6
+// minPressure is the pressure below which a task is taken not to disturb an image.
+const minPressure = 0.008
 
 // raisePaces raises the paces as far as the headroom of all long-running images allows, beginning with the tasks that
 // rank first.
@@ -235,8 +236,7 @@
 	for _, r := range bestEffort {
 		increase := float64(100 - r.targetPace)
 		for i, state := range latencies {
-			if !s.interference.isHarmless(state.image, r.task.step().Image) {
-				fullPressure := s.pressure(state.image, r.task.step(), r.worker)
+			if fullPressure := s.pressure(state.image, r.task.step(), r.worker); fullPressure >= minPressure {
 				increase = min(increase, max(0, 100*remaining[i]/fullPressure))
 			}
 		}
