Name expired leases, footprints and rejections as the glossary does

Read once more as a newcomer. No decision changes: comments, one method, one test and local names only. - Leases expire; a lapse is the loss of a worker's runs.

--- a/internal/zone/dispatch/admission.go
+++ b/internal/zone/dispatch/admission.go
@@ -54,10 +54,10 @@
 	return nil
 }
 
-// admit refuses a job that exceeds a limit, and one with a task for which no worker of the service has ever been large
-// enough. The latter would wait until its caller gives up. A job that is too large only for the present capacities waits
-// until one has grown again: it keeps its turn, while a refused caller would have to guess that moment. It returns the
-// refusal and true, or false if the job is admitted.
+// admit rejects a job that exceeds a limit, and refuses one for which there is no memory now, or with a task for which no
+// worker of the service has ever been large enough. The last would wait until its caller gives up. A job that is too large
+// only for the present capacities waits until one has grown again: it keeps its turn, while a refused caller would have to
+// guess that moment. It returns the reply and true, or false if the job is admitted.
 func (s *Scheduler) admit(j *Job) (Reply, bool) {
 	if reply, rejected := s.rejectOversized(j); rejected {
 		return reply, true
--- a/internal/zone/dispatch/bounds.go
+++ b/internal/zone/dispatch/bounds.go
@@ -44,26 +44,26 @@
 }
 
 // times returns the footprint of n times as many occurrences.
-func (d footprint) times(n int) footprint { return footprint{d.tasks * n, d.progress * n} }
+func (f footprint) times(n int) footprint { return footprint{f.tasks * n, f.progress * n} }
 
 // occurrenceFootprint returns the largest footprint of one occurrence of the job.
 func (j *Job) occurrenceFootprint() footprint {
-	d := footprint{progress: occurrenceBytes}
+	f := footprint{progress: occurrenceBytes}
 	for i := range j.spec.Steps {
 		step := &j.spec.Steps[i]
 		failures := min(j.maxAttempts-1, maxCountedFailures)
 		if step.LongRunning {
 			failures = 1
 		}
-		d.tasks += step.Tasks
-		d.progress += stepBytes + (step.Tasks+7)/8 + step.Tasks*failures*failedRunBytes
+		f.tasks += step.Tasks
+		f.progress += stepBytes + (step.Tasks+7)/8 + step.Tasks*failures*failedRunBytes
 	}
-	return d
+	return f
 }
 
 // fitsLimits reports whether a job may have occurrences with the footprint open at once.
-func (s *Scheduler) fitsLimits(d footprint) bool {
-	return d.tasks <= maxOpenTasks && (s.limits.MaxRecord == 0 || recordBytes+d.progress <= s.limits.MaxRecord)
+func (s *Scheduler) fitsLimits(f footprint) bool {
+	return f.tasks <= maxOpenTasks && (s.limits.MaxRecord == 0 || recordBytes+f.progress <= s.limits.MaxRecord)
 }
 
 // mayOpenOccurrence reports whether the job may have another occurrence open beside the present ones. One is always allowed.
@@ -72,28 +72,28 @@
 	if open == 0 {
 		return true
 	}
-	d := j.occurrenceFootprint()
-	return s.fitsLimits(d.times(open+1)) && (s.limits.MaxTasks == 0 || s.taskCount+d.tasks <= s.limits.MaxTasks)
+	f := j.occurrenceFootprint()
+	return s.fitsLimits(f.times(open+1)) && (s.limits.MaxTasks == 0 || s.taskCount+f.tasks <= s.limits.MaxTasks)
 }
 
 // rejectOversized rejects a job that exceeds a limit by itself, with the reason. It returns false if the job exceeds none.
 func (s *Scheduler) rejectOversized(j *Job) (Reply, bool) {
-	d := j.occurrenceFootprint()
+	f := j.occurrenceFootprint()
 	occurrences := "an occurrence"
 	if j.spec.HasLongRunning() {
 		// No occurrence ever ends.
-		d = d.times(j.spec.Occurrences())
+		f = f.times(j.spec.Occurrences())
 		occurrences = "the occurrences, which never end,"
 	}
 	size := j.specBytes()
 	switch {
 	case s.limits.MaxRecord > 0 && size > s.limits.MaxRecord:
 		return reject("the specification takes up to %d bytes of the log, at most %d are allowed", size, s.limits.MaxRecord)
-	case !s.fitsLimits(d):
+	case !s.fitsLimits(f):
 		return reject("%s of %d tasks and up to %d bytes of progress, at most %d and %d are allowed",
-			occurrences, d.tasks, d.progress, maxOpenTasks, s.limits.MaxRecord-recordBytes)
-	case s.limits.MaxTasks > 0 && d.tasks > s.limits.MaxTasks:
-		return reject("%s of %d tasks, at most %d are allowed", occurrences, d.tasks, s.limits.MaxTasks)
+			occurrences, f.tasks, f.progress, maxOpenTasks, s.limits.MaxRecord-recordBytes)
+	case s.limits.MaxTasks > 0 && f.tasks > s.limits.MaxTasks:
+		return reject("%s of %d tasks, at most %d are allowed", occurrences, f.tasks, s.limits.MaxTasks)
 	}
 	return Reply{}, false
 }
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -138,16 +138,16 @@
 	// halted is set while the leader may not give orders.
 	halted bool
 	// unaccounted holds the workers on which an earlier leader may have left tasks and from which this term has had no
-	// report, each with the time from which its leases have certainly lapsed. Restored tasks without a record of their
+	// report, each with the time from which its leases have certainly expired. Restored tasks without a record of their
 	// worker don't start until it and backlogged are empty.
 	unaccounted map[string]time.Time
 	// backlogged holds the workers on which an earlier leader may have left tasks and that have more ends to list.
 	backlogged map[*Worker]struct{}
-	// earlierLeasesUntil is the time from which the leases of earlier terms have certainly lapsed on all workers for
+	// earlierLeasesUntil is the time from which the leases of earlier terms have certainly expired on all workers for
 	// which unaccounted holds no other.
 	earlierLeasesUntil time.Time
 	// previousLease is the longest lease of the previous term, and olderLeasesUntil the time from which those of the terms
-	// before it have certainly lapsed. otherOrdersUntil is until when a leader before the previous one may give orders, the
+	// before it have certainly expired. otherOrdersUntil is until when a leader before the previous one may give orders, the
 	// zero time if none may.
 	previousLease    time.Duration
 	olderLeasesUntil time.Time
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -233,7 +233,8 @@
 		return
 	}
 	wallNow := j.acceptedWall.Add(now.Sub(j.acceptedAt))
-	for j.nextOccurrence < j.spec.OccurrenceCount && !wallNow.Before(j.spec.DueTime(j.nextOccurrence)) && s.mayOpenOccurrence(j) {
+	for j.nextOccurrence < j.spec.OccurrenceCount && !wallNow.Before(j.spec.DueTime(j.nextOccurrence)) &&
+		s.mayOpenOccurrence(j) {
 		s.addOccurrence(now, j, j.nextOccurrence)
 	}
 	if j.nextOccurrence < j.spec.OccurrenceCount {
--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -57,7 +57,7 @@
 }
 
 // maxGrantedLease bounds the leases that this leader grants. The tasks of a worker that is gone start again when its
-// leases have lapsed, and the platform allows a long-running task to be away for nine seconds.
+// leases have expired, and the platform allows a long-running task to be away for nine seconds.
 const maxGrantedLease = 6 * time.Second
 
 // grantedLease returns the length of the leases that this leader grants.
@@ -134,7 +134,7 @@
 	s.silent[w] = struct{}{}
 }
 
-// earlierLeasesUntilOn returns the time from which the leases of earlier terms have certainly lapsed on a worker.
+// earlierLeasesUntilOn returns the time from which the leases of earlier terms have certainly expired on a worker.
 func (s *Scheduler) earlierLeasesUntilOn(w *Worker) time.Time {
 	if until, ok := s.unaccounted[w.ID]; ok {
 		return until
@@ -177,7 +177,7 @@
 	return false
 }
 
-// giveUpUnaccounted gives up the workers that have not answered in this term and whose leases have certainly lapsed.
+// giveUpUnaccounted gives up the workers that have not answered in this term and whose leases have certainly expired.
 func (s *Scheduler) giveUpUnaccounted(now, confirmedAt time.Time) {
 	var lapsed []string
 	for id, until := range s.unaccounted {
--- a/internal/zone/dispatch/lease_record.go
+++ b/internal/zone/dispatch/lease_record.go
@@ -26,12 +26,12 @@
 	Token int64
 	// Longest is the longest lease that the term grants.
 	Longest int64
-	// Earlier is the time after which all leases of earlier terms have certainly lapsed.
+	// Earlier is the time after which all leases of earlier terms have certainly expired.
 	Earlier int64
 	// Placements is the fencing token of the first of the consecutive terms, up to this one, that recorded the workers of
 	// long-running tasks.
 	Placements int64
-	// Silent lists the workers that don't answer, ordered by ID. Theirs have lapsed at the times given there, if these are
+	// Silent lists the workers that don't answer, ordered by ID. Theirs have expired at the times given there, if these are
 	// earlier.
 	Silent []silentLeases
 }
@@ -39,7 +39,7 @@
 // silentLeases are the leases of a worker that doesn't answer.
 type silentLeases struct {
 	Worker string
-	// Left is the time after which they have certainly lapsed.
+	// Left is the time after which they have certainly expired.
 	Left int64
 }
 
@@ -123,7 +123,7 @@
 	return w.failedRenewals >= minSilentRenewals
 }
 
-// silentLeasesEnd returns the time from which the leases of a silent worker have certainly lapsed.
+// silentLeasesEnd returns the time from which the leases of a silent worker have certainly expired.
 func (s *Scheduler) silentLeasesEnd(w *Worker) time.Time {
 	if until, ok := s.unaccounted[w.ID]; ok {
 		return until
@@ -182,7 +182,7 @@
 	return err
 }
 
-// leaseEnd returns the time from which all leases of the given length have certainly lapsed that were granted by the given
+// leaseEnd returns the time from which all leases of the given length have certainly expired that were granted by the given
 // time.
 func leaseEnd(grantedBy time.Time, lease time.Duration) time.Time {
 	return grantedBy.Add(time.Duration(float64(lease)/minWorkerClockRate) + clockMargin)
--- a/internal/zone/dispatch/lease_test.go
+++ b/internal/zone/dispatch/lease_test.go
@@ -369,9 +369,9 @@
 	})
 }
 
-// TestLapsedLeaseNeedsConfirmation guards against a task that a leader starts again because it can't reach the worker,
+// TestExpiredLeaseNeedsConfirmation guards against a task that a leader starts again because it can't reach the worker,
 // although a later leader reaches it and has extended the leases there.
-func TestLapsedLeaseNeedsConfirmation(t *testing.T) {
+func TestExpiredLeaseNeedsConfirmation(t *testing.T) {
 	Convey("A worker with a task does not answer the leader until its leases have ended", t, func() {
 		now := simEpoch
 		s, start, log := newLeaseScheduler(now)
--- a/internal/zone/dispatch/margin.go
+++ b/internal/zone/dispatch/margin.go
@@ -59,9 +59,9 @@
 	return w.margins
 }
 
-// isOverTarget reports whether a long-running task on the worker has been over its target for so long that the best-effort
+// staysOverTarget reports whether a long-running task on the worker has been over its target for so long that the best-effort
 // tasks that are known to disturb it are paused. What keeps it over its target is then not known.
-func (s *Scheduler) isOverTarget(now time.Time, w *Worker) bool {
+func (s *Scheduler) staysOverTarget(now time.Time, w *Worker) bool {
 	s.margins(now, w)
 	return !w.overTargetSince.IsZero() &&
 		float64(now.Sub(w.overTargetSince)) > pauseInterferingAfter*float64(s.limits.MaxOverTarget)
--- a/internal/zone/dispatch/placement.go
+++ b/internal/zone/dispatch/placement.go
@@ -151,7 +151,7 @@
 	case step.BestEffort:
 		margin, reduction := s.marginWith(now, w, step)
 		spare := float64(w.spareCores()-step.Size.Cores) / capacity
-		if margin < 0 || spare < -bestEffortOvercommit || s.isOverTarget(now, w) {
+		if margin < 0 || spare < -bestEffortOvercommit || s.staysOverTarget(now, w) {
 			return math.Inf(-1)
 		}
 		score += spare + margin - reduction*interferenceWeight - w.scarcity*scarcityWeight
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -149,7 +149,7 @@
 	clockAt time.Time
 	// leaseUntil is the latest time of the worker's clock up to which any order may have extended its leases.
 	leaseUntil int64
-	// earlierUntil is the time from which the leases of earlier terms have certainly lapsed, earlierLease the time of the
+	// earlierUntil is the time from which the leases of earlier terms have certainly expired, earlierLease the time of the
 	// worker's clock for which the same holds. They are set with contacted.
 	earlierUntil time.Time
 	earlierLease int64
