Log why a worker counts as ended, and a second run of a task

The users' record of two runs at once doesn't say why the leader started the second one: a 'lost' line for each run names a reason, but neither how old the worker's last report was nor how old the confirmation of the term. And a leader that learned of a second run logged it like any other run of an earlier term ('adopt').

'duplicate run' is a warning, and both are counted by sassafraswind_entry_decisions_total.

TestSecondRunOfTaskIsReported. No logic changes.

--- a/internal/host/entry/orders.go
+++ b/internal/host/entry/orders.go
@@ -297,6 +297,13 @@
 		if e.Age > 0 {
 			fields["age_ms"] = e.Age.Milliseconds()
 		}
-		t.log.WithFields(fields).Info("Decision")
+		if e.ConfirmationAge > 0 {
+			fields["confirmed_ms"] = e.ConfirmationAge.Milliseconds()
+		}
+		level := logrus.InfoLevel
+		if e.Kind == dispatch.EventDuplicateRun {
+			level = logrus.WarnLevel
+		}
+		t.log.WithFields(fields).Log(level, "Decision")
 	}
 }
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -18,6 +18,7 @@
 
 // Decide returns the orders that are due. No later leader had begun its term by confirmedAt.
 func (s *Scheduler) Decide(now, confirmedAt time.Time) []Order {
+	s.confirmedAt = confirmedAt
 	s.expireLeases(now, confirmedAt)
 	s.refreshLeaseRecord(now)
 	s.judgeLapses(now)
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -137,6 +137,8 @@
 	restoredStops map[string]stopsRecord
 	// halted is set while the leader may not give orders.
 	halted bool
+	// confirmedAt is when the term was last confirmed, as of the last decision.
+	confirmedAt time.Time
 	// unaccounted holds the workers on which an earlier leader may have left tasks and from which this term has had no
 	// report, each with the time from which its leases have certainly expired. Restored tasks without a record of their
 	// worker don't start until it and backlogged are empty.
@@ -259,6 +261,16 @@
 	EventEnd = "end"
 )
 
+// The kinds of the events that explain why a task was started again.
+const (
+	// EventWorkerEnded means that nothing runs on a worker any more, so that its tasks are taken back. The event's Age is
+	// the time since the worker's last report, its ConfirmationAge that since the term was last confirmed.
+	EventWorkerEnded = "worker ended"
+	// EventDuplicateRun means that a worker reports a run of a task that was started again elsewhere. The event's Reason
+	// names the other run.
+	EventDuplicateRun = "duplicate run"
+)
+
 // Event is a decision or finding to be logged.
 type Event struct {
 	Kind   string
@@ -269,6 +281,8 @@
 	Reason string
 	// Age is the age of the input on which the decision rests, 0 if it was current. It is never negative.
 	Age time.Duration
+	// ConfirmationAge is the time since the term was last confirmed, for EventWorkerEnded only. It is never negative.
+	ConfirmationAge time.Duration
 }
 
 // maxEvents bounds the events that are kept between two calls of Events. Further events are dropped; the caller's
@@ -278,7 +292,7 @@
 // recordEvent adds an event, unless maxEvents are kept already. Input may be newer than the time of a decision, which the
 // caller reads before it takes its lock.
 func (s *Scheduler) recordEvent(e Event) {
-	e.Age = max(0, e.Age)
+	e.Age, e.ConfirmationAge = max(0, e.Age), max(0, e.ConfirmationAge)
 	if len(s.events) < maxEvents {
 		s.events = append(s.events, e)
 	}
--- a/internal/zone/dispatch/event_test.go
+++ b/internal/zone/dispatch/event_test.go
@@ -37,3 +37,52 @@
 		So(starts, ShouldEqual, 1)
 	})
 }
+
+// TestSecondRunOfTaskIsReported guards against two runs of a task at once of which the leader's log says neither that
+// there were two nor why the second one was started.
+func TestSecondRunOfTaskIsReported(t *testing.T) {
+	Convey("A worker whose leases count as expired lives on", t, func() {
+		now := simEpoch
+		s := newBoundedScheduler(1, 0, 0)
+		answer(s, now, "v")
+		answer(s, now, "w")
+		commitAll(s)
+		submitSpec(s, 1, workflow.Spec{Steps: []workflow.Step{newStep(1, 6000, time.Minute)}})
+		commitAll(s)
+		start := s.Decide(now, now)[0]
+		s.HandleStartAnswer(now, start, AnswerDone, 1000)
+		s.HandleRenewalFailure(now, start.Worker, false)
+		s.Events()
+		now = now.Add(10 * time.Second)
+		answer(s, now, otherWorker(start))
+		second := s.Decide(now, now.Add(-time.Second))
+		So(second, ShouldHaveLength, 1)
+		ended := findEvent(s.Events(), EventWorkerEnded)
+		So(ended.Worker, ShouldEqual, start.Worker)
+		So(ended.Reason, ShouldEqual, "lease lapsed")
+		So(ended.Age, ShouldEqual, 10*time.Second)
+		So(ended.ConfirmationAge, ShouldEqual, time.Second)
+		Convey("and lists its run", func() {
+			answer(s, now, start.Worker, RunReport{Task: start.Task, Number: start.Run})
+		})
+		Convey("and lists its run as done", func() {
+			s.HandleReport(now, Report{Worker: start.Worker, Boot: 1, Clock: 11_000, Ended: []EndReport{
+				{Serial: 1, Task: start.Task, Number: start.Run, Reason: EndDone},
+			}})
+		})
+		duplicate := findEvent(s.Events(), EventDuplicateRun)
+		So(duplicate.Task, ShouldEqual, start.Task)
+		So(duplicate.Worker, ShouldEqual, start.Worker)
+		So(duplicate.Reason, ShouldEqual, "beside run 2 on "+second[0].Worker)
+	})
+}
+
+// findEvent returns the first event of the kind, an empty one if there is none.
+func findEvent(events []Event, kind string) Event {
+	for _, e := range events {
+		if e.Kind == kind {
+			return e
+		}
+	}
+	return Event{}
+}
--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -201,6 +201,10 @@
 func (s *Scheduler) endWorker(now time.Time, w *Worker, reason string) {
 	_, isUnaccounted := s.unaccounted[w.ID]
 	w.leasesExpired = true
+	s.recordEvent(Event{
+		Kind: EventWorkerEnded, Worker: w.ID, Reason: reason, Age: w.sinceAnswer(now),
+		ConfirmationAge: now.Sub(s.confirmedAt),
+	})
 	s.loseRuns(now, w, reason)
 	delete(s.unaccounted, w.ID)
 	delete(s.backlogged, w)
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -145,6 +146,9 @@
 	if t == nil {
 		return
 	}
+	if r == nil && e.Reason == EndDone {
+		s.recordDuplicate(t, e.Number, w)
+	}
 	t.job().started = true
 	t.lastRun, t.lastEndedRun = max(t.lastRun, e.Number), max(t.lastEndedRun, e.Number)
 	if e.Checkpoint != "" {
@@ -322,12 +326,29 @@
 	hasOtherRun := len(t.runs) > 0 && !t.step().Speculative
 	r := s.attachReportedRun(now, w, t, rr.Number)
 	s.recordEvent(Event{Kind: "adopt", Job: t.job().id, Task: t.name, Run: r.number, Worker: w.ID})
+	s.recordDuplicate(t, r.number, w)
 	if t.done || t.job().isFinal() || hasOtherRun {
 		s.stopRun(r, "not wanted any more")
 	}
 	return r
 }
 
+// recordDuplicate records that a worker reports a run of a task that has other runs.
+func (s *Scheduler) recordDuplicate(t *task, number int, w *Worker) {
+	if t.step().Speculative {
+		return
+	}
+	for _, other := range t.runs {
+		if other.worker == w && other.number == number {
+			continue
+		}
+		s.recordEvent(Event{
+			Kind: EventDuplicateRun, Job: t.job().id, Task: t.name, Run: number, Worker: w.ID,
+			Reason: fmt.Sprintf("beside run %d on %s", other.number, other.worker.ID),
+		})
+	}
+}
+
 // attachReportedRun adds a run that this term did not start to its task and its worker.
 func (s *Scheduler) attachReportedRun(now time.Time, w *Worker, t *task, number int) *run {
 	r := &run{
