Count a renewal from its first attempt, not from the answer that was read

What callers saw: tasks that run twice (TWICE).

Cause: a leader repeats a renewal until the store answers, and took its term for confirmed 0.7 s before it read the answer. But the record is in the log since the first attempt if only its answers were lost, and the other hosts count the end of the leader's orders from when they saw it there. A host that is suspended while an answer is on its way also reads it seconds later. Then the leader goes on ordering, extending leases and taking those of others for expired, after its successor counts it as ended. The class: an answer that is dated by its arrival instead of by what it confirms.

Ruled out: that the successor's bound is too short. It counts from the newest renewal that it has seen, which is right if the leader does as well. Dating it by the last attempt: the store may have carried out an earlier one.

The change: the confirmation is dated by the time before the first attempt. After an append that took longer than one call, the next renewal follows at once, since the answer confirms little by then.

Related paths, read: answers of pings, of the predecessor's host and of reads of the renewals are dated late as well, but only put off claims or lengthen waits; the clocks of workers are lower bounds; advice counts from its request.

--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -177,6 +177,14 @@
 
 // startHost starts a host on a free port of the loopback interface. The returned function stops it.
 func startHost(t *testing.T, name string, power int64, log ledger.Store, w *fakeWorker) (*Host, func()) {
+	t.Helper()
+	return startHostWithClock(t, name, power, log, w, bootclock.Clock{})
+}
+
+// startHostWithClock is startHost with the given clock.
+func startHostWithClock(
+	t *testing.T, name string, power int64, log ledger.Store, w *fakeWorker, clock Clock,
+) (*Host, func()) {
 	t.Helper()
 	var lc net.ListenConfig
 	l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -194,7 +202,7 @@
 		directory = cutDirectory{Directory: w, store: s}
 	}
 	h, stop := New(Config{Name: name, Zone: "z", PeerAddress: l.Addr().String(), Limits: limits, Power: power},
-		l, log, directory, w, bootclock.Clock{}, quiet)
+		l, log, directory, w, clock, quiet)
 	return h, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
--- a/internal/host/entry/outage_test.go
+++ b/internal/host/entry/outage_test.go
@@ -83,9 +83,12 @@
 	// storeAnsweredAt is when the store last answered the other host.
 	storeAnsweredAt time.Time
 	// leaderStore, otherStore and link say when the leader reaches the store, the other host the store, and each the other.
-	leaderStore, otherStore, link []interval
-	events                        []modelEvent
-	busyUntil                     time.Time
+	// answers says when the answers of the store reach the leader.
+	leaderStore, answers, otherStore, link []interval
+	// sentAt is when the leader first sent the renewal that was not answered yet, the zero time if there is none.
+	sentAt    time.Time
+	events    []modelEvent
+	busyUntil time.Time
 	// endedBy is when the leader has certainly given its last order, as the other host sees it once it leads.
 	endedBy time.Time
 }
@@ -124,7 +127,7 @@
 		return out
 	}
 	m.leaderStore, m.otherStore, m.link = outage(2, 40*time.Second), outage(2, 20*time.Second), outage(3, 40*time.Second)
-	switch m.rng.IntN(3) {
+	switch m.rng.IntN(4) {
 	case 0:
 		// The store itself is away.
 		both := outage(1, 20*time.Second)
@@ -137,6 +140,9 @@
 		m.otherStore = []interval{{from, back}}
 		m.leaderStore = []interval{{from, back.Add(20 * time.Second)}}
 		m.link = []interval{{lost, lost.Add(20 * time.Second)}}
+	case 2:
+		// It carries out the leader's renewals and its answers are lost.
+		m.answers = outage(2, 20*time.Second)
 	}
 	return m
 }
@@ -184,9 +190,7 @@
 				return m.now
 			}
 			if !m.fenced && !m.isCut(m.leaderStore) {
-				m.renewal++
-				m.term.renewal.Store(m.renewal)
-				m.term.recordConfirmation(m.now)
+				m.renew()
 			}
 		}
 		if !m.isCut(m.otherStore) && m.rng.IntN(50) == 0 {
@@ -202,6 +206,18 @@
 	return time.Time{}
 }
 
+// renew sends a renewal of the leader, or the last one again if that was not answered.
+func (m *outageModel) renew() {
+	if m.sentAt.IsZero() {
+		m.sentAt = m.now
+		m.renewal++
+	}
+	if !m.isCut(m.answers) {
+		m.term.recordRenewal(m.sentAt, m.renewal)
+		m.sentAt = time.Time{}
+	}
+}
+
 // act has the other host do what its elector says.
 func (m *outageModel) act() {
 	action, _ := m.other.NextAction(m.now)
--- a/internal/host/entry/renew.go
+++ b/internal/host/entry/renew.go
@@ -73,11 +73,10 @@
 				t.loseLeadership(err)
 				return
 			}
-			t.renewal.Store(w.End())
-			// The append may have been retried: only the last attempt counts, which took at most ledger.CallTimeout.
-			now := t.host.clock.Now()
-			t.recordConfirmation(laterOf(sentAt, now.Add(-ledger.CallTimeout)))
-			t.waitForRenewal()
+			t.recordRenewal(sentAt, w.End())
+			if t.host.clock.Now().Sub(sentAt) <= ledger.CallTimeout {
+				t.waitForRenewal()
+			}
 		}
 	})
 	var probes probeSeries
@@ -99,6 +98,15 @@
 	}
 }
 
+// recordRenewal records that the store has answered a renewal that was first sent at the given time, and its position in the
+// log. The answer to a repeated attempt confirms nothing later: the renewal may be in the log since the first one, and the
+// other hosts count from when they saw it. Nor does the time at which the answer was read, before which this host may have
+// been suspended.
+func (t *term) recordRenewal(sentAt time.Time, position int64) {
+	t.renewal.Store(position)
+	t.recordConfirmation(sentAt)
+}
+
 // minRenewInterval is the shortest interval between two renewals that are asked for by wakeRenewal.
 const minRenewInterval = 50 * time.Millisecond
 
