Acknowledge no ends to a worker that may have restarted

What callers saw: a task runs again after its end was acknowledged (TWICE).

Cause: a worker that restarts under its ID numbers its ends anew, and nothing in a renewal tells the two processes apart. Each renewal carried the serial of the last durable end, also after renewals without an answer. The new process forgot the ends up to it: ends that no leader had seen. The task was 'run gone' after three seconds and started again.

Ruled out: an end that is acknowledged before it is in the log (the batch carries it), and a list that is cut at 500 ends.

The change: after a renewal without an answer, renewals acknowledge nothing until the worker has answered. A restart ends the connection of the renewals, so that one fails before the next process gets any. What remains: a renewal that is sent on a connection opened after the restart with no failure noticed before.

--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -38,7 +38,11 @@
 	}
 	renewal := LeaseRenewal{Worker: id, Address: w.Address, Boot: w.Boot, Token: s.token, Acknowledged: w.durableEnd}
 	if w.bootUnknown {
-		renewal.Boot, renewal.Acknowledged = 0, 0
+		renewal.Boot = 0
+	}
+	if w.bootUnknown || w.failedRenewals > 0 {
+		// A worker that has restarted meanwhile numbers its ends anew, and would forget those that it has not listed.
+		renewal.Acknowledged = 0
 	}
 	if w.clockAt.IsZero() || w.bootUnknown {
 		return renewal, true
