Keep a start that the next process of its worker may carry out

Cause: the platform names a worker by its ID, and a worker may restart under it. At the first report of the new process the leader took all runs there for lost and started the tasks again, also those whose starts were still on their way. The new process carries these out: it has seen no fencing token, and its clock, which begins anew, has not passed the end of their validity. The class: a call that is addressed to an identity that outlives the process.

Evidence: the simulation of TestInvariantsUnderFaults has restarts under the same ID and renewals that are carried out late now.

Ruled out: the check of the boot in the header of a call. It is by ID; only reports tell the processes apart.

The change: a start that the former process has not confirmed stays with the worker. If the first report of the new process lists it, it goes on; if not, the worker is told to stop it, and refuses the start from then on, before the task starts elsewhere. An answer to a start with an earlier clock than that of the order comes from another process: it confirms nothing, and the worker gets no start until it has reported. A run whose stop was answered is no longer counted with the end of its start's validity.

What it costs: the task of a start without an answer waits some three seconds after a restart under the same ID. What remains: a worker that was up for less time than its restart takes to be noticed can confirm a start with a plausible clock.

--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -188,6 +188,10 @@
 	}
 	switch a {
 	case AnswerDone:
+		if r.isFromAnotherProcess(clock) {
+			w.bootUnknown = true
+			return
+		}
 		r.confirm(clock)
 	case AnswerMissing:
 		if r.phase == phaseOrdered {
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -67,8 +67,9 @@
 	if w == nil || report.Boot < w.Boot {
 		return
 	}
-	if report.Boot != w.Boot {
-		s.handleRestart(now, w, report.Boot)
+	restarted := report.Boot != w.Boot
+	if restarted {
+		s.handleRestart(now, w, report)
 	}
 	s.withdrawLapse(bootID{w.ID, w.Boot}, "the same boot answered")
 	if w.failedRenewals > 1 {
@@ -91,6 +92,9 @@
 	}
 	s.applyEnds(now, w, report.Ended)
 	s.applyRunning(now, w, report)
+	if restarted {
+		s.barUnlistedStarts(w)
+	}
 	w.recordProbes(now)
 	s.acquitSurvivors(w)
 	if first {
@@ -304,7 +308,7 @@
 		// A run keeps its room until its end is listed. A run that is being stopped may be listed nowhere, and the
 		// answer to the stop order doesn't say whether the worker had the run.
 		last := r.confirmedClock
-		if !r.confirmed {
+		if !r.confirmed && !r.stopAnswered {
 			last = max(last, r.startUntil)
 		}
 		if clock <= last+unlistedTimeout.Milliseconds() {
--- a/internal/zone/dispatch/restart_test.go
+++ b/internal/zone/dispatch/restart_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"sassafraswind.example/sassafraswind/internal/work/workflow"
 )
 
 // TestEndsOfRestartedWorkerAreKept guards against a task that runs again because the end of its first run was acknowledged
@@ -30,3 +33,65 @@
 		})
 	})
 }
+
+// newRestartScenario returns a scheduler that has ordered the start of a task on one of two workers, and the order.
+func newRestartScenario(limits Limits) (*Scheduler, Order) {
+	s := New(limits, 1, 1)
+	s.SetCatalog(Catalog{Version: 1, Queues: map[string]Queue{
+		queueName: {Name: queueName, Service: "svc", Attempts: 2, Slack: 2},
+	}})
+	now := simEpoch.Add(10 * time.Second)
+	answer(s, now, "v")
+	answer(s, now, "w")
+	submitSpec(s, 1, workflow.Spec{Steps: []workflow.Step{newStep(1, 6000, time.Minute)}})
+	commitAll(s)
+	return s, s.Decide(now, now)[0]
+}
+
+// TestStartInFlightAtRestartRunsOnce guards against two runs of a task of which one was started by an order that reached
+// the next process of its worker.
+func TestStartInFlightAtRestartRunsOnce(t *testing.T) {
+	Convey("A worker restarts under its ID while the order to start a task is on its way", t, func() {
+		s, start := newRestartScenario(testLimits())
+		now := simEpoch.Add(11 * time.Second)
+		answer(s, now, otherWorker(start))
+		// restartedReport returns a report of the next process, which has run for the given time.
+		restartedReport := func(age time.Duration, running ...RunReport) Report {
+			return Report{Worker: start.Worker, Boot: 2, Clock: age.Milliseconds(), Running: running}
+		}
+		run := RunReport{Task: start.Task, Number: start.Run}
+		Convey("and the next process lists the run: it goes on", func() {
+			s.HandleReport(now, restartedReport(100*time.Millisecond, run))
+			commitAll(s)
+			So(s.Decide(now, now), ShouldBeEmpty)
+		})
+		Convey("and the next process answers the order: the run is not taken for gone", func() {
+			s.HandleStartAnswer(now, start, AnswerDone, 50)
+			So(s.workers[start.Worker].isUsable(), ShouldBeFalse)
+			s.HandleReport(now, Report{Worker: start.Worker, Boot: 1, Clock: 12_000})
+			So(s.findTask(start.Task).runs, ShouldHaveLength, 1)
+		})
+		Convey("and the next process doesn't list the run: it is told to refuse it", func() {
+			s.HandleReport(now, restartedReport(100*time.Millisecond))
+			commitAll(s)
+			orders := s.Decide(now, now)
+			So(orders, ShouldHaveLength, 1)
+			stop := orders[0]
+			So(stop.Kind, ShouldEqual, OrderStop)
+			So(stop.Boot, ShouldEqual, 2)
+			So(stop.Run, ShouldEqual, start.Run)
+			Convey("and the task starts again only after that is known", func() {
+				now = now.Add(time.Minute)
+				answer(s, now, otherWorker(start))
+				s.HandleReport(now, restartedReport(time.Minute))
+				So(startsOf(s, now), ShouldEqual, 0)
+				s.HandleStopAnswer(now, stop, AnswerDone, time.Minute.Milliseconds())
+				now = now.Add(unlistedTimeout + 100*time.Millisecond)
+				answer(s, now, otherWorker(start))
+				s.HandleReport(now, restartedReport(time.Minute+unlistedTimeout+100*time.Millisecond))
+				commitAll(s)
+				So(startsOf(s, now), ShouldEqual, 1)
+			})
+		})
+	})
+}
--- a/internal/zone/dispatch/simulation_faults_test.go
+++ b/internal/zone/dispatch/simulation_faults_test.go
@@ -98,7 +98,7 @@
 		for range rapid.IntRange(0, 6).Draw(t, "faults") {
 			at := time.Duration(rapid.IntRange(0, 9000).Draw(t, "at")) * time.Millisecond
 			long := time.Duration(rapid.IntRange(100, 5000).Draw(t, "long")) * time.Millisecond
-			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
 			case 0:
 				sim.after(at, sim.takeOver)
 			case 1:
@@ -115,6 +115,9 @@
 			case 4:
 				sim.after(at, sim.handOver)
 				sim.after(at+long, sim.handOver)
+			case 5:
+				sw := sim.workers[rapid.IntRange(0, len(sim.workers)-1).Draw(t, "worker")]
+				sim.after(at, func() { sim.restart(sw) })
 			}
 		}
 		sim.run(16 * time.Second)
--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -95,6 +95,8 @@
 	lostSerial int64
 	down       bool
 	draining   bool
+	// keepsCalls is set if calls that were on their way when the worker last restarted reach its new process.
+	keepsCalls bool
 	// left is set once the worker has left as planned and closed its connections.
 	left     bool
 	zone     string
@@ -110,8 +112,10 @@
 	s              *Scheduler
 	token          int64
 	renewalPending map[string]bool
-	// connected holds the workers to which the leader has an open connection.
+	// connected holds the workers to which the leader has an open connection, renewedOn the boot that has answered its last
+	// renewal there.
 	connected map[string]bool
+	renewedOn map[string]int64
 	// listed holds the capacities of the workers as the leader last read them.
 	listed  map[string]fleet.Size
 	writing bool
@@ -222,6 +226,7 @@
 	l := &simLeader{
 		s: New(sim.limits, int64(sim.terms), sim.terms), token: int64(sim.terms), renewalPending: map[string]bool{},
 		connected: map[string]bool{},
+		renewedOn: map[string]int64{},
 		listed:    map[string]fleet.Size{},
 	}
 	l.s.SetCatalog(sim.catalog)
@@ -397,11 +402,7 @@
 	sw := sim.worker(o.Worker)
 	boot, decision := sw.boot, simDecision{sim.now, l.listed[o.Worker]}
 	if sim.rng.Float64() < sim.delayRate {
-		sim.after(time.Duration(2000+sim.rng.IntN(4000))*time.Millisecond, func() {
-			if sw.boot == boot {
-				sim.executeOrder(sw, o, decision)
-			}
-		})
+		sim.executeLate(sw, func() bool { return sw.takesCallsFor(boot) }, func() { sim.executeOrder(sw, o, decision) })
 		sim.after(900*time.Millisecond, func() { sim.deliverAnswer(l, o, AnswerMissing, 0) })
 		return
 	}
@@ -410,7 +411,7 @@
 			sim.after(sim.latency(), func() { sim.deliverAnswer(l, o, AnswerRestarted, 0) })
 			return
 		}
-		if sw.down || sw.boot != boot {
+		if sw.down || !sw.takesCallsFor(boot) {
 			// The connection ended with the worker's process.
 			sim.after(900*time.Millisecond, func() { sim.deliverAnswer(l, o, AnswerMissing, 0) })
 			return
@@ -424,6 +425,22 @@
 	})
 }
 
+// executeLate has the worker carry out a call some seconds after its process has accepted it, if accepts is true when it
+// arrives.
+func (sim *simulation) executeLate(sw *simWorker, accepts func() bool, execute func()) {
+	sim.after(sim.latency(), func() {
+		if sw.down || !accepts() {
+			return
+		}
+		acceptedBy := sw.boot
+		sim.after(time.Duration(2000+sim.rng.IntN(4000))*time.Millisecond, func() {
+			if sw.boot == acceptedBy && !sw.down {
+				execute()
+			}
+		})
+	})
+}
+
 // deliverAnswer hands the answer to an order to the leader.
 func (sim *simulation) deliverAnswer(l *simLeader, o Order, a Answer, clock int64) {
 	if l.stopped {
@@ -540,6 +557,23 @@
 	l.renewalPending[id] = true
 	sw := sim.worker(id)
 	boot := sw.boot
+	if last := l.renewedOn[id]; last != 0 && last != boot && sw.keepsCalls {
+		// Renewals share a connection, which has ended with the process.
+		delete(l.renewedOn, id)
+		sim.after(sim.latency(), func() {
+			l.renewalPending[id] = false
+			l.s.HandleRenewalFailure(sim.now, id, true)
+		})
+		return
+	}
+	if sim.rng.Float64() < sim.delayRate {
+		sim.executeLate(sw, func() bool { return sw.boot == boot }, func() { sim.executeRenewal(sw, plan) })
+		sim.after(900*time.Millisecond, func() {
+			l.renewalPending[id] = false
+			l.s.HandleRenewalFailure(sim.now, id, false)
+		})
+		return
+	}
 	sim.after(sim.latency(), func() {
 		if sw.isReplaced() {
 			l.renewalPending[id] = false
@@ -567,7 +601,7 @@
 		}
 		rep := sw.report(sim.now)
 		sim.after(sim.latency(), func() {
-			l.renewalPending[id], l.connected[id] = false, true
+			l.renewalPending[id], l.connected[id], l.renewedOn[id] = false, true, boot
 			if !l.stopped {
 				l.s.HandleReport(sim.now, rep)
 			}
@@ -613,10 +647,8 @@
 	if sw.down {
 		return
 	}
-	sw.down = true
-	sim.loseFailures(sw)
-	sw.runs, sw.ended, sw.barredRuns = map[runKey]*simRun{}, nil, map[string]int{}
-	sw.serial, sw.lostSerial, sw.fencingToken, sw.leaseUntil = 0, 0, 0, 0
+	sw.down, sw.keepsCalls = true, false
+	sim.loseState(sw)
 	sim.after(down, func() {
 		sw.down = false
 		sw.boot++
@@ -625,6 +657,27 @@
 	})
 }
 
+// loseState clears all that ends with a worker's process.
+func (sim *simulation) loseState(sw *simWorker) {
+	sim.loseFailures(sw)
+	sw.runs, sw.ended, sw.barredRuns = map[runKey]*simRun{}, nil, map[string]int{}
+	sw.serial, sw.lostSerial, sw.fencingToken, sw.leaseUntil = 0, 0, 0, 0
+}
+
+// restart replaces the process of a worker at once, under the same ID. Calls that are on their way reach the new process.
+func (sim *simulation) restart(sw *simWorker) {
+	if sw.down {
+		return
+	}
+	sim.loseState(sw)
+	sw.keepsCalls = true
+	sw.boot++
+	sw.startedAt = sim.now
+}
+
+// takesCallsFor reports whether a call that was sent while the worker had the given boot reaches its present process.
+func (sw *simWorker) takesCallsFor(boot int64) bool { return sw.boot == boot || sw.keepsCalls }
+
 // resize changes the capacity of a worker. The leaders learn of it when they next read the list.
 func (sim *simulation) resize(sw *simWorker, capacity fleet.Size) {
 	sw.capacity = capacity
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -335,34 +335,22 @@
 	}
 }
 
-// handleRestart notes that the worker has restarted: nothing from before runs there.
-func (s *Scheduler) handleRestart(now time.Time, w *Worker, boot int64) {
-	s.recordEvent(Event{Kind: "worker restarted", Worker: w.ID})
-	s.loseRuns(now, w, "worker restarted")
-	w.Boot = boot
-	w.contacted, w.recordBatch, w.leasesExpired, w.failedRenewals = false, 0, false, 0
-	w.clock, w.clockAt, w.leaseUntil = 0, time.Time{}, 0
-	w.earlierUntil, w.earlierLease = time.Time{}, 0
-	w.lastEnd, w.durableEnd = 0, 0
-	w.health, w.speed, w.unknownRuns = health{}, speedEstimate{}, nil
-	if w.stopsRecorded {
-		s.journal.recordStops(w)
-	}
-	delete(s.unaccounted, w.ID)
-	delete(s.backlogged, w)
-}
-
 // loseRuns ends all runs of a worker on which certainly nothing runs any more.
 func (s *Scheduler) loseRuns(now time.Time, w *Worker, reason string) {
 	s.recordLapse(now, w)
 	for _, r := range s.runsOf(w) {
-		s.recordEvent(Event{
-			Kind: "lost", Job: r.task.job().id, Task: r.task.name, Run: r.number, Worker: w.ID, Reason: reason,
-		})
-		s.releaseRun(now, r)
+		s.loseRun(now, r, reason)
 	}
 }
 
+// loseRun ends a run that its worker certainly doesn't execute any more.
+func (s *Scheduler) loseRun(now time.Time, r *run, reason string) {
+	s.recordEvent(Event{
+		Kind: "lost", Job: r.task.job().id, Task: r.task.name, Run: r.number, Worker: r.worker.ID, Reason: reason,
+	})
+	s.releaseRun(now, r)
+}
+
 // runsOf returns the runs of a worker, ordered by task name and run number.
 func (s *Scheduler) runsOf(w *Worker) []*run {
 	out := make([]*run, 0, len(w.runs))
