Count the leases that a restarted worker got by its former process's clock

What callers saw: two runs of a task at once on a platform that allows leases of over six seconds.

Cause: a renewal that reaches the next process of a worker extends its leases up to a time of the former process's clock, which the platform shortens to its longest lease. The leader forgot that at the restart, and then counted only its own leases of six seconds.

Evidence: TestLeaseOfRestartedWorkerIsWaitedFor started the task elsewhere after ten seconds, and waits for them now.

The change: at a restart the leases count as the platform's longest, from the first report of the new process.

What it costs: on such a platform the tasks of a worker that restarts and is lost within four seconds wait up to 10.3 s.

--- a/internal/zone/dispatch/restart.go
+++ b/internal/zone/dispatch/restart.go
@@ -22,7 +22,9 @@
 	}
 	w.Boot = report.Boot
 	w.contacted, w.recordBatch, w.leasesExpired, w.failedRenewals = false, 0, false, 0
-	w.clock, w.clockAt, w.leaseUntil = 0, time.Time{}, 0
+	w.clock, w.clockAt = 0, time.Time{}
+	// Renewals for the former process extend the leases up to a time of its clock, which the platform shortens.
+	w.leaseUntil = report.Clock + s.limits.MaxLease.Milliseconds()
 	w.earlierUntil, w.earlierLease = time.Time{}, 0
 	w.lastEnd, w.durableEnd = 0, 0
 	w.health, w.speed, w.unknownRuns = health{}, speedEstimate{}, nil
--- a/internal/zone/dispatch/restart_test.go
+++ b/internal/zone/dispatch/restart_test.go
@@ -95,3 +95,27 @@
 		})
 	})
 }
+
+// TestLeaseOfRestartedWorkerIsWaitedFor guards against a task that starts elsewhere while its worker, which has restarted
+// and was lost, runs it under a lease that was meant for the former process.
+func TestLeaseOfRestartedWorkerIsWaitedFor(t *testing.T) {
+	Convey("A restarted worker runs a task on a platform that allows leases of ten seconds, and is lost", t, func() {
+		s, start := newRestartScenario(leaseLimits())
+		now := simEpoch.Add(11 * time.Second)
+		s.PlanRenewal(now, start.Worker)
+		s.HandleReport(now, Report{
+			Worker: start.Worker, Boot: 2, Clock: 100, Running: []RunReport{{Task: start.Task, Number: start.Run}},
+		})
+		s.PlanRenewal(now, start.Worker)
+		s.HandleRenewalFailure(now, start.Worker, false)
+		s.HandleRenewalFailure(now, start.Worker, false)
+		commitAll(s)
+		later := now.Add(leaseLimits().MaxLease)
+		answer(s, later, otherWorker(start))
+		So(recordedStartsOf(s, later), ShouldEqual, 0)
+		later = later.Add(time.Second)
+		answer(s, later, otherWorker(start))
+		commitAll(s)
+		So(recordedStartsOf(s, later), ShouldEqual, 1)
+	})
+}
