--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -16,22 +17,31 @@
 	Delay time.Duration `json:"delay"`
 	// Lose means that calls with the method POST take effect and get no response.
 	Lose bool `json:"lose"`
+	// Late means that calls with the method POST get no response and take effect after a random time between Late and
+	// lateSpread times Late, unless the process that has accepted them has ended by then.
+	Late time.Duration `json:"late"`
+	// Share is the share of the calls that have the faults. Zero stands for all.
+	Share float64 `json:"share"`
 }
 
+// lateSpread is the largest factor by which a call may take effect later than Faults.Late.
+const lateSpread = 3
+
 // faultTable holds the faults of a kind of server. Those of the store are named after the caller, those of the workers
 // after the worker.
 type faultTable struct {
 	kind     string
 	recorder *recorder
 
-	mu sync.Mutex
+	mu  sync.Mutex
+	rng *rand.Rand
 	// byName holds the faults by name; the empty name stands for all without an entry of their own.
 	byName map[string]Faults
 }
 
 // newFaultTable returns a table without faults.
-func newFaultTable(kind string, r *recorder) *faultTable {
-	return &faultTable{kind: kind, recorder: r, byName: map[string]Faults{}}
+func newFaultTable(kind string, seed uint64, r *recorder) *faultTable {
+	return &faultTable{kind: kind, recorder: r, rng: rand.New(rand.NewPCG(seed, 3)), byName: map[string]Faults{}}
 }
 
 // set replaces the faults of the given names, or those of all if there is no name.
@@ -51,14 +61,21 @@
 	t.recorder.setFaulty(t.kind, faulty, now)
 }
 
-// of returns the faults of a name.
-func (t *faultTable) of(name string) Faults {
+// draw returns the faults of the next call to a name, with the time by which this call is late.
+func (t *faultTable) draw(name string) Faults {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if f, ok := t.byName[name]; ok {
-		return f
+	f, ok := t.byName[name]
+	if !ok {
+		f = t.byName[""]
+	}
+	if f.Share > 0 && t.rng.Float64() >= f.Share {
+		return Faults{}
+	}
+	if f.Late > 0 {
+		f.Late += time.Duration(t.rng.Int64N(int64((lateSpread - 1) * f.Late)))
 	}
-	return t.byName[""]
+	return f
 }
 
 // bodyHandler handles a request whose body was read.
@@ -73,13 +90,14 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		f := t.of(name)
+		f := t.draw(name)
 		if f.Silent {
 			hang(r)
 		}
 		// The request is carried out even if its caller has disconnected meanwhile.
 		time.Sleep(f.Delay)
-		if f.Lose && r.Method == http.MethodPost {
+		if (f.Lose || f.Late > 0) && r.Method == http.MethodPost {
+			time.Sleep(f.Late)
 			next(discardWriter{header: http.Header{}}, r, body)
 			hang(r)
 		}
--- /dev/null
+++ b/internal/standin/platform/faults_test.go
@@ -0,0 +1,165 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+)
+
+// faultFixture is a worker that is served, and a client that calls it.
+type faultFixture struct {
+	*fixture
+	faults  *faultTable
+	conns   *connTable
+	address string
+	client  *http.Client
+	// closeServer ends the process of the worker.
+	closeServer func()
+}
+
+// newFaultFixture returns a fixture whose first worker is served.
+func newFaultFixture(t *testing.T) *faultFixture {
+	f := &faultFixture{fixture: newFixture(), client: &http.Client{Transport: &http.Transport{}}}
+	f.a.startedAt = time.Now()
+	f.faults, f.conns = newFaultTable("workers", 1, f.recorder), newConnTable(1, f.recorder)
+	var err error
+	f.address, f.closeServer, err = f.conns.serve(t.Context(), "a", "127.0.0.1:0", workerHandler(f.a, f.faults))
+	So(err, ShouldBeNil)
+	Reset(func() {
+		f.client.CloseIdleConnections()
+		f.closeServer()
+	})
+	return f
+}
+
+// post sends a call to the worker and returns the status of its answer, 0 if there is none in time,
+// -1 if the call can't be built.
+func (f *faultFixture) post(t *testing.T, path string, o orderBody) int {
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	data, err := json.Marshal(o)
+	if err != nil {
+		return -1
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.address+path, bytes.NewReader(data))
+	if err != nil {
+		return -1
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	// A connection whose response isn't read to its end isn't used again.
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// runningTasks returns the number of runs on the worker.
+func (f *faultFixture) runningTasks() int {
+	f.a.mu.Lock()
+	defer f.a.mu.Unlock()
+	return len(f.a.runs)
+}
+
+// Guards against a stand-in that is kinder to its callers than its faults say.
+func TestFaults(t *testing.T) {
+	order := orderBody{Task: "j.0.2.0", RunID: 1, Spec: "s", UntilMs: 6000, FencingToken: 1}
+	Convey("A late call gets no answer and is carried out after newer ones", t, func() {
+		f := newFaultFixture(t)
+		f.faults.set([]string{"a"}, Faults{Late: 200 * time.Millisecond}, f.now)
+		So(f.post(t, "/run-start", order), ShouldEqual, 0)
+		So(f.runningTasks(), ShouldEqual, 0)
+		f.faults.set([]string{"a"}, Faults{}, f.now)
+		Convey("if its process is still there", func() {
+			So(f.post(t, "/hold", orderBody{FencingToken: 1}), ShouldEqual, http.StatusOK)
+			So(f.runningTasks(), ShouldEqual, 0)
+			So(eventually(time.Second, func() bool { return f.runningTasks() == 1 }), ShouldBeTrue)
+		})
+		Convey("but not once its process has ended", func() {
+			f.a.leave(time.Now())
+			f.closeServer()
+			time.Sleep(lateSpread * 200 * time.Millisecond)
+			So(f.recorder.report().Starts, ShouldEqual, 0)
+		})
+	})
+	Convey("A share of the calls loses its answers and takes effect", t, func() {
+		f := newFaultFixture(t)
+		f.faults.set([]string{"a"}, Faults{Lose: true, Share: 0.5}, f.now)
+		lost := 0
+		for n := range 20 {
+			order.RunID = n + 1
+			if f.post(t, "/run-start", order) == 0 {
+				lost++
+			}
+		}
+		So(lost, ShouldBeBetween, 0, 20)
+		So(f.recorder.report().Starts, ShouldEqual, 20)
+	})
+	Convey("A severed connection is silent for good, and a new one works", t, func() {
+		f := newFaultFixture(t)
+		renewal := orderBody{FencingToken: 1}
+		So(f.post(t, "/hold", renewal), ShouldEqual, http.StatusOK)
+		So(f.conns.sever([]string{"b"}, 1, f.now), ShouldEqual, 0)
+		So(f.post(t, "/hold", renewal), ShouldEqual, http.StatusOK)
+		So(f.conns.sever([]string{"a"}, 0.5, f.now), ShouldEqual, 1)
+		So(f.post(t, "/run-start", order), ShouldEqual, 0)
+		So(f.recorder.report().Starts, ShouldEqual, 0)
+		So(f.post(t, "/run-start", order), ShouldEqual, http.StatusOK)
+		So(f.recorder.report().Starts, ShouldEqual, 1)
+	})
+	Convey("A severed connection isn't closed by the end of the server", t, func() {
+		f := newFaultFixture(t)
+		answered := make(chan int)
+		go func() { answered <- f.post(t, "/hold", orderBody{FencingToken: 1, WaitMs: 2000}) }()
+		So(eventually(time.Second, func() bool { return f.conns.sever(nil, 1, f.now) == 1 }), ShouldBeTrue)
+		begun := time.Now()
+		f.closeServer()
+		So(<-answered, ShouldEqual, 0)
+		So(time.Since(begun), ShouldBeGreaterThan, 20*time.Millisecond)
+	})
+}
+
+// Guards against a restarted worker that keeps its state, its number or its address, or is back at once.
+func TestRestart(t *testing.T) {
+	Convey("A worker that is started again is back within a second, as an empty one of a later boot", t, func() {
+		log, _ := test.NewNullLogger()
+		rec := newRecorder(log)
+		p := newPool(
+			Config{Zones: []string{"z"}, IP: "127.0.0.1", Capacity: fleet.Size{Cores: 1000}, Seed: 1}, newStore(0),
+			newFaultTable("workers", 1, rec), newConnTable(1, rec), rec, log,
+		)
+		Reset(p.close)
+		now := time.Now()
+		So(p.add(t.Context(), "z", now), ShouldBeNil)
+		before := p.members[0]
+		before.worker.start(orderBody{Task: "j.0.0.0", RunID: 1, UntilMs: 1e9, FencingToken: 7}, now)
+		ids, err := p.change(t.Context(), ActionRestart, 1, "", now)
+		So(err, ShouldBeNil)
+		So(ids, ShouldResemble, []string{before.worker.id})
+		p.step(t.Context(), now.Add(minRestartTime-time.Millisecond))
+		So(p.members, ShouldBeEmpty)
+		now = now.Add(maxRestartTime)
+		p.step(t.Context(), now)
+		So(p.members, ShouldHaveLength, 1)
+		after := p.members[0]
+		So(after.address, ShouldEqual, before.address)
+		So(after.worker.id, ShouldEqual, before.worker.id)
+		So(after.worker.boot, ShouldBeGreaterThan, before.worker.boot)
+		So(after.worker.runs, ShouldBeEmpty)
+		So(after.worker.token, ShouldEqual, 0)
+		So(rec.report().Vanished, ShouldEqual, 1)
+		p.step(t.Context(), now.Add(2*crashNoticeTime))
+		So(p.removals, ShouldBeEmpty)
+		So(string(p.store.newest(partitionID{topic: workerTopic}, "").Items[0].Value), ShouldNotBeEmpty)
+	})
+}
--- a/internal/standin/platform/hosts_test.go
+++ b/internal/standin/platform/hosts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -33,6 +34,7 @@
 type runningHost struct {
 	settings    HostSettings
 	path        string
+	level       string
 	metricsPort int
 	// stop stops the host as the platform does before planned work and returns its error.
 	stop func() error
@@ -43,28 +45,36 @@
 
 // startDeployment starts a stand-in with three zones of four workers, and entry hosts in all of them.
 func startDeployment(t *testing.T, seed uint64, hosts int) *deployment {
+	t.Helper()
+	return startZones(t, []string{"a", "b", "c"}, seed, hosts)
+}
+
+// startZones starts a stand-in with four workers in each of the zones, and entry hosts in the zones in turn.
+func startZones(t *testing.T, zones []string, seed uint64, hosts int) *deployment {
 	t.Helper()
 	manifest, err := DefaultManifest(1)
 	So(err, ShouldBeNil)
 	log, _ := test.NewNullLogger()
 	p, closePlatform, err := New(Config{
-		Zones: []string{"a", "b", "c"}, Workers: 4, Capacity: fleet.Size{Cores: 8000, Memory: 16000}, IP: "127.0.0.1",
-		Seed: seed, Manifest: manifest,
+		Zones: zones, Workers: 4, Capacity: fleet.Size{Cores: 8000, Memory: 16000}, IP: "127.0.0.1", Seed: seed,
+		Manifest: manifest,
 	}, log)
 	So(err, ShouldBeNil)
 	d := &deployment{t: t, platform: p}
+	// PLATFORM_LOG sets the log level of the hosts.
+	level := cmp.Or(os.Getenv("PLATFORM_LOG"), "error")
 	free := reservePorts(t, portsOfHost*hosts)
 	for i := range hosts {
 		ports := free[portsOfHost*i:]
 		s := HostSettings{
-			Name: fmt.Sprintf("h%d", i), Zone: p.cfg.Zones[i%3], IP: "127.0.0.1", CallersPort: ports[0], ReadyPort: ports[1],
+			Name: fmt.Sprintf("h%d", i), Zone: zones[i%len(zones)], IP: "127.0.0.1", CallersPort: ports[0], ReadyPort: ports[1],
 			FirstPort: ports[2], LastPort: ports[3], MemoryMiB: 1024,
 		}
 		s.StoreAddress, err = p.AddStore(s.Name)
 		So(err, ShouldBeNil)
 		path := filepath.Join(t.TempDir(), s.Name+".conf")
 		So(os.WriteFile(path, []byte(s.File()), 0o600), ShouldBeNil)
-		d.hosts = append(d.hosts, &runningHost{settings: s, path: path, metricsPort: ports[4]})
+		d.hosts = append(d.hosts, &runningHost{settings: s, path: path, level: level, metricsPort: ports[4]})
 	}
 	for _, h := range d.hosts {
 		h.start()
@@ -117,7 +127,7 @@
 func (h *runningHost) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
-	go func() { stopped <- product.Run(ctx, h.path, "error", h.metricsPort) }()
+	go func() { stopped <- product.Run(ctx, h.path, h.level, h.metricsPort) }()
 	h.stop = sync.OnceValue(func() error {
 		cancel()
 		return <-stopped
--- a/internal/standin/platform/log_test.go
+++ b/internal/standin/platform/log_test.go
@@ -20,7 +20,7 @@
 	ctx := context.Background()
 	Convey("A store with a client", t, func() {
 		s := newStore(700)
-		faults := newFaultTable("store", newRecorder(log))
+		faults := newFaultTable("store", 1, newRecorder(log))
 		address, closeServer, err := serve(ctx, "127.0.0.1:0", storeHandler(s, faults, "h1"))
 		So(err, ShouldBeNil)
 		client, closeClient := product.NewStore(address)
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -53,8 +53,10 @@
 	recorder *recorder
 	store    *store
 	faults   *faultTable
-	// workerFaults are the faults of the workers.
+	conns    *connTable
+	// workerFaults are the faults of the workers, and workerConns the connections to them.
 	workerFaults *faultTable
+	workerConns  *connTable
 	workers      *pool
 	ingress      *ingress
 
@@ -72,10 +74,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	rec := newRecorder(log)
 	p := &Platform{
-		cfg: cfg, ctx: ctx, log: log, recorder: rec, store: newStore(0), faults: newFaultTable("store", rec),
-		workerFaults: newFaultTable("workers", rec), ingress: newIngress(rec, log),
+		cfg: cfg, ctx: ctx, log: log, recorder: rec, store: newStore(0),
+		faults: newFaultTable("store", cfg.Seed, rec), conns: newConnTable(cfg.Seed, rec),
+		workerFaults: newFaultTable("workers", cfg.Seed, rec), workerConns: newConnTable(cfg.Seed, rec),
+		ingress: newIngress(rec, log),
 	}
-	p.workers = newPool(cfg, p.store, p.workerFaults, rec, log)
+	p.workers = newPool(cfg, p.store, p.workerFaults, p.workerConns, rec, log)
 	closeAll := func() {
 		cancel()
 		p.mu.Lock()
@@ -115,7 +119,7 @@
 	}
 	p.runEvery(stepInterval, func() {
 		now := time.Now()
-		p.workers.step(now)
+		p.workers.step(p.ctx, now)
 		p.recorder.check(now)
 	})
 	p.runEvery(probeInterval, func() { p.ingress.probe(p.ctx) })
@@ -161,10 +165,21 @@
 // serve serves the handler on the address. It returns the address with its port and a function that stops the server
 // and closes its connections at once. The requests' contexts derive from ctx.
 func serve(ctx context.Context, address string, h http.Handler) (string, func(), error) {
-	l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+	l, err := listen(ctx, address)
 	if err != nil {
-		return "", nil, errors.Wrapf(err, "standin: listen on %s", address)
+		return "", nil, err
 	}
+	return l.Addr().String(), serveOn(ctx, l, h), nil
+}
+
+// listen listens on the address.
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+	return l, errors.Wrapf(err, "standin: listen on %s", address)
+}
+
+// serveOn serves the handler on the listener until the returned function is called.
+func serveOn(ctx context.Context, l net.Listener, h http.Handler) func() {
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, BaseContext: func(net.Listener) context.Context { return ctx },
 	}
@@ -174,11 +189,11 @@
 		// Serve always returns an error, ErrServerClosed after the clean-up.
 		_ = srv.Serve(l)
 	}()
-	return l.Addr().String(), func() {
+	return func() {
 		// An error means that the listener is already closed.
 		_ = srv.Close()
 		<-done
-	}, nil
+	}
 }
 
 // ControlAddress returns the address of the fault switches and of the report.
@@ -196,7 +211,14 @@
 	}
 	p.stores++
 	p.mu.Unlock()
-	return p.serve(port, storeHandler(p.store, p.faults, caller))
+	address, closeServer, err := p.conns.serve(
+		p.ctx, caller, net.JoinHostPort(p.cfg.IP, strconv.Itoa(port)), storeHandler(p.store, p.faults, caller),
+	)
+	if err != nil {
+		return "", err
+	}
+	p.addCloser(closeServer)
+	return address, nil
 }
 
 // AddHost adds an entry host, to which callers are forwarded while it is ready.
@@ -240,6 +262,26 @@
 	return ids, nil
 }
 
+// SeverStore makes a share of the open connections to the store silent for good, those of the callers or, if there is no
+// name, of all callers. New connections work. It returns how many it has severed.
+func (p *Platform) SeverStore(share float64, callers ...string) int {
+	return p.conns.sever(callers, share, time.Now())
+}
+
+// SeverWorkers makes a share of the open connections to the workers silent for good, those to n random workers that are
+// ready, of the given zone or of any if it is empty, or those to all workers if n is 0. New connections work. It returns
+// how many it has severed.
+func (p *Platform) SeverWorkers(share float64, n int, zone string) (int, error) {
+	var ids []string
+	if n > 0 {
+		var err error
+		if ids, err = p.workers.pick(n, zone); err != nil {
+			return 0, err
+		}
+	}
+	return p.workerConns.sever(ids, share, time.Now()), nil
+}
+
 // ChangeWorkers applies an action to a number of workers that are ready, of the given zone or of any if it is empty, and
 // returns their IDs.
 func (p *Platform) ChangeWorkers(a Action, n int, zone string) ([]string, error) {
--- a/internal/standin/platform/pool.go
+++ b/internal/standin/platform/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -28,6 +29,9 @@
 	// crashNoticeTime is the time after which the entry of a worker that has crashed is removed: three intervals of its
 	// heartbeat.
 	crashNoticeTime = 3300 * time.Millisecond
+	// minRestartTime and maxRestartTime bound the time until a worker that is started again is back.
+	minRestartTime = 100 * time.Millisecond
+	maxRestartTime = time.Second
 	// maxClockStart bounds the reading of a worker's clock at its start, in milliseconds.
 	maxClockStart = 1_000_000
 	// maxClockLag is the largest share by which a worker's clock is slow.
@@ -43,7 +47,8 @@
 	ActionDrain Action = "drain"
 	// ActionKill ends a worker without notice.
 	ActionKill Action = "kill"
-	// ActionRestart ends a worker without notice and starts it again under the same ID and at the same address.
+	// ActionRestart ends a worker without notice and starts it again under the same ID and at the same address, after a
+	// random time between minRestartTime and maxRestartTime.
 	ActionRestart Action = "restart"
 	// ActionAdd starts a new worker.
 	ActionAdd Action = "add"
@@ -57,6 +62,7 @@
 	cfg      Config
 	store    *store
 	faults   *faultTable
+	conns    *connTable
 	recorder *recorder
 	log      logrus.FieldLogger
 
@@ -68,6 +74,14 @@
 	lastBoot int64
 	// removals holds when the entries of crashed workers are removed, by ID.
 	removals map[string]time.Time
+	// restarts holds the workers that have crashed and start again.
+	restarts []restart
+}
+
+// restart is the end of a worker after which its next boot starts at the given time.
+type restart struct {
+	ended *member
+	at    time.Time
 }
 
 // member is a worker that is served.
@@ -80,9 +94,9 @@
 }
 
 // newPool returns a pool without workers.
-func newPool(cfg Config, s *store, t *faultTable, r *recorder, log logrus.FieldLogger) *pool {
+func newPool(cfg Config, s *store, t *faultTable, c *connTable, r *recorder, log logrus.FieldLogger) *pool {
 	return &pool{
-		cfg: cfg, store: s, faults: t, recorder: r, log: log, rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		cfg: cfg, store: s, faults: t, conns: c, recorder: r, log: log, rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		removals: map[string]time.Time{},
 	}
 }
@@ -123,8 +137,9 @@
 		changed: make(chan struct{}),
 	}
 	p.recorder.workerUp(w)
-	address, closeServer, err := serve(ctx, address, workerHandler(w, p.faults))
+	address, closeServer, err := p.conns.serve(ctx, id, address, workerHandler(w, p.faults))
 	if err != nil {
+		p.recorder.workerGone(w.life)
 		return err
 	}
 	m := &member{worker: w, address: address, close: closeServer}
@@ -152,8 +167,9 @@
 	p.store.put(workerTopic, w.id, data)
 }
 
-// step lets time pass for all workers: runs end, draining workers leave, and entries of crashed workers are removed.
-func (p *pool) step(now time.Time) {
+// step lets time pass for all workers: runs end, draining workers leave, entries of crashed workers are removed, and
+// those that were ended to start again do so.
+func (p *pool) step(ctx context.Context, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := 0; i < len(p.members); i++ {
@@ -173,6 +189,18 @@
 			p.store.put(workerTopic, id, nil)
 		}
 	}
+	p.restarts = slices.DeleteFunc(p.restarts, func(r restart) bool {
+		if now.Before(r.at) {
+			return false
+		}
+		w := r.ended.worker
+		err := p.serveWorker(ctx, w.id, w.zone, w.labels[1], r.ended.address, now)
+		if err != nil {
+			// Another process may use the port for a connection for a while.
+			p.log.WithError(err).WithField("worker", w.id).Warn("standin: restart worker")
+		}
+		return err == nil
+	})
 }
 
 // remove ends a worker and closes its address. The caller holds mu.
@@ -210,7 +238,7 @@
 	}
 	ids := make([]string, 0, n)
 	for _, m := range ready {
-		if err := p.apply(ctx, a, m, now); err != nil {
+		if err := p.apply(a, m, now); err != nil {
 			return ids, err
 		}
 		ids = append(ids, m.worker.id)
@@ -254,7 +282,7 @@
 }
 
 // apply applies an action to a worker. The caller holds mu.
-func (p *pool) apply(ctx context.Context, a Action, m *member, now time.Time) error {
+func (p *pool) apply(a Action, m *member, now time.Time) error {
 	w := m.worker
 	switch a {
 	case ActionDrain:
@@ -268,7 +296,9 @@
 	case ActionRestart:
 		p.recorder.disturb(now)
 		p.remove(m, now)
-		return p.serveWorker(ctx, w.id, w.zone, w.labels[1], m.address, now)
+		p.removals[w.id] = now.Add(crashNoticeTime)
+		after := minRestartTime + time.Duration(p.rng.Int64N(int64(maxRestartTime-minRestartTime)))
+		p.restarts = append(p.restarts, restart{ended: m, at: now.Add(after)})
 	default:
 		return errors.Mark(errors.Newf("standin: no action %q", a), ErrAction)
 	}
--- /dev/null
+++ b/internal/standin/platform/twice_test.go
@@ -0,0 +1,141 @@
+package platform
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const (
+	// faultyTime is how long the faults of a schedule last, callTime the part of it in which jobs arrive.
+	faultyTime = 18 * time.Second
+	callTime   = 15 * time.Second
+	// callInterval is the mean time between two jobs.
+	callInterval = 200 * time.Millisecond
+)
+
+// TestNoTaskRunsTwiceUnderLostAnswers guards against a leader that takes a run for ended, or for never started, because
+// the answers or the connections of its worker were lost. PLATFORM_SEED draws another schedule.
+func TestNoTaskRunsTwiceUnderLostAnswers(t *testing.T) {
+	seed := uint64(1)
+	if text := os.Getenv("PLATFORM_SEED"); text != "" {
+		var err error
+		if seed, err = strconv.ParseUint(text, 10, 64); err != nil {
+			t.Fatal(err)
+		}
+	}
+	Convey("Lost answers, late calls, severed connections, restarts and changes of leader start no task twice", t, func() {
+		d := startZones(t, []string{"a", "b"}, seed, 3)
+		serving := submissionBody{Spec: "s", Steps: []stepBody{{
+			Count: 6, CPU: 1000, MemMb: 512, EstimatedMs: 1000, LongRunning: true, TargetMs: 200,
+		}}}
+		d.call(http.MethodPost, ServingPrefix+"00000000000000a1", serving)
+		var wg sync.WaitGroup
+		for _, fn := range []func(){
+			func() { d.submitJobs(rand.New(rand.NewPCG(seed, 10))) },
+			func() { d.disturb(rand.New(rand.NewPCG(seed, 11))) },
+			func() { d.replaceLeaders(rand.New(rand.NewPCG(seed, 12))) },
+		} {
+			wg.Go(fn)
+		}
+		wg.Wait()
+		r := d.platform.Report()
+		t.Logf("seed %d: %d jobs, %d starts, %d tasks done, ends %v, %d vanished", seed, r.Accepted, r.Starts, r.Done,
+			r.Ended, r.Vanished)
+		var broken []string
+		for _, v := range r.Violations {
+			t.Logf("%+v", v)
+			if v.Rule == RuleTwice || v.Rule == RuleLimit {
+				broken = append(broken, fmt.Sprintf("%+v", v))
+			}
+		}
+		So(broken, ShouldBeEmpty)
+		// Else the schedule has shown nothing.
+		So(r.Done, ShouldBeGreaterThan, 0)
+	})
+}
+
+// submitJobs sends jobs of two steps with short tasks. A job without an answer is not sent again.
+func (d *deployment) submitJobs(rng *rand.Rand) {
+	for n, end := 0, time.Now().Add(callTime); time.Now().Before(end); n++ {
+		short := func(dependsOn ...int) stepBody {
+			return stepBody{
+				Count: 1 + rng.IntN(16), CPU: int64(1000 * (1 + rng.IntN(3))), MemMb: 256,
+				EstimatedMs: int64(300 + rng.IntN(2700)), Checkpointing: rng.IntN(2) == 0, DependsOn: dependsOn,
+			}
+		}
+		job := submissionBody{Spec: "b", Steps: []stepBody{short(), short(0)}}
+		go send(http.MethodPost, d.platform.IngressAddress(), RouteHost, fmt.Sprintf("%s%016x", BatchPrefix, n), job)
+		time.Sleep(time.Duration(rng.Int64N(int64(2 * callInterval))))
+	}
+}
+
+// replaceLeaders stops and starts the leading host every few seconds.
+func (d *deployment) replaceLeaders(rng *rand.Rand) {
+	for end := time.Now().Add(faultyTime); ; {
+		time.Sleep(2*time.Second + time.Duration(rng.Int64N(int64(5*time.Second))))
+		if time.Now().After(end) {
+			return
+		}
+		if leader := d.leader(); leader != nil {
+			_ = leader.stop()
+			leader.start()
+		}
+	}
+}
+
+// disturb has faults of workers and of the store follow one another, with one outage of the store at a random time. It
+// ends without faults.
+func (d *deployment) disturb(rng *rand.Rand) {
+	p := d.platform
+	// between returns a random time.
+	between := func(from, to time.Duration) time.Duration { return from + time.Duration(rng.Int64N(int64(to-from))) }
+	share := func() float64 { return 0.1 + 0.9*rng.Float64() }
+	begun := time.Now()
+	outageAt := begun.Add(between(3*time.Second, 14*time.Second))
+	var outageEnd time.Time
+	for time.Since(begun) < faultyTime {
+		time.Sleep(between(100*time.Millisecond, time.Second))
+		now := time.Now()
+		switch {
+		case outageEnd.IsZero() && now.After(outageAt):
+			outageEnd = now.Add(between(3*time.Second, 6*time.Second))
+			p.SetFaults(Faults{Silent: true})
+		case !outageEnd.IsZero() && now.After(outageEnd):
+			p.SetFaults(Faults{})
+		}
+		// An action on more workers than are ready has no effect.
+		switch rng.IntN(9) {
+		case 0:
+			_, _ = p.SeverWorkers(share(), 0, "")
+		case 1:
+			_, _ = p.SeverWorkers(share(), 1+rng.IntN(4), "")
+		case 2:
+			p.SeverStore(share())
+		case 3:
+			_, _ = p.SetWorkerFaults(Faults{Late: 2 * time.Second, Share: share() / 2}, 1+rng.IntN(8), "")
+		case 4:
+			_, _ = p.SetWorkerFaults(Faults{Lose: true, Share: share()}, 1+rng.IntN(8), "")
+		case 5:
+			_, _ = p.SetWorkerFaults(Faults{Silent: true}, 1+rng.IntN(2), "")
+		case 6:
+			_, _ = p.SetWorkerFaults(Faults{}, 0, "")
+		case 7:
+			_, _ = p.ChangeWorkers(ActionRestart, 1, "")
+		default:
+			_, _ = p.ChangeWorkers(ActionAdd, 1, "")
+			_, _ = p.ChangeWorkers(ActionDrain, 1, "")
+		}
+	}
+	p.SetFaults(Faults{})
+	_, _ = p.SetWorkerFaults(Faults{}, 0, "")
+	// Long enough for what was silent to be found out, and for calls that are late.
+	time.Sleep(3 * time.Second)
+}
--- a/internal/standin/platform/worker_test.go
+++ b/internal/standin/platform/worker_test.go
@@ -233,7 +233,7 @@
 	Convey("A worker that is served", t, func() {
 		f := newFixture()
 		f.a.startedAt = time.Now()
-		faults := newFaultTable("workers", f.recorder)
+		faults := newFaultTable("workers", 1, f.recorder)
 		address, closeServer, err := serve(t.Context(), "127.0.0.1:0", workerHandler(f.a, faults))
 		So(err, ShouldBeNil)
 		client, closeClient := product.NewWorkers()
