--- a/internal/standin/platform/twice_test.go
+++ b/internal/standin/platform/twice_test.go
@@ -108,11 +108,16 @@
 		case outageEnd.IsZero() && now.After(outageAt):
 			outageEnd = now.Add(between(3*time.Second, 6*time.Second))
 			p.SetFaults(Faults{Silent: true})
+			// Restarts in an outage don't show in the list of workers.
+			if rng.IntN(2) == 0 {
+				_, _ = p.SeverWorkers(share(), 0, "")
+				_, _ = p.ChangeWorkers(ActionRestart, 1+rng.IntN(3), "")
+			}
 		case !outageEnd.IsZero() && now.After(outageEnd):
 			p.SetFaults(Faults{})
 		}
 		// An action on more workers than are ready has no effect.
-		switch rng.IntN(9) {
+		switch rng.IntN(10) {
 		case 0:
 			_, _ = p.SeverWorkers(share(), 0, "")
 		case 1:
@@ -129,6 +134,10 @@
 			_, _ = p.SetWorkerFaults(Faults{}, 0, "")
 		case 7:
 			_, _ = p.ChangeWorkers(ActionRestart, 1, "")
+		case 8:
+			// The ends of the connections that were severed before don't learn of the restart.
+			_, _ = p.SeverWorkers(share(), 0, "")
+			_, _ = p.ChangeWorkers(ActionRestart, 1+rng.IntN(3), "")
 		default:
 			_, _ = p.ChangeWorkers(ActionAdd, 1, "")
 			_, _ = p.ChangeWorkers(ActionDrain, 1, "")
