--- a/internal/standin/platform/sever.go
+++ b/internal/standin/platform/sever.go
@@ -110,7 +110,7 @@
 		defer stop()
 		// The server may still set deadlines on the socket.
 		for err := os.ErrDeadlineExceeded; errors.Is(err, os.ErrDeadlineExceeded); {
-			_ = c.Conn.SetReadDeadline(time.Time{})
+			_ = c.SetReadDeadline(time.Time{})
 			_, err = io.Copy(io.Discard, c.Conn)
 		}
 		_ = c.Conn.Close()
