--- a/internal/host/entry/renew.go
+++ b/internal/host/entry/renew.go
@@ -145,14 +145,6 @@
 	return false
 }
 
-// laterOf returns the later of two times.
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // maxPingDelay is the time that a ping may take to arrive. When it arrives, the store's answer is older by up to that
 // time than the ping reports.
 const maxPingDelay = 100 * time.Millisecond
