Stop a run also in the next process of its worker

A job that was cancelled kept its room, a long-running one for ever.

Cause: the restart put the run back to 'unanswered', and the order to stop it was for the former boot.

The change: such a run stays one that is being stopped, and the stop is ordered again for the next process. Only a run whose start was barred counts as not started when a crash is blamed.

TestStopOutlivesRestart failed before. TestStartInFlightAtRestartRunsOnce now has a former process with a later clock, so that it fails without the condition on the answer to the stop.

--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -67,9 +67,9 @@
 	if w == nil || report.Boot < w.Boot {
 		return
 	}
-	restarted := report.Boot != w.Boot
-	if restarted {
-		s.handleRestart(now, w, report)
+	var kept []*run
+	if report.Boot != w.Boot {
+		kept = s.handleRestart(now, w, report)
 	}
 	s.withdrawLapse(bootID{w.ID, w.Boot}, "the same boot answered")
 	if w.failedRenewals > 1 {
@@ -92,9 +92,7 @@
 	}
 	s.applyEnds(now, w, report.Ended)
 	s.applyRunning(now, w, report)
-	if restarted {
-		s.barUnlistedStarts(w)
-	}
+	s.barStarts(w, kept)
 	w.recordProbes(now)
 	s.acquitSurvivors(w)
 	if first {
--- a/internal/zone/dispatch/restart.go
+++ b/internal/zone/dispatch/restart.go
@@ -9,13 +9,15 @@
 // reasonRestarted is the reason for which runs are lost or stopped after a restart of their worker.
 const reasonRestarted = "worker restarted"
 
-// handleRestart applies the first report of another process of the worker than the one that is known.
-func (s *Scheduler) handleRestart(now time.Time, w *Worker, report Report) {
+// handleRestart applies the first report of another process of the worker than the one that is known. It returns the runs
+// whose starts may still reach that process.
+func (s *Scheduler) handleRestart(now time.Time, w *Worker, report Report) (kept []*run) {
 	s.recordEvent(Event{Kind: "worker restarted", Worker: w.ID})
 	s.recordLapse(now, w)
 	for _, r := range s.runsOf(w) {
 		if r.mayReachNextProcess() {
 			r.resetStart()
+			kept = append(kept, r)
 			continue
 		}
 		s.loseRun(now, r, reasonRestarted)
@@ -33,6 +35,7 @@
 	}
 	delete(s.unaccounted, w.ID)
 	delete(s.backlogged, w)
+	return kept
 }
 
 // mayReachNextProcess reports whether the start of the run may be carried out by the next process of its worker: it was
@@ -47,18 +50,29 @@
 }
 
 // resetStart forgets what the former process of the worker has answered to an order to stop the run.
-func (r *run) resetStart() { r.phase, r.stopAnswered, r.confirmedClock = phaseUnanswered, false, 0 }
+func (r *run) resetStart() {
+	if r.phase != phaseStopping {
+		r.phase = phaseUnanswered
+	}
+	r.stopAnswered, r.confirmedClock = false, 0
+}
 
-// barUnlistedStarts orders a restarted worker to stop the runs that the former process may have been told to start and
-// that its first report doesn't list. The worker refuses their starts from then on. The validity of the starts is of no
-// use, since it is by the former process's clock.
-func (s *Scheduler) barUnlistedStarts(w *Worker) {
-	for _, r := range s.runsOf(w) {
-		if r.phase == phaseUnanswered && r.listedIn != w.reports {
+// barStarts orders a restarted worker to stop the kept runs that were being stopped or that its first report doesn't list.
+// The worker refuses their starts from then on. The validity of the starts is of no use, since it is by the former
+// process's clock.
+func (s *Scheduler) barStarts(w *Worker, kept []*run) {
+	for _, r := range kept {
+		k := runKey{r.task.name, r.number}
+		switch {
+		case w.runs[k] != r || r.phase == phaseRunning:
+		case r.phase == phaseStopping:
+			s.addStop(stop{worker: w, key: k, run: r, reason: reasonRestarted})
+		default:
+			r.barred = true
 			s.stopRun(r, reasonRestarted)
 		}
 	}
 }
 
-// isBarred reports whether the worker refuses the start of the run, which it has never listed.
-func (r *run) isBarred() bool { return r.phase == phaseStopping && !r.confirmed && r.stopAnswered }
+// isBarred reports whether the run was certainly not started by the present process of its worker.
+func (r *run) isBarred() bool { return r.barred && r.stopAnswered && !r.confirmed }
--- a/internal/zone/dispatch/restart_test.go
+++ b/internal/zone/dispatch/restart_test.go
@@ -81,21 +81,40 @@
 			So(stop.Boot, ShouldEqual, 2)
 			So(stop.Run, ShouldEqual, start.Run)
 			Convey("and the task starts again only after that is known", func() {
-				now = now.Add(time.Minute)
+				now = now.Add(time.Second)
 				answer(s, now, otherWorker(start))
-				s.HandleReport(now, restartedReport(time.Minute))
+				s.HandleReport(now, restartedReport(time.Second))
 				So(startsOf(s, now), ShouldEqual, 0)
-				s.HandleStopAnswer(now, stop, AnswerDone, time.Minute.Milliseconds())
+				s.HandleStopAnswer(now, stop, AnswerDone, time.Second.Milliseconds())
 				now = now.Add(unlistedTimeout + 100*time.Millisecond)
 				answer(s, now, otherWorker(start))
-				s.HandleReport(now, restartedReport(time.Minute+unlistedTimeout+100*time.Millisecond))
+				s.HandleReport(now, restartedReport(time.Second+unlistedTimeout+100*time.Millisecond))
 				commitAll(s)
-				So(startsOf(s, now), ShouldEqual, 1)
+				So(recordedStartsOf(s, now), ShouldEqual, 1)
 			})
 		})
 	})
 }
 
+// TestStopOutlivesRestart guards against a run that was to be stopped and goes on in the next process of its worker.
+func TestStopOutlivesRestart(t *testing.T) {
+	Convey("A job is cancelled before its worker has confirmed a start, and the next process lists the run", t, func() {
+		s, start := newRestartScenario(testLimits())
+		now := simEpoch.Add(11 * time.Second)
+		s.Cancel(now, jobID(1))
+		commitAll(s)
+		s.Decide(now, now)
+		s.HandleReport(now, Report{Worker: start.Worker, Boot: 2, Clock: 100, Running: []RunReport{
+			{Task: start.Task, Number: start.Run},
+		}})
+		commitAll(s)
+		orders := s.Decide(now, now)
+		So(orders, ShouldHaveLength, 1)
+		So(orders[0].Kind, ShouldEqual, OrderStop)
+		So(orders[0].Boot, ShouldEqual, 2)
+	})
+}
+
 // TestLeaseOfRestartedWorkerIsWaitedFor guards against a task that starts elsewhere while its worker, which has restarted
 // and was lost, runs it under a lease that was meant for the former process.
 func TestLeaseOfRestartedWorkerIsWaitedFor(t *testing.T) {
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -63,6 +63,8 @@
 	// stopAnswered is set once the worker has answered an order to stop the run. The order is repeated, and the later
 	// answers don't put off the release of a run that the worker doesn't list.
 	stopAnswered bool
+	// barred is set once the worker was told to refuse the start, after a restart.
+	barred bool
 	// progress is the share of the work that is done, in percent.
 	progress int
 	// progressedAt is when the progress last changed or could not be expected to.
