Don't confirm a start by an answer without a clock

Cause: the time of a confirmation was taken from an answer that holds none.

The change: such an answer confirms nothing; the run stays unanswered until a report tells. TestAnswerWithoutClockConfirmsNothing failed before.

--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -188,11 +188,14 @@
 	}
 	switch a {
 	case AnswerDone:
-		if r.isFromAnotherProcess(clock) {
+		switch {
+		case clock <= 0:
+			// It doesn't tell when, and in which process, the worker had the run.
+		case r.isFromAnotherProcess(clock):
 			w.bootUnknown = true
-			return
+		default:
+			r.confirm(clock)
 		}
-		r.confirm(clock)
 	case AnswerMissing:
 		if r.phase == phaseOrdered {
 			r.phase = phaseUnanswered
--- a/internal/zone/dispatch/restart.go
+++ b/internal/zone/dispatch/restart.go
@@ -43,10 +43,9 @@
 func (r *run) mayReachNextProcess() bool { return !r.awaitsRecord && !r.confirmed }
 
 // isFromAnotherProcess reports whether the answer to the run's start, with the given reading of the worker's clock, is that
-// of another process than the one that the leader knows: it had a later reading when it ordered the start. An answer
-// without a reading, which is 0, doesn't tell.
+// of another process than the one that the leader knows: it had a later reading when it ordered the start.
 func (r *run) isFromAnotherProcess(clock int64) bool {
-	return clock > 0 && clock < r.startUntil-startOrderValidity.Milliseconds()
+	return clock < r.startUntil-startOrderValidity.Milliseconds()
 }
 
 // resetStart forgets what the former process of the worker has answered to an order to stop the run.
--- a/internal/zone/dispatch/restart_test.go
+++ b/internal/zone/dispatch/restart_test.go
@@ -115,6 +115,18 @@
 	})
 }
 
+// TestAnswerWithoutClockConfirmsNothing guards against a run that is taken for gone because an answer to its start held
+// no reading of the worker's clock.
+func TestAnswerWithoutClockConfirmsNothing(t *testing.T) {
+	Convey("A start is answered without a clock, and a report made before doesn't list the run", t, func() {
+		s, start := newRestartScenario(testLimits())
+		now := simEpoch.Add(10*time.Second + 50*time.Millisecond)
+		s.HandleStartAnswer(now, start, AnswerDone, 0)
+		answer(s, now, start.Worker)
+		So(s.findTask(start.Task).runs, ShouldHaveLength, 1)
+	})
+}
+
 // TestLeaseOfRestartedWorkerIsWaitedFor guards against a task that starts elsewhere while its worker, which has restarted
 // and was lost, runs it under a lease that was meant for the former process.
 func TestLeaseOfRestartedWorkerIsWaitedFor(t *testing.T) {
