Use a worker again whose boot is earlier than the known one

Its reports were ignored and yet counted as answers: its leases were extended, its former tasks kept for ever (LOST), and starts went on.

Cause: an answer that is not understood was neither a success nor a failure.

The change: such a report counts as a renewal answered by another boot, so that the leases of the known one expire. After that the earlier boot is taken for the present one. Ruled out: to accept it at once, since nothing then tells it from a late answer of an older process.

TestWorkerOfEarlierBootIsUsedAgain failed before.

--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -60,11 +60,16 @@
 // maxListedEnds is the largest number of ends that a worker lists in one report. After a full list more may follow.
 const maxListedEnds = 500
 
-// HandleReport applies a worker's answer to a lease renewal. It ignores reports of an older boot and of unknown
-// workers.
+// HandleReport applies a worker's answer to a lease renewal. It ignores reports of unknown workers. One of an earlier boot
+// than the known one counts as no answer until the leases of the known one have expired.
 func (s *Scheduler) HandleReport(now time.Time, report Report) {
 	w := s.workers[report.Worker]
-	if w == nil || report.Boot < w.Boot {
+	if w == nil {
+		return
+	}
+	if report.Boot < w.Boot && !(w.leasesExpired && len(w.runs) == 0) {
+		// The worker may have restarted after its time of day was put back.
+		s.HandleRenewalRestart(w.ID)
 		return
 	}
 	var kept []*run
--- a/internal/zone/dispatch/restart_test.go
+++ b/internal/zone/dispatch/restart_test.go
@@ -127,6 +127,31 @@
 	})
 }
 
+// TestWorkerOfEarlierBootIsUsedAgain guards against a worker whose reports are ignored for ever, with the tasks of its
+// former process, because it has restarted after its time of day was put back.
+func TestWorkerOfEarlierBootIsUsedAgain(t *testing.T) {
+	Convey("A worker with a task restarts as an earlier boot", t, func() {
+		s, start := newRestartScenario(testLimits())
+		now := simEpoch.Add(11 * time.Second)
+		s.HandleStartAnswer(now, start, AnswerDone, 12_000)
+		report := func() {
+			s.HandleReport(now, Report{Worker: start.Worker, Boot: 0, Clock: now.Sub(simEpoch).Milliseconds()})
+			answer(s, now, otherWorker(start))
+			commitAll(s)
+		}
+		report()
+		So(s.workers[start.Worker].isUsable(), ShouldBeFalse)
+		So(s.findTask(start.Task).runs, ShouldHaveLength, 1)
+		Convey("its task starts again once the leases have expired, and it is used again", func() {
+			now = now.Add(10 * time.Second)
+			report()
+			So(recordedStartsOf(s, now), ShouldEqual, 1)
+			report()
+			So(s.workers[start.Worker].isUsable(), ShouldBeTrue)
+		})
+	})
+}
+
 // TestLeaseOfRestartedWorkerIsWaitedFor guards against a task that starts elsewhere while its worker, which has restarted
 // and was lost, runs it under a lease that was meant for the former process.
 func TestLeaseOfRestartedWorkerIsWaitedFor(t *testing.T) {
