--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -95,7 +95,8 @@
 func (s *Scheduler) hasUnacknowledgedEnds(w *Worker) bool { return w.lastEnd > w.durableEnd }
 
 // HandleRenewalRestart notes that another boot of the worker answered a lease renewal. The next renewal asks which boot
-// it is. Until that is known the leases are not extended and lapse: an answer of a boot that seems to be older is ignored.
+// it is. Until that is known the leases are not extended and lapse: a report of a boot that seems to be older counts only
+// after that.
 func (s *Scheduler) HandleRenewalRestart(id string) {
 	if w := s.workers[id]; w != nil {
 		w.bootUnknown = true
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -67,7 +67,7 @@
 	if w == nil {
 		return
 	}
-	if report.Boot < w.Boot && !(w.leasesExpired && len(w.runs) == 0) {
+	if report.Boot < w.Boot && (!w.leasesExpired || len(w.runs) > 0) {
 		// The worker may have restarted after its time of day was put back.
 		s.HandleRenewalRestart(w.ID)
 		return
--- a/internal/zone/dispatch/restart.go
+++ b/internal/zone/dispatch/restart.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// A worker may restart under its ID. The platform tells the two processes apart in reports only, so that a call that was
-// meant for the former process and is still on its way may act on the new one. Its clock, its runs and the serials of its
-// ends begin anew.
+// A worker may restart under its ID. Only the boot in its reports tells the two processes apart, so that a call that was
+// meant for the former process and is still on its way may act on the next one. The clock, the runs and the serials of
+// ends begin anew there.
 
 // reasonRestarted is the reason for which runs are lost or stopped after a restart of their worker.
 const reasonRestarted = "worker restarted"
