--- a/internal/host/entry/renew.go
+++ b/internal/host/entry/renew.go
@@ -74,6 +74,7 @@
 				return
 			}
 			t.recordRenewal(sentAt, w.End())
+			// After a repeated append the term is confirmed as of long ago, so that the next renewal follows at once.
 			if t.host.clock.Now().Sub(sentAt) <= ledger.CallTimeout {
 				t.waitForRenewal()
 			}
@@ -98,10 +99,10 @@
 	}
 }
 
-// recordRenewal records that the store has answered a renewal that was first sent at the given time, and its position in the
-// log. The answer to a repeated attempt confirms nothing later: the renewal may be in the log since the first one, and the
-// other hosts count from when they saw it. Nor does the time at which the answer was read, before which this host may have
-// been suspended.
+// recordRenewal records that the store has answered a renewal, and its position in the log. The term is confirmed as of
+// sentAt, when the first attempt was sent. Later attempts don't count: the renewal may be in the log since the first one,
+// and the other hosts count from when they saw it there. Neither does the arrival of the answer, before which this host
+// may have been suspended.
 func (t *term) recordRenewal(sentAt time.Time, position int64) {
 	t.renewal.Store(position)
 	t.recordConfirmation(sentAt)
--- a/internal/host/entry/renew_test.go
+++ b/internal/host/entry/renew_test.go
@@ -14,19 +14,25 @@
 	"sassafraswind.example/sassafraswind/internal/stream/ledger"
 )
 
-// skippingClock is a boot clock that can be put forward, as by a suspension of the machine, which the clocks of timers
-// don't count.
-type skippingClock struct {
+// suspendableClock is the boot clock of a machine that can be suspended. Timers don't count a suspension.
+type suspendableClock struct {
 	bootclock.Clock
-	skipped atomic.Int64
+	// suspended is the length of all suspensions in nanoseconds.
+	suspended atomic.Int64
 }
 
-func (c *skippingClock) Now() time.Time { return c.Clock.Now().Add(time.Duration(c.skipped.Load())) }
+// Now returns the time of the boot clock, which counts suspensions.
+func (c *suspendableClock) Now() time.Time {
+	return c.Clock.Now().Add(time.Duration(c.suspended.Load()))
+}
+
+// suspend suspends the machine for the given time, which passes at once.
+func (c *suspendableClock) suspend(d time.Duration) { c.suspended.Add(int64(d)) }
 
 // interruptedLog is a memoryLog that interferes with one renewal of the leader, and answers no later one.
 type interruptedLog struct {
 	*memoryLog
-	clock *skippingClock
+	clock *suspendableClock
 
 	mu sync.Mutex
 	// answer returns whether the attempt at the interrupted renewal is answered. It is nil until a renewal is to be
@@ -53,6 +59,7 @@
 	return l.carriedOutAt, l.answered
 }
 
+// Append implements ledger.Store. It answers no renewal after the interrupted one.
 func (l *interruptedLog) Append(ctx context.Context, a ledger.Append) (ledger.OffsetRange, error) {
 	if a.Partition != renewalPartition || len(a.Records) == 0 {
 		return l.memoryLog.Append(ctx, a)
@@ -90,7 +97,7 @@
 // expired, after a later leader counts it as ended: the other hosts count from when they saw its last renewal.
 func TestRenewalConfirmsTermUntilItsFirstAttempt(t *testing.T) {
 	Convey("A host leads", t, func() {
-		clock := &skippingClock{}
+		clock := &suspendableClock{}
 		log := &interruptedLog{memoryLog: newMemoryLog(), clock: clock}
 		w := &fakeWorker{starts: map[string]int{}, startedAt: time.Now()}
 		h, stop := startHostWithClock(t, "a", 0, log, w, clock)
@@ -104,7 +111,7 @@
 		})
 		Convey("and its machine is suspended while the answer to a renewal is on its way", func() {
 			log.interrupt(func(int) bool {
-				clock.skipped.Store(int64(5 * time.Second))
+				clock.suspend(5 * time.Second)
 				return true
 			})
 		})
--- a/internal/standin/platform/sever.go
+++ b/internal/standin/platform/blackhole.go
@@ -21,14 +21,15 @@
 type connTable struct {
 	recorder *recorder
 
-	mu   sync.Mutex
-	rng  *rand.Rand
-	open map[*severableConn]struct{}
+	mu  sync.Mutex
+	rng *rand.Rand
+	// open holds the connections that are neither closed nor blackholed.
+	open map[*trackedConn]struct{}
 }
 
 // newConnTable returns a table without connections.
 func newConnTable(seed uint64, r *recorder) *connTable {
-	return &connTable{recorder: r, rng: rand.New(rand.NewPCG(seed, 2)), open: map[*severableConn]struct{}{}}
+	return &connTable{recorder: r, rng: rand.New(rand.NewPCG(seed, 2)), open: map[*trackedConn]struct{}{}}
 }
 
 // serve serves the handler on the address as the function serve does, and adds its connections to the table.
@@ -37,15 +38,15 @@
 	if err != nil {
 		return "", nil, err
 	}
-	closeServer := serveOn(ctx, &severableListener{Listener: l, ctx: ctx, table: t, name: name}, h)
+	closeServer := serveOn(ctx, &trackedListener{Listener: l, ctx: ctx, table: t, name: name}, h)
 	return l.Addr().String(), closeServer, nil
 }
 
-// sever makes a share of the open connections to the names silent for good, at least one if there are any. Without a
-// name, those to all are meant. It returns how many it has severed.
-func (t *connTable) sever(names []string, share float64, now time.Time) int {
+// blackhole makes a share of the open connections to the names silent for good, at least one if there are any. Without a
+// name, those to all are meant. It returns the number of these connections.
+func (t *connTable) blackhole(names []string, share float64, now time.Time) int {
 	t.mu.Lock()
-	var conns []*severableConn
+	var conns []*trackedConn
 	for c := range t.open {
 		if len(names) == 0 || slices.Contains(names, c.name) {
 			conns = append(conns, c)
@@ -58,54 +59,57 @@
 	}
 	t.mu.Unlock()
 	for _, c := range conns {
-		c.sever()
+		c.blackhole()
 	}
 	t.recorder.disturb(now)
 	return len(conns)
 }
 
 // remove removes a connection that was closed.
-func (t *connTable) remove(c *severableConn) {
+func (t *connTable) remove(c *trackedConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.open, c)
 }
 
-// severableListener accepts connections that can be severed.
-type severableListener struct {
+// trackedListener accepts connections that can be blackholed.
+type trackedListener struct {
 	net.Listener
+	// ctx is that of the server. Blackholed connections are closed when it ends.
 	ctx   context.Context
 	table *connTable
 	name  string
 }
 
 // Accept waits for the next connection and adds it to the table.
-func (l *severableListener) Accept() (net.Conn, error) {
+func (l *trackedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	c := &severableConn{Conn: conn, ctx: l.ctx, table: l.table, name: l.name}
+	c := &trackedConn{Conn: conn, ctx: l.ctx, table: l.table, name: l.name}
 	l.table.mu.Lock()
 	defer l.table.mu.Unlock()
 	l.table.open[c] = struct{}{}
 	return c, nil
 }
 
-// severableConn is a connection of which something between the two ends can lose track: what either end sends then
+// trackedConn is a connection of which something between the two ends can lose track: what either end sends then
 // reaches nobody, and neither end learns that the other one has closed it.
-type severableConn struct {
+type trackedConn struct {
 	net.Conn
-	ctx     context.Context
-	table   *connTable
-	name    string
-	severed atomic.Bool
+	ctx   context.Context
+	table *connTable
+	name  string
+	// blackholed is never cleared.
+	blackholed atomic.Bool
 }
 
-// sever makes the connection silent. Its socket stays open until the client closes it or the context ends.
-func (c *severableConn) sever() {
-	c.severed.Store(true)
+// blackhole makes the connection silent. Its socket stays open until the client closes it or the context ends.
+func (c *trackedConn) blackhole() {
+	c.blackholed.Store(true)
 	go func() {
+		// All errors here mean that the connection is already closed.
 		stop := context.AfterFunc(c.ctx, func() { _ = c.Conn.Close() })
 		defer stop()
 		// The server may still set deadlines on the socket.
@@ -117,27 +121,27 @@
 	}()
 }
 
-// Read reads what the client sends. On a severed connection it fails, so that the server forgets the connection.
-func (c *severableConn) Read(p []byte) (int, error) {
+// Read reads what the client sends. On a blackholed connection it fails, so that the server forgets the connection.
+func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if c.severed.Load() {
+	if c.blackholed.Load() {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
-// Write accepts and discards what is sent on a severed connection.
-func (c *severableConn) Write(p []byte) (int, error) {
-	if c.severed.Load() {
+// Write accepts and discards what is sent on a blackholed connection.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	if c.blackholed.Load() {
 		return len(p), nil
 	}
 	return c.Conn.Write(p)
 }
 
-// Close closes the connection unless it is severed.
-func (c *severableConn) Close() error {
+// Close closes the connection unless it is blackholed.
+func (c *trackedConn) Close() error {
 	c.table.remove(c)
-	if c.severed.Load() {
+	if c.blackholed.Load() {
 		return nil
 	}
 	return c.Conn.Close()
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -18,7 +18,7 @@
 	// Lose means that calls with the method POST take effect and get no response.
 	Lose bool `json:"lose"`
 	// Late means that calls with the method POST get no response and take effect after a random time between Late and
-	// lateSpread times Late, unless the process that has accepted them has ended by then.
+	// lateSpread times Late, unless the server has ended by then.
 	Late time.Duration `json:"late"`
 	// Share is the share of the calls that have the faults. Zero stands for all.
 	Share float64 `json:"share"`
--- a/internal/standin/platform/faults_test.go
+++ b/internal/standin/platform/faults_test.go
@@ -105,23 +105,23 @@
 		So(lost, ShouldBeBetween, 0, 20)
 		So(f.recorder.report().Starts, ShouldEqual, 20)
 	})
-	Convey("A severed connection is silent for good, and a new one works", t, func() {
+	Convey("A blackholed connection is silent for good, and a new one works", t, func() {
 		f := newFaultFixture(t)
 		renewal := orderBody{FencingToken: 1}
 		So(f.post(t, "/hold", renewal), ShouldEqual, http.StatusOK)
-		So(f.conns.sever([]string{"b"}, 1, f.now), ShouldEqual, 0)
+		So(f.conns.blackhole([]string{"b"}, 1, f.now), ShouldEqual, 0)
 		So(f.post(t, "/hold", renewal), ShouldEqual, http.StatusOK)
-		So(f.conns.sever([]string{"a"}, 0.5, f.now), ShouldEqual, 1)
+		So(f.conns.blackhole([]string{"a"}, 0.5, f.now), ShouldEqual, 1)
 		So(f.post(t, "/run-start", order), ShouldEqual, 0)
 		So(f.recorder.report().Starts, ShouldEqual, 0)
 		So(f.post(t, "/run-start", order), ShouldEqual, http.StatusOK)
 		So(f.recorder.report().Starts, ShouldEqual, 1)
 	})
-	Convey("A severed connection isn't closed by the end of the server", t, func() {
+	Convey("A blackholed connection isn't closed by the end of the server", t, func() {
 		f := newFaultFixture(t)
 		answered := make(chan int)
 		go func() { answered <- f.post(t, "/hold", orderBody{FencingToken: 1, WaitMs: 2000}) }()
-		So(eventually(time.Second, func() bool { return f.conns.sever(nil, 1, f.now) == 1 }), ShouldBeTrue)
+		So(eventually(time.Second, func() bool { return f.conns.blackhole(nil, 1, f.now) == 1 }), ShouldBeTrue)
 		begun := time.Now()
 		f.closeServer()
 		So(<-answered, ShouldEqual, 0)
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -262,16 +262,16 @@
 	return ids, nil
 }
 
-// SeverStore makes a share of the open connections to the store silent for good, those of the callers or, if there is no
-// name, of all callers. New connections work. It returns how many it has severed.
-func (p *Platform) SeverStore(share float64, callers ...string) int {
-	return p.conns.sever(callers, share, time.Now())
+// BlackholeStore makes a share of the open connections to the store silent for good, those of the callers or, if there is no
+// name, of all callers. New connections work. It returns the number of these connections.
+func (p *Platform) BlackholeStore(share float64, callers ...string) int {
+	return p.conns.blackhole(callers, share, time.Now())
 }
 
-// SeverWorkers makes a share of the open connections to the workers silent for good, those to n random workers that are
+// BlackholeWorkers makes a share of the open connections to the workers silent for good, those to n random workers that are
 // ready, of the given zone or of any if it is empty, or those to all workers if n is 0. New connections work. It returns
-// how many it has severed.
-func (p *Platform) SeverWorkers(share float64, n int, zone string) (int, error) {
+// the number of these connections.
+func (p *Platform) BlackholeWorkers(share float64, n int, zone string) (int, error) {
 	var ids []string
 	if n > 0 {
 		var err error
@@ -279,7 +279,7 @@
 			return 0, err
 		}
 	}
-	return p.workerConns.sever(ids, share, time.Now()), nil
+	return p.workerConns.blackhole(ids, share, time.Now()), nil
 }
 
 // ChangeWorkers applies an action to a number of workers that are ready, of the given zone or of any if it is empty, and
--- a/internal/standin/platform/twice_test.go
+++ b/internal/standin/platform/twice_test.go
@@ -31,7 +31,7 @@
 			t.Fatal(err)
 		}
 	}
-	Convey("Lost answers, late calls, severed connections, restarts and changes of leader start no task twice", t, func() {
+	Convey("Lost answers, late calls, blackholed connections, restarts and changes of leader start no task twice", t, func() {
 		d := startZones(t, []string{"a", "b"}, seed, 3)
 		serving := submissionBody{Spec: "s", Steps: []stepBody{{
 			Count: 6, CPU: 1000, MemMb: 512, EstimatedMs: 1000, LongRunning: true, TargetMs: 200,
@@ -110,7 +110,7 @@
 			p.SetFaults(Faults{Silent: true})
 			// Restarts in an outage don't show in the list of workers.
 			if rng.IntN(2) == 0 {
-				_, _ = p.SeverWorkers(share(), 0, "")
+				_, _ = p.BlackholeWorkers(share(), 0, "")
 				_, _ = p.ChangeWorkers(ActionRestart, 1+rng.IntN(3), "")
 			}
 		case !outageEnd.IsZero() && now.After(outageEnd):
@@ -119,11 +119,11 @@
 		// An action on more workers than are ready has no effect.
 		switch rng.IntN(10) {
 		case 0:
-			_, _ = p.SeverWorkers(share(), 0, "")
+			_, _ = p.BlackholeWorkers(share(), 0, "")
 		case 1:
-			_, _ = p.SeverWorkers(share(), 1+rng.IntN(4), "")
+			_, _ = p.BlackholeWorkers(share(), 1+rng.IntN(4), "")
 		case 2:
-			p.SeverStore(share())
+			p.BlackholeStore(share())
 		case 3:
 			_, _ = p.SetWorkerFaults(Faults{Late: 2 * time.Second, Share: share() / 2}, 1+rng.IntN(8), "")
 		case 4:
@@ -135,8 +135,8 @@
 		case 7:
 			_, _ = p.ChangeWorkers(ActionRestart, 1, "")
 		case 8:
-			// The ends of the connections that were severed before don't learn of the restart.
-			_, _ = p.SeverWorkers(share(), 0, "")
+			// The ends of the connections that were blackholed before don't learn of the restart.
+			_, _ = p.BlackholeWorkers(share(), 0, "")
 			_, _ = p.ChangeWorkers(ActionRestart, 1+rng.IntN(3), "")
 		default:
 			_, _ = p.ChangeWorkers(ActionAdd, 1, "")
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -190,8 +190,8 @@
 	case AnswerDone:
 		switch {
 		case clock <= 0:
-			// It doesn't tell when, and in which process, the worker had the run.
-		case r.isFromAnotherProcess(clock):
+			// Without a clock, the answer doesn't tell which boot has the run, and since when.
+		case r.isFromAnotherBoot(clock):
 			w.bootUnknown = true
 		default:
 			r.confirm(clock)
--- a/internal/zone/dispatch/restart.go
+++ b/internal/zone/dispatch/restart.go
@@ -2,20 +2,20 @@
 
 import "time"
 
-// A worker may restart under its ID. Only the boot in its reports tells the two processes apart, so that a call that was
-// meant for the former process and is still on its way may act on the next one. The clock, the runs and the serials of
-// ends begin anew there.
+// A worker may restart under its ID. Only the boot in its reports tells the two starts apart, so that a call that was
+// meant for the former boot and is still in flight may act on the next one. The clock, the runs and the serials of ends
+// begin anew there.
 
 // reasonRestarted is the reason for which runs are lost or stopped after a restart of their worker.
 const reasonRestarted = "worker restarted"
 
-// handleRestart applies the first report of another process of the worker than the one that is known. It returns the runs
-// whose starts may still reach that process.
+// handleRestart applies the first report of another boot of the worker than the known one. It returns the runs whose
+// starts may still reach that boot.
 func (s *Scheduler) handleRestart(now time.Time, w *Worker, report Report) (kept []*run) {
 	s.recordEvent(Event{Kind: "worker restarted", Worker: w.ID})
 	s.recordLapse(now, w)
 	for _, r := range s.runsOf(w) {
-		if r.mayReachNextProcess() {
+		if r.mayReachNextBoot() {
 			r.resetStart()
 			kept = append(kept, r)
 			continue
@@ -25,7 +25,8 @@
 	w.Boot = report.Boot
 	w.contacted, w.recordBatch, w.leasesExpired, w.failedRenewals = false, 0, false, 0
 	w.clock, w.clockAt = 0, time.Time{}
-	// Renewals for the former process extend the leases up to a time of its clock, which the platform shortens.
+	// A renewal that was meant for the former boot extends the leases up to a time of that boot's clock. The worker shortens
+	// it to the longest lease that the platform allows.
 	w.leaseUntil = report.Clock + s.limits.MaxLease.Milliseconds()
 	w.earlierUntil, w.earlierLease = time.Time{}, 0
 	w.lastEnd, w.durableEnd = 0, 0
@@ -38,17 +39,18 @@
 	return kept
 }
 
-// mayReachNextProcess reports whether the start of the run may be carried out by the next process of its worker: it was
-// ordered, and the present process has not confirmed it.
-func (r *run) mayReachNextProcess() bool { return !r.awaitsRecord && !r.confirmed }
+// mayReachNextBoot reports whether the start of the run may be carried out by the next boot of its worker: it was ordered,
+// and the present boot has not confirmed it.
+func (r *run) mayReachNextBoot() bool { return !r.awaitsRecord && !r.confirmed }
 
-// isFromAnotherProcess reports whether the answer to the run's start, with the given reading of the worker's clock, is that
-// of another process than the one that the leader knows: it had a later reading when it ordered the start.
-func (r *run) isFromAnotherProcess(clock int64) bool {
+// isFromAnotherBoot reports whether the answer to the run's start comes from another boot than the known one. The answer
+// holds the given reading of the worker's clock in milliseconds. Within a boot the clock never goes back, and it was
+// later than that when the start was ordered.
+func (r *run) isFromAnotherBoot(clock int64) bool {
 	return clock < r.startUntil-startOrderValidity.Milliseconds()
 }
 
-// resetStart forgets what the former process of the worker has answered to an order to stop the run.
+// resetStart forgets what the former boot of the worker has answered to an order to stop the run.
 func (r *run) resetStart() {
 	if r.phase != phaseStopping {
 		r.phase = phaseUnanswered
@@ -57,8 +59,8 @@
 }
 
 // barStarts orders a restarted worker to stop the kept runs that were being stopped or that its first report doesn't list.
-// The worker refuses their starts from then on. The validity of the starts is of no use, since it is by the former
-// process's clock.
+// The worker refuses their starts from then on. The validity of a start doesn't bound it, since it is a time of the former
+// boot's clock.
 func (s *Scheduler) barStarts(w *Worker, kept []*run) {
 	for _, r := range kept {
 		k := runKey{r.task.name, r.number}
@@ -73,5 +75,5 @@
 	}
 }
 
-// isBarred reports whether the run was certainly not started by the present process of its worker.
+// isBarred reports whether the present boot of the worker refuses the start of the run, and has not listed the run.
 func (r *run) isBarred() bool { return r.barred && r.stopAnswered && !r.confirmed }
--- a/internal/zone/dispatch/restart_test.go
+++ b/internal/zone/dispatch/restart_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestEndsOfRestartedWorkerAreKept guards against a task that runs again because the end of its first run was acknowledged
-// unseen: by a renewal that was meant for the worker's former process, whose ends had the same serials.
+// unseen: by a renewal that was meant for the worker's former boot, whose ends had the same serials.
 func TestEndsOfRestartedWorkerAreKept(t *testing.T) {
 	Convey("A worker's first end is durable", t, func() {
 		s := newBoundedScheduler(2, 0, 0)
@@ -49,29 +49,29 @@
 }
 
 // TestStartInFlightAtRestartRunsOnce guards against two runs of a task of which one was started by an order that reached
-// the next process of its worker.
+// the next boot of its worker.
 func TestStartInFlightAtRestartRunsOnce(t *testing.T) {
 	Convey("A worker restarts under its ID while the order to start a task is on its way", t, func() {
 		s, start := newRestartScenario(testLimits())
 		now := simEpoch.Add(11 * time.Second)
 		answer(s, now, otherWorker(start))
-		// restartedReport returns a report of the next process, which has run for the given time.
+		// restartedReport returns a report of the next boot, which has run for the given time.
 		restartedReport := func(age time.Duration, running ...RunReport) Report {
 			return Report{Worker: start.Worker, Boot: 2, Clock: age.Milliseconds(), Running: running}
 		}
 		run := RunReport{Task: start.Task, Number: start.Run}
-		Convey("and the next process lists the run: it goes on", func() {
+		Convey("and the next boot lists the run: it goes on", func() {
 			s.HandleReport(now, restartedReport(100*time.Millisecond, run))
 			commitAll(s)
 			So(s.Decide(now, now), ShouldBeEmpty)
 		})
-		Convey("and the next process answers the order: the run is not taken for gone", func() {
+		Convey("and the next boot answers the order: the run is not taken for gone", func() {
 			s.HandleStartAnswer(now, start, AnswerDone, 50)
 			So(s.workers[start.Worker].isUsable(), ShouldBeFalse)
 			s.HandleReport(now, Report{Worker: start.Worker, Boot: 1, Clock: 12_000})
 			So(s.findTask(start.Task).runs, ShouldHaveLength, 1)
 		})
-		Convey("and the next process doesn't list the run: it is told to refuse it", func() {
+		Convey("and the next boot doesn't list the run: it is told to refuse it", func() {
 			s.HandleReport(now, restartedReport(100*time.Millisecond))
 			commitAll(s)
 			orders := s.Decide(now, now)
@@ -96,9 +96,9 @@
 	})
 }
 
-// TestStopOutlivesRestart guards against a run that was to be stopped and goes on in the next process of its worker.
+// TestStopOutlivesRestart guards against a run that was to be stopped and goes on in the next boot of its worker.
 func TestStopOutlivesRestart(t *testing.T) {
-	Convey("A job is cancelled before its worker has confirmed a start, and the next process lists the run", t, func() {
+	Convey("A job is cancelled before its worker has confirmed a start, and the next boot lists the run", t, func() {
 		s, start := newRestartScenario(testLimits())
 		now := simEpoch.Add(11 * time.Second)
 		s.Cancel(now, jobID(1))
@@ -128,7 +128,7 @@
 }
 
 // TestWorkerOfEarlierBootIsUsedAgain guards against a worker whose reports are ignored for ever, with the tasks of its
-// former process, because it has restarted after its time of day was put back.
+// former boot, because it has restarted after its time of day was put back.
 func TestWorkerOfEarlierBootIsUsedAgain(t *testing.T) {
 	Convey("A worker with a task restarts as an earlier boot", t, func() {
 		s, start := newRestartScenario(testLimits())
@@ -153,7 +153,7 @@
 }
 
 // TestLeaseOfRestartedWorkerIsWaitedFor guards against a task that starts elsewhere while its worker, which has restarted
-// and was lost, runs it under a lease that was meant for the former process.
+// and was lost, runs it under a lease that was meant for the former boot.
 func TestLeaseOfRestartedWorkerIsWaitedFor(t *testing.T) {
 	Convey("A restarted worker runs a task on a platform that allows leases of ten seconds, and is lost", t, func() {
 		s, start := newRestartScenario(leaseLimits())
--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -95,7 +95,7 @@
 	lostSerial int64
 	down       bool
 	draining   bool
-	// keepsCalls is set if calls that were on their way when the worker last restarted reach its new process.
+	// keepsCalls is set if calls that were in flight when the worker last restarted reach its next boot.
 	keepsCalls bool
 	// left is set once the worker has left as planned and closed its connections.
 	left     bool
@@ -425,8 +425,8 @@
 	})
 }
 
-// executeLate has the worker carry out a call some seconds after its process has accepted it, if accepts is true when it
-// arrives.
+// executeLate has the worker carry out a call some seconds after it has arrived, if accepts is true then and the worker
+// has not restarted in between.
 func (sim *simulation) executeLate(sw *simWorker, accepts func() bool, execute func()) {
 	sim.after(sim.latency(), func() {
 		if sw.down || !accepts() {
@@ -558,7 +558,7 @@
 	sw := sim.worker(id)
 	boot := sw.boot
 	if last := l.renewedOn[id]; last != 0 && last != boot && sw.keepsCalls {
-		// Renewals share a connection, which has ended with the process.
+		// Renewals share a connection, which has ended with the former boot.
 		delete(l.renewedOn, id)
 		sim.after(sim.latency(), func() {
 			l.renewalPending[id] = false
@@ -657,14 +657,14 @@
 	})
 }
 
-// loseState clears all that ends with a worker's process.
+// loseState clears all that ends with a boot of a worker.
 func (sim *simulation) loseState(sw *simWorker) {
 	sim.loseFailures(sw)
 	sw.runs, sw.ended, sw.barredRuns = map[runKey]*simRun{}, nil, map[string]int{}
 	sw.serial, sw.lostSerial, sw.fencingToken, sw.leaseUntil = 0, 0, 0, 0
 }
 
-// restart replaces the process of a worker at once, under the same ID. Calls that are on their way reach the new process.
+// restart restarts a worker at once, under the same ID. Calls that are in flight reach its next boot.
 func (sim *simulation) restart(sw *simWorker) {
 	if sw.down {
 		return
@@ -675,7 +675,7 @@
 	sw.startedAt = sim.now
 }
 
-// takesCallsFor reports whether a call that was sent while the worker had the given boot reaches its present process.
+// takesCallsFor reports whether a call that was sent while the worker had the given boot reaches its present boot.
 func (sw *simWorker) takesCallsFor(boot int64) bool { return sw.boot == boot || sw.keepsCalls }
 
 // resize changes the capacity of a worker. The leaders learn of it when they next read the list.
