--- a/internal/standin/platform/twice_test.go
+++ b/internal/standin/platform/twice_test.go
@@ -148,3 +148,39 @@
 	// Long enough for what was silent to be found out, and for calls that are late.
 	time.Sleep(3 * time.Second)
 }
+
+// TestLateRenewalAfterRestart guards against a task that runs again because a renewal that was meant for the former boot of
+// its worker, and is carried out late by the next one, acknowledges an end that no leader has seen.
+func TestLateRenewalAfterRestart(t *testing.T) {
+	Convey("Workers that have listed ends restart while all calls are late", t, func() {
+		d := startZones(t, []string{"a", "b"}, 1, 3)
+		submit := func(id string, tasks int, estimate time.Duration) {
+			d.call(http.MethodPost, BatchPrefix+id, submissionBody{Spec: "b", Steps: []stepBody{
+				{Count: tasks, CPU: 2000, MemMb: 256, EstimatedMs: estimate.Milliseconds()},
+			}})
+		}
+		submit("0000000000000001", 160, 300*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		submit("0000000000000002", 400, 600*time.Millisecond)
+		_, err := d.platform.SetWorkerFaults(Faults{Late: 2 * time.Second}, 0, "")
+		So(err, ShouldBeNil)
+		_, err = d.platform.ChangeWorkers(ActionRestart, 4, "")
+		So(err, ShouldBeNil)
+		time.Sleep(1500 * time.Millisecond)
+		_, err = d.platform.SetWorkerFaults(Faults{}, 0, "")
+		So(err, ShouldBeNil)
+		// Ends that are not durable are not acknowledged either, and are listed for longer.
+		time.Sleep(400 * time.Millisecond)
+		d.platform.SetFaults(Faults{Silent: true})
+		time.Sleep(4500 * time.Millisecond)
+		d.platform.SetFaults(Faults{})
+		time.Sleep(4 * time.Second)
+		r := d.platform.Report()
+		t.Logf("%d starts, %d tasks done, ends %v", r.Starts, r.Done, r.Ended)
+		for _, v := range r.Violations {
+			So(v.Rule, ShouldNotEqual, RuleTwice)
+		}
+		// Else the ends were never acknowledged.
+		So(r.Acknowledged, ShouldBeGreaterThan, 0)
+	})
+}
