Say why a run was taken for ended when its worker reports it again

What an operator saw: the warning 'duplicate run' named the other run only, and came as well when the first run had ended in time.

A task now keeps why its last runs without a listed end were taken for ended.

--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -267,8 +267,11 @@
 	// the time since the worker's last report, its ConfirmationAge that since the term was last confirmed.
 	EventWorkerEnded = "worker ended"
 	// EventDuplicateRun means that a worker reports a run of a task that was started again elsewhere. The event's Reason
-	// names the other run.
+	// names the other run, and why the reported one was taken for ended.
 	EventDuplicateRun = "duplicate run"
+	// EventLateEnd means that a worker whose leases had lapsed lists a run as done, of a task that was started again
+	// elsewhere. The run ended before the leases did, so that the two were not at work at the same time.
+	EventLateEnd = "late end"
 )
 
 // Event is a decision or finding to be logged.
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -124,6 +126,8 @@
 	// failedRuns holds the numbers of the runs that ended in a failure, so that a repeated report counts once. Of a
 	// long-running task it holds the last one only.
 	failedRuns []int
+	// lostRuns holds by number why the last runs without a listed end, maxLostRuns at most, were taken for ended.
+	lostRuns map[int]string
 	// runs holds the runs that have not ended yet. Only a speculative task has more than one.
 	runs       []*run
 	checkpoint string
@@ -141,6 +145,20 @@
 	waitingSince time.Time
 }
 
+// maxLostRuns bounds the runs of a task of which it is known why they were taken for ended.
+const maxLostRuns = 8
+
+// addLostRun notes that a run was taken for ended for the reason, although its worker has listed no end.
+func (t *task) addLostRun(number int, reason string) {
+	if t.lostRuns == nil {
+		t.lostRuns = map[int]string{}
+	}
+	if len(t.lostRuns) >= maxLostRuns {
+		delete(t.lostRuns, slices.Min(slices.Collect(maps.Keys(t.lostRuns))))
+	}
+	t.lostRuns[number] = reason
+}
+
 // step returns the specification of the task's step.
 func (t *task) step() *workflow.Step { return t.stage.step() }
 
--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -147,6 +147,9 @@
 	return s.earlierLeasesUntil
 }
 
+// reasonLeaseLapsed is the reason for which runs are lost whose leases have certainly expired.
+const reasonLeaseLapsed = "lease lapsed"
+
 // expireLeases takes back the tasks of unreachable workers whose leases have certainly expired, and gives up the
 // workers that are still unaccounted for when those of earlier terms have. A later leader that reaches such a worker may
 // have extended its leases, so that they have only expired if the term was confirmed since.
@@ -162,7 +165,7 @@
 	}
 	slices.SortFunc(ended, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
 	for _, w := range ended {
-		s.endWorker(now, w, "lease lapsed")
+		s.endWorker(now, w, reasonLeaseLapsed)
 	}
 	s.giveUpUnaccounted(now, confirmedAt)
 }
@@ -194,7 +197,7 @@
 	for _, id := range lapsed {
 		s.recordEvent(Event{Kind: "worker given up", Worker: id, Reason: "no answer in this term and leases lapsed"})
 		if w := s.workers[id]; w != nil {
-			s.endWorker(now, w, "lease lapsed")
+			s.endWorker(now, w, reasonLeaseLapsed)
 			continue
 		}
 		delete(s.unaccounted, id)
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -154,7 +154,7 @@
 		return
 	}
 	if r == nil && e.Reason == EndDone {
-		s.recordDuplicate(t, e.Number, w)
+		s.recordDuplicate(t, e.Number, w, e.Reason)
 	}
 	t.job().started = true
 	t.lastRun, t.lastEndedRun = max(t.lastRun, e.Number), max(t.lastEndedRun, e.Number)
@@ -305,6 +305,7 @@
 			return
 		}
 		s.recordEvent(Event{Kind: "start expired", Task: r.task.name, Run: r.number, Worker: r.worker.ID})
+		r.task.addLostRun(r.number, "start expired")
 	case phaseRunning, phaseStopping:
 		// A report made before the worker confirmed the run says nothing about it.
 		//
@@ -318,6 +319,7 @@
 			return
 		}
 		s.recordEvent(Event{Kind: "run gone", Task: r.task.name, Run: r.number, Worker: r.worker.ID})
+		r.task.addLostRun(r.number, "run gone")
 	}
 	s.releaseRun(now, r)
 }
@@ -333,25 +335,34 @@
 	hasOtherRun := len(t.runs) > 0 && !t.step().Speculative
 	r := s.attachReportedRun(now, w, t, rr.Number)
 	s.recordEvent(Event{Kind: "adopt", Job: t.job().id, Task: t.name, Run: r.number, Worker: w.ID})
-	s.recordDuplicate(t, r.number, w)
+	s.recordDuplicate(t, r.number, w, "")
 	if t.done || t.job().isFinal() || hasOtherRun {
 		s.stopRun(r, "not wanted any more")
 	}
 	return r
 }
 
-// recordDuplicate records that a worker reports a run of a task that has other runs.
-func (s *Scheduler) recordDuplicate(t *task, number int, w *Worker) {
+// recordDuplicate records that a worker reports a run of a task that has other runs. The reason says how the run ended;
+// it is empty for a run that goes on.
+func (s *Scheduler) recordDuplicate(t *task, number int, w *Worker, end EndReason) {
 	if t.step().Speculative {
 		return
 	}
+	lost, isLost := t.lostRuns[number]
+	kind := EventDuplicateRun
+	if end == EndDone && lost == reasonLeaseLapsed {
+		kind = EventLateEnd
+	}
+	if !isLost {
+		lost = "not in this term"
+	}
 	for _, other := range t.runs {
 		if other.worker == w && other.number == number {
 			continue
 		}
 		s.recordEvent(Event{
-			Kind: EventDuplicateRun, Job: t.job().id, Task: t.name, Run: number, Worker: w.ID,
-			Reason: fmt.Sprintf("beside run %d on %s", other.number, other.worker.ID),
+			Kind: kind, Job: t.job().id, Task: t.name, Run: number, Worker: w.ID,
+			Reason: fmt.Sprintf("beside run %d on %s; taken for ended: %s", other.number, other.worker.ID, lost),
 		})
 	}
 }
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -350,6 +350,7 @@
 	s.recordEvent(Event{
 		Kind: "lost", Job: r.task.job().id, Task: r.task.name, Run: r.number, Worker: r.worker.ID, Reason: reason,
 	})
+	r.task.addLostRun(r.number, reason)
 	s.releaseRun(now, r)
 }
 
