Have workers of the platform's stand-in leave in steps, and be replaced at their address

The stand-in's workers left in one instant: runs, connections, listener and entry at once.

Config.Departure bounds the random times of a departure: the removal of the entry, the end of the listener, and the end of the open connections (all at once, or each after its next answer) come in any order within Spread, and the end of the process, with what runs there, up to Linger after the last of them. Until then the worker counts as up in the recorder, so that a second start of a task of its is TWICE, and its leases go on to lapse by its own clock.

The action "replace" ends the listener of a worker without notice; another one of a later start and under another ID listens at the address at once, while the former process leaves in the other steps.

--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -67,7 +67,8 @@
 		return errors.Wrap(err, "encode manifest")
 	}
 	p, closePlatform, err := platform.New(platform.Config{
-		Zones: c.Zones, Workers: c.Workers, Capacity: fleet.Size{Cores: c.Cores * 1000, Memory: c.Memory}, IP: c.Listen,
+		Zones: c.Zones, Workers: c.Workers, Capacity: fleet.Size{Cores: c.Cores * 1000, Memory: c.Memory},
+		Departure: platform.DefaultDeparture(), IP: c.Listen,
 		ControlPort: c.Port + controlPort, IngressPort: c.Port + ingressPort, StorePort: c.Port + firstStorePort,
 		WorkerPort: c.Port + firstWorkerPort, Seed: c.Seed, Manifest: manifest,
 	}, logrus.StandardLogger())
--- a/internal/standin/platform/blackhole.go
+++ b/internal/standin/platform/blackhole.go
@@ -32,14 +32,29 @@
 	return &connTable{recorder: r, rng: rand.New(rand.NewPCG(seed, 2)), open: map[*trackedConn]struct{}{}}
 }
 
-// serve serves the handler on the address as the function serve does, and adds its connections to the table.
-func (t *connTable) serve(ctx context.Context, name, address string, h http.Handler) (string, func(), error) {
+// serve serves the handler on the address and adds the server's connections to the table.
+func (t *connTable) serve(ctx context.Context, name, address string, h http.Handler) (*server, error) {
 	l, err := listen(ctx, address)
 	if err != nil {
-		return "", nil, err
+		return nil, err
+	}
+	return serveOn(ctx, &trackedListener{Listener: l, ctx: ctx, table: t, name: name}, h), nil
+}
+
+// closeAll closes the open connections to the name, with requests that go on or not.
+func (t *connTable) closeAll(name string) {
+	t.mu.Lock()
+	var conns []*trackedConn
+	for c := range t.open {
+		if c.name == name {
+			conns = append(conns, c)
+		}
+	}
+	t.mu.Unlock()
+	for _, c := range conns {
+		// An error means that the connection is already closed.
+		_ = c.Close()
 	}
-	closeServer := serveOn(ctx, &trackedListener{Listener: l, ctx: ctx, table: t, name: name}, h)
-	return l.Addr().String(), closeServer, nil
 }
 
 // blackhole makes a share of the open connections to the names silent for good, at least one if there are any. Without a
--- a/internal/standin/platform/faults_test.go
+++ b/internal/standin/platform/faults_test.go
@@ -31,9 +31,9 @@
 	f := &faultFixture{fixture: newFixture(), client: &http.Client{Transport: &http.Transport{}}}
 	f.a.startedAt = time.Now()
 	f.faults, f.conns = newFaultTable("workers", 1, f.recorder), newConnTable(1, f.recorder)
-	var err error
-	f.address, f.closeServer, err = f.conns.serve(t.Context(), "a", "127.0.0.1:0", workerHandler(f.a, f.faults))
+	srv, err := f.conns.serve(t.Context(), "a", "127.0.0.1:0", workerHandler(f.a, f.faults))
 	So(err, ShouldBeNil)
+	f.address, f.closeServer = srv.address(), srv.close
 	Reset(func() {
 		f.client.CloseIdleConnections()
 		f.closeServer()
@@ -129,16 +129,22 @@
 	})
 }
 
+// newTestPool returns a pool of one zone without workers.
+func newTestPool(seed uint64, d Departure) *pool {
+	log, _ := test.NewNullLogger()
+	rec := newRecorder(log)
+	p := newPool(
+		Config{Zones: []string{"z"}, IP: "127.0.0.1", Capacity: fleet.Size{Cores: 1000}, Departure: d, Seed: seed},
+		newStore(0), newFaultTable("workers", seed, rec), newConnTable(seed, rec), rec, log,
+	)
+	Reset(p.close)
+	return p
+}
+
 // Guards against a restarted worker that keeps its state, its number or its address, or is back at once.
 func TestRestart(t *testing.T) {
 	Convey("A worker that is started again is back within a second, as an empty one of a later boot", t, func() {
-		log, _ := test.NewNullLogger()
-		rec := newRecorder(log)
-		p := newPool(
-			Config{Zones: []string{"z"}, IP: "127.0.0.1", Capacity: fleet.Size{Cores: 1000}, Seed: 1}, newStore(0),
-			newFaultTable("workers", 1, rec), newConnTable(1, rec), rec, log,
-		)
-		Reset(p.close)
+		p := newTestPool(1, Departure{})
 		now := time.Now()
 		So(p.add(t.Context(), "z", now), ShouldBeNil)
 		before := p.members[0]
@@ -152,12 +158,12 @@
 		p.step(t.Context(), now)
 		So(p.members, ShouldHaveLength, 1)
 		after := p.members[0]
-		So(after.address, ShouldEqual, before.address)
+		So(after.server.address(), ShouldEqual, before.server.address())
 		So(after.worker.id, ShouldEqual, before.worker.id)
 		So(after.worker.boot, ShouldBeGreaterThan, before.worker.boot)
 		So(after.worker.runs, ShouldBeEmpty)
 		So(after.worker.token, ShouldEqual, 0)
-		So(rec.report().Vanished, ShouldEqual, 1)
+		So(p.recorder.report().Vanished, ShouldEqual, 1)
 		p.step(t.Context(), now.Add(2*crashNoticeTime))
 		So(p.removals, ShouldBeEmpty)
 		So(string(p.store.newest(partitionID{topic: workerTopic}, "").Items[0].Value), ShouldNotBeEmpty)
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -35,6 +35,8 @@
 	Workers int
 	// Capacity is the capacity of a worker.
 	Capacity fleet.Size
+	// Departure bounds the random times that workers take to leave.
+	Departure Departure
 	// IP is the address on which everything listens. ControlPort, IngressPort, StorePort and WorkerPort are ports on it:
 	// the last two are the first of a range. Port 0 stands for any free port.
 	IP                                              string
@@ -169,7 +171,7 @@
 	if err != nil {
 		return "", nil, err
 	}
-	return l.Addr().String(), serveOn(ctx, l, h), nil
+	return l.Addr().String(), serveOn(ctx, l, h).close, nil
 }
 
 // listen listens on the address.
@@ -178,22 +180,45 @@
 	return l, errors.Wrapf(err, "standin: listen on %s", address)
 }
 
-// serveOn serves the handler on the listener until the returned function is called.
-func serveOn(ctx context.Context, l net.Listener, h http.Handler) func() {
-	srv := &http.Server{
+// server is a running server.
+type server struct {
+	listener net.Listener
+	http     *http.Server
+	// done is closed when no more connections are accepted.
+	done chan struct{}
+}
+
+// serveOn serves the handler on the listener until the server is closed.
+func serveOn(ctx context.Context, l net.Listener, h http.Handler) *server {
+	s := &server{listener: l, done: make(chan struct{}), http: &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, BaseContext: func(net.Listener) context.Context { return ctx },
-	}
-	done := make(chan struct{})
+	}}
 	go func() {
-		defer close(done)
-		// Serve always returns an error, ErrServerClosed after the clean-up.
-		_ = srv.Serve(l)
+		defer close(s.done)
+		// Serve always returns an error, since the listener is closed at some time.
+		_ = s.http.Serve(l)
 	}()
-	return func() {
-		// An error means that the listener is already closed.
-		_ = srv.Close()
-		<-done
-	}
+	return s
+}
+
+// address returns the address of the server with its port.
+func (s *server) address() string { return s.listener.Addr().String() }
+
+// refuse closes the address. The server goes on on the open connections.
+func (s *server) refuse() {
+	// An error means that the listener is already closed.
+	_ = s.listener.Close()
+	<-s.done
+}
+
+// closeIdle closes the connections without a request, and each other one after the next response on it.
+func (s *server) closeIdle() { s.http.SetKeepAlivesEnabled(false) }
+
+// close closes the address and all connections at once.
+func (s *server) close() {
+	// An error means that the listener is already closed.
+	_ = s.http.Close()
+	<-s.done
 }
 
 // ControlAddress returns the address of the fault switches and of the report.
@@ -211,14 +236,14 @@
 	}
 	p.stores++
 	p.mu.Unlock()
-	address, closeServer, err := p.conns.serve(
+	srv, err := p.conns.serve(
 		p.ctx, caller, net.JoinHostPort(p.cfg.IP, strconv.Itoa(port)), storeHandler(p.store, p.faults, caller),
 	)
 	if err != nil {
 		return "", err
 	}
-	p.addCloser(closeServer)
-	return address, nil
+	p.addCloser(srv.close)
+	return srv.address(), nil
 }
 
 // AddHost adds an entry host, to which callers are forwarded while it is ready.
--- a/internal/standin/platform/pool.go
+++ b/internal/standin/platform/pool.go
@@ -23,7 +23,7 @@
 	// racksPerZone is the number of racks over which the workers of a zone are spread.
 	racksPerZone = 2
 	// drainTime is how long a worker goes on after it has announced that it will leave, and drainExcess how much longer
-	// it does so than announced.
+	// than announced it does so until it begins to leave.
 	drainTime   = 2500 * time.Millisecond
 	drainExcess = 500 * time.Millisecond
 	// crashNoticeTime is the time after which the entry of a worker that has crashed is removed: three intervals of its
@@ -43,8 +43,11 @@
 
 // The actions on workers.
 const (
-	// ActionDrain announces that a worker will leave. It leaves after a while.
+	// ActionDrain announces that a worker will leave. It leaves after a while, in the steps of a Departure.
 	ActionDrain Action = "drain"
+	// ActionReplace closes the address of a worker without notice, at which another one of a later start and under another
+	// ID listens at once. The former process leaves in the other steps of a Departure.
+	ActionReplace Action = "replace"
 	// ActionKill ends a worker without notice.
 	ActionKill Action = "kill"
 	// ActionRestart ends a worker without notice and starts it again under the same ID and at the same address, after a
@@ -74,23 +77,24 @@
 	lastBoot int64
 	// removals holds when the entries of crashed workers are removed, by ID.
 	removals map[string]time.Time
-	// restarts holds the workers that have crashed and start again.
-	restarts []restart
+	// starts holds the workers that are to start at the address of a former one.
+	starts []workerStart
 }
 
-// restart is the end of a worker after which its next boot starts at the given time.
-type restart struct {
-	ended *member
-	at    time.Time
+// workerStart is a worker that is to start at the given time.
+type workerStart struct {
+	id, zone, rack, address string
+	at                      time.Time
 }
 
 // member is a worker that is served.
 type member struct {
-	worker  *worker
-	address string
-	close   func()
-	// leaveAt is when the worker leaves, zero unless it drains.
+	worker *worker
+	server *server
+	// leaveAt is the announced time at which the worker leaves, zero unless it drains.
 	leaveAt time.Time
+	// departure is nil unless the worker drains or leaves.
+	departure *departure
 }
 
 // newPool returns a pool without workers.
@@ -109,7 +113,7 @@
 	p.mu.Unlock()
 	for _, m := range members {
 		m.worker.leave(time.Now())
-		m.close()
+		m.server.close()
 	}
 }
 
@@ -121,12 +125,15 @@
 	if port != 0 {
 		port += p.added
 	}
-	id := fmt.Sprintf("i-%08x", p.rng.Uint32())
+	id := p.newID()
 	rack := fmt.Sprintf("%s-r%d", zone, p.added%racksPerZone)
 	p.added++
 	return p.serveWorker(ctx, id, zone, rack, net.JoinHostPort(p.cfg.IP, strconv.Itoa(port)), now)
 }
 
+// newID returns the ID of a new worker. The caller holds mu.
+func (p *pool) newID() string { return fmt.Sprintf("i-%08x", p.rng.Uint32()) }
+
 // serveWorker starts a new boot of a worker and registers it. The caller holds mu.
 func (p *pool) serveWorker(ctx context.Context, id, zone, rack, address string, now time.Time) error {
 	p.lastBoot = max(p.lastBoot+1, now.UnixMilli())
@@ -137,12 +144,12 @@
 		changed: make(chan struct{}),
 	}
 	p.recorder.workerUp(w)
-	address, closeServer, err := p.conns.serve(ctx, id, address, workerHandler(w, p.faults))
+	srv, err := p.conns.serve(ctx, id, address, workerHandler(w, p.faults))
 	if err != nil {
 		p.recorder.workerGone(w.life)
 		return err
 	}
-	m := &member{worker: w, address: address, close: closeServer}
+	m := &member{worker: w, server: srv}
 	p.members = append(p.members, m)
 	delete(p.removals, id)
 	p.register(m, now)
@@ -153,7 +160,7 @@
 func (p *pool) register(m *member, now time.Time) {
 	w := m.worker
 	b := registrationBody{
-		ID: w.id, Service: Service, Address: m.address, Zone: w.zone, State: "ready", Labels: w.labels, Born: w.boot,
+		ID: w.id, Service: Service, Address: m.server.address(), Zone: w.zone, State: "ready", Labels: w.labels, Born: w.boot,
 		Capacity: capacityBody{CPU: w.capacity.Cores, MemMb: w.capacity.Memory, GPU: w.capacity.Accelerators},
 	}
 	if !m.leaveAt.IsZero() {
@@ -167,21 +174,23 @@
 	p.store.put(workerTopic, w.id, data)
 }
 
-// step lets time pass for all workers: runs end, draining workers leave, entries of crashed workers are removed, and
-// those that were ended to start again do so.
+// step lets time pass for all workers: runs end, workers leave, entries of crashed workers are removed, and workers start
+// at the address of a former one.
 func (p *pool) step(ctx context.Context, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := 0; i < len(p.members); i++ {
 		m := p.members[i]
 		m.worker.advance(now)
-		if m.leaveAt.IsZero() || now.Before(m.leaveAt.Add(drainExcess)) {
+		if m.departure == nil {
 			continue
 		}
-		p.remove(m, now)
-		i--
-		p.store.put(workerTopic, m.worker.id, nil)
-		p.log.WithField("worker", m.worker.id).Info("standin: worker has left")
+		if !now.Before(m.departure.endAt) {
+			p.remove(m, now)
+			i--
+			p.log.WithField("worker", m.worker.id).Info("standin: worker has left")
+		}
+		m.departure.advance(now)
 	}
 	for id, at := range p.removals {
 		if !now.Before(at) {
@@ -189,24 +198,47 @@
 			p.store.put(workerTopic, id, nil)
 		}
 	}
-	p.restarts = slices.DeleteFunc(p.restarts, func(r restart) bool {
-		if now.Before(r.at) {
+	p.startDue(ctx, now)
+}
+
+// startDue starts the workers that are to start by now at the address of a former one. The caller holds mu.
+func (p *pool) startDue(ctx context.Context, now time.Time) {
+	p.starts = slices.DeleteFunc(p.starts, func(s workerStart) bool {
+		if now.Before(s.at) {
 			return false
 		}
-		w := r.ended.worker
-		err := p.serveWorker(ctx, w.id, w.zone, w.labels[1], r.ended.address, now)
+		err := p.serveWorker(ctx, s.id, s.zone, s.rack, s.address, now)
 		if err != nil {
 			// Another process may use the port for a connection for a while.
-			p.log.WithError(err).WithField("worker", w.id).Warn("standin: restart worker")
+			p.log.WithError(err).WithField("worker", s.id).Warn("standin: start worker at former address")
 		}
 		return err == nil
 	})
 }
 
+// startAtAddress has a worker start at the address of the given one at the given time. The caller holds mu.
+func (p *pool) startAtAddress(former *member, id string, at time.Time) {
+	p.starts = append(p.starts, workerStart{
+		id: id, zone: former.worker.zone, rack: former.worker.labels[1], address: former.server.address(), at: at,
+	})
+}
+
+// unlist removes the entry of a worker.
+func (p *pool) unlist(m *member) { p.store.put(workerTopic, m.worker.id, nil) }
+
+// disconnect closes the open connections to a worker that leaves.
+func (p *pool) disconnect(m *member) {
+	if m.departure.abrupt {
+		p.conns.closeAll(m.worker.id)
+	} else {
+		m.server.closeIdle()
+	}
+}
+
 // remove ends a worker and closes its address. The caller holds mu.
 func (p *pool) remove(m *member, now time.Time) {
 	m.worker.leave(now)
-	m.close()
+	m.server.close()
 	for i, o := range p.members {
 		if o == m {
 			p.members = append(p.members[:i], p.members[i+1:]...)
@@ -215,8 +247,8 @@
 	}
 }
 
-// change applies an action to n random workers that don't drain, in the zone or in any zone if it is empty, and returns
-// their IDs. It fails with an error marked with ErrAction if there are fewer.
+// change applies an action to n random workers that don't drain or leave, in the zone or in any zone if it is empty, and
+// returns their IDs. It fails with an error marked with ErrAction if there are fewer.
 func (p *pool) change(ctx context.Context, a Action, n int, zone string, now time.Time) ([]string, error) {
 	if a == ActionAdd {
 		for range n {
@@ -238,7 +270,7 @@
 	}
 	ids := make([]string, 0, n)
 	for _, m := range ready {
-		if err := p.apply(a, m, now); err != nil {
+		if err := p.apply(ctx, a, m, now); err != nil {
 			return ids, err
 		}
 		ids = append(ids, m.worker.id)
@@ -247,11 +279,12 @@
 	return ids, nil
 }
 
-// choose returns n random workers that don't drain, in the zone or in any zone if it is empty. The caller holds mu.
+// choose returns n random workers that don't drain or leave, in the zone or in any zone if it is empty. The caller holds
+// mu.
 func (p *pool) choose(n int, zone string) ([]*member, error) {
 	var ready []*member
 	for _, m := range p.members {
-		if m.leaveAt.IsZero() && (zone == "" || m.worker.zone == zone) {
+		if m.departure == nil && (zone == "" || m.worker.zone == zone) {
 			ready = append(ready, m)
 		}
 	}
@@ -262,7 +295,7 @@
 	return ready[:n], nil
 }
 
-// pick returns the IDs of n random workers that don't drain, in the zone or in any zone if it is empty.
+// pick returns the IDs of n random workers that don't drain or leave, in the zone or in any zone if it is empty.
 func (p *pool) pick(n int, zone string) ([]string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -282,13 +315,24 @@
 }
 
 // apply applies an action to a worker. The caller holds mu.
-func (p *pool) apply(a Action, m *member, now time.Time) error {
+func (p *pool) apply(ctx context.Context, a Action, m *member, now time.Time) error {
 	w := m.worker
+	unlist, disconnect := func() { p.unlist(m) }, func() { p.disconnect(m) }
 	switch a {
 	case ActionDrain:
 		m.leaveAt = now.Add(drainTime)
+		m.departure = p.cfg.Departure.newDeparture(
+			p.rng, m.leaveAt.Add(drainExcess), unlist, m.server.refuse, disconnect,
+		)
 		p.recorder.workerDraining(w.life)
 		p.register(m, now)
+	case ActionReplace:
+		p.recorder.disturb(now)
+		m.departure = p.cfg.Departure.newDeparture(p.rng, now, unlist, disconnect)
+		p.recorder.workerDraining(w.life)
+		m.server.refuse()
+		p.startAtAddress(m, p.newID(), now)
+		p.startDue(ctx, now)
 	case ActionKill:
 		p.recorder.disturb(now)
 		p.remove(m, now)
@@ -298,7 +342,7 @@
 		p.remove(m, now)
 		p.removals[w.id] = now.Add(crashNoticeTime)
 		after := minRestartTime + time.Duration(p.rng.Int64N(int64(maxRestartTime-minRestartTime)))
-		p.restarts = append(p.restarts, restart{ended: m, at: now.Add(after)})
+		p.startAtAddress(m, w.id, now.Add(after))
 	default:
 		return errors.Mark(errors.Newf("standin: no action %q", a), ErrAction)
 	}
--- a/internal/standin/platform/record.go
+++ b/internal/standin/platform/record.go
@@ -253,7 +253,7 @@
 	}
 }
 
-// workerDraining records that a worker has announced that it will leave.
+// workerDraining records that a worker has announced that it will leave, or leaves without notice.
 func (r *recorder) workerDraining(l life) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
