--- a/internal/standin/platform/hosts_test.go
+++ b/internal/standin/platform/hosts_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -44,20 +45,20 @@
 const portsOfHost = 5
 
 // startDeployment starts a stand-in with three zones of four workers, and entry hosts in all of them.
-func startDeployment(t *testing.T, seed uint64, hosts int) *deployment {
+func startDeployment(t *testing.T, seed uint64, hosts int, departure Departure) *deployment {
 	t.Helper()
-	return startZones(t, []string{"a", "b", "c"}, seed, hosts)
+	return startZones(t, []string{"a", "b", "c"}, seed, hosts, departure)
 }
 
 // startZones starts a stand-in with four workers in each of the zones, and entry hosts in the zones in turn.
-func startZones(t *testing.T, zones []string, seed uint64, hosts int) *deployment {
+func startZones(t *testing.T, zones []string, seed uint64, hosts int, departure Departure) *deployment {
 	t.Helper()
 	manifest, err := DefaultManifest(1)
 	So(err, ShouldBeNil)
 	log, _ := test.NewNullLogger()
 	p, closePlatform, err := New(Config{
-		Zones: zones, Workers: 4, Capacity: fleet.Size{Cores: 8000, Memory: 16000}, IP: "127.0.0.1", Seed: seed,
-		Manifest: manifest,
+		Zones: zones, Workers: 4, Capacity: fleet.Size{Cores: 8000, Memory: 16000}, Departure: departure, IP: "127.0.0.1",
+		Seed: seed, Manifest: manifest,
 	}, log)
 	So(err, ShouldBeNil)
 	d := &deployment{t: t, platform: p}
@@ -200,65 +201,82 @@
 	return false
 }
 
+// departed reports whether all workers that were to leave have ended.
+func (d *deployment) departed() bool {
+	p := d.platform.workers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !slices.ContainsFunc(p.members, func(m *member) bool { return m.departure != nil })
+}
+
+// departures are the ways in which workers leave: in one instant, and as real processes do.
+var departures = map[string]Departure{"in one instant": {}, "in steps": DefaultDeparture()}
+
 // Guards against a handover or a leaving worker that costs a run too much, one run too few, or a job.
 func TestPlannedChangesOfLeader(t *testing.T) {
-	Convey("Two planned changes of the leader while workers leave break no rule", t, func() {
-		d := startDeployment(t, 1, 3)
-		const serving, chain = ServingPrefix + "00000000000000a1", BatchPrefix + "00000000000000b1"
-		d.call(http.MethodPost, serving, submissionBody{Spec: "s", Steps: []stepBody{{
-			Count: 6, CPU: 1000, MemMb: 512, EstimatedMs: 1000, LongRunning: true, TargetMs: 200,
-		}}})
-		d.call(http.MethodPost, chain, submissionBody{Spec: "c", Steps: []stepBody{
-			{Count: 8, CPU: 1000, MemMb: 512, EstimatedMs: 2500, Checkpointing: true},
-			{Count: 8, CPU: 2000, MemMb: 512, EstimatedMs: 1000, DependsOn: []int{0}},
-		}})
-		for range 2 {
-			leader := d.leader()
-			So(leader, ShouldNotBeNil)
-			_, err := d.platform.ChangeWorkers(ActionDrain, 2, "")
-			So(err, ShouldBeNil)
-			So(leader.stop(), ShouldBeNil)
-			leader.start()
-			So(eventually(10*time.Second, func() bool { return d.leader() != nil }), ShouldBeTrue)
-		}
-		So(eventually(30*time.Second, func() bool {
-			return strings.Contains(d.call(http.MethodGet, chain, nil), `"completed"`)
-		}), ShouldBeTrue)
-		// Long enough for a long-running task to count as lost.
-		time.Sleep(restartTime + time.Second)
-		So(d.call(http.MethodGet, serving, nil), ShouldContainSubstring, `"running"`)
-		r := d.platform.Report()
-		So(r.Violations, ShouldBeEmpty)
-		So(r.Accepted, ShouldEqual, 2)
-		So(r.Done, ShouldEqual, 16)
-		So(r.Running, ShouldEqual, 6)
-	})
+	for way, departure := range departures {
+		Convey("Two planned changes of the leader while workers leave "+way+" break no rule", t, func() {
+			d := startDeployment(t, 1, 3, departure)
+			const serving, chain = ServingPrefix + "00000000000000a1", BatchPrefix + "00000000000000b1"
+			d.call(http.MethodPost, serving, submissionBody{Spec: "s", Steps: []stepBody{{
+				Count: 6, CPU: 1000, MemMb: 512, EstimatedMs: 1000, LongRunning: true, TargetMs: 200,
+			}}})
+			d.call(http.MethodPost, chain, submissionBody{Spec: "c", Steps: []stepBody{
+				{Count: 8, CPU: 1000, MemMb: 512, EstimatedMs: 2500, Checkpointing: true},
+				{Count: 8, CPU: 2000, MemMb: 512, EstimatedMs: 1000, DependsOn: []int{0}},
+			}})
+			for range 2 {
+				leader := d.leader()
+				So(leader, ShouldNotBeNil)
+				_, err := d.platform.ChangeWorkers(ActionDrain, 2, "")
+				So(err, ShouldBeNil)
+				So(leader.stop(), ShouldBeNil)
+				leader.start()
+				So(eventually(10*time.Second, func() bool { return d.leader() != nil }), ShouldBeTrue)
+			}
+			So(eventually(30*time.Second, func() bool {
+				return strings.Contains(d.call(http.MethodGet, chain, nil), `"completed"`)
+			}), ShouldBeTrue)
+			So(eventually(20*time.Second, d.departed), ShouldBeTrue)
+			// Long enough for a long-running task to count as lost.
+			time.Sleep(restartTime + time.Second)
+			So(d.call(http.MethodGet, serving, nil), ShouldContainSubstring, `"running"`)
+			r := d.platform.Report()
+			So(r.Violations, ShouldBeEmpty)
+			So(r.Accepted, ShouldEqual, 2)
+			So(r.Done, ShouldEqual, 16)
+			So(r.Running, ShouldEqual, 6)
+		})
+	}
 }
 
 // Guards against a deadline that each leader begins anew, so that tasks of a worker that has left wait for several terms.
 func TestSuccessiveChangesOfLeader(t *testing.T) {
-	Convey("Two planned changes of the leader in succession, right after workers have left, break no rule", t, func() {
-		d := startDeployment(t, 1, 3)
-		const tasks, drained, serving = 8, 5, ServingPrefix + "00000000000000a1"
-		d.call(http.MethodPost, serving, submissionBody{Spec: "s", Steps: []stepBody{{
-			Count: tasks, CPU: 1000, MemMb: 512, EstimatedMs: 1000, LongRunning: true, TargetMs: 200, AntiAffinity: 1,
-		}}})
-		So(eventually(5*time.Second, func() bool { return d.platform.Report().Running == tasks }), ShouldBeTrue)
-		// Of the 12 workers 8 run a task, so that at least one of those that leave does.
-		_, err := d.platform.ChangeWorkers(ActionAdd, drained, "")
-		So(err, ShouldBeNil)
-		_, err = d.platform.ChangeWorkers(ActionDrain, drained, "")
-		So(err, ShouldBeNil)
-		time.Sleep(drainTime + drainExcess + 100*time.Millisecond)
-		for range 2 {
-			leader := d.leader()
-			So(leader, ShouldNotBeNil)
-			So(leader.stop(), ShouldBeNil)
-			leader.start()
-			time.Sleep(3 * time.Second)
-		}
-		So(eventually(15*time.Second, func() bool { return d.platform.Report().Running == tasks }), ShouldBeTrue)
-		r := d.platform.Report()
-		So(r.Violations, ShouldBeEmpty)
-	})
+	for way, departure := range departures {
+		Convey("Two planned changes of the leader in succession, when workers leave "+way+", break no rule", t, func() {
+			d := startDeployment(t, 1, 3, departure)
+			const tasks, drained, serving = 8, 5, ServingPrefix + "00000000000000a1"
+			d.call(http.MethodPost, serving, submissionBody{Spec: "s", Steps: []stepBody{{
+				Count: tasks, CPU: 1000, MemMb: 512, EstimatedMs: 1000, LongRunning: true, TargetMs: 200, AntiAffinity: 1,
+			}}})
+			So(eventually(5*time.Second, func() bool { return d.platform.Report().Running == tasks }), ShouldBeTrue)
+			// Of the 12 workers 8 run a task, so that at least one of those that leave does.
+			_, err := d.platform.ChangeWorkers(ActionAdd, drained, "")
+			So(err, ShouldBeNil)
+			_, err = d.platform.ChangeWorkers(ActionDrain, drained, "")
+			So(err, ShouldBeNil)
+			time.Sleep(drainTime + drainExcess + 100*time.Millisecond)
+			for range 2 {
+				leader := d.leader()
+				So(leader, ShouldNotBeNil)
+				So(leader.stop(), ShouldBeNil)
+				leader.start()
+				time.Sleep(3 * time.Second)
+			}
+			So(eventually(15*time.Second, d.departed), ShouldBeTrue)
+			So(eventually(15*time.Second, func() bool { return d.platform.Report().Running == tasks }), ShouldBeTrue)
+			r := d.platform.Report()
+			So(r.Violations, ShouldBeEmpty)
+		})
+	}
 }
--- a/internal/standin/platform/twice_test.go
+++ b/internal/standin/platform/twice_test.go
@@ -32,7 +32,7 @@
 		}
 	}
 	Convey("Lost answers, late calls, blackholed connections, restarts and changes of leader start no task twice", t, func() {
-		d := startZones(t, []string{"a", "b"}, seed, 3)
+		d := startZones(t, []string{"a", "b"}, seed, 3, Departure{})
 		serving := submissionBody{Spec: "s", Steps: []stepBody{{
 			Count: 6, CPU: 1000, MemMb: 512, EstimatedMs: 1000, LongRunning: true, TargetMs: 200,
 		}}}
@@ -153,7 +153,7 @@
 // its worker, and is carried out late by the next one, acknowledges an end that no leader has seen.
 func TestLateRenewalAfterRestart(t *testing.T) {
 	Convey("Workers that have listed ends restart while all calls are late", t, func() {
-		d := startZones(t, []string{"a", "b"}, 1, 3)
+		d := startZones(t, []string{"a", "b"}, 1, 3, Departure{})
 		submit := func(id string, tasks int, estimate time.Duration) {
 			d.call(http.MethodPost, BatchPrefix+id, submissionBody{Spec: "b", Steps: []stepBody{
 				{Count: tasks, CPU: 2000, MemMb: 256, EstimatedMs: estimate.Milliseconds()},
