Count the runs of a leaving worker until its leases have lapsed

Cause: hasLeft took a worker for gone if it was draining, had closed a connection and left two renewals unanswered, and its entry was removed within a second of that. A process that leaves does all this before it ends what it runs, and nothing bounds the time between. Signs that come with an end, taken for its proof.

Ruled out: leases that lapse too early (the same tests show none with hasLeft taken out), and late starts (the record has none).

Now only the worker's list ends its runs, or leases that have lapsed in a confirmed term.

TestWorkerThatHasLeftHasNoLeases asked for starts at once in two cases, which was the fault. TestRunsOfLeavingWorkerCountUntilTheirLeasesLapse has all its cases but one (that of a connection that is closed at first, which is the same as another now), and asks in each that the task starts once the leases have lapsed, and not a millisecond before. TestLeasesOfDrainingWorkerAreShort is new.

--- a/internal/host/entry/orders.go
+++ b/internal/host/entry/orders.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
-	"sassafraswind.example/sassafraswind/internal/port/httpcall"
 	"sassafraswind.example/sassafraswind/internal/zone/dispatch"
 )
 
@@ -255,7 +254,7 @@
 		if t.host.cfg.IsWorkerRestart != nil && t.host.cfg.IsWorkerRestart(err) {
 			t.scheduler.HandleRenewalRestart(plan.Worker)
 		} else {
-			t.scheduler.HandleRenewalFailure(now, plan.Worker, httpcall.IsClosed(err))
+			t.scheduler.HandleRenewalFailure(now, plan.Worker)
 		}
 	} else {
 		t.scheduler.HandleReport(now, report)
--- a/internal/zone/dispatch/crash_test.go
+++ b/internal/zone/dispatch/crash_test.go
@@ -198,7 +198,7 @@
 
 // lapse lets the leases of the worker lapse.
 func (c *crashScenario) lapse() {
-	c.s.HandleRenewalFailure(c.now, "w", false)
+	c.s.HandleRenewalFailure(c.now, "w")
 	c.now = c.now.Add(10 * time.Second)
 	c.s.Decide(c.now, c.now)
 }
@@ -323,8 +323,8 @@
 	})
 	Convey("A leader is lost while a worker is silent, and the next one counts the crash", t, func() {
 		c := newCrashScenario(newStep(1, 1000, time.Second))
-		c.s.HandleRenewalFailure(c.now, "w", false)
-		c.s.HandleRenewalFailure(c.now, "w", false)
+		c.s.HandleRenewalFailure(c.now, "w")
+		c.s.HandleRenewalFailure(c.now, "w")
 		records := append(commitAll(c.s), c.s.jobs[jobID(1)].specRecord())
 		c.s = newStopScheduler(c.now, 2)
 		So(c.s.Restore(c.now, c.now, records, c.now), ShouldBeEmpty)
--- a/internal/zone/dispatch/event_test.go
+++ b/internal/zone/dispatch/event_test.go
@@ -51,7 +51,7 @@
 		commitAll(s)
 		start := s.Decide(now, now)[0]
 		s.HandleStartAnswer(now, start, AnswerDone, 1000)
-		s.HandleRenewalFailure(now, start.Worker, false)
+		s.HandleRenewalFailure(now, start.Worker)
 		s.Events()
 		now = now.Add(10 * time.Second)
 		answer(s, now, otherWorker(start))
--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -55,7 +55,7 @@
 		renewal.Wait = heldRenewalWait
 	default:
 		renewal.LeaseUntil = s.extendLease(now, w)
-		renewal.Wait = s.renewalWait(w)
+		renewal.Wait = s.renewalWait(now, w)
 	}
 	return renewal, true
 }
@@ -64,20 +64,42 @@
 // leases have expired, and the platform allows a long-running task to be away for nine seconds.
 const maxGrantedLease = 6 * time.Second
 
-// grantedLease returns the length of the leases that this leader grants.
+const (
+	// drainingLease is the length of the leases of a worker that may leave at any moment. Its runs are known to have ended
+	// once they have lapsed.
+	drainingLease = 2 * time.Second
+	// drainingRenewalWait is the longest time for which such a worker delays its answer. It is short enough for the leases
+	// to outlast a renewal without an answer.
+	drainingRenewalWait = 400 * time.Millisecond
+)
+
+// grantedLease returns the length of the longest leases that this leader grants.
 func (s *Scheduler) grantedLease() time.Duration { return min(s.limits.MaxLease, maxGrantedLease) }
 
+// leaseOf returns the length of the leases that the worker is granted now. One that drains needs none beyond the time at
+// which it may leave, except for short ones.
+func (s *Scheduler) leaseOf(now time.Time, w *Worker) time.Duration {
+	if !w.Draining {
+		return s.grantedLease()
+	}
+	return min(s.grantedLease(), max(drainingLease, w.leaveAt.Sub(now)))
+}
+
 // extendLease returns the end of a renewed lease by the worker's clock, and counts the renewal as sent.
 func (s *Scheduler) extendLease(now time.Time, w *Worker) int64 {
-	until := w.clockNow(now) + s.grantedLease().Milliseconds()
+	until := w.clockNow(now) + s.leaseOf(now, w).Milliseconds()
 	w.leaseUntil = max(w.leaseUntil, until)
 	return until
 }
 
 // renewalWait returns how long a worker may delay its answer: a third of the lease, so that a renewal may be lost, and
 // less where the latencies of long-running tasks have to be watched because best-effort tasks run beside them.
-func (s *Scheduler) renewalWait(w *Worker) time.Duration {
-	wait := min(s.grantedLease()/renewalsPerLease, maxRenewalWait)
+func (s *Scheduler) renewalWait(now time.Time, w *Worker) time.Duration {
+	lease := s.leaseOf(now, w)
+	wait := min(lease/renewalsPerLease, maxRenewalWait)
+	if w.Draining && lease <= drainingLease {
+		wait = min(wait, drainingRenewalWait)
+	}
 	switch {
 	case s.hasUnacknowledgedEnds(w):
 		// Ends that wait for the log are to be acknowledged soon, and a worker with ends to list answers at once
@@ -104,21 +126,14 @@
 	}
 }
 
-// HandleRenewalFailure notes that a lease renewal got no answer. closed says that the connection was closed from the
-// worker's side, or that a new one was refused.
-func (s *Scheduler) HandleRenewalFailure(now time.Time, id string, closed bool) {
+// HandleRenewalFailure notes that a lease renewal got no answer. That the worker has closed the connection, or refuses a
+// new one, says nothing about its runs: it may close its address before it ends them.
+func (s *Scheduler) HandleRenewalFailure(now time.Time, id string) {
 	w := s.workers[id]
 	if w == nil {
 		return
 	}
 	s.addFailedRenewal(w)
-	if closed && w.closedAt.IsZero() {
-		w.closedAt = now
-	}
-	if w.hasLeft() {
-		s.endWorker(now, w, leftReason)
-		return
-	}
 	if w.failedRenewals == minSilentRenewals {
 		s.recordEvent(Event{Kind: "worker silent", Worker: id, Age: w.sinceAnswer(now)})
 		s.recordSilence(now, w)
@@ -226,22 +241,6 @@
 	s.forgetWorker(w)
 }
 
-// leftReason is the reason for which the tasks of a worker that has left as planned are taken back.
-const leftReason = "worker has left"
-
-// maxLeaveSpan is the longest time between the signs that a worker has left as planned. It is shorter than the silence
-// after which the platform removes the entry of a worker that lives on.
-const maxLeaveSpan = time.Second
-
-// hasLeft reports whether the worker has left as planned, so that nothing runs there any more: it was draining, it closed
-// a connection and has not answered on a new one, and the platform removed its entry at about the same time. Each sign
-// alone has other causes: something between the two ends resets connections, and an entry is also removed if its worker
-// can't reach the store.
-func (w *Worker) hasLeft() bool {
-	return w.Draining && !w.listed && !w.leasesExpired && w.failedRenewals >= minSilentRenewals &&
-		!w.closedAt.IsZero() && w.closedAt.Sub(w.unlistedAt).Abs() < maxLeaveSpan
-}
-
 // endReplaced ends the workers at whose address one of a later start has answered. One process at a time listens at an
 // address, so that the others have ended. Their leases would lapse only seconds later. An entry in the list shows less,
 // since it may have any content.
--- a/internal/zone/dispatch/lease_test.go
+++ b/internal/zone/dispatch/lease_test.go
@@ -82,7 +82,7 @@
 		s, start, _ := newLeaseScheduler(simEpoch)
 		leftAt := renewUntil(s, start, simEpoch, simEpoch.Add(12*time.Second))
 		s.PlanRenewal(leftAt, start.Worker)
-		s.HandleRenewalFailure(leftAt.Add(500*time.Millisecond), start.Worker, false)
+		s.HandleRenewalFailure(leftAt.Add(500*time.Millisecond), start.Worker)
 		s.DropWorker(leftAt.Add(500*time.Millisecond), start.Worker)
 		Convey("its long-running task starts on another one within nine seconds", func() {
 			for now := leftAt; ; now = now.Add(50 * time.Millisecond) {
@@ -122,7 +122,7 @@
 		lose := func(next *Scheduler) {
 			answer(next, now, start.Worker, RunReport{Task: start.Task, Number: start.Run})
 			commitTo(next, log)
-			next.HandleRenewalFailure(now, start.Worker, false)
+			next.HandleRenewalFailure(now, start.Worker)
 		}
 		Convey("without a record of leases: the longest of the platform", func() {
 			delete(log, leasesKey)
@@ -166,7 +166,7 @@
 		answer(s, now, start.Worker, run)
 		s.PlanRenewal(now, start.Worker)
 		for range minSilentRenewals {
-			s.HandleRenewalFailure(now, start.Worker, false)
+			s.HandleRenewalFailure(now, start.Worker)
 		}
 		s.Decide(now, now)
 		commitTo(s, log)
@@ -205,7 +205,7 @@
 			answer(s, now, start.Worker, run)
 			b, _ := s.TakeBatch()
 			for range minSilentRenewals {
-				s.HandleRenewalFailure(now, start.Worker, false)
+				s.HandleRenewalFailure(now, start.Worker)
 			}
 			s.Decide(now, now)
 			silent, _ := s.TakeBatch()
@@ -220,15 +220,15 @@
 	})
 }
 
-// TestWorkerThatHasLeftHasNoLeases guards against tasks that wait for the leases of a worker that left as planned, and
-// against a task that runs twice because a worker only seems to have left.
-func TestWorkerThatHasLeftHasNoLeases(t *testing.T) {
+// TestRunsOfLeavingWorkerCountUntilTheirLeasesLapse guards against a task that runs twice because its worker, which ends
+// what it runs after all else, is taken for gone by the signs of its leaving.
+func TestRunsOfLeavingWorkerCountUntilTheirLeasesLapse(t *testing.T) {
 	Convey("A worker runs a task", t, func() {
 		now := simEpoch
 		s, start, _ := newLeaseScheduler(now)
 		answer(s, now, start.Worker, RunReport{Task: start.Task, Number: start.Run})
 		commitAll(s)
-		s.PlanRenewal(now, start.Worker)
+		plan, _ := s.PlanRenewal(now, start.Worker)
 		at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
 		drain := func() {
 			r := s.workers[start.Worker].Registration
@@ -236,63 +236,112 @@
 			s.SetWorker(now, r)
 		}
 		unlist := func(ms int) { s.DropWorker(at(ms), start.Worker) }
-		fail := func(ms int, closed bool) { s.HandleRenewalFailure(at(ms), start.Worker, closed) }
-		starts := func(ms int) int { return recordedStartsOf(s, at(ms)) }
-		Convey("and drains, closes a connection, opens none and is removed from the list: the task starts elsewhere", func() {
+		fail := func(ms int) { s.HandleRenewalFailure(at(ms), start.Worker) }
+		// startsOnceLapsed checks that the task starts once the leases have lapsed by the slowest clock, and not before.
+		startsOnceLapsed := func() {
+			lapsed := int(float64(plan.LeaseUntil-1000) / minWorkerClockRate)
+			So(recordedStartsOf(s, at(lapsed)), ShouldEqual, 0)
+			So(recordedStartsOf(s, at(lapsed).Add(clockMargin+time.Millisecond)), ShouldEqual, 1)
+		}
+		Convey("and drains, answers no renewal and is removed from the list", func() {
 			drain()
-			fail(0, true)
-			fail(750, false)
-			So(starts(800), ShouldEqual, 0)
+			fail(0)
+			fail(750)
 			unlist(900)
-			So(starts(900), ShouldEqual, 1)
-		})
-		Convey("and drains, is removed from the list, closes a connection and opens none: the task starts elsewhere", func() {
-			drain()
-			unlist(0)
-			fail(100, true)
-			So(starts(100), ShouldEqual, 0)
-			fail(850, false)
-			So(starts(850), ShouldEqual, 1)
+			startsOnceLapsed()
 		})
-		Convey("and drains, is removed from the list and doesn't answer: the task waits", func() {
+		Convey("and drains, is removed from the list and answers no renewal", func() {
 			drain()
 			unlist(0)
-			fail(100, false)
-			fail(850, false)
-			So(starts(900), ShouldEqual, 0)
+			fail(100)
+			fail(850)
+			startsOnceLapsed()
 		})
-		Convey("and closes a connection and is removed from the list without draining: the task waits", func() {
-			fail(0, true)
-			fail(750, false)
+		Convey("and answers no renewal and is removed from the list without draining", func() {
+			fail(0)
+			fail(750)
 			unlist(900)
-			So(starts(900), ShouldEqual, 0)
+			startsOnceLapsed()
 		})
-		Convey("and drains, has a connection reset and answers again before it is cut off: the task waits", func() {
+		Convey("and drains, and answers once more before it is cut off", func() {
 			drain()
-			fail(0, true)
+			fail(0)
 			s.HandleReport(at(10), Report{
 				Worker: start.Worker, Boot: 1, Clock: 1010,
 				Running: []RunReport{{Task: start.Task, Number: start.Run}},
 			})
-			fail(100, false)
-			fail(850, false)
+			fail(100)
+			fail(850)
 			unlist(900)
-			So(starts(900), ShouldEqual, 0)
+			startsOnceLapsed()
 		})
-		Convey("and drains, has a connection reset and is cut off, so that its entry expires later: the task waits", func() {
+		Convey("and drains, is cut off, and its entry expires later", func() {
 			drain()
-			fail(0, true)
-			fail(750, false)
-			fail(1500, false)
+			fail(0)
+			fail(750)
+			fail(1500)
 			unlist(2000)
-			So(starts(2000), ShouldEqual, 0)
+			startsOnceLapsed()
 		})
-		Convey("and drains, and its entry has expired before a connection is reset and it is cut off: the task waits", func() {
+		Convey("and drains, and its entry has expired before it is cut off", func() {
 			drain()
 			unlist(0)
-			fail(2000, true)
-			fail(2750, false)
-			So(starts(2800), ShouldEqual, 0)
+			fail(2000)
+			fail(2750)
+			startsOnceLapsed()
+		})
+	})
+}
+
+// TestLeasesOfDrainingWorkerAreShort guards against tasks that wait for long leases of a worker that has left, and against
+// leases that lapse because one renewal of such a worker gets no answer.
+func TestLeasesOfDrainingWorkerAreShort(t *testing.T) {
+	Convey("A worker with a task announces that it leaves in four seconds at the earliest", t, func() {
+		now := simEpoch
+		s, start, _ := newLeaseScheduler(now)
+		run := RunReport{Task: start.Task, Number: start.Run}
+		answer(s, now, start.Worker, run)
+		commitAll(s)
+		r := s.workers[start.Worker].Registration
+		r.Draining, r.LeavesIn = true, 4*time.Second
+		s.SetWorker(now, r)
+		// renew returns how long after the given time the leases last that the next renewal grants, and its wait.
+		renew := func(after time.Duration) (lease, wait time.Duration) {
+			clock := 1000 + after.Milliseconds()
+			s.HandleReport(now.Add(after), Report{Worker: start.Worker, Boot: 1, Clock: clock, Running: []RunReport{run}})
+			plan, ok := s.PlanRenewal(now.Add(after), start.Worker)
+			So(ok, ShouldBeTrue)
+			return time.Duration(plan.LeaseUntil-clock) * time.Millisecond, plan.Wait
+		}
+		Convey("its leases last until it may leave", func() {
+			lease, _ := renew(500 * time.Millisecond)
+			So(lease, ShouldEqual, 3500*time.Millisecond)
+		})
+		Convey("and are short from then on", func() {
+			for _, after := range []time.Duration{2 * time.Second, 4 * time.Second, 10 * time.Second} {
+				lease, _ := renew(after)
+				So(lease, ShouldEqual, drainingLease)
+			}
+		})
+		Convey("an entry that is read again doesn't put that off", func() {
+			s.SetWorker(now.Add(3*time.Second), r)
+			lease, _ := renew(3 * time.Second)
+			So(lease, ShouldEqual, drainingLease)
+		})
+		Convey("the leases outlast a renewal without an answer, after which one call only asks", func() {
+			lease, wait := renew(4 * time.Second)
+			// A call without an answer is given up 0.6 s after its wait.
+			const margin = 600 * time.Millisecond
+			So(wait+wait+margin, ShouldBeLessThan, lease-margin/2)
+		})
+		Convey("and when it has left, its task starts elsewhere once the short leases have lapsed", func() {
+			leftAt := 5 * time.Second
+			renew(leftAt)
+			s.HandleRenewalFailure(now.Add(leftAt+time.Second), start.Worker)
+			s.DropWorker(now.Add(leftAt+time.Second), start.Worker)
+			lapse := leaseEnd(now, drainingLease).Sub(now)
+			away := startAfter(s, now.Add(leftAt), start)
+			So(away, ShouldBeBetweenOrEqual, lapse, lapse+100*time.Millisecond)
 		})
 	})
 }
@@ -312,7 +361,7 @@
 		So(next.Restore(now, now, slices.Collect(maps.Values(log)), now), ShouldBeEmpty)
 		next.SetWorker(now, s.workers[start.Worker].Registration)
 		for range minSilentRenewals {
-			next.HandleRenewalFailure(now.Add(time.Second), start.Worker, false)
+			next.HandleRenewalFailure(now.Add(time.Second), start.Worker)
 		}
 		next.Decide(now.Add(time.Second), now.Add(time.Second))
 		_, ok := next.TakeBatch()
@@ -388,7 +437,7 @@
 		}
 		Convey("and the store has not confirmed the term since", func() {
 			for range minSilentRenewals {
-				s.HandleRenewalFailure(now, start.Worker, false)
+				s.HandleRenewalFailure(now, start.Worker)
 			}
 			So(s.WantsConfirmation(now), ShouldBeFalse)
 			So(starts(s, now.Add(2*time.Second)), ShouldEqual, 0)
--- a/internal/zone/dispatch/placement_record_test.go
+++ b/internal/zone/dispatch/placement_record_test.go
@@ -108,8 +108,8 @@
 			So(startsOf(s, now), ShouldEqual, 1)
 		})
 		Convey("it is not blamed for a crash of its worker before that", func() {
-			s.HandleRenewalFailure(now, "w", false)
-			s.HandleRenewalFailure(now, "w", false)
+			s.HandleRenewalFailure(now, "w")
+			s.HandleRenewalFailure(now, "w")
 			s.endWorker(now, s.workers["w"], "lease lapsed")
 			So(s.suspects, ShouldBeEmpty)
 			So(s.jobs[jobID(1)].openOccurrences[0].stages[0].tasks[0].queued, ShouldBeTrue)
--- a/internal/zone/dispatch/replaced_test.go
+++ b/internal/zone/dispatch/replaced_test.go
@@ -77,7 +77,7 @@
 		_, renews := s.PlanRenewal(now, "w")
 		So(renews, ShouldBeTrue)
 		now = now.Add(3 * time.Second)
-		s.HandleRenewalFailure(now, "w", false)
+		s.HandleRenewalFailure(now, "w")
 		Convey("and another one listens at its address: the task starts there at once", func() {
 			So(startsOf(s, now), ShouldEqual, 0)
 			appear(s)
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -81,7 +81,7 @@
 		s.recordEvent(Event{Kind: "worker back", Worker: w.ID, Age: now.Sub(w.answeredAt)})
 	}
 	w.updateClock(now, report.Clock)
-	w.failedRenewals, w.closedAt, w.answeredAt = 0, time.Time{}, now
+	w.failedRenewals, w.answeredAt = 0, now
 	w.leasesExpired, w.bootUnknown = false, false
 	first := !w.contacted
 	if first {
--- a/internal/zone/dispatch/restart_test.go
+++ b/internal/zone/dispatch/restart_test.go
@@ -26,7 +26,7 @@
 		}
 		So(acknowledged(), ShouldEqual, 1)
 		Convey("and it may have restarted since: the next renewal acknowledges nothing", func() {
-			s.HandleRenewalFailure(simEpoch, "w", false)
+			s.HandleRenewalFailure(simEpoch, "w")
 			So(acknowledged(), ShouldEqual, 0)
 			answer(s, simEpoch, "w")
 			So(acknowledged(), ShouldEqual, 1)
@@ -163,8 +163,8 @@
 			Worker: start.Worker, Boot: 2, Clock: 100, Running: []RunReport{{Task: start.Task, Number: start.Run}},
 		})
 		s.PlanRenewal(now, start.Worker)
-		s.HandleRenewalFailure(now, start.Worker, false)
-		s.HandleRenewalFailure(now, start.Worker, false)
+		s.HandleRenewalFailure(now, start.Worker)
+		s.HandleRenewalFailure(now, start.Worker)
 		commitAll(s)
 		later := now.Add(leaseLimits().MaxLease)
 		answer(s, later, otherWorker(start))
--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -562,7 +562,7 @@
 		delete(l.renewedOn, id)
 		sim.after(sim.latency(), func() {
 			l.renewalPending[id] = false
-			l.s.HandleRenewalFailure(sim.now, id, true)
+			l.s.HandleRenewalFailure(sim.now, id)
 		})
 		return
 	}
@@ -570,7 +570,7 @@
 		sim.executeLate(sw, func() bool { return sw.boot == boot }, func() { sim.executeRenewal(sw, plan) })
 		sim.after(900*time.Millisecond, func() {
 			l.renewalPending[id] = false
-			l.s.HandleRenewalFailure(sim.now, id, false)
+			l.s.HandleRenewalFailure(sim.now, id)
 		})
 		return
 	}
@@ -582,7 +582,7 @@
 		}
 		if sw.left && l.connected[id] {
 			l.renewalPending[id], l.connected[id] = false, false
-			l.s.HandleRenewalFailure(sim.now, id, true)
+			l.s.HandleRenewalFailure(sim.now, id)
 			return
 		}
 		if sw.down || sw.boot != boot || sim.rng.Float64() < sim.lossRate {
@@ -591,7 +591,7 @@
 			}
 			sim.after(900*time.Millisecond, func() {
 				l.renewalPending[id] = false
-				l.s.HandleRenewalFailure(sim.now, id, false)
+				l.s.HandleRenewalFailure(sim.now, id)
 			})
 			return
 		}
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -23,6 +23,8 @@
 	Labels   []string
 	Capacity fleet.Size
 	Draining bool
+	// LeavesIn is the least time that is left until a draining worker leaves.
+	LeavesIn time.Duration
 	// ColdFor is for how much longer the worker is slow because it has just started.
 	ColdFor time.Duration
 }
@@ -159,10 +161,10 @@
 	lastEnd, durableEnd int64
 	// failedRenewals counts the lease renewals in a row that got no answer.
 	failedRenewals int
-	// closedAt is when the worker closed a connection, the zero time if it has answered since. unlistedAt is when it was
-	// last removed from the list.
-	closedAt, unlistedAt time.Time
-	answeredAt           time.Time
+	// answeredAt is the time of the last report, the zero time if there is none.
+	answeredAt time.Time
+	// leaveAt is the earliest time at which a draining worker may leave.
+	leaveAt time.Time
 	// bootUnknown is set when another boot than the known one has answered.
 	bootUnknown bool
 	// leasesExpired is set when the leases of an unreachable worker have expired.
@@ -276,6 +278,10 @@
 		w.Service, w.Address = r.Service, r.Address
 		s.indexWorker(w)
 	}
+	// Later entries may be older ones, read again.
+	if leaveAt := now.Add(r.LeavesIn); r.Draining && (w.leaveAt.IsZero() || leaveAt.Before(w.leaveAt)) {
+		w.leaveAt = leaveAt
+	}
 	if r.Draining && !w.Draining {
 		s.recordEvent(Event{Kind: "worker draining", Worker: r.ID})
 	}
@@ -300,12 +306,8 @@
 	if w == nil {
 		return
 	}
-	w.listed, w.unlistedAt = false, now
+	w.listed = false
 	s.recordEvent(Event{Kind: "worker unlisted", Worker: id, Age: w.sinceAnswer(now)})
-	if w.hasLeft() {
-		s.endWorker(now, w, leftReason)
-		return
-	}
 	s.forgetWorker(w)
 }
 
