Count the runs of a replaced worker until its leases have lapsed

Cause: endReplaced ended a worker at whose address another one of a later start had answered. That shows that the former process listens no more, not that it has ended, and "later" compares the clocks of two machines.

An answer at the address still tells that the worker has crashed, for the tasks that are blamed for it; nothing is started by that. TestReplacedWorkerGivesItsTasksBack asked for a start at once, which was the fault; TestRunsOfReplacedWorkerCountUntilTheirLeasesLapse has its cases, and asks that the task starts when the leases have lapsed and not before, also under the next leader.

Weighed: to ask the platform's list of machines for the worker of the former one's machine. It tells of one life a machine, but costs calls, and it is a list like that of the entries.

--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -102,8 +102,8 @@
 	// taskCount is the number of tasks of all jobs in memory.
 	taskCount int
 	workers   map[string]*Worker
-	// byService lists the workers of each service, ordered by ID, byAddress those that are listed at each address.
-	byService, byAddress map[string][]*Worker
+	// byService lists the workers of each service, ordered by ID.
+	byService map[string][]*Worker
 	// capacities lists the worker capacities of each service, without those that fit into another one of the list.
 	capacities map[string][]fleet.Size
 	// silent holds the workers whose last lease renewal failed, and maybe others.
@@ -193,7 +193,6 @@
 		jobs:            map[string]*Job{},
 		workers:         map[string]*Worker{},
 		byService:       map[string][]*Worker{},
-		byAddress:       map[string][]*Worker{},
 		capacities:      map[string][]fleet.Size{},
 		silent:          map[*Worker]struct{}{},
 		recurring:       map[*Job]struct{}{},
--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -241,23 +241,13 @@
 	s.forgetWorker(w)
 }
 
-// endReplaced ends the workers at whose address one of a later start has answered. One process at a time listens at an
-// address, so that the others have ended. Their leases would lapse only seconds later. An entry in the list shows less,
-// since it may have any content.
-func (s *Scheduler) endReplaced(now time.Time, replacement *Worker) {
+// noteReplacement notes that the worker has answered at an address. Workers of earlier starts there must have ended their
+// listeners, so that those whose runs are lost have crashed. Their runs count until their leases have lapsed even so: a
+// former process may go on without its listener.
+func (s *Scheduler) noteReplacement(replacement *Worker) {
 	for _, l := range s.lapses {
 		l.replaced = l.replaced || l.isReplacedBy(replacement)
 	}
-	var ended []*Worker
-	for _, w := range s.byAddress[replacement.Address] {
-		if w.Boot < replacement.Boot && !w.leasesExpired {
-			ended = append(ended, w)
-		}
-	}
-	slices.SortFunc(ended, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
-	for _, w := range ended {
-		s.endWorker(now, w, "another worker at its address")
-	}
 }
 
 // allWorkersAccounted reports whether it is known where the tasks of earlier terms run.
--- a/internal/zone/dispatch/replaced_test.go
+++ b/internal/zone/dispatch/replaced_test.go
@@ -51,10 +51,10 @@
 	})
 }
 
-// TestReplacedWorkerGivesItsTasksBack guards against tasks that wait for the leases of a worker to lapse although another
-// one already listens at its address, and against restored tasks that wait for its report.
-func TestReplacedWorkerGivesItsTasksBack(t *testing.T) {
-	Convey("A worker with a task has crashed", t, func() {
+// TestRunsOfReplacedWorkerCountUntilTheirLeasesLapse guards against a task that runs twice because another worker answers at
+// the address of its own, whose former process goes on without its listener.
+func TestRunsOfReplacedWorkerCountUntilTheirLeasesLapse(t *testing.T) {
+	Convey("A worker with a task doesn't answer", t, func() {
 		now := simEpoch
 		s := newStopScheduler(now, 1)
 		s.HandleReport(now, Report{Worker: "w", Boot: 1, Clock: 1000})
@@ -74,14 +74,17 @@
 			s.HandleReport(now, Report{Worker: "new", Boot: 2, Clock: 1})
 			commitAll(s)
 		}
-		_, renews := s.PlanRenewal(now, "w")
+		plan, renews := s.PlanRenewal(now, "w")
 		So(renews, ShouldBeTrue)
+		lapsed := now.Add(time.Duration(float64(plan.LeaseUntil-2000)/minWorkerClockRate)*time.Millisecond + clockMargin)
 		now = now.Add(3 * time.Second)
 		s.HandleRenewalFailure(now, "w")
-		Convey("and another one listens at its address: the task starts there at once", func() {
+		Convey("and another one listens at its address: the task starts there once the leases have lapsed", func() {
 			So(startsOf(s, now), ShouldEqual, 0)
 			appear(s)
-			So(startsOf(s, now), ShouldEqual, 1)
+			So(startsOf(s, now), ShouldEqual, 0)
+			So(startsOf(s, lapsed.Add(-2*time.Millisecond)), ShouldEqual, 0)
+			So(startsOf(s, lapsed.Add(2*time.Millisecond)), ShouldEqual, 1)
 		})
 		Convey("and one of an earlier start is listed at its address: the task waits", func() {
 			replacement.Boot = 0
@@ -90,14 +93,17 @@
 			commitAll(s)
 			So(startsOf(s, now), ShouldEqual, 0)
 		})
-		Convey("and another host leads: the task starts once another worker listens at the address", func() {
+		Convey("and another host leads: the task waits for the leases of the term before", func() {
 			next := New(testLimits(), 2, 2)
 			next.SetCatalog(s.catalog)
 			next.Restore(now, now, slices.Collect(maps.Values(log)), now)
 			So(next.Summary().Unaccounted, ShouldEqual, 1)
 			appear(next)
-			So(next.Summary().Unaccounted, ShouldEqual, 0)
-			So(startsOf(next, now), ShouldEqual, 1)
+			So(next.Summary().Unaccounted, ShouldEqual, 1)
+			end := next.unaccounted["w"]
+			So(end, ShouldHappenOnOrAfter, lapsed)
+			So(startsOf(next, end), ShouldEqual, 0)
+			So(startsOf(next, end.Add(time.Millisecond)), ShouldEqual, 1)
 		})
 	})
 }
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -93,7 +93,7 @@
 		s.recordLeases(now)
 	}
 	if first {
-		s.endReplaced(now, w)
+		s.noteReplacement(w)
 	}
 	s.applyEnds(now, w, report.Ended)
 	s.applyRunning(now, w, report)
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -273,9 +273,9 @@
 		s.indexWorker(w)
 		s.recordEvent(Event{Kind: "worker listed", Worker: r.ID, Reason: r.Zone})
 	}
-	if w.Service != r.Service || w.Address != r.Address {
+	if w.Service != r.Service {
 		s.unindexWorker(w)
-		w.Service, w.Address = r.Service, r.Address
+		w.Service = r.Service
 		s.indexWorker(w)
 	}
 	// Later entries may be older ones, read again.
@@ -323,20 +323,16 @@
 	delete(s.workers, w.ID)
 }
 
-// indexWorker adds the worker to those of its service and of its address.
+// indexWorker adds the worker to those of its service.
 func (s *Scheduler) indexWorker(w *Worker) {
 	list := s.byService[w.Service]
 	i, _ := slices.BinarySearchFunc(list, w.ID, func(other *Worker, id string) int { return cmp.Compare(other.ID, id) })
 	s.byService[w.Service] = slices.Insert(list, i, w)
-	s.byAddress[w.Address] = append(s.byAddress[w.Address], w)
 }
 
-// unindexWorker removes the worker from those of its service and of its address.
+// unindexWorker removes the worker from those of its service.
 func (s *Scheduler) unindexWorker(w *Worker) {
 	s.byService[w.Service] = removeFirst(s.byService[w.Service], w)
-	if s.byAddress[w.Address] = removeFirst(s.byAddress[w.Address], w); len(s.byAddress[w.Address]) == 0 {
-		delete(s.byAddress, w.Address)
-	}
 }
 
 // loseRuns ends all runs of a worker on which certainly nothing runs any more.
