Hold workers under another name for each process of a host

Cause: a host held workers under its ID. A worker keeps its grant while the holder has the same name, also after the lease has run out. So a later process of a host got the grant of an earlier one, and a full status under it says nothing about the starts that the earlier process may still send: it wrote an eviction for a start that the worker did not list ("refused"), valid since the host of the eviction was that of the start. The wait of twice the validity of a start covers what the earlier process had sent when it ended, not a process that lives on (a paused one that was replaced), nor one whose lease had run out: then there was no wait at all.

Evidence: TestLateStartOfEarlierProcess restarts a host 50 ms to 9 s after its last renewal, in steps of 50 ms, while the earlier process sends on what its lease allows. On real hosts TestTwoHostsHoldOneWorker, which had the two processes use one worker at once as its premise, now asks that only one holds it, and fails without the change: "both hosts hold the worker".

Ruled out: a release and a new lease by the later process, since a living earlier one would renew that one as well; a longer wait, since the earlier process may renew for as long as it lives.

Change: the holder's name, and the host of Hold, Start and Evict records, is the name of the process that the records of the log carry already. The worker then refuses the starts of an earlier process by their grant, an earlier process is told that another host holds the worker, and only the process that wrote a start knows that it was not sent. The price: a host that was killed and is back within the lease gets its workers when the lease has run out (6 s), as another host would, and not after 2 s. A planned stop releases them.

The wait for starts of an earlier process with the same holder name stays as it was; with such names it has no case any more. The time to take workers back on a large site was not measured.

--- a/internal/host/node/host_faults_test.go
+++ b/internal/host/node/host_faults_test.go
@@ -130,7 +130,7 @@
 }
 
 // Guards against requests and tasks that are executed twice when a paused host is replaced by one with the same ID and
-// later resumes: the worker takes both hosts for one lease holder.
+// later resumes, and against a worker that takes both for one lease holder.
 func TestTwoHostsHoldOneWorker(t *testing.T) {
 	t.Parallel()
 	p := newTestPlatform(t, 1, 1)
@@ -140,12 +140,18 @@
 	b := p.start("a-1", "a")
 	p.awaitReady(b)
 	a.link.setFaults(func(f *linkFaults) { f.Paused = false })
-	// The second process uses the lease only once starts by an earlier process with its ID can no longer arrive.
-	p.eventually(5*time.Second, "both hosts believe they hold the worker and use it", func() bool {
-		return len(a.heldWorkers()) == 1 && len(b.heldWorkers()) == 1 && a.freeSlots() > 0 && b.freeSlots() > 0
+	p.eventually(5*time.Second, "the second host holds the worker and uses it", func() bool {
+		return len(b.heldWorkers()) == 1 && b.freeSlots() > 0
 	})
+	checkOneHolds := func() {
+		// The host that is asked first can only lose the worker in between, not get it.
+		if len(a.heldWorkers()) == 1 && len(b.heldWorkers()) == 1 && len(a.heldWorkers()) == 1 {
+			t.Fatal("both hosts hold the worker")
+		}
+	}
 	jobs := make([]string, 0, 6)
 	for i := range 6 {
+		checkOneHolds()
 		n := []*testNode{a, b}[i%2]
 		jobs = append(jobs, p.submitAccepted(n, 2, 200*time.Millisecond))
 		key := newKey()
@@ -161,6 +167,7 @@
 	}
 	for _, id := range jobs {
 		p.awaitFinished(id, 2, 40*time.Second)
+		checkOneHolds()
 	}
 	p.checkNoViolations()
 }
--- a/internal/host/node/leases.go
+++ b/internal/host/node/leases.go
@@ -172,7 +172,7 @@
 			n.runBackground(func(ctx context.Context) {
 				_ = n.writeZone(ctx, "hold", func() (record.Item, error) {
 					return job.HoldItem(job.Hold{
-						Worker: c.Worker, Host: n.cfg.Host, Boot: c.Boot, Grant: c.Grant, NextOffset: c.NextOffset,
+						Worker: c.Worker, Host: n.writer, Boot: c.Boot, Grant: c.Grant, NextOffset: c.NextOffset,
 					})
 				})
 			})
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -80,7 +80,7 @@
 	fleet      Fleet
 	hosts      HostLister
 	peerClient *peer.Client
-	// writer identifies this start of the process in the records that it writes to the log.
+	// writer identifies this start of the process in the records that it writes to the log, and as the holder of workers.
 	writer string
 
 	config configView
@@ -184,7 +184,7 @@
 	n.keys.waiters = map[string]map[chan struct{}]struct{}{}
 	n.zone = zoneView{
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), jobs: job.New(),
-		leases: lease.New(cfg.Host, lease.WithTTL(cfg.Lease.TTL),
+		leases: lease.New(cfg.Host, lease.WithHolder(n.writer), lease.WithTTL(cfg.Lease.TTL),
 			lease.WithRenewInterval(cfg.Lease.RenewInterval), lease.WithTaskTTL(cfg.Lease.TaskTTL)),
 		policy: policy.New(policy.WithHost(cfg.Host)), workers: map[string]*workerView{}, placements: map[string]*placement{},
 		recordPending: map[string]bool{}, classes: map[string]*classView{}, holderQueries: map[string]time.Time{},
--- a/internal/host/node/recovery.go
+++ b/internal/host/node/recovery.go
@@ -119,7 +119,7 @@
 	for _, w := range r.jobs.BusyWorkers() {
 		for _, t := range r.jobs.RunningOn(w) {
 			i, err := job.EvictItem(job.Evict{
-				Task: t.ID(), Attempt: t.Attempt(), Reason: job.ReasonZoneLost, Host: r.n.cfg.Host,
+				Task: t.ID(), Attempt: t.Attempt(), Reason: job.ReasonZoneLost, Host: r.n.writer,
 			})
 			if err != nil {
 				r.mu.Unlock()
--- a/internal/host/node/task.go
+++ b/internal/host/node/task.go
@@ -124,7 +124,7 @@
 	})
 	pl := &placement{worker: p.Worker, attempt: attempt}
 	z.placements[t.ID()] = pl
-	start := job.Start{Task: t.ID(), Attempt: attempt, Worker: p.Worker, Boot: fence.Boot, Host: n.cfg.Host}
+	start := job.Start{Task: t.ID(), Attempt: attempt, Worker: p.Worker, Boot: fence.Boot, Host: n.writer}
 	req := fleet.StartRequest{
 		Task: t.ID(), Attempt: attempt, Class: j.Class(), Size: p.Size, Checkpoint: t.Checkpoint(), Body: j.Body(),
 	}
@@ -196,7 +196,7 @@
 func (n *Node) evictRefused(ctx context.Context, pl *placement, key capacity.Key, start job.Start) {
 	_ = n.writeZone(ctx, "evict", func() (record.Item, error) {
 		return job.EvictItem(job.Evict{
-			Task: start.Task, Attempt: start.Attempt, Reason: job.ReasonRefused, Host: n.cfg.Host,
+			Task: start.Task, Attempt: start.Attempt, Reason: job.ReasonRefused, Host: n.writer,
 		})
 	})
 	n.releaseReservation(pl, key, start)
@@ -361,7 +361,7 @@
 // recordEviction returns the effect that records an attempt as evicted, or nil if a record about the task is being
 // written. The caller holds zone.mu.
 func (n *Node) recordEviction(t *job.Task, reason job.EvictReason, checkpoint []byte) func(context.Context) {
-	e := job.Evict{Task: t.ID(), Attempt: t.Attempt(), Reason: reason, Host: n.cfg.Host}
+	e := job.Evict{Task: t.ID(), Attempt: t.Attempt(), Reason: reason, Host: n.writer}
 	if len(checkpoint) <= job.MaxCheckpointBytes {
 		e.Checkpoint = checkpoint
 	}
--- a/internal/work/job/record.go
+++ b/internal/work/job/record.go
@@ -102,7 +102,8 @@
 	Attempt int    `msgpack:"attempt"`
 	Worker  string `msgpack:"worker"`
 	Boot    string `msgpack:"boot"`
-	Host    string `msgpack:"host"`
+	// Host names one process of a host, as in Evict and Hold.
+	Host string `msgpack:"host"`
 }
 
 // Result is how an attempt ended.
@@ -151,7 +152,8 @@
 	Attempt    int         `msgpack:"attempt"`
 	Checkpoint []byte      `msgpack:"checkpoint,omitempty"`
 	Reason     EvictReason `msgpack:"reason"`
-	// Host is the host that wrote the record. ReasonLeaseExpired is valid only from the host with the newest Hold of the
+	// Host is the host that wrote the record. Its name differs for each start of its process, since a later process
+	// knows nothing of what an earlier one has sent or may still send. ReasonLeaseExpired is valid only from the host with the newest Hold of the
 	// worker, because a host that has lost the worker to another one cannot know until when that one renews the task
 	// leases. The same holds for ReasonRestarted, and for ReasonRefused unless the host wrote the Start itself, because
 	// a host that was paused may rely on an old status.
@@ -197,7 +199,8 @@
 // its Hold back, and writes the Hold again to answer a HolderQuery.
 type Hold struct {
 	Worker string `msgpack:"worker"`
-	Host   string `msgpack:"host"`
+	// Host is the name under which the worker knows its holder.
+	Host string `msgpack:"host"`
 	// Boot and Grant are those of the lease that the host has.
 	Boot  string `msgpack:"boot"`
 	Grant uint64 `msgpack:"grant"`
--- a/internal/zone/lease/lease.go
+++ b/internal/zone/lease/lease.go
@@ -33,6 +33,8 @@
 type options struct {
 	ttl, taskTTL, renewInterval, replyTimeout time.Duration
 	clockRateMargin                           float64
+	// holder is the name under which this host holds workers.
+	holder string
 }
 
 // Option changes a setting of a Manager.
@@ -53,6 +55,11 @@
 // WithClockRateMargin sets the largest relative difference between the rates of two clocks, 0.1 by default.
 func WithClockRateMargin(m float64) Option { return func(o *options) { o.clockRateMargin = m } }
 
+// WithHolder sets the name under which this host holds workers, its ID by default. A host that may be started again
+// under its ID needs another name for each process: a worker keeps its grant while the holder has the same name, and
+// would accept a start of an earlier process after it has told the later one that it runs nothing.
+func WithHolder(name string) Option { return func(o *options) { o.holder = name } }
+
 // workerState is what this host knows of one worker and of its lease.
 type workerState struct {
 	Worker
@@ -86,8 +93,8 @@
 	nextOffset, confirmedOffset uint64
 	// holdReadAt is when the newest hold record was read.
 	holdReadAt time.Time
-	// earlierStartsUntil is the worker's clock up to which a start of an earlier process of this host may arrive, 0 if
-	// there is none. Until then no status is passed on.
+	// earlierStartsUntil is the worker's clock up to which a start of an earlier process with the same holder name may
+	// arrive, 0 if there is none. Until then no status is passed on.
 	earlierStartsUntil time.Duration
 	// releaseSentAt is when the last release was sent. The reply to an earlier request does not prove that this host
 	// has the lease.
@@ -136,7 +143,7 @@
 	m := &Manager{self: self, workers: map[string]*workerState{}}
 	m.options = options{
 		ttl: 6 * time.Second, taskTTL: 30 * time.Second, renewInterval: 2 * time.Second, replyTimeout: time.Second,
-		clockRateMargin: 0.1,
+		clockRateMargin: 0.1, holder: self,
 	}
 	for _, o := range opts {
 		o(&m.options)
@@ -250,10 +257,10 @@
 			s.Boot, false, 0, 0, 0, time.Time{}, 0
 	}
 	w.clock, w.sent, w.received, w.statusLeaving = s.Clock, sent, received, s.Leaving
-	namesThisHost := s.Holder == m.self && s.Until > s.Clock && sent.After(w.releaseSentAt)
+	namesThisHost := s.Holder == m.holder && s.Until > s.Clock && sent.After(w.releaseSentAt)
 	if firstStatus && namesThisHost {
-		// An earlier process of this host got the lease, and its starts carry the same grant. Without this wait a
-		// status would show a start as never made although it may still arrive. The validity counts twice to cover
+		// An earlier process with the same holder name got the lease, and its starts carry the same grant. Without this
+		// wait a status would show a start as never made although it may still arrive. The validity counts twice to cover
 		// the difference of clock rates.
 		w.earlierStartsUntil = s.Clock + 2*startValidity
 	}
@@ -436,7 +443,7 @@
 		return StatusCmd{Worker: w.ID, Address: w.Address}
 	}
 	w.nextMessageAt = now.Add(m.renewInterval / 2)
-	r := fleet.LeaseRequest{Holder: m.self, Boot: w.boot, Until: w.clock + now.Sub(w.received) + m.ttl}
+	r := fleet.LeaseRequest{Holder: m.holder, Boot: w.boot, Until: w.clock + now.Sub(w.received) + m.ttl}
 	if w.isHolder {
 		r.Seen = w.seenChange
 	}
@@ -454,7 +461,7 @@
 
 // holdRecorded reports whether the newest hold record of the worker is that of this host's present grant.
 func (m *Manager) holdRecorded(w *workerState) bool {
-	return w.isHolder && w.lastHold.Host == m.self && w.lastHold.Boot == w.boot && w.lastHold.Grant == w.grant
+	return w.isHolder && w.lastHold.Host == m.holder && w.lastHold.Boot == w.boot && w.lastHold.Grant == w.grant
 }
 
 // Fence returns the fence for messages to the worker, and false if this host does not hold the worker or its lease may
--- a/internal/zone/lease/lease_test.go
+++ b/internal/zone/lease/lease_test.go
@@ -264,3 +264,65 @@
 		}
 	}
 }
+
+// TestLateStartOfEarlierProcess guards against a restarted host that takes a worker under the grant of its earlier
+// process, so that the worker accepts a start of that process after a status has shown that it runs nothing.
+func TestLateStartOfEarlierProcess(t *testing.T) {
+	const step = 50 * time.Millisecond
+	for restart := step; restart < 9*time.Second; restart += step {
+		now := epoch
+		fw := &fakeWorker{id: "w", clockRate: 1, bootedAt: epoch.Add(-time.Hour)}
+		start := func(process string) *Manager {
+			h := New("h0", WithHolder(process))
+			h.Update(now, WorkersMsg{Workers: []Worker{{ID: "w"}}})
+			h.Update(now, PeersMsg{Hosts: []string{"h0"}})
+			return h
+		}
+		// tick carries out the messages of a process at once and reports whether a status was passed on.
+		tick := func(h *Manager) (passed bool) {
+			for cmds := h.Update(now, TickMsg{}); len(cmds) > 0; {
+				var msg Msg = TickMsg{}
+				switch c := cmds[0].(type) {
+				case StatusCmd:
+					msg = StatusMsg{Status: fw.status(now), Sent: now, Received: now, WithoutTasks: true}
+				case LeaseCmd:
+					msg = RefusedMsg{Status: fleet.Status{Worker: "w"}, Sent: now, Received: now}
+					if ok, _ := fw.lease(now, c.Request); ok {
+						msg = StatusMsg{Status: fw.status(now), Sent: now, Received: now, Seen: c.Request.Seen}
+					}
+				case ApplyStatusCmd:
+					passed = true
+				}
+				cmds = append(cmds[1:], h.Update(now, msg)...)
+			}
+			return passed
+		}
+		first := start("h0/1")
+		for !tick(first) {
+			now = now.Add(step)
+		}
+		stoppedAt := now
+		var second *Manager
+		var lastFence fleet.Fence
+		passed := false
+		for ; now.Sub(stoppedAt) < 20*time.Second; now = now.Add(step) {
+			// The first process sends no renewals any more, but may still send what it has decided on.
+			if f, ok := first.Fence("w", now); ok {
+				lastFence = f
+			}
+			if second == nil && now.Sub(stoppedAt) >= restart {
+				second = start("h0/2")
+			}
+			if second != nil && tick(second) {
+				passed = true
+			}
+			if passed && fw.accepts(now, lastFence) {
+				t.Fatalf("restart after %s: %s after the stop the worker accepts a start of the earlier process, "+
+					"although a status was passed on before", restart, now.Sub(stoppedAt))
+			}
+		}
+		if !passed {
+			t.Fatalf("restart after %s: the later process never gets the worker", restart)
+		}
+	}
+}
