Don't renew task leases past an open holder query

A host that cannot reach a worker which may have a holder asks by a holder query, and after the renewal cutoff (2 h) and a task lease without an answer takes its tasks for ended. That is a proof only if each holder that has read the query stops renewing until it has written its hold again.

The tasks start elsewhere beside their runs.

Evidence: TestUnansweredHolderQueryStopsRenewals, a real host on the stand-ins, fails in both cases without the change (renewals go on: true, want false).

Ruled out: the path of records, which passes holds and queries in their order.

Change: applyHolds passes an open query on after its hold; an open query always follows the newest hold of its worker.

After: the test passes; host/node passes with -race (141 s).

--- a/internal/host/node/holder_query.go
+++ b/internal/host/node/holder_query.go
@@ -46,6 +46,6 @@
 // answerHolderQuery makes the lease manager write a new hold record of the worker, if this host has its lease. Task
 // leases are not renewed until that record was read back: a holder that reads the query but cannot write would
 // otherwise renew them beyond the wait of holderQueryExpired. The caller holds zone.mu.
-func (n *Node) answerHolderQuery(now time.Time, worker string) {
-	n.zone.leases.Update(now, lease.HoldMsg{Worker: worker})
+func (z *zoneView) answerHolderQuery(now time.Time, worker string) {
+	z.leases.Update(now, lease.HoldMsg{Worker: worker})
 }
--- a/internal/host/node/leases.go
+++ b/internal/host/node/leases.go
@@ -94,10 +94,14 @@
 	n.peers.setListed(entries, n.cfg.Host, workerAddresses)
 }
 
-// applyHolds passes the newest hold record of each worker to the lease manager. The caller holds mu.
+// applyHolds passes the newest hold record of each worker to the lease manager, and the holder query that follows it, if
+// there is one. The caller holds mu.
 func (z *zoneView) applyHolds(now time.Time) {
 	for _, h := range z.jobs.Holds() {
 		z.leases.Update(now, lease.HoldMsg{Worker: h.Worker, Host: h.Host, Boot: h.Boot, Grant: h.Grant, Offset: h.Offset})
+		if _, asked := z.jobs.OpenHolderQuery(h.Worker); asked {
+			z.answerHolderQuery(now, h.Worker)
+		}
 	}
 }
 
--- a/internal/host/node/sink.go
+++ b/internal/host/node/sink.go
@@ -71,7 +71,7 @@
 		}
 	case job.KindHolderQuery:
 		if query, err := record.DecodeItem[job.HolderQuery](item); err == nil {
-			s.n.answerHolderQuery(now, query.Worker)
+			z.answerHolderQuery(now, query.Worker)
 		}
 	}
 	return nil
