--- a/internal/host/node/holder_query_test.go
+++ b/internal/host/node/holder_query_test.go
@@ -59,3 +59,29 @@
 		})
 	})
 }
+
+// TestWaitOfEarlierHolderQuery guards against counting the wait of a holder query that was answered for a later query,
+// when a host has missed the answer, so that tasks are taken for ended while their leases are renewed.
+func TestWaitOfEarlierHolderQuery(t *testing.T) {
+	Convey("A host waits for a holder query, and a snapshot has another open query about the worker", t, func() {
+		p := newTestPlatform(t, 1, 1)
+		n := p.start("a-1", "a")
+		p.awaitReady(n)
+		n.link.setFaults(func(f *linkFaults) { f.CutLog = true })
+		So(n.applyHolderQuery("a-w0"), ShouldBeNil)
+		expired := func() bool {
+			n.zone.mu.Lock()
+			defer n.zone.mu.Unlock()
+			return n.holderQueryExpired(time.Now(), "a-w0")
+		}
+		n.zone.mu.Lock()
+		n.zone.holderQueries["a-w0"] = time.Now().Add(-2 * (testRenewalCutoff + testTaskTTL))
+		n.zone.mu.Unlock()
+		So(expired(), ShouldBeTrue)
+		sink := &zoneSink{n.Node}
+		data, err := sink.Snapshot()
+		So(err, ShouldBeNil)
+		So(sink.Restore(data, 1), ShouldBeNil)
+		So(expired(), ShouldBeFalse)
+	})
+}
--- a/internal/host/node/sink.go
+++ b/internal/host/node/sink.go
@@ -154,7 +154,8 @@
 }
 
 // Restore implements feed.Sink. It restores the jobs, drops the placements of attempts that have ended and passes the
-// holds of the snapshot on to the lease manager.
+// holds of the snapshot on to the lease manager. The waits of holder queries begin anew: an open query of the snapshot
+// may be later than the one that this host has waited for.
 func (s *zoneSink) Restore(data []byte, base uint64) error {
 	z := &s.n.zone
 	z.mu.Lock()
@@ -165,6 +166,7 @@
 	for id := range z.placements {
 		z.dropPlacement(id)
 	}
+	clear(z.holderQueries)
 	z.applyHolds(time.Now())
 	return nil
 }
