Renew no task leases without a view of the configuration

Hosts of other zones take the tasks of a lost zone for ended once the zone was taken out, and the renewal cutoff and a task lease have passed since. That is a proof only if each holder whose view of the configuration is older than the take-out stops renewing by then.

Cause: a missing view did not count as stale until the host had run for the cutoff. A host that restarts in the lost zone an hour after the take-out, and reads the stream of its zone but not that of the configuration, renewed for two hours more, an hour longer than the others wait.

Evidence: TestNoRenewalsWithoutConfiguration, a real host whose log does not serve the stream of the configuration, fails without the change (renews: true, want false).

Ruled out: the stream of the zone. A holder renews only after it has read its own hold back, so that it has read what precedes its start; an unread holder query is later than that, and so is its wait. Its view may be missing as before.

Change: a host without a view of the configuration, from the log or a peer, renews no task leases.

After: the test passes; host/node passes with -race (141 s).

--- a/internal/host/node/leases.go
+++ b/internal/host/node/leases.go
@@ -121,13 +121,15 @@
 	freshAt := n.configFreshAt()
 	z := &n.zone
 	z.mu.Lock()
-	stale := now.Sub(freshAt) > n.cfg.Freshness.RenewalCutoff ||
-		now.Sub(z.feed.FreshAsOf()) > n.cfg.Freshness.RenewalCutoff
-	// A host that has just started has no view yet. A missing view is not stale until the host has run for
-	// RenewalCutoff, since the host cannot have been without a view for longer than it has run.
-	if now.Sub(n.startedAt) < n.cfg.Freshness.RenewalCutoff && (freshAt.IsZero() || z.feed.FreshAsOf().IsZero()) {
-		stale = false
+	zoneFreshAt := z.feed.FreshAsOf()
+	if zoneFreshAt.IsZero() {
+		// A holder has read its own hold record, so it has read what precedes the start of its process.
+		zoneFreshAt = n.startedAt
 	}
+	// A host that has just started and has no view of the configuration may have missed that the zone was taken out of
+	// service long before.
+	stale := now.Sub(freshAt) > n.cfg.Freshness.RenewalCutoff ||
+		now.Sub(zoneFreshAt) > n.cfg.Freshness.RenewalCutoff
 	// In a zone that was taken out of service, no task may run on after the drain of the zone: hosts of other zones
 	// move its tasks after RenewalCutoff, even if they cannot reach this host.
 	stale = stale || z.takenOut && now.Sub(z.takenOutSince) > n.takenOutRenewLimit()
