Don't take a peer's refusal of another request for this one's

An answer of a peer counts only if it names the request; its refusal counted whatever it named, so that a caller could be told not_run for a request that runs.

Cause: handlePeerReply compared the request of good answers only. Refusals of workers, and all replies to requests with a key, are compared.

Evidence: the model of TestLifecycle took each refusal for a proof. The check is stricter than before.

Replies about jobs name no request; they rely on that alone.

Change: the refusal of another request is an unknown outcome. A request that was not sent names itself.

After: package request/attempt passes with -race.

--- a/internal/host/node/request.go
+++ b/internal/host/node/request.go
@@ -267,7 +267,9 @@
 	}
 	switch {
 	case errors.Is(err, peer.ErrNotSent):
-		u.post(attempt.PeerReplyMsg{Outcome: attempt.NotRun, Reason: string(outcome.ReasonPeer)})
+		u.post(attempt.PeerReplyMsg{
+			Outcome: attempt.NotRun, Reason: string(outcome.ReasonPeer), Answer: fleet.Answer{Request: u.id},
+		})
 	case err != nil:
 		u.n.log.WithError(err).Debug("Peer did not answer a forwarded request; its outcome is unknown.")
 		u.post(attempt.PeerReplyMsg{Outcome: attempt.Unknown, Reason: string(outcome.ReasonPeer)})
--- a/internal/request/attempt/attempt.go
+++ b/internal/request/attempt/attempt.go
@@ -239,7 +239,7 @@
 	l.awaitingPeer = false
 	a := m.Answer
 	switch {
-	case m.Outcome == NotRun:
+	case m.Outcome == NotRun && a.Request == l.req.ID:
 		// The peer did not run the request, so the local attempt that follows takes nothing from the budget.
 		if l.reason, l.retryAfter = m.Reason, m.RetryAfter; !l.replied && now.Before(l.req.Deadline) {
 			return l.reserve(false)
--- a/internal/request/attempt/attempt_test.go
+++ b/internal/request/attempt/attempt_test.go
@@ -112,7 +112,8 @@
 			s.unresolved--
 			m := PeerReplyMsg{Outcome: []Outcome{Done, NotRun, Unknown}[s.rng.IntN(3)]}
 			m.Answer = answer([]string{"r", "other"}[s.rng.IntN(2)], c.AttemptOffset+1, "peer")
-			s.mayHaveRun = s.mayHaveRun || m.Outcome != NotRun
+			// The refusal of another request says nothing about this one.
+			s.mayHaveRun = s.mayHaveRun || m.Outcome != NotRun || m.Answer.Request != "r"
 			s.update(m)
 			s.update(m)
 		})
@@ -244,3 +245,21 @@
 		t.Fatalf("commands after the slower answer: %v, want only its release and a finished request", c)
 	}
 }
+
+// TestRefusalOfAnotherRequest guards against a reply not_run that relies on a peer's refusal of another request.
+func TestRefusalOfAnotherRequest(t *testing.T) {
+	for request, want := range map[string]Outcome{"r": NotRun, "other": Unknown} {
+		budget := tokens(0)
+		l := New(Request{ID: "r", Deadline: epoch.Add(time.Second), MaxAttempts: 1}, &budget)
+		l.Update(epoch, StartMsg{})
+		l.Update(epoch, NoSlotMsg{1, "peer"})
+		cmds := l.Update(epoch, PeerReplyMsg{Outcome: NotRun, Reason: "busy", Answer: fleet.Answer{Request: request}})
+		if request == "r" {
+			cmds = append(l.Update(epoch, NoSlotMsg{2, ""}), l.Update(epoch, QueueRejectedMsg{Attempt: 2, Reason: "busy"})...)
+		}
+		r, ok := cmds[len(cmds)-1].(ReplyCmd)
+		if !ok || r.Outcome != want {
+			t.Errorf("after a refusal of request %s got %+v, want a reply %s", request, cmds, want)
+		}
+	}
+}
--- a/internal/request/attempt/message.go
+++ b/internal/request/attempt/message.go
@@ -58,7 +58,8 @@
 // TimerMsg reports that the hedge timer or the deadline was reached.
 type TimerMsg struct{}
 
-// PeerReplyMsg carries the reply of the peer. Its outcome is Unknown if no reply came.
+// PeerReplyMsg carries the reply of the peer. Its outcome is Unknown if no reply came. Answer.Request names the request
+// that the reply is for, whatever the outcome.
 type PeerReplyMsg struct {
 	Outcome    Outcome
 	Reason     string
