Don't say not_run for a key that is ahead of one host's clock

A host refused a key of more than 5 min in the future with the outcome not_run, "since every host refuses it". Another host, whose clock is ahead, accepts and runs it; the design allows wall clocks an hour apart.

Evidence: TestKeyAheadOfOneHost: of two hosts with clocks 1 min apart one runs the request, the other replied not_run.

Change: the outcome is unknown for a request and a job alike. For a malformed key it stays not_run, since no clock decides about it. The bound of 5 min stays.

After: package work/intent passes with -race.

--- a/internal/host/node/job.go
+++ b/internal/host/node/job.go
@@ -73,12 +73,15 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, intent.ErrKeyTooOld):
-		r := outcome.UnknownReply(outcome.ReasonExpired, err.Error())
-		r.Field = "key"
+	case errors.Is(err, intent.ErrInvalidKey):
+		r := outcome.InvalidReply("key", err.Error())
 		return &r
 	}
-	r := outcome.InvalidReply("key", err.Error())
+	r := outcome.UnknownReply(outcome.ReasonExpired, err.Error())
+	if errors.Is(err, intent.ErrKeyAhead) {
+		r.Reason = outcome.ReasonInvalid
+	}
+	r.Field = "key"
 	return &r
 }
 
--- a/internal/work/intent/flow.go
+++ b/internal/work/intent/flow.go
@@ -180,8 +180,8 @@
 // of this host.
 //
 // A WrittenMsg must come only after the host's table has applied the record, and status must be at least as new.
-// The outcome is not_run only if the log has closed the key, the key is in use with other content, or every host refuses
-// the key. If the log does not determine the outcome before the deadline, it is unknown.
+// The outcome is not_run only if the log has closed the key, the key is in use with other content, or the key is
+// malformed, so that every host refuses it. If the log does not determine the outcome before the deadline, it is unknown.
 func (f *Flow) Update(now time.Time, status KeyStatus, msg Msg) []Command {
 	if f.phase == phaseReplied {
 		// A slot that is reserved after the reply is not needed any more.
@@ -192,10 +192,10 @@
 	}
 	switch m := msg.(type) {
 	case StartMsg:
-		if err := CheckKey(now, f.req.Key); errors.Is(err, ErrKeyTooOld) {
-			return f.reply(OutcomeUnknown, err.Error())
-		} else if err != nil {
+		if err := CheckKey(now, f.req.Key); errors.Is(err, ErrInvalidKey) {
 			return f.reply(OutcomeNotRun, err.Error())
+		} else if err != nil {
+			return f.reply(OutcomeUnknown, err.Error())
 		}
 	case SlotReservedMsg:
 		f.reserved = true
--- a/internal/work/intent/flow_test.go
+++ b/internal/work/intent/flow_test.go
@@ -304,6 +304,24 @@
 	}
 }
 
+// TestKeyAheadOfOneHost guards against a reply not_run by a host whose clock is behind, to a request that a host whose
+// clock is ahead runs.
+func TestKeyAheadOfOneHost(t *testing.T) {
+	now := epoch.Add(-MaxKeyAhead)
+	update := func(now time.Time, key string) Command {
+		return NewFlow(Request{Key: key, Digest: 1, Deadline: now.Add(time.Minute)}).Update(now, KeyStatus{}, StartMsg{})[0]
+	}
+	if c, ok := update(now, key(epoch, 1)).(ReserveSlotCmd); !ok {
+		t.Fatalf("got %+v, want a host that runs the request", c)
+	}
+	if r, ok := update(now.Add(-time.Minute), key(epoch, 1)).(ReplyCmd); !ok || r.Outcome != OutcomeUnknown {
+		t.Errorf("a host whose clock is 1 min behind replies %+v, want the outcome unknown", r)
+	}
+	if r, ok := update(now, "no UUID").(ReplyCmd); !ok || r.Outcome != OutcomeNotRun {
+		t.Errorf("reply to a malformed key is %+v, want not_run", r)
+	}
+}
+
 // Guards against a key that is closed although a slot becomes free within moments, and against one that waits for long.
 func TestRequestWaitsForSlot(t *testing.T) {
 	f := NewFlow(Request{
--- a/internal/work/intent/record.go
+++ b/internal/work/intent/record.go
@@ -136,8 +136,9 @@
 }
 
 // CheckKey returns an error if a host must not serve a request with a key. With ErrKeyTooOld the outcome is unknown,
-// because the request may have run and its key been forgotten since. With ErrInvalidKey and ErrKeyAhead the request has
-// not run, because every host refuses the key.
+// because the request may have run and its key been forgotten since, and with ErrKeyAhead because a host whose clock is
+// ahead of this one's may have accepted the key. With ErrInvalidKey the request has not run, because every host refuses
+// the key.
 func CheckKey(now time.Time, key string) error {
 	at, err := keyTimestamp(key)
 	switch {
