Don't say not_run for a key because of its deadline

A retry of a key whose deadline_ms is out of range was refused with not_run, although the same key may have run with another deadline: what a key stands for is its class, team and body, and the longest deadline is a setting of each host.

Evidence: TestDeadlineOfKeyedRequest: 400 and not_run, want 504 and unknown.

Ruled out: class, team, count, size and run time, which are part of what the key stands for, so that no host accepts the content. A body above the host's limit is refused before its key is known; that is true only if all hosts have the same limit, and stays.

Change: with a key, the outcome is unknown. Without one it is not_run as before.

After: package host/caller passes with -race.

--- a/internal/host/caller/caller.go
+++ b/internal/host/caller/caller.go
@@ -106,7 +106,7 @@
 	if errReply := checkRequired("class", b.Class, "team", b.Team); errReply != nil {
 		return *errReply
 	}
-	ctx, cancel, errReply := s.withDeadline(ctx, b.DeadlineMillis)
+	ctx, cancel, errReply := s.withDeadline(ctx, b.Key, b.DeadlineMillis)
 	if errReply != nil {
 		return *errReply
 	}
@@ -156,7 +156,7 @@
 	case b.RunMillis < 0 || b.RunMillis > maxRunTime.Milliseconds():
 		return outcome.InvalidReply("run_ms", "must be from 0 to the milliseconds of one year")
 	}
-	ctx, cancel, errReply := s.withDeadline(ctx, b.DeadlineMillis)
+	ctx, cancel, errReply := s.withDeadline(ctx, b.Key, b.DeadlineMillis)
 	if errReply != nil {
 		return *errReply
 	}
@@ -181,13 +181,19 @@
 }
 
 // withDeadline bounds ctx by the caller's deadline in ms, or by the default if ms is nil. It returns a reply if the
-// deadline is out of range.
-func (s *server) withDeadline(ctx context.Context, ms *int64) (context.Context, context.CancelFunc, *outcome.Reply) {
+// deadline is out of range. Its outcome is unknown for a request or job with a key: the deadline is not part of what a
+// key stands for, so the same key may have been accepted with another one.
+func (s *server) withDeadline(
+	ctx context.Context, key string, ms *int64,
+) (context.Context, context.CancelFunc, *outcome.Reply) {
 	d := s.limits.DefaultDeadline
 	if ms != nil {
 		if *ms < 1 || *ms > s.limits.MaxDeadline.Milliseconds() {
 			errReply := outcome.InvalidReply("deadline_ms",
 				"must be from 1 to "+s.limits.MaxDeadline.String()+" in milliseconds")
+			if key != "" {
+				errReply.Outcome = outcome.Unknown
+			}
 			return nil, nil, &errReply
 		}
 		d = time.Duration(*ms) * time.Millisecond
--- a/internal/host/caller/caller_test.go
+++ b/internal/host/caller/caller_test.go
@@ -77,6 +77,22 @@
 	})
 }
 
+// TestDeadlineOfKeyedRequest guards against a reply not_run to a retry whose deadline is out of range, although the key
+// has run with another deadline.
+func TestDeadlineOfKeyedRequest(t *testing.T) {
+	Convey("A key is refused for its deadline with outcome unknown, and nothing is run", t, func() {
+		for path, body := range map[string]string{
+			"/v1/requests": `{"key":"k","class":"a","team":"t","deadline_ms":0}`,
+			"/v1/jobs":     `{"key":"k","class":"a","team":"t","deadline_ms":60001}`,
+		} {
+			n := &fakeNode{}
+			code, v := send(n, http.MethodPost, path, body)
+			So([]any{path, code, v["outcome"], v["field"], n.calls}, ShouldResemble,
+				[]any{path, http.StatusGatewayTimeout, "unknown", "deadline_ms", 0})
+		}
+	})
+}
+
 // Guards against a status code that is used for two outcomes: a caller could then take a request that may have run for
 // one that did not. Also guards against a caller's deadline that does not reach the node, an answer that is not JSON,
 // and a task in the path that is not passed on.
