Recover a lost zone only for the take-out that was waited for

The tasks of a lost zone are taken for ended once the wait since its take-out has passed. That says nothing about attempts that began after the zone's return.

Cause: the take-out was checked when a pass of the recovery began, and passes may take as long as the log is down. A pass that reads the zone's stream after the zone's return evicted what runs there. And a zone that was back in service between two looks at the configuration counted as out all the time, so that its second take-out was not waited for.

Evidence: TestRecoveryOfReturnedZone, real hosts: a pass that goes on after the return evicts the running task, whose second attempt starts beside it (attempt 2, want 1). TestSecondTakeOutIsWaitedFor: the wait counts from the first take-out.

Ruled out: a check before the stream is read, or by a view of the configuration that may be up to 3 s old. Both leave a time in which attempts are read that began after the return.

Change: take-outs are told apart by the version of the zone's entry, and a pass evicts only once it has read the configuration anew, after it has read the attempts. An attempt that began after the return comes after that record in time, so that the pass then sees it.

After: both tests pass; host/node passes with -race (141 s).

--- a/internal/host/node/recovery.go
+++ b/internal/host/node/recovery.go
@@ -24,6 +24,9 @@
 
 // lostZone is the state of another zone that was taken out of service, until its tasks have been moved away.
 type lostZone struct {
+	// version is that of the zone's entry in the configuration. Another one shows that the zone was back in service in
+	// between, so that the wait begins anew.
+	version uint64
 	// since is when this host learned that the zone was taken out of service. A lease holder in that zone whose view is
 	// older than that stops renewing task leases within Freshness.RenewalCutoff after it.
 	since time.Time
@@ -36,35 +39,62 @@
 // zone can no longer be in force, and a tenth longer, since the rates of two clocks may differ by that much; see
 // package lease.
 func (n *Node) recoverLostZones(now time.Time) {
-	takenOut := n.zonesTakenOut()
 	wait := n.cfg.Freshness.RenewalCutoff + n.cfg.Lease.TaskTTL
 	wait += wait / 10
-	for zone := range n.lostZones {
-		if !takenOut[zone] {
-			delete(n.lostZones, zone)
-		}
-	}
-	for zone := range takenOut {
-		if zone == n.cfg.Zone {
-			continue
-		}
-		z := n.lostZones[zone]
-		if z == nil {
-			z = &lostZone{since: now}
-			n.lostZones[zone] = z
-		}
-		if z.recovering.Load() || now.Sub(z.since) < wait || takenOut[n.cfg.Zone] || !n.mayStartTasks(now) ||
+	n.trackLostZones(now)
+	for zone, z := range n.lostZones {
+		if z.recovering.Load() || now.Sub(z.since) < wait || !n.mayStartTasks(now) ||
 			n.heardFromZone(zone, now) || !n.isRecoveryHost(zone, now) {
 			continue
 		}
 		z.recovering.Store(true)
 		n.runBackground(func(ctx context.Context) {
 			defer z.recovering.Store(false)
-			n.recoverZone(ctx, zone)
+			n.recoverZone(ctx, zone, z.version)
 		})
 	}
 }
 
+// trackLostZones brings lostZones up to date with the configuration.
+func (n *Node) trackLostZones(now time.Time) {
+	for zone, z := range n.lostZones {
+		if version, out := n.takenOutVersion(zone); !out || version != z.version {
+			delete(n.lostZones, zone)
+		}
+	}
+	for zone := range n.zonesTakenOut() {
+		version, out := n.takenOutVersion(zone)
+		if out && zone != n.cfg.Zone && n.lostZones[zone] == nil {
+			n.lostZones[zone] = &lostZone{version: version, since: now}
+		}
+	}
+}
+
+// takenOutVersion returns the version of the zone's entry in the configuration, and whether operators have taken the
+// zone out of service.
+func (n *Node) takenOutVersion(zone string) (version uint64, out bool) {
+	n.config.mu.Lock()
+	defer n.config.mu.Unlock()
+	z, version, ok := n.config.state.Zone(zone)
+	return version, ok && z.TakenOut
+}
+
+// awaitTakenOut waits until this host has read the configuration as it was at a time or later. It returns an error if
+// the zone was brought back into service after the version with which it was taken out.
+func (n *Node) awaitTakenOut(ctx context.Context, zone string, version uint64, at time.Time) error {
+	for !n.configFreshAt().After(at) {
+		select {
+		case <-time.After(schedulePeriod):
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "node: read the configuration before the recovery of zone %s", zone)
+		}
+	}
+	if v, out := n.takenOutVersion(zone); !out || v != version {
+		return errors.Newf("node: zone %s was brought back into service", zone)
+	}
+	return nil
+}
+
 // heardFromZone reports whether a host of the zone was heard from within the last two recovery periods.
 func (n *Node) heardFromZone(zone string, now time.Time) bool {
 	n.peers.mu.Lock()
@@ -88,15 +118,18 @@
 type zoneRecovery struct {
 	n    *Node
 	zone string
-	mu   sync.Mutex
-	jobs *job.Table
-	feed *feed.Feed
+	// version is that of the zone's entry in the configuration with which it was taken out.
+	version uint64
+	mu      sync.Mutex
+	jobs    *job.Table
+	feed    *feed.Feed
 }
 
-// recoverZone reads the stream of a lost zone and moves its unfinished tasks to this host's zone. recoverLostZones
-// repeats it as long as the zone is lost, so that the next pass moves what one pass has left.
-func (n *Node) recoverZone(ctx context.Context, zone string) {
-	r := &zoneRecovery{n: n, zone: zone, jobs: job.New()}
+// recoverZone reads the stream of a lost zone and moves its unfinished tasks to this host's zone. version is that of the
+// zone's entry in the configuration with which it was taken out. recoverLostZones repeats it as long as the zone is lost,
+// so that the next pass moves what one pass has left.
+func (n *Node) recoverZone(ctx context.Context, zone string, version uint64) {
+	r := &zoneRecovery{n: n, zone: zone, version: version, jobs: job.New()}
 	f, closeFeed := feed.NewFeed(n.streamLog, streamZone+zone, n.writer,
 		&lockedSink{mu: &r.mu, Sink: r.jobs, onApplied: func(record.Item) {}})
 	defer closeFeed()
@@ -112,7 +145,7 @@
 }
 
 // moveTasks evicts the running tasks of the lost zone, moves its unfinished tasks and accepts them in this zone. It
-// returns an error if a record cannot be encoded or written, or a job is not accepted.
+// returns an error if the zone is back in service, a record cannot be encoded or written, or a job is not accepted.
 func (r *zoneRecovery) moveTasks(ctx context.Context) error {
 	var evicts, moves []record.Item
 	r.mu.Lock()
@@ -129,6 +162,11 @@
 		}
 	}
 	r.mu.Unlock()
+	// A pass may take long, for example while the log is down. An attempt that was read from the stream may have been
+	// started since the zone is back in service, which then precedes it in the log.
+	if err := r.n.awaitTakenOut(ctx, r.zone, r.version, time.Now()); err != nil {
+		return err
+	}
 	if err := r.writeBatches(ctx, evicts); err != nil {
 		return err
 	}
