Accept a submission only if its job is still there

A submission is accepted once its batch is durable. In two cases the batch is durable without the job, and the caller was told 2xx for a job that nobody has.

Cause: a job that the log rejects is noticed only within the first 0.8 s. And a job whose request finds the store stuck is withdrawn, while another request with its ID, as callers send after a broken connection, still waits for the batch.

Ruled out: the refusals themselves. Each follows from a message that was not sent, a host that does not lead, or a job that was not handed to the log; a try that may have been carried out makes the outcome unknown.

Change: the job is looked up when its batch is durable, however long that took. A job that is gone is rejected if the log has left records out, and refused otherwise.

--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -470,9 +470,7 @@
 	t.mu.Lock()
 	if t.isAppendStuck(now) && !t.scheduler.HasJob(req.ID) {
 		t.mu.Unlock()
-		return Response{
-			Outcome: dispatch.OutcomeRefused, RetryAfter: stuckAppendRetryAfter, Reason: "the store does not answer",
-		}
+		return refusedByStore()
 	}
 	r := t.scheduler.Submit(now, dispatch.Request{
 		ID: req.ID, Queue: req.Queue, Spec: req.Spec, WallTime: t.host.clock.Wall(),
@@ -490,33 +488,38 @@
 func (t *term) awaitSubmission(ctx context.Context, req Request, r dispatch.Reply) Response {
 	short, cancel := context.WithTimeout(ctx, stuckAppendThreshold)
 	defer cancel()
-	if t.awaitDurable(short, r.Batch) {
-		if t.isLeftOut(req.ID) {
-			return Response{Outcome: dispatch.OutcomeRejected, Reason: "the log does not take the job"}
-		}
-		return t.durableResponse(ctx, r)
-	}
-	if ctx.Err() == nil && t.ctx.Err() == nil {
+	if !t.awaitDurable(short, r.Batch) && ctx.Err() == nil && t.ctx.Err() == nil {
 		t.mu.Lock()
 		withdrawn := t.isAppendStuck(t.host.clock.Now()) && t.scheduler.Withdraw(req.ID)
 		t.mu.Unlock()
 		if withdrawn {
-			return Response{
-				Outcome: dispatch.OutcomeRefused, RetryAfter: stuckAppendRetryAfter, Reason: "the store does not answer",
-			}
+			return refusedByStore()
 		}
 	}
-	return t.durableResponse(ctx, r)
+	resp := t.durableResponse(ctx, r)
+	if resp.Outcome == dispatch.OutcomeAccepted && !t.hasJob(req.ID) {
+		// The batch is durable without the job.
+		if t.recordsLeftOut.Load() {
+			return Response{Outcome: dispatch.OutcomeRejected, Reason: "the log does not take the job"}
+		}
+		// Another request with the same ID has withdrawn it.
+		return refusedByStore()
+	}
+	return resp
 }
 
-// isLeftOut reports whether a submitted job is not in the log although its batch is durable.
-func (t *term) isLeftOut(id string) bool {
-	if !t.recordsLeftOut.Load() {
-		return false
+// refusedByStore returns the response to a submission that is not in the log, since the store does not answer.
+func refusedByStore() Response {
+	return Response{
+		Outcome: dispatch.OutcomeRefused, RetryAfter: stuckAppendRetryAfter, Reason: "the store does not answer",
 	}
+}
+
+// hasJob reports whether the job was accepted, and neither withdrawn nor left out of the log.
+func (t *term) hasJob(id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.scheduler.HasJob(id)
+	return t.scheduler.HasJob(id)
 }
 
 // wakeLoops wakes the loops that write batches and make decisions after a change of the state.
