Say that a refused key is invalid or expired, not closed

Callers who sent a malformed key, one in the future or one older than 24 h were told "closed", as if the log had settled the key, without the field.

Cause: the reasons of replies are compared with the errors' texts, but the flow gave the text with the key in front.

Evidence: TestReasonOfRefusedKey fails without the change: reason closed and no field, want invalid and key.

Change: the flow gives the errors' texts without the key.

--- a/internal/host/node/keyed_request_test.go
+++ b/internal/host/node/keyed_request_test.go
@@ -4,9 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"sassafraswind.example/sassafraswind/internal/host/caller"
+	"sassafraswind.example/sassafraswind/internal/request/outcome"
 	"sassafraswind.example/sassafraswind/internal/work/intent"
 )
 
@@ -40,3 +42,28 @@
 		So(free, ShouldBeTrue)
 	})
 }
+
+// TestReasonOfRefusedKey guards against a key that is refused as closed, as if the log had settled it, although no host
+// can use it.
+func TestReasonOfRefusedKey(t *testing.T) {
+	Convey("The reply to a key that a host does not use names the key and says why", t, func() {
+		p := newTestPlatform(t, 1, 1)
+		n := p.start("a-1", "a")
+		p.declareClasses(n)
+		keyAt := func(at time.Time) string {
+			u := uuid.Must(uuid.NewV7())
+			for i, ms := 5, at.UnixMilli(); i >= 0; i, ms = i-1, ms>>8 {
+				u[i] = byte(ms)
+			}
+			return u.String()
+		}
+		for key, want := range map[string]outcome.Reply{
+			"no UUID":                              {Outcome: outcome.NotRun, Reason: outcome.ReasonInvalid, Field: "key"},
+			keyAt(time.Now().Add(time.Hour)):       {Outcome: outcome.Unknown, Reason: outcome.ReasonInvalid, Field: "key"},
+			keyAt(time.Now().Add(-48 * time.Hour)): {Outcome: outcome.Unknown, Reason: outcome.ReasonExpired},
+		} {
+			r := p.request(n, "quote", key, nil, time.Second)
+			So(outcome.Reply{Outcome: r.Outcome, Reason: r.Reason, Field: r.Field}, ShouldResemble, want)
+		}
+	})
+}
--- a/internal/work/intent/flow.go
+++ b/internal/work/intent/flow.go
@@ -21,7 +21,7 @@
 	OutcomeUnknown Outcome = "unknown"
 )
 
-// The reasons of replies. Other reasons come from Close records and from the errors of CheckKey.
+// The reasons of replies. Other reasons come from Close records, and from the errors of CheckKey without the key.
 const (
 	ReasonLogUnreachable  = "log unreachable"
 	ReasonDeadlinePassed  = "deadline passed"
@@ -192,10 +192,13 @@
 	}
 	switch m := msg.(type) {
 	case StartMsg:
-		if err := CheckKey(now, f.req.Key); errors.Is(err, ErrInvalidKey) {
-			return f.reply(OutcomeNotRun, err.Error())
-		} else if err != nil {
-			return f.reply(OutcomeUnknown, err.Error())
+		switch err := CheckKey(now, f.req.Key); {
+		case errors.Is(err, ErrInvalidKey):
+			return f.reply(OutcomeNotRun, ErrInvalidKey.Error())
+		case errors.Is(err, ErrKeyAhead):
+			return f.reply(OutcomeUnknown, ErrKeyAhead.Error())
+		case err != nil:
+			return f.reply(OutcomeUnknown, ErrKeyTooOld.Error())
 		}
 	case SlotReservedMsg:
 		f.reserved = true
