Bound the searches for room for the tasks of a leaving worker

A worker that stays on after it has announced that it leaves reports each 0.4 s. It looks once for each stage now, and again after 0.5 s at the earliest. TestTaskOfLeavingWorkerIsMoved asks for the pause.

--- a/internal/zone/dispatch/drain.go
+++ b/internal/zone/dispatch/drain.go
@@ -13,6 +13,9 @@
 	// moveLeadTime is how long before the earliest leaving of a worker its tasks are moved: the time to record a stop, to
 	// carry it out and to list the end.
 	moveLeadTime = 800 * time.Millisecond
+	// moveRetryInterval is the shortest time between two searches for room for the tasks of one worker, each of which takes
+	// a look at all workers.
+	moveRetryInterval = 500 * time.Millisecond
 	// reasonLeaves is the reason for which a run on a worker that is about to leave is stopped.
 	reasonLeaves = "worker leaves"
 )
@@ -20,17 +23,20 @@
 // moveFromLeavingWorker stops the runs on a worker that may leave in a moment whose tasks lose nothing by that and find
 // room elsewhere.
 func (s *Scheduler) moveFromLeavingWorker(now time.Time, w *Worker) {
-	if !w.Draining || now.Before(w.leaveAt.Add(-moveLeadTime)) {
+	if !w.Draining || now.Before(w.leaveAt.Add(-moveLeadTime)) || now.Before(w.moveAfter) {
 		return
 	}
 	// Several tasks don't count on the same room.
 	plan := &gangPlan{reserved: map[*Worker]fleet.Size{}, members: map[*Worker]int{}}
+	full := map[*stage]struct{}{}
 	for _, r := range s.runsOf(w) {
-		if !r.isMovable() {
+		if _, ok := full[r.task.stage]; ok || !r.isMovable() {
 			continue
 		}
 		to := s.findWorker(now, r.task, plan)
 		if to == nil {
+			full[r.task.stage] = struct{}{}
+			w.moveAfter = now.Add(moveRetryInterval)
 			continue
 		}
 		plan.reserved[to] = plan.reserved[to].Add(r.task.step().Reserved())
--- a/internal/zone/dispatch/drain_test.go
+++ b/internal/zone/dispatch/drain_test.go
@@ -80,6 +80,11 @@
 		c := newLeavingScenario(longRunning, 100)
 		c.s.DropWorker(simEpoch, otherWorker(c.start))
 		So(c.stopsAt(c.leaveAt, 100), ShouldEqual, 0)
+		Convey("and room is looked for again later", func() {
+			answer(c.s, c.leaveAt, otherWorker(c.start))
+			So(c.stopsAt(c.leaveAt.Add(moveRetryInterval-time.Millisecond), 100), ShouldEqual, 0)
+			So(c.stopsAt(c.leaveAt.Add(moveRetryInterval), 100), ShouldEqual, 1)
+		})
 	})
 	Convey("A short task that keeps its progress is moved", t, func() {
 		So(newLeavingScenario(checkpointing, 10).stopsAt(simEpoch.Add(3*time.Second), 20), ShouldEqual, 1)
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -163,8 +163,9 @@
 	failedRenewals int
 	// answeredAt is the time of the last report, the zero time if there is none.
 	answeredAt time.Time
-	// leaveAt is the earliest time at which a draining worker may leave.
-	leaveAt time.Time
+	// leaveAt is the earliest time at which a draining worker may leave. Its tasks are moved right before that, and not
+	// before moveAfter, the zero time unless one of them has found no room.
+	leaveAt, moveAfter time.Time
 	// bootUnknown is set when another boot than the known one has answered.
 	bootUnknown bool
 	// leasesExpired is set when the leases of an unreachable worker have expired.
