Simulate workers that leave in steps and addresses that are taken over

A leader took a worker for gone while its runs went on.

Cause, in the tests: the simulated workers left the list and the network and ended their runs in one instant, and another worker took an address only after a crash, so that no test could show the fault.

Another worker under another ID takes the address before or after that, also of a worker that says nothing. Until the runs end, or their leases lapse by the worker's clock, they count as at work. TestInvariantsUnderFaults draws up to four departures and jobs of tasks of some seconds, beside all that it drew before.

The simulated runs report their true progress. With the constant of 50 percent tasks of more than a second were stopped as stalled again and again.

A draining worker that leaves in steps carries out starts, as the platform's workers do; the one of drainAndLeave still doesn't.

--- a/internal/zone/dispatch/simulation_faults_test.go
+++ b/internal/zone/dispatch/simulation_faults_test.go
@@ -80,6 +80,9 @@
 	})
 }
 
+// firstLongTask is the number of the first job of long tasks, which is higher than those of all others.
+const firstLongTask = 100
+
 // TestInvariantsUnderFaults plays random mixes of faults and checks that no invariant is violated and all work is done.
 func TestInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -91,6 +94,7 @@
 		sim.delayRate = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "late")
 		sim.failRate = rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "failures")
 		sim.submitJobs(rapid.IntRange(1, 25).Draw(t, "jobs"))
+		sim.submitLongTasks(firstLongTask, rapid.SampledFrom([]int{0, 2, 4}).Draw(t, "long tasks"))
 		sim.renames = rapid.Bool().Draw(t, "renames")
 		for range rapid.IntRange(0, 2).Draw(t, "deadly") {
 			sim.deadly[jobID(rapid.IntRange(0, 24).Draw(t, "job"))+".0.0.0"] = deadlyDelay
@@ -120,6 +124,7 @@
 				sim.after(at, func() { sim.restart(sw) })
 			}
 		}
+		sim.drawDepartures(t)
 		sim.run(16 * time.Second)
 		sim.lossRate, sim.delayRate, sim.storeDown, sim.failRate = 0, 0, false, 0
 		sim.run(20 * time.Second)
--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -64,7 +64,7 @@
 type simRun struct {
 	task                    string
 	number                  int
-	remaining               time.Duration
+	total, remaining        time.Duration
 	longRunning, bestEffort bool
 	fails                   bool
 	size                    fleet.Size
@@ -73,6 +73,14 @@
 	decision                simDecision
 }
 
+// progress returns the share of the work that is done, in percent.
+func (r *simRun) progress() int {
+	if r.longRunning {
+		return 50
+	}
+	return int(100 * (r.total - r.remaining) / r.total)
+}
+
 // simDecision is the decision to start a run: its time, and the capacity that the worker had in the leader's list.
 type simDecision struct {
 	at       time.Time
@@ -95,13 +103,18 @@
 	lostSerial int64
 	down       bool
 	draining   bool
+	// leavesAt is the earliest time at which a draining worker leaves, the zero time if it doesn't say.
+	leavesAt time.Time
+	// unlisted is set while the worker is not in the list although it is not down.
+	unlisted bool
 	// keepsCalls is set if calls that were in flight when the worker last restarted reach its next boot.
 	keepsCalls bool
-	// left is set once the worker has left as planned and closed its connections.
-	left     bool
-	zone     string
-	capacity fleet.Size
-	failsAll bool
+	// left is set once the worker accepts no connections any more, keepsOpen while it still serves those that were open. Its
+	// runs go on until it is down, or their leases have expired.
+	left, keepsOpen bool
+	zone            string
+	capacity        fleet.Size
+	failsAll        bool
 	// address is where the worker listens. successor is the worker that has taken its place there under another ID.
 	address   string
 	successor *simWorker
@@ -244,13 +257,13 @@
 // listWorkers gives the leader the platform's list of workers.
 func (sim *simulation) listWorkers(l *simLeader) {
 	for _, sw := range sim.workers {
-		if sw.down {
+		if sw.down || sw.unlisted {
 			l.s.DropWorker(sim.now, sw.id)
 			continue
 		}
 		l.s.SetWorker(sim.now, Registration{
 			ID: sw.id, Boot: sw.boot, Service: "svc", Address: sw.address, Zone: sw.zone, Capacity: sw.capacity,
-			Draining: sw.draining,
+			Draining: sw.draining, LeavesIn: max(0, sw.leavesAt.Sub(sim.now)),
 		})
 		l.listed[sw.id] = sw.capacity
 	}
@@ -401,16 +414,26 @@
 func (sim *simulation) sendOrder(l *simLeader, o Order) {
 	sw := sim.worker(o.Worker)
 	boot, decision := sw.boot, simDecision{sim.now, l.listed[o.Worker]}
+	isSent := sw.serves(l)
 	if sim.rng.Float64() < sim.delayRate {
-		sim.executeLate(sw, func() bool { return sw.takesCallsFor(boot) }, func() { sim.executeOrder(sw, o, decision) })
+		accepts := func() bool { return sw.takesCallsFor(boot) && sw.serves(l) }
+		sim.executeLate(sw, accepts, func() { sim.executeOrder(sw, o, decision) })
 		sim.after(900*time.Millisecond, func() { sim.deliverAnswer(l, o, AnswerMissing, 0) })
 		return
 	}
 	sim.after(sim.latency(), func() {
-		if sw.isReplaced() {
+		if sw.isTakenOverFrom(l) {
 			sim.after(sim.latency(), func() { sim.deliverAnswer(l, o, AnswerRestarted, 0) })
 			return
 		}
+		if sw.refuses(l) {
+			a := AnswerNotSent
+			if isSent {
+				a = AnswerMissing
+			}
+			sim.after(sim.latency(), func() { sim.deliverAnswer(l, o, a, 0) })
+			return
+		}
 		if sw.down || !sw.takesCallsFor(boot) {
 			// The connection ended with the worker's process.
 			sim.after(900*time.Millisecond, func() { sim.deliverAnswer(l, o, AnswerMissing, 0) })
@@ -522,7 +545,7 @@
 	if at, ok := sim.cancelled[id]; ok && sim.now.Sub(at) > 3*time.Second {
 		sim.recordViolation("%s started %v after the job was cancelled", o.Task, sim.now.Sub(at))
 	}
-	if sw.draining {
+	if sw.draining && sw.leavesAt.IsZero() {
 		return
 	}
 	size := st.Size
@@ -541,11 +564,13 @@
 	}
 	remaining := max(10*time.Millisecond, time.Duration(float64(st.Estimate)*(0.5+sim.rng.Float64())))
 	sw.runs[runKey{o.Task, o.Run}] = &simRun{
-		task: o.Task, number: o.Run, remaining: remaining,
+		task: o.Task, number: o.Run, total: remaining, remaining: remaining,
 		longRunning: st.LongRunning, bestEffort: st.BestEffort, size: st.Size,
 		fails: sw.failsAll || sim.rng.Float64() < sim.failRate, decision: decision,
 	}
-	sim.startDeadly(sw, o.Task)
+	if !sw.left {
+		sim.startDeadly(sw, o.Task)
+	}
 }
 
 // sendRenewal sends a lease renewal and hands the answer to the leader.
@@ -567,7 +592,8 @@
 		return
 	}
 	if sim.rng.Float64() < sim.delayRate {
-		sim.executeLate(sw, func() bool { return sw.boot == boot }, func() { sim.executeRenewal(sw, plan) })
+		accepts := func() bool { return sw.boot == boot && sw.serves(l) }
+		sim.executeLate(sw, accepts, func() { sim.executeRenewal(sw, plan) })
 		sim.after(900*time.Millisecond, func() {
 			l.renewalPending[id] = false
 			l.s.HandleRenewalFailure(sim.now, id)
@@ -575,20 +601,20 @@
 		return
 	}
 	sim.after(sim.latency(), func() {
-		if sw.isReplaced() {
+		if sw.isTakenOverFrom(l) {
 			l.renewalPending[id] = false
 			l.s.HandleRenewalRestart(id)
 			return
 		}
-		if sw.left && l.connected[id] {
-			l.renewalPending[id], l.connected[id] = false, false
-			l.s.HandleRenewalFailure(sim.now, id)
+		if sw.refuses(l) {
+			sim.refuseRenewal(l, id)
 			return
 		}
 		if sw.down || sw.boot != boot || sim.rng.Float64() < sim.lossRate {
 			if !sw.down && sw.boot == boot {
 				sim.executeRenewal(sw, plan)
 			}
+			l.connected[id] = false
 			sim.after(900*time.Millisecond, func() {
 				l.renewalPending[id] = false
 				l.s.HandleRenewalFailure(sim.now, id)
@@ -637,26 +663,36 @@
 			// A run that is being stopped need not be listed, but keeps its room until its end is listed.
 			continue
 		}
-		rep.Running = append(rep.Running, RunReport{Task: k.task, Number: k.number, Progress: 50})
+		rep.Running = append(rep.Running, RunReport{Task: k.task, Number: k.number, Progress: sw.runs[k].progress()})
 	}
 	return rep
 }
 
-// crash stops a worker and restarts it after a while under the same ID.
+// crash stops a worker and restarts it after a while under the same ID, unless it was leaving.
 func (sim *simulation) crash(sw *simWorker, down time.Duration) {
 	if sw.down {
 		return
 	}
 	sw.down, sw.keepsCalls = true, false
 	sim.loseState(sw)
+	if sw.left {
+		sim.after(simUnlistDelay, sim.relist)
+		return
+	}
 	sim.after(down, func() {
 		sw.down = false
-		sw.boot++
-		sw.startedAt = sim.now
+		sim.beginBoot(sw)
 		sim.listWorkers(sim.leader)
 	})
 }
 
+// beginBoot begins the next boot of a worker under the same ID, which stays.
+func (sim *simulation) beginBoot(sw *simWorker) {
+	sw.boot++
+	sw.startedAt, sw.leavesAt = sim.now, time.Time{}
+	sw.draining, sw.unlisted = false, false
+}
+
 // loseState clears all that ends with a boot of a worker.
 func (sim *simulation) loseState(sw *simWorker) {
 	sim.loseFailures(sw)
@@ -666,13 +702,15 @@
 
 // restart restarts a worker at once, under the same ID. Calls that are in flight reach its next boot.
 func (sim *simulation) restart(sw *simWorker) {
-	if sw.down {
+	if sw.down || sw.left {
 		return
 	}
 	sim.loseState(sw)
 	sw.keepsCalls = true
-	sw.boot++
-	sw.startedAt = sim.now
+	if sw.draining || sw.unlisted {
+		sim.relist()
+	}
+	sim.beginBoot(sw)
 }
 
 // takesCallsFor reports whether a call that was sent while the worker had the given boot reaches its present boot.
@@ -681,6 +719,11 @@
 // resize changes the capacity of a worker. The leaders learn of it when they next read the list.
 func (sim *simulation) resize(sw *simWorker, capacity fleet.Size) {
 	sw.capacity = capacity
+	sim.relist()
+}
+
+// relist gives the list of workers to each leader when it next reads it.
+func (sim *simulation) relist() {
 	for _, l := range append([]*simLeader{sim.leader}, sim.deposed...) {
 		sim.after(time.Duration(sim.rng.IntN(500))*time.Millisecond, func() { sim.listWorkers(l) })
 	}
