Forget when a worker would have left once it doesn't drain any more

A worker that restarts under its ID while it drains, and drains again later, kept the first announcement: its leases were short and its tasks moved too early. Found by reading before a landing had it. TestLeasesOfDrainingWorkerAreShort asks for the second announcement, and fails without the change.

--- a/internal/zone/dispatch/lease_test.go
+++ b/internal/zone/dispatch/lease_test.go
@@ -328,6 +328,13 @@
 			lease, _ := renew(3 * time.Second)
 			So(lease, ShouldEqual, drainingLease)
 		})
+		Convey("and one of its next boot, which doesn't leave, ends it", func() {
+			r.Boot, r.Draining = 2, false
+			s.SetWorker(now.Add(3*time.Second), r)
+			r.Draining = true
+			s.SetWorker(now.Add(3*time.Second), r)
+			So(s.workers[start.Worker].leaveAt, ShouldEqual, now.Add(7*time.Second))
+		})
 		Convey("the leases outlast a renewal without an answer, after which one call only asks", func() {
 			lease, wait := renew(4 * time.Second)
 			// A call without an answer is given up 0.6 s after its wait.
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -279,8 +279,11 @@
 		w.Service = r.Service
 		s.indexWorker(w)
 	}
-	// Later entries may be older ones, read again.
-	if leaveAt := now.Add(r.LeavesIn); r.Draining && (w.leaveAt.IsZero() || leaveAt.Before(w.leaveAt)) {
+	switch leaveAt := now.Add(r.LeavesIn); {
+	case !r.Draining:
+		w.leaveAt = time.Time{}
+	case w.leaveAt.IsZero() || leaveAt.Before(w.leaveAt):
+		// A later entry may be an older one, read again.
 		w.leaveAt = leaveAt
 	}
 	if r.Draining && !w.Draining {
