Don't take a run for gone that its worker has just begun to stop

A worker lists a run that it is stopping nowhere. The leader took a run that was to be stopped for gone once it was listed nowhere three seconds after it was last listed. If the worker had not answered in between, the stop may only just have been carried out, and the task started elsewhere beside it, for up to the time that a stop takes (0.2 to 0.4 s).

Now the three seconds count from the first report that doesn't list the run, unless the stop was answered before. A run that the worker forgets keeps its room for up to three seconds more.

TestRunThatBeginsToStopIsNotGone fails without the change (a start, want none). No run of real hosts has shown it.

--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -143,6 +143,7 @@
 	if r.firstClock == 0 {
 		r.firstClock = clock
 	}
+	r.unlistedClock = 0
 	r.confirmed, r.confirmedClock = true, max(r.confirmedClock, clock)
 }
 
--- /dev/null
+++ b/internal/zone/dispatch/proof_test.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// newProofScenario returns a scheduler of two workers of which one runs a task and has last listed it 100 ms after the
+// given time, and that run.
+func newProofScenario() (s *Scheduler, start Order, listed RunReport, at func(time.Duration) time.Time) {
+	s, start = newRestartScenario(testLimits())
+	at = func(d time.Duration) time.Time { return simEpoch.Add(10*time.Second + d) }
+	s.PlanRenewal(at(0), start.Worker)
+	s.HandleStartAnswer(at(0), start, AnswerDone, 11_000)
+	listed = RunReport{Task: start.Task, Number: start.Run}
+	answer(s, at(100*time.Millisecond), start.Worker, listed)
+	commitAll(s)
+	return s, start, listed, at
+}
+
+// restarts reports whether the task starts elsewhere at the given time, at which the other worker answers.
+func restarts(s *Scheduler, start Order, now time.Time) int {
+	answer(s, now, otherWorker(start))
+	commitAll(s)
+	return recordedStartsOf(s, now)
+}
+
+// TestRunThatBeginsToStopIsNotGone guards against a second run of a task whose first one its worker has just begun to stop:
+// it lists such a run nowhere, and the last report before is some seconds old.
+func TestRunThatBeginsToStopIsNotGone(t *testing.T) {
+	Convey("A run is to be stopped, and its worker doesn't answer for a while", t, func() {
+		s, start, _, at := newProofScenario()
+		s.stopRun(s.workers[start.Worker].runs[runKey{start.Task, start.Run}], "room for a short task")
+		commitAll(s)
+		orders := s.Decide(at(200*time.Millisecond), at(200*time.Millisecond))
+		So(orders, ShouldHaveLength, 1)
+		s.HandleStopAnswer(at(1100*time.Millisecond), orders[0], AnswerMissing, 0)
+		s.HandleRenewalFailure(at(2*time.Second), start.Worker)
+		Convey("the order is carried out late, and the next report lists the run nowhere: the task doesn't start yet", func() {
+			answer(s, at(3300*time.Millisecond), start.Worker)
+			So(restarts(s, start, at(3300*time.Millisecond)), ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -316,6 +316,13 @@
 		if !r.confirmed && !r.stopAnswered {
 			last = max(last, r.startUntil)
 		}
+		if r.phase == phaseStopping && !r.stopAnswered {
+			// The worker may only just have begun to stop it.
+			if r.unlistedClock == 0 {
+				r.unlistedClock = clock
+			}
+			last = max(last, r.unlistedClock)
+		}
 		if clock <= last+unlistedTimeout.Milliseconds() {
 			return
 		}
--- a/internal/zone/dispatch/restart.go
+++ b/internal/zone/dispatch/restart.go
@@ -55,7 +55,7 @@
 	if r.phase != phaseStopping {
 		r.phase = phaseUnanswered
 	}
-	r.stopAnswered, r.confirmedClock = false, 0
+	r.stopAnswered, r.confirmedClock, r.unlistedClock = false, 0, 0
 }
 
 // barStarts orders a restarted worker to stop the kept runs that were being stopped or that its first report doesn't list.
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -60,6 +60,8 @@
 	firstClock int64
 	// listedIn is the last report of the worker that listed the run, counted by Worker.reports.
 	listedIn uint64
+	// unlistedClock is the time of that clock at which a report first didn't list the run, 0 if the last one did.
+	unlistedClock int64
 	// confirmed is set once the worker has confirmed the start or listed the run.
 	confirmed bool
 	// stopAnswered is set once the worker has answered an order to stop the run. The order is repeated, and the later
