Release no run by an answer to its stop that holds no clock

The answer to a stop counts as of the worker's clock in it, and the run is released three seconds later. Without a clock it counted as of the clock's zero, so that the next report released a run at once whose start had no answer and could still be carried out.

TestStopAnswerWithoutClockReleasesNothing fails without the change (a start, want none). No worker is known to answer so.

--- a/internal/zone/dispatch/proof_test.go
+++ b/internal/zone/dispatch/proof_test.go
@@ -44,3 +44,20 @@
 		})
 	})
 }
+
+// TestStopAnswerWithoutClockReleasesNothing guards against a second run of a task because an answer to the order to stop
+// the first one held no reading of the worker's clock.
+func TestStopAnswerWithoutClockReleasesNothing(t *testing.T) {
+	Convey("A start has no answer, and the order to stop the run is answered without a clock", t, func() {
+		s, start := newRestartScenario(testLimits())
+		at := func(d time.Duration) time.Time { return simEpoch.Add(10*time.Second + d) }
+		s.HandleStartAnswer(at(900*time.Millisecond), start, AnswerMissing, 0)
+		s.stopRun(s.workers[start.Worker].runs[runKey{start.Task, start.Run}], "room for a short task")
+		commitAll(s)
+		orders := s.Decide(at(time.Second), at(time.Second))
+		So(orders, ShouldHaveLength, 1)
+		s.HandleStopAnswer(at(1010*time.Millisecond), orders[0], AnswerDone, 0)
+		answer(s, at(1020*time.Millisecond), start.Worker)
+		So(restarts(s, start, at(1020*time.Millisecond)), ShouldEqual, 0)
+	})
+}
--- a/internal/zone/dispatch/stop.go
+++ b/internal/zone/dispatch/stop.go
@@ -122,7 +122,7 @@
 // worker never lists its end, the run is released when unlistedTimeout has passed after the first answer.
 func (s *Scheduler) HandleStopAnswer(now time.Time, o Order, a Answer, clock int64) {
 	_, r := s.resolveOrder(now, o, clock)
-	if r != nil && r.phase == phaseStopping && a == AnswerDone && !r.stopAnswered {
+	if r != nil && r.phase == phaseStopping && a == AnswerDone && clock > 0 && !r.stopAnswered {
 		r.stopAnswered, r.confirmedClock = true, max(r.confirmedClock, clock)
 	}
 }
