--- a/internal/zone/dispatch/proof_test.go
+++ b/internal/zone/dispatch/proof_test.go
@@ -61,3 +61,30 @@
 		So(restarts(s, start, at(1020*time.Millisecond)), ShouldEqual, 0)
 	})
 }
+
+// TestLeasesOfUnseenBootAreWaitedFor guards against a second run of a task whose start the next boot of its worker has
+// carried out, which then doesn't answer: its leases end by its own clock, and the platform shortens them to its longest.
+func TestLeasesOfUnseenBootAreWaitedFor(t *testing.T) {
+	Convey("A start reaches the next boot of its worker, which is cut off before it has answered", t, func() {
+		s, start := newRestartScenario(testLimits())
+		at := func(d time.Duration) time.Time { return simEpoch.Add(10*time.Second + d) }
+		s.PlanRenewal(at(-time.Second), start.Worker)
+		s.HandleStartAnswer(at(900*time.Millisecond), start, AnswerMissing, 0)
+		for n := range 3 {
+			s.HandleRenewalFailure(at(time.Duration(n+1)*time.Second), start.Worker)
+		}
+		// The next boot has carried the start out at once, by its clock at 100 ms.
+		leaseUntil := min(start.ValidUntil, 100+s.limits.MaxLease.Milliseconds())
+		ends := time.Duration(leaseUntil-100) * time.Millisecond
+		So(ends, ShouldEqual, 6*time.Second)
+		Convey("and the list doesn't name it", func() {
+			So(restarts(s, start, at(ends-100*time.Millisecond)), ShouldEqual, 0)
+		})
+		Convey("and the list names it", func() {
+			r := s.workers[start.Worker].Registration
+			r.Boot = 2
+			s.SetWorker(at(time.Second), r)
+			So(restarts(s, start, at(ends-100*time.Millisecond)), ShouldEqual, 0)
+		})
+	})
+}
