Draw departures in steps and replacements in the soak on the stand-in

The workers of TestNoTaskRunsTwiceUnderLostAnswers leave as DefaultDeparture says, up to three at a time, and up to three at a time are replaced at their address. Each of the twelve changes of a schedule is as likely as the others. Checks are the same.

--- a/internal/standin/platform/twice_test.go
+++ b/internal/standin/platform/twice_test.go
@@ -22,7 +22,7 @@
 )
 
 // TestNoTaskRunsTwiceUnderLostAnswers guards against a leader that takes a run for ended, or for never started, because
-// the answers or the connections of its worker were lost. PLATFORM_SEED draws another schedule.
+// the answers or the connections of its worker were lost, or its worker is about to leave. PLATFORM_SEED draws another schedule.
 func TestNoTaskRunsTwiceUnderLostAnswers(t *testing.T) {
 	seed := uint64(1)
 	if text := os.Getenv("PLATFORM_SEED"); text != "" {
@@ -31,8 +31,8 @@
 			t.Fatal(err)
 		}
 	}
-	Convey("Lost answers, late calls, blackholed connections, restarts and changes of leader start no task twice", t, func() {
-		d := startZones(t, []string{"a", "b"}, seed, 3, Departure{})
+	Convey("Lost answers, late calls, blackholed connections, departures and changes of leader start no task twice", t, func() {
+		d := startZones(t, []string{"a", "b"}, seed, 3, DefaultDeparture())
 		serving := submissionBody{Spec: "s", Steps: []stepBody{{
 			Count: 6, CPU: 1000, MemMb: 512, EstimatedMs: 1000, LongRunning: true, TargetMs: 200,
 		}}}
@@ -117,7 +117,7 @@
 			p.SetFaults(Faults{})
 		}
 		// An action on more workers than are ready has no effect.
-		switch rng.IntN(10) {
+		switch rng.IntN(12) {
 		case 0:
 			_, _ = p.BlackholeWorkers(share(), 0, "")
 		case 1:
@@ -138,9 +138,12 @@
 			// The ends of the connections that were blackholed before don't learn of the restart.
 			_, _ = p.BlackholeWorkers(share(), 0, "")
 			_, _ = p.ChangeWorkers(ActionRestart, 1+rng.IntN(3), "")
+		case 9:
+			_, _ = p.ChangeWorkers(ActionReplace, 1+rng.IntN(3), "")
 		default:
-			_, _ = p.ChangeWorkers(ActionAdd, 1, "")
-			_, _ = p.ChangeWorkers(ActionDrain, 1, "")
+			n := 1 + rng.IntN(3)
+			_, _ = p.ChangeWorkers(ActionAdd, n, "")
+			_, _ = p.ChangeWorkers(ActionDrain, n, "")
 		}
 	}
 	p.SetFaults(Faults{})
