Soak entry hosts of join in processes of their own

What callers saw: the soak of join ran its hosts as goroutines of the test, which can't be killed, frozen or told of changed settings, and its callers used a connection for one request each. Nothing showed what a planned stop does to a connection that callers keep open, or what signals in series do to a process.

TestProcessesUnderSignals builds the program once, runs entry hosts as processes on the stand-in of the platform, and draws series that overlap: planned stops of two hosts at a time and of all in the end, kills, SIGSTOP and SIGCONT, SIGHUP with a changed file, one in four invalid at first, manifests, evacuations, workers that are added and leave, faults of the store for some or all hosts, blackholed connections, restarts and faults of workers. Callers keep three connections to each host and use them until the process is gone. Checked are all rules of the recorder; that a request to a host that was disturbed by nothing else has a whole answer, or none within LossSlackMs; that a refused job doesn't start; and that a planned stop ends with code 0 within GraceS. Every process ends with the test, by its handle.

TMPDIR keeps the logs of a run that fails.

--- a/internal/standin/platform/hosts_test.go
+++ b/internal/standin/platform/hosts_test.go
@@ -17,9 +17,9 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus/hooks/test"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"sassafraswind.example/sassafraswind/internal/host/telemetry"
 	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	product "sassafraswind.example/sassafraswind/platform"
 )
@@ -31,12 +31,16 @@
 	hosts    []*runningHost
 }
 
-// runningHost is an entry host that runs in this process.
+// runningHost is an entry host that runs in this process or in one of its own.
 type runningHost struct {
 	settings    HostSettings
 	path        string
 	level       string
 	metricsPort int
+	// run runs the host and returns stop.
+	run func(h *runningHost) (stop func() error)
+	// signals and store tell when the host's process and its calls to the store were disturbed.
+	signals, store harm
 	// stop stops the host as the platform does before planned work and returns its error.
 	stop func() error
 }
@@ -52,18 +56,27 @@
 
 // startZones starts a stand-in with four workers in each of the zones, and entry hosts in the zones in turn.
 func startZones(t *testing.T, zones []string, seed uint64, hosts int, departure Departure) *deployment {
+	t.Helper()
+	return startHosts(t, zones, seed, hosts, departure, runHere)
+}
+
+// startHosts does what startZones does with hosts that the function run runs.
+func startHosts(
+	t *testing.T, zones []string, seed uint64, hosts int, departure Departure, run func(h *runningHost) (stop func() error),
+) *deployment {
 	t.Helper()
 	manifest, err := DefaultManifest(1)
 	So(err, ShouldBeNil)
-	log, _ := test.NewNullLogger()
+	// PLATFORM_LOG sets the log level of the hosts and of the stand-in.
+	level := cmp.Or(os.Getenv("PLATFORM_LOG"), "error")
+	log, err := telemetry.NewLogger(os.Stdout, level, "json")
+	So(err, ShouldBeNil)
 	p, closePlatform, err := New(Config{
 		Zones: zones, Workers: 4, Capacity: fleet.Size{Cores: 8000, Memory: 16000}, Departure: departure, IP: "127.0.0.1",
 		Seed: seed, Manifest: manifest,
 	}, log)
 	So(err, ShouldBeNil)
 	d := &deployment{t: t, platform: p}
-	// PLATFORM_LOG sets the log level of the hosts.
-	level := cmp.Or(os.Getenv("PLATFORM_LOG"), "error")
 	free := reservePorts(t, portsOfHost*hosts)
 	for i := range hosts {
 		ports := free[portsOfHost*i:]
@@ -75,7 +88,9 @@
 		So(err, ShouldBeNil)
 		path := filepath.Join(t.TempDir(), s.Name+".conf")
 		So(os.WriteFile(path, []byte(s.File()), 0o600), ShouldBeNil)
-		d.hosts = append(d.hosts, &runningHost{settings: s, path: path, level: level, metricsPort: ports[4]})
+		d.hosts = append(d.hosts, &runningHost{
+			settings: s, path: path, level: level, metricsPort: ports[4], run: run,
+		})
 	}
 	for _, h := range d.hosts {
 		h.start()
@@ -89,24 +104,25 @@
 		wg.Wait()
 		closePlatform()
 	})
-	So(eventually(15*time.Second, func() bool {
+	So(eventually(max(15*time.Second, time.Duration(hosts)*time.Second), func() bool {
 		return d.leader() != nil && p.ingress.readyHosts() == hosts
 	}), ShouldBeTrue)
 	return d
 }
 
-// reservePorts returns n ports that no other process that calls it uses at the same time. Hosts can't be given
+// reservePorts returns n ascending ports that no other process that calls it uses at the same time. Hosts can't be given
 // listeners. The ports are below the range from which the system chooses one for a connection.
 func reservePorts(t *testing.T, n int) []int {
 	t.Helper()
 	const first, last, block = 24000, 28000, 40
-	for base := first; base < last; base += block {
-		// The first port of the block is kept open until the end of the test, as a lock.
+	ports := make([]int, 0, n)
+	for base := first; base < last && len(ports) < n; base += block {
+		// The first port of a block is kept open until the end of the test, as a lock.
 		lock, err := new(net.ListenConfig).Listen(t.Context(), "tcp", fmt.Sprintf("127.0.0.1:%d", base))
 		if err != nil {
 			continue
 		}
-		ports := make([]int, 0, n)
+		t.Cleanup(func() { _ = lock.Close() })
 		for port := base + 1; port < base+block && len(ports) < n; port++ {
 			l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", fmt.Sprintf("127.0.0.1:%d", port))
 			if err == nil {
@@ -114,22 +130,22 @@
 				ports = append(ports, port)
 			}
 		}
-		if len(ports) == n {
-			t.Cleanup(func() { _ = lock.Close() })
-			return ports
-		}
-		So(lock.Close(), ShouldBeNil)
 	}
-	t.Fatal("no free ports")
-	return nil
+	if len(ports) < n {
+		t.Fatal("no free ports")
+	}
+	return ports
 }
 
 // start starts the host.
-func (h *runningHost) start() {
+func (h *runningHost) start() { h.stop = h.run(h) }
+
+// runHere runs a host in this process.
+func runHere(h *runningHost) func() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
 	go func() { stopped <- product.Run(ctx, h.path, h.level, h.metricsPort) }()
-	h.stop = sync.OnceValue(func() error {
+	return sync.OnceValue(func() error {
 		cancel()
 		return <-stopped
 	})
@@ -146,16 +162,94 @@
 	return false
 }
 
-// leader returns the only host that leads, nil if there is none.
+// leader returns a host that leads, nil if there is none. It doesn't ask hosts whose process is disturbed.
 func (d *deployment) leader() *runningHost {
+	found := make(chan *runningHost, len(d.hosts))
 	for _, h := range d.hosts {
-		if h.leads() {
+		go func() {
+			if h.signals.isLasting() || !h.leads() {
+				h = nil
+			}
+			found <- h
+		}()
+	}
+	for range d.hosts {
+		if h := <-found; h != nil {
 			return h
 		}
 	}
 	return nil
 }
 
+// setStoreFaults replaces the store's faults for the hosts, or for all if none is given.
+func (d *deployment) setStoreFaults(f Faults, hosts ...*runningHost) {
+	names, hosts := d.selectHosts(hosts)
+	for _, h := range hosts {
+		h.store.set(true)
+	}
+	d.platform.SetFaults(f, names...)
+	for _, h := range hosts {
+		h.store.set(f != Faults{})
+	}
+}
+
+// blackholeStore makes a share of the connections of the hosts to the store silent, or of all hosts if none is given.
+func (d *deployment) blackholeStore(share float64, hosts ...*runningHost) {
+	names, hosts := d.selectHosts(hosts)
+	d.platform.BlackholeStore(share, names...)
+	for _, h := range hosts {
+		h.store.touch()
+	}
+}
+
+// selectHosts returns the names of the hosts, and the hosts or, if there are none, all hosts.
+func (d *deployment) selectHosts(hosts []*runningHost) ([]string, []*runningHost) {
+	names := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		names = append(names, h.settings.Name)
+	}
+	if len(hosts) == 0 {
+		return nil, d.hosts
+	}
+	return names, hosts
+}
+
+// harm is a record of disturbances of one kind.
+type harm struct {
+	mu sync.Mutex
+	// lasting is set while a disturbance lasts, and at is when one began or ended last.
+	lasting bool
+	at      time.Time
+}
+
+// set records that a disturbance begins, or that it ends.
+func (h *harm) set(lasting bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lasting, h.at = lasting, time.Now()
+}
+
+// touch records a disturbance at this time only.
+func (h *harm) touch() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.at = time.Now()
+}
+
+// isLasting reports whether a disturbance lasts.
+func (h *harm) isLasting() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lasting
+}
+
+// noneSince reports whether there was no disturbance since the given time.
+func (h *harm) noneSince(t time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.lasting && h.at.Before(t)
+}
+
 // send sends a request and returns the status, 0 if there is no answer, and the body.
 func send(method, address, host, path string, body any) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/internal/standin/platform/twice_test.go
+++ b/internal/standin/platform/twice_test.go
@@ -24,23 +24,14 @@
 // TestNoTaskRunsTwiceUnderLostAnswers guards against a leader that takes a run for ended, or for never started, because
 // the answers or the connections of its worker were lost, or its worker is about to leave. PLATFORM_SEED draws another schedule.
 func TestNoTaskRunsTwiceUnderLostAnswers(t *testing.T) {
-	seed := uint64(1)
-	if text := os.Getenv("PLATFORM_SEED"); text != "" {
-		var err error
-		if seed, err = strconv.ParseUint(text, 10, 64); err != nil {
-			t.Fatal(err)
-		}
-	}
+	seed := envNumber(t, envSeed, 1)
 	Convey("Lost answers, late calls, blackholed connections, departures and changes of leader start no task twice", t, func() {
 		d := startZones(t, []string{"a", "b"}, seed, 3, DefaultDeparture())
-		serving := submissionBody{Spec: "s", Steps: []stepBody{{
-			Count: 6, CPU: 1000, MemMb: 512, EstimatedMs: 1000, LongRunning: true, TargetMs: 200,
-		}}}
-		d.call(http.MethodPost, ServingPrefix+"00000000000000a1", serving)
+		d.call(http.MethodPost, ServingPrefix+"00000000000000a1", servingJob())
 		var wg sync.WaitGroup
 		for _, fn := range []func(){
 			func() { d.submitJobs(rand.New(rand.NewPCG(seed, 10))) },
-			func() { d.disturb(rand.New(rand.NewPCG(seed, 11))) },
+			func() { d.disturb(rand.New(rand.NewPCG(seed, 11)), faultyTime) },
 			func() { d.replaceLeaders(rand.New(rand.NewPCG(seed, 12))) },
 		} {
 			wg.Go(fn)
@@ -62,16 +53,50 @@
 	})
 }
 
+// envSeed is the environment variable that holds the seed of another schedule.
+const envSeed = "PLATFORM_SEED"
+
+// envNumber returns the number in an environment variable, or the given one if it is not set.
+func envNumber(t *testing.T, name string, n uint64) uint64 {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return n
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// between returns a random time.
+func between(rng *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(rng.Int64N(int64(to-from)))
+}
+
+// drawJob returns a job of two steps with at most the given number of short tasks.
+func drawJob(rng *rand.Rand, tasks int) submissionBody {
+	short := func(dependsOn ...int) stepBody {
+		return stepBody{
+			Count: 1 + rng.IntN(tasks), CPU: int64(1000 * (1 + rng.IntN(3))), MemMb: 256,
+			EstimatedMs: int64(300 + rng.IntN(2700)), Checkpointing: rng.IntN(2) == 0, DependsOn: dependsOn,
+		}
+	}
+	return submissionBody{Spec: "b", Steps: []stepBody{short(), short(0)}}
+}
+
+// servingJob returns a job of long-running tasks.
+func servingJob() submissionBody {
+	return submissionBody{Spec: "s", Steps: []stepBody{{
+		Count: 6, CPU: 1000, MemMb: 512, EstimatedMs: 1000, LongRunning: true, TargetMs: 200,
+	}}}
+}
+
 // submitJobs sends jobs of two steps with short tasks. A job without an answer is not sent again.
 func (d *deployment) submitJobs(rng *rand.Rand) {
 	for n, end := 0, time.Now().Add(callTime); time.Now().Before(end); n++ {
-		short := func(dependsOn ...int) stepBody {
-			return stepBody{
-				Count: 1 + rng.IntN(16), CPU: int64(1000 * (1 + rng.IntN(3))), MemMb: 256,
-				EstimatedMs: int64(300 + rng.IntN(2700)), Checkpointing: rng.IntN(2) == 0, DependsOn: dependsOn,
-			}
-		}
-		job := submissionBody{Spec: "b", Steps: []stepBody{short(), short(0)}}
+		job := drawJob(rng, 16)
 		go send(http.MethodPost, d.platform.IngressAddress(), RouteHost, fmt.Sprintf("%s%016x", BatchPrefix, n), job)
 		time.Sleep(time.Duration(rng.Int64N(int64(2 * callInterval))))
 	}
@@ -91,30 +116,28 @@
 	}
 }
 
-// disturb has faults of workers and of the store follow one another, with one outage of the store at a random time. It
-// ends without faults.
-func (d *deployment) disturb(rng *rand.Rand) {
+// disturb has faults of workers and of the store follow one another for the given time, with one outage of the store at a
+// random time. It ends without faults.
+func (d *deployment) disturb(rng *rand.Rand, length time.Duration) {
 	p := d.platform
-	// between returns a random time.
-	between := func(from, to time.Duration) time.Duration { return from + time.Duration(rng.Int64N(int64(to-from))) }
 	share := func() float64 { return 0.1 + 0.9*rng.Float64() }
 	begun := time.Now()
-	outageAt := begun.Add(between(3*time.Second, 14*time.Second))
+	outageAt := begun.Add(between(rng, length/6, length*7/9))
 	var outageEnd time.Time
-	for time.Since(begun) < faultyTime {
-		time.Sleep(between(100*time.Millisecond, time.Second))
+	for time.Since(begun) < length {
+		time.Sleep(between(rng, 100*time.Millisecond, time.Second))
 		now := time.Now()
 		switch {
 		case outageEnd.IsZero() && now.After(outageAt):
-			outageEnd = now.Add(between(3*time.Second, 6*time.Second))
-			p.SetFaults(Faults{Silent: true})
+			outageEnd = now.Add(between(rng, 3*time.Second, 6*time.Second))
+			d.setStoreFaults(Faults{Silent: true})
 			// Restarts in an outage don't show in the list of workers.
 			if rng.IntN(2) == 0 {
 				_, _ = p.BlackholeWorkers(share(), 0, "")
 				_, _ = p.ChangeWorkers(ActionRestart, 1+rng.IntN(3), "")
 			}
 		case !outageEnd.IsZero() && now.After(outageEnd):
-			p.SetFaults(Faults{})
+			d.setStoreFaults(Faults{})
 		}
 		// An action on more workers than are ready has no effect.
 		switch rng.IntN(12) {
@@ -123,7 +146,7 @@
 		case 1:
 			_, _ = p.BlackholeWorkers(share(), 1+rng.IntN(4), "")
 		case 2:
-			p.BlackholeStore(share())
+			d.blackholeStore(share())
 		case 3:
 			_, _ = p.SetWorkerFaults(Faults{Late: 2 * time.Second, Share: share() / 2}, 1+rng.IntN(8), "")
 		case 4:
@@ -146,7 +169,7 @@
 			_, _ = p.ChangeWorkers(ActionDrain, n, "")
 		}
 	}
-	p.SetFaults(Faults{})
+	d.setStoreFaults(Faults{})
 	_, _ = p.SetWorkerFaults(Faults{}, 0, "")
 	// Long enough for what was silent to be found out, and for calls that are late.
 	time.Sleep(3 * time.Second)
