--- a/internal/standin/platform/hosts_test.go
+++ b/internal/standin/platform/hosts_test.go
@@ -374,3 +374,34 @@
 		})
 	}
 }
+
+// TestRequestOutlastsGracePeriod guards against a planned stop that cuts the connection of a request whose time limit is later
+// than the end of the process.
+func TestRequestOutlastsGracePeriod(t *testing.T) {
+	Convey("A submission that waits for the store is answered before the process ends", t, func() {
+		d := startHosts(t, []string{"a"}, 1, 1, Departure{}, runHere)
+		h := d.hosts[0]
+		d.setStoreFaults(Faults{Silent: true})
+		data, err := json.Marshal(servingJob())
+		So(err, ShouldBeNil)
+		req, err := http.NewRequestWithContext(
+			t.Context(), http.MethodPost, "http://"+h.settings.CallersAddress()+ServingPrefix+"00000000000000a1", bytes.NewReader(data),
+		)
+		So(err, ShouldBeNil)
+		req.Host = RouteHost
+		req.Header.Set("Deadline-Ms", "20000")
+		status := make(chan int, 1)
+		go func() {
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				status <- 0
+				return
+			}
+			_ = resp.Body.Close()
+			status <- resp.StatusCode
+		}()
+		time.Sleep(200 * time.Millisecond)
+		So(h.stop(), ShouldBeNil)
+		So(<-status, ShouldEqual, http.StatusGatewayTimeout)
+	})
+}
