Hold workers for long-running tasks that short ones starve

TestShortTasksDontStarveLongRunningOnes was a known red: away for 29.7 s, with a change of leader 24.3 s, on all ten cases.

Cause: short tasks are smaller, and each hole that one leaves is taken by the next in the same decision. Nothing gave a long-running task room, so its wait had no bound, whether its room was reclaimed or its worker gone.

A worker is now held for a task that has run before and has been away for three seconds, or for half a second after its yield (hold.go). While short tasks that can still be in time have no room, another long-running task is stopped for it, so that long-running tasks share the room they have. If none can be stopped, the worker that is expected to have room first is drained, under such a load only for tasks away for six seconds. Holds are bounded by shares of the usable workers. The wait counts from the last report of the run. Tasks of earlier terms count as away for long, since it is not known since when. A worker is also held for a suspect of one crash.

The package passes, without the race detector.

--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -38,8 +38,10 @@
 	}
 	s.sortReady(now)
 	if !s.halted {
+		s.startHeld(now)
 		s.startReady(now)
 		s.reclaimRoom(now)
+		s.holdRoom(now)
 		s.clearChanges()
 	}
 	out := s.orders
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -125,8 +125,12 @@
 	trials       []*trial
 	trialBarrier BatchID
 
-	// reclaimedAt is when room was last reclaimed for short tasks.
-	reclaimedAt time.Time
+	// reclaimedAt is when room was last to be reclaimed for short tasks, shortWaitedAt when one that could still be in time
+	// last had none.
+	reclaimedAt, shortWaitedAt time.Time
+	// holds lists the workers that are held for long-running tasks. heldAt is when further ones were last chosen.
+	holds  []*hold
+	heldAt time.Time
 
 	orders []Order
 	// recordedStarts lists the runs whose start waits for the record of their worker.
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -143,6 +143,12 @@
 	yieldsUntil time.Time
 	// waitingSince is when the task last became waiting.
 	waitingSince time.Time
+	// awaySince is when the last run of the task ended, at the earliest, the zero time if none has been seen in this term.
+	awaySince time.Time
+	// startedBefore is set if an earlier term has recorded a start of the task.
+	startedBefore bool
+	// hold keeps room for the task, nil if none is kept.
+	hold *hold
 }
 
 // maxLostRuns bounds the runs of a task of which it is known why they were taken for ended.
--- a/internal/zone/dispatch/placement_record.go
+++ b/internal/zone/dispatch/placement_record.go
@@ -92,7 +92,7 @@
 			s.journal.records = append(s.journal.records, Record{Key: r.Key})
 			continue
 		}
-		t.placedOn = rec.Worker
+		t.placedOn, t.startedBefore = rec.Worker, true
 		t.job().started = true
 	}
 	return errs
--- a/internal/zone/dispatch/reclaim.go
+++ b/internal/zone/dispatch/reclaim.go
@@ -52,7 +52,11 @@
 			return
 		}
 		if !st.isShort() || st.step().Gang || !st.scan.noRoom || st.scan.decision != s.decisions ||
-			now.Before(st.reclaimAt) || s.rank(now, st).urgency != 0 {
+			s.rank(now, st).urgency != 0 {
+			continue
+		}
+		s.shortWaitedAt = now
+		if now.Before(st.reclaimAt) {
 			continue
 		}
 		st.reclaimAt = now.Add(reclaimReservation)
@@ -110,17 +114,25 @@
 	}
 	bestWorker.reservedUntil = now.Add(reclaimReservation)
 	for _, r := range best {
-		r.task.yieldsUntil = now.Add(maxYield)
-		r.task.stage.yieldedAt = now
-		r.task.stage.away.n++
-		s.stopRun(r, "room for a short task")
+		s.reclaimRun(now, r, "room for a short task")
 	}
 	return true
 }
 
+// reclaimRun stops a run to reclaim its room.
+func (s *Scheduler) reclaimRun(now time.Time, r *run, reason string) {
+	r.task.yieldsUntil = now.Add(maxYield)
+	r.task.stage.yieldedAt = now
+	r.task.stage.away.n++
+	s.stopRun(r, reason)
+}
+
 // isReservedFrom reports whether the worker's free room is reserved and the task may not take it. A long-running task
-// that has waited for as long as any may have to is not held back further.
+// that has waited for as long as any may have to is held back only by the hold of another.
 func (w *Worker) isReservedFrom(now time.Time, t *task) bool {
+	if w.heldFor != nil {
+		return w.heldFor != t && !w.sparesRoom(t)
+	}
 	return now.Before(w.reservedUntil) && !t.stage.isShort() &&
 		(!t.step().LongRunning || now.Sub(t.waitingSince) < twoSlotsDelay)
 }
@@ -157,13 +169,13 @@
 	var runs reclaimableRuns
 	for _, r := range w.runs {
 		step := r.task.step()
-		if r.phase != phaseRunning || r.task.job().priority < t.job().priority || step.MaxUnavailable >= 0 {
+		if !r.mayBeReclaimed() || r.task.job().priority < t.job().priority {
 			continue
 		}
 		switch {
 		case step.BestEffort && step.Checkpointing:
 			runs.bestEffort = append(runs.bestEffort, r)
-		case step.LongRunning && now.Sub(r.startedAt) >= minRunBeforeReclaim && s.maySpareTask(r.task.stage):
+		case step.LongRunning && r.hasRunBeforeReclaim(now) && s.maySpareTask(r.task.stage):
 			runs.longRunning = append(runs.longRunning, r)
 		}
 	}
@@ -172,6 +184,16 @@
 	return runs
 }
 
+// mayBeReclaimed reports whether the room of the run may be reclaimed, as far as its phase and step tell.
+func (r *run) mayBeReclaimed() bool {
+	return r.phase == phaseRunning && r.task.step().MaxUnavailable < 0
+}
+
+// hasRunBeforeReclaim reports whether the run has lasted for minRunBeforeReclaim.
+func (r *run) hasRunBeforeReclaim(now time.Time) bool {
+	return now.Sub(r.startedAt) >= minRunBeforeReclaim
+}
+
 // sortRunsBy orders runs by a dimension of their tasks' sizes.
 func sortRunsBy(runs []*run, dimension func(fleet.Size) int64) {
 	slices.SortFunc(runs, func(a, b *run) int {
@@ -211,13 +233,18 @@
 	n        int
 }
 
+// isAtWork reports whether the task has a run that has become ready and isn't being stopped.
+func (t *task) isAtWork() bool {
+	return len(t.runs) > 0 && t.runs[0].phase == phaseRunning && !t.runs[0].readySince.IsZero()
+}
+
 // maySpareTask reports whether a task of a long-running stage may be stopped to reclaim its room: few enough of the
-// others are away.
+// others are away. One for which a worker is held returns in a moment and doesn't count.
 func (s *Scheduler) maySpareTask(st *stage) bool {
 	if st.away.decision != s.decisions+1 {
 		st.away = awayCount{decision: s.decisions + 1}
 		for _, t := range st.tasks {
-			if len(t.runs) == 0 || t.runs[0].phase != phaseRunning || t.runs[0].readySince.IsZero() {
+			if t.hold == nil && !t.isAtWork() {
 				st.away.n++
 			}
 		}
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -147,6 +147,7 @@
 	if r != nil {
 		t = r.task
 		s.detach(r)
+		t.noteAway(now)
 	} else {
 		t = s.findTask(e.Task)
 	}
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -123,6 +123,10 @@
 	reports uint64
 	// reservedUntil is until when the worker takes only short tasks, for which room was reclaimed.
 	reservedUntil time.Time
+	// heldFor is the long-running task for which the worker is held, nil if it isn't. See hold.
+	heldFor *task
+	// drainAfter is when the worker may be held again until short tasks end, after they took longer than expected.
+	drainAfter time.Time
 	// trials counts the trials on the worker. Only suspects start there until they have ended.
 	trials int
 	// changed is set while the worker is in Scheduler.changedWorkers.
@@ -379,6 +383,9 @@
 // did not confirm doesn't interrupt the wait of a long-running task.
 func (s *Scheduler) releaseRun(now time.Time, r *run) {
 	s.detach(r)
+	if r.confirmed {
+		r.task.noteAway(r.lastSeenAt(now))
+	}
 	s.requeue(now, r.task)
 	if r.task.queued && r.task.step().LongRunning && !r.confirmed {
 		r.task.waitingSince = r.waitingSince
