Say of a refused start that turns up later why it was taken for ended

The warning of a duplicate run said 'not in this term' of a start that this term had released because of its worker's refusal.

--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -187,6 +187,9 @@
 			Age: now.Sub(r.startedAt),
 		})
 	}
+	if a != AnswerDone && a != AnswerMissing {
+		r.task.addLostRun(r.number, a.String())
+	}
 	switch a {
 	case AnswerDone:
 		switch {
