Move tasks off leaving workers only into room that is left

The stopped tasks were then away although their workers might have stayed for seconds. A halted scheduler ordered moves too, and a move that was decided while the store was away was sent when that was back, without another look.

Moves are decided at the end of a decision now, after the tasks that wait have started. They count the room of those under way, and none is decided while the scheduler is halted or the term was last confirmed over a second ago. Copies of speculative tasks stay.

TestLeavingWorkersShareRoom fails without the change (3 stops, want 1), TestTaskOfLeavingWorkerIsMoved in its new cases.

--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -42,6 +42,7 @@
 		s.startReady(now)
 		s.reclaimRoom(now)
 		s.holdRoom(now)
+		s.moveFromLeavingWorkers(now, confirmedAt)
 		s.clearChanges()
 	}
 	out := s.orders
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -106,6 +106,10 @@
 	byService map[string][]*Worker
 	// capacities lists the worker capacities of each service, without those that fit into another one of the list.
 	capacities map[string][]fleet.Size
+	// draining holds the workers that drain, moving the runs that were stopped because their workers leave, and maybe others
+	// that have ended.
+	draining map[*Worker]struct{}
+	moving   []*run
 	// silent holds the workers whose last lease renewal failed, and maybe others.
 	silent map[*Worker]struct{}
 	// ready lists the stages that have waiting tasks and no open dependencies.
@@ -196,6 +200,7 @@
 		keptQueues:      map[string]Queue{},
 		jobs:            map[string]*Job{},
 		workers:         map[string]*Worker{},
+		draining:        map[*Worker]struct{}{},
 		byService:       map[string][]*Worker{},
 		capacities:      map[string][]fleet.Size{},
 		silent:          map[*Worker]struct{}{},
--- a/internal/zone/dispatch/drain_test.go
+++ b/internal/zone/dispatch/drain_test.go
@@ -50,8 +50,15 @@
 // stopsAt returns the number of stops that are ordered after a report at the time, with the progress in percent.
 func (c *leavingScenario) stopsAt(now time.Time, progress int) int {
 	c.report(now, RunReport{Task: c.start.Task, Number: c.start.Run, Progress: progress, Checkpoint: "saved"})
+	return stopsOrdered(c.s, now, now)
+}
+
+// stopsOrdered returns the number of stops that are decided at a time and ordered once they are recorded.
+func stopsOrdered(s *Scheduler, now, confirmedAt time.Time) int {
+	orders := s.Decide(now, confirmedAt)
+	commitAll(s)
 	n := 0
-	for _, o := range c.s.Decide(now, now) {
+	for _, o := range append(orders, s.Decide(now, confirmedAt)...) {
 		if o.Kind == OrderStop {
 			n++
 		}
@@ -86,6 +93,32 @@
 			So(c.stopsAt(c.leaveAt.Add(moveRetryInterval), 100), ShouldEqual, 1)
 		})
 	})
+	Convey("It goes on while the leader may give no orders, or the store has not confirmed the term lately", t, func() {
+		c := newLeavingScenario(longRunning, 100)
+		c.s.SetHalted(true)
+		So(c.stopsAt(c.leaveAt, 100), ShouldEqual, 0)
+		c.s.SetHalted(false)
+		So(stopsOrdered(c.s, c.leaveAt, c.leaveAt.Add(-maxMoveConfirmationAge-time.Millisecond)), ShouldEqual, 0)
+		So(stopsOrdered(c.s, c.leaveAt, c.leaveAt), ShouldEqual, 1)
+	})
+	Convey("A task that waits for the only room elsewhere goes first", t, func() {
+		c := newLeavingScenario(longRunning, 100)
+		submitSpec(c.s, 2, workflow.Spec{Steps: []workflow.Step{newStep(1, 6000, time.Minute)}})
+		commitAll(c.s)
+		So(c.stopsAt(c.leaveAt, 100), ShouldEqual, 0)
+	})
+	Convey("A member of a gang goes on, and so does a speculative copy", t, func() {
+		for _, change := range []func(*workflow.Step){
+			func(step *workflow.Step) { step.Gang = true },
+			func(step *workflow.Step) { step.Speculative = true },
+		} {
+			step := longRunning
+			change(&step)
+			r := &run{task: &task{stage: &stage{spec: &step}}, phase: phaseRunning}
+			r.task.runs = []*run{r}
+			So(r.isMovable(), ShouldBeFalse)
+		}
+	})
 	Convey("A short task that keeps its progress is moved", t, func() {
 		So(newLeavingScenario(checkpointing, 10).stopsAt(simEpoch.Add(3*time.Second), 20), ShouldEqual, 1)
 	})
@@ -96,3 +129,49 @@
 		So(newLeavingScenario(plain, 10).stopsAt(simEpoch.Add(3*time.Second), 20), ShouldEqual, 0)
 	})
 }
+
+// TestLeavingWorkersShareRoom guards against tasks of leaving workers that are stopped for one and the same room, so that
+// all but one are away although they could have gone on.
+func TestLeavingWorkersShareRoom(t *testing.T) {
+	Convey("Three workers with a long-running task each leave, and one other has room for one", t, func() {
+		s := newBoundedScheduler(1, 0, 0)
+		ids := []string{"a", "b", "c"}
+		for _, id := range ids {
+			answer(s, simEpoch, id)
+		}
+		commitAll(s)
+		step := newStep(3, 6000, 0)
+		step.LongRunning = true
+		submitSpec(s, 1, workflow.Spec{Steps: []workflow.Step{step}})
+		commitAll(s)
+		orders := s.Decide(simEpoch, simEpoch)
+		commitAll(s)
+		orders = append(orders, s.Decide(simEpoch, simEpoch)...)
+		So(orders, ShouldHaveLength, 3)
+		report := func(now time.Time) {
+			for _, o := range orders {
+				s.HandleReport(now, Report{
+					Worker: o.Worker, Boot: 1, Clock: 1000 + now.Sub(simEpoch).Milliseconds(),
+					Running: []RunReport{{Task: o.Task, Number: o.Run, Progress: 100}},
+				})
+			}
+			commitAll(s)
+		}
+		for _, o := range orders {
+			s.HandleStartAnswer(simEpoch, o, AnswerDone, 1000)
+		}
+		report(simEpoch)
+		answer(s, simEpoch, "z")
+		commitAll(s)
+		for _, id := range ids {
+			r := s.workers[id].Registration
+			r.Draining = true
+			s.SetWorker(simEpoch, r)
+		}
+		So(stopsOrdered(s, simEpoch, simEpoch), ShouldEqual, 1)
+		later := simEpoch.Add(moveRetryInterval)
+		answer(s, later, "z")
+		report(later)
+		So(stopsOrdered(s, later, later), ShouldEqual, 0)
+	})
+}
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -114,7 +114,6 @@
 	s.adjustPaces(now, w)
 	w.marginsValid = false
 	s.handleSlowWorker(now, w)
-	s.moveFromLeavingWorker(now, w)
 	s.markChanged(w)
 }
 
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -285,13 +285,7 @@
 		w.Service = r.Service
 		s.indexWorker(w)
 	}
-	switch leaveAt := now.Add(r.LeavesIn); {
-	case !r.Draining:
-		w.leaveAt = time.Time{}
-	case w.leaveAt.IsZero() || leaveAt.Before(w.leaveAt):
-		// A later entry may be an older one, read again.
-		w.leaveAt = leaveAt
-	}
+	s.setDraining(w, r.Draining, now.Add(r.LeavesIn))
 	if r.Draining && !w.Draining {
 		s.recordEvent(Event{Kind: "worker draining", Worker: r.ID})
 	}
@@ -330,6 +324,7 @@
 		return
 	}
 	s.unindexWorker(w)
+	delete(s.draining, w)
 	delete(s.workers, w.ID)
 }
 
