--- a/internal/zone/dispatch/crash.go
+++ b/internal/zone/dispatch/crash.go
@@ -307,8 +307,8 @@
 	return true
 }
 
-// isReplacedBy reports whether the worker has answered at the address after a later start, so that the lost boot has
-// ended.
+// isReplacedBy reports whether the worker has answered at the address after a later start, so that the lost boot listens
+// there no more.
 func (l *lapse) isReplacedBy(w *Worker) bool {
 	return w.contacted && w.Address == l.address && w.Boot > l.boot
 }
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -350,8 +350,8 @@
 	return r
 }
 
-// recordDuplicate records that a worker reports a run of a task that has other runs. The reason says how the run ended;
-// it is empty for a run that goes on.
+// recordDuplicate records that a worker reports a run of a task that has other runs. end is how the reported run has ended,
+// empty if it goes on.
 func (s *Scheduler) recordDuplicate(t *task, number int, w *Worker, end EndReason) {
 	if t.step().Speculative {
 		return
