Keep the leases of idle draining workers short

The next leader doesn't know that nothing runs there, and waits for them before it starts tasks of earlier terms.

--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -76,10 +76,11 @@
 // grantedLease returns the length of the longest leases that this leader grants.
 func (s *Scheduler) grantedLease() time.Duration { return min(s.limits.MaxLease, maxGrantedLease) }
 
-// leaseOf returns the length of the leases that the worker is granted now. One that drains and still runs tasks needs none
-// beyond the time at which it may leave, except for short ones.
+// leaseOf returns the length of the leases that the worker is granted now. One that drains needs none beyond the time at
+// which it may leave, except for short ones. That is so for an idle one as well: the next leader waits for its leases, since
+// it doesn't know that nothing runs there.
 func (s *Scheduler) leaseOf(now time.Time, w *Worker) time.Duration {
-	if !w.Draining || len(w.runs)+len(w.unknownRuns) == 0 {
+	if !w.Draining {
 		return s.grantedLease()
 	}
 	return min(s.grantedLease(), max(drainingLease, w.leaveAt.Sub(now)))
@@ -97,7 +98,7 @@
 func (s *Scheduler) renewalWait(now time.Time, w *Worker) time.Duration {
 	lease := s.leaseOf(now, w)
 	wait := min(lease/renewalsPerLease, maxRenewalWait)
-	if w.Draining && lease <= drainingLease {
+	if w.Draining && lease <= drainingLease && len(w.runs)+len(w.unknownRuns) > 0 {
 		wait = min(wait, drainingRenewalWait)
 	}
 	switch {
