--- a/internal/zone/dispatch/hold.go
+++ b/internal/zone/dispatch/hold.go
@@ -17,21 +17,21 @@
 // that is expected to have room first is held until enough short tasks have ended there.
 
 const (
-	// holdDelay is how long a long-running task is away until a worker is held for it. Half of the nine seconds that the
-	// platform allows are left then for the holds of other tasks that went away together with it.
+	// holdDelay is how long a long-running task is away until a worker is held for it. The rest of the nine seconds that the
+	// platform allows is left for the holds of other tasks that went away together with it.
 	holdDelay = 3 * time.Second
 	// holdDelayAfterYield is how long a task looks for room itself after it has yielded to short tasks.
 	holdDelayAfterYield = 500 * time.Millisecond
-	// maxDrain is the longest time for which a worker is held until short tasks end, maxTurn the longest until a stopped
+	// maxRoomWait is the longest time for which a worker is held until short tasks end, maxTurn the longest until a stopped
 	// run ends.
-	maxDrain, maxTurn = 1500 * time.Millisecond, unlistedTimeout
-	// maxDrainShare is the share of the usable workers of a service that are held at once until short tasks end,
+	maxRoomWait, maxTurn = 1500 * time.Millisecond, unlistedTimeout
+	// maxWaitShare is the share of the usable workers of a service that are held at once until short tasks end,
 	// maxTurnShare the share on which long-running tasks take turns at once. There may be one of each in any case.
-	maxDrainShare, maxTurnShare = 0.125, 0.25
-	// maxOverloadDrainShare is maxDrainShare while short tasks that could still be in time have no room. It counts only for
+	maxWaitShare, maxTurnShare = 0.125, 0.25
+	// maxOverloadWaitShare is maxWaitShare while short tasks that could still be in time have no room. It counts only for
 	// tasks that have been away for turnsOnlyUntil and can't take turns.
-	maxOverloadDrainShare = 0.0625
-	turnsOnlyUntil        = 6 * time.Second
+	maxOverloadWaitShare = 0.0625
+	turnsOnlyUntil       = 6 * time.Second
 	// turnPeriod is how long long-running tasks take turns after a short task that could still be in time had no room.
 	turnPeriod = maxYield
 	// holdInterval is the shortest interval between two rounds of choosing workers to hold.
@@ -113,19 +113,19 @@
 	}
 	var failed []failedPlacement
 	for _, t := range s.tasksToHoldFor(now) {
-		drainShare := maxDrainShare
+		waitShare := maxWaitShare
 		if takeTurns {
 			if s.takeTurn(now, t, round) || now.Sub(t.awaySince) < turnsOnlyUntil {
 				continue
 			}
-			drainShare = maxOverloadDrainShare
+			waitShare = maxOverloadWaitShare
 		}
 		placement := newFailedPlacement(t.stage)
 		if slices.ContainsFunc(failed, func(f failedPlacement) bool { return f.implies(placement) }) ||
-			!s.mayHold(t.job().service, drainShare, false, round) {
+			!s.mayHold(t.job().service, waitShare, false, round) {
 			continue
 		}
-		if !s.drainWorker(now, t, round) && t.stage.runsAnywhere() && t.isPlain() {
+		if !s.holdUntilRoom(now, t, round) && t.stage.runsAnywhere() && t.isPlain() {
 			failed = append(failed, placement)
 		}
 	}
@@ -231,13 +231,13 @@
 	s.recordEvent(Event{Kind: "hold", Job: t.job().id, Task: t.name, Worker: w.ID, Age: now.Sub(t.waitingSince)})
 }
 
-// drainWorker holds the worker that is expected to have room for the task first. It returns false if none is expected to
-// have room within maxDrain. Room that was reclaimed for a short task is left to it.
-func (s *Scheduler) drainWorker(now time.Time, t *task, round holdRound) bool {
+// holdUntilRoom holds the worker that is expected to have room for the task first. It returns false if none is expected to
+// have room within maxRoomWait. Room that was reclaimed for a short task is left to it.
+func (s *Scheduler) holdUntilRoom(now time.Time, t *task, round holdRound) bool {
 	var best *Worker
-	bestWait := maxDrain
+	bestWait := maxRoomWait
 	for _, w := range s.byService[t.job().service] {
-		if now.Before(w.reservedUntil) || now.Before(w.drainAfter) || !s.mayBeHeld(now, t, w) {
+		if now.Before(w.reservedUntil) || now.Before(w.holdAfter) || !s.mayBeHeld(now, t, w) {
 			continue
 		}
 		if wait := round.expectedWait(now, t, w); wait < bestWait {
@@ -245,7 +245,7 @@
 		}
 	}
 	if best != nil {
-		s.holdWorker(now, t, best, now.Add(maxDrain), false)
+		s.holdWorker(now, t, best, now.Add(maxRoomWait), false)
 	}
 	return best != nil
 }
@@ -323,7 +323,7 @@
 		keep := t.queued && !t.job().isFinal() && s.mayHoldFor(t) && now.Before(h.until) &&
 			s.workers[w.ID] == w && s.isSuitable(now, t, w) && w.mayStart(now, t)
 		if !h.isTurn && !now.Before(h.until) {
-			w.drainAfter = now.Add(maxDrain)
+			w.holdAfter = now.Add(maxRoomWait)
 		}
 		if !keep {
 			w.heldFor, t.hold = nil, nil
--- a/internal/zone/dispatch/hold_test.go
+++ b/internal/zone/dispatch/hold_test.go
@@ -68,7 +68,7 @@
 
 // TestHoldEnds guards against a worker that is held without end for a task that never fits.
 func TestHoldEnds(t *testing.T) {
-	Convey("While short tasks take far longer than estimated, no worker is held for longer than maxDrain", t, func() {
+	Convey("While short tasks take far longer than estimated, no worker is held for longer than maxRoomWait", t, func() {
 		sc := newHoldScenario(40)
 		So(sc.lost.queued, ShouldBeTrue)
 		held, heldSince := false, map[*Worker]time.Time{}
@@ -77,7 +77,7 @@
 				heldSince[w] = conditionSince(heldSince[w], sc.sim.now, w.heldFor != nil)
 				held = held || w.heldFor != nil
 				if w.heldFor != nil {
-					So(sc.sim.now.Sub(heldSince[w]), ShouldBeLessThan, maxDrain+300*time.Millisecond)
+					So(sc.sim.now.Sub(heldSince[w]), ShouldBeLessThan, maxRoomWait+300*time.Millisecond)
 				}
 			}
 			So(len(sc.sim.s.holds), ShouldBeLessThanOrEqualTo, 1)
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -125,8 +125,8 @@
 	reservedUntil time.Time
 	// heldFor is the long-running task for which the worker is held, nil if it isn't. See hold.
 	heldFor *task
-	// drainAfter is when the worker may be held again until short tasks end, after they took longer than expected.
-	drainAfter time.Time
+	// holdAfter is when the worker may be held again until short tasks end, after they took longer than expected.
+	holdAfter time.Time
 	// trials counts the trials on the worker. Only suspects start there until they have ended.
 	trials int
 	// changed is set while the worker is in Scheduler.changedWorkers.
