--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -126,7 +126,7 @@
 		rec: rec, store: newStore(), trouble: trouble, dir: dir, run: strings.Fields(string(m[1])), stop: make(chan struct{}),
 		net: fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250)),
 	}
-	w.fleet = &fleet{store: w.store, rec: rec, acked: map[string]string{}, failed: map[string]int{}}
+	w.fleet = &fleet{store: w.store, rec: rec, acked: map[string]string{}}
 	w.attempts = 2
 	go w.fleet.run(w.stop)
 	return w, nil
