--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -40,6 +40,8 @@
 	work             time.Duration
 	saves, lasts     bool
 	gang             int
+	// cpu is what the run takes of the worker's cores.
+	cpu int64
 	// done is the work done, since when it is counted, and when the run will have stopped, zero unless it is being stopped.
 	done   time.Duration
 	at     time.Time
@@ -491,6 +493,8 @@
 			r.work = time.Duration(n) * time.Millisecond
 		case "gang":
 			r.gang = n
+		case "cpu":
+			r.cpu = int64(n)
 		case "saves":
 			r.saves = true
 		case "lasts":
