Keep a task with its worker while a late order may start it there

An order to start a task got no answer, its worker restarted under its ID, and the next boot carried the order out beside the run that had been started elsewhere.

Cause: the leader took the start for dead once the worker's clock had passed its validity, and kept nothing of it. The next boot has another clock, has seen no fencing token and can't be told apart by the header, so that it takes the order. The class: a call without an answer ends by an answer or by time; a clock that the next boot doesn't share ends nothing.

Evidence: 'start expired' stands before the second start, seconds before the restart.

The change: a run keeps its task while an order to start it may be carried out, 12 s after it was sent, and the order is repeated at the same worker under the same number, after its validity and after a restart. The lapse of a silent worker's leases ends such a run only when an unseen boot would have lost its lease too. A restarted worker refuses runs that have ended meanwhile. A crash counts once for each boot of a run, since the same number may start again.

TestStartInFlightAtRestartRunsOnce asked that the next boot is told to refuse the start and that the task starts again after that. It asks now that the order is repeated there and that the task starts nowhere else as long as it may arrive, which is stricter: the boot after that one has not been told anything. A worker that takes no tasks is still told to refuse it.

TestInvariantsUnderLateCalls is new and known red: a task that is done or cancelled has nothing that keeps a late order out between the birth of a boot and its first call. What it costs: a task whose start got no answer from a worker that is gone for good waits up to 18 s instead of 6.

--- a/internal/zone/dispatch/crash.go
+++ b/internal/zone/dispatch/crash.go
@@ -55,7 +55,7 @@
 type suspicion struct {
 	task *task
 	// crashes holds the runs under which a worker crashed, pending those that are on trial or of which it is not known
-	// yet whether the worker has crashed. A run occurs once in crashes.
+	// yet whether the worker has crashed. A run occurs once in crashes for each boot.
 	crashes, pending []loss
 	// trial is the present start apart from others, nil if there is none.
 	trial *trial
@@ -184,7 +184,7 @@
 // isFresh reports whether the run may crash its worker at any moment. A task that is no suspect isn't expected to do so
 // late.
 func (s *Scheduler) isFresh(r *run) bool {
-	return !r.isBarred() && (!r.hasLasted(survivalPeriod) || (s.suspectOf(r.task) != nil && !s.hasSurvived(r)))
+	return !r.hasLasted(survivalPeriod) || (s.suspectOf(r.task) != nil && !s.hasSurvived(r))
 }
 
 // culprits returns the runs of the worker that may have crashed it, ordered by task name and run number: the fresh
@@ -193,7 +193,7 @@
 func (s *Scheduler) culprits(w *Worker) (fresh, late []*run) {
 	for _, r := range s.runsOf(w) {
 		switch {
-		case r.awaitsRecord || r.isBarred():
+		case r.awaitsRecord:
 			// It was not started.
 		case s.isFresh(r):
 			fresh = append(fresh, r)
@@ -366,7 +366,7 @@
 	u := s.suspect(t)
 	u.removePending(x.bootID(), x.Run)
 	s.journal.recordCrashes(t.job())
-	if slices.ContainsFunc(u.crashes, func(other loss) bool { return other.Run == x.Run }) {
+	if slices.ContainsFunc(u.crashes, func(other loss) bool { return other.Run == x.Run && other.bootID() == x.bootID() }) {
 		return
 	}
 	u.crashes = append(u.crashes, x)
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -23,13 +23,16 @@
 	s.refreshLeaseRecord(now)
 	s.judgeLapses(now)
 	s.sendStops(now)
+	s.sendBars(now)
 	s.sendRecordedStarts(now)
+	s.repeatStarts(now)
 	for j := range s.recurring {
 		s.openDueOccurrences(now.Add(s.limits.MaxEarlyStart/2), j)
 	}
 	if now.Sub(s.lastMaintenanceAt) > maintenanceInterval {
 		s.lastMaintenanceAt = now
 		s.expireJobs(now)
+		s.forgetUnlisted(now)
 		s.expireLapses(now)
 		s.updateScarcity()
 		s.updateShortDemand()
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -139,6 +139,10 @@
 	orders []Order
 	// recordedStarts lists the runs whose start waits for the record of their worker.
 	recordedStarts []*run
+	// repeats lists the runs whose orders to start are to be repeated, and maybe others.
+	repeats []*run
+	// bars lists the orders to refuse runs that have no answer yet.
+	bars []*bar
 	// stops lists the orders to stop runs whose ends have not been listed yet.
 	stops []*stop
 	// restoredStops holds the stops of earlier leaders, by worker, until the worker has reported.
--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -44,6 +44,7 @@
 		// A worker that has restarted meanwhile numbers its ends anew, and would forget those that it has not listed.
 		renewal.Acknowledged = 0
 	}
+	w.extending = false
 	if w.clockAt.IsZero() || w.bootUnknown {
 		return renewal, true
 	}
@@ -89,6 +90,8 @@
 // extendLease returns the end of a renewed lease by the worker's clock, and counts the renewal as sent.
 func (s *Scheduler) extendLease(now time.Time, w *Worker) int64 {
 	until := w.clockNow(now) + s.leaseOf(now, w).Milliseconds()
+	w.extensions.add(now)
+	w.extending = true
 	w.leaseUntil = max(w.leaseUntil, until)
 	return until
 }
@@ -170,19 +173,26 @@
 // workers that are still unaccounted for when those of earlier terms have. A later leader that reaches such a worker may
 // have extended its leases, so that they have only expired if the term was confirmed since.
 func (s *Scheduler) expireLeases(now, confirmedAt time.Time) {
-	var ended []*Worker
+	var ended, strays []*Worker
 	for w := range s.silent {
 		switch {
-		case w.failedRenewals == 0 || w.leasesExpired:
+		case w.failedRenewals == 0 || (w.leasesExpired && len(w.runs) == 0):
 			delete(s.silent, w)
+		case w.leasesExpired:
+			strays = append(strays, w)
 		case !w.clockAt.IsZero() && !confirmedAt.Before(w.leasesEndAt()):
 			ended = append(ended, w)
 		}
 	}
-	slices.SortFunc(ended, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
+	byID := func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) }
+	slices.SortFunc(ended, byID)
 	for _, w := range ended {
 		s.endWorker(now, w, reasonLeaseLapsed)
 	}
+	slices.SortFunc(strays, byID)
+	for _, w := range strays {
+		s.loseStrays(now, w)
+	}
 	s.giveUpUnaccounted(now, confirmedAt)
 }
 
@@ -197,6 +207,9 @@
 		if w.failedRenewals > 0 && !w.leasesExpired && !w.clockAt.IsZero() && !now.Before(w.leasesEndAt()) {
 			return true
 		}
+		if w.leasesExpired && slices.ContainsFunc(s.runsOf(w), func(r *run) bool { return now.After(s.strayLeasesEnd(r)) }) {
+			return true
+		}
 	}
 	return false
 }
@@ -239,13 +252,18 @@
 	if w.leaseRecord.listed {
 		s.recordLeases(now)
 	}
-	s.forgetWorker(w)
+	s.forgetWorker(now, w)
 }
 
 // noteReplacement notes that the worker has answered at an address. Workers of earlier starts there must have ended their
-// listeners, so that those whose runs are lost have crashed. Their runs count until their leases have lapsed even so: a
-// former process may go on without its listener.
-func (s *Scheduler) noteReplacement(replacement *Worker) {
+// listeners, so that those whose runs are lost have crashed, and calls to them are not carried out any more. Their runs
+// count until their leases have lapsed even so: a former process may go on without its listener.
+func (s *Scheduler) noteReplacement(now time.Time, replacement *Worker) {
+	for w := range s.silent {
+		if w != replacement && w.Address == replacement.Address && w.Boot < replacement.Boot {
+			w.endCalls(now)
+		}
+	}
 	for _, l := range s.lapses {
 		l.replaced = l.replaced || l.isReplacedBy(replacement)
 	}
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -113,6 +113,7 @@
 	t, w, st := r.task, r.worker, r.task.stage
 	r.awaitsRecord = false
 	r.startedAt, r.startUntil = now, w.clockNow(now)+startOrderValidity.Milliseconds()
+	r.starts.add(now)
 	w.leaseUntil = max(w.leaseUntil, r.startUntil)
 	o := Order{
 		Kind: OrderStart, Worker: w.ID, Address: w.Address, Boot: w.Boot, Token: s.token, Task: t.name, Run: r.number,
@@ -122,9 +123,13 @@
 		o.Ticket = st.tickets[w.ID].text
 	}
 	s.orders = append(s.orders, o)
-	s.recordEvent(Event{
+	e := Event{
 		Kind: EventStart, Job: t.job().id, Task: t.name, Run: r.number, Worker: w.ID, Age: now.Sub(r.waitingSince),
-	})
+	}
+	if r.repeats > 0 {
+		e.Reason = "no answer to the last order"
+	}
+	s.recordEvent(e)
 }
 
 // attach adds the run to its task and its worker.
@@ -189,6 +194,9 @@
 	}
 	if a != AnswerDone && a != AnswerMissing {
 		r.task.addLostRun(r.number, a.String())
+		if o.ValidUntil == r.startUntil {
+			r.starts.answer()
+		}
 	}
 	switch a {
 	case AnswerDone:
@@ -199,8 +207,12 @@
 			w.bootUnknown = true
 		default:
 			r.confirm(clock)
+			if o.ValidUntil == r.startUntil {
+				r.starts.answer()
+			}
 		}
 	case AnswerMissing:
+		w.lateStartsUntil = laterOf(w.lateStartsUntil, r.starts.until())
 		if r.phase == phaseOrdered {
 			r.phase = phaseUnanswered
 		}
@@ -208,27 +220,27 @@
 	case AnswerOldRun:
 		// The number was barred by a stop or used in an earlier term. A higher one is free.
 		r.task.lastRun = max(r.task.lastRun, r.number)
-		s.releaseRun(now, r)
+		s.releaseRefused(now, r)
 	case AnswerNoTicket:
 		delete(r.task.stage.tickets, w.ID)
-		s.releaseRun(now, r)
+		s.releaseRefused(now, r)
 	case AnswerUnhealthy, AnswerInvalid:
 		w.health.recordRefusal(now)
 		r.task.notBefore = now.Add(retryDelay)
-		s.releaseRun(now, r)
+		s.releaseRefused(now, r)
 	case AnswerFull:
 		w.health.recordRefusal(now)
-		s.releaseRun(now, r)
+		s.releaseRefused(now, r)
 	case AnswerRestarted:
 		w.bootUnknown = true
-		s.releaseRun(now, r)
+		s.releaseRefused(now, r)
 	case AnswerNotSent:
 		// The worker gets no other start before it has answered a lease renewal.
 		if w.failedRenewals == 0 {
 			s.addFailedRenewal(w)
 		}
-		s.releaseRun(now, r)
+		s.releaseRefused(now, r)
 	case AnswerFenced, AnswerLate:
-		s.releaseRun(now, r)
+		s.releaseRefused(now, r)
 	}
 }
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -72,6 +72,9 @@
 		s.HandleRenewalRestart(w.ID)
 		return
 	}
+	if w.extending {
+		w.extensions.answer()
+	}
 	var kept []*run
 	if report.Boot != w.Boot {
 		kept = s.handleRestart(now, w, report)
@@ -93,11 +96,11 @@
 		s.recordLeases(now)
 	}
 	if first {
-		s.noteReplacement(w)
+		s.noteReplacement(now, w)
 	}
 	s.applyEnds(now, w, report.Ended)
 	s.applyRunning(now, w, report)
-	s.barStarts(w, kept)
+	s.repeatUnlisted(w, kept)
 	w.recordProbes(now)
 	s.acquitSurvivors(w)
 	if first {
@@ -145,6 +148,7 @@
 	var t *task
 	if r != nil {
 		t = r.task
+		r.starts.settle()
 		s.detach(r)
 		t.noteAway(now)
 	} else {
@@ -281,6 +285,7 @@
 // applyProgress applies what the worker reports about a run, at the given time of its clock.
 func (s *Scheduler) applyProgress(now time.Time, r *run, rr *RunReport, clock int64) {
 	r.confirm(clock)
+	r.starts.settle()
 	if rr.Checkpoint != "" {
 		r.task.checkpoint = rr.Checkpoint
 	}
@@ -301,8 +306,8 @@
 func (s *Scheduler) handleUnlisted(now time.Time, r *run, clock int64) {
 	switch r.phase {
 	case phaseOrdered, phaseUnanswered:
-		// The order may still arrive until its validity has ended by the worker's clock.
-		if r.awaitsRecord || clock <= r.startUntil {
+		// The order may still arrive until its validity has ended by the worker's clock, and at the next boot after that.
+		if r.awaitsRecord || clock <= r.startUntil || s.awaitsStart(now, r) {
 			return
 		}
 		s.recordEvent(Event{Kind: "start expired", Task: r.task.name, Run: r.number, Worker: r.worker.ID})
--- a/internal/zone/dispatch/restart.go
+++ b/internal/zone/dispatch/restart.go
@@ -15,12 +15,15 @@
 	s.recordEvent(Event{Kind: "worker restarted", Worker: w.ID})
 	s.recordLapse(now, w)
 	for _, r := range s.runsOf(w) {
-		if r.mayReachNextBoot() {
+		switch {
+		case !r.awaitsRecord && !r.confirmed:
 			r.resetStart()
 			kept = append(kept, r)
-			continue
+		case r.ownsTask() && now.Before(r.starts.until()) && r.phase == phaseRunning && !r.task.step().Gang:
+			kept = append(kept, s.renewRun(now, r))
+		default:
+			s.loseRun(now, r, reasonRestarted)
 		}
-		s.loseRun(now, r, reasonRestarted)
 	}
 	w.Boot = report.Boot
 	w.contacted, w.recordBatch, w.leasesExpired, w.failedRenewals = false, 0, false, 0
@@ -36,13 +39,10 @@
 	}
 	delete(s.unaccounted, w.ID)
 	delete(s.backlogged, w)
+	s.barStrays(now, w)
 	return kept
 }
 
-// mayReachNextBoot reports whether the start of the run may be carried out by the next boot of its worker: it was ordered,
-// and the present boot has not confirmed it.
-func (r *run) mayReachNextBoot() bool { return !r.awaitsRecord && !r.confirmed }
-
 // isFromAnotherBoot reports whether the answer to the run's start comes from another boot than the known one. The answer
 // holds the given reading of the worker's clock in milliseconds. Within a boot the clock never goes back, and it was
 // later than that when the start was ordered.
@@ -50,30 +50,40 @@
 	return clock < r.startUntil-startOrderValidity.Milliseconds()
 }
 
-// resetStart forgets what the former boot of the worker has answered to an order to stop the run.
+// resetStart forgets what the former boot of the worker has answered to orders for the run. None of them is valid there.
 func (r *run) resetStart() {
 	if r.phase != phaseStopping {
 		r.phase = phaseUnanswered
 	}
-	r.stopAnswered, r.confirmedClock, r.unlistedClock = false, 0, 0
+	r.stopAnswered, r.startUntil, r.confirmedClock, r.unlistedClock = false, 0, 0, 0
 }
 
-// barStarts orders a restarted worker to stop the kept runs that were being stopped or that its first report doesn't list.
-// The worker refuses their starts from then on. The validity of a start doesn't bound it, since it is a time of the former
-// boot's clock.
-func (s *Scheduler) barStarts(w *Worker, kept []*run) {
+// renewRun ends a run that was lost with the former boot of its worker and returns one of the same number, which an order
+// without an answer may start on the next boot.
+func (s *Scheduler) renewRun(now time.Time, lost *run) *run {
+	s.loseRun(now, lost, reasonRestarted)
+	r := &run{
+		task: lost.task, number: lost.number, worker: lost.worker, phase: phaseUnanswered, startedAt: lost.startedAt,
+		pace: 100, targetPace: 100, waitingSince: lost.task.waitingSince, starts: lost.starts, repeats: lost.repeats,
+	}
+	delete(r.worker.strays, runKey{r.task.name, r.number})
+	r.attach()
+	return r
+}
+
+// repeatUnlisted has the starts of the kept runs repeated that the first report of a restarted worker doesn't list. Those
+// that were being stopped are stopped there, and the worker refuses their starts from then on.
+func (s *Scheduler) repeatUnlisted(w *Worker, kept []*run) {
 	for _, r := range kept {
 		k := runKey{r.task.name, r.number}
 		switch {
 		case w.runs[k] != r || r.phase == phaseRunning:
 		case r.phase == phaseStopping:
 			s.addStop(stop{worker: w, key: k, run: r, reason: reasonRestarted})
-		default:
-			r.barred = true
+		case !r.ownsTask():
 			s.stopRun(r, reasonRestarted)
+		default:
+			s.queueRepeat(r)
 		}
 	}
 }
-
-// isBarred reports whether the present boot of the worker refuses the start of the run, and has not listed the run.
-func (r *run) isBarred() bool { return r.barred && r.stopAnswered && !r.confirmed }
--- a/internal/zone/dispatch/restart_test.go
+++ b/internal/zone/dispatch/restart_test.go
@@ -71,28 +71,85 @@
 			s.HandleReport(now, Report{Worker: start.Worker, Boot: 1, Clock: 12_000})
 			So(s.findTask(start.Task).runs, ShouldHaveLength, 1)
 		})
-		Convey("and the next boot doesn't list the run: it is told to refuse it", func() {
+		Convey("and the next boot doesn't list the run: the order is repeated there and the task starts nowhere else", func() {
 			s.HandleReport(now, restartedReport(100*time.Millisecond))
 			commitAll(s)
 			orders := s.Decide(now, now)
 			So(orders, ShouldHaveLength, 1)
-			stop := orders[0]
-			So(stop.Kind, ShouldEqual, OrderStop)
-			So(stop.Boot, ShouldEqual, 2)
-			So(stop.Run, ShouldEqual, start.Run)
-			Convey("and the task starts again only after that is known", func() {
-				now = now.Add(time.Second)
-				answer(s, now, otherWorker(start))
-				s.HandleReport(now, restartedReport(time.Second))
-				So(startsOf(s, now), ShouldEqual, 0)
-				s.HandleStopAnswer(now, stop, AnswerDone, time.Second.Milliseconds())
-				now = now.Add(unlistedTimeout + 100*time.Millisecond)
-				answer(s, now, otherWorker(start))
-				s.HandleReport(now, restartedReport(time.Second+unlistedTimeout+100*time.Millisecond))
+			So(orders[0].Kind, ShouldEqual, OrderStart)
+			So(orders[0].Worker, ShouldEqual, start.Worker)
+			So(orders[0].Boot, ShouldEqual, 2)
+			So(orders[0].Run, ShouldEqual, start.Run)
+			Convey("also if the worker refuses it for want of room", func() {
+				s.HandleStartAnswer(now, orders[0], AnswerFull, 150)
+				later := now.Add(time.Second)
+				answer(s, later, otherWorker(start))
+				s.HandleReport(later, restartedReport(time.Second))
+				So(startsOf(s, later), ShouldEqual, 0)
+			})
+			Convey("and once no order arrives any more the task may start elsewhere", func() {
+				later := now.Add(maxCallDelay + time.Second)
+				s.HandleReport(later, restartedReport(maxCallDelay+time.Second))
+				answer(s, later, otherWorker(start))
 				commitAll(s)
-				So(recordedStartsOf(s, now), ShouldEqual, 1)
+				So(recordedStartsOf(s, later), ShouldEqual, 1)
 			})
 		})
+		Convey("and the next boot is drained: it is told to refuse the run", func() {
+			r := s.workers[start.Worker].Registration
+			r.Boot, r.Draining = 2, true
+			s.SetWorker(now, r)
+			s.HandleReport(now, restartedReport(100*time.Millisecond))
+			s.Decide(now, now)
+			commitAll(s)
+			orders := s.Decide(now, now)
+			So(orders, ShouldHaveLength, 1)
+			So(orders[0].Kind, ShouldEqual, OrderStop)
+			So(orders[0].Boot, ShouldEqual, 2)
+			So(orders[0].Run, ShouldEqual, start.Run)
+		})
+	})
+}
+
+// TestExpiredStartStaysWithItsWorker guards against two runs of a task of which one was started by an order that got no
+// answer, had expired, and was carried out by the next boot of its worker.
+func TestExpiredStartStaysWithItsWorker(t *testing.T) {
+	Convey("A start gets no answer, and a report after its validity doesn't list the run", t, func() {
+		s, start := newRestartScenario(testLimits())
+		now := simEpoch.Add(12 * time.Second)
+		s.HandleStartAnswer(now.Add(-time.Second), start, AnswerMissing, 0)
+		answer(s, now, otherWorker(start))
+		answer(s, now, start.Worker)
+		orders := s.Decide(now, now)
+		So(orders, ShouldHaveLength, 1)
+		So(orders[0].Kind, ShouldEqual, OrderStart)
+		So(orders[0].Worker, ShouldEqual, start.Worker)
+		So(orders[0].Run, ShouldEqual, start.Run)
+		s.HandleStartAnswer(now, orders[0], AnswerDone, 13_010)
+		Convey("the run that is lost with the boot goes on in the next one", func() {
+			now = now.Add(time.Second)
+			answer(s, now, otherWorker(start))
+			s.HandleReport(now, Report{Worker: start.Worker, Boot: 2, Clock: 100})
+			commitAll(s)
+			again := s.Decide(now, now)
+			So(again, ShouldHaveLength, 1)
+			So(again[0].Kind, ShouldEqual, OrderStart)
+			So(again[0].Worker, ShouldEqual, start.Worker)
+			So(again[0].Run, ShouldEqual, start.Run)
+		})
+		Convey("and the next boot is told to refuse the run of a task that is done", func() {
+			now = now.Add(time.Second)
+			s.HandleReport(now, Report{Worker: start.Worker, Boot: 1, Clock: 14_000, Ended: []EndReport{
+				{Serial: 1, Task: start.Task, Number: start.Run, Reason: EndDone},
+			}})
+			commitAll(s)
+			s.HandleReport(now, Report{Worker: start.Worker, Boot: 2, Clock: 100})
+			orders := s.Decide(now, now)
+			So(orders, ShouldHaveLength, 1)
+			So(orders[0].Kind, ShouldEqual, OrderStop)
+			So(orders[0].Boot, ShouldEqual, 2)
+			So(orders[0].Run, ShouldEqual, start.Run)
+		})
 	})
 }
 
--- a/internal/zone/dispatch/simulation_faults_test.go
+++ b/internal/zone/dispatch/simulation_faults_test.go
@@ -83,59 +83,66 @@
 // firstLongTask is the number of the first job of long tasks, which is higher than those of all others.
 const firstLongTask = 100
 
+// playFaults plays a random mix of faults. outlives is set if calls that a worker carries out late outlive its restart.
+func playFaults(t *rapid.T, outlives bool) (sim *simulation, seed uint64) {
+	seed = rapid.Uint64().Draw(t, "seed")
+	limits := testLimits()
+	limits.MaxLease = time.Duration(rapid.SampledFrom([]int{6, 10, 30}).Draw(t, "lease")) * time.Second
+	sim = newLimitedSimulation(seed, rapid.IntRange(2, 6).Draw(t, "workers"), limits)
+	sim.outlives = outlives
+	sim.lossRate = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "lossy")
+	sim.delayRate = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "late")
+	sim.failRate = rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "failures")
+	sim.submitJobs(rapid.IntRange(1, 25).Draw(t, "jobs"))
+	sim.submitLongTasks(firstLongTask, rapid.SampledFrom([]int{0, 2, 4}).Draw(t, "long tasks"))
+	sim.renames = rapid.Bool().Draw(t, "renames")
+	for range rapid.IntRange(0, 2).Draw(t, "deadly") {
+		sim.deadly[jobID(rapid.IntRange(0, 24).Draw(t, "job"))+".0.0.0"] = deadlyDelay
+	}
+	for range rapid.IntRange(0, 6).Draw(t, "faults") {
+		at := time.Duration(rapid.IntRange(0, 9000).Draw(t, "at")) * time.Millisecond
+		long := time.Duration(rapid.IntRange(100, 5000).Draw(t, "long")) * time.Millisecond
+		switch rapid.IntRange(0, 5).Draw(t, "kind") {
+		case 0:
+			sim.after(at, sim.takeOver)
+		case 1:
+			sw := sim.workers[rapid.IntRange(0, len(sim.workers)-1).Draw(t, "worker")]
+			sim.after(at, func() { sim.crash(sw, long) })
+		case 2:
+			sim.after(at, func() { sim.storeDown = true })
+			sim.after(at+long, func() { sim.storeDown = false })
+		case 3:
+			sim.after(at, func() {
+				sim.takeOver()
+				sim.after(50*time.Millisecond, sim.takeOver)
+			})
+		case 4:
+			sim.after(at, sim.handOver)
+			sim.after(at+long, sim.handOver)
+		case 5:
+			sw := sim.workers[rapid.IntRange(0, len(sim.workers)-1).Draw(t, "worker")]
+			sim.after(at, func() { sim.restart(sw) })
+		}
+	}
+	sim.drawDepartures(t)
+	sim.run(16 * time.Second)
+	sim.lossRate, sim.delayRate, sim.storeDown, sim.failRate = 0, 0, false, 0
+	sim.run(20 * time.Second)
+	// Long-running jobs may leave no room for the others.
+	for id := range sim.accepted {
+		if j := sim.leader.s.jobs[id]; j != nil && j.spec.HasLongRunning() {
+			sim.leader.s.Cancel(sim.now, id)
+		}
+	}
+	sim.run(25 * time.Second)
+	sim.run(time.Duration(len(sim.deadly)) * 25 * time.Second)
+	return sim, seed
+}
+
 // TestInvariantsUnderFaults plays random mixes of faults and checks that no invariant is violated and all work is done.
 func TestInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		seed := rapid.Uint64().Draw(t, "seed")
-		limits := testLimits()
-		limits.MaxLease = time.Duration(rapid.SampledFrom([]int{6, 10, 30}).Draw(t, "lease")) * time.Second
-		sim := newLimitedSimulation(seed, rapid.IntRange(2, 6).Draw(t, "workers"), limits)
-		sim.lossRate = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "lossy")
-		sim.delayRate = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "late")
-		sim.failRate = rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "failures")
-		sim.submitJobs(rapid.IntRange(1, 25).Draw(t, "jobs"))
-		sim.submitLongTasks(firstLongTask, rapid.SampledFrom([]int{0, 2, 4}).Draw(t, "long tasks"))
-		sim.renames = rapid.Bool().Draw(t, "renames")
-		for range rapid.IntRange(0, 2).Draw(t, "deadly") {
-			sim.deadly[jobID(rapid.IntRange(0, 24).Draw(t, "job"))+".0.0.0"] = deadlyDelay
-		}
-		for range rapid.IntRange(0, 6).Draw(t, "faults") {
-			at := time.Duration(rapid.IntRange(0, 9000).Draw(t, "at")) * time.Millisecond
-			long := time.Duration(rapid.IntRange(100, 5000).Draw(t, "long")) * time.Millisecond
-			switch rapid.IntRange(0, 5).Draw(t, "kind") {
-			case 0:
-				sim.after(at, sim.takeOver)
-			case 1:
-				sw := sim.workers[rapid.IntRange(0, len(sim.workers)-1).Draw(t, "worker")]
-				sim.after(at, func() { sim.crash(sw, long) })
-			case 2:
-				sim.after(at, func() { sim.storeDown = true })
-				sim.after(at+long, func() { sim.storeDown = false })
-			case 3:
-				sim.after(at, func() {
-					sim.takeOver()
-					sim.after(50*time.Millisecond, sim.takeOver)
-				})
-			case 4:
-				sim.after(at, sim.handOver)
-				sim.after(at+long, sim.handOver)
-			case 5:
-				sw := sim.workers[rapid.IntRange(0, len(sim.workers)-1).Draw(t, "worker")]
-				sim.after(at, func() { sim.restart(sw) })
-			}
-		}
-		sim.drawDepartures(t)
-		sim.run(16 * time.Second)
-		sim.lossRate, sim.delayRate, sim.storeDown, sim.failRate = 0, 0, false, 0
-		sim.run(20 * time.Second)
-		// Long-running jobs may leave no room for the others.
-		for id := range sim.accepted {
-			if j := sim.leader.s.jobs[id]; j != nil && j.spec.HasLongRunning() {
-				sim.leader.s.Cancel(sim.now, id)
-			}
-		}
-		sim.run(25 * time.Second)
-		sim.run(time.Duration(len(sim.deadly)) * 25 * time.Second)
+		sim, seed := playFaults(t, false)
 		if len(sim.violations) > 0 {
 			t.Fatalf("seed %d: %d violations, first: %s", seed, len(sim.violations), sim.violations[0])
 		}
@@ -154,6 +161,26 @@
 	})
 }
 
+// TestNoOverlapUnderLateCalls guards against two runs of a task of which one was started by an order that got no answer and
+// was carried out by the next boot of its worker.
+func TestNoOverlapUnderLateCalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if sim, seed := playFaults(t, true); len(sim.overlaps) > 0 {
+			t.Fatalf("seed %d: %d overlaps, first: %s", seed, len(sim.overlaps), sim.overlaps[0])
+		}
+	})
+}
+
+// TestInvariantsUnderLateCalls guards against a run of a task that is done or cancelled which was started by an order that
+// got no answer and was carried out by the next boot of its worker, before the worker was told to refuse it.
+func TestInvariantsUnderLateCalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if sim, seed := playFaults(t, true); len(sim.violations) > 0 {
+			t.Fatalf("seed %d: %d violations, first: %s", seed, len(sim.violations), sim.violations[0])
+		}
+	})
+}
+
 // describe returns the state of a job's stages and of the workers for a failure message.
 func describe(sim *simulation, j *Job) string {
 	out := ""
--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -37,6 +37,10 @@
 	// accepted holds the jobs whose acceptance is durable.
 	accepted   map[string]bool
 	violations []string
+	// overlaps are the violations by two runs of a task at the same time.
+	overlaps []string
+	// outlives is set if calls that a worker carries out late outlive its restart.
+	outlives bool
 	// storeDown is set while nothing can be written to the log.
 	storeDown bool
 	// lossRate is the share of answers that are lost, delayRate the share of orders that arrive late.
@@ -448,16 +452,16 @@
 	})
 }
 
-// executeLate has the worker carry out a call some seconds after it has arrived, if accepts is true then and the worker
-// has not restarted in between.
+// executeLate has the worker carry out a call some seconds after it has arrived, if accepts is true then. The next boot of
+// the worker does so only if outlives is set.
 func (sim *simulation) executeLate(sw *simWorker, accepts func() bool, execute func()) {
 	sim.after(sim.latency(), func() {
 		if sw.down || !accepts() {
 			return
 		}
 		acceptedBy := sw.boot
-		sim.after(time.Duration(2000+sim.rng.IntN(4000))*time.Millisecond, func() {
-			if sw.boot == acceptedBy && !sw.down {
+		sim.after(time.Duration(2000+sim.rng.IntN(10000))*time.Millisecond, func() {
+			if !sw.down && (sw.boot == acceptedBy || (sim.outlives && !sw.isReplaced())) {
 				execute()
 			}
 		})
@@ -526,6 +530,7 @@
 		for k := range other.runs {
 			if k.task == o.Task && !other.down && !st.Speculative {
 				sim.recordViolation("%s runs on %s and %s", o.Task, other.id, sw.id)
+				sim.overlaps = append(sim.overlaps, sim.violations[len(sim.violations)-1])
 			}
 		}
 	}
@@ -593,7 +598,11 @@
 	}
 	if sim.rng.Float64() < sim.delayRate {
 		accepts := func() bool { return sw.boot == boot && sw.serves(l) }
-		sim.executeLate(sw, accepts, func() { sim.executeRenewal(sw, plan) })
+		sim.executeLate(sw, accepts, func() {
+			if sw.boot == boot {
+				sim.executeRenewal(sw, plan)
+			}
+		})
 		sim.after(900*time.Millisecond, func() {
 			l.renewalPending[id] = false
 			l.s.HandleRenewalFailure(sim.now, id)
--- a/internal/zone/dispatch/stop.go
+++ b/internal/zone/dispatch/stop.go
@@ -107,10 +107,7 @@
 func (s *Scheduler) sendStop(now time.Time, o *stop) {
 	o.sentAt = now
 	w := o.worker
-	s.orders = append(s.orders, Order{
-		Kind: OrderStop, Worker: w.ID, Address: w.Address, Boot: w.Boot, Token: s.token, Task: o.key.task,
-		Run: o.key.number,
-	})
+	s.orders = append(s.orders, s.newStopOrder(w, o.key))
 	e := Event{Kind: "stop", Task: o.key.task, Run: o.key.number, Worker: w.ID, Reason: o.reason}
 	if o.run != nil {
 		e.Job = o.run.task.job().id
@@ -118,10 +115,20 @@
 	s.recordEvent(e)
 }
 
+// newStopOrder returns the order to stop a run on the worker, which refuses its start from then on.
+func (s *Scheduler) newStopOrder(w *Worker, k runKey) Order {
+	return Order{
+		Kind: OrderStop, Worker: w.ID, Address: w.Address, Boot: w.Boot, Token: s.token, Task: k.task, Run: k.number,
+	}
+}
+
 // HandleStopAnswer applies the answer to a stop order. A run that had not started by then can't start any more. If the
 // worker never lists its end, the run is released when unlistedTimeout has passed after the first answer.
 func (s *Scheduler) HandleStopAnswer(now time.Time, o Order, a Answer, clock int64) {
-	_, r := s.resolveOrder(now, o, clock)
+	w, r := s.resolveOrder(now, o, clock)
+	if w != nil && a == AnswerDone && clock > 0 {
+		s.removeBar(w, runKey{o.Task, o.Run})
+	}
 	if r != nil && r.phase == phaseStopping && a == AnswerDone && clock > 0 && !r.stopAnswered {
 		r.stopAnswered, r.confirmedClock = true, max(r.confirmedClock, clock)
 	}
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -67,8 +67,9 @@
 	// stopAnswered is set once the worker has answered an order to stop the run. The order is repeated, and the later
 	// answers don't put off the release of a run that the worker doesn't list.
 	stopAnswered bool
-	// barred is set once the worker was told to refuse the start, after a restart.
-	barred bool
+	// starts are the orders to start the run, repeats the number of those after the first.
+	starts  inFlight
+	repeats int
 	// progress is the share of the work that is done, in percent.
 	progress int
 	// progressedAt is when the progress last changed or could not be expected to.
@@ -163,6 +164,14 @@
 	// worker's clock for which the same holds. They are set with contacted.
 	earlierUntil time.Time
 	earlierLease int64
+	// extensions are the lease renewals that extend the leases, extending is set if the last renewal is one of them.
+	// lateStartsUntil is until when an order to start a run that got no answer may extend them.
+	extensions      inFlight
+	extending       bool
+	lateStartsUntil time.Time
+	// strays holds the runs that have ended, or were given up, and may yet be started by an order without an answer, each
+	// with the time from which none arrives any more.
+	strays map[runKey]time.Time
 	// lastEnd is the serial of the last end that was applied, durableEnd that of the last one that is in the log.
 	lastEnd, durableEnd int64
 	// failedRenewals counts the lease renewals in a row that got no answer.
@@ -312,12 +321,20 @@
 	}
 	w.listed = false
 	s.recordEvent(Event{Kind: "worker unlisted", Worker: id, Age: w.sinceAnswer(now)})
-	s.forgetWorker(w)
+	s.forgetWorker(now, w)
 }
 
-// forgetWorker removes the worker if it is not listed and nothing can be running on it.
-func (s *Scheduler) forgetWorker(w *Worker) {
-	if w.listed || len(w.runs) > 0 || (w.recordBatch != 0 && !w.leasesExpired) {
+// forgetUnlisted removes the workers that are not listed and on which nothing can be running any more.
+func (s *Scheduler) forgetUnlisted(now time.Time) {
+	for _, w := range s.workers {
+		s.forgetWorker(now, w)
+	}
+}
+
+// forgetWorker removes the worker if it is not listed and nothing can be running on it. Its next boot may carry out calls
+// without an answer.
+func (s *Scheduler) forgetWorker(now time.Time, w *Worker) {
+	if w.listed || len(w.runs) > 0 || (w.recordBatch != 0 && !w.leasesExpired) || w.hasCallsInFlight(now) {
 		return
 	}
 	if _, ok := s.unaccounted[w.ID]; ok {
@@ -340,11 +357,13 @@
 	s.byService[w.Service] = removeFirst(s.byService[w.Service], w)
 }
 
-// loseRuns ends all runs of a worker on which certainly nothing runs any more.
+// loseRuns ends the runs of a worker whose leases have certainly expired, except for those that an unseen boot may have.
 func (s *Scheduler) loseRuns(now time.Time, w *Worker, reason string) {
 	s.recordLapse(now, w)
 	for _, r := range s.runsOf(w) {
-		s.loseRun(now, r, reason)
+		if !s.isStray(r) {
+			s.loseRun(now, r, reason)
+		}
 	}
 }
 
@@ -391,6 +410,12 @@
 func (s *Scheduler) detach(r *run) {
 	r.worker.removeRun(r)
 	r.task.runs = removeFirst(r.task.runs, r)
+	if until := r.starts.until(); !until.IsZero() {
+		r.worker.addStray(runKey{r.task.name, r.number}, until)
+		if !r.task.step().Speculative {
+			r.task.notBefore = laterOf(r.task.notBefore, until)
+		}
+	}
 	s.markChanged(r.worker)
 	s.noteDetached(r)
 	if r.phase == phaseStopping {
