Record starts without an answer for the next leader

Cause: a new leader doesn't know which calls of the one before may still arrive. Its fencing token bars them where it has called, and not on a boot that begins after that.

Ruled out: to wait 12 s at each change of leader (all waiting tasks would), and a record before each start (short tasks would wait for the log).

The change: a start that got no answer is in the log while its run keeps the task, and the next leader goes on with that run, once it is known where the tasks of earlier terms run.

--- a/internal/zone/dispatch/crash.go
+++ b/internal/zone/dispatch/crash.go
@@ -184,7 +184,7 @@
 // isFresh reports whether the run may crash its worker at any moment. A task that is no suspect isn't expected to do so
 // late.
 func (s *Scheduler) isFresh(r *run) bool {
-	return !r.hasLasted(survivalPeriod) || (s.suspectOf(r.task) != nil && !s.hasSurvived(r))
+	return !r.isBarred() && (!r.hasLasted(survivalPeriod) || (s.suspectOf(r.task) != nil && !s.hasSurvived(r)))
 }
 
 // culprits returns the runs of the worker that may have crashed it, ordered by task name and run number: the fresh
@@ -193,7 +193,7 @@
 func (s *Scheduler) culprits(w *Worker) (fresh, late []*run) {
 	for _, r := range s.runsOf(w) {
 		switch {
-		case r.awaitsRecord:
+		case !r.isStartable():
 			// It was not started.
 		case s.isFresh(r):
 			fresh = append(fresh, r)
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -159,7 +159,8 @@
 	if w == nil || w.Boot != o.Boot {
 		return nil, nil
 	}
-	if clock > 0 {
+	if clock > 0 && w.contacted {
+		// Without a report of this term the leases of earlier ones aren't known by the worker's clock.
 		w.updateClock(now, clock)
 	}
 	return w, w.runs[runKey{o.Task, o.Run}]
@@ -213,6 +214,7 @@
 		}
 	case AnswerMissing:
 		w.lateStartsUntil = laterOf(w.lateStartsUntil, r.starts.until())
+		s.recordUnanswered(now, r)
 		if r.phase == phaseOrdered {
 			r.phase = phaseUnanswered
 		}
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -344,6 +344,7 @@
 		}
 	}
 	errs = append(errs, s.restorePlacements(records)...)
+	errs = append(errs, s.restoreUnanswered(now, records)...)
 	errs = append(errs, s.restoreCrashes(now, records)...)
 	if err := s.restoreLeases(now, records, ordersUntil); err != nil {
 		errs = append(errs, err)
--- a/internal/zone/dispatch/repeat.go
+++ b/internal/zone/dispatch/repeat.go
@@ -60,14 +60,10 @@
 		!r.task.job().isFinal()
 }
 
-// awaitsStart reports whether a run that its worker doesn't list may be started there by an order without an answer. The
-// order is repeated in that case.
-func (s *Scheduler) awaitsStart(now time.Time, r *run) bool {
-	if !r.ownsTask() || !now.Before(r.starts.until().Add(clockMargin)) {
-		return false
-	}
-	s.queueRepeat(r)
-	return true
+// mayBeStarted reports whether a run that its worker didn't list just now may yet be started there by an order without an
+// answer.
+func (r *run) mayBeStarted(now time.Time) bool {
+	return r.ownsTask() && now.Before(r.starts.until().Add(clockMargin))
 }
 
 // queueRepeat has the order to start the run repeated.
@@ -78,7 +74,8 @@
 	}
 }
 
-// repeatStarts repeats the orders to start the runs in repeats. Runs whose workers take no tasks any more are stopped.
+// repeatStarts repeats the orders to start the runs in repeats. Runs whose workers take no tasks any more are stopped, and so
+// are those of tasks that have to start on trial.
 func (s *Scheduler) repeatStarts(now time.Time) {
 	if s.halted {
 		return
@@ -87,8 +84,8 @@
 		switch {
 		case r.worker.runs[runKey{r.task.name, r.number}] != r || r.phase != phaseUnanswered || r.repeats >= maxStartRepeats:
 			return true
-		case s.rejectsTask(r.worker, r.task):
-			s.stopRun(r, reasonUnsuitable)
+		case s.rejectsTask(r.worker, r.task) || s.mayCrashAgain(r.task):
+			s.barRun(r, reasonUnsuitable)
 			return true
 		case !s.mayRepeat(now, r):
 			return false
@@ -100,6 +97,28 @@
 	})
 }
 
+// barRun has the present boot of the worker refuse the start of a run that it doesn't list.
+func (s *Scheduler) barRun(r *run, reason string) {
+	r.barred = true
+	s.stopRun(r, reason)
+}
+
+// isBarred reports whether the present boot of the worker refuses the start of the run, and has not listed the run.
+func (r *run) isBarred() bool { return r.barred && r.stopAnswered && !r.confirmed }
+
+// isStartable reports whether the present boot of the worker may have started the run: it got an order to do so, and has not
+// been told to refuse the run, or has listed it.
+func (r *run) isStartable() bool {
+	return r.confirmed || (!r.awaitsRecord && r.startUntil != 0 && !r.isBarred())
+}
+
+// mayCrashAgain reports whether several crashes are blamed on the task. A single one is blamed on each start that was in flight
+// when its worker crashed.
+func (s *Scheduler) mayCrashAgain(t *task) bool {
+	u := s.suspectOf(t)
+	return u != nil && len(u.crashes) > 1
+}
+
 // rejectsTask reports whether the worker is not going to take the task, whatever room it has.
 func (s *Scheduler) rejectsTask(w *Worker, t *task) bool {
 	label := t.step().Label
@@ -110,7 +129,7 @@
 func (s *Scheduler) mayRepeat(now time.Time, r *run) bool {
 	w := r.worker
 	if !w.isUsable() || w.recordBatch == 0 || w.recordBatch > s.journal.committed || !w.used.Fits(w.Capacity) ||
-		now.Before(w.health.resumeAt) {
+		now.Before(w.health.resumeAt) || s.mayRunUnaccounted(r.task) {
 		return false
 	}
 	return !r.task.step().Gang || !slices.ContainsFunc(r.task.stage.tasks, func(t *task) bool {
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -307,7 +307,11 @@
 	switch r.phase {
 	case phaseOrdered, phaseUnanswered:
 		// The order may still arrive until its validity has ended by the worker's clock, and at the next boot after that.
-		if r.awaitsRecord || clock <= r.startUntil || s.awaitsStart(now, r) {
+		if r.awaitsRecord || clock <= r.startUntil {
+			return
+		}
+		if r.mayBeStarted(now) {
+			s.queueRepeat(r)
 			return
 		}
 		s.recordEvent(Event{Kind: "start expired", Task: r.task.name, Run: r.number, Worker: r.worker.ID})
@@ -328,7 +332,7 @@
 			}
 			last = max(last, r.unlistedClock)
 		}
-		if clock <= last+unlistedTimeout.Milliseconds() {
+		if clock <= last+unlistedTimeout.Milliseconds() || r.mayBeStarted(now) {
 			return
 		}
 		s.recordEvent(Event{Kind: "run gone", Task: r.task.name, Run: r.number, Worker: r.worker.ID})
@@ -345,6 +349,7 @@
 		s.stopUnknownRun(w, rr, clock)
 		return nil
 	}
+	s.giveWay(t, rr.Number)
 	hasOtherRun := len(t.runs) > 0 && !t.step().Speculative
 	r := s.attachReportedRun(now, w, t, rr.Number)
 	s.recordEvent(Event{Kind: "adopt", Job: t.job().id, Task: t.name, Run: r.number, Worker: w.ID})
--- a/internal/zone/dispatch/restart.go
+++ b/internal/zone/dispatch/restart.go
@@ -16,7 +16,7 @@
 	s.recordLapse(now, w)
 	for _, r := range s.runsOf(w) {
 		switch {
-		case !r.awaitsRecord && !r.confirmed:
+		case !r.awaitsRecord && !r.confirmed && now.Before(r.starts.until()):
 			r.resetStart()
 			kept = append(kept, r)
 		case r.ownsTask() && now.Before(r.starts.until()) && r.phase == phaseRunning && !r.task.step().Gang:
@@ -55,7 +55,7 @@
 	if r.phase != phaseStopping {
 		r.phase = phaseUnanswered
 	}
-	r.stopAnswered, r.startUntil, r.confirmedClock, r.unlistedClock = false, 0, 0, 0
+	r.barred, r.stopAnswered, r.startUntil, r.confirmedClock, r.unlistedClock = false, false, 0, 0, 0
 }
 
 // renewRun ends a run that was lost with the former boot of its worker and returns one of the same number, which an order
@@ -81,7 +81,7 @@
 		case r.phase == phaseStopping:
 			s.addStop(stop{worker: w, key: k, run: r, reason: reasonRestarted})
 		case !r.ownsTask():
-			s.stopRun(r, reasonRestarted)
+			s.barRun(r, reasonRestarted)
 		default:
 			s.queueRepeat(r)
 		}
--- a/internal/zone/dispatch/restart_test.go
+++ b/internal/zone/dispatch/restart_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -153,6 +155,56 @@
 	})
 }
 
+// TestUnansweredStartOutlivesItsLeader guards against two runs of a task of which one was started by an order of a former
+// leader that got no answer and was carried out by the next boot of its worker.
+func TestUnansweredStartOutlivesItsLeader(t *testing.T) {
+	Convey("A start gets no answer, and another leader follows", t, func() {
+		s := New(testLimits(), 1, 1)
+		s.SetCatalog(Catalog{Version: 1, Queues: map[string]Queue{
+			queueName: {Name: queueName, Service: "svc", Attempts: 2, Slack: 2},
+		}})
+		log := map[string]Record{}
+		now := simEpoch
+		answer(s, now, "v")
+		answer(s, now, "w")
+		submitSpec(s, 1, workflow.Spec{Steps: []workflow.Step{newStep(1, 6000, time.Minute)}})
+		commitTo(s, log)
+		start := s.Decide(now, now)[0]
+		now = now.Add(time.Second)
+		s.HandleStartAnswer(now, start, AnswerMissing, 0)
+		commitTo(s, log)
+		next := New(testLimits(), 2, 2)
+		next.SetCatalog(s.catalog)
+		So(next.Restore(now, now, slices.Collect(maps.Values(log)), now), ShouldBeEmpty)
+		Convey("it repeats the order at the same worker, on whichever boot", func() {
+			answer(next, now, otherWorker(start))
+			next.SetWorker(now, Registration{
+				ID: start.Worker, Boot: 2, Service: "svc", Address: start.Worker, Capacity: s.workers[start.Worker].Capacity,
+			})
+			next.HandleReport(now, Report{Worker: start.Worker, Boot: 2, Clock: 100})
+			commitTo(next, log)
+			orders := next.Decide(now, now)
+			So(orders, ShouldHaveLength, 1)
+			So(orders[0].Kind, ShouldEqual, OrderStart)
+			So(orders[0].Worker, ShouldEqual, start.Worker)
+			So(orders[0].Run, ShouldEqual, start.Run)
+			So(orders[0].Token, ShouldEqual, 2)
+		})
+		Convey("and a worker that it hasn't reached has leases even if it has answered an order", func() {
+			answer(next, now, otherWorker(start))
+			next.Cancel(now, jobID(1))
+			commitTo(next, log)
+			stop := next.Decide(now, now)[0]
+			next.HandleStopAnswer(now, stop, AnswerDone, 12_000)
+			next.HandleRenewalFailure(now, start.Worker)
+			next.HandleRenewalFailure(now, start.Worker)
+			later := now.Add(time.Second)
+			next.Decide(later, later)
+			So(next.workers[start.Worker].leasesExpired, ShouldBeFalse)
+		})
+	})
+}
+
 // TestStopOutlivesRestart guards against a run that was to be stopped and goes on in the next boot of its worker.
 func TestStopOutlivesRestart(t *testing.T) {
 	Convey("A job is cancelled before its worker has confirmed a start, and the next boot lists the run", t, func() {
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -67,9 +67,13 @@
 	// stopAnswered is set once the worker has answered an order to stop the run. The order is repeated, and the later
 	// answers don't put off the release of a run that the worker doesn't list.
 	stopAnswered bool
+	// barred is set once the worker was told to refuse the start.
+	barred bool
 	// starts are the orders to start the run, repeats the number of those after the first.
 	starts  inFlight
 	repeats int
+	// unansweredRecorded is set while the log may hold a record of an unanswered start of the run.
+	unansweredRecorded bool
 	// progress is the share of the work that is done, in percent.
 	progress int
 	// progressedAt is when the progress last changed or could not be expected to.
@@ -410,6 +414,7 @@
 func (s *Scheduler) detach(r *run) {
 	r.worker.removeRun(r)
 	r.task.runs = removeFirst(r.task.runs, r)
+	s.deleteUnanswered(r)
 	if until := r.starts.until(); !until.IsZero() {
 		r.worker.addStray(runKey{r.task.name, r.number}, until)
 		if !r.task.step().Speculative {
