Bound the leases of a late start by what its calls can grant

The change: a new boot's clock begins anew, so that a call extends leases there to the time that it names at most. A worker whose address another one has taken gets no call any more.

--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -92,7 +92,7 @@
 	until := w.clockNow(now) + s.leaseOf(now, w).Milliseconds()
 	w.extensions.add(now)
 	w.extending = true
-	w.leaseUntil = max(w.leaseUntil, until)
+	w.extendUntil(until)
 	return until
 }
 
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -114,7 +114,7 @@
 	r.awaitsRecord = false
 	r.startedAt, r.startUntil = now, w.clockNow(now)+startOrderValidity.Milliseconds()
 	r.starts.add(now)
-	w.leaseUntil = max(w.leaseUntil, r.startUntil)
+	w.extendUntil(r.startUntil)
 	o := Order{
 		Kind: OrderStart, Worker: w.ID, Address: w.Address, Boot: w.Boot, Token: s.token, Task: t.name, Run: r.number,
 		Payload: t.job().spec.Payload, Checkpoint: t.checkpoint, ValidUntil: r.startUntil,
--- a/internal/zone/dispatch/repeat.go
+++ b/internal/zone/dispatch/repeat.go
@@ -151,10 +151,19 @@
 	}
 }
 
+// longestLease returns the longest lease that a call for a former boot of the worker can grant: it lasts up to a time of the
+// clock, which begins anew at each boot.
+func (s *Scheduler) longestLease(w *Worker) time.Duration {
+	if w.longestUntil == 0 {
+		return s.limits.MaxLease
+	}
+	return min(s.limits.MaxLease, time.Duration(w.longestUntil)*time.Millisecond)
+}
+
 // strayLeasesEnd returns the time from which the leases of a run have certainly expired that an unseen boot of its worker
-// may have started. Calls that extend its leases may be on their way as well.
+// may have started.
 func (s *Scheduler) strayLeasesEnd(r *run) time.Time {
-	return leaseEnd(r.starts.until(), s.limits.MaxLease)
+	return leaseEnd(r.starts.until(), s.longestLease(r.worker))
 }
 
 // isStray reports whether the run may be at work on a boot of its worker that has not been seen.
@@ -164,6 +173,9 @@
 
 // loseStrays ends the runs of a worker whose leases have expired, except for those that an unseen boot may have.
 func (s *Scheduler) loseStrays(now time.Time, w *Worker) {
+	if s.isReplaced(w) {
+		w.endCalls(now)
+	}
 	for _, r := range s.runsOf(w) {
 		if !s.isStray(r) {
 			s.loseRun(now, r, reasonLeaseLapsed)
@@ -172,6 +184,16 @@
 	s.forgetWorker(now, w)
 }
 
+// isReplaced reports whether a worker of a later start has answered at the address, so that calls reach that one.
+func (s *Scheduler) isReplaced(w *Worker) bool {
+	for _, other := range s.workers {
+		if other != w && other.contacted && other.Address == w.Address && other.Boot > w.Boot {
+			return true
+		}
+	}
+	return false
+}
+
 // addStray notes that an order to start a run that has ended, or was given up, may be carried out by the next boot.
 func (w *Worker) addStray(k runKey, until time.Time) {
 	if w.strays == nil {
--- a/internal/zone/dispatch/restart_test.go
+++ b/internal/zone/dispatch/restart_test.go
@@ -155,6 +155,43 @@
 	})
 }
 
+// TestStartOfReplacedWorkerIsGivenUp guards against a task that is away for as long as the platform's longest lease because of a
+// start that can't arrive any more.
+func TestStartOfReplacedWorkerIsGivenUp(t *testing.T) {
+	Convey("A start gets no answer on a platform that allows leases of 30 s, and the worker is lost", t, func() {
+		limits := testLimits()
+		limits.MaxLease = 30 * time.Second
+		s, start := newRestartScenario(limits)
+		now := simEpoch.Add(11 * time.Second)
+		s.HandleStartAnswer(now, start, AnswerMissing, 0)
+		s.HandleRenewalFailure(now, start.Worker)
+		s.HandleRenewalFailure(now, start.Worker)
+		// restartAt returns when the task starts again, at most a minute later.
+		restartAt := func() time.Duration {
+			for at := now; at.Sub(now) < time.Minute; at = at.Add(100 * time.Millisecond) {
+				answer(s, at, otherWorker(start))
+				if recordedStartsOf(s, at) > 0 {
+					return at.Sub(now)
+				}
+			}
+			return time.Minute
+		}
+		Convey("for good: the task waits for the leases that its calls can grant", func() {
+			granted := time.Duration(start.ValidUntil) * time.Millisecond
+			So(restartAt(), ShouldBeBetween, maxCallDelay+granted-time.Second, maxCallDelay+granted+time.Second)
+		})
+		Convey("and another one has its address: no order arrives any more", func() {
+			at := now.Add(4 * time.Second)
+			s.SetWorker(at, Registration{
+				ID: "x", Boot: 2, Service: "svc", Address: s.workers[start.Worker].Address, Capacity: s.workers[start.Worker].Capacity,
+			})
+			s.HandleReport(at, Report{Worker: "x", Boot: 2, Clock: 100})
+			granted := time.Duration(start.ValidUntil) * time.Millisecond
+			So(restartAt(), ShouldBeLessThan, 5*time.Second+granted)
+		})
+	})
+}
+
 // TestUnansweredStartOutlivesItsLeader guards against two runs of a task of which one was started by an order of a former
 // leader that got no answer and was carried out by the next boot of its worker.
 func TestUnansweredStartOutlivesItsLeader(t *testing.T) {
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -164,6 +164,8 @@
 	clockAt time.Time
 	// leaseUntil is the latest time of the worker's clock up to which any order may have extended its leases.
 	leaseUntil int64
+	// longestUntil is the latest such time of any boot in this term.
+	longestUntil int64
 	// earlierUntil is the time from which the leases of earlier terms have certainly expired, earlierLease the time of the
 	// worker's clock for which the same holds. They are set with contacted.
 	earlierUntil time.Time
@@ -233,6 +235,11 @@
 	}
 }
 
+// extendUntil notes that a call extends the leases up to the given time of the worker's clock.
+func (w *Worker) extendUntil(until int64) {
+	w.leaseUntil, w.longestUntil = max(w.leaseUntil, until), max(w.longestUntil, until)
+}
+
 // addRun adds a run and its size to what is in use.
 func (w *Worker) addRun(r *run) {
 	w.runs[runKey{r.task.name, r.number}] = r
