Start an occurrence once the record that it has begun is durable

Cause: when an occurrence was done, the next one was opened in memory and started at once, before the log held the end that had made room for it. The next leader restored the former occurrence, took the tasks of the next one for unknown, acknowledged their ends, and ran them all once it opened that occurrence itself. The class: a decision that goes out before the record on which the next leader bases its own.

Ruled out: the limit of a record as the cause (it breaks without one if the next leader's clock is behind), and ends that are acknowledged before they are in the log (they were not).

A report of a task of an occurrence that has not begun proves that a former leader, of an earlier version, has begun it: it is opened, with all before it.

What it costs: no occurrence begins while the store is away. TestInvariantsUnderFaults draws as before.

--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -164,7 +164,7 @@
 		j := st.job()
 		// A job whose acceptance is not durable may be submitted again to a later leader, which would not know of its
 		// runs. Restored tasks may already run on workers that have not reported in this term.
-		if j.acceptedBatch > s.journal.committed {
+		if max(j.acceptedBatch, st.occurrence.batch) > s.journal.committed {
 			st.waitReason = waitUnconfirmed
 			continue
 		}
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -70,6 +70,9 @@
 	stages []*stage
 	// openStages is the number of stages that are not done.
 	openStages int
+	// batch is the batch with the record that the occurrence has begun. No task of it starts before that is committed, since
+	// the next leader would take its runs and ends for unknown. It is 0 if there is a record already.
+	batch BatchID
 }
 
 // stage is a step of one occurrence.
@@ -259,7 +262,7 @@
 	wallNow := j.acceptedWall.Add(now.Sub(j.acceptedAt))
 	for j.nextOccurrence < j.spec.OccurrenceCount && !wallNow.Before(j.spec.DueTime(j.nextOccurrence)) &&
 		s.mayOpenOccurrence(j) {
-		s.addOccurrence(now, j, j.nextOccurrence)
+		s.beginOccurrence(now, j)
 	}
 	if j.nextOccurrence < j.spec.OccurrenceCount {
 		s.recurring[j] = struct{}{}
@@ -268,6 +271,11 @@
 	}
 }
 
+// beginOccurrence opens the next occurrence of a recurring job and has that recorded.
+func (s *Scheduler) beginOccurrence(now time.Time, j *Job) {
+	s.addOccurrence(now, j, j.nextOccurrence).batch = s.journal.markDirty(j)
+}
+
 // addOccurrence creates the stages of an occurrence and adds those without dependencies to the ready list.
 func (s *Scheduler) addOccurrence(now time.Time, j *Job, index int) *occurrence {
 	o := &occurrence{job: j, index: index, openStages: len(j.spec.Steps)}
@@ -316,6 +324,29 @@
 	return j.task(k, step, index)
 }
 
+// reportedTask returns the task with the name, which a worker has reported, nil if there is none. If the task belongs to an
+// occurrence that has not begun, a former leader has begun it without a record, as earlier versions did, and all before it.
+func (s *Scheduler) reportedTask(now time.Time, name string) *task {
+	if t := s.findTask(name); t != nil {
+		return t
+	}
+	id, occurrence, _, _, ok := splitTaskName(name)
+	j := s.jobs[id]
+	if !ok || j == nil || !j.restored || j.isFinal() || occurrence < j.nextOccurrence || occurrence >= j.spec.OccurrenceCount {
+		return nil
+	}
+	// The former leader had no more open than the limits allow. It may have finished as many since its last record.
+	open := len(j.openOccurrences) + occurrence + 1 - j.nextOccurrence
+	if !s.fitsLimits(j.occurrenceFootprint().times((open + 1) / 2)) {
+		s.recordEvent(Event{Kind: "unknown occurrence", Job: id, Task: name})
+		return nil
+	}
+	for j.nextOccurrence <= occurrence {
+		s.beginOccurrence(now, j)
+	}
+	return s.findTask(name)
+}
+
 // task returns a task of an open occurrence, nil if there is none.
 func (j *Job) task(occurrence, step, index int) *task {
 	o := j.openOccurrences[occurrence]
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -152,7 +152,7 @@
 		s.detach(r)
 		t.noteAway(now)
 	} else {
-		t = s.findTask(e.Task)
+		t = s.reportedTask(now, e.Task)
 	}
 	s.recordEvent(Event{Kind: EventEnd, Task: e.Task, Run: e.Number, Worker: w.ID, Reason: string(e.Reason)})
 	if t == nil {
@@ -344,7 +344,7 @@
 // adoptRun adds a run that a worker lists and that this term did not start. Runs that are not wanted are stopped. It
 // returns nil if the task is not known.
 func (s *Scheduler) adoptRun(now time.Time, w *Worker, rr *RunReport, clock int64) *run {
-	t := s.findTask(rr.Task)
+	t := s.reportedTask(now, rr.Task)
 	if t == nil {
 		s.stopUnknownRun(w, rr, clock)
 		return nil
--- a/internal/zone/dispatch/simulation_faults_test.go
+++ b/internal/zone/dispatch/simulation_faults_test.go
@@ -83,13 +83,35 @@
 // firstLongTask is the number of the first job of long tasks, which is higher than those of all others.
 const firstLongTask = 100
 
-// playFaults plays a random mix of faults. outlives is set if calls that a worker carries out late outlive its restart.
-func playFaults(t *rapid.T, outlives bool) (sim *simulation, seed uint64) {
+// firstRecurring is the number of the first recurring job.
+const firstRecurring = 200
+
+// faultOptions says what playFaults adds to its faults.
+type faultOptions struct {
+	// outlives is set if calls that a worker carries out late outlive its restart.
+	outlives bool
+	// recurring is set if there are recurring jobs, and hosts whose times of day differ. A record of the log then holds only
+	// a few occurrences.
+	recurring bool
+}
+
+// smallRecord is the size in bytes of a record that holds the progress of a few occurrences and the specification of any job.
+const smallRecord = 1100
+
+// playFaults plays a random mix of faults.
+func playFaults(t *rapid.T, opts faultOptions) (sim *simulation, seed uint64) {
 	seed = rapid.Uint64().Draw(t, "seed")
 	limits := testLimits()
 	limits.MaxLease = time.Duration(rapid.SampledFrom([]int{6, 10, 30}).Draw(t, "lease")) * time.Second
+	if opts.recurring {
+		limits.MaxRecord = smallRecord
+	}
 	sim = newLimitedSimulation(seed, rapid.IntRange(2, 6).Draw(t, "workers"), limits)
-	sim.outlives = outlives
+	sim.outlives = opts.outlives
+	if opts.recurring {
+		sim.maxSkew = time.Duration(rapid.SampledFrom([]int{0, 200, 400}).Draw(t, "skew")) * time.Millisecond
+		sim.submitRecurring(firstRecurring, rapid.IntRange(1, 4).Draw(t, "recurring"))
+	}
 	sim.lossRate = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "lossy")
 	sim.delayRate = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "late")
 	sim.failRate = rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "failures")
@@ -141,31 +163,40 @@
 
 // TestInvariantsUnderFaults plays random mixes of faults and checks that no invariant is violated and all work is done.
 func TestInvariantsUnderFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		sim, seed := playFaults(t, false)
-		if len(sim.violations) > 0 {
-			t.Fatalf("seed %d: %d violations, first: %s", seed, len(sim.violations), sim.violations[0])
+	rapid.Check(t, func(t *rapid.T) { checkInvariants(t, faultOptions{}) })
+}
+
+// TestRecurringJobsUnderFaults guards against tasks of recurring jobs that run again under the next leader, which doesn't know
+// that their occurrences have begun, or whose time of day is behind that of the former one.
+func TestRecurringJobsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkInvariants(t, faultOptions{recurring: true}) })
+}
+
+// checkInvariants plays a random mix of faults and checks that no invariant is violated and all work is done.
+func checkInvariants(t *rapid.T, opts faultOptions) {
+	sim, seed := playFaults(t, opts)
+	if len(sim.violations) > 0 {
+		t.Fatalf("seed %d: %d violations, first: %s", seed, len(sim.violations), sim.violations[0])
+	}
+	for id := range sim.accepted {
+		j := sim.leader.s.jobs[id]
+		if j == nil {
+			t.Fatalf("seed %d: accepted job %s is not known", seed, id)
 		}
-		for id := range sim.accepted {
-			j := sim.leader.s.jobs[id]
-			if j == nil {
-				t.Fatalf("seed %d: accepted job %s is not known", seed, id)
-			}
-			if j.finalState == StateFailed && !sim.mayFail(id) {
-				t.Fatalf("seed %d: job %s was given up", seed, id)
-			}
-			if !j.isFinal() && !j.spec.HasLongRunning() {
-				t.Fatalf("seed %d: job %s is not done: %s", seed, id, describe(sim, j))
-			}
+		if j.finalState == StateFailed && !sim.mayFail(id) {
+			t.Fatalf("seed %d: job %s was given up", seed, id)
 		}
-	})
+		if !j.isFinal() && !j.spec.HasLongRunning() {
+			t.Fatalf("seed %d: job %s is not done: %s", seed, id, describe(sim, j))
+		}
+	}
 }
 
 // TestNoOverlapUnderLateCalls guards against two runs of a task of which one was started by an order that got no answer and
 // was carried out by the next boot of its worker.
 func TestNoOverlapUnderLateCalls(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		if sim, seed := playFaults(t, true); len(sim.overlaps) > 0 {
+		if sim, seed := playFaults(t, faultOptions{outlives: true}); len(sim.overlaps) > 0 {
 			t.Fatalf("seed %d: %d overlaps, first: %s", seed, len(sim.overlaps), sim.overlaps[0])
 		}
 	})
@@ -175,7 +206,7 @@
 // got no answer and was carried out by the next boot of its worker, before the worker was told to refuse it.
 func TestInvariantsUnderLateCalls(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		if sim, seed := playFaults(t, true); len(sim.violations) > 0 {
+		if sim, seed := playFaults(t, faultOptions{outlives: true}); len(sim.violations) > 0 {
 			t.Fatalf("seed %d: %d violations, first: %s", seed, len(sim.violations), sim.violations[0])
 		}
 	})
--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -39,6 +39,8 @@
 	violations []string
 	// overlaps are the violations by two runs of a task at the same time.
 	overlaps []string
+	// maxSkew is the largest difference between a host's time of day and the simulated time.
+	maxSkew time.Duration
 	// outlives is set if calls that a worker carries out late outlive its restart.
 	outlives bool
 	// storeDown is set while nothing can be written to the log.
@@ -137,6 +139,8 @@
 	listed  map[string]fleet.Size
 	writing bool
 	stopped bool
+	// skew is added to the simulated time in the host's time of day.
+	skew time.Duration
 	// deposedAt is when a later leader began its term, the zero time before.
 	deposedAt time.Time
 }
@@ -251,7 +255,10 @@
 	for _, k := range slices.Sorted(maps.Keys(sim.log)) {
 		records = append(records, Record{Key: k, Value: sim.log[k]})
 	}
-	if errs := l.s.Restore(sim.now, sim.now, records, ordersUntil); len(errs) > 0 {
+	if sim.maxSkew > 0 {
+		l.skew = time.Duration(sim.rng.Int64N(int64(2*sim.maxSkew))) - sim.maxSkew
+	}
+	if errs := l.s.Restore(sim.now, sim.now.Add(l.skew), records, ordersUntil); len(errs) > 0 {
 		sim.recordViolation("restore: %v", errs)
 	}
 	sim.leader = l
@@ -744,7 +751,7 @@
 	var try func(left int)
 	try = func(left int) {
 		l := sim.leader
-		r := l.s.Submit(sim.now, Request{ID: id, Queue: queueName, Spec: spec, WallTime: sim.now})
+		r := l.s.Submit(sim.now, Request{ID: id, Queue: queueName, Spec: spec, WallTime: sim.now.Add(l.skew)})
 		sim.after(300*time.Millisecond, func() {
 			if l == sim.leader && r.Outcome == OutcomeAccepted && l.s.CommittedBatch() >= r.Batch {
 				sim.accepted[id] = true
--- a/internal/zone/dispatch/stop.go
+++ b/internal/zone/dispatch/stop.go
@@ -196,7 +196,7 @@
 			continue
 		}
 		s.recordEvent(Event{Kind: "stop unconfirmed", Task: k.task, Run: k.number, Worker: w.ID})
-		t := s.findTask(k.task)
+		t := s.reportedTask(now, k.task)
 		if t == nil {
 			w.blockFor(k, report.Clock)
 			s.addStop(stop{worker: w, key: k, reason: restoredStopReason})
