Count leases of a restarted worker from the last call for a former boot

Cause: leases that are granted by one clock and ended by another.

The change: while a worker runs something, its leases after a restart last until the longest lease after the last moment at which a call for a former boot may be carried out. Calls are counted by whether they were answered.

--- a/internal/zone/dispatch/repeat.go
+++ b/internal/zone/dispatch/repeat.go
@@ -161,9 +161,9 @@
 }
 
 // strayLeasesEnd returns the time from which the leases of a run have certainly expired that an unseen boot of its worker
-// may have started.
+// may have started. Calls that extend its leases may be on their way as well.
 func (s *Scheduler) strayLeasesEnd(r *run) time.Time {
-	return leaseEnd(r.starts.until(), s.longestLease(r.worker))
+	return leaseEnd(laterOf(r.starts.until(), r.worker.extensions.until()), s.longestLease(r.worker))
 }
 
 // isStray reports whether the run may be at work on a boot of its worker that has not been seen.
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -76,7 +76,8 @@
 		w.extensions.answer()
 	}
 	var kept []*run
-	if report.Boot != w.Boot {
+	restarted := report.Boot != w.Boot
+	if restarted {
 		kept = s.handleRestart(now, w, report)
 	}
 	s.withdrawLapse(bootID{w.ID, w.Boot}, "the same boot answered")
@@ -100,6 +101,9 @@
 	}
 	s.applyEnds(now, w, report.Ended)
 	s.applyRunning(now, w, report)
+	if restarted {
+		w.formerLeasesUntil = leaseEnd(w.callsUntil(), s.longestLease(w))
+	}
 	s.repeatUnlisted(w, kept)
 	w.recordProbes(now)
 	s.acquitSurvivors(w)
--- a/internal/zone/dispatch/restart_test.go
+++ b/internal/zone/dispatch/restart_test.go
@@ -298,6 +298,65 @@
 	})
 }
 
+// TestLateRenewalExtendsLeasesOfNextBoot guards against a task that starts elsewhere while its worker, which has restarted and
+// was lost, runs it under a lease that a renewal for the former boot has extended after the first report.
+func TestLateRenewalExtendsLeasesOfNextBoot(t *testing.T) {
+	Convey("A renewal gets no answer, and the next boot of the worker runs a task and is lost", t, func() {
+		s, start := newRestartScenario(leaseLimits())
+		now := simEpoch.Add(11 * time.Second)
+		s.PlanRenewal(now, start.Worker)
+		s.HandleRenewalFailure(now, start.Worker)
+		s.PlanRenewal(now, start.Worker)
+		s.HandleReport(now, Report{
+			Worker: start.Worker, Boot: 2, Clock: 100, Running: []RunReport{{Task: start.Task, Number: start.Run}},
+		})
+		for range 2 {
+			s.PlanRenewal(now, start.Worker)
+			s.HandleRenewalFailure(now, start.Worker)
+		}
+		commitAll(s)
+		// The renewal may be carried out at the last moment, and is shortened to the longest lease.
+		ends := maxCallDelay + leaseLimits().MaxLease
+		later := now.Add(ends)
+		answer(s, later, otherWorker(start))
+		So(recordedStartsOf(s, later), ShouldEqual, 0)
+		later = later.Add(time.Second)
+		answer(s, later, otherWorker(start))
+		So(recordedStartsOf(s, later), ShouldEqual, 1)
+	})
+}
+
+// TestStartOnUnseenBootOutlastsFormerLeases guards against a second run of a task whose start was carried out by a boot of its
+// worker that the leader had not noticed, and that is cut off before it has reported: its leases last longer than those of the
+// former boot.
+func TestStartOnUnseenBootOutlastsFormerLeases(t *testing.T) {
+	Convey("A worker restarts unnoticed, carries out a start and is cut off", t, func() {
+		at := func(d time.Duration) time.Time { return simEpoch.Add(10*time.Second + d) }
+		s, start := newRestartScenario(testLimits())
+		former := func(d time.Duration) Report {
+			return Report{Worker: start.Worker, Boot: 1, Clock: 11_000 + d.Milliseconds()}
+		}
+		s.PlanRenewal(at(0), start.Worker)
+		s.HandleReport(at(10*time.Millisecond), former(10*time.Millisecond))
+		s.PlanRenewal(at(10*time.Millisecond), start.Worker)
+		// The next boot has been up for 280 ms when the order arrives.
+		lapses := at(time.Second + testLimits().MaxLease)
+		s.HandleStartAnswer(at(time.Second), start, AnswerDone, 280)
+		for n := range 3 {
+			s.HandleRenewalFailure(at(time.Duration(n+2)*time.Second), start.Worker)
+			s.PlanRenewal(at(time.Duration(n+2)*time.Second), start.Worker)
+		}
+		So(restarts(s, start, lapses), ShouldEqual, 0)
+		Convey("and lists the end of the run when it is back", func() {
+			s.HandleReport(lapses, Report{Worker: start.Worker, Boot: 2, Clock: 6300, Ended: []EndReport{
+				{Serial: 1, Task: start.Task, Number: start.Run, Reason: EndLeaseExpired},
+			}})
+			commitAll(s)
+			So(restarts(s, start, lapses), ShouldEqual, 1)
+		})
+	})
+}
+
 // TestLeaseOfRestartedWorkerIsWaitedFor guards against a task that starts elsewhere while its worker, which has restarted
 // and was lost, runs it under a lease that was meant for the former boot.
 func TestLeaseOfRestartedWorkerIsWaitedFor(t *testing.T) {
--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -606,7 +606,7 @@
 	if sim.rng.Float64() < sim.delayRate {
 		accepts := func() bool { return sw.boot == boot && sw.serves(l) }
 		sim.executeLate(sw, accepts, func() {
-			if sw.boot == boot {
+			if sw.boot == boot || sim.outlives {
 				sim.executeRenewal(sw, plan)
 			}
 		})
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -175,6 +175,8 @@
 	extensions      inFlight
 	extending       bool
 	lateStartsUntil time.Time
+	// formerLeasesUntil is the time from which no lease lasts any more that a call for a former boot has extended.
+	formerLeasesUntil time.Time
 	// strays holds the runs that have ended, or were given up, and may yet be started by an order without an answer, each
 	// with the time from which none arrives any more.
 	strays map[runKey]time.Time
@@ -212,12 +214,15 @@
 }
 
 // leasesEndAt returns the time from which all runs on the worker have certainly ended, unless their leases are
-// extended.
+// extended. Calls for a former boot have nothing to extend where nothing runs.
 func (w *Worker) leasesEndAt() time.Time {
 	earlier := w.passedAt(w.earlierLease)
 	if w.earlierUntil.Before(earlier) {
 		earlier = w.earlierUntil
 	}
+	if len(w.runs) > 0 {
+		earlier = laterOf(earlier, w.formerLeasesUntil)
+	}
 	return laterOf(w.passedAt(w.leaseUntil), earlier)
 }
 
