End the renewal that waits for the former boot of a restarted worker

Cause: only a report shows what a boot runs, and the next one was asked for after the renewal that waited for the former boot had timed out (2 s and 0.6 s).

Evidence: TestRestartIsNoticedAtOnce fails before: no further renewal within a second of the worker's new entry.

Ruled out: a slow list of workers (read each 0.5 s).

The change: once the list or the answer to a start tells of another boot, the renewal in progress is cancelled, and the next one asks which boot answers.

--- a/internal/host/entry/orders.go
+++ b/internal/host/entry/orders.go
@@ -120,6 +120,7 @@
 	switch o.Kind {
 	case dispatch.OrderStart:
 		t.scheduler.HandleStartAnswer(now, o, a, clock)
+		t.cancelFormerRenewal(o.Worker)
 	case dispatch.OrderStop:
 		t.scheduler.HandleStopAnswer(now, o, a, clock)
 	case dispatch.OrderPace:
@@ -186,6 +187,7 @@
 	present := map[string]struct{}{}
 	for _, r := range changes.Listed {
 		t.scheduler.SetWorker(now, r)
+		t.cancelFormerRenewal(r.ID)
 		present[r.ID] = struct{}{}
 	}
 	for _, id := range changes.Invalid {
@@ -243,13 +245,27 @@
 	}
 }
 
+// cancelFormerRenewal cancels the lease renewal in progress of a worker that has restarted. It may wait for an answer of the
+// former boot until it times out, and the next one shows what the present boot runs. t.mu must be held.
+func (t *term) cancelFormerRenewal(id string) {
+	if cancel := t.renewals[id]; cancel != nil && t.scheduler.IsBootUnknown(id) {
+		cancel()
+	}
+}
+
 // renewLeasesOnce sends one lease renewal and waits until the ends of runs in its report are durable.
 func (t *term) renewLeasesOnce(plan dispatch.LeaseRenewal) {
 	ctx, cancel := context.WithTimeout(t.ctx, plan.Wait+leaseRenewalMargin)
+	if plan.Boot != 0 {
+		t.mu.Lock()
+		t.renewals[plan.Worker] = cancel
+		t.mu.Unlock()
+	}
 	report, err := t.host.workers.RenewLeases(ctx, plan, t.permit)
 	cancel()
 	now := t.host.clock.Now()
 	t.mu.Lock()
+	delete(t.renewals, plan.Worker)
 	if err != nil {
 		if t.host.cfg.IsWorkerRestart != nil && t.host.cfg.IsWorkerRestart(err) {
 			t.scheduler.HandleRenewalRestart(plan.Worker)
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -67,13 +67,16 @@
 	// previousOrdersUntil is the latest time at which the previous leader may send an order. begin sets it.
 	previousOrdersUntil time.Time
 
-	// mu guards scheduler, batchCommitted and leaseLoops.
+	// mu guards scheduler, batchCommitted, leaseLoops and renewals.
 	mu        sync.Mutex
 	scheduler *dispatch.Scheduler
 	// batchCommitted is closed and replaced whenever a batch has become durable.
 	batchCommitted chan struct{}
 	// leaseLoops holds the IDs of the workers that have a lease loop.
 	leaseLoops map[string]struct{}
+	// renewals holds the functions that cancel the lease renewals in progress, by the ID of the worker, without those that
+	// ask which boot answers.
+	renewals map[string]context.CancelFunc
 	// ready is closed once the state has been restored.
 	ready chan struct{}
 
@@ -102,7 +105,8 @@
 	t := &term{
 		host: h, claim: claim, ctx: ctx, cancel: cancel, startedAt: h.clock.Now(),
 		batchCommitted: make(chan struct{}), leaseLoops: map[string]struct{}{},
-		ready: make(chan struct{}), idleSenders: make(chan dispatch.Order),
+		renewals: map[string]context.CancelFunc{},
+		ready:    make(chan struct{}), idleSenders: make(chan dispatch.Order),
 		wakeDecisions: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), wakeRenewal: make(chan struct{}, 1),
 		scheduler: dispatch.New(h.cfg.Limits, claim.Token(), claim.Serial),
 		log:       h.logger("leader").WithField("token", claim.Token()),
--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -130,6 +130,12 @@
 	}
 }
 
+// IsBootUnknown reports whether another boot of the worker than the known one is listed or has answered.
+func (s *Scheduler) IsBootUnknown(id string) bool {
+	w := s.workers[id]
+	return w != nil && w.bootUnknown
+}
+
 // HandleRenewalFailure notes that a lease renewal got no answer. That the worker has closed the connection, or refuses a
 // new one, says nothing about its runs: it may close its address before it ends them.
 func (s *Scheduler) HandleRenewalFailure(now time.Time, id string) {
