Keep the cancellation of a job that is not known yet

Cause: a frozen host held the submissions unread, their callers gave up and cancelled at another host, and the cancel of an unknown job left no trace. The class: an answer about the present that its caller takes as a promise.

Ruled out: another leader, and the deadline of the request at the host that wakes: nothing tells it when the request was sent.

A submission with that ID is refused, with the time after which it would be taken. It is not run, so that the refusal is true.

What remains: a submission that lies unread for longer.

--- a/internal/zone/dispatch/bounds.go
+++ b/internal/zone/dispatch/bounds.go
@@ -142,6 +142,9 @@
 // removeJob forgets a job with all its tasks.
 func (s *Scheduler) removeJob(j *Job) {
 	s.taskCount -= j.taskCount()
+	if j.isDenied() {
+		s.denied--
+	}
 	delete(s.jobs, j.id)
 	delete(s.recurring, j)
 }
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -99,6 +99,10 @@
 	runNumberBase int
 
 	jobs map[string]*Job
+	// denied is the number of the jobs that were cancelled before they were submitted.
+	denied int
+	// wallOffset is the host's wall clock minus the time of the boot clock, when the state was restored.
+	wallOffset time.Duration
 	// taskCount is the number of tasks of all jobs in memory.
 	taskCount int
 	workers   map[string]*Worker
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -22,7 +22,7 @@
 	StateCancelled State = "cancelled"
 )
 
-// Job is an accepted job.
+// Job is an accepted job, or one that was cancelled before it was submitted, see stateDenied.
 type Job struct {
 	id       string
 	queue    string
@@ -219,7 +219,9 @@
 
 // Submit accepts or refuses a job. A job that is already known gets the same answer as the first time.
 func (s *Scheduler) Submit(now time.Time, r Request) Reply {
-	if j, ok := s.jobs[r.ID]; ok {
+	if j, ok := s.jobs[r.ID]; ok && j.isDenied() {
+		return s.refuseDenied(now, j)
+	} else if ok {
 		return Reply{Outcome: OutcomeAccepted, Batch: j.acceptedBatch}
 	}
 	q, ok := s.catalog.Queues[r.Queue]
@@ -381,7 +383,10 @@
 func (s *Scheduler) Cancel(now time.Time, id string) Reply {
 	j, ok := s.jobs[id]
 	if !ok {
-		return Reply{Outcome: OutcomeUnknownJob}
+		return s.deny(now, id)
+	}
+	if j.isDenied() {
+		return Reply{Outcome: OutcomeUnknownJob, Batch: j.finalBatch}
 	}
 	if !j.isFinal() {
 		s.close(now, j, StateCancelled)
@@ -410,7 +415,7 @@
 // JobStatus returns the state of a job as far as it is durable.
 func (s *Scheduler) JobStatus(id string) Reply {
 	j, ok := s.jobs[id]
-	if !ok {
+	if !ok || j.isDenied() {
 		return Reply{Outcome: OutcomeUnknownJob}
 	}
 	r := Reply{Outcome: OutcomeAccepted, Batch: j.acceptedBatch, State: StateQueued}
@@ -513,8 +518,8 @@
 
 // HasJob reports whether the job was accepted.
 func (s *Scheduler) HasJob(id string) bool {
-	_, ok := s.jobs[id]
-	return ok
+	j, ok := s.jobs[id]
+	return ok && !j.isDenied()
 }
 
 // Withdraw removes a job that was not handed to the log yet. It returns false if the job may have been.
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -291,6 +291,7 @@
 // clock, with the recorded times to tell how old the jobs are. The previous leader gave no order after ordersUntil.
 // Malformed records are left out and returned as errors.
 func (s *Scheduler) Restore(now, wall time.Time, records []Record, ordersUntil time.Time) []error {
+	s.wallOffset = wall.Sub(now)
 	var errs []error
 	progress := map[string]progressRecord{}
 	for _, r := range records {
@@ -376,6 +377,9 @@
 		j.finalState = rec.FinalState
 		j.endedAt = now.Add(-max(0, wall.Sub(time.UnixMilli(rec.EndedWall))))
 		s.jobs[id] = j
+		if j.isDenied() {
+			s.denied++
+		}
 		return nil
 	}
 	s.jobs[id] = j
