Record the active members of a leader for the next one

Cause: a leader may go on for 30 s in an outage of the store, while the hosts that have pinged it lately report that the store doesn't answer them. A process that has just started has pinged nobody, so that it allowed for these 30 s, and for leases of 6 s after them, although the former leader waits for a report of just this host. The class: what a process knows of itself is taken for what is known.

Evidence: 'worker given up' comes 36 s after the term began.

Ruled out: the leases of the lost worker (6 s), and the record of leases, which only hands the bound on.

The change: a leader records its active members in the append of its renewal, when they change, and goes on in an outage only on the reports of hosts that each record lists which may be the newest one. A later leader that the record lists, or one that finds nobody listed, allows for 2.5 s only. The claim says that the term keeps the record, so that terms of earlier versions count as before. TestLeaderWithoutAnyStore waits until the other host is recorded, since one that has joined within a renewal (0.4 s) is no reporter yet.

--- a/internal/host/entry/outage_test.go
+++ b/internal/host/entry/outage_test.go
@@ -10,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"sassafraswind.example/sassafraswind/internal/stream/ledger"
 	"sassafraswind.example/sassafraswind/internal/zone/dispatch"
 	"sassafraswind.example/sassafraswind/internal/zone/leadership"
 )
@@ -33,7 +34,8 @@
 				Name: name, pingedAt: now.Add(-arrived), sentAfter: now.Add(-sent), storeAge: storeAge,
 			}
 		}
-		goesOn := func() bool { return h.storeSilentForOthers(now, outage) }
+		recorded := &reporters{names: []string{"b", "c"}}
+		goesOn := func() bool { return h.storeSilentForOthers(now, outage, recorded) }
 		Convey("it stops if there is no other host", func() {
 			So(goesOn(), ShouldBeFalse)
 		})
@@ -41,6 +43,10 @@
 			set("b", 100*time.Millisecond, 500*time.Millisecond, outage)
 			set("c", 100*time.Millisecond, 900*time.Millisecond, outage)
 			So(goesOn(), ShouldBeTrue)
+			Convey("unless the log lists none of them as active members", func() {
+				recorded.narrow([]string{"d"})
+				So(goesOn(), ShouldBeFalse)
+			})
 			Convey("until it answers one of them", func() {
 				set("c", 100*time.Millisecond, 500*time.Millisecond, time.Second)
 				So(goesOn(), ShouldBeFalse)
@@ -82,6 +88,10 @@
 	fenced  bool
 	// storeAnsweredAt is when the store last answered the other host.
 	storeAnsweredAt time.Time
+	// nearFrom is when the third host begins to ping the leader.
+	nearFrom time.Time
+	// restarts are the times at which the other host starts anew.
+	restarts []time.Time
 	// leaderStore, otherStore and link say when the leader reaches the store, the other host the store, and each the other.
 	// answers says when the answers of the store reach the leader.
 	leaderStore, answers, otherStore, link []interval
@@ -89,6 +99,8 @@
 	sentAt    time.Time
 	events    []modelEvent
 	busyUntil time.Time
+	// recorded is the newest record of active members in the log, recording the one that is sent with the renewal.
+	recorded, recording []string
 	// endedBy is when the leader has certainly given its last order, as the other host sees it once it leads.
 	endedBy time.Time
 }
@@ -108,12 +120,12 @@
 func newOutageModel(seed uint64) *outageModel {
 	m := &outageModel{rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), other: leadership.NewElector("other")}
 	m.clock = &fakeClock{m.now}
-	claim := leadership.Claim{Offset: 4, Name: "leader", Address: "a", Instance: "leader", Serial: 1}
+	claim := leadership.Claim{Offset: 4, Name: "leader", Address: "a", Instance: "leader", Serial: 1, Members: true}
 	m.host = &Host{
 		cfg: Config{Name: "leader", Limits: dispatch.Limits{MaxUnconfirmedTerm: 2500 * time.Millisecond}}, instance: "leader",
 		clock: m.clock, elector: leadership.NewElector("leader"), members: map[string]member{},
 	}
-	m.term = &term{host: m.host, ctx: context.Background(), claim: claim}
+	m.term = &term{host: m.host, ctx: context.Background(), claim: claim, reporters: &reporters{}}
 	m.term.confirmed.Store(make(chan struct{}))
 	m.term.recordConfirmation(m.now)
 	m.host.term = m.term
@@ -126,6 +138,10 @@
 		}
 		return out
 	}
+	m.nearFrom = m.now.Add(time.Duration(m.rng.IntN(2)*m.rng.IntN(3000)) * modelStep)
+	for range m.rng.IntN(3) {
+		m.restarts = append(m.restarts, m.now.Add(time.Duration(m.rng.IntN(4000))*modelStep))
+	}
 	m.leaderStore, m.otherStore, m.link = outage(2, 40*time.Second), outage(2, 20*time.Second), outage(3, 40*time.Second)
 	switch m.rng.IntN(4) {
 	case 0:
@@ -147,6 +163,15 @@
 	return m
 }
 
+// restart starts the other host anew. It knows nothing of before, and reads the leader's claim.
+func (m *outageModel) restart() {
+	if m.fenced {
+		return
+	}
+	m.other, m.stamp, m.busyUntil = leadership.NewElector("other"), 0, m.now
+	m.other.ObserveClaim(m.now, m.term.claim)
+}
+
 // isCut reports whether a path has failed.
 func (m *outageModel) isCut(path []interval) bool {
 	return slices.ContainsFunc(path, func(i interval) bool { return !m.now.Before(i.from) && m.now.Before(i.to) })
@@ -186,8 +211,10 @@
 			}
 			near := Ping{Name: "near", Instance: "near", Stamp: m.now.UnixNano()}
 			near.StoreAge = m.now.Sub(nearAnsweredAt)
-			if _, err := m.host.handlePeerPing(context.Background(), near); err != nil {
-				return m.now
+			if !m.now.Before(m.nearFrom) {
+				if _, err := m.host.handlePeerPing(context.Background(), near); err != nil {
+					return m.now
+				}
 			}
 			if !m.fenced && !m.isCut(m.leaderStore) {
 				m.renew()
@@ -196,6 +223,9 @@
 		if !m.isCut(m.otherStore) && m.rng.IntN(50) == 0 {
 			m.storeAnsweredAt = m.now
 		}
+		if slices.Contains(m.restarts, m.now) {
+			m.restart()
+		}
 		if m.endedBy.IsZero() && !m.now.Before(m.busyUntil) {
 			m.act()
 		}
@@ -211,8 +241,12 @@
 	if m.sentAt.IsZero() {
 		m.sentAt = m.now
 		m.renewal++
+		m.recording = m.host.activeMembers(m.now)
+		m.term.reporters.narrow(m.recording)
+		m.recorded = m.recording
 	}
 	if !m.isCut(m.answers) {
+		m.term.reporters.set(m.recording)
 		m.term.recordRenewal(m.sentAt, m.renewal)
 		m.sentAt = time.Time{}
 	}
@@ -238,22 +272,27 @@
 			return
 		}
 		m.busyUntil = m.now.Add(claimTimeout)
-		m.after(m.delay(), m.lead)
+		claimant := m.other
+		m.after(m.delay(), func() {
+			if claimant == m.other {
+				m.lead()
+			}
+		})
 	}
 }
 
 // ping sends a ping to the leader, whose answer may arrive too late.
 func (m *outageModel) ping() {
-	sentAt := m.now
+	sentAt, other := m.now, m.other
 	p := Ping{Name: "other", Instance: "other", StoreAge: m.now.Sub(m.storeAnsweredAt), Stamp: m.stamp}
-	m.other.RecordPing(m.now)
+	other.RecordPing(m.now)
 	if m.isCut(m.link) {
 		if m.rng.IntN(2) == 0 {
-			m.other.RecordRefusal(m.now, 4)
+			other.RecordRefusal(m.now, 4)
 			return
 		}
 		m.busyUntil = m.now.Add(pingTimeout)
-		m.after(pingTimeout, m.other.RecordSilence)
+		m.after(pingTimeout, other.RecordSilence)
 		return
 	}
 	m.busyUntil = m.now.Add(pingTimeout)
@@ -268,15 +307,19 @@
 				return
 			}
 			answered = true
-			m.busyUntil = m.now
-			m.other.RecordAnswer(m.now, sentAt, 4)
-			m.other.RecordPingAnswer(m.now, sentAt, r.Renewal)
-			m.stamp = max(m.stamp, r.Stamp)
+			if other == m.other {
+				m.busyUntil = m.now
+			}
+			other.RecordAnswer(m.now, sentAt, 4)
+			other.RecordPingAnswer(m.now, sentAt, r.Renewal)
+			if other == m.other {
+				m.stamp = max(m.stamp, r.Stamp)
+			}
 		})
 	})
 	m.after(pingTimeout, func() {
 		if !answered {
-			m.other.RecordSilence()
+			other.RecordSilence()
 		}
 	})
 }
@@ -287,7 +330,11 @@
 		return
 	}
 	m.fenced = true
+	entries := []ledger.Entry{{Record: ledger.Record{Key: membersKey, Value: encodeMembers(m.term.claim, m.recorded)}}}
 	m.other.ObserveClaim(m.now, leadership.Claim{Offset: 5, Name: "other", Instance: "other", Serial: 2})
+	if needsHost(m.term.claim, entries, "other") {
+		m.other.RecordPredecessorNeedsHost(5)
+	}
 	m.endedBy = m.other.PredecessorEnd(m.now, m.host.cfg.Limits.MaxUnconfirmedTerm, m.renewal)
 }
 
@@ -328,6 +375,12 @@
 			}
 		})
 		So(eventually(10*time.Second, b.Ready), ShouldBeTrue)
+		// A host that has joined since the last renewal is no active member yet.
+		So(eventually(2*time.Second, func() bool {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return a.term != nil && a.term.reporters.includes("b")
+		}), ShouldBeTrue)
 		for _, s := range stores {
 			s.cut.Store(true)
 		}
--- a/internal/host/entry/renew.go
+++ b/internal/host/entry/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"sassafraswind.example/sassafraswind/internal/stream/ledger"
@@ -54,7 +55,7 @@
 	}
 	sinceConfirmed := t.sinceConfirmed(now)
 	return sinceConfirmed < t.host.cfg.Limits.MaxUnconfirmedTerm ||
-		(sinceConfirmed < leadership.MaxOutage && t.host.storeSilentForOthers(now, sinceConfirmed))
+		(sinceConfirmed < leadership.MaxOutage && t.host.storeSilentForOthers(now, sinceConfirmed, t.reporters))
 }
 
 // isStoreSilent reports whether the last renewal that the store answered was sent more than storeSilenceThreshold ago.
@@ -66,13 +67,22 @@
 // this one, or if a stronger host can lead.
 func (t *term) renewClaim(w *ledger.Writer) {
 	value := []byte(renewalValue(t.claim))
+	var recorded []string
 	t.run(func() {
 		for t.ctx.Err() == nil {
 			sentAt := t.host.clock.Now()
-			if err := w.Write(t.ctx, []ledger.Record{{Key: renewalKey, Value: value}}); err != nil {
+			members := t.host.activeMembers(sentAt)
+			records := []ledger.Record{{Key: renewalKey, Value: value}}
+			if !slices.Equal(members, recorded) {
+				records = append([]ledger.Record{{Key: membersKey, Value: encodeMembers(t.claim, members)}}, records...)
+			}
+			t.reporters.narrow(members)
+			if err := w.Write(t.ctx, records); err != nil {
 				t.loseLeadership(err)
 				return
 			}
+			recorded = members
+			t.reporters.set(members)
 			t.recordRenewal(sentAt, w.End())
 			// After a repeated append the term is confirmed as of long ago, so that the next renewal follows at once.
 			if t.host.clock.Now().Sub(sentAt) <= ledger.CallTimeout {
@@ -172,8 +182,8 @@
 const maxStatusAge = 1500 * time.Millisecond
 
 // storeSilentForOthers reports whether every active member has recently reported that the store does not answer it either.
-// There must be at least one report. sinceConfirmed is the time since the leader's last renewal.
-func (h *Host) storeSilentForOthers(now time.Time, sinceConfirmed time.Duration) bool {
+// There must be at least one report of a reporter. sinceConfirmed is the time since the leader's last renewal.
+func (h *Host) storeSilentForOthers(now time.Time, sinceConfirmed time.Duration, r *reporters) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	anyReported := false
@@ -185,7 +195,7 @@
 		if now.Sub(m.sentAfter) > maxStatusAge || m.storeAge+since < sinceConfirmed-leadership.RenewInterval {
 			return false
 		}
-		anyReported = true
+		anyReported = anyReported || r.includes(m.Name)
 	}
 	return anyReported
 }
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -95,6 +95,8 @@
 	confirmed atomic.Value
 	// recordsLeftOut is set once the log has permanently rejected a record of the state.
 	recordsLeftOut atomic.Bool
+	// reporters are the hosts on whose reports the term may go on in an outage.
+	reporters *reporters
 	// renewal is the position of the term's newest renewal in the log, 0 if there is none.
 	renewal atomic.Int64
 }
@@ -105,8 +107,8 @@
 	t := &term{
 		host: h, claim: claim, ctx: ctx, cancel: cancel, startedAt: h.clock.Now(),
 		batchCommitted: make(chan struct{}), leaseLoops: map[string]struct{}{},
-		renewals: map[string]context.CancelFunc{},
-		ready:    make(chan struct{}), idleSenders: make(chan dispatch.Order),
+		renewals: map[string]context.CancelFunc{}, reporters: &reporters{},
+		ready: make(chan struct{}), idleSenders: make(chan dispatch.Order),
 		wakeDecisions: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1), wakeRenewal: make(chan struct{}, 1),
 		scheduler: dispatch.New(h.cfg.Limits, claim.Token(), claim.Serial),
 		log:       h.logger("leader").WithField("token", claim.Token()),
@@ -190,6 +192,9 @@
 		t.log.WithError(err).Warn("Can't read the previous leader's renewals; it may have renewed until now")
 		newest = -1
 	}
+	if err := t.readReliance(ctx, predecessor); err != nil {
+		t.log.WithError(err).Warn("Can't read the previous leader's active members; it may go on in an outage")
+	}
 	t.host.mu.Lock()
 	defer t.host.mu.Unlock()
 	return t.host.elector.PredecessorEnd(t.host.clock.Now(), t.host.cfg.Limits.MaxUnconfirmedTerm, newest)
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -257,7 +257,7 @@
 		h.claiming = false
 		h.mu.Unlock()
 	}()
-	c := leadership.Claim{Name: h.cfg.Name, Address: h.cfg.PeerAddress, Instance: h.instance, Serial: last.Serial + 1}
+	c := leadership.Claim{Name: h.cfg.Name, Address: h.cfg.PeerAddress, Instance: h.instance, Serial: last.Serial + 1, Members: true}
 	value, err := msgpack.Marshal(&c)
 	if err != nil {
 		h.logger("leadership").WithError(err).Error("Can't encode a claim")
--- a/internal/zone/leadership/leadership.go
+++ b/internal/zone/leadership/leadership.go
@@ -37,8 +37,8 @@
 )
 
 // A leader may go on for a while although the store does not answer it, as long as it does not answer the active members
-// either: the hosts that have pinged the leader lately. Any other host that claims allows for the orders that the leader
-// may give until MaxOutage.
+// either: the hosts that have pinged the leader lately. A host that claims allows for the orders that the leader may give
+// until MaxOutage, unless it has pinged the leader, or the leader's record of its active members lists the host, or nobody.
 const (
 	// MaxOutage is the longest time for which a leader gives orders without an answer from the store.
 	MaxOutage = 30 * time.Second
@@ -59,6 +59,9 @@
 	Instance string
 	// Serial is the number of the claim, counted from 1.
 	Serial int
+	// Members is set if the term records its active members with its renewals, and goes on in an outage only on the reports
+	// of these. Terms of earlier versions don't.
+	Members bool
 }
 
 // Token returns the fencing token of the claim's term.
@@ -117,6 +120,8 @@
 	predecessorEndedAt, predecessorRenewedAt time.Time
 	predecessorReachedAt                     time.Time
 	predecessorRenewal                       int64
+	// predecessorNeedsHost is set if the leader before the present one goes on in an outage with a report of this host only.
+	predecessorNeedsHost bool
 	// claimedAt is when this host last sent a claim.
 	claimedAt time.Time
 	// claimsDisabled is set once this host must not claim any more. yieldUntil is until when it leaves the claim to
@@ -143,7 +148,7 @@
 // was certain to have ended, or else maxUnconfirmedTerm after its last renewal was first seen or reported. The newest
 // renewal is that in the log after the leader was fenced, -1 if it is not known, and 0 if the leader has written none. If
 // it is not the last that was seen, the leader may have confirmed its term until now. A leader of which this host may not
-// have been an active member may go on for MaxOutage.
+// have been an active member may go on for MaxOutage, unless RecordPredecessorNeedsHost was called.
 func (e *Elector) PredecessorEnd(now time.Time, maxUnconfirmedTerm time.Duration, newestRenewal int64) time.Time {
 	if !e.predecessorEndedAt.IsZero() {
 		return e.predecessorEndedAt
@@ -152,12 +157,21 @@
 	if renewedAt.IsZero() || newestRenewal <= 0 || newestRenewal != e.predecessorRenewal {
 		renewedAt = now
 	}
-	if e.predecessorReachedAt.Before(renewedAt.Add(clockMargin - MemberTimeout)) {
+	if !e.predecessorNeedsHost && e.predecessorReachedAt.Before(renewedAt.Add(clockMargin-MemberTimeout)) {
 		return renewedAt.Add(MaxOutage + clockMargin)
 	}
 	return renewedAt.Add(maxUnconfirmedTerm)
 }
 
+// RecordPredecessorNeedsHost records that the leader before the claim at the offset goes on in an outage with a report of this
+// host only, or not at all, by its newest record of active members. A report counts for less than maxUnconfirmedTerm, and this
+// process has seen the leader's claim since it started.
+func (e *Elector) RecordPredecessorNeedsHost(offset int64) {
+	if offset == e.claim.Offset {
+		e.predecessorNeedsHost = true
+	}
+}
+
 // Claim returns the newest claim that was seen.
 func (e *Elector) Claim() Claim { return e.claim }
 
@@ -183,6 +197,7 @@
 	e.predecessor = e.claim
 	e.predecessorEndedAt, e.predecessorRenewedAt, e.predecessorRenewal = e.vacantSince, e.renewalSeenAt, e.renewal
 	e.predecessorReachedAt = e.reachedAt
+	e.predecessorNeedsHost = false
 	e.claim = c
 	e.reachedAt = time.Time{}
 	e.answeredAt, e.vacantSince = now, time.Time{}
