Look for the replacement of a lost worker once

Each decision compared every lost worker with a late start to all workers. That is known when its leases lapse, and noteReplacement tells of those that follow. No change of behaviour; found by reading the diff for the load of large fleets.

--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -248,6 +248,9 @@
 		Kind: EventWorkerEnded, Worker: w.ID, Reason: reason, Age: w.sinceAnswer(now),
 		ConfirmationAge: now.Sub(s.confirmedAt),
 	})
+	if s.isReplaced(w) {
+		w.endCalls(now)
+	}
 	s.loseRuns(now, w, reason)
 	delete(s.unaccounted, w.ID)
 	delete(s.backlogged, w)
--- a/internal/zone/dispatch/repeat.go
+++ b/internal/zone/dispatch/repeat.go
@@ -173,9 +173,6 @@
 
 // loseStrays ends the runs of a worker whose leases have expired, except for those that an unseen boot may have.
 func (s *Scheduler) loseStrays(now time.Time, w *Worker) {
-	if s.isReplaced(w) {
-		w.endCalls(now)
-	}
 	for _, r := range s.runsOf(w) {
 		if !s.isStray(r) {
 			s.loseRun(now, r, reasonLeaseLapsed)
