Carry late calls over to the next boot in the stand-in

The stand-in ended late calls with the boot of the worker that had accepted them. The users have answered that a worker which is back under its ID takes calls that were meant for its former life. TestLateCallReachesNextBoot fails before.

Ruled out: calls that are not late; the connection to the former boot ends with it.

--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -18,7 +18,7 @@
 	// Lose means that calls with the method POST take effect and get no response.
 	Lose bool `json:"lose"`
 	// Late means that calls with the method POST get no response and take effect after a random time between Late and
-	// lateSpread times Late, unless the server has ended by then.
+	// lateSpread times Late, unless the server has ended by then. A worker that has restarted under its ID carries them out.
 	Late time.Duration `json:"late"`
 	// Share is the share of the calls that have the faults. Zero stands for all.
 	Share float64 `json:"share"`
@@ -84,6 +84,11 @@
 // withFaults returns a handler that reads the body and carries out the request under the faults of the name at the time
 // at which it arrived.
 func withFaults(t *faultTable, name string, next bodyHandler) http.HandlerFunc {
+	return withLateFaults(t, name, next, next)
+}
+
+// withLateFaults is withFaults with another handler for requests that take effect late.
+func withLateFaults(t *faultTable, name string, next, late bodyHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 		if err != nil {
@@ -97,8 +102,12 @@
 		// The request is carried out even if its caller has disconnected meanwhile.
 		time.Sleep(f.Delay)
 		if (f.Lose || f.Late > 0) && r.Method == http.MethodPost {
+			carryOut := next
+			if f.Late > 0 {
+				carryOut = late
+			}
 			time.Sleep(f.Late)
-			next(discardWriter{header: http.Header{}}, r, body)
+			carryOut(discardWriter{header: http.Header{}}, r, body)
 			hang(r)
 		}
 		next(w, r, body)
--- a/internal/standin/platform/faults_test.go
+++ b/internal/standin/platform/faults_test.go
@@ -169,3 +169,25 @@
 		So(string(p.store.newest(partitionID{topic: workerTopic}, "").Items[0].Value), ShouldNotBeEmpty)
 	})
 }
+
+// TestLateCallReachesNextBoot guards against a stand-in that ends late calls with the boot that has accepted them, so that no
+// test sees them act on the next one.
+func TestLateCallReachesNextBoot(t *testing.T) {
+	Convey("A worker restarts under its ID while an order is late", t, func() {
+		f := newFaultFixture(t)
+		f.faults.set([]string{"a"}, Faults{Late: 200 * time.Millisecond}, f.now)
+		So(f.post(t, "/run-start", orderBody{Task: "j.0.2.0", RunID: 1, Spec: "s", UntilMs: 60_000}), ShouldEqual, 0)
+		next := &worker{
+			life: life{id: "a", boot: f.a.boot + 1}, recorder: f.recorder, startedAt: time.Now(), clockStart: 1, clockRate: 1,
+			runs: map[runKey]*run{}, closed: map[string]int{}, changed: make(chan struct{}),
+		}
+		f.recorder.workerUp(next)
+		f.a.next.Store(next)
+		f.a.leave(time.Now())
+		So(eventually(2*time.Second, func() bool {
+			next.mu.Lock()
+			defer next.mu.Unlock()
+			return len(next.runs) == 1
+		}), ShouldBeTrue)
+	})
+}
--- a/internal/standin/platform/pool.go
+++ b/internal/standin/platform/pool.go
@@ -72,6 +72,8 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	members []*member
+	// boots holds the newest boot of each worker, by ID.
+	boots map[string]*worker
 	// added is the number of workers that were ever added, lastBoot the boot of the newest worker.
 	added    int
 	lastBoot int64
@@ -101,7 +103,7 @@
 func newPool(cfg Config, s *store, t *faultTable, c *connTable, r *recorder, log logrus.FieldLogger) *pool {
 	return &pool{
 		cfg: cfg, store: s, faults: t, conns: c, recorder: r, log: log, rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
-		removals: map[string]time.Time{},
+		removals: map[string]time.Time{}, boots: map[string]*worker{},
 	}
 }
 
@@ -149,6 +151,10 @@
 		p.recorder.workerGone(w.life)
 		return err
 	}
+	if former := p.boots[id]; former != nil {
+		former.next.Store(w)
+	}
+	p.boots[id] = w
 	m := &member{worker: w, server: srv}
 	p.members = append(p.members, m)
 	delete(p.removals, id)
--- a/internal/standin/platform/worker.go
+++ b/internal/standin/platform/worker.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -100,6 +101,16 @@
 	changed chan struct{}
 	// gone is set when the worker has left or crashed.
 	gone bool
+	// next is the next boot under the same ID, nil if there is none.
+	next atomic.Pointer[worker]
+}
+
+// present returns the newest boot of the worker.
+func (w *worker) present() *worker {
+	for next := w.next.Load(); next != nil; next = w.next.Load() {
+		w = next
+	}
+	return w
 }
 
 // clock returns the worker's clock in milliseconds.
