Forget unanswered starts that are confirmed, and keep listed strays

What callers would see: after a change of leader a long-running task whose start got no answer at first, and was listed since, counted as possibly started by a late order: if its worker was lost, it was away for 18 s instead of 6 (LOST). And a run that a late order had started, of a task that waited for just that, was adopted and stopped at once.

Cause: the record of an unanswered start lasted until the run ended, although a report had settled it; and the refusals for the next boot were collected before its first report was applied.

Ruled out: a lost removal of the record (there was none before the run's end).

The change: a report that settles the start removes its record; runs that the first report lists are not refused; a run that is renewed at a restart is recorded like the one before. TestConfirmedStartIsNotRecordedAsUnanswered and TestListedStrayIsNotStopped fail before.

--- a/internal/zone/dispatch/repeat.go
+++ b/internal/zone/dispatch/repeat.go
@@ -249,13 +249,17 @@
 	}
 }
 
-// barStrays has the worker's present boot refuse the runs of its former ones that have ended or were given up.
+// barStrays has the worker's present boot refuse the runs of its former ones that have ended or were given up. One that it
+// has listed is adopted, or being stopped.
 func (s *Scheduler) barStrays(now time.Time, w *Worker) {
 	w.expireStrays(now)
 	keys := slices.SortedFunc(maps.Keys(w.strays), func(a, b runKey) int {
 		return cmp.Or(cmp.Compare(a.task, b.task), cmp.Compare(a.number, b.number))
 	})
 	for _, k := range keys {
+		if w.runs[k] != nil {
+			continue
+		}
 		s.bars = append(s.bars, &bar{worker: w, boot: w.Boot, key: k, until: w.strays[k]})
 	}
 }
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -102,6 +102,7 @@
 	s.applyEnds(now, w, report.Ended)
 	s.applyRunning(now, w, report)
 	if restarted {
+		s.barStrays(now, w)
 		w.formerLeasesUntil = leaseEnd(w.callsUntil(), s.longestLease(w))
 	}
 	s.repeatUnlisted(w, kept)
@@ -290,6 +291,9 @@
 func (s *Scheduler) applyProgress(now time.Time, r *run, rr *RunReport, clock int64) {
 	r.confirm(clock)
 	r.starts.settle()
+	if !now.Before(r.starts.until()) {
+		s.deleteUnanswered(r)
+	}
 	if rr.Checkpoint != "" {
 		r.task.checkpoint = rr.Checkpoint
 	}
--- a/internal/zone/dispatch/restart.go
+++ b/internal/zone/dispatch/restart.go
@@ -39,7 +39,6 @@
 	}
 	delete(s.unaccounted, w.ID)
 	delete(s.backlogged, w)
-	s.barStrays(now, w)
 	return kept
 }
 
@@ -68,6 +67,7 @@
 	}
 	delete(r.worker.strays, runKey{r.task.name, r.number})
 	r.attach()
+	s.recordUnanswered(now, r)
 	return r
 }
 
--- a/internal/zone/dispatch/restart_test.go
+++ b/internal/zone/dispatch/restart_test.go
@@ -192,6 +192,47 @@
 	})
 }
 
+// TestConfirmedStartIsNotRecordedAsUnanswered guards against a task that is away for longer after a change of leader because the
+// log still holds that its start, confirmed long ago, got no answer.
+func TestConfirmedStartIsNotRecordedAsUnanswered(t *testing.T) {
+	Convey("A start gets no answer, and its worker lists the run", t, func() {
+		s, start := newRestartScenario(testLimits())
+		log := map[string]Record{}
+		now := simEpoch.Add(11 * time.Second)
+		s.HandleStartAnswer(now, start, AnswerMissing, 0)
+		commitTo(s, log)
+		So(log[prefixUnanswered+start.Task].Value, ShouldNotBeEmpty)
+		answer(s, now, start.Worker, RunReport{Task: start.Task, Number: start.Run})
+		commitTo(s, log)
+		So(log[prefixUnanswered+start.Task].Value, ShouldBeEmpty)
+	})
+}
+
+// TestListedStrayIsNotStopped guards against a run that is stopped although its task waits: a late order has started it on the
+// next boot of its worker.
+func TestListedStrayIsNotStopped(t *testing.T) {
+	Convey("A start is repeated, its run fails, and the first order reaches the next boot", t, func() {
+		s, start := newRestartScenario(testLimits())
+		now := simEpoch.Add(12 * time.Second)
+		s.HandleStartAnswer(now.Add(-time.Second), start, AnswerMissing, 0)
+		answer(s, now, otherWorker(start))
+		answer(s, now, start.Worker)
+		So(s.Decide(now, now), ShouldHaveLength, 1)
+		now = now.Add(time.Second)
+		s.HandleReport(now, Report{Worker: start.Worker, Boot: 1, Clock: 14_000, Ended: []EndReport{
+			{Serial: 1, Task: start.Task, Number: start.Run, Reason: EndFailed},
+		}})
+		commitAll(s)
+		So(s.Decide(now, now), ShouldBeEmpty)
+		s.HandleReport(now, Report{Worker: start.Worker, Boot: 2, Clock: 100, Running: []RunReport{
+			{Task: start.Task, Number: start.Run},
+		}})
+		commitAll(s)
+		So(s.Decide(now, now), ShouldBeEmpty)
+		So(s.findTask(start.Task).runs, ShouldHaveLength, 1)
+	})
+}
+
 // TestUnansweredStartOutlivesItsLeader guards against two runs of a task of which one was started by an order of a former
 // leader that got no answer and was carried out by the next boot of its worker.
 func TestUnansweredStartOutlivesItsLeader(t *testing.T) {
