Take a member that follows the next leader for the end of its reports

Cause: the former leader had led for 0.1 s. Some hosts had pinged it by then and stood in its record, and its successor was none of them, so that this allowed for 30 s of orders on the reports of the others, all of which were following it.

The change: a host that pings a leader follows its claim, and reports to no earlier leader. A recorded member of the predecessor that pings the leader bounds the predecessor's orders by the longest time for which its last report counts.

--- a/internal/host/entry/outage_test.go
+++ b/internal/host/entry/outage_test.go
@@ -88,8 +88,8 @@
 	fenced  bool
 	// storeAnsweredAt is when the store last answered the other host.
 	storeAnsweredAt time.Time
-	// nearFrom is when the third host begins to ping the leader.
-	nearFrom time.Time
+	// nearFrom is when the third host begins to ping the leader, followsAt when it has begun to ping the other host instead.
+	nearFrom, followsAt time.Time
 	// restarts are the times at which the other host starts anew.
 	restarts []time.Time
 	// leaderStore, otherStore and link say when the leader reaches the store, the other host the store, and each the other.
@@ -172,6 +172,16 @@
 	m.other.ObserveClaim(m.now, m.term.claim)
 }
 
+// follow has the third host follow the other one, which takes that for the end of the leader's reports.
+func (m *outageModel) follow() {
+	m.followsAt = m.now
+	next := &term{host: m.host, previousMembers: m.recorded}
+	next.recordFollower(m.now, "near")
+	if end := next.previousOrdersEnd(); !end.IsZero() && end.Before(m.endedBy) {
+		m.endedBy = end
+	}
+}
+
 // isCut reports whether a path has failed.
 func (m *outageModel) isCut(path []interval) bool {
 	return slices.ContainsFunc(path, func(i interval) bool { return !m.now.Before(i.from) && m.now.Before(i.to) })
@@ -211,7 +221,10 @@
 			}
 			near := Ping{Name: "near", Instance: "near", Stamp: m.now.UnixNano()}
 			near.StoreAge = m.now.Sub(nearAnsweredAt)
-			if !m.now.Before(m.nearFrom) {
+			if m.fenced && m.followsAt.IsZero() && m.rng.IntN(10) == 0 {
+				m.follow()
+			}
+			if !m.now.Before(m.nearFrom) && m.followsAt.IsZero() {
 				if _, err := m.host.handlePeerPing(context.Background(), near); err != nil {
 					return m.now
 				}
--- a/internal/host/entry/reporters.go
+++ b/internal/host/entry/reporters.go
@@ -15,7 +15,7 @@
 
 // A leader records its active members with its renewals, and goes on in an outage of the store only on the reports of hosts
 // that the record lists. So a host that claims knows from the record whether its predecessor can go on without it, also if
-// its process has just started and has never pinged that.
+// its process has just started and has never pinged that. Otherwise one of these hosts that follows it tells as much.
 
 // membersKey is the key of the record of active members in the log.
 const membersKey = "members"
@@ -86,11 +86,11 @@
 	r.names = names
 }
 
-// needsHost reports whether a leader with the claim, of which the log holds these entries, goes on in an outage only with a
-// report of the named host, or not at all. The leader must be fenced.
-func needsHost(claim leadership.Claim, entries []ledger.Entry, name string) bool {
+// recordedMembers returns the active members of a fenced leader with the claim, of which the log holds these entries. It returns
+// false if the leader may go on in an outage on the reports of others.
+func recordedMembers(claim leadership.Claim, entries []ledger.Entry) (names []string, ok bool) {
 	if !claim.Members {
-		return false
+		return nil, false
 	}
 	for _, e := range entries {
 		var rec membersRecord
@@ -98,27 +98,53 @@
 			continue
 		}
 		if err := msgpack.Unmarshal(e.Value, &rec); err != nil {
-			return false
+			return nil, false
 		}
 		if rec.Token == claim.Token() {
-			return len(rec.Names) == 0 || slices.Contains(rec.Names, name)
+			return rec.Names, true
 		}
 	}
 	// The leader has recorded nobody.
-	return true
+	return nil, true
 }
 
-// readReliance reads whether the predecessor goes on in an outage only with a report of this host, and passes that to the
-// elector. It fails with the error of the store.
-func (t *term) readReliance(ctx context.Context, predecessor leadership.Claim) error {
+// needsHost reports whether a leader with the claim, of which the log holds these entries, goes on in an outage only with a
+// report of the named host, or not at all. The leader must be fenced.
+func needsHost(claim leadership.Claim, entries []ledger.Entry, name string) bool {
+	names, ok := recordedMembers(claim, entries)
+	return ok && (len(names) == 0 || slices.Contains(names, name))
+}
+
+// readPreviousMembers reads the active members of the predecessor, and whether that goes on in an outage only with a report of
+// this host. It fails with the error of the store.
+func (t *term) readPreviousMembers(ctx context.Context, predecessor leadership.Claim) error {
 	n, err := t.host.store.Newest(ctx, renewalPartition, "")
 	if err != nil {
 		return err
 	}
+	t.host.mu.Lock()
+	defer t.host.mu.Unlock()
+	t.previousMembers, _ = recordedMembers(predecessor, n.Entries)
 	if needsHost(predecessor, n.Entries, t.host.cfg.Name) {
-		t.host.mu.Lock()
-		defer t.host.mu.Unlock()
 		t.host.elector.RecordPredecessorNeedsHost(t.claim.Offset)
 	}
 	return nil
 }
+
+// recordFollower notes that the named host follows this leader. If it was an active member of the predecessor, that gets no
+// further report from it. Host.mu must be held.
+func (t *term) recordFollower(now time.Time, name string) {
+	if slices.Contains(t.previousMembers, name) {
+		t.followedAt.CompareAndSwap(0, now.UnixNano())
+	}
+}
+
+// previousOrdersEnd returns the time at which the predecessor certainly gives no more orders because one of its active members
+// follows this leader, the zero time if none does yet.
+func (t *term) previousOrdersEnd() time.Time {
+	at := t.followedAt.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, at).Add(t.host.cfg.Limits.MaxUnconfirmedTerm)
+}
--- a/internal/host/entry/reporters_test.go
+++ b/internal/host/entry/reporters_test.go
@@ -6,7 +6,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"sassafraswind.example/sassafraswind/internal/host/bootclock"
 	"sassafraswind.example/sassafraswind/internal/stream/ledger"
+	"sassafraswind.example/sassafraswind/internal/zone/dispatch"
 	"sassafraswind.example/sassafraswind/internal/zone/leadership"
 )
 
@@ -48,3 +50,23 @@
 		})
 	})
 }
+
+// TestFollowerEndsPredecessorsOrders guards against accepted work that waits for half a minute although a host on whose reports the
+// former leader depends follows the present one.
+func TestFollowerEndsPredecessorsOrders(t *testing.T) {
+	Convey("A leader whose predecessor had recorded another host gets its ping", t, func() {
+		h := &Host{
+			cfg: Config{Name: "b", Limits: dispatch.Limits{MaxUnconfirmedTerm: 2500 * time.Millisecond}}, clock: bootclock.Clock{},
+			members: map[string]member{},
+		}
+		h.term = &term{host: h, previousMembers: []string{"c"}}
+		ping := func(name string) {
+			_, err := h.handlePeerPing(t.Context(), Ping{Name: name})
+			So(err, ShouldBeNil)
+		}
+		ping("d")
+		So(h.term.previousOrdersEnd().IsZero(), ShouldBeTrue)
+		ping("c")
+		So(h.term.previousOrdersEnd(), ShouldHappenWithin, 3*time.Second, h.clock.Now())
+	})
+}
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -95,6 +95,10 @@
 	confirmed atomic.Value
 	// recordsLeftOut is set once the log has permanently rejected a record of the state.
 	recordsLeftOut atomic.Bool
+	// previousMembers are the recorded active members of the predecessor. Host.mu guards them.
+	previousMembers []string
+	// followedAt is when one of them was first seen to follow this leader, in nanoseconds of the boot clock, 0 if none was.
+	followedAt atomic.Int64
 	// reporters are the hosts on whose reports the term may go on in an outage.
 	reporters *reporters
 	// renewal is the position of the term's newest renewal in the log, 0 if there is none.
@@ -192,7 +196,7 @@
 		t.log.WithError(err).Warn("Can't read the previous leader's renewals; it may have renewed until now")
 		newest = -1
 	}
-	if err := t.readReliance(ctx, predecessor); err != nil {
+	if err := t.readPreviousMembers(ctx, predecessor); err != nil {
 		t.log.WithError(err).Warn("Can't read the previous leader's active members; it may go on in an outage")
 	}
 	t.host.mu.Lock()
@@ -209,7 +213,15 @@
 	if !predecessor.Known() || predecessor.Address == t.host.cfg.PeerAddress {
 		return
 	}
-	for now := t.host.clock.Now(); now.Before(t.previousOrdersUntil); now = t.host.clock.Now() {
+	until := t.previousOrdersUntil
+	for now := t.host.clock.Now(); now.Before(until); now = t.host.clock.Now() {
+		if end := t.previousOrdersEnd(); !end.IsZero() && end.Before(until) {
+			until = end
+			t.mu.Lock()
+			t.scheduler.EndPreviousOrders(end)
+			t.mu.Unlock()
+			t.log.WithField("leader", predecessor.Name).Info("A member of the previous leader follows this one")
+		}
 		if r, err := t.host.sendPing(t.ctx, predecessor.Address, now); err == nil && hasEnded(predecessor, r) {
 			endedAt := t.host.clock.Now()
 			t.mu.Lock()
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -395,6 +395,7 @@
 	h.members[p.Name] = m
 	r := PingResponse{Instance: h.instance, IsLeader: h.term != nil || h.claiming, Stamp: now.UnixNano()}
 	if h.term != nil {
+		h.term.recordFollower(now, p.Name)
 		r.ProbeStore = h.term.isStoreSilent(now)
 		r.Renewal = h.term.renewal.Load()
 	}
