Add the terms of teams to the catalog and to jobs

The manifest of a deployment can name tenants, which the code calls teams. Nothing kept the team of a job, so that no rule could hold it to its quota or share.

--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -80,6 +80,8 @@
 	Version uint64
 	// Queues holds the queues by name.
 	Queues map[string]Queue
+	// Teams holds the teams by name. Without teams, jobs belong to none and nothing is limited or shared by team.
+	Teams map[string]Team
 	// Guarded names the services whose workers refuse tasks for which they have no room.
 	Guarded map[string]bool
 	// Evacuated names the zones that get no new tasks. It is not read from the manifest; SetEvacuated sets it.
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -24,8 +24,10 @@
 
 // Job is an accepted job, or one that was cancelled before it was submitted, see stateDenied.
 type Job struct {
-	id       string
-	queue    string
+	id    string
+	queue string
+	// team is the name of the team for which the job was submitted, empty for none.
+	team     string
 	service  string
 	priority int
 	// maxAttempts is the largest integer while the settings of the queue are not known.
@@ -184,7 +186,9 @@
 type Request struct {
 	ID    string
 	Queue string
-	Spec  workflow.Spec
+	// Team is the name of the team for which the job is submitted, empty for none.
+	Team string
+	Spec workflow.Spec
 	// WallTime is the time by the host's wall clock, used only to tell a later leader how old the job is.
 	WallTime time.Time
 }
@@ -215,10 +219,15 @@
 	OutcomeUnknownJob
 	// OutcomeRejected means that the job was not accepted and never can be.
 	OutcomeRejected
+	// OutcomeTaken means that the job was not accepted, since a job of another team has its ID.
+	OutcomeTaken
 )
 
 // Submit accepts or refuses a job. A job that is already known gets the same answer as the first time.
 func (s *Scheduler) Submit(now time.Time, r Request) Reply {
+	if !s.IsVisible(r.ID, r.Team) {
+		return Reply{Outcome: OutcomeTaken, Reason: "the id is taken"}
+	}
 	if j, ok := s.jobs[r.ID]; ok && j.isDenied() {
 		return s.refuseDenied(now, j)
 	} else if ok {
@@ -229,7 +238,7 @@
 		return Reply{Outcome: OutcomeUnknownQueue}
 	}
 	j := s.newJob(r.ID, r.Queue, r.Spec, now, r.WallTime)
-	j.acceptedTerm = s.token
+	j.acceptedTerm, j.team = s.token, r.Team
 	s.applyQueue(j)
 	if refusal, refused := s.admit(j); refused {
 		s.recordEvent(Event{Kind: "refuse", Job: r.ID, Reason: refusal.Reason})
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -40,6 +40,8 @@
 	EndedWall int64
 	// Term is the fencing token of the term that accepted the job.
 	Term int64
+	// Team is the name of the job's team, empty for none.
+	Team string
 }
 
 // progressRecord is the progress of a job.
@@ -219,7 +221,9 @@
 // appendRecords appends the records of the job's present state to out.
 func (j *Job) appendRecords(out []Record) []Record {
 	if j.isFinal() {
-		rec := jobRecord{Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), FinalState: j.finalState}
+		rec := jobRecord{
+			Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), FinalState: j.finalState, Team: j.team,
+		}
 		rec.EndedWall = j.acceptedWall.Add(j.endedAt.Sub(j.acceptedAt)).UnixMilli()
 		out = append(out, Record{Key: prefixJob + j.id, Value: encode(&rec)}, Record{Key: prefixProgress + j.id})
 		return j.appendPlacementRemovals(out)
@@ -242,7 +246,7 @@
 // specRecord returns the record of a job that has not ended.
 func (j *Job) specRecord() Record {
 	rec := jobRecord{
-		Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), Spec: &j.spec, Term: j.acceptedTerm,
+		Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), Spec: &j.spec, Term: j.acceptedTerm, Team: j.team,
 	}
 	return Record{Key: prefixJob + j.id, Value: encode(&rec)}
 }
@@ -372,7 +376,7 @@
 		}
 	}
 	j := s.newJob(id, rec.Queue, spec, acceptedAt, acceptedWall)
-	j.stored, j.acceptedTerm = true, rec.Term
+	j.stored, j.acceptedTerm, j.team = true, rec.Term, rec.Team
 	if rec.FinalState != "" {
 		j.finalState = rec.FinalState
 		j.endedAt = now.Add(-max(0, wall.Sub(time.UnixMilli(rec.EndedWall))))
