Ask callers for the API keys of the manifest's tenants

The manifest may name tenants with API keys. Nothing looked at them: any caller could submit jobs for anyone and see, cancel or take over any job.

Package request/access judges a call by its key, its route and how sure the host is of its manifest: 401 without a key or with an unknown one, 503 with an unknown one while a newer manifest may be in force elsewhere. A host confirms its manifest by its reads of the operators' records or by the leader's answers to its pings, which name the leader's version and its age. Routes and keys of a version come into force as one value. The team goes to the leader with the request; a job of another team is answered as unknown (410), its ID is taken (409). Hosts keep and send digests only. A manifest that has passed a host of an earlier version, which drops the teams, does not replace one with teams. Without tenants nothing changes.

No load was run.

--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -22,6 +22,7 @@
 
 	"sassafraswind.example/sassafraswind/internal/host/peer"
 	"sassafraswind.example/sassafraswind/internal/host/telemetry"
+	"sassafraswind.example/sassafraswind/internal/request/access"
 	"sassafraswind.example/sassafraswind/internal/request/route"
 	"sassafraswind.example/sassafraswind/internal/stream/ledger"
 	"sassafraswind.example/sassafraswind/internal/zone/dispatch"
@@ -35,6 +36,11 @@
 	// MaxBody and MaxHeader limit the size of a caller's request, in bytes.
 	MaxBody   int64
 	MaxHeader int
+	// Keys holds the API keys of the teams in Catalog.Teams.
+	Keys []access.Key
+	// IncludesTeams is set in all manifests that hosts of this version decode, also in those without teams. Hosts of
+	// earlier versions leave out the teams and their keys.
+	IncludesTeams bool
 }
 
 // WorkerChanges holds the changes in the platform's list of workers.
@@ -60,6 +66,8 @@
 	EvacuatedZones map[string]bool
 	// Complete is set if EvacuatedZones replaces all earlier values.
 	Complete bool
+	// Behind is set if the store held further records when it answered.
+	Behind bool
 	// NextOffset is the offset from which to read the next changes.
 	NextOffset int64
 	// Errors holds an error for each record that could not be decoded and was left out.
@@ -111,6 +119,8 @@
 	// Power is the host's processor time per second in thousandths of a core, 0 if it is unknown. A host with much less
 	// of it than another one leaves the leadership to that host.
 	Power int64
+	// Revocation decides when the keys of an unconfirmed manifest are no longer accepted.
+	Revocation access.Revocation
 	// OnTerm is called when a term of this host begins. The function that it returns is called when the term ends. It may
 	// be nil.
 	OnTerm func() func()
@@ -141,7 +151,7 @@
 	peers     *peer.Client
 
 	// routing is derived from the newest manifest. It is nil until the first manifest is known.
-	routing atomic.Pointer[routing]
+	routing atomic.Pointer[Routing]
 	// operatorRecordsUnreadable is set while the operators' records can't be read from the store.
 	operatorRecordsUnreadable atomic.Bool
 
@@ -159,6 +169,9 @@
 	manifest            *Manifest
 	evacuatedZones      map[string]bool
 	operatorRecordsRead bool
+	// confirmation tracks when manifest was last known to be the newest. keyState is the last result of KeyState.
+	confirmation access.Confirmation
+	keyState     access.State
 	// leaderStamp is the newest stamp of the leader with the newest known claim, 0 if there is none.
 	leaderStamp int64
 	// members holds the other known hosts by name.
@@ -174,10 +187,14 @@
 	watchWake chan struct{}
 }
 
-// routing is the part of the manifest that is needed to serve callers' requests.
-type routing struct {
-	table   *route.Table
-	maxBody int64
+// Routing is the part of a manifest that is needed to serve callers' requests. It is immutable: a new version replaces the
+// routes and the keys at once.
+type Routing struct {
+	Table *route.Table
+	// MaxBody is the largest body of a request in bytes, 0 if the manifest sets no limit.
+	MaxBody int64
+	// Access holds the keys of the teams, nil if the manifest has no teams.
+	Access *access.Table
 }
 
 // member is what this host knows of another entry host. It is stored under the Go names of its exported fields.
@@ -326,15 +343,8 @@
 	}
 }
 
-// Routes returns the current routes and the maximum size of a request body in bytes. The table is nil until a manifest
-// is known.
-func (h *Host) Routes() (*route.Table, int64) {
-	r := h.routing.Load()
-	if r == nil {
-		return nil, 0
-	}
-	return r.table, r.maxBody
-}
+// Routing returns what is needed to serve callers' requests by the manifest in force, nil until a manifest is known.
+func (h *Host) Routing() *Routing { return h.routing.Load() }
 
 // readyLeaderAnswerAge is the maximum age of the leader's last answer at which the host is ready for new connections.
 const readyLeaderAnswerAge = 2500 * time.Millisecond
--- a/internal/host/entry/follow.go
+++ b/internal/host/entry/follow.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"sassafraswind.example/sassafraswind/internal/request/route"
 	"sassafraswind.example/sassafraswind/internal/stream/ledger"
 	"sassafraswind.example/sassafraswind/internal/zone/leadership"
 )
@@ -39,6 +38,7 @@
 		changes, err := h.directory.OperatorChanges(callCtx, from, operatorPollWait)
 		cancel()
 		if err != nil {
+			h.recordOperatorReadFailure()
 			if !failing && ctx.Err() == nil {
 				failing = true
 				h.operatorRecordsUnreadable.Store(true)
@@ -58,6 +58,7 @@
 			h.logger("operators").WithError(recordErr).Warn("Ignored an invalid record of the operators")
 		}
 		h.applyOperatorChanges(changes)
+		h.recordOperatorRead(readAt, changes)
 	}
 }
 
@@ -96,12 +97,21 @@
 		h.mu.Unlock()
 		return
 	}
+	if lacksTeams(h.manifest, m) {
+		h.mu.Unlock()
+		h.logger("operators").WithFields(logrus.Fields{
+			"version": m.Catalog.Version, "source": source,
+		}).Warn("Ignored a manifest without its teams, from a host of an earlier version")
+		return
+	}
 	h.manifest = m
-	h.routing.Store(&routing{table: route.NewTable(m.Routes), maxBody: m.MaxBody})
+	r := newRouting(m)
+	h.routing.Store(r)
 	t := h.term
 	h.mu.Unlock()
 	h.logger("operators").WithFields(logrus.Fields{
-		"version": m.Catalog.Version, "routes": len(m.Routes), "source": source,
+		"version": m.Catalog.Version, "routes": len(m.Routes), "teams": len(m.Catalog.Teams), "keys": r.Access.Len(),
+		"source": source,
 	}).Info("Manifest in force")
 	if t != nil {
 		t.applyConfiguration()
--- a/internal/host/entry/messages.go
+++ b/internal/host/entry/messages.go
@@ -32,6 +32,9 @@
 	Queue  string        `msgpack:"q"`
 	ID     string        `msgpack:"i,omitempty"`
 	Spec   workflow.Spec `msgpack:"s"`
+	// Team is the name of the caller's team. It is empty if the caller has none or, for the other actions than
+	// ActionSubmit, if it may see the jobs of all teams.
+	Team string `msgpack:"t,omitempty"`
 	// TimeLeft is how much longer the caller waits for the answer.
 	TimeLeft time.Duration `msgpack:"l"`
 }
@@ -76,6 +79,10 @@
 	Manifest *Manifest `msgpack:"m,omitempty"`
 	// Stamp is the time of the answer by the leader's boot clock in nanoseconds. A ping that returns it was sent later.
 	Stamp int64 `msgpack:"t,omitempty"`
+	// ManifestVersion is the version of the leader's manifest, 0 while that is unconfirmed. ManifestAge is the time since
+	// that manifest was known to be the newest.
+	ManifestVersion uint64        `msgpack:"v,omitempty"`
+	ManifestAge     time.Duration `msgpack:"g,omitempty"`
 	// ProbeStore asks the host to check whether the store answers it.
 	ProbeStore bool `msgpack:"p,omitempty"`
 }
--- a/internal/host/entry/request.go
+++ b/internal/host/entry/request.go
@@ -151,6 +151,9 @@
 		"action": string(req.Action), "job": req.ID, "outcome": outcomeName(resp.Outcome), "tries": tries,
 		"took_ms": took.Milliseconds(),
 	}
+	if req.Team != "" {
+		fields["team"] = req.Team
+	}
 	if resp.Reason != "" {
 		fields["reason"] = resp.Reason
 	}
@@ -159,7 +162,8 @@
 	}
 	entry := h.logger("callers").WithFields(fields)
 	if req.Action == ActionSubmit || req.Action == ActionCancel || resp.Outcome == 0 ||
-		resp.Outcome == dispatch.OutcomeRefused || resp.Outcome == dispatch.OutcomeRejected {
+		resp.Outcome == dispatch.OutcomeRefused || resp.Outcome == dispatch.OutcomeRejected ||
+		resp.Outcome == dispatch.OutcomeTaken {
 		entry.Info("Request")
 	} else {
 		entry.Debug("Request")
@@ -179,6 +183,8 @@
 		return "unknown queue"
 	case dispatch.OutcomeUnknownJob:
 		return "unknown job"
+	case dispatch.OutcomeTaken:
+		return "taken"
 	}
 	return "unknown"
 }
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -477,13 +477,19 @@
 		defer t.mu.Unlock()
 		return Response{Outcome: dispatch.OutcomeAccepted, Count: t.scheduler.QueuedJobs(req.Queue)}
 	case ActionShow:
+		r := dispatch.Reply{Outcome: dispatch.OutcomeUnknownJob}
 		t.mu.Lock()
-		r := t.scheduler.JobStatus(req.ID)
+		if t.scheduler.IsVisible(req.ID, req.Team) {
+			r = t.scheduler.JobStatus(req.ID)
+		}
 		t.mu.Unlock()
 		return t.currentResponse(ctx, now, r)
 	case ActionCancel:
+		r := dispatch.Reply{Outcome: dispatch.OutcomeUnknownJob}
 		t.mu.Lock()
-		r := t.scheduler.Cancel(now, req.ID)
+		if t.scheduler.IsVisible(req.ID, req.Team) {
+			r = t.scheduler.Cancel(now, req.ID)
+		}
 		t.mu.Unlock()
 		t.wakeLoops()
 		return t.currentResponse(ctx, now, r)
@@ -494,7 +500,7 @@
 		return refusedByStore()
 	}
 	r := t.scheduler.Submit(now, dispatch.Request{
-		ID: req.ID, Queue: req.Queue, Spec: req.Spec, WallTime: t.host.clock.Wall(),
+		ID: req.ID, Queue: req.Queue, Team: req.Team, Spec: req.Spec, WallTime: t.host.clock.Wall(),
 	})
 	t.mu.Unlock()
 	t.wakeLoops()
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -122,6 +122,7 @@
 		if r.Manifest != nil {
 			h.applyManifest(r.Manifest, "leader")
 		}
+		h.recordManifestAnswer(now, r)
 		return r.ProbeStore
 	case isConnectionRefused(err):
 		h.suspectLeader(claim, "connection refused", h.elector.RecordRefusal)
@@ -398,6 +399,7 @@
 		h.term.recordFollower(now, p.Name)
 		r.ProbeStore = h.term.isStoreSilent(now)
 		r.Renewal = h.term.renewal.Load()
+		h.confirmManifest(now, &r)
 	}
 	// A host that can read the manifest from the store does not need it from here as well, over a busy link.
 	if p.OperatorRecordsUnreadable && h.manifest != nil && h.manifest.Catalog.Version > p.ManifestVersion {
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -12,6 +12,8 @@
 	Host   string `msgpack:"h"`
 	Prefix string `msgpack:"p"`
 	Queue  string `msgpack:"q"`
+	// Anonymous is set if calls need no key although the manifest has teams.
+	Anonymous bool `msgpack:"a,omitempty"`
 }
 
 // Table looks up routes. It is immutable.
