Hold teams to their quotas and shares

One team that submits many times its usual work took the room of all others: jobs carried a team, and nothing decided by it.

The use of each team is counted incrementally, from the decision to start a task until its end is certain. Orders that may be carried out late, tasks that may run on workers of an earlier term, stopped runs of ended jobs, gangs as a whole and trials count as well. Every start checks the quota; a stage that it holds back is not taken for one without room. The terms of teams with open jobs are recorded under e/, with the version of their manifest. Room is neither held nor reclaimed for a task whose team may not start it.

With teams in the catalog, a decision considers the ready stages in two passes: first what stays within the entitlements of the teams, then the rest, both in the order of rank.

--- a/internal/zone/dispatch/bounds.go
+++ b/internal/zone/dispatch/bounds.go
@@ -145,6 +145,7 @@
 	if j.isDenied() {
 		s.denied--
 	}
+	s.closeJob(j)
 	delete(s.jobs, j.id)
 	delete(s.recurring, j)
 }
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -21,6 +21,9 @@
 	s.confirmedAt = confirmedAt
 	s.expireLeases(now, confirmedAt)
 	s.refreshLeaseRecord(now)
+	s.uncountAccounted()
+	s.uncountStrays(now)
+	s.countStops()
 	s.judgeLapses(now)
 	s.sendStops(now)
 	s.sendBars(now)
@@ -38,6 +41,7 @@
 		s.updateShortDemand()
 		s.recordLearned(now)
 		s.reportWaits(now)
+		s.clearQuotaEpisodes(now)
 	}
 	s.sortReady(now)
 	if !s.halted {
@@ -159,36 +163,50 @@
 // startReady starts the waiting tasks that fit on a worker, the most urgent first.
 func (s *Scheduler) startReady(now time.Time) {
 	s.startTrials(now)
+	ready := slices.Clone(s.ready)
+	if s.hasTeams() {
+		s.startInPasses(now, ready)
+		return
+	}
 	var failed []failedPlacement
-	for _, st := range slices.Clone(s.ready) {
-		j := st.job()
-		// A job whose acceptance is not durable may be submitted again to a later leader, which would not know of its
-		// runs. Restored tasks may already run on workers that have not reported in this term.
-		if max(j.acceptedBatch, st.occurrence.batch) > s.journal.committed {
-			st.waitReason = waitUnconfirmed
-			continue
-		}
-		if j.restored && !s.allWorkersAccounted() && !s.hasStartableTask(st) {
-			st.waitReason = waitUnaccounted
-			continue
-		}
-		s.startOverdue(now, st)
-		s.prepareTrials(now, st)
-		placement := newFailedPlacement(st)
-		if slices.ContainsFunc(failed, func(f failedPlacement) bool { return f.implies(placement) }) {
-			st.waitReason = waitSmallerFailed
-			s.markNoRoom(st)
-			continue
-		}
-		var noWorker bool
-		if st.step().Gang {
-			noWorker = !s.startGang(now, st)
-		} else {
-			noWorker = !s.startStage(now, st)
-		}
-		if noWorker && st.runsAnywhere() {
-			failed = append(failed, placement)
-		}
+	for _, st := range ready {
+		s.startWaiting(now, st, &failed)
+	}
+}
+
+// startWaiting starts the waiting tasks of a stage that fit on a worker. failed holds the placements that have failed in this
+// decision.
+func (s *Scheduler) startWaiting(now time.Time, st *stage, failed *[]failedPlacement) {
+	j := st.job()
+	// A job whose acceptance is not durable may be submitted again to a later leader, which would not know of its
+	// runs. Restored tasks may already run on workers that have not reported in this term.
+	if max(j.acceptedBatch, st.occurrence.batch) > s.journal.committed {
+		st.waitReason = waitUnconfirmed
+		return
+	}
+	if j.restored && !s.allWorkersAccounted() && !s.hasStartableTask(st) {
+		st.waitReason = waitUnaccounted
+		return
+	}
+	if !s.mayStart(now, st, st.startSize()) {
+		return
+	}
+	s.startOverdue(now, st)
+	s.prepareTrials(now, st)
+	placement := newFailedPlacement(st)
+	if slices.ContainsFunc(*failed, func(f failedPlacement) bool { return f.implies(placement) }) {
+		st.waitReason = waitSmallerFailed
+		s.markNoRoom(st)
+		return
+	}
+	var noWorker bool
+	if st.step().Gang {
+		noWorker = !s.startGang(now, st)
+	} else {
+		noWorker = !s.startStage(now, st)
+	}
+	if noWorker && st.runsAnywhere() {
+		*failed = append(*failed, placement)
 	}
 }
 
@@ -221,6 +239,9 @@
 			st.waitReason = waitFreeSlots
 			continue
 		}
+		if !s.mayStart(now, st, 1) {
+			return true
+		}
 		w, noRoom := s.chooseWorker(now, t, &c)
 		if w == nil {
 			st.waitReason = waitNoWorker
@@ -260,6 +281,9 @@
 		s.prepareGangTrial(now, st, u)
 		return true
 	}
+	if !s.mayStart(now, st, len(st.tasks)) {
+		return true
+	}
 	plan := s.planGang(now, st)
 	if plan == nil {
 		return false
@@ -278,6 +302,9 @@
 		if !t.queued || t.lastEndedRun >= st.gangRunNumber {
 			continue
 		}
+		if !s.mayStart(now, st, st.nextStart()) {
+			return true
+		}
 		w := s.findWorker(now, t, nil)
 		if w == nil {
 			return false
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -182,6 +182,22 @@
 	// handingOver is set once a planned end of the term is being prepared.
 	handingOver bool
 
+	// accounts holds what is counted for each team, keptTeams the recorded terms of the teams with open jobs.
+	accounts  map[string]*teamAccount
+	keptTeams map[string]teamRecord
+	// countedStrays holds the orders that count although their runs are over. They are looked at from strayExpiry on.
+	countedStrays map[strayKey]countedStray
+	strayExpiry   time.Time
+	// countedStops holds the runs of ended jobs that count. hasUnknownRuns is set while a worker may have unknown runs.
+	countedStops     []countedStop
+	hasUnknownRuns   bool
+	unaccountedTasks unaccountedTasks
+	// shares holds what teams share of each service. Their capacities were last added up at capacityAt. withinShares is set
+	// during the first pass of a decision, see startInPasses.
+	shares       map[string]*serviceShares
+	capacityAt   time.Time
+	withinShares bool
+
 	journal journal
 	events  []Event
 	// lastMaintenanceAt is when the periodic work of Decide was last done, see maintenanceInterval.
@@ -208,6 +224,10 @@
 		placementsSince: 1,
 		runNumberBase:   max(0, serial-1) * runNumbersPerTerm,
 		keptQueues:      map[string]Queue{},
+		accounts:        map[string]*teamAccount{},
+		keptTeams:       map[string]teamRecord{},
+		shares:          map[string]*serviceShares{},
+		countedStrays:   map[strayKey]countedStray{},
 		jobs:            map[string]*Job{},
 		workers:         map[string]*Worker{},
 		draining:        map[*Worker]struct{}{},
@@ -239,7 +259,9 @@
 	if c.Version < s.catalog.Version {
 		return
 	}
+	s.noteRemovedTeams(c)
 	s.catalog = c
+	s.applyTeams()
 	for name := range s.keptQueues {
 		if q, ok := c.Queues[name]; ok {
 			s.keepQueue(q)
@@ -269,6 +291,7 @@
 	}
 	j.service, j.priority, j.maxAttempts, j.needsTicket = q.Service, q.Priority, max(1, q.Attempts), q.Advised
 	j.objective = time.Duration(q.Slack*float64(s.criticalPath(j))) + q.Target
+	j.use = s.useOf(j.use.account, j.service)
 }
 
 // The kinds of the most frequent events.
--- a/internal/zone/dispatch/drain.go
+++ b/internal/zone/dispatch/drain.go
@@ -56,7 +56,7 @@
 func (s *Scheduler) moveTasks(now time.Time, w *Worker, plan *gangPlan) {
 	full := map[*stage]struct{}{}
 	for _, r := range s.runsOf(w) {
-		if _, ok := full[r.task.stage]; ok || !r.isMovable() {
+		if _, ok := full[r.task.stage]; ok || !r.isMovable() || !s.mayRestart(r.task.stage) {
 			continue
 		}
 		if !s.reserveRoom(now, r.task, plan) {
--- a/internal/zone/dispatch/hold.go
+++ b/internal/zone/dispatch/hold.go
@@ -113,6 +113,9 @@
 	}
 	var failed []failedPlacement
 	for _, t := range s.tasksToHoldFor(now) {
+		if !s.mayHoldForTeam(t) {
+			continue
+		}
 		waitShare := maxWaitShare
 		if takeTurns {
 			if s.takeTurn(now, t, round) || now.Sub(t.awaySince) < turnsOnlyUntil {
@@ -306,7 +309,8 @@
 func (s *Scheduler) startHeld(now time.Time) {
 	for _, h := range s.holds {
 		t := h.task
-		if !t.queued || t.job().isFinal() || now.Before(t.notBefore) || s.suspectOf(t) != nil {
+		if !t.queued || t.job().isFinal() || now.Before(t.notBefore) || s.suspectOf(t) != nil ||
+			!s.mayStart(now, t.stage, 1) {
 			continue
 		}
 		if _, ok := s.rate(now, t, h.worker, nil); ok && !h.worker.hasNextRun(t) {
@@ -320,7 +324,7 @@
 func (s *Scheduler) endHolds(now time.Time) {
 	s.holds = slices.DeleteFunc(s.holds, func(h *hold) bool {
 		t, w := h.task, h.worker
-		keep := t.queued && !t.job().isFinal() && s.mayHoldFor(t) && now.Before(h.until) &&
+		keep := t.queued && !t.job().isFinal() && s.mayHoldFor(t) && now.Before(h.until) && s.fitsTeam(t.stage, 1) &&
 			s.workers[w.ID] == w && s.isSuitable(now, t, w) && w.mayStart(now, t)
 		if !h.isTurn && !now.Before(h.until) {
 			w.holdAfter = now.Add(maxRoomWait)
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/work/workflow"
 )
 
@@ -27,7 +28,9 @@
 	id    string
 	queue string
 	// team is the name of the team for which the job was submitted, empty for none.
-	team     string
+	team string
+	// use is what the team has in the service of the job, never nil.
+	use      *teamUse
 	service  string
 	priority int
 	// maxAttempts is the largest integer while the settings of the queue are not known.
@@ -63,6 +66,10 @@
 	stored bool
 	// crashesRecorded is set while the log may hold a record of the crashes blamed on the job's tasks.
 	crashesRecorded bool
+	// isOpen is set while the job is counted in teamAccount.openJobs.
+	isOpen bool
+	// finalSize is the largest size of a task of a job that had ended before this term.
+	finalSize fleet.Size
 }
 
 // occurrence is one execution of a job's steps.
@@ -106,6 +113,13 @@
 	away awayCount
 	// yieldedAt is when room of the stage was last reclaimed, the zero time if it never was.
 	yieldedAt time.Time
+	// gangRuns counts the runs of a gang, gangReserved the members without a run that count against the quota of the team
+	// since others run.
+	gangRuns, gangReserved int
+	// heldBack is the number of waiting tasks that were counted as held back by the quota.
+	heldBack int
+	// isBeyondShare is set if tasks were left to the second pass of the last decision, see startInPasses.
+	isBeyondShare bool
 	// reclaimAt is when room may be reclaimed for the stage again.
 	reclaimAt time.Time
 }
@@ -154,6 +168,8 @@
 	startedBefore bool
 	// hold keeps room for the task, nil if none is kept.
 	hold *hold
+	// countsUnaccounted is set while the task counts as running without a known run, see countUnaccounted.
+	countsUnaccounted bool
 }
 
 // maxLostRuns bounds the runs of a task of which it is known why they were taken for ended.
@@ -238,13 +254,15 @@
 		return Reply{Outcome: OutcomeUnknownQueue}
 	}
 	j := s.newJob(r.ID, r.Queue, r.Spec, now, r.WallTime)
-	j.acceptedTerm, j.team = s.token, r.Team
+	j.acceptedTerm = s.token
+	s.setTeam(j, r.Team)
 	s.applyQueue(j)
 	if refusal, refused := s.admit(j); refused {
 		s.recordEvent(Event{Kind: "refuse", Job: r.ID, Reason: refusal.Reason})
 		return refusal
 	}
 	s.jobs[r.ID] = j
+	s.openJob(j)
 	s.openDueOccurrences(now, j)
 	s.keepQueue(q)
 	j.acceptedBatch = s.journal.markDirty(j)
@@ -254,7 +272,7 @@
 // newJob returns a job without the settings of its queue, which applyQueue sets.
 func (s *Scheduler) newJob(id, queue string, spec workflow.Spec, acceptedAt, acceptedWall time.Time) *Job {
 	return &Job{
-		id: id, queue: queue, spec: spec, acceptedAt: acceptedAt, acceptedWall: acceptedWall,
+		id: id, queue: queue, spec: spec, use: s.useOf(s.accountOf(""), ""), acceptedAt: acceptedAt, acceptedWall: acceptedWall,
 		remainingTime: spec.RemainingPaths(), maxAttempts: math.MaxInt, openOccurrences: map[int]*occurrence{},
 	}
 }
@@ -407,6 +425,7 @@
 // close sets the final state of the job and stops its runs.
 func (s *Scheduler) close(now time.Time, j *Job, state State) {
 	j.finalState, j.endedAt = state, now
+	s.closeJob(j)
 	j.finalBatch = s.journal.markDirty(j)
 	delete(s.recurring, j)
 	for _, o := range j.openOccurrences {
@@ -458,6 +477,7 @@
 		return
 	}
 	s.acquit(t, "done")
+	s.uncountUnaccounted(t)
 	t.dequeue()
 	t.done = true
 	st.done++
@@ -517,6 +537,7 @@
 // expireJobs removes the finished jobs whose state need not be kept any longer.
 func (s *Scheduler) expireJobs(now time.Time) {
 	s.forgetQueues()
+	s.forgetTeams(now)
 	for _, j := range s.jobs {
 		if j.isFinal() && now.Sub(j.endedAt) > s.limits.JobRetention && s.journal.committed >= j.finalBatch {
 			s.removeJob(j)
--- a/internal/zone/dispatch/lease.go
+++ b/internal/zone/dispatch/lease.go
@@ -250,6 +250,7 @@
 	})
 	if s.isReplaced(w) {
 		w.endCalls(now)
+		s.strayExpiry = now
 	}
 	s.loseRuns(now, w, reason)
 	delete(s.unaccounted, w.ID)
@@ -271,6 +272,7 @@
 	for w := range s.silent {
 		if w != replacement && w.Address == replacement.Address && w.Boot < replacement.Boot {
 			w.endCalls(now)
+			s.strayExpiry = now
 		}
 	}
 	for _, l := range s.lapses {
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -98,7 +98,7 @@
 		waitingSince: t.waitingSince,
 	}
 	t.lastRun = number
-	r.attach()
+	s.attach(r)
 	s.recordPlacement(t, w)
 	if t.placedBatch > s.journal.committed {
 		r.awaitsRecord = true
--- a/internal/zone/dispatch/overdue.go
+++ b/internal/zone/dispatch/overdue.go
@@ -41,6 +41,10 @@
 			st.waitReason = waitFreeSlots
 			continue
 		}
+		if !s.mayStart(now, st, 1) {
+			st.overdueScanAt = time.Time{}
+			return
+		}
 		w := s.findWorker(now, t, nil)
 		if w == nil {
 			st.waitReason = waitNoWorker
--- a/internal/zone/dispatch/reclaim.go
+++ b/internal/zone/dispatch/reclaim.go
@@ -46,6 +46,7 @@
 	}
 	s.reclaimedAt = now
 	round := reclaimRound{}
+	planned := map[*teamUse]fleet.Size{}
 	left := maxReclaims
 	for _, st := range s.ready {
 		if left <= 0 {
@@ -64,9 +65,11 @@
 			if left <= 0 || !t.queued || now.Before(t.notBefore) {
 				continue
 			}
-			if !s.reclaimFor(now, t, round) {
+			use := st.job().use
+			if !s.mayReclaimFor(st, planned[use]) || !s.reclaimFor(now, t, round) {
 				break
 			}
+			planned[use] = planned[use].Add(st.step().Size)
 			left--
 		}
 	}
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/work/workflow"
 )
 
@@ -42,6 +43,8 @@
 	Term int64
 	// Team is the name of the job's team, empty for none.
 	Team string
+	// Size is the largest size of a task, once the job is final.
+	Size fleet.Size
 }
 
 // progressRecord is the progress of a job.
@@ -224,6 +227,9 @@
 		rec := jobRecord{
 			Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), FinalState: j.finalState, Team: j.team,
 		}
+		if j.team != "" {
+			rec.Size = j.largestTask()
+		}
 		rec.EndedWall = j.acceptedWall.Add(j.endedAt.Sub(j.acceptedAt)).UnixMilli()
 		out = append(out, Record{Key: prefixJob + j.id, Value: encode(&rec)}, Record{Key: prefixProgress + j.id})
 		return j.appendPlacementRemovals(out)
@@ -304,6 +310,11 @@
 				errs = append(errs, err)
 			}
 		}
+		if name, ok := cutPrefix(r.Key, prefixTeam); ok && len(r.Value) > 0 {
+			if err := s.restoreTeam(name, r.Value); err != nil {
+				errs = append(errs, err)
+			}
+		}
 		if id, ok := cutPrefix(r.Key, prefixProgress); ok && len(r.Value) > 0 {
 			var rec progressRecord
 			if err := msgpack.Unmarshal(r.Value, &rec); err != nil {
@@ -354,6 +365,7 @@
 	if err := s.restoreLeases(now, records, ordersUntil); err != nil {
 		errs = append(errs, err)
 	}
+	s.countRestored()
 	s.recordLeases(now)
 	return errs
 }
@@ -376,7 +388,8 @@
 		}
 	}
 	j := s.newJob(id, rec.Queue, spec, acceptedAt, acceptedWall)
-	j.stored, j.acceptedTerm, j.team = true, rec.Term, rec.Team
+	j.stored, j.acceptedTerm, j.finalSize = true, rec.Term, rec.Size
+	s.setTeam(j, rec.Team)
 	if rec.FinalState != "" {
 		j.finalState = rec.FinalState
 		j.endedAt = now.Add(-max(0, wall.Sub(time.UnixMilli(rec.EndedWall))))
@@ -389,6 +402,7 @@
 	s.jobs[id] = j
 	j.restored = true
 	s.applyQueue(j)
+	s.openJob(j)
 	if q, ok := s.catalog.Queues[j.queue]; ok {
 		s.keepQueue(q)
 	}
--- a/internal/zone/dispatch/repeat_record.go
+++ b/internal/zone/dispatch/repeat_record.go
@@ -66,7 +66,7 @@
 			starts: inFlight{earlier: now.Add(time.Duration(rec.Left) * time.Millisecond)},
 		}
 		t.lastRun = max(t.lastRun, rec.Run)
-		restored.attach()
+		s.attach(restored)
 	}
 	return errs
 }
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -401,7 +401,7 @@
 	}
 	t.lastRun = max(t.lastRun, number)
 	t.job().started = true
-	r.attach()
+	s.attach(r)
 	if t.step().Gang {
 		t.stage.gangRunNumber = max(t.stage.gangRunNumber, number)
 	}
--- a/internal/zone/dispatch/restart.go
+++ b/internal/zone/dispatch/restart.go
@@ -66,7 +66,7 @@
 		pace: 100, targetPace: 100, waitingSince: lost.task.waitingSince, starts: lost.starts, repeats: lost.repeats,
 	}
 	delete(r.worker.strays, runKey{r.task.name, r.number})
-	r.attach()
+	s.attach(r)
 	s.recordUnanswered(now, r)
 	return r
 }
--- a/internal/zone/dispatch/speed.go
+++ b/internal/zone/dispatch/speed.go
@@ -122,12 +122,17 @@
 	if timeHere < minMoveGain*(workElsewhere/s.fleetSpeed.mean()+moveOverhead.Seconds()) {
 		return
 	}
+	if !s.mayRestart(t.stage) {
+		return
+	}
 	w := s.findWorker(now, t, nil)
 	if w == nil || w == r.worker {
 		return
 	}
 	if step.Speculative && s.suspectOf(t) == nil {
-		s.startRun(now, t, w)
+		if s.fitsTeam(t.stage, 1) {
+			s.startRun(now, t, w)
+		}
 		return
 	}
 	s.stopRun(r, "worker is slow")
--- a/internal/zone/dispatch/stall.go
+++ b/internal/zone/dispatch/stall.go
@@ -60,7 +60,7 @@
 	}
 	for _, r := range stalled {
 		t := r.task
-		if t.done || len(t.runs) != 1 || t.step().MaxUnavailable >= 0 {
+		if t.done || len(t.runs) != 1 || t.step().MaxUnavailable >= 0 || !s.mayRestart(t.stage) {
 			continue
 		}
 		if other := s.findWorker(now, t, nil); other != nil && other != w {
--- a/internal/zone/dispatch/stop.go
+++ b/internal/zone/dispatch/stop.go
@@ -69,6 +69,7 @@
 	k := runKey{rr.Task, rr.Number}
 	_, stopping := w.unknownRuns[k]
 	w.blockFor(k, clock)
+	s.hasUnknownRuns = true
 	if !stopping {
 		s.addStop(stop{worker: w, key: k, reason: "unknown task"})
 	}
@@ -199,6 +200,7 @@
 		t := s.reportedTask(now, k.task)
 		if t == nil {
 			w.blockFor(k, report.Clock)
+			s.hasUnknownRuns = true
 			s.addStop(stop{worker: w, key: k, reason: restoredStopReason})
 			continue
 		}
--- a/internal/zone/dispatch/team.go
+++ b/internal/zone/dispatch/team.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "sassafraswind.example/sassafraswind/internal/port/fleet"
+import (
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	"sassafraswind.example/sassafraswind/internal/zone/quota"
+)
 
 // Team holds the terms of a team, the part of an organisation for which jobs are submitted.
 type Team struct {
@@ -32,3 +37,111 @@
 	j, ok := s.jobs[id]
 	return !ok || team == "" || j.team == "" || j.team == team
 }
+
+// anonymousWeight is the weight of all work without a team.
+const anonymousWeight = 1
+
+// teamAccount is what is counted for a team. All work without a team has one, with an empty name.
+type teamAccount struct {
+	name string
+	// isKnown is set once the terms of the team are known. Nothing of it starts before.
+	isKnown bool
+	terms   Team
+	// Account holds the quota, and in its use all that counts against it: the runs, the orders that may be carried out late,
+	// what may run on workers of an earlier term, and the members of gangs and trials that are about to start.
+	quota.Account
+	// uses holds what the team has in each service.
+	uses map[string]*teamUse
+	// openJobs counts the jobs that have not ended.
+	openJobs int
+	// leftAt is since when the team is known to have left the catalog without open jobs, the zero time if it has not.
+	leftAt time.Time
+	// held counts the starts that the quota held back in this term.
+	held int
+	quotaEpisode
+}
+
+// teamUse is what a team has in one service.
+type teamUse struct {
+	account *teamAccount
+	service string
+	// running and used are the number of the team's runs and the sum of their sizes.
+	running int
+	used    fleet.Size
+	// shares is what teams share of the service. isActive is set if the team has running or waiting tasks there, as of the
+	// last decision.
+	shares   *serviceShares
+	isActive bool
+}
+
+// accountOf returns the account of the team with the name, a new one if there is none.
+func (s *Scheduler) accountOf(name string) *teamAccount {
+	a := s.accounts[name]
+	if a == nil {
+		a = &teamAccount{name: name, uses: map[string]*teamUse{}}
+		s.accounts[name] = a
+		s.applyTerms(a)
+	}
+	return a
+}
+
+// useOf returns what the team has in the service.
+func (s *Scheduler) useOf(a *teamAccount, service string) *teamUse {
+	u := a.uses[service]
+	if u == nil {
+		u = &teamUse{account: a, service: service, shares: s.sharesOf(service)}
+		a.uses[service] = u
+	}
+	return u
+}
+
+// setTeam sets the team of a new job.
+func (s *Scheduler) setTeam(j *Job, name string) {
+	j.team = name
+	j.use = s.useOf(s.accountOf(name), j.service)
+}
+
+// openJob counts the job as open.
+func (s *Scheduler) openJob(j *Job) {
+	a := j.use.account
+	if j.isOpen {
+		return
+	}
+	j.isOpen = true
+	a.openJobs++
+	s.keepTeam(a)
+}
+
+// closeJob counts the job as ended, or as removed.
+func (s *Scheduler) closeJob(j *Job) {
+	if !j.isOpen {
+		return
+	}
+	j.isOpen = false
+	j.use.account.openJobs--
+}
+
+// applyTerms sets the terms of a team: those of the catalog, or of the log if these are newer or the team has left the
+// catalog. A team that has left without open jobs keeps its last ones, since a host may forward a job of it a moment later.
+func (s *Scheduler) applyTerms(a *teamAccount) {
+	if a.name == "" {
+		a.isKnown, a.terms = true, Team{Weight: anonymousWeight}
+		return
+	}
+	terms, ok := s.catalog.Teams[a.name]
+	if kept, isKept := s.keptTeams[a.name]; isKept && (!ok || kept.Version > s.catalog.Version) {
+		terms, ok = Team{Name: a.name, Weight: kept.Weight, Quota: kept.Quota}, true
+	}
+	if ok {
+		a.isKnown, a.terms = true, terms
+		a.SetQuota(quota.NewPartial(terms.Quota))
+	}
+}
+
+// applyTeams applies the terms of a new catalog.
+func (s *Scheduler) applyTeams() {
+	for _, a := range s.accounts {
+		s.applyTerms(a)
+	}
+	s.keepTeams()
+}
--- /dev/null
+++ b/internal/zone/dispatch/team_share.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	"sassafraswind.example/sassafraswind/internal/zone/quota"
+)
+
+// A team that asks for many times its usual share of a full service would get all room that becomes free, since its late work
+// has the earliest latest starts. So a decision first considers what teams may start within their entitlement, and then all
+// else, both in the order of rank. Nothing that runs is stopped for that, and nobody waits while there is room.
+
+const waitOthers waitReason = "other teams are within their shares"
+
+const (
+	// capacityInterval is the interval at which the usable capacity of the services is added up: workers come and go far
+	// less often than decisions are made.
+	capacityInterval = 250 * time.Millisecond
+	// shareTolerance covers the rounding of shares.
+	shareTolerance = 1e-9
+)
+
+// serviceShares is what teams share of a service.
+type serviceShares struct {
+	// capacity is the sum of the capacities of the usable workers.
+	capacity fleet.Size
+	// weights is the sum of the weights of the teams with running or waiting tasks, as of the last decision.
+	weights float64
+	// fullIn is the number of the last decision in which a short task found no room, counted from 1.
+	fullIn uint64
+}
+
+// hasTeams reports whether any team has terms, so that services are shared by weight.
+func (s *Scheduler) hasTeams() bool { return len(s.catalog.Teams) > 0 || len(s.keptTeams) > 0 }
+
+// sharesOf returns what teams share of the service.
+func (s *Scheduler) sharesOf(service string) *serviceShares {
+	sh := s.shares[service]
+	if sh == nil {
+		sh = &serviceShares{}
+		s.shares[service] = sh
+	}
+	return sh
+}
+
+// updateShares works out who shares each service in the present decision.
+func (s *Scheduler) updateShares(now time.Time) {
+	if now.Sub(s.capacityAt) >= capacityInterval {
+		s.capacityAt = now
+		s.updateCapacities()
+	}
+	for _, sh := range s.shares {
+		sh.weights = 0
+	}
+	for _, a := range s.accounts {
+		for _, u := range a.uses {
+			u.isActive = u.running > 0
+			if u.isActive {
+				u.shares.weights += a.terms.Weight
+			}
+		}
+	}
+	for _, st := range s.ready {
+		if u := st.job().use; !u.isActive {
+			u.isActive = true
+			u.shares.weights += u.account.terms.Weight
+		}
+	}
+}
+
+// updateCapacities adds up the capacities of the usable workers of each service.
+func (s *Scheduler) updateCapacities() {
+	for _, sh := range s.shares {
+		sh.capacity = fleet.Size{}
+	}
+	for service, workers := range s.byService {
+		sh := s.sharesOf(service)
+		for _, w := range workers {
+			if w.isUsable() && !s.catalog.Evacuated[w.Zone] {
+				sh.capacity = sh.capacity.Add(w.Capacity)
+			}
+		}
+	}
+}
+
+// entitlement returns the share of the service to which the team is entitled.
+func (u *teamUse) entitlement() float64 {
+	return quota.Entitlement(u.account.terms.Weight, u.shares.weights)
+}
+
+// isEntitledTo reports whether the team stays within its entitlement with more of the given size at work.
+func (u *teamUse) isEntitledTo(size fleet.Size) bool {
+	return quota.DominantShare(u.used.Add(size), u.shares.capacity) <= u.entitlement()+shareTolerance
+}
+
+// startInPasses starts the waiting tasks that fit on a worker: those within the entitlement of their teams, then the others.
+func (s *Scheduler) startInPasses(now time.Time, ready []*stage) {
+	s.updateShares(now)
+	var failed []failedPlacement
+	var beyond []*stage
+	s.withinShares = true
+	for _, st := range ready {
+		st.isBeyondShare = false
+		s.startWaiting(now, st, &failed)
+		if st.isBeyondShare {
+			beyond = append(beyond, st)
+		}
+	}
+	s.withinShares = false
+	for _, st := range beyond {
+		s.startWaiting(now, st, &failed)
+	}
+}
+
+// exceedsShare reports whether the present pass leaves the tasks of a stage to the next one.
+func (s *Scheduler) exceedsShare(st *stage, tasks int) bool {
+	if !s.withinShares || tasks == 0 || st.job().use.isEntitledTo(quota.Times(st.step().Size, tasks)) {
+		return false
+	}
+	st.isBeyondShare = true
+	return true
+}
+
+// mayReclaimFor reports whether room may be reclaimed for a task of the stage, beside that of the given size for others of its
+// team: what others run is not stopped for a team beyond its entitlement.
+func (s *Scheduler) mayReclaimFor(st *stage, planned fleet.Size) bool {
+	u, size := st.job().use, planned.Add(st.step().Size)
+	return u.account.isKnown && u.account.Fits(size) && (!s.hasTeams() || u.isEntitledTo(size))
+}
+
+// mayHoldForTeam reports whether a worker may be held for the task, beside those that are held for others of its team.
+func (s *Scheduler) mayHoldForTeam(t *task) bool {
+	u, size := t.job().use, t.step().Size
+	for _, h := range s.holds {
+		if h.task.job().use == u {
+			size = size.Add(h.task.step().Size)
+		}
+	}
+	return u.account.isKnown && u.account.Fits(size) && (!s.hasTeams() || u.isEntitledTo(size))
+}
--- /dev/null
+++ b/internal/zone/dispatch/team_share_test.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// cores returns the cores that the team has at work.
+func (sc *teamScenario) cores(team string) int64 {
+	return sc.s.useOf(sc.s.accountOf(team), "svc").used.Cores
+}
+
+// TestFloodLeavesOthersTheirShares guards against a team that fills a service while the others are idle and gets all room that
+// becomes free after that, since its work waits longest or has a better priority.
+func TestFloodLeavesOthersTheirShares(t *testing.T) {
+	Convey("One of 20 teams has filled a service of 320 cores, and the others get work", t, func() {
+		teams := make([]Team, 0, 20)
+		for i := range 20 {
+			teams = append(teams, Team{Name: fmt.Sprintf("t%02d", i), Weight: 1})
+		}
+		sc := newTeamScenario(40, teams...)
+		for range 80 {
+			sc.submitTo("urgent", "t00", newStep(10, 1000, time.Second))
+		}
+		So(sc.start(), ShouldEqual, 320)
+		sc.now = sc.now.Add(500 * time.Millisecond)
+		for i := 1; i < 20; i++ {
+			sc.submit(teams[i].Name, newStep(20, 1000, time.Second))
+		}
+		share := func() {
+			for range 40 {
+				sc.now = sc.now.Add(50 * time.Millisecond)
+				sc.answerAll()
+				sc.end("t00", 8)
+				So(sc.start(), ShouldEqual, 8)
+			}
+		}
+		Convey("each of them gets its twentieth of the room that the first gives back", func() {
+			share()
+			for i := 1; i < 20; i++ {
+				So(sc.cores(teams[i].Name), ShouldEqual, 16_000)
+			}
+			So(sc.cores("t00"), ShouldEqual, 16_000)
+		})
+		Convey("also under another leader, which learns from the workers what runs", func() {
+			running := map[string][]RunReport{}
+			for id, w := range sc.s.workers {
+				for _, r := range sc.s.runsOf(w) {
+					running[id] = append(running[id], RunReport{Task: r.task.name, Number: r.number})
+				}
+			}
+			sc.takeOver(2, sc.s.catalog)
+			for id, runs := range running {
+				answer(sc.s, sc.now, id, runs...)
+			}
+			commitTo(sc.s, sc.log)
+			So(sc.cores("t00"), ShouldEqual, 320_000)
+			share()
+			for i := 1; i < 20; i++ {
+				So(sc.cores(teams[i].Name), ShouldEqual, 16_000)
+			}
+		})
+	})
+	Convey("Weights count, work without a team has one, and nobody waits while there is room", t, func() {
+		sc := newTeamScenario(10, Team{Name: "a", Weight: 5}, Team{Name: "b", Weight: 2})
+		for range 10 {
+			sc.submit("a", newStep(10, 1000, time.Second))
+			sc.submit("b", newStep(10, 1000, time.Second))
+			sc.submit("", newStep(10, 1000, time.Second))
+		}
+		So(sc.start(), ShouldEqual, 80)
+		So(sc.cores("a"), ShouldEqual, 50_000)
+		So(sc.cores("b"), ShouldEqual, 20_000)
+		So(sc.cores(""), ShouldEqual, 10_000)
+		Convey("what a team doesn't use goes to the others", func() {
+			for id, j := range sc.s.jobs {
+				if j.team == "a" {
+					sc.s.Cancel(sc.now, id)
+				}
+			}
+			commitTo(sc.s, sc.log)
+			sc.end("a", 50)
+			So(sc.start(), ShouldEqual, 50)
+			So(sc.cores("b")+sc.cores(""), ShouldEqual, 80_000)
+		})
+	})
+	Convey("Room is not reclaimed for a team beyond its share", t, func() {
+		sc := newTeamScenario(4, Team{Name: "a", Weight: 1}, Team{Name: "b", Weight: 1})
+		serve := newStep(8, 4000, time.Second)
+		serve.LongRunning = true
+		sc.submit("b", serve)
+		So(sc.start(), ShouldEqual, 8)
+		sc.answerAll()
+		sc.now = sc.now.Add(minRunBeforeReclaim + time.Second)
+		sc.answerAll()
+		sc.submit("a", newStep(30, 4000, 30*time.Second))
+		sc.start()
+		So(len(sc.s.stops), ShouldBeGreaterThan, 0)
+		So(sc.s.mayReclaimFor(sc.s.jobs[jobID(2)].openOccurrences[0].stages[0], coreQuota(12_000)), ShouldBeTrue)
+		So(sc.s.mayReclaimFor(sc.s.jobs[jobID(2)].openOccurrences[0].stages[0], coreQuota(16_000)), ShouldBeFalse)
+	})
+}
--- a/internal/zone/dispatch/trial.go
+++ b/internal/zone/dispatch/trial.go
@@ -40,6 +40,8 @@
 	run int
 	// batch is the batch with the record of the trial. The start is not ordered before it is committed.
 	batch BatchID
+	// isCounted is set while the tasks count against the quota of their team before their start.
+	isCounted bool
 	// heldAt is since when the workers get no other starts.
 	heldAt  time.Time
 	started bool
@@ -60,6 +62,9 @@
 	for _, t := range st.tasks {
 		if t.queued && !now.Before(t.notBefore) && !s.mayRunUnaccounted(t) {
 			if u := s.suspectOf(t); u != nil {
+				if u.trial == nil && !s.mayStart(now, st, 1) {
+					return
+				}
 				s.prepareTrial(now, u, func() []*Worker { return s.findTrialWorker(now, u) })
 			}
 		}
@@ -68,6 +73,9 @@
 
 // prepareGangTrial chooses workers for a suspect gang.
 func (s *Scheduler) prepareGangTrial(now time.Time, st *stage, u *suspicion) {
+	if u.trial == nil && !s.mayStart(now, st, len(st.tasks)) {
+		return
+	}
 	s.prepareTrial(now, u, func() []*Worker {
 		workers := s.planGang(now, st)
 		if slices.ContainsFunc(workers, func(w *Worker) bool { return w.trials > 0 }) {
@@ -222,6 +230,7 @@
 	for _, m := range tr.members {
 		s.recordPlacement(m.task, m.worker)
 	}
+	tr.countTrial()
 	u.trial = tr
 	s.trials = append(s.trials, tr)
 	tr.batch = s.journal.recordCrashes(u.task.job())
@@ -266,6 +275,7 @@
 			s.endTrial(tr)
 		case tr.batch <= s.journal.committed && (s.isAlone(tr) || now.Sub(tr.heldAt) >= maxTrialHold):
 			tr.started = true
+			tr.uncountTrial()
 			tr.suspicion.waitsSince = time.Time{}
 			for _, m := range tr.members {
 				s.startRun(now, m.task, m.worker)
@@ -278,6 +288,9 @@
 func (s *Scheduler) mayStartTrial(now time.Time, tr *trial) bool {
 	st := tr.suspicion.task.stage
 	p := &gangPlan{reserved: map[*Worker]fleet.Size{}, members: map[*Worker]int{}}
+	if !s.fitsTeam(st, 0) {
+		return false
+	}
 	for _, m := range tr.members {
 		if !m.task.queued || m.task.lastRun >= tr.run || m.worker.Boot != m.boot || now.Before(m.task.notBefore) {
 			return false
@@ -294,6 +307,7 @@
 // endTrial ends a trial without a judgement.
 func (s *Scheduler) endTrial(tr *trial) {
 	s.trials = removeFirst(s.trials, tr)
+	tr.uncountTrial()
 	tr.suspicion.trial = nil
 	for _, m := range tr.members {
 		m.worker.trials--
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -48,7 +48,9 @@
 	task   *task
 	number int
 	worker *Worker
-	phase  runPhase
+	// use is what the run counts for, nil while it is not attached.
+	use   *teamUse
+	phase runPhase
 	// startedAt is when the start was decided, waitingSince when the task had become waiting before that.
 	startedAt, waitingSince time.Time
 	// startUntil is the time of the worker's clock after which it refuses the start. confirmedClock is the latest time
@@ -433,6 +435,7 @@
 			r.task.notBefore = laterOf(r.task.notBefore, until)
 		}
 	}
+	s.uncountRun(r)
 	s.markChanged(r.worker)
 	s.noteDetached(r)
 	if r.phase == phaseStopping {
