Bound what one team may have waiting

A flood of one team could take the leader's memory for open tasks, and its jobs were accepted however late they would be.

Once half of Limits.MaxTasks is taken, a team has its part by weight at most, and 1,000 tasks in any case. The backlog is counted incrementally, by priority and order of magnitude of the objective. TeamStates returns the numbers of at most 64 teams by name.

--- a/internal/zone/dispatch/admission.go
+++ b/internal/zone/dispatch/admission.go
@@ -68,6 +68,9 @@
 	if reply, refused := s.refuseOverQuota(j); refused {
 		return reply, true
 	}
+	if reply, refused := s.refuseBacklog(j); refused {
+		return reply, true
+	}
 	capacities := s.capacities[j.service]
 	if len(capacities) == 0 || !s.allWorkersAccounted() {
 		// Some workers may still be unknown: none has been listed yet, or those of an earlier leader are unaccounted
--- a/internal/zone/dispatch/bounds.go
+++ b/internal/zone/dispatch/bounds.go
@@ -73,7 +73,8 @@
 		return true
 	}
 	f := j.occurrenceFootprint()
-	return s.fitsLimits(f.times(open+1)) && (s.limits.MaxTasks == 0 || s.taskCount+f.tasks <= s.limits.MaxTasks)
+	return s.fitsLimits(f.times(open+1)) && (s.limits.MaxTasks == 0 || s.taskCount+f.tasks <= s.limits.MaxTasks) &&
+		s.fitsTeamTasks(j.use.account, f.tasks)
 }
 
 // rejectOversized rejects a job that exceeds a limit by itself, with the reason. It returns false if the job exceeds none.
@@ -139,9 +140,15 @@
 	return n
 }
 
+// countTasks adds tasks of the job to those in memory, or takes them away if n is negative.
+func (s *Scheduler) countTasks(j *Job, n int) {
+	s.taskCount += n
+	j.use.account.openTasks += n
+}
+
 // removeJob forgets a job with all its tasks.
 func (s *Scheduler) removeJob(j *Job) {
-	s.taskCount -= j.taskCount()
+	s.countTasks(j, -j.taskCount())
 	if j.isDenied() {
 		s.denied--
 	}
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -183,8 +183,10 @@
 	handingOver bool
 
 	// accounts holds what is counted for each team, keptTeams the recorded terms of the teams with open jobs.
-	accounts  map[string]*teamAccount
-	keptTeams map[string]teamRecord
+	// namedTeams is the number of accounts with isNamed.
+	accounts   map[string]*teamAccount
+	namedTeams int
+	keptTeams  map[string]teamRecord
 	// countedStrays holds the orders that count although their runs are over. They are looked at from strayExpiry on.
 	countedStrays map[strayKey]countedStray
 	strayExpiry   time.Time
@@ -271,6 +273,7 @@
 	for _, j := range s.jobs {
 		s.applyQueue(j)
 	}
+	s.rebuildBacklogs()
 }
 
 // SetEvacuated replaces the set of zones that get no new tasks.
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -118,6 +118,8 @@
 	gangRuns, gangReserved int
 	// heldBack is the number of waiting tasks that were counted as held back by the quota.
 	heldBack int
+	// backlog is the waiting work to which the waiting tasks belong, nil for long-running ones.
+	backlog *backlog
 	// isBeyondShare is set if tasks were left to the second pass of the last decision, see startInPasses.
 	isBeyondShare bool
 	// reclaimAt is when room may be reclaimed for the stage again.
@@ -320,10 +322,12 @@
 				waitingSince: now, queued: true,
 			}
 		}
+		st.backlog = st.backlogOf()
+		st.addWaiting(st.waiting)
 		o.stages = append(o.stages, st)
 	}
 	j.openOccurrences[index] = o
-	s.taskCount += o.taskCount()
+	s.countTasks(j, o.taskCount())
 	j.nextOccurrence = max(j.nextOccurrence, index+1)
 	for _, st := range o.stages {
 		s.addReady(st)
@@ -508,8 +512,8 @@
 		return
 	}
 	delete(o.job.openOccurrences, o.index)
-	s.taskCount -= o.taskCount()
 	j := o.job
+	s.countTasks(j, -o.taskCount())
 	if len(j.openOccurrences) == 0 && j.nextOccurrence >= j.spec.Occurrences() && !j.isFinal() {
 		s.close(now, j, StateCompleted)
 	}
@@ -520,6 +524,7 @@
 	if t.queued {
 		t.queued = false
 		t.stage.waiting--
+		t.stage.addWaiting(-1)
 	}
 }
 
@@ -530,6 +535,7 @@
 	}
 	t.queued, t.waitingSince = true, now
 	t.stage.waiting++
+	t.stage.addWaiting(1)
 	t.stage.scan = scanState{}
 	s.addReady(t.stage)
 }
--- a/internal/zone/dispatch/team.go
+++ b/internal/zone/dispatch/team.go
@@ -16,21 +16,6 @@
 	Quota fleet.Size
 }
 
-// TeamState is what a team has in the scheduler at present.
-type TeamState struct {
-	Name string
-	// Running counts the team's runs, Waiting its tasks that wait for a start and whose dependencies are done.
-	Running, Waiting int
-	// Used is the sum of the sizes of the runs.
-	Used fleet.Size
-	// Refused counts the jobs that were refused because of the team's limits, Held the starts that its quota held back, both
-	// since the term began.
-	Refused, Held int
-}
-
-// TeamStates returns the states of the teams that have open jobs, ordered by name.
-func (s *Scheduler) TeamStates() []TeamState { return nil }
-
 // IsVisible reports whether a caller of the team may see the job with the ID, which is so for an unknown one. An empty team
 // sees all jobs, and a job without a team is visible to all.
 func (s *Scheduler) IsVisible(id, team string) bool {
@@ -52,12 +37,15 @@
 	quota.Account
 	// uses holds what the team has in each service.
 	uses map[string]*teamUse
-	// openJobs counts the jobs that have not ended.
-	openJobs int
+	// openJobs counts the jobs that have not ended, openTasks the tasks in memory.
+	openJobs, openTasks int
 	// leftAt is since when the team is known to have left the catalog without open jobs, the zero time if it has not.
 	leftAt time.Time
-	// held counts the starts that the quota held back in this term.
-	held int
+	// held counts the starts that the quota held back, refused the jobs that were refused because of limits of the team, both
+	// in this term.
+	held, refused int
+	// isNamed is set if the state of the team is told apart from those of others, see TeamStates.
+	isNamed bool
 	quotaEpisode
 }
 
@@ -72,6 +60,8 @@
 	// last decision.
 	shares   *serviceShares
 	isActive bool
+	// backlogs holds the waiting work by class.
+	backlogs map[backlogClass]*backlog
 }
 
 // accountOf returns the account of the team with the name, a new one if there is none.
@@ -89,7 +79,7 @@
 func (s *Scheduler) useOf(a *teamAccount, service string) *teamUse {
 	u := a.uses[service]
 	if u == nil {
-		u = &teamUse{account: a, service: service, shares: s.sharesOf(service)}
+		u = &teamUse{account: a, service: service, shares: s.sharesOf(service), backlogs: map[backlogClass]*backlog{}}
 		a.uses[service] = u
 	}
 	return u
@@ -109,6 +99,7 @@
 	}
 	j.isOpen = true
 	a.openJobs++
+	s.nameTeam(a)
 	s.keepTeam(a)
 }
 
@@ -117,6 +108,11 @@
 	if !j.isOpen {
 		return
 	}
+	for _, o := range j.openOccurrences {
+		for _, st := range o.stages {
+			st.addWaiting(-st.waiting)
+		}
+	}
 	j.isOpen = false
 	j.use.account.openJobs--
 }
--- a/internal/zone/dispatch/team_quota.go
+++ b/internal/zone/dispatch/team_quota.go
@@ -380,6 +380,7 @@
 	if !a.isKnown || !slices.ContainsFunc(j.spec.Steps, exceeds) {
 		return Reply{}, false
 	}
+	s.countRefusal(j)
 	return Reply{
 		Outcome: OutcomeRefused, RetryAfter: tooLargeRetryAfter, Reason: "a task is larger than the quota of the team",
 	}, true
--- a/internal/zone/dispatch/team_record.go
+++ b/internal/zone/dispatch/team_record.go
@@ -90,6 +90,9 @@
 		}
 		if a.Used() == (fleet.Size{}) && now.Sub(a.leftAt) > s.limits.JobRetention {
 			delete(s.accounts, a.name)
+			if a.isNamed {
+				s.namedTeams--
+			}
 		}
 	}
 }
