Weigh the wait for a data rack or for room in one rack

A task with a data rack waited half of what a remote run costs and at most 1 s, whether or not the rack would have room by then. A colocated gang was spread over racks if none had room at that moment. After one task of a stage with a data rack had found no worker, no other task of the stage was looked at in that decision.

package locality now decides for both. What it is asked with is computed once a decision for each worker of a rack that somebody waits for: the room that is free, the expected ends of runs there, and the waiting tasks that come first, each of which takes its place in the forecast. A wait is bounded by what a remote run costs, counted from when the task became waiting, since runs that overrun put off their expected end again and again. Stages without a data rack go through the same code as before.

Event 'remote start' says why and after which wait a task or gang runs remotely; the start event names the place.

--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -75,10 +75,7 @@
 // rank returns the rank of a stage at the given time.
 func (s *Scheduler) rank(now time.Time, st *stage) rank {
 	j := st.job()
-	countedFrom := j.acceptedAt
-	if j.spec.OccurrenceCount > 0 {
-		countedFrom = j.acceptedAt.Add(j.spec.DueTime(st.occurrence.index).Sub(j.acceptedWall))
-	}
+	countedFrom := j.countedFrom(st.occurrence)
 	remaining := j.remainingTime[st.index]
 	r := rank{priority: j.priority, latestStartAt: countedFrom.Add(j.objective - remaining)}
 	switch {
@@ -95,6 +92,14 @@
 	return r
 }
 
+// countedFrom returns the time from which the objective of an occurrence counts.
+func (j *Job) countedFrom(o *occurrence) time.Time {
+	if j.spec.OccurrenceCount > 0 {
+		return j.acceptedAt.Add(j.spec.DueTime(o.index).Sub(j.acceptedWall))
+	}
+	return j.acceptedAt
+}
+
 // compare returns a negative number if r comes before o, a positive one if it comes after o, and 0 if they are equal.
 func (r rank) compare(o rank) int {
 	return cmp.Or(
@@ -264,6 +269,9 @@
 	if plan == nil {
 		return false
 	}
+	if g := st.gangWait; g != nil && g.remote {
+		s.recordRemoteGang(now, st.tasks[0], plan[0], g.decision.Reason)
+	}
 	for i, t := range st.tasks {
 		s.startRun(now, t, plan[i])
 	}
@@ -278,7 +286,7 @@
 		if !t.queued || t.lastEndedRun >= st.gangRunNumber {
 			continue
 		}
-		w := s.findWorker(now, t, nil)
+		w := s.findMember(now, t)
 		if w == nil {
 			return false
 		}
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	"sassafraswind.example/sassafraswind/internal/zone/locality"
 )
 
 // Limits holds the platform's bounds and the scheduler's own settings.
@@ -110,6 +111,12 @@
 	workers   map[string]*Worker
 	// byService lists the workers of each service, ordered by ID.
 	byService map[string][]*Worker
+	// rackIndex holds the racks of the services for which somebody has asked since their workers changed, see racksOf.
+	rackIndex map[string][]rack
+	// nearRule decides about waits for a near place. Tests compare locality.Decide with other rules.
+	nearRule func(time.Time, locality.Input) locality.Decision
+	// near holds what the present decision knows of the racks for which tasks wait.
+	near nearState
 	// capacities lists the worker capacities of each service, without those that fit into another one of the list.
 	capacities map[string][]fleet.Size
 	// draining holds the workers that drain, moving the runs that were stopped because their workers leave, and maybe others
@@ -212,6 +219,8 @@
 		workers:         map[string]*Worker{},
 		draining:        map[*Worker]struct{}{},
 		byService:       map[string][]*Worker{},
+		rackIndex:       map[string][]rack{},
+		nearRule:        locality.Decide,
 		capacities:      map[string][]fleet.Size{},
 		silent:          map[*Worker]struct{}{},
 		recurring:       map[*Job]struct{}{},
@@ -300,6 +309,9 @@
 	Run    int
 	Worker string
 	Reason string
+	// Place says for an EventStart whether a task runs near its data or remotely, and a colocated gang in one rack or not:
+	// PlaceNear or PlaceRemote. It is empty for other tasks and for repeated orders.
+	Place string
 	// Age is the age of the input on which the decision rests, 0 if it was current. It is never negative.
 	Age time.Duration
 	// ConfirmationAge is the time since the term was last confirmed, for EventWorkerEnded only. It is never negative.
--- a/internal/zone/dispatch/hold.go
+++ b/internal/zone/dispatch/hold.go
@@ -189,10 +189,14 @@
 // expectedRemaining returns the time after which a run is expected to end. One that takes longer than estimated is
 // expected to overrun for as long again.
 func (r *run) expectedRemaining(now time.Time) time.Duration {
+	return r.remainingOf(now, r.task.step().Estimate)
+}
+
+// remainingOf is expectedRemaining for a run that is expected to take as long as given in all.
+func (r *run) remainingOf(now time.Time, estimate time.Duration) time.Duration {
 	if r.phase == phaseStopping {
 		return 0
 	}
-	estimate := r.task.step().Estimate
 	byTime := r.startedAt.Add(estimate).Sub(now).Abs()
 	return min(byTime, estimate*time.Duration(100-r.progress)/100)
 }
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -98,6 +98,8 @@
 	// freeSlots is the free room for a waiting stage of long-running tasks.
 	freeSlots freeSlots
 	scan      scanState
+	// gangWait is the state of a gang that is slower away from one rack, nil until it is first to be started.
+	gangWait *gangWait
 	// overdueScanAt is when all workers were last looked at for the overdue tasks.
 	overdueScanAt time.Time
 	// waitReason is why the stage started no task in the last decision.
@@ -148,6 +150,9 @@
 	yieldsUntil time.Time
 	// waitingSince is when the task last became waiting.
 	waitingSince time.Time
+	// nearWait is how long after waitingSince the task with a data rack takes places in that rack only. It is 0 if that is not
+	// decided and negative if it takes any place.
+	nearWait time.Duration
 	// awaySince is when the last run of the task ended, at the earliest, the zero time if none has been seen in this term.
 	awaySince time.Time
 	// startedBefore is set if an earlier term has recorded a start of the task.
@@ -508,7 +513,7 @@
 	if t.done || t.queued || len(t.runs) > 0 || t.job().isFinal() {
 		return
 	}
-	t.queued, t.waitingSince = true, now
+	t.queued, t.waitingSince, t.nearWait = true, now, 0
 	t.stage.waiting++
 	t.stage.scan = scanState{}
 	s.addReady(t.stage)
--- /dev/null
+++ b/internal/zone/dispatch/locality_load_test.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"sassafraswind.example/sassafraswind/internal/zone/locality"
+)
+
+// fixedWait is the rule of before: a task waits for half of what a remote run costs and at most 1 s, whatever is expected.
+func fixedWait(now time.Time, in locality.Input) locality.Decision {
+	until := in.WaitingSince.Add(locality.BlindWait(in.RemoteCost()))
+	if now.Before(until) {
+		return locality.Decision{Choice: locality.Wait, Until: until}
+	}
+	return locality.Decision{Choice: locality.StartRemote, Reason: locality.ReasonWaitedEnough}
+}
+
+// hotRackResult is what a simulated hot rack has given.
+type hotRackResult struct {
+	// hot and other are the mean times to the end of the jobs for the rack and of the others, unended counts those without
+	// an end.
+	hot, other time.Duration
+	unended    int
+	// overdue counts the decisions after which a task for the rack had waited for longer than any may, with room elsewhere.
+	overdue int
+}
+
+// runHotRack simulates ten racks of which one is wanted by more tasks than it has room for, for 6 s.
+func runHotRack(seed uint64, perSecond float64, estimate time.Duration, rough bool,
+	rule func(time.Time, locality.Input) locality.Decision) hotRackResult {
+	sim := newLoadSim(seed, 120, loadMix{short: 0.2, long: 0.1})
+	sim.s.nearRule = rule
+	if rough {
+		sim.rough = rand.New(rand.NewPCG(seed, 2))
+	}
+	sim.run(3 * time.Second)
+	var r hotRackResult
+	hot := map[string]bool{}
+	interval := time.Duration(10 / perSecond * float64(time.Second))
+	for end := sim.now.Add(6 * time.Second); sim.now.Before(end); {
+		spec := sim.spec(1, 10, 4000, estimate, false)
+		spec.Steps[0].DataRack, spec.Steps[0].BestEffort = "r3", false
+		sim.submit("short", spec)
+		hot[jobID(sim.jobs)] = true
+		sim.decide()
+		r.overdue += sim.overdueNearWaits()
+		sim.run(interval)
+	}
+	sim.run(20 * time.Second)
+	var hotSum, otherSum time.Duration
+	others := 0
+	for id, j := range sim.s.jobs {
+		switch took := j.endedAt.Sub(j.acceptedAt); {
+		case j.finalState != StateCompleted:
+			if hot[id] {
+				r.unended++
+			}
+		case hot[id]:
+			hotSum += took
+		default:
+			others++
+			otherSum += took
+		}
+	}
+	r.hot, r.other = hotSum/time.Duration(max(1, len(hot)-r.unended)), otherSum/time.Duration(max(1, others))
+	return r
+}
+
+// overdueNearWaits counts the stages of which a task, right after a decision, has waited for a near place for longer than any
+// may, although there is room elsewhere.
+func (sim *loadSim) overdueNearWaits() int {
+	n := 0
+	for _, st := range sim.s.ready {
+		t := st.longestWaiting()
+		if t == nil || st.step().DataRack == "" {
+			continue
+		}
+		if limit := locality.LongestWait(sim.s.remoteCost(st.step())); sim.now.Sub(t.waitingSince) < limit {
+			continue
+		}
+		if sim.s.findWorker(sim.now, t, nil) != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// TestHotRack guards against a rule that is worse than a fixed wait for a rack that more tasks want than it has room for: the
+// mean time to the end of their jobs is compared in the same replay, with tasks that take 0.5 to 1.5 times and 0.2 to 3.7 times
+// their estimate. The other jobs, and those for a rack with room, must not take longer.
+func TestHotRack(t *testing.T) {
+	const seeds = 3
+	for _, rough := range []bool{false, true} {
+		for _, load := range []struct{ perSecond, limit float64 }{{80, 1.01}, {150, 0.97}, {300, 0.96}} {
+			var fixed, weighed hotRackResult
+			for seed := range uint64(seeds) {
+				fixed.add(runHotRack(seed, load.perSecond, time.Second, rough, fixedWait))
+				weighed.add(runHotRack(seed, load.perSecond, time.Second, rough, locality.Decide))
+			}
+			t.Logf("%v tasks/s, rough estimates %v: jobs for the rack take %v, with a fixed wait %v; others %v and %v",
+				load.perSecond, rough, weighed.hot/seeds, fixed.hot/seeds, weighed.other/seeds, fixed.other/seeds)
+			if ratio := float64(weighed.hot) / float64(fixed.hot); ratio > load.limit {
+				t.Errorf("jobs for the rack take %.3f times as long as with a fixed wait, want at most %v", ratio, load.limit)
+			}
+			if ratio := float64(weighed.other) / float64(fixed.other); ratio > 1.08 {
+				t.Errorf("other jobs take %.3f times as long as with a fixed wait, want at most 1.08", ratio)
+			}
+			if weighed.unended > 0 || weighed.overdue > 0 {
+				t.Errorf("%d jobs have not ended, %d waits were too long, want none", weighed.unended, weighed.overdue)
+			}
+		}
+	}
+}
+
+// add adds the result of another seed.
+func (r *hotRackResult) add(o hotRackResult) {
+	r.hot, r.other = r.hot+o.hot, r.other+o.other
+	r.unended, r.overdue = r.unended+o.unended, r.overdue+o.overdue
+}
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -128,6 +128,8 @@
 	}
 	if r.repeats > 0 {
 		e.Reason = "no answer to the last order"
+	} else {
+		e.Place = s.startPlace(r)
 	}
 	s.recordEvent(e)
 }
--- a/internal/zone/dispatch/placement.go
+++ b/internal/zone/dispatch/placement.go
@@ -81,6 +81,22 @@
 // isSuitable reports whether the task may run on the worker, regardless of room and of the rules that keep it away for a
 // while.
 func (s *Scheduler) isSuitable(now time.Time, t *task, w *Worker) bool {
+	step := t.step()
+	if !s.isUsableFor(now, t, w) {
+		return false
+	}
+	if step.MaxPerWorker > 0 && t.stage.tasksOn(w) >= step.MaxPerWorker {
+		return false
+	}
+	if step.DataRack != "" && w.Rack != step.DataRack && s.staysNear(now, t) {
+		return false
+	}
+	return true
+}
+
+// isUsableFor reports whether tasks like the given one may run on the worker, regardless of the other tasks there, of their
+// rack and of the rules that keep them away for a while.
+func (s *Scheduler) isUsableFor(now time.Time, t *task, w *Worker) bool {
 	step := t.step()
 	if !w.isUsable() || len(w.unknownRuns) > 0 || s.catalog.Evacuated[w.Zone] ||
 		w.recordBatch == 0 || w.recordBatch > s.journal.committed {
@@ -95,12 +111,6 @@
 			return false
 		}
 	}
-	if step.MaxPerWorker > 0 && t.stage.tasksOn(w) >= step.MaxPerWorker {
-		return false
-	}
-	if step.DataRack != "" && w.Rack != step.DataRack && now.Sub(t.waitingSince) < s.dataLocalityWait(step.Estimate) {
-		return false
-	}
 	return true
 }
 
@@ -110,12 +120,6 @@
 	return ok
 }
 
-// dataLocalityWait returns how long a task of the given estimate waits for a worker in the rack of its data before it
-// takes another worker, on which it takes longer.
-func (s *Scheduler) dataLocalityWait(estimate time.Duration) time.Duration {
-	return min(time.Duration((s.limits.RemoteFactor-1)*float64(estimate)/2), time.Second)
-}
-
 // tasksOn returns the number of runs of the stage's tasks that occupy the worker.
 func (st *stage) tasksOn(w *Worker) int {
 	n := 0
@@ -199,26 +203,22 @@
 	return score
 }
 
-// planGang finds a worker for each member of a gang, all in one rack if the members are colocated and a rack has room.
-// It returns nil if there is no room for all members.
+// planGang finds a worker for each member of a gang. It returns nil if there is no room for all members, or if they wait
+// for room in one rack.
 func (s *Scheduler) planGang(now time.Time, st *stage) []*Worker {
-	if st.step().Colocated {
-		for _, rack := range s.racks(st.job().service) {
-			if plan := s.planMembers(now, st, rack); plan != nil {
-				return plan
-			}
-		}
+	if st.step().Colocated || st.step().DataRack != "" {
+		return s.planNear(now, st)
 	}
-	return s.planMembers(now, st, "")
+	return s.planMembers(now, st, "", s.byService[st.job().service])
 }
 
-// planMembers finds a worker for each member of a gang in the given rack, empty for any rack. It returns nil if there
-// is no room for all members.
-func (s *Scheduler) planMembers(now time.Time, st *stage, rack string) []*Worker {
+// planMembers finds a worker for each member of a gang among the workers of the given rack, empty for any rack. It returns
+// nil if there is no room for all members.
+func (s *Scheduler) planMembers(now time.Time, st *stage, rack string, workers []*Worker) []*Worker {
 	p := &gangPlan{rack: rack, reserved: map[*Worker]fleet.Size{}, members: map[*Worker]int{}}
 	out := make([]*Worker, 0, len(st.tasks))
 	for _, t := range st.tasks {
-		w := s.findWorker(now, t, p)
+		w := s.findAmong(now, t, p, workers)
 		if w == nil {
 			return nil
 		}
@@ -228,16 +228,3 @@
 	}
 	return out
 }
-
-// racks returns the racks of a service's workers.
-func (s *Scheduler) racks(service string) []string {
-	var out []string
-	seen := map[string]struct{}{}
-	for _, w := range s.byService[service] {
-		if _, ok := seen[w.Rack]; !ok && w.Rack != "" {
-			seen[w.Rack] = struct{}{}
-			out = append(out, w.Rack)
-		}
-	}
-	return out
-}
--- a/internal/zone/dispatch/scale_test.go
+++ b/internal/zone/dispatch/scale_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -27,6 +28,8 @@
 	// log holds what the leaders have written, terms counts the leaders.
 	log   map[string][]byte
 	terms int
+	// rough draws the factors, from 0.4 to 2.5, by which tasks take longer than they would; nil stands for a factor of 1.
+	rough *rand.Rand
 	// starts counts the start orders, decisions the calls of Decide.
 	starts, decisions int
 }
@@ -266,6 +269,12 @@
 		sim.starts++
 		step := sim.s.findTask(o.Task).step()
 		took := float64(step.Estimate) * (0.5 + sim.rng.Float64()) * max(1, w.slowdown)
+		if sim.rough != nil {
+			took *= math.Exp2(sim.rough.Float64()*2.6 - 1.3)
+		}
+		if step.DataRack != "" && sim.s.workers[o.Worker].Rack != step.DataRack {
+			took *= sim.s.limits.RemoteFactor
+		}
 		r := loadSimRun{longRunning: step.LongRunning, startedAt: sim.now, endsAt: sim.now.Add(time.Duration(took))}
 		w.runs[k] = r
 		sim.s.HandleStartAnswer(sim.now, o, AnswerDone, sim.clock())
--- a/internal/zone/dispatch/shortlist.go
+++ b/internal/zone/dispatch/shortlist.go
@@ -131,11 +131,16 @@
 	list       *shortlist
 	// noneForOthers is set once no worker was found for a task that is not plain.
 	noneForOthers bool
+	// near is nil until the first task with a data rack.
+	near *nearChoice
 }
 
 // chooseWorker returns the best worker for a task of a stage, nil if there is none. noRoom is set if no worker has room
 // for any plain task of the stage.
 func (s *Scheduler) chooseWorker(now time.Time, t *task, c *stageChoice) (w *Worker, noRoom bool) {
+	if t.step().DataRack != "" {
+		return s.chooseNear(now, t, c), false
+	}
 	if !t.isPlain() {
 		if !c.noneForOthers {
 			w = s.findWorker(now, t, nil)
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -194,6 +194,8 @@
 	// leasesExpired is set when the leases of an unreachable worker have expired.
 	leasesExpired bool
 	leaseRecord   leaseRecordState
+	// forecast is the room that is expected to become free, nil until somebody waits for the worker's rack.
+	forecast *roomForecast
 
 	health health
 	speed  speedEstimate
@@ -323,6 +325,9 @@
 		// Both are relative to the cores. A share that changes with them says nothing about the load.
 		w.marginsValid, w.bestEffortUse = false, nil
 	}
+	if w.Rack != r.Rack {
+		delete(s.rackIndex, w.Service)
+	}
 	w.Registration = r
 	w.listed = true
 	s.markChanged(w)
@@ -363,6 +368,7 @@
 
 // indexWorker adds the worker to those of its service.
 func (s *Scheduler) indexWorker(w *Worker) {
+	delete(s.rackIndex, w.Service)
 	list := s.byService[w.Service]
 	i, _ := slices.BinarySearchFunc(list, w.ID, func(other *Worker, id string) int { return cmp.Compare(other.ID, id) })
 	s.byService[w.Service] = slices.Insert(list, i, w)
@@ -370,6 +376,7 @@
 
 // unindexWorker removes the worker from those of its service.
 func (s *Scheduler) unindexWorker(w *Worker) {
+	delete(s.rackIndex, w.Service)
 	s.byService[w.Service] = removeFirst(s.byService[w.Service], w)
 }
 
