--- a/internal/zone/dispatch/locality.go
+++ b/internal/zone/dispatch/locality.go
@@ -107,6 +107,10 @@
 // nearChoice holds what is known while the tasks of one stage with a data rack are started.
 type nearChoice struct {
 	workers []*Worker
+	// input is what the rule is asked with for each task, without what belongs to the task. cost is what a remote run costs,
+	// horizon the longest wait that pays.
+	input         locality.Input
+	cost, horizon time.Duration
 	// near and remote rate the workers in the rack and all workers for the tasks that have not failed. They are nil until they
 	// are needed.
 	near, remote *shortlist
@@ -114,18 +118,38 @@
 	noneForFailed bool
 	// queue forecasts when the rack has room for the waiting tasks, nil until it is needed.
 	queue *nearQueue
+	// noneSince is set once no worker at all has room for the tasks that have not failed, and none of the rack is expected to have
+	// within a wait that pays, to when the task became waiting of which that was found.
+	noneSince time.Time
 	// started is the task for which a worker was chosen last, on its worker.
 	started *task
 	worker  *Worker
 }
 
+// newNearChoice returns the choice for a stage with a data rack.
+func (s *Scheduler) newNearChoice(now time.Time, st *stage) *nearChoice {
+	s.beginNear(now)
+	n := &nearChoice{
+		workers: s.rackNamed(st.job().service, st.step().DataRack).workers,
+		input: locality.Input{
+			Estimate: st.step().Estimate, RemoteFactor: s.limits.RemoteFactor, EndBy: s.endBy(st),
+		},
+	}
+	n.cost = n.input.RemoteCost()
+	n.horizon = locality.LongestWait(n.cost)
+	return n
+}
+
 // chooseNear returns the best worker for a task with a data rack, nil if there is none or the task waits for one in the rack.
 func (s *Scheduler) chooseNear(now time.Time, t *task, c *stageChoice) *Worker {
-	s.beginNear(now)
 	if c.near == nil {
-		c.near = &nearChoice{workers: s.rackNamed(t.job().service, t.step().DataRack).workers}
+		c.near = s.newNearChoice(now, t.stage)
 	}
 	n := c.near
+	if !n.noneSince.IsZero() && len(t.failedRuns) == 0 && t.waitingSince.Equal(n.noneSince) {
+		t.nearWait = -1
+		return nil
+	}
 	n.rerate(s, now)
 	w := s.findNear(now, t, n)
 	if w == nil {
@@ -138,9 +162,12 @@
 			if n.queue != nil {
 				n.queue.take()
 			}
+			if n.isExhausted() {
+				n.noneSince = t.waitingSince
+			}
 			return nil
 		}
-		if s.remoteCost(t.step()) > 0 {
+		if n.cost > 0 {
 			s.recordEvent(Event{
 				Kind: EventRemoteStart, Job: t.job().id, Task: t.name, Run: t.lastRun + 1, Worker: w.ID,
 				Reason: string(d.Reason), Age: now.Sub(t.waitingSince),
@@ -151,6 +178,12 @@
 	return w
 }
 
+// isExhausted reports whether no worker has room now, and none of the rack within a wait that pays.
+func (n *nearChoice) isExhausted() bool {
+	return n.near != nil && n.near.Len() == 0 && n.remote != nil && n.remote.Len() == 0 &&
+		(n.queue == nil || n.queue.first == nil)
+}
+
 // rerate rates the worker again on which a task was started last.
 func (n *nearChoice) rerate(s *Scheduler, now time.Time) {
 	if n.worker == nil {
@@ -224,23 +257,20 @@
 
 // nearInput returns what the rule is asked with for a task that has found no place in its rack.
 func (s *Scheduler) nearInput(now time.Time, t *task, n *nearChoice) locality.Input {
-	in := locality.Input{
-		WaitingSince: t.waitingSince, Estimate: t.step().Estimate, RemoteFactor: s.limits.RemoteFactor, EndBy: s.endBy(t.stage),
-	}
-	cost := in.RemoteCost()
-	if cost <= 0 {
+	in := n.input
+	in.WaitingSince = t.waitingSince
+	if n.cost <= 0 {
 		return in
 	}
-	horizon := locality.LongestWait(cost)
 	if n.queue == nil {
-		n.queue = s.newNearQueue(now, t, n.workers, horizon)
+		n.queue = s.newNearQueue(now, t, n.workers, n.horizon)
 	}
 	var after time.Duration
-	first := n.queue.first()
+	first := n.queue.first
 	if first != nil {
 		after = first.next
 	}
-	in.Near = nearAfter(now, len(n.queue.places) > 0, after, first != nil, horizon)
+	in.Near = nearAfter(now, len(n.queue.places) > 0, after, first != nil, n.horizon)
 	return in
 }
 
--- a/internal/zone/dispatch/rack_room.go
+++ b/internal/zone/dispatch/rack_room.go
@@ -210,6 +210,8 @@
 	places        []nearPlace
 	size          fleet.Size
 	span, horizon time.Duration
+	// first is the place where the next task is expected to have room first, nil if that is after the horizon.
+	first *nearPlace
 }
 
 // newNearQueue returns the queue for the tasks like the given one. It knows no time beyond the horizon.
@@ -220,6 +222,7 @@
 	for i := range q.places {
 		q.update(&q.places[i])
 	}
+	q.findFirst()
 	return q
 }
 
@@ -228,20 +231,19 @@
 	p.next, p.hasNext = p.forecast.roomAfter(q.size, p.from, q.span, q.horizon)
 }
 
-// first returns the place where the next task is expected to have room first, nil if that is after the horizon.
-func (q *nearQueue) first() *nearPlace {
-	var best *nearPlace
+// findFirst sets the first place.
+func (q *nearQueue) findFirst() {
+	q.first = nil
 	for i := range q.places {
-		if p := &q.places[i]; p.hasNext && (best == nil || p.next < best.next) {
-			best = p
+		if p := &q.places[i]; p.hasNext && (q.first == nil || p.next < q.first.next) {
+			q.first = p
 		}
 	}
-	return best
 }
 
 // take gives the next task its place, so that the tasks that come after it find the next one.
 func (q *nearQueue) take() {
-	p := q.first()
+	p := q.first
 	if p == nil {
 		return
 	}
@@ -251,6 +253,7 @@
 		p.left, p.from = 1, p.next+q.span
 	}
 	q.update(p)
+	q.findFirst()
 }
 
 // slots returns how many tasks of the size fit into the room.
