Record the waits for a near place, and decide when one ends

Nothing told how long tasks wait for a near place. The start event names the place where it matters, and the new histogram sassafraswind.entry.near.wait counts its wait by place, near or remote.

A host with nothing else to do decides every 250 ms, so that a wait could last that much longer. The decision loop now wakes up at the end of the next wait.

Run: the tests of internal/host/entry and internal/host/telemetry, which pass.

--- a/internal/host/entry/orders.go
+++ b/internal/host/entry/orders.go
@@ -24,6 +24,10 @@
 		orders := t.scheduler.Decide(now, time.Unix(0, t.confirmedAt.Load()))
 		wantsConfirmation := t.scheduler.WantsConfirmation(now)
 		events := t.scheduler.Events()
+		interval := maxDecisionInterval
+		if d, ok := t.scheduler.UntilWaitEnds(now); ok {
+			interval = min(interval, d)
+		}
 		took := t.host.clock.Now().Sub(lockedAt)
 		t.mu.Unlock()
 		for _, o := range orders {
@@ -46,7 +50,7 @@
 				"lag_ms": late.mean.Milliseconds(), "pause_ms": pause.Milliseconds(),
 			}).Info("The leader is late")
 		}
-		timer.Reset(max(time.Millisecond, maxDecisionInterval-pause))
+		timer.Reset(max(time.Millisecond, interval-pause))
 		select {
 		case <-t.ctx.Done():
 			return
--- a/internal/host/entry/recorder.go
+++ b/internal/host/entry/recorder.go
@@ -16,6 +16,8 @@
 	RecordDecision(event string)
 	// RecordStart records how long a task waited for its start.
 	RecordStart(waited time.Duration)
+	// RecordNearWait records how long a task or gang that runs longer in the wrong place waited for its start, by its place.
+	RecordNearWait(place string, waited time.Duration)
 	// RecordEnd records the end of a run and how it ended.
 	RecordEnd(how string)
 }
@@ -30,6 +32,7 @@
 func (nopRecorder) RecordOrder(string, string, time.Duration)   {}
 func (nopRecorder) RecordDecision(string)                       {}
 func (nopRecorder) RecordStart(time.Duration)                   {}
+func (nopRecorder) RecordNearWait(string, time.Duration)        {}
 func (nopRecorder) RecordEnd(string)                            {}
 
 // recordEvents records the scheduler's events as metrics.
@@ -39,6 +42,9 @@
 		switch e.Kind {
 		case dispatch.EventStart:
 			h.recorder.RecordStart(e.Age)
+			if e.Place != "" {
+				h.recorder.RecordNearWait(e.Place, e.Age)
+			}
 		case dispatch.EventEnd:
 			h.recorder.RecordEnd(e.Reason)
 		}
--- a/internal/host/telemetry/async_test.go
+++ b/internal/host/telemetry/async_test.go
@@ -98,11 +98,13 @@
 		m.RecordStoreCall("log-append", 4e6, nil)
 		m.RecordDecision("start")
 		m.RecordStart(1e9)
+		m.RecordNearWait("remote", 1e9)
 		m.RecordEnd("failed")
 		text := scrape(m.Handler())
 		for _, want := range []string{
 			"sassafraswind_entry_jobs 3\n", `sassafraswind_entry_answer_seconds_count{action="submit"`, `kind="start"`,
 			`call="log-append"`, `event="start"`, `how="failed"`, `sassafraswind_entry_start_wait_seconds_sum`,
+			`sassafraswind_entry_near_wait_seconds_count{`, `place="remote"`,
 		} {
 			So(text, ShouldContainSubstring, want)
 		}
--- a/internal/host/telemetry/entry.go
+++ b/internal/host/telemetry/entry.go
@@ -18,6 +18,7 @@
 
 	latency       metric.Float64Histogram
 	startWait     metric.Float64Histogram
+	nearWait      metric.Float64Histogram
 	orderTime     metric.Float64Histogram
 	storeCallTime metric.Float64Histogram
 	decisions     metric.Int64Counter
@@ -36,6 +37,7 @@
 		latency: i.histogram("sassafraswind.entry.answer",
 			"Time from a caller's request to its answer, by action and outcome."),
 		startWait: i.histogram("sassafraswind.entry.start.wait", "Time that a task waited for its start."),
+		nearWait:  newNearWait(&i),
 		orderTime: i.histogram("sassafraswind.entry.order", "Time of an order to a worker, by kind and answer."),
 		storeCallTime: i.histogram("sassafraswind.entry.store.call",
 			"Time of a call to the platform's store, by call and outcome."),
