--- a/internal/zone/dispatch/locality_bench_test.go
+++ b/internal/zone/dispatch/locality_bench_test.go
@@ -63,3 +63,24 @@
 		}
 	}
 }
+
+// BenchmarkWaitingGangs measures a decision while ten colocated gangs wait for a rack in an occupied deployment.
+func BenchmarkWaitingGangs(b *testing.B) {
+	s := newCrowdedRack(1)
+	for n := range 10 {
+		step := newStep(8, 4000, 2*time.Second)
+		step.Gang, step.Colocated = true, true
+		s.Submit(simEpoch, Request{
+			ID: jobID(2 + n), Queue: "q", Spec: workflow.Spec{Steps: []workflow.Step{step}}, WallTime: simEpoch,
+		})
+		commitAll(s)
+	}
+	s.jobs[jobID(1)].finalState = StateCancelled
+	b.ReportAllocs()
+	for b.Loop() {
+		if n := len(s.Decide(simEpoch, simEpoch)); n > 0 {
+			b.Fatalf("%d orders", n)
+		}
+		s.Events()
+	}
+}
--- a/internal/zone/dispatch/scale_test.go
+++ b/internal/zone/dispatch/scale_test.go
@@ -45,6 +45,8 @@
 	answer   func()
 	// slowdown is the factor by which tasks take longer here; 0 counts as 1.
 	slowdown float64
+	// silent is set while the worker answers nothing and starts nothing.
+	silent bool
 	// stalledAt is when the tasks began to stand still, the zero time while they do not.
 	stalledAt time.Time
 }
@@ -264,6 +266,14 @@
 func (sim *loadSim) executeOrder(o Order) {
 	w := sim.workers[o.Worker]
 	k := runKey{o.Task, o.Run}
+	switch {
+	case w.silent && o.Kind == OrderStart:
+		sim.s.HandleStartAnswer(sim.now, o, AnswerMissing, 0)
+		return
+	case w.silent && o.Kind == OrderStop:
+		sim.s.HandleStopAnswer(sim.now, o, AnswerMissing, 0)
+		return
+	}
 	switch o.Kind {
 	case OrderStart:
 		sim.starts++
@@ -329,6 +339,12 @@
 			sim.sendRenewal(id)
 			return
 		}
+		if w.silent {
+			sim.s.HandleRenewalFailure(sim.now, id)
+			sim.decide()
+			sim.after(500*time.Millisecond, func() { sim.sendRenewal(id) })
+			return
+		}
 		for len(w.ended) > 0 && w.ended[0].Serial <= plan.Acknowledged {
 			w.ended = w.ended[1:]
 		}
