Draw data racks in the simulation of faults

The randomised simulation of dispatch had no racks, so that nothing showed a task with a data rack that is lost, runs twice or waits without end when workers or leaders fail. TestDataRacksUnderFaults gives most steps a data rack, one of them without workers, from a generator of its own; the draws of the other tests stay. Gangs are not part of that simulation.

A task that runs and may be moved to another worker waits for a near one as before the rule, not for as long as it might have waited for its start.

--- a/internal/zone/dispatch/locality.go
+++ b/internal/zone/dispatch/locality.go
@@ -77,10 +77,10 @@
 }
 
 // staysNear reports whether the task with a data rack takes places in that rack only. As long as the rule has not been asked
-// for it, it waits like one of which it isn't known when near room is free.
+// for it, it waits like one of which it isn't known when near room is free. So does a task that runs and may be moved.
 func (s *Scheduler) staysNear(now time.Time, t *task) bool {
 	wait := t.nearWait
-	if wait == 0 {
+	if wait == 0 || (wait > 0 && !t.queued) {
 		wait = locality.BlindWait(s.remoteCost(t.step()))
 	}
 	return now.Sub(t.waitingSince) < wait
--- a/internal/zone/dispatch/simulation_faults_test.go
+++ b/internal/zone/dispatch/simulation_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -36,6 +37,9 @@
 		case 2:
 			spec.Steps[0].LongRunning = sim.rng.IntN(3) == 0
 		}
+		if sim.racks != nil {
+			sim.drawRacks(&spec)
+		}
 		id := jobID(i)
 		sim.after(time.Duration(sim.rng.IntN(6000))*time.Millisecond, func() { sim.submit(id, spec) })
 		if sim.rng.IntN(10) == 0 {
@@ -48,6 +52,13 @@
 	}
 }
 
+// drawRacks gives most steps a data rack: one of those of the workers, or one without any.
+func (sim *simulation) drawRacks(spec *workflow.Spec) {
+	for i := range spec.Steps {
+		spec.Steps[i].DataRack = []string{"", "z0", "z0", "z1", "none"}[sim.racks.IntN(5)]
+	}
+}
+
 // confirmCancel notes the cancellation of a job once it is durable.
 func (sim *simulation) confirmCancel(l *simLeader, id string, k BatchID) {
 	switch {
@@ -93,6 +104,8 @@
 	// recurring is set if there are recurring jobs, and hosts whose times of day differ. A record of the log then holds only
 	// a few occurrences.
 	recurring bool
+	// racks is set if steps have their data in racks.
+	racks bool
 }
 
 // smallRecord is the size in bytes of a record that holds the progress of a few occurrences and the specification of any job.
@@ -108,6 +121,9 @@
 	}
 	sim = newLimitedSimulation(seed, rapid.IntRange(2, 6).Draw(t, "workers"), limits)
 	sim.outlives = opts.outlives
+	if opts.racks {
+		sim.racks = rand.New(rand.NewPCG(seed, 8))
+	}
 	if opts.recurring {
 		sim.maxSkew = time.Duration(rapid.SampledFrom([]int{0, 200, 400}).Draw(t, "skew")) * time.Millisecond
 		sim.submitRecurring(firstRecurring, rapid.IntRange(1, 4).Draw(t, "recurring"))
@@ -172,6 +188,12 @@
 	rapid.Check(t, func(t *rapid.T) { checkInvariants(t, faultOptions{recurring: true}) })
 }
 
+// TestDataRacksUnderFaults guards against tasks with a data rack that are lost, wait without end or run twice when the workers of
+// the rack or the leader fail.
+func TestDataRacksUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkInvariants(t, faultOptions{racks: true}) })
+}
+
 // checkInvariants plays a random mix of faults and checks that no invariant is violated and all work is done.
 func checkInvariants(t *rapid.T, opts faultOptions) {
 	sim, seed := playFaults(t, opts)
--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -56,6 +56,8 @@
 	// crashes counts the workers that have crashed under each deadly task, startsAfterCrashes the starts of the task after
 	// maxTaskCrashes of them.
 	crashes, startsAfterCrashes map[string]int
+	// racks draws the data racks of steps, nil if there are none.
+	racks *rand.Rand
 	// renames is set if workers come back from such a crash under another ID.
 	renames bool
 }
@@ -273,7 +275,7 @@
 			continue
 		}
 		l.s.SetWorker(sim.now, Registration{
-			ID: sw.id, Boot: sw.boot, Service: "svc", Address: sw.address, Zone: sw.zone, Capacity: sw.capacity,
+			ID: sw.id, Boot: sw.boot, Service: "svc", Address: sw.address, Zone: sw.zone, Rack: sw.zone, Capacity: sw.capacity,
 			Draining: sw.draining, LeavesIn: max(0, sw.leavesAt.Sub(sim.now)),
 		})
 		l.listed[sw.id] = sw.capacity
