Compare colocated gangs with and without waits under load

Guards against gangs that are spread over racks although waiting for one ends sooner: each then takes room for twice as long, so that the next ones find no rack either. The load simulation lets spread gangs take as much longer as the platform does.

--- a/internal/zone/dispatch/locality_load_test.go
+++ b/internal/zone/dispatch/locality_load_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"sassafraswind.example/sassafraswind/internal/work/workflow"
 	"sassafraswind.example/sassafraswind/internal/zone/locality"
 )
 
@@ -201,3 +202,74 @@
 		}
 	}
 }
+
+// gangResult is what a simulated load of colocated gangs has given: the mean times to the end of the gangs' jobs and of the
+// others, and the gangs that had not ended within 8 s.
+type gangResult struct {
+	gangs, others time.Duration
+	unended       int
+}
+
+// runGangs simulates ten racks for 20 s with colocated gangs, which take half of a rack for 2 s, beside short jobs that take the
+// given share of the room.
+func runGangs(seed uint64, perSecond, short float64, rough bool,
+	rule func(time.Time, locality.Input) locality.Decision) gangResult {
+	sim := newLoadSim(seed, 120, loadMix{short: short})
+	sim.s.nearRule = rule
+	if rough {
+		sim.rough = rand.New(rand.NewPCG(seed, 2))
+	}
+	ids := map[string]bool{}
+	sim.submitAtRate("short", perSecond, func() workflow.Spec {
+		spec := sim.spec(1, 16, 8000, 2*time.Second, false)
+		spec.Steps[0].Gang, spec.Steps[0].Colocated, spec.Steps[0].BestEffort = true, true, false
+		ids[jobID(sim.jobs+1)] = true
+		return spec
+	})
+	sim.run(20 * time.Second)
+	var r gangResult
+	gangs, others := 0, 0
+	for id, j := range sim.s.jobs {
+		took := j.endedAt.Sub(j.acceptedAt)
+		switch {
+		case j.finalState != StateCompleted:
+			if ids[id] && sim.now.Sub(j.acceptedAt) >= 8*time.Second {
+				r.unended++
+			}
+		case ids[id]:
+			gangs++
+			r.gangs += took
+		default:
+			others++
+			r.others += took
+		}
+	}
+	r.gangs, r.others = r.gangs/time.Duration(max(1, gangs)), r.others/time.Duration(max(1, others))
+	return r
+}
+
+// TestColocatedGangsUnderLoad guards against gangs that are spread over racks rather than wait for one: each then takes room for
+// twice as long, so that the next ones find no rack either. The mean time to their end is compared with that of gangs that never
+// wait, in the same replay. Other jobs must not take longer.
+func TestColocatedGangsUnderLoad(t *testing.T) {
+	neverWait := func(time.Time, locality.Input) locality.Decision {
+		return locality.Decision{Choice: locality.StartRemote}
+	}
+	for _, load := range []struct {
+		perSecond, short float64
+		rough            bool
+		limit            float64
+	}{{9, 0.2, false, 0.6}, {6, 0.4, false, 0.6}, {9, 0.2, true, 1}} {
+		before := runGangs(1, load.perSecond, load.short, load.rough, neverWait)
+		now := runGangs(1, load.perSecond, load.short, load.rough, locality.Decide)
+		t.Logf("%+v: gangs take %v, %d not ended, without waits %v, %d; others %v and %v",
+			load, now.gangs, now.unended, before.gangs, before.unended, now.others, before.others)
+		if ratio := float64(now.gangs) / float64(before.gangs); ratio > load.limit || now.unended > before.unended {
+			t.Errorf("gangs take %.3f times as long as without waits, want at most %v; %d have not ended, without waits %d",
+				ratio, load.limit, now.unended, before.unended)
+		}
+		if ratio := float64(now.others) / float64(before.others); ratio > 1.08 {
+			t.Errorf("other jobs take %.3f times as long, want at most 1.08", ratio)
+		}
+	}
+}
--- a/internal/zone/dispatch/scale_test.go
+++ b/internal/zone/dispatch/scale_test.go
@@ -282,7 +282,8 @@
 		if sim.rough != nil {
 			took *= math.Exp2(sim.rough.Float64()*2.6 - 1.3)
 		}
-		if step.DataRack != "" && sim.s.workers[o.Worker].Rack != step.DataRack {
+		isSpread := step.Gang && step.Colocated && sim.s.findTask(o.Task).stage.gangWait.remote
+		if isSpread || (step.DataRack != "" && sim.s.workers[o.Worker].Rack != step.DataRack) {
 			took *= sim.s.limits.RemoteFactor
 		}
 		r := loadSimRun{longRunning: step.LongRunning, startedAt: sim.now, endsAt: sim.now.Add(time.Duration(took))}
