Count waits, ends, refusals and wasted work by class and team

Operators could not see how long jobs of a class wait, how many are late or refused, nor what stopped and lost runs cost: the leader's metrics had no class. The scheduler now adds these up by class (queue, or the Name of its route) and by team in plain fields, 64 of each named and the rest summed as "other". They are read at a scrape only, by a collector of its own, and the sums of a term outlive it at its host. Entry hosts count their answers by class, action, outcome and zone, and refusals by reason. The states of teams are exported as well.

The class is not part of a queue's record in the log. Msgpack arrays of another length can't be decoded in either direction, so a field at the end would make the record unreadable for hosts of the previous version.

--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -172,6 +172,8 @@
 	inflight int
 	// watchWake wakes watchLeader.
 	watchWake chan struct{}
+
+	outcomes outcomeTotals
 }
 
 // routing is the part of the manifest that is needed to serve callers' requests.
--- a/internal/host/entry/request.go
+++ b/internal/host/entry/request.go
@@ -147,6 +147,7 @@
 func (h *Host) logRequest(req Request, resp Response, tries int, start time.Time) {
 	took := h.clock.Now().Sub(start)
 	h.recorder.RecordRequest(string(req.Action), outcomeName(resp.Outcome), took)
+	h.recordAnswer(req, resp)
 	fields := logrus.Fields{
 		"action": string(req.Action), "job": req.ID, "outcome": outcomeName(resp.Outcome), "tries": tries,
 		"took_ms": took.Milliseconds(),
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -141,12 +141,14 @@
 	t.endOnce.Do(func() {
 		t.cancel()
 		t.onEnd()
+		t.host.outcomes.end(t)
 		t.log.WithField("reason", reason).Info("Term ended")
 	})
 }
 
 // begin fences the previous leader, restores the state and starts the loops of the term.
 func (t *term) begin() {
+	t.host.outcomes.begin(t)
 	start := t.host.clock.Now()
 	writer := t.newWriter(statePartition, ledger.WithRejectHook(t.rejectRecord))
 	renewals := t.newWriter(renewalPartition)
--- a/internal/host/telemetry/entry.go
+++ b/internal/host/telemetry/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 )
@@ -13,8 +14,12 @@
 // EntryMetrics holds the metric instruments of an entry host that package entry runs. Its methods are safe for
 // concurrent use.
 type EntryMetrics struct {
-	handler http.Handler
-	meter   metric.Meter
+	handler  http.Handler
+	meter    metric.Meter
+	registry *prometheus.Registry
+	zone     string
+	// classes, reasons and teams bound the values of these labels.
+	classes, reasons, teams *labelSet
 
 	latency       metric.Float64Histogram
 	startWait     metric.Float64Histogram
@@ -22,17 +27,20 @@
 	storeCallTime metric.Float64Histogram
 	decisions     metric.Int64Counter
 	ends          metric.Int64Counter
+	answers       metric.Int64Counter
+	refusals      metric.Int64Counter
 }
 
 // NewEntryMetrics returns the metrics of a host and a function that releases their resources.
 func NewEntryMetrics(host, zone string) (*EntryMetrics, func(), error) {
-	meter, handler, closeMeter, err := newMeter(host, zone)
+	meter, registry, closeMeter, err := newMeter(host, zone)
 	if err != nil {
 		return nil, nil, err
 	}
 	i := instruments{meter: meter}
 	m := &EntryMetrics{
-		handler: handler, meter: meter,
+		handler: newHandler(registry), meter: meter, registry: registry, zone: zone,
+		classes: newLabelSet(maxNamedLabels), reasons: newLabelSet(maxReasonLabels), teams: newLabelSet(maxNamedLabels),
 		latency: i.histogram("sassafraswind.entry.answer",
 			"Time from a caller's request to its answer, by action and outcome."),
 		startWait: i.histogram("sassafraswind.entry.start.wait", "Time that a task waited for its start."),
@@ -41,6 +49,10 @@
 			"Time of a call to the platform's store, by call and outcome."),
 		decisions: i.counter("sassafraswind.entry.decisions", "Decisions and findings of the leader, by event."),
 		ends:      i.counter("sassafraswind.entry.ends", "Ends of runs that workers have listed, by kind."),
+		answers: i.counter("sassafraswind.entry.answers",
+			"Answers to callers, by class, action, outcome and the zone of the host."),
+		refusals: i.counter("sassafraswind.entry.refusals",
+			"Answers that refuse a caller's request, by class, reason and the zone of the host."),
 	}
 	if i.errs != nil {
 		closeMeter()
@@ -97,6 +109,17 @@
 		metric.WithAttributes(attribute.String("action", action), attribute.String("outcome", outcome)))
 }
 
+// RecordAnswer counts the answer to a caller's request. A reason is given only if it was refused.
+func (m *EntryMetrics) RecordAnswer(class, action, outcome, reason string) {
+	ctx := context.Background()
+	zone, ofClass := attribute.String("zone", m.zone), attribute.String("class", m.classes.value(class))
+	m.answers.Add(ctx, 1, metric.WithAttributes(
+		ofClass, attribute.String("action", action), attribute.String("outcome", outcome), zone))
+	if reason != "" {
+		m.refusals.Add(ctx, 1, metric.WithAttributes(ofClass, attribute.String("reason", m.reasons.value(reason)), zone))
+	}
+}
+
 // RecordOrder records the duration of an order to a worker, by kind and answer.
 func (m *EntryMetrics) RecordOrder(kind, answer string, took time.Duration) {
 	m.orderTime.Record(context.Background(), took.Seconds(),
--- a/internal/host/telemetry/metrics.go
+++ b/internal/host/telemetry/metrics.go
@@ -45,20 +45,24 @@
 
 // NewMetrics returns the metrics of a host and a function that releases their resources.
 func NewMetrics(host, zone string) (*Metrics, func(), error) {
-	meter, handler, closeMeter, err := newMeter(host, zone)
+	meter, registry, closeMeter, err := newMeter(host, zone)
 	if err != nil {
 		return nil, nil, err
 	}
-	m := &Metrics{handler: handler, meter: meter}
+	m := &Metrics{handler: newHandler(registry), meter: meter}
 	if err := m.createInstruments(); err != nil {
 		return nil, nil, err
 	}
 	return m, closeMeter, nil
 }
 
-// newMeter returns a meter, a handler that serves its instruments in the Prometheus text format, and a function that
-// releases their resources.
-func newMeter(host, zone string) (metric.Meter, http.Handler, func(), error) {
+// newHandler returns a handler that serves the metrics of a registry in the Prometheus text format.
+func newHandler(r *prometheus.Registry) http.Handler {
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+}
+
+// newMeter returns a meter, a registry that collects its instruments, and a function that releases their resources.
+func newMeter(host, zone string) (metric.Meter, *prometheus.Registry, func(), error) {
 	registry := prometheus.NewRegistry()
 	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo())
 	if err != nil {
@@ -73,8 +77,7 @@
 		sdk.WithExemplarFilter(exemplar.AlwaysOffFilter))
 	meter := provider.Meter("sassafraswind",
 		metric.WithInstrumentationAttributes(attribute.String("host", host), attribute.String("zone", zone)))
-	return meter, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
-		func() { _ = provider.Shutdown(context.Background()) }, nil
+	return meter, registry, func() { _ = provider.Shutdown(context.Background()) }, nil
 }
 
 // instruments creates instruments of a meter and collects the errors in errs.
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -75,10 +75,7 @@
 // rank returns the rank of a stage at the given time.
 func (s *Scheduler) rank(now time.Time, st *stage) rank {
 	j := st.job()
-	countedFrom := j.acceptedAt
-	if j.spec.OccurrenceCount > 0 {
-		countedFrom = j.acceptedAt.Add(j.spec.DueTime(st.occurrence.index).Sub(j.acceptedWall))
-	}
+	countedFrom := st.occurrence.dueAt()
 	remaining := j.remainingTime[st.index]
 	r := rank{priority: j.priority, latestStartAt: countedFrom.Add(j.objective - remaining)}
 	switch {
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -73,6 +73,8 @@
 	// Advised is set if the jobs may run only on workers for which an adviser has given a ticket. An adviser is a
 	// service of the platform that selects the workers for a stage.
 	Advised bool
+	// Class is the name under which metrics count the jobs, empty for that of the queue. Several queues may have the same.
+	Class string
 }
 
 // Catalog is the scheduler's part of the manifest, the operators' configuration (entry.Manifest).
@@ -197,6 +199,8 @@
 	shortDemand map[string]float64
 	// longRunningWaiting names the services in which long-running tasks wait for room.
 	longRunningWaiting map[string]bool
+
+	outcomes Outcomes
 }
 
 // New returns a scheduler without jobs and workers. The token fences off the orders of earlier terms. The serial counts
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -63,6 +63,8 @@
 	stored bool
 	// crashesRecorded is set while the log may hold a record of the crashes blamed on the job's tasks.
 	crashesRecorded bool
+	// groups are the sums to which the job counts, the zero value until it first counts.
+	groups jobGroups
 }
 
 // occurrence is one execution of a job's steps.
@@ -75,6 +77,8 @@
 	// batch is the batch with the record that the occurrence has begun. No task of it starts before that is committed, since
 	// the next leader would take its runs and ends for unknown. It is 0 if there is a record already.
 	batch BatchID
+	// hasStarted is set once a start of a task has been ordered or is known of an earlier term.
+	hasStarted bool
 }
 
 // stage is a step of one occurrence.
@@ -223,8 +227,8 @@
 	OutcomeTaken
 )
 
-// Submit accepts or refuses a job. A job that is already known gets the same answer as the first time.
-func (s *Scheduler) Submit(now time.Time, r Request) Reply {
+// submit accepts or refuses a job. It does not count refusals.
+func (s *Scheduler) submit(now time.Time, r Request) Reply {
 	if !s.IsVisible(r.ID, r.Team) {
 		return Reply{Outcome: OutcomeTaken, Reason: "the id is taken"}
 	}
@@ -248,6 +252,7 @@
 	s.openDueOccurrences(now, j)
 	s.keepQueue(q)
 	j.acceptedBatch = s.journal.markDirty(j)
+	s.countAccepted(j)
 	return Reply{Outcome: OutcomeAccepted, Batch: j.acceptedBatch}
 }
 
@@ -409,6 +414,7 @@
 	j.finalState, j.endedAt = state, now
 	j.finalBatch = s.journal.markDirty(j)
 	delete(s.recurring, j)
+	s.countClosed(now, j, state)
 	for _, o := range j.openOccurrences {
 		for _, st := range o.stages {
 			for _, t := range st.tasks {
@@ -490,6 +496,7 @@
 	delete(o.job.openOccurrences, o.index)
 	s.taskCount -= o.taskCount()
 	j := o.job
+	s.countEnd(now, o, JobCompleted)
 	if len(j.openOccurrences) == 0 && j.nextOccurrence >= j.spec.Occurrences() && !j.isFinal() {
 		s.close(now, j, StateCompleted)
 	}
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -126,6 +126,7 @@
 	e := Event{
 		Kind: EventStart, Job: t.job().id, Task: t.name, Run: r.number, Worker: w.ID, Age: now.Sub(r.waitingSince),
 	}
+	s.countStart(now, st.occurrence)
 	if r.repeats > 0 {
 		e.Reason = "no answer to the last order"
 	}
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -415,7 +415,7 @@
 			t := o.stages[f[0]].tasks[f[1]]
 			t.failedRuns = append(t.failedRuns, f[2])
 			t.lastRun = max(t.lastRun, f[2])
-			j.started = true
+			j.started, o.hasStarted = true, true
 		}
 	}
 	for i, done := range rec.Done {
@@ -424,7 +424,7 @@
 		}
 		for n, t := range o.stages[i].tasks {
 			if len(done) == 0 || (n/8 < len(done) && done[n/8]&(1<<(n%8)) != 0) {
-				j.started = true
+				j.started, o.hasStarted = true, true
 				s.finishTask(now, t)
 			}
 		}
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -163,10 +163,11 @@
 	if t == nil {
 		return
 	}
+	s.countListedEnd(now, t, r, e)
 	if r == nil && e.Reason == EndDone {
 		s.recordDuplicate(t, e.Number, w, e.Reason)
 	}
-	t.job().started = true
+	t.job().started, t.stage.occurrence.hasStarted = true, true
 	t.lastRun, t.lastEndedRun = max(t.lastRun, e.Number), max(t.lastEndedRun, e.Number)
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
@@ -295,6 +296,9 @@
 		s.deleteUnanswered(r)
 	}
 	if rr.Checkpoint != "" {
+		if rr.Checkpoint != r.task.checkpoint {
+			r.savedAt = now
+		}
 		r.task.checkpoint = rr.Checkpoint
 	}
 	r.recordProgress(now, rr.Progress)
@@ -400,7 +404,7 @@
 		pace: paceUnknown, targetPace: 100,
 	}
 	t.lastRun = max(t.lastRun, number)
-	t.job().started = true
+	t.job().started, t.stage.occurrence.hasStarted = true, true
 	r.attach()
 	if t.step().Gang {
 		t.stage.gangRunNumber = max(t.stage.gangRunNumber, number)
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -82,6 +82,8 @@
 	// speed. measuredProgress was the progress then.
 	measuredAt       time.Time
 	measuredProgress int
+	// savedAt is when the worker first listed the newest checkpoint of the run, the zero time if it listed none.
+	savedAt time.Time
 	// reading is the tail latency in milliseconds of a long-running task, or the cores that another task uses, in
 	// thousandths.
 	reading int
@@ -413,6 +415,7 @@
 // did not confirm doesn't interrupt the wait of a long-running task.
 func (s *Scheduler) releaseRun(now time.Time, r *run) {
 	s.detach(r)
+	s.countReleased(now, r)
 	if r.confirmed {
 		r.task.noteAway(r.lastSeenAt(now))
 	}
