Add sassafraswind load, which adds up the metrics of hosts

To learn how long a class waits or why it is refused, an operator had to read the metrics of every host and add them up.

--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -95,6 +95,7 @@
 	Zone    zoneCmds   `cmd:"" help:"List availability zones, take them out of service and bring them back."`
 	Team    teamCmds   `cmd:"" help:"List teams and set their quotas."`
 	Task    taskCmds   `cmd:"" help:"List, show and cancel batch jobs and tasks."`
+	Load    loadCmd    `cmd:"" help:"Show waiting, refusals, lateness and wasted work from the metrics of hosts that join runs."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
