Check and compare manifests of the users' platform

check and diff knew the files of serve only: a mistake in a manifest showed once the hosts had it in force, as calls without a match or a queue without workers. check now also reads a manifest and reports errors, entries that can never match and limits that contradict each other, each with file, line and field. diff compares two manifests, or one with the newest in the store that a settings file of join names. Neither prints API keys: diff counts those added and removed, the fields of a tenant that it shows are listed, and messages hold no values of the file. A manifest that is no JSON is told from the files of serve, whose messages quote the text.

Fields that are not known are no mistake, since the platform's other readers may have more.

--- a/cmd/sassafraswind/main.go
+++ b/cmd/sassafraswind/main.go
@@ -30,8 +30,16 @@
 		<-signals
 		os.Exit(exitInterrupted)
 	}()
-	functions := cli.Functions{Serve: node.Serve, Join: platform.Run, CheckSettings: checkSettings, Version: version()}
-	os.Exit(cli.Run(ctx, os.Args[1:], functions, os.Stdout, os.Stderr))
+	os.Exit(cli.Run(ctx, os.Args[1:], functions(), os.Stdout, os.Stderr))
+}
+
+// functions returns the parts of the program that the commands call.
+func functions() cli.Functions {
+	return cli.Functions{
+		Serve: node.Serve, Join: platform.Run, CheckSettings: checkSettings, Version: version(),
+		IsManifest: platform.IsManifest, CheckManifest: checkManifest, ReadManifest: readManifest,
+		ReadManifestInForce: readManifestInForce,
+	}
 }
 
 // checkSettings reads a settings file. It returns the errors in its content as cli.FieldErrors, and other errors as
@@ -49,6 +57,48 @@
 	return fieldErrors
 }
 
+// checkManifest checks a manifest of the users' platform. It returns the mistakes in its content as cli.FieldErrors.
+func checkManifest(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "manifest")
+	}
+	mistakes := platform.CheckManifest(path, data)
+	if len(mistakes) == 0 {
+		return nil
+	}
+	fieldErrors := make(cli.FieldErrors, len(mistakes))
+	for i, e := range mistakes {
+		fieldErrors[i] = cli.FieldError(e)
+	}
+	return fieldErrors
+}
+
+// readManifest reads a manifest of the users' platform.
+func readManifest(path string) (cli.Manifest, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return cli.Manifest{}, errors.Wrap(err, "manifest")
+	}
+	content, err := platform.ReadManifest(data)
+	return convertManifest(content), errors.Wrap(err, path)
+}
+
+// readManifestInForce reads the newest manifest in the store that a settings file of the users' platform names.
+func readManifestInForce(ctx context.Context, path string) (cli.Manifest, error) {
+	content, err := platform.ReadManifestInForce(ctx, path)
+	return convertManifest(content), err
+}
+
+// convertManifest converts the content of a manifest.
+func convertManifest(content platform.ManifestContent) cli.Manifest {
+	m := cli.Manifest{Version: content.Version, Entries: make([]cli.ManifestEntry, len(content.Entries))}
+	for i, e := range content.Entries {
+		m.Entries[i] = cli.ManifestEntry(e)
+	}
+	return m
+}
+
 // version returns the module version of the build, or "unknown".
 func version() string {
 	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -46,6 +46,15 @@
 	Join func(ctx context.Context, path, level string, metricsPort int) error
 	// CheckSettings reads a settings file. Errors in its content are returned as FieldErrors, wrapped or not.
 	CheckSettings func(path string) error
+	// IsManifest reports whether a file is a manifest of the users' platform.
+	IsManifest func(data []byte) bool
+	// CheckManifest checks a manifest. Mistakes in its content are returned as FieldErrors, wrapped or not.
+	CheckManifest func(path string) error
+	// ReadManifest returns the content of a manifest.
+	ReadManifest func(path string) (Manifest, error)
+	// ReadManifestInForce returns the newest manifest in the store of a deployment. The path is that of the settings file of
+	// one of its hosts.
+	ReadManifestInForce func(ctx context.Context, path string) (Manifest, error)
 	// Version is the version that the version command prints.
 	Version string
 }
@@ -87,9 +96,9 @@
 
 	Serve   serveCmd   `cmd:"" help:"Run an entry host."`
 	Join    joinCmd    `cmd:"" help:"Run an entry host with the settings file of the users' platform."`
-	Check   checkCmd   `cmd:"" help:"Check a settings file or a declarations file without using it."`
+	Check   checkCmd   `cmd:"" help:"Check a settings file, a declarations file or a manifest without using it."`
 	Status  statusCmd  `cmd:"" help:"Show the state of an entry host and whether targets are met."`
-	Diff    diffCmd    `cmd:"" help:"Show what applying a declarations file would change."`
+	Diff    diffCmd    `cmd:"" help:"Show what applying a declarations file would change, or compare manifests."`
 	Apply   applyCmd   `cmd:"" help:"Replace all classes and teams by those of a declarations file."`
 	Class   classCmds  `cmd:"" help:"List classes and set their targets."`
 	Zone    zoneCmds   `cmd:"" help:"List availability zones, take them out of service and bring them back."`
--- a/internal/command/cli/declare.go
+++ b/internal/command/cli/declare.go
@@ -28,20 +28,23 @@
 	return config.Document{}, fieldErrors
 }
 
-// checkCmd checks a settings file or a declarations file.
+// checkCmd checks a settings file, a declarations file or a manifest.
 type checkCmd struct {
-	File string `arg:"" help:"Settings file or declarations file, JSON with comments."`
+	File string `arg:"" help:"Settings file or declarations file, JSON with comments, or manifest of the users' platform, JSON."`
 }
 
 // Help returns the details of the command.
 func (checkCmd) Help() string {
 	return `Prints every mistake as file:line: field: reason. A file with a field "classes" or "teams" is a declarations file,
-any other is a settings file. No entry host is contacted.
+one with "Routes", "Services" or "Tenants" is a manifest of the users' platform, and any other is a settings file. In a
+manifest, entries that can never match and limits that contradict each other count as mistakes. No entry host is
+contacted.
 
 Examples:
 
   sassafraswind check examples/ashyq/almaty-a-1.json
   sassafraswind check examples/ashyq/classes.json
+  sassafraswind check manifest.json
 
 Exit codes: 0 no mistake; 1 mistakes or the file cannot be read.`
 }
@@ -55,49 +58,71 @@
 
 // Run checks the file.
 func (c *checkCmd) Run(s *session) error {
-	kind, err := detectFileKind(c.File)
+	kind, err := s.detectFileKind(c.File)
 	if err != nil {
 		return err
 	}
-	if kind == "declarations" {
+	switch kind {
+	case kindDeclarations:
 		_, err = readDocument(c.File)
-	} else {
+	case kindManifest:
+		err = s.funcs.CheckManifest(c.File)
+	default:
 		err = s.funcs.CheckSettings(c.File)
 	}
 	if err != nil {
 		return err
 	}
 	return s.print(checkResult{OK: true, Kind: kind}, func(w *tabwriter.Writer) {
+		if kind == kindManifest {
+			_, _ = fmt.Fprintf(w, "%s: no mistakes in this manifest\n", c.File)
+			return
+		}
 		_, _ = fmt.Fprintf(w, "%s: no mistakes in these %s\n", c.File, kind)
 	})
 }
 
-// detectFileKind returns "declarations" for a file that has a field classes or teams, and "settings" for any other.
-func detectFileKind(path string) (string, error) {
+// The kinds of files.
+const (
+	kindSettings     = "settings"
+	kindDeclarations = "declarations"
+	kindManifest     = "manifest"
+)
+
+// detectFileKind returns the kind of a file. One with a field classes or teams is a declarations file.
+func (s *session) detectFileKind(path string) (string, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return "", errors.Wrap(err, "check")
 	}
+	if s.funcs.IsManifest != nil && s.funcs.IsManifest(data) {
+		return kindManifest, nil
+	}
 	// The check itself reports a syntax error with its line.
 	v, syntaxError := config.ParseTree(data)
 	if syntaxError == nil && (v.Find("/classes") != nil || v.Find("/teams") != nil) {
-		return "declarations", nil
+		return kindDeclarations, nil
 	}
-	return "settings", nil
+	return kindSettings, nil
 }
 
-// diffCmd shows what applying a declarations file would change.
+// diffCmd shows what applying a declarations file or putting a manifest in force would change.
 type diffCmd struct {
-	File string `arg:"" help:"Declarations file, JSON with comments."`
+	File     string `arg:"" help:"Declarations file, JSON with comments, or manifest of the users' platform, JSON."`
+	Against  string `help:"Manifest with which the manifest is compared." placeholder:"FILE" xor:"base"`
+	Settings string `help:"Settings file of join: the manifest is compared with the newest one in the store that it names." placeholder:"FILE" xor:"base"`
 }
 
 // Help returns the details of the command.
 func (diffCmd) Help() string {
-	return `Prints what applying the file would add (+), change (~) and drop (-). Nothing is changed.
+	return `Prints what applying the file would add (+), change (~) and drop (-). Nothing is changed. Of API keys it prints only
+how many were added and removed.
 
-Example:
+Examples:
 
   sassafraswind diff examples/ashyq/classes.json
+  sassafraswind diff manifest.json --against manifest-old.json
+  sassafraswind diff manifest.json --settings /etc/sassafraswind/node.conf
 
 Exit codes: 0 equal; 1 bad input or no host answered; 2 different.`
 }
@@ -109,8 +134,18 @@
 	Changes []entityChange `json:"changes"`
 }
 
-// Run compares the configuration with the file.
+// Run compares the configuration, or another manifest, with the file.
 func (c *diffCmd) Run(s *session) error {
+	kind, err := s.detectFileKind(c.File)
+	if err != nil {
+		return err
+	}
+	if kind == kindManifest {
+		return c.diffManifest(s)
+	}
+	if c.Against != "" || c.Settings != "" {
+		return errors.Newf("%s is no manifest: --against and --settings are for manifests", c.File)
+	}
 	doc, err := readDocument(c.File)
 	if err != nil {
 		return err
