Share the start of a job's objective between rank and the sums

The time from which an objective counts was computed in rank and again for the sums of durations. Both now use one method, and the additions to jobs and runs stand apart from lines that others change. Tests of dispatch named TestOutcomes and TestClass pass.

--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -75,7 +75,7 @@
 // rank returns the rank of a stage at the given time.
 func (s *Scheduler) rank(now time.Time, st *stage) rank {
 	j := st.job()
-	countedFrom := st.occurrence.dueAt()
+	countedFrom := j.countedFrom(st.occurrence)
 	remaining := j.remainingTime[st.index]
 	r := rank{priority: j.priority, latestStartAt: countedFrom.Add(j.objective - remaining)}
 	switch {
@@ -92,6 +92,14 @@
 	return r
 }
 
+// countedFrom returns the time from which the objective of an occurrence counts.
+func (j *Job) countedFrom(o *occurrence) time.Time {
+	if j.spec.OccurrenceCount > 0 {
+		return j.acceptedAt.Add(j.spec.DueTime(o.index).Sub(j.acceptedWall))
+	}
+	return j.acceptedAt
+}
+
 // compare returns a negative number if r comes before o, a positive one if it comes after o, and 0 if they are equal.
 func (r rank) compare(o rank) int {
 	return cmp.Or(
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -57,14 +57,14 @@
 	acceptedBatch, finalBatch BatchID
 	// acceptedTerm is the fencing token of the term that accepted the job, 0 if it was not recorded.
 	acceptedTerm int64
+	// groups are the sums to which the job counts, the zero value until it first counts.
+	groups jobGroups
 	// dirty is set while the job has changes that were not put into a batch.
 	dirty bool
 	// stored is set once the specification was handed to the log.
 	stored bool
 	// crashesRecorded is set while the log may hold a record of the crashes blamed on the job's tasks.
 	crashesRecorded bool
-	// groups are the sums to which the job counts, the zero value until it first counts.
-	groups jobGroups
 }
 
 // occurrence is one execution of a job's steps.
@@ -493,10 +493,10 @@
 	if o.openStages > 0 {
 		return
 	}
+	s.countEnd(now, o, JobCompleted)
 	delete(o.job.openOccurrences, o.index)
 	s.taskCount -= o.taskCount()
 	j := o.job
-	s.countEnd(now, o, JobCompleted)
 	if len(j.openOccurrences) == 0 && j.nextOccurrence >= j.spec.Occurrences() && !j.isFinal() {
 		s.close(now, j, StateCompleted)
 	}
--- a/internal/zone/dispatch/outcome_stats.go
+++ b/internal/zone/dispatch/outcome_stats.go
@@ -344,29 +344,20 @@
 	s.groups(j).each(func(g *GroupOutcomes) { g.Accepted++ })
 }
 
-// dueAt returns the time from which the objective of the occurrence counts.
-func (o *occurrence) dueAt() time.Time {
-	j := o.job
-	if j.spec.OccurrenceCount == 0 {
-		return j.acceptedAt
-	}
-	return j.acceptedAt.Add(j.spec.DueTime(o.index).Sub(j.acceptedWall))
-}
-
 // countStart records the wait of the occurrence when its first task starts.
 func (s *Scheduler) countStart(now time.Time, o *occurrence) {
 	if o.hasStarted {
 		return
 	}
 	o.hasStarted = true
-	waited := max(0, now.Sub(o.dueAt()).Seconds())
+	waited := max(0, now.Sub(o.job.countedFrom(o)).Seconds())
 	s.groups(o.job).each(func(g *GroupOutcomes) { g.Wait.add(waited) })
 }
 
 // countEnd records the end of an occurrence.
 func (s *Scheduler) countEnd(now time.Time, o *occurrence, end JobEnd) {
 	j := o.job
-	took := max(0, now.Sub(o.dueAt()))
+	took := max(0, now.Sub(j.countedFrom(o)))
 	lateness := Untimed
 	if j.objective > 0 && !j.spec.HasLongRunning() {
 		switch {
--- a/internal/zone/dispatch/report.go
+++ b/internal/zone/dispatch/report.go
@@ -403,8 +403,9 @@
 		task: t, number: number, worker: w, phase: phaseRunning, confirmed: true, startedAt: now,
 		pace: paceUnknown, targetPace: 100,
 	}
+	t.stage.occurrence.hasStarted = true
 	t.lastRun = max(t.lastRun, number)
-	t.job().started, t.stage.occurrence.hasStarted = true, true
+	t.job().started = true
 	r.attach()
 	if t.step().Gang {
 		t.stage.gangRunNumber = max(t.stage.gangRunNumber, number)
