Give the teams of the tests of sums their terms

Once quotas of teams are merged, a job of a team that the catalog lacks is accepted and does not start, so that tests which submit such jobs fail. The tests check the same as before.

--- a/internal/command/cli/load_test.go
+++ b/internal/command/cli/load_test.go
@@ -52,7 +52,7 @@
 	s := dispatch.New(dispatch.Limits{MaxLease: 6 * time.Second, MaxTasks: 2}, 1, 1)
 	s.SetCatalog(dispatch.Catalog{Version: 1, Queues: map[string]dispatch.Queue{
 		"h/p/": {Name: "h/p/", Service: "svc", Attempts: 2, Slack: 1, Class: "pricing"},
-	}})
+	}, Teams: map[string]dispatch.Team{"desk": {Name: "desk", Weight: 1}}})
 	for i := range 3 {
 		s.Submit(now, dispatch.Request{
 			ID: fmt.Sprintf("%016x", i), Queue: "h/p/", Team: "desk", WallTime: now,
--- a/internal/host/telemetry/outcomes_test.go
+++ b/internal/host/telemetry/outcomes_test.go
@@ -31,14 +31,15 @@
 		m, closeMetrics, err := NewEntryMetrics("h", "z-1")
 		So(err, ShouldBeNil)
 		Reset(closeMetrics)
-		queues := map[string]dispatch.Queue{}
+		queues, teams := map[string]dispatch.Queue{}, map[string]dispatch.Team{}
 		for i := range 100 {
 			name := "q" + strconv.Itoa(i)
+			teams["t"+strconv.Itoa(i)] = dispatch.Team{Name: "t" + strconv.Itoa(i), Weight: 1}
 			queues[name] = dispatch.Queue{Name: name, Service: "svc", Attempts: 1, Slack: 2, Class: "class-" + strconv.Itoa(i)}
 		}
 		now := time.Unix(1_000_000, 0)
 		s := dispatch.New(dispatch.Limits{MaxLease: 6 * time.Second, MaxTasks: 50}, 1, 1)
-		s.SetCatalog(dispatch.Catalog{Version: 1, Queues: queues})
+		s.SetCatalog(dispatch.Catalog{Version: 1, Queues: queues, Teams: teams})
 		s.SetWorker(now, dispatch.Registration{
 			ID: "w", Boot: 1, Service: "svc", Address: "w", Capacity: fleet.Size{Cores: 2000, Memory: 4000},
 		})
--- a/internal/zone/dispatch/outcome_stats_test.go
+++ b/internal/zone/dispatch/outcome_stats_test.go
@@ -80,11 +80,12 @@
 		limits := testLimits()
 		limits.MaxTasks = 1
 		s := New(limits, 1, 1)
-		queues := map[string]Queue{}
+		queues, teams := map[string]Queue{}, map[string]Team{}
 		for i := range 200 {
 			queues["q"+strconv.Itoa(i)] = Queue{Name: "q" + strconv.Itoa(i), Service: "svc", Attempts: 1, Slack: 2}
+			teams["t"+strconv.Itoa(i)] = Team{Name: "t" + strconv.Itoa(i), Weight: 1}
 		}
-		s.SetCatalog(Catalog{Version: 1, Queues: queues})
+		s.SetCatalog(Catalog{Version: 1, Queues: queues, Teams: teams})
 		submit := func(i, tasks int) Reply {
 			return s.Submit(simEpoch, Request{
 				ID: jobID(i), Queue: "q" + strconv.Itoa(i%200), Team: "t" + strconv.Itoa(i%200), WallTime: simEpoch,
@@ -133,6 +134,7 @@
 	Convey("A run of two cores and ten seconds on one of two workers", t, func() {
 		now := simEpoch
 		s := newBoundedScheduler(2, 0, 0)
+		s.SetCatalog(Catalog{Version: 2, Queues: s.catalog.Queues, Teams: map[string]Team{"desk": {Name: "desk", Weight: 1}}})
 		answer(s, now, "v")
 		answer(s, now, "w")
 		commitAll(s)
