--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -185,6 +185,8 @@
 	inflight int
 	// watchWake wakes watchLeader.
 	watchWake chan struct{}
+
+	outcomes outcomeTotals
 }
 
 // Routing is the part of a manifest that is needed to serve callers' requests. It is immutable: a new version replaces the
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -60,6 +60,8 @@
 	acceptedBatch, finalBatch BatchID
 	// acceptedTerm is the fencing token of the term that accepted the job, 0 if it was not recorded.
 	acceptedTerm int64
+	// groups are the sums to which the job counts, the zero value until it first counts.
+	groups jobGroups
 	// dirty is set while the job has changes that were not put into a batch.
 	dirty bool
 	// stored is set once the specification was handed to the log.
@@ -82,6 +84,8 @@
 	// batch is the batch with the record that the occurrence has begun. No task of it starts before that is committed, since
 	// the next leader would take its runs and ends for unknown. It is 0 if there is a record already.
 	batch BatchID
+	// hasStarted is set once a start of a task has been ordered or is known of an earlier term.
+	hasStarted bool
 }
 
 // stage is a step of one occurrence.
@@ -246,8 +250,8 @@
 	OutcomeTaken
 )
 
-// Submit accepts or refuses a job. A job that is already known gets the same answer as the first time.
-func (s *Scheduler) Submit(now time.Time, r Request) Reply {
+// submit accepts or refuses a job. It does not count refusals.
+func (s *Scheduler) submit(now time.Time, r Request) Reply {
 	if !s.IsVisible(r.ID, r.Team) {
 		return Reply{Outcome: OutcomeTaken, Reason: "the id is taken"}
 	}
@@ -273,6 +277,7 @@
 	s.openDueOccurrences(now, j)
 	s.keepQueue(q)
 	j.acceptedBatch = s.journal.markDirty(j)
+	s.countAccepted(j)
 	return Reply{Outcome: OutcomeAccepted, Batch: j.acceptedBatch}
 }
 
@@ -437,6 +442,7 @@
 	s.closeJob(j)
 	j.finalBatch = s.journal.markDirty(j)
 	delete(s.recurring, j)
+	s.countClosed(now, j, state)
 	for _, o := range j.openOccurrences {
 		for _, st := range o.stages {
 			for _, t := range st.tasks {
@@ -516,6 +522,7 @@
 	if o.openStages > 0 {
 		return
 	}
+	s.countEnd(now, o, JobCompleted)
 	delete(o.job.openOccurrences, o.index)
 	j := o.job
 	s.countTasks(j, -o.taskCount())
