--- /dev/null
+++ b/internal/zone/dispatch/record_codec_test.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	"sassafraswind.example/sassafraswind/internal/work/workflow"
+)
+
+// formerJobRecord is the record of a job in the versions without teams.
+type formerJobRecord struct {
+	Queue        string
+	AcceptedWall int64
+	Spec         *workflow.Spec
+	FinalState   State
+	EndedWall    int64
+	Term         int64
+}
+
+// Guards against accepted jobs that are lost while hosts of two versions lead in turn.
+func TestJobRecordOfAnotherVersion(t *testing.T) {
+	spec := workflow.Spec{Payload: "p", Steps: []workflow.Step{{Tasks: 2, Size: fleet.Size{Cores: 500}, MaxUnavailable: -1}}}
+	Convey("A record of the version without teams is read, with its specification", t, func() {
+		var rec jobRecord
+		So(msgpack.Unmarshal(encode(&formerJobRecord{Queue: "q", AcceptedWall: 5, Spec: &spec, Term: 7}), &rec), ShouldBeNil)
+		So(rec, ShouldResemble, jobRecord{Queue: "q", AcceptedWall: 5, Spec: &spec, Term: 7})
+	})
+	Convey("The version without teams reads the record of a job without a team", t, func() {
+		var rec formerJobRecord
+		So(msgpack.Unmarshal(encode(&jobRecord{Queue: "q", FinalState: StateCompleted, EndedWall: 9, Term: 7}), &rec), ShouldBeNil)
+		So(rec, ShouldResemble, formerJobRecord{Queue: "q", FinalState: StateCompleted, EndedWall: 9, Term: 7})
+	})
+	Convey("Team and size are kept, and further elements of a later version are ignored", t, func() {
+		want := jobRecord{Queue: "q", Spec: &spec, Term: 7, Team: "a", Size: fleet.Size{Cores: 500, Memory: 3}}
+		var rec jobRecord
+		So(msgpack.Unmarshal(encode(&want), &rec), ShouldBeNil)
+		So(rec, ShouldResemble, want)
+		var got jobRecord
+		So(msgpack.Unmarshal(encode([]any{"q", 0, nil, "", 0, 0, "a", fleet.Size{}, []string{"x"}}), &got), ShouldBeNil)
+		So(got.Team, ShouldEqual, "a")
+	})
+}
