--- a/internal/request/limit/budget.go
+++ b/internal/request/limit/budget.go
@@ -1,4 +1,5 @@
-// Package limit limits the retries and hedges of urgent requests, and queues the requests that wait for a slot.
+// Package limit limits the retries and hedges of urgent requests, queues the requests that wait for a slot, and bounds what
+// the connections of a server hold together.
 package limit
 
 import "time"
