Bound what connections and requests hold at all servers of join

Cause: each HTTP server had the library's header limit of 1 MiB per connection and one limit per body, and nothing bounded the number of connections, the sum of what they hold, or the time that a body may take.

Change: all servers of join take their connections through package edge. A connection whose request has been read whole is never closed; a request that gives way is answered 503 with Retry-After 1. The drpc server tells its connections when a message has arrived and when it was answered.

--- /dev/null
+++ b/internal/host/edge/message.go
@@ -0,0 +1,42 @@
+package edge
+
+import (
+	"net"
+	"time"
+)
+
+// MessageListener is a Listener for a server of messages that don't follow HTTP. The server tells its connections when a
+// message has arrived and when it has been answered.
+type MessageListener struct{ *Listener }
+
+// Accept implements net.Listener.
+func (l MessageListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if c, ok := nc.(*conn); ok {
+		c.l.mu.Lock()
+		defer c.l.mu.Unlock()
+		c.messages = true
+		// The server bounds the time for which a connection is unused.
+		c.setPhaseEnd(time.Time{})
+	}
+	return nc, err
+}
+
+// MessageArrived says that the message in progress has arrived as a whole. It returns false if the message must not be
+// carried out, since its answer would be lost.
+func (c *conn) MessageArrived() bool {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	if c.state.Closed() || c.state.GaveWay() {
+		return false
+	}
+	c.setComplete()
+	return true
+}
+
+// MessageAnswered says that the message has been answered.
+func (c *conn) MessageAnswered() {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.finish(time.Now())
+}
--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -35,6 +35,9 @@
 	// MaxBody and MaxHeader limit the size of a caller's request, in bytes.
 	MaxBody   int64
 	MaxHeader int
+	// HeaderTimeout bounds the time for the header of a caller's request, and IdleTimeout that between two requests on a
+	// connection. 0 stands for the default.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // WorkerChanges holds the changes in the platform's list of workers.
--- /dev/null
+++ b/internal/host/peer/limits_test.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sassafraswind.example/sassafraswind/internal/host/edge"
+	"sassafraswind.example/sassafraswind/internal/request/limit"
+)
+
+// nopRecorder implements edge.Recorder.
+type nopRecorder struct{}
+
+func (nopRecorder) RecordRefusal(string, string) {}
+
+// TestCrowdOfConnections guards against clients at the address of the peers that take connections or memory without bound,
+// cut a call in progress, or keep other hosts out.
+func TestCrowdOfConnections(t *testing.T) {
+	Convey("With a server that has room for four connections and 300 kB, and a call in progress", t, func() {
+		log, _ := test.NewNullLogger()
+		e, closeEdge := edge.New(log, nopRecorder{})
+		defer closeEdge()
+		size := limit.Size{Conns: 4, Bytes: 300_000}
+		l, err := e.Listen(t.Context(), "peers", "127.0.0.1:0", size, edge.DefaultLimits)
+		So(err, ShouldBeNil)
+		begun, release := make(chan struct{}), make(chan struct{})
+		_, stop := ServeRoutes(edge.MessageListener{Listener: l}, Routes{
+			"/echo": UnaryHandler(func(_ context.Context, s string) (string, error) { return s, nil }),
+			"/wait": UnaryHandler(func(_ context.Context, s string) (string, error) {
+				close(begun)
+				<-release
+				return s, nil
+			}),
+		}, func(error) {})
+		defer stop()
+		c, closeClient := NewClient()
+		defer closeClient()
+		call := func(method, text string) error {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			reply, err := Invoke[string, string](ctx, c, l.Addr().String(), method, text)
+			if err == nil && reply != text {
+				t.Errorf("the reply has %d bytes, want %d", len(reply), len(text))
+			}
+			return err
+		}
+		var waiting error
+		var wg sync.WaitGroup
+		wg.Go(func() { waiting = call("/wait", "x") })
+		<-begun
+		finish := func() {
+			close(release)
+			wg.Wait()
+			So(waiting, ShouldBeNil)
+		}
+		// crowd opens connections that each send a text.
+		crowd := func(text string) {
+			for range 50 {
+				conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", l.Addr().String())
+				So(err, ShouldBeNil)
+				Reset(func() { _ = conn.Close() })
+				// The server may have closed it already.
+				_, _ = io.WriteString(conn, text)
+			}
+		}
+		Convey("silent connections are closed, the call goes on and others are answered", func() {
+			crowd("")
+			So(call("/echo", "y"), ShouldBeNil)
+			So(call("/echo", strings.Repeat("z", 90_000)), ShouldBeNil)
+			So(e.States()[0].Conns, ShouldBeLessThanOrEqualTo, size.Conns)
+			finish()
+			await(func() bool { return e.States()[0].Bytes == 0 })
+		})
+		Convey("messages that stop short hold no more than the share", func() {
+			// A frame of 200,000 bytes of which half are sent.
+			frame := append([]byte{1 << 1, 1, 1}, binary.AppendUvarint(nil, 200_000)...)
+			crowd(string(frame) + strings.Repeat("a", 100_000))
+			So(e.States()[0].Bytes, ShouldBeLessThanOrEqualTo, size.Bytes)
+			So(call("/echo", "y"), ShouldBeNil)
+			finish()
+		})
+		Convey("a message above the limit is not carried out", func() {
+			So(call("/echo", strings.Repeat("z", maxMessageBytes+1)), ShouldNotBeNil)
+			So(call("/echo", "y"), ShouldBeNil)
+			finish()
+		})
+	})
+}
+
+// await waits until a condition holds.
+func await(fn func() bool) {
+	for range 500 {
+		if fn() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	So("the condition", ShouldEqual, "met")
+}
--- a/internal/host/peer/peer.go
+++ b/internal/host/peer/peer.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
@@ -55,6 +56,14 @@
 // Handler serves one call of a method on a stream.
 type Handler func(stream drpc.Stream) error
 
+// countedConn is a connection whose listener bounds what connections and messages hold together.
+type countedConn interface {
+	// MessageArrived says that a message has arrived as a whole. It returns false if the message must not be carried out.
+	MessageArrived() bool
+	// MessageAnswered says that the message has been answered.
+	MessageAnswered()
+}
+
 // UnaryHandler returns the handler of a unary method that fn implements.
 func UnaryHandler[Req, Rep any](fn func(context.Context, Req) (Rep, error)) Handler {
 	return func(stream drpc.Stream) error {
@@ -62,6 +71,14 @@
 		if err := stream.MsgRecv(&req, codec{}); err != nil {
 			return errors.Wrap(err, "peer: receive")
 		}
+		if tr, ok := drpcctx.Transport(stream.Context()); ok {
+			if c, ok := tr.(countedConn); ok {
+				if !c.MessageArrived() {
+					return errors.New("peer: the message was refused and not carried out")
+				}
+				defer c.MessageAnswered()
+			}
+		}
 		rep, err := fn(stream.Context(), req)
 		if err != nil {
 			return err
--- a/internal/request/limit/share.go
+++ b/internal/request/limit/share.go
@@ -64,6 +64,9 @@
 // GaveWay reports whether the request in progress has given way to another one.
 func (c *Conn) GaveWay() bool { return c.released }
 
+// Closed reports whether the connection is no longer in its share.
+func (c *Conn) Closed() bool { return c.closed }
+
 // SetComplete says that the request in progress has arrived as a whole, or that the server goes on without the rest.
 func (c *Conn) SetComplete() { c.phase = PhaseComplete }
 
@@ -94,6 +97,17 @@
 	return float64(c.received+PrepaidBytes) / max(now.Sub(c.since), time.Microsecond).Seconds()
 }
 
+// Overload is the error of a request that had to give way. The request has not run.
+type Overload struct {
+	// RetryAfter is when the same request may have room: by then requests that have stalled give way to it.
+	RetryAfter time.Duration
+}
+
+// NewOverload returns the error.
+func NewOverload() *Overload { return &Overload{RetryAfter: stallTime} }
+
+func (*Overload) Error() string { return "the host has no room for the request, which has not run" }
+
 // Share is the part of a process's connections and bytes that one of its servers may use. It answers the load of many
 // clients that open connections, or begin requests, and don't go on: what they hold goes to those that do. It is not safe
 // for concurrent use.
@@ -131,7 +145,8 @@
 		}
 		s.Close(victim)
 	}
-	c = &Conn{since: now, lastArrival: now}
+	// Nothing has been read yet.
+	c = &Conn{since: now, lastArrival: now, waiting: true}
 	s.conns[c] = struct{}{}
 	return c, victim
 }
@@ -191,11 +206,11 @@
 			excess -= o.held
 		}
 		if excess > 0 {
-			s.release(c)
+			s.Release(c)
 			return nil, false
 		}
 		for _, v := range victims {
-			s.release(v)
+			s.Release(v)
 		}
 	}
 	s.held += held - c.held
@@ -227,8 +242,8 @@
 	return found
 }
 
-// release has the request of a connection give way.
-func (s *Share) release(c *Conn) {
+// Release has the request in progress on a connection give way. It holds nothing any more.
+func (s *Share) Release(c *Conn) {
 	s.held -= c.held
 	c.held, c.released = 0, true
 }
