Bound what connections and requests hold at all servers of serve

Cause: the servers of serve had the library's header limit, no idle timeout, and no bound on the sum over connections.

Change: callers, operators and peers take their connections through package edge. The settings limits.memory (512 MiB) and limits.descriptors (4,100) say what the bounds follow from. A body that the host has no room for, or that comes too slowly, was reported as malformed; now its outcome is unknown (busy or deadline), since the key of the request is. Operators get 503 for a change that the host has no room for.

--- a/internal/host/caller/codec.go
+++ b/internal/host/caller/codec.go
@@ -5,10 +5,12 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
 
+	"sassafraswind.example/sassafraswind/internal/request/limit"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 )
 
@@ -27,12 +29,18 @@
 		return nil
 	}
 	var tooLarge *http.MaxBytesError
+	var overload *limit.Overload
 	var typeErr *json.UnmarshalTypeError
 	var reply outcome.Reply
 	switch {
 	case errors.As(err, &tooLarge):
 		reply = outcome.InvalidReply("", "body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
 		reply.Reason = outcome.ReasonTooLarge
+	case errors.As(err, &overload):
+		reply = unreadReply(outcome.ReasonBusy, err.Error())
+		reply.RetryAfter = overload.RetryAfter
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		reply = unreadReply(outcome.ReasonDeadline, "the body did not arrive in time")
 	case errors.As(err, &typeErr):
 		reply = outcome.InvalidReply(typeErr.Field, "must be of type "+typeErr.Type.String()+", got "+typeErr.Value)
 	default:
@@ -41,6 +49,12 @@
 	return &reply
 }
 
+// unreadReply returns the reply to a request whose body could not be read. The request has not run, but its outcome is unknown
+// since its key is: an earlier request with the same key may have run.
+func unreadReply(reason outcome.Reason, message string) outcome.Reply {
+	return outcome.Reply{Outcome: outcome.Unknown, Reason: reason, Message: message}
+}
+
 // replyBody is the JSON form of a reply.
 type replyBody struct {
 	Outcome outcome.Outcome `json:"outcome"`
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"sassafraswind.example/sassafraswind/internal/host/caller"
+	"sassafraswind.example/sassafraswind/internal/host/edge"
 	"sassafraswind.example/sassafraswind/internal/host/operator"
 	"sassafraswind.example/sassafraswind/internal/host/peer"
 	"sassafraswind.example/sassafraswind/internal/host/settings"
@@ -19,6 +20,7 @@
 	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/port/hostlist"
 	"sassafraswind.example/sassafraswind/internal/port/logservice"
+	"sassafraswind.example/sassafraswind/internal/request/limit"
 )
 
 const (
@@ -62,7 +64,10 @@
 	if err := n.registerGauges(); err != nil {
 		return errors.CombineErrors(err, listeners.close())
 	}
-	closeListeners := listeners.serve(n, metrics, logger)
+	closeListeners, err := listeners.serve(n, metrics, logger)
+	if err != nil {
+		return errors.CombineErrors(err, listeners.close())
+	}
 	defer closeListeners()
 	n.log.Infof("Host %s of zone %s serves callers on %s, operators on %s and peers on %s.",
 		cfg.Host, cfg.Zone, listeners.callers.Addr(), listeners.operators.Addr(), listeners.peers.Addr())
@@ -123,26 +128,62 @@
 }
 
 // serve answers requests on the listeners until the returned function is called.
-func (s *hostListeners) serve(n *Node, metrics *telemetry.Metrics, logger logrus.FieldLogger) func() {
-	limits := caller.Limits{
+func (s *hostListeners) serve(n *Node, metrics *telemetry.Metrics, logger logrus.FieldLogger) (func(), error) {
+	e, closeEdge, err := newEdge(metrics, logger)
+	if err != nil {
+		return nil, err
+	}
+	sizes := limit.SizesFor(s.cfg.Limits.MemoryBytes, s.cfg.Limits.MaxDescriptors)
+	limits := func(maxBody int64) func() edge.Limits {
+		l := edge.DefaultLimits()
+		l.HeaderTimeout, l.MaxBodyBytes = headerTimeout, maxBody
+		return func() edge.Limits { return l }
+	}
+	callerLimits := caller.Limits{
 		MaxBodyBytes: s.cfg.Limits.MaxBodyBytes, DefaultDeadline: s.cfg.Limits.DefaultDeadline, MaxDeadline: maxDeadline,
 	}
-	closeCallers := serveHTTP(s.callers, caller.NewHandler(n, limits), telemetry.ComponentLogger(logger, "caller"))
-	closeOperators := serveHTTP(s.operators, operator.NewHandler(n, metrics.Handler()),
+	callers := e.Wrap(s.callers, "callers", sizes.Callers, limits(s.cfg.Limits.MaxBodyBytes))
+	closeCallers := serveHTTP(callers, caller.NewHandler(n, callerLimits), telemetry.ComponentLogger(logger, "caller"))
+	operators := e.Wrap(s.operators, "operators", sizes.Internal, limits(operator.DefaultMaxBodyBytes))
+	closeOperators := serveHTTP(operators, operator.NewHandler(n, metrics.Handler()),
 		telemetry.ComponentLogger(logger, "operator"))
 	log := telemetry.ComponentLogger(logger, "peer")
-	_, closePeers := peer.Serve(s.peers, n, func(err error) { log.WithError(err).Debug("Connection from a peer ended.") })
+	peers := edge.MessageListener{Listener: e.Wrap(s.peers, "peers", sizes.Peers, edge.DefaultLimits)}
+	_, closePeers := peer.Serve(peers, n, func(err error) { log.WithError(err).Debug("Connection from a peer ended.") })
 	return func() {
 		closeCallers()
 		closePeers()
 		closeOperators()
+		closeEdge()
+	}, nil
+}
+
+// newEdge returns the edge of the host and a function that ends its log.
+func newEdge(metrics *telemetry.Metrics, logger logrus.FieldLogger) (*edge.Edge, func(), error) {
+	recorder, err := metrics.Edge()
+	if err != nil {
+		return nil, nil, err
+	}
+	e, closeEdge := edge.New(telemetry.ComponentLogger(logger, "edge"), recorder)
+	err = recorder.RegisterGauges(func() []telemetry.EdgeState {
+		states := e.States()
+		edgeStates := make([]telemetry.EdgeState, len(states))
+		for i, s := range states {
+			edgeStates[i] = telemetry.EdgeState(s)
+		}
+		return edgeStates
+	})
+	if err != nil {
+		closeEdge()
+		return nil, nil, err
 	}
+	return e, closeEdge, nil
 }
 
 // serveHTTP answers HTTP requests on a listener until the returned function is called. That function lets requests in
 // flight finish, for up to headerTimeout.
-func serveHTTP(l net.Listener, h http.Handler, log *logrus.Entry) func() {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+func serveHTTP(l *edge.Listener, h http.Handler, log *logrus.Entry) func() {
+	srv := l.NewServer(h)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/host/operator/change.go
+++ b/internal/host/operator/change.go
@@ -5,9 +5,12 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"sassafraswind.example/sassafraswind/internal/request/limit"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
 	"sassafraswind.example/sassafraswind/internal/work/config"
@@ -66,7 +69,13 @@
 func (s *server) handleChange(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.maxBodyBytes))
 	var tooLarge *http.MaxBytesError
+	var overload *limit.Overload
 	switch {
+	case errors.As(err, &overload):
+		w.Header().Set("Retry-After", strconv.Itoa(int(overload.RetryAfter/time.Second)))
+		writeJSON(w, http.StatusServiceUnavailable,
+			Reply{Outcome: Rejected, Reason: string(outcome.ReasonBusy), Message: err.Error()})
+		return
 	case errors.As(err, &tooLarge):
 		writeJSON(w, http.StatusRequestEntityTooLarge,
 			Reply{Outcome: Rejected, Reason: string(outcome.ReasonTooLarge), Message: err.Error()})
--- a/internal/host/operator/server.go
+++ b/internal/host/operator/server.go
@@ -11,12 +11,14 @@
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 )
 
-// The defaults of NewHandler, and the default and the largest limit of GET /v1/jobs.
+// DefaultMaxBodyBytes is the largest request body in bytes by default.
+const DefaultMaxBodyBytes = 1 << 20
+
+// The default deadline of NewHandler, and the default and the largest limit of GET /v1/jobs.
 const (
-	defaultDeadline     = 10 * time.Second
-	defaultMaxBodyBytes = 1 << 20
-	defaultJobLimit     = 100
-	maxJobLimit         = 1000
+	defaultDeadline = 10 * time.Second
+	defaultJobLimit = 100
+	maxJobLimit     = 1000
 )
 
 // server holds the state that the handlers share.
@@ -41,7 +43,7 @@
 
 // NewHandler returns the HTTP handler for operators. The metrics handler serves GET /metrics.
 func NewHandler(n Node, metrics http.Handler, opts ...Option) http.Handler {
-	s := &server{node: n, clock: time.Now, deadline: defaultDeadline, maxBodyBytes: defaultMaxBodyBytes}
+	s := &server{node: n, clock: time.Now, deadline: defaultDeadline, maxBodyBytes: DefaultMaxBodyBytes}
 	for _, o := range opts {
 		o(s)
 	}
--- a/internal/host/settings/settings.go
+++ b/internal/host/settings/settings.go
@@ -68,6 +68,10 @@
 	MaxQueuedRequests int `json:"queue"`
 	// DefaultDeadline is the deadline of requests that set none, by default 10 s.
 	DefaultDeadline time.Duration `json:"deadline"`
+	// MemoryBytes is the memory and MaxDescriptors the number of descriptors of the process, by default 512 MiB and 4,100.
+	// How many connections the host takes, and what requests in progress hold together, follows from them.
+	MemoryBytes    int64 `json:"memory"`
+	MaxDescriptors int   `json:"descriptors"`
 }
 
 // Freshness bounds the age of the host's views, which are its copies of the configuration, the jobs and the keys of the
@@ -109,7 +113,10 @@
 func defaults() Settings {
 	return Settings{
 		DrainTime: 15 * time.Second,
-		Limits:    Limits{MaxBodyBytes: 1 << 20, MaxQueuedRequests: 1024, DefaultDeadline: 10 * time.Second},
+		Limits: Limits{
+			MaxBodyBytes: 1 << 20, MaxQueuedRequests: 1024, DefaultDeadline: 10 * time.Second,
+			MemoryBytes: 512 << 20, MaxDescriptors: 4100,
+		},
 		Freshness: Freshness{MaxViewAge: 3 * time.Second, RenewalCutoff: 2 * time.Hour},
 		Lease:     Lease{TTL: 6 * time.Second, RenewInterval: 2 * time.Second, TaskTTL: 30 * time.Second},
 		Log:       Log{Level: "info", Format: "text"},
@@ -199,6 +206,8 @@
 	d.require(s.Limits.MaxBodyBytes > 0, "limits.body", "must be positive")
 	d.require(s.Limits.MaxQueuedRequests > 0, "limits.queue", "must be positive")
 	d.require(s.Limits.DefaultDeadline > 0, "limits.deadline", "must be positive")
+	d.require(s.Limits.MemoryBytes > 0, "limits.memory", "must be positive")
+	d.require(s.Limits.MaxDescriptors > 0, "limits.descriptors", "must be positive")
 	d.require(s.Freshness.MaxViewAge > 0, "freshness.view", "must be positive")
 	// No task may start in a zone later than 5 s after the zone was taken out of service. 4 s leave 1 s for the send.
 	d.require(s.Freshness.MaxViewAge <= 4*time.Second, "freshness.view", "must be at most 4s")
