--- a/internal/host/edge/conn.go
+++ b/internal/host/edge/conn.go
@@ -120,8 +120,11 @@
 	case n > 0 && c.state.Phase() != limit.PhaseComplete:
 		status, reason = c.arrived(n, limits)
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.inHeader && c.state.Phase() == limit.PhaseIncomplete && !c.late:
-		// A body that is late is reported by whoever reads it. The server reads more than once before it gives up.
-		c.late, reason = true, ReasonHeaderTime
+		// A body that is late is reported by whoever reads it. The server reads more than once before it gives up. Ordinary
+		// clients open connections that they don't use.
+		if c.late = true; c.state.Received() > 0 {
+			reason = ReasonHeaderTime
+		}
 	}
 	inHeader := c.inHeader
 	c.l.mu.Unlock()
--- a/internal/request/limit/size.go
+++ b/internal/request/limit/size.go
@@ -29,12 +29,13 @@
 	callerBytesShare        = 0.2
 	peerBytesShare          = 0.1
 	internalBytesShare      = 0.02
-	callerDescriptorDivisor = 2
-	peerDescriptorDivisor   = 4
+	callerDescriptorDivisor = 4
+	peerDescriptorDivisor   = 8
 )
 
-// SizesFor returns the bounds for a process with a memory limit in bytes and a number of descriptors. Half of the
-// descriptors are for callers, a quarter for peers, and the rest for the connections that the process opens itself.
+// SizesFor returns the bounds for a process with a memory limit in bytes and a number of descriptors. A quarter of the
+// descriptors is for callers and an eighth for peers. Most of the rest is for the connections that the process opens
+// itself: a leader has up to four to each worker.
 func SizesFor(memory int64, descriptors int) Sizes {
 	conns := func(divisor int, bytes int64) int {
 		byMemory := int(connMemoryShare * float64(memory) / float64(bytes))
