Test a host against crowds at the address for other hosts

Cause: the crowds of internal/standin/untrusted connected to the callers' address only, while clients can open connections to the other addresses too.

The crowds and bounds of the other tests are as before.

--- a/internal/standin/untrusted/crowd_test.go
+++ b/internal/standin/untrusted/crowd_test.go
@@ -46,8 +46,8 @@
 type client struct {
 	// Conn is nil before the client has connected.
 	net.Conn
-	// callers is the address of the host, and n counts the clients of a crowd from 0.
-	callers string
+	// address is that of the host, and n counts the clients of a crowd from 0.
+	address string
 	n       int
 }
 
@@ -213,7 +213,7 @@
 
 // connect opens a connection to the host instead of the present one.
 func (c *client) connect() error {
-	conn, err := (&net.Dialer{Timeout: writeTime}).DialContext(context.Background(), "tcp", c.callers)
+	conn, err := (&net.Dialer{Timeout: writeTime}).DialContext(context.Background(), "tcp", c.address)
 	if err != nil {
 		return err
 	}
@@ -228,6 +228,11 @@
 // checkCrowd starts a host and a crowd of n clients, each of which connects, calls behave and stays. The test fails if the
 // host ends, takes more memory or descriptors than its settings say, or doesn't answer an ordinary request afterwards.
 func checkCrowd(t *testing.T, n int, behave func(c *client) error) {
+	checkCrowdAt(t, n, func(h *testHost) string { return h.callers }, behave)
+}
+
+// checkCrowdAt is checkCrowd with a crowd at another address of the host.
+func checkCrowdAt(t *testing.T, n int, address func(h *testHost) string, behave func(c *client) error) {
 	n = envNumber(t, "UNTRUSTED_CLIENTS", n)
 	h := startHost(t, envNumber(t, "UNTRUSTED_MEMORY", memoryMiB), envNumber(t, "UNTRUSTED_FDS", descriptors))
 	idle := h.peakMemory()
@@ -236,7 +241,7 @@
 	var sending, connected sync.WaitGroup
 	sending.Add(n)
 	for i := range n {
-		connected.Go(func() { runClient(&client{callers: h.callers, n: i}, behave, sending.Done, release) })
+		connected.Go(func() { runClient(&client{address: address(h), n: i}, behave, sending.Done, release) })
 	}
 	sending.Wait()
 	time.Sleep(time.Second)
--- a/internal/standin/untrusted/host_test.go
+++ b/internal/standin/untrusted/host_test.go
@@ -76,8 +76,8 @@
 // testHost is an entry host in a process of its own, on a stand-in of the platform in another one.
 type testHost struct {
 	t *testing.T
-	// callers is the address for callers.
-	callers string
+	// callers is the address for callers, and peers that for other hosts.
+	callers, peers string
 	// memory is the memory limit in bytes and descriptors the number of descriptors, both of the settings file.
 	memory, descriptors int
 	host, platform      *program
@@ -93,7 +93,7 @@
 		t.Fatal(err)
 	}
 	dir, base := t.TempDir(), freePorts(t)
-	h := &testHost{t: t, callers: address(base + callersPort), memory: memoryMiB << 20, descriptors: descriptors}
+	h := &testHost{t: t, callers: address(base + callersPort), peers: address(base + peersPort), memory: memoryMiB << 20, descriptors: descriptors}
 	h.platform = start(t, filepath.Join(dir, "platform.log"), filepath.Join(programDir, "standin"), "platform", "--dir", dir,
 		"--port", strconv.Itoa(base), "--zones", "zone-a", "--workers", "2", "--hosts", "1", "--limit", strconv.Itoa(memoryMiB))
 	h.await("the platform", func() error {
