--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -41,6 +41,9 @@
 	// IncludesTeams is set in all manifests that hosts of this version decode, also in those without teams. Hosts of
 	// earlier versions leave out the teams and their keys.
 	IncludesTeams bool
+	// HeaderTimeout bounds the time for the header of a caller's request, and IdleTimeout that between two requests on a
+	// connection. 0 stands for the default.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // WorkerChanges holds the changes in the platform's list of workers.
