Put the quotas of serve on the shared core

The policy of serve had the arithmetic of quotas a second time. It uses package quota now and keeps lending and reclaiming.

--- a/internal/zone/policy/quota.go
+++ b/internal/zone/policy/quota.go
@@ -4,17 +4,16 @@
 	"time"
 
 	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	"sassafraswind.example/sassafraswind/internal/zone/quota"
 )
 
 // team holds the quota of a team and the tasks that run for it. A team may exceed its quota while every team within its
 // quota finds room: what those do not use is lent to it.
 type team struct {
-	name     string
-	hasQuota bool
-	quota    fleet.Size
-	// used is the sum of the planned sizes of tasks.
-	used  fleet.Size
-	tasks []*task
+	name string
+	// account holds the quota, and in its use the sum of the planned sizes of tasks.
+	account quota.Account
+	tasks   []*task
 	// starvedAt is when a task within the quota last got no worker for lack of room or because it would slow down urgent
 	// calls; starvedSize is its planned size.
 	starvedAt   time.Time
@@ -35,37 +34,28 @@
 }
 
 func (p *Policy) setTeam(m TeamMsg) {
-	tm := p.team(m.Name)
-	tm.hasQuota, tm.quota = m.Quota.Cores >= 0, m.Quota
+	q := quota.Quota{}
+	if m.Quota.Cores >= 0 {
+		q = quota.New(m.Quota)
+	}
+	p.team(m.Name).account.SetQuota(q)
 }
 
 func (tm *team) add(t *task) {
 	t.teamIndex = len(tm.tasks)
 	tm.tasks = append(tm.tasks, t)
-	tm.used = tm.used.Add(t.planned)
+	tm.account.Add(t.planned)
 }
 
 func (tm *team) remove(t *task) {
 	last := tm.tasks[len(tm.tasks)-1]
 	tm.tasks[t.teamIndex], last.teamIndex = last, t.teamIndex
 	tm.tasks = tm.tasks[:len(tm.tasks)-1]
-	tm.used = tm.used.Sub(t.planned)
+	tm.account.Remove(t.planned)
 }
 
 // fitsQuota reports whether the team stays within its quota with one more task of that size.
-func (tm *team) fitsQuota(size fleet.Size) bool {
-	return !tm.hasQuota || tm.used.Add(size).Fits(tm.quota)
-}
-
-// quotaExcess returns the largest fraction of its quota by which the team exceeds it, 0 for a team without a quota.
-func (tm *team) quotaExcess() float64 {
-	if !tm.hasQuota {
-		return 0
-	}
-	f := float64(tm.used.Cores-tm.quota.Cores) / float64(max(tm.quota.Cores, 1))
-	f = max(f, float64(tm.used.Memory-tm.quota.Memory)/float64(max(tm.quota.Memory, 1)))
-	return max(f, float64(tm.used.Accelerators-tm.quota.Accelerators)/float64(max(tm.quota.Accelerators, 1)))
-}
+func (tm *team) fitsQuota(size fleet.Size) bool { return tm.account.Fits(size) }
 
 // starvingTeam returns the team within its quota that found no room most recently, or nil if there is none.
 func (p *Policy) starvingTeam(now time.Time) *team {
@@ -84,9 +74,9 @@
 	}
 	var worst *team
 	for _, other := range p.teams {
-		if other != starving && other.quotaExcess() > 0 && len(other.tasks) > 0 &&
-			(worst == nil || other.quotaExcess() > worst.quotaExcess() ||
-				other.quotaExcess() == worst.quotaExcess() && other.name < worst.name) {
+		if other != starving && other.account.Excess() > 0 && len(other.tasks) > 0 &&
+			(worst == nil || other.account.Excess() > worst.account.Excess() ||
+				other.account.Excess() == worst.account.Excess() && other.name < worst.name) {
 			worst = other
 		}
 	}
