Count orders and restored tasks only for teams with a quota

Work without a team has no quota, but a new leader counted each of its open tasks as running until all workers had reported. It is left out now, as are its orders without an answer.

--- a/internal/zone/dispatch/team_quota.go
+++ b/internal/zone/dispatch/team_quota.go
@@ -175,11 +175,11 @@
 	size    fleet.Size
 }
 
-// countStray counts the order to start a run that is over, if it may be carried out late.
+// countStray counts the order to start a run that is over, if it may be carried out late. Work without a team has no quota.
 func (s *Scheduler) countStray(a *teamAccount, r *run) {
 	k := strayKey{r.worker.ID, runKey{r.task.name, r.number}}
 	until, ok := r.worker.strays[k.run]
-	if !ok {
+	if !ok || a.name == "" {
 		return
 	}
 	s.uncountStray(k)
@@ -228,7 +228,7 @@
 
 // countUnaccounted counts the task as running if it may run on a worker that is unaccounted for.
 func (s *Scheduler) countUnaccounted(t *task) {
-	if t.countsUnaccounted || t.done || len(t.runs) > 0 || !s.mayRunUnaccounted(t) {
+	if t.job().team == "" || t.countsUnaccounted || t.done || len(t.runs) > 0 || !s.mayRunUnaccounted(t) {
 		return
 	}
 	t.countsUnaccounted = true
@@ -299,7 +299,7 @@
 		c.account.Remove(c.size)
 	}
 	s.countedStops = s.countedStops[:0]
-	if !s.hasUnknownRuns && len(s.restoredStops) == 0 {
+	if !s.limitsTeams() || (!s.hasUnknownRuns && len(s.restoredStops) == 0) {
 		return
 	}
 	for _, rec := range s.restoredStops {
