--- a/internal/zone/dispatch/team_quota.go
+++ b/internal/zone/dispatch/team_quota.go
@@ -44,22 +44,23 @@
 	case !a.Fits(quota.Times(st.step().Size, tasks)):
 		st.waitReason = waitQuota
 		s.noteHeldBack(now, st)
-	case s.exceedsShare(st, tasks):
-		st.waitReason = waitOthers
 	default:
-		return true
+		return !s.exceedsShare(st, tasks)
 	}
 	return false
 }
 
+// limitsTeams reports whether mayStart may say no: there is other work than such without a team.
+func (s *Scheduler) limitsTeams() bool { return len(s.accounts) > 1 }
+
 // fitsTeam is mayStart for a look ahead, which holds nothing back.
 func (s *Scheduler) fitsTeam(st *stage, tasks int) bool {
 	a := st.job().use.account
 	return a.isKnown && a.Fits(quota.Times(st.step().Size, tasks))
 }
 
-// mayRestart reports whether the team's quota allows a run of the stage that is stopped now to start again. It doesn't after
-// the quota has shrunk below what is running.
+// mayRestart reports whether the team's quota allows a run of the stage, which counts already, to be ordered again or to start
+// elsewhere once it is stopped. It doesn't after the quota has shrunk below what is running.
 func (s *Scheduler) mayRestart(st *stage) bool { return s.fitsTeam(st, 0) }
 
 // startSize returns the number of tasks of a waiting stage that have to start together at least, 0 if some of them may count
@@ -174,11 +175,11 @@
 	size    fleet.Size
 }
 
-// countStray counts the order to start a run that is over, if it may be carried out late.
+// countStray counts the order to start a run that is over, if it may be carried out late. Work without a team has no quota.
 func (s *Scheduler) countStray(a *teamAccount, r *run) {
 	k := strayKey{r.worker.ID, runKey{r.task.name, r.number}}
 	until, ok := r.worker.strays[k.run]
-	if !ok {
+	if !ok || a.name == "" {
 		return
 	}
 	s.uncountStray(k)
@@ -227,7 +228,7 @@
 
 // countUnaccounted counts the task as running if it may run on a worker that is unaccounted for.
 func (s *Scheduler) countUnaccounted(t *task) {
-	if t.countsUnaccounted || t.done || len(t.runs) > 0 || !s.mayRunUnaccounted(t) {
+	if t.job().team == "" || t.countsUnaccounted || t.done || len(t.runs) > 0 || !s.mayRunUnaccounted(t) {
 		return
 	}
 	t.countsUnaccounted = true
@@ -298,7 +299,7 @@
 		c.account.Remove(c.size)
 	}
 	s.countedStops = s.countedStops[:0]
-	if !s.hasUnknownRuns && len(s.restoredStops) == 0 {
+	if !s.limitsTeams() || (!s.hasUnknownRuns && len(s.restoredStops) == 0) {
 		return
 	}
 	for _, rec := range s.restoredStops {
