Find the manifest in force behind an invalid one, and a leader behind a silent store

A host that starts reads the newest record only. If that is an invalid manifest, which tenants make more likely, the host had no manifest at all.

A host that the store doesn't answer could not reach a new leader: a read of the renewals that fails stays due and goes before each ping, and a claim of its own that fails is followed by a read of the claims for 2.2 s. So it got neither manifests nor confirmations. It now pings after each such read that failed, and stops reading once it learns of another claim.

--- a/internal/host/entry/access.go
+++ b/internal/host/entry/access.go
@@ -70,7 +70,11 @@
 func (h *Host) recordOperatorRead(sentAt time.Time, changes OperatorChanges) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !changes.Behind {
+	h.manifestHidden = changes.ManifestHidden || (h.manifestHidden && changes.Manifest == nil)
+	switch {
+	case h.manifestHidden:
+		h.confirmation.RecordReadFailure()
+	case !changes.Behind:
 		h.confirmation.RecordRead(sentAt)
 	}
 }
--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -68,6 +68,8 @@
 	Complete bool
 	// Behind is set if the store held further records when it answered.
 	Behind bool
+	// ManifestHidden is set if the newest manifest is invalid and an earlier valid one may exist that was not found.
+	ManifestHidden bool
 	// NextOffset is the offset from which to read the next changes.
 	NextOffset int64
 	// Errors holds an error for each record that could not be decoded and was left out.
@@ -169,6 +171,11 @@
 	manifest            *Manifest
 	evacuatedZones      map[string]bool
 	operatorRecordsRead bool
+	// manifestHidden is the last OperatorChanges.ManifestHidden, until a manifest is read. The leader is asked for its
+	// manifest meanwhile.
+	manifestHidden bool
+	// ignoredVersion is the version of the last manifest that was ignored since it lacked its teams.
+	ignoredVersion uint64
 	// confirmation tracks when manifest was last known to be the newest. keyState is the last result of KeyState.
 	confirmation access.Confirmation
 	keyState     access.State
--- a/internal/host/entry/follow.go
+++ b/internal/host/entry/follow.go
@@ -98,7 +98,12 @@
 		return
 	}
 	if lacksTeams(h.manifest, m) {
+		isNew := h.ignoredVersion != m.Catalog.Version
+		h.ignoredVersion = m.Catalog.Version
 		h.mu.Unlock()
+		if !isNew {
+			return
+		}
 		h.logger("operators").WithFields(logrus.Fields{
 			"version": m.Catalog.Version, "source": source,
 		}).Warn("Ignored a manifest without its teams, from a host of an earlier version")
--- a/internal/host/entry/messages.go
+++ b/internal/host/entry/messages.go
@@ -63,7 +63,8 @@
 	// Stamp is the newest PingResponse.Stamp that the sender has got from the leader under its present claim, 0 if there
 	// is none.
 	Stamp int64 `msgpack:"t,omitempty"`
-	// OperatorRecordsUnreadable is set while the host can't read the operators' records from the store.
+	// OperatorRecordsUnreadable is set while the host can't read the operators' records from the store, or has found there
+	// only an invalid manifest.
 	OperatorRecordsUnreadable bool `msgpack:"b"`
 }
 
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -88,7 +88,7 @@
 	p := Ping{
 		Name: h.cfg.Name, Address: h.cfg.PeerAddress, Instance: h.instance,
 		StoreAge: now.Sub(h.storeAnsweredAt), Power: h.cfg.Power,
-		OperatorRecordsUnreadable: h.operatorRecordsUnreadable.Load(), Stamp: h.leaderStamp,
+		OperatorRecordsUnreadable: h.operatorRecordsUnreadable.Load() || h.manifestHidden, Stamp: h.leaderStamp,
 	}
 	if h.manifest != nil {
 		p.ManifestVersion = h.manifest.Catalog.Version
@@ -218,7 +218,10 @@
 	newest, err := h.newestRenewal(callCtx, claim)
 	if err != nil {
 		h.logger("leadership").WithError(err).Debug("Can't read the leader's renewals")
-		sleep(ctx, retryInterval)
+		// The read stays due, before any ping. A host that the store doesn't answer would never reach a new leader.
+		failedAt := h.clock.Now()
+		h.pingOnce(ctx, claim)
+		sleep(ctx, retryInterval-h.clock.Now().Sub(failedAt))
 		return
 	}
 	h.mu.Lock()
@@ -252,6 +255,7 @@
 	h.mu.Lock()
 	h.elector.RecordClaim(h.clock.Now())
 	h.claiming = true
+	changed := h.leaderChanged
 	h.mu.Unlock()
 	defer func() {
 		h.mu.Lock()
@@ -271,8 +275,12 @@
 	cancel()
 	if err != nil {
 		h.logger("leadership").WithError(err).WithField("serial", c.Serial).Info("Claim failed; reading the claims again")
-		// The log contains either another host's claim or, if only the answer was lost, the claim of this host.
-		if _, err := h.readClaims(ctx, -1); err != nil {
+		// The log contains either another host's claim or, if only the answer was lost, the claim of this host. A host
+		// that the store doesn't answer may learn of the claim from its maker meanwhile, and has to ping that.
+		readCtx, cancelRead := contextUntil(ctx, changed)
+		_, err := h.readClaims(readCtx, -1)
+		cancelRead()
+		if err != nil && !isClosed(changed) {
 			sleep(ctx, retryInterval)
 		}
 	} else {
@@ -282,6 +290,29 @@
 	h.beginTerm(ctx)
 }
 
+// contextUntil returns a context that ends with ctx, or when the channel is closed or cancel is called.
+func contextUntil(ctx context.Context, done <-chan struct{}) (_ context.Context, cancel func()) {
+	ctx, cancel = context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-done:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// isClosed reports whether a channel on which nothing is sent is closed.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // beginTerm starts a term if this host has the newest claim, has no term yet and is not stopping.
 func (h *Host) beginTerm(ctx context.Context) {
 	h.mu.Lock()
