Check keys and quotas of tenants in the stand-in of the platform

The stand-in knew no tenants, so that no run showed whether hosts judge calls by the manifest that must be in force, keep the jobs of tenants apart and hold them to their quotas.

It now draws tenants whose keys, weights and quotas change in quick succession, also after invalid versions, and callers with present, removed, invented and no keys, who also ask for the jobs of others. Rule KEYS: no call is carried out with a key that no manifest contained; none is refused with 401, or while nothing is disturbed served, by a manifest that was replaced longer ago than ConfigApplyMs; no tenant sees or changes another's job. The soak draws tenants for a third of the seeds from a separate generator; its other draws are unchanged.

--- a/internal/standin/platform/check.go
+++ b/internal/standin/platform/check.go
@@ -71,6 +71,9 @@
 	}
 	r.checkTwice(t, k, step, l, now)
 	w.runs[k] = step
+	if ok {
+		r.checkTenant(j, k.task, step, l, now)
+	}
 	w.used = w.used.Add(step.size())
 	if !w.used.Fits(w.capacity) {
 		r.violate(RuleLimit, k.task, l.id, fmt.Sprintf("start brings the worker to %v of %v", w.used, w.capacity), now)
--- a/internal/standin/platform/hosts_test.go
+++ b/internal/standin/platform/hosts_test.go
@@ -29,6 +29,14 @@
 	t        *testing.T
 	platform *Platform
 	hosts    []*runningHost
+	// tenants are those of the manifests, nil if there are none.
+	tenants *Tenants
+
+	mu sync.Mutex
+	// version is that of the newest manifest.
+	version int
+	// jobs are those that submitJobs has sent, by their number, if there are tenants.
+	jobs []submissionBody
 }
 
 // runningHost is an entry host that runs in this process or in one of its own.
@@ -63,9 +71,21 @@
 // startHosts does what startZones does with hosts that the function run runs.
 func startHosts(
 	t *testing.T, zones []string, seed uint64, hosts int, departure Departure, run func(h *runningHost) (stop func() error),
+) *deployment {
+	t.Helper()
+	return startTenants(t, zones, seed, hosts, departure, run, nil)
+}
+
+// startTenants does what startHosts does with manifests that have the tenants, or none if they are nil.
+func startTenants(
+	t *testing.T, zones []string, seed uint64, hosts int, departure Departure, run func(h *runningHost) (stop func() error),
+	tenants *Tenants,
 ) *deployment {
 	t.Helper()
 	manifest, err := DefaultManifest(1)
+	if tenants != nil {
+		manifest, err = tenants.Manifest(1)
+	}
 	So(err, ShouldBeNil)
 	// PLATFORM_LOG sets the log level of the hosts and of the stand-in.
 	level := cmp.Or(os.Getenv("PLATFORM_LOG"), "error")
@@ -76,7 +96,7 @@
 		Seed: seed, Manifest: manifest,
 	}, log)
 	So(err, ShouldBeNil)
-	d := &deployment{t: t, platform: p}
+	d := &deployment{t: t, platform: p, tenants: tenants, version: 1}
 	free := reservePorts(t, portsOfHost*hosts)
 	for i := range hosts {
 		ports := free[portsOfHost*i:]
@@ -252,6 +272,11 @@
 
 // send sends a request and returns the status, 0 if there is no answer, and the body.
 func send(method, address, host, path string, body any) (int, string) {
+	return sendWithKey(method, address, host, path, "", body)
+}
+
+// sendWithKey does what send does with an API key, unless it is empty.
+func sendWithKey(method, address, host, path, key string, body any) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	data, err := json.Marshal(body)
@@ -265,6 +290,9 @@
 	if host != "" {
 		req.Host = host
 	}
+	if key != "" {
+		req.Header.Set("Authorization", "Token "+key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err.Error()
--- a/internal/standin/platform/ingress.go
+++ b/internal/standin/platform/ingress.go
@@ -63,11 +63,11 @@
 	g.hosts = append(g.hosts, h)
 }
 
-// setManifest replaces the routes.
-func (g *ingress) setManifest(manifest []byte) error {
+// setManifest replaces the routes and returns the decoded manifest.
+func (g *ingress) setManifest(manifest []byte) (*manifestBody, error) {
 	var m manifestBody
 	if err := json.Unmarshal(manifest, &m); err != nil {
-		return errors.Wrap(err, "standin: decode manifest")
+		return nil, errors.Wrap(err, "standin: decode manifest")
 	}
 	routes := make([]route.Route, 0, len(m.Routes))
 	services := map[string]string{}
@@ -79,7 +79,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.table, g.services = route.NewTable(routes), services
-	return nil
+	return &m, nil
 }
 
 // probe checks which hosts are ready.
@@ -148,12 +148,12 @@
 	return n
 }
 
-// service returns the service of the route of a request, and whether there is one.
-func (g *ingress) service(r *http.Request) (string, bool) {
+// find returns the queue of a request and its service, and whether there is one.
+func (g *ingress) find(r *http.Request) (queue, service string, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	rt, _, ok := g.table.Find(r.Host, r.URL.Path)
-	return g.services[rt.Queue], ok
+	return rt.Queue, g.services[rt.Queue], ok
 }
 
 // handler serves the callers.
@@ -178,13 +178,22 @@
 		if strings.HasSuffix(r.URL.Path, "/") {
 			id = ""
 		}
-		service, ok := g.service(r)
-		recorded := ok && r.Method == http.MethodPost && g.recorder.submitted(id, service, body)
-		if r.Method == http.MethodDelete {
+		queue, service, ok := g.find(r)
+		c := newKeyedCall(queue, r)
+		mayAct := g.recorder.mayAct(id, c)
+		// A submission with a key that is unknown so far is recorded too: a later manifest may contain it.
+		recorded := ok && r.Method == http.MethodPost && !g.recorder.isOthersJob(id, c) && g.recorder.submitted(id, service, body)
+		if recorded {
+			g.recorder.keySent(id, c)
+		}
+		if r.Method == http.MethodDelete && mayAct {
 			g.recorder.cancelSent(id)
 		}
 		status, answer := g.forward(r, h, body)
-		g.record(r.Method, id, recorded, status, answer)
+		if mayAct || recorded {
+			g.record(r.Method, id, recorded, status, answer)
+		}
+		g.recorder.checkAnswer(id, c, status, time.Now())
 		if status == 0 {
 			status = http.StatusBadGateway
 		}
@@ -242,6 +251,9 @@
 	if deadline := r.Header.Values("Deadline-Ms"); len(deadline) > 0 {
 		req.Header["Deadline-Ms"] = deadline
 	}
+	if authorization := r.Header.Values("Authorization"); len(authorization) > 0 {
+		req.Header["Authorization"] = authorization
+	}
 	resp, err := g.client.Do(req)
 	if err != nil {
 		log.WithError(err).Warn("standin: no answer from host")
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -3,8 +3,8 @@
 // protocols on loopback addresses, records what it is told, and reports from this record alone what a correct
 // scheduler never does. It has no groups, gangs, advisers or moves of machines, and no limits of calls.
 //
-// Locks: the lock of a worker is taken before that of the recorder and never after it. No other two locks of the package
-// are held together.
+// Locks: the lock of a worker is taken before that of the recorder and never after it, and Platform.manifestMu before any other.
+// No other two locks of the package are held together.
 package platform
 
 import (
@@ -64,6 +64,9 @@
 
 	controlAddress, ingressAddress string
 
+	// manifestMu is held while a manifest is written, so that they are recorded in the order of the store.
+	manifestMu sync.Mutex
+
 	mu sync.Mutex
 	// closers are the clean-up functions in the order in which what they close was started.
 	closers []func()
@@ -253,10 +256,13 @@
 
 // SetManifest writes a manifest as an operator.
 func (p *Platform) SetManifest(manifest []byte) error {
-	if err := p.ingress.setManifest(manifest); err != nil {
+	m, err := p.ingress.setManifest(manifest)
+	if err != nil {
 		return err
 	}
-	p.store.put(operatorTopic, "config", manifest)
+	p.manifestMu.Lock()
+	defer p.manifestMu.Unlock()
+	p.recorder.writeManifest(m, func() { p.store.put(operatorTopic, "config", manifest) })
 	return nil
 }
 
--- a/internal/standin/platform/record.go
+++ b/internal/standin/platform/record.go
@@ -30,6 +30,11 @@
 	RuleUnasked Rule = "UNASKED"
 	// RuleMixed forbids that a job is shown as completed before all its tasks are done.
 	RuleMixed Rule = "MIXED"
+	// RuleKeys forbids that a call is carried out whose key no manifest contained, that a call is refused or carried out by
+	// a manifest that is no longer in force, and that a tenant sees or changes the job of another.
+	RuleKeys Rule = "KEYS"
+	// RuleQuota forbids a start that brings a tenant over its quota.
+	RuleQuota Rule = "QUOTA"
 	// RuleEvacuated forbids starts in a zone that is evacuated.
 	RuleEvacuated Rule = "EVAC"
 )
@@ -45,11 +50,12 @@
 
 // Report is what was seen.
 type Report struct {
-	// Accepted, Refused and Cancelled count jobs. Starts counts runs, Done and Acknowledged tasks that have ended as done,
+	// Accepted, Refused and Cancelled count jobs. Unauthorized counts the answers with status 401. Starts counts runs, Done and Acknowledged tasks that have ended as done,
 	// and Ended all ends of runs by their reason.
 	Accepted     int            `json:"accepted"`
 	Refused      int            `json:"refused"`
 	Cancelled    int            `json:"cancelled"`
+	Unauthorized int            `json:"unauthorized"`
 	Starts       int            `json:"starts"`
 	Done         int            `json:"done"`
 	Acknowledged int            `json:"acknowledged"`
@@ -74,8 +80,12 @@
 	// disturbedAt is the time of the last disturbance. While a kind of server is in faulty, the disturbance lasts.
 	disturbedAt time.Time
 	faulty      map[string]struct{}
-	counts      Report
-	violations  []Violation
+	// manifests holds what the manifests say of keys, in the order in which they were written. hasTenants is set once one has
+	// tenants.
+	manifests  []*manifestTerms
+	hasTenants bool
+	counts     Report
+	violations []Violation
 	// lastCheck is the time of the last check of what must happen in time.
 	lastCheck time.Time
 }
@@ -92,6 +102,9 @@
 	// cancelSent is set when a caller has cancelled the job, and cancelledAt once that was confirmed.
 	cancelSent  bool
 	cancelledAt time.Time
+	// calls are the submissions while manifests have tenants, and tenant is the one whose key the first with a known key had.
+	calls  []keyedCall
+	tenant string
 }
 
 // taskRecord is what workers said of a task.
--- a/internal/standin/platform/settings.go
+++ b/internal/standin/platform/settings.go
@@ -70,11 +70,15 @@
 Bounds.status_s=120
 Bounds.GraceS=6
 Bounds.RemoteFactor=%d
+Bounds.ConfigApplyMs=%d
+Bounds.StrictRevocation=false
+Bounds.RevokeMs=5000
 Orders=invocation
 platform.Address=%s
 platform.form=log
 `,
 		s.Name, s.Zone, s.IP, s.CallersAddress(), s.ReadyAddress(), s.FirstPort, s.LastPort, s.MemoryMiB,
 		maxLease.Milliseconds(), cancelTime.Milliseconds(), visibleTime.Milliseconds(), earlyTime.Milliseconds(),
-		evacuationTime.Milliseconds(), drainTime.Milliseconds(), remoteFactor, s.StoreAddress)
+		evacuationTime.Milliseconds(), drainTime.Milliseconds(), remoteFactor,
+		configApplyTime.Milliseconds(), s.StoreAddress)
 }
--- a/internal/standin/platform/twice_test.go
+++ b/internal/standin/platform/twice_test.go
@@ -25,8 +25,35 @@
 // the answers or the connections of its worker were lost, or its worker is about to leave. PLATFORM_SEED draws another schedule.
 func TestNoTaskRunsTwiceUnderLostAnswers(t *testing.T) {
 	seed := envNumber(t, envSeed, 1)
-	Convey("Lost answers, late calls, blackholed connections, departures and changes of leader start no task twice", t, func() {
-		d := startZones(t, []string{"a", "b"}, seed, 3, DefaultDeparture())
+	rng := rand.New(rand.NewPCG(seed, 30))
+	var tenants *Tenants
+	if rng.IntN(tenantsShare) == 0 {
+		tenants = NewTenants(rng, 2+rng.IntN(3))
+	}
+	title := "Lost answers, late calls, blackholed connections, departures and changes of leader start no task twice"
+	playLostAnswers(t, title, seed, tenants, func(rule Rule) bool {
+		return rule == RuleTwice || rule == RuleLimit || rule == RuleKeys
+	})
+}
+
+// TestQuotasHoldUnderLostAnswers guards against a leader that brings a tenant over its quota because it takes a run for ended,
+// or for never started, in the same schedule.
+func TestQuotasHoldUnderLostAnswers(t *testing.T) {
+	seed := envNumber(t, envSeed, 1)
+	tenants := NewTenants(rand.New(rand.NewPCG(seed, 30)), 3)
+	playLostAnswers(t, "Lost answers bring no tenant over its quota", seed, tenants, func(rule Rule) bool {
+		return rule == RuleQuota
+	})
+}
+
+// tenantsShare is the share of the seeds that draw tenants, as one in so many.
+const tenantsShare = 3
+
+// playLostAnswers plays the schedule of a seed, with the tenants unless they are nil. It fails if a rule for which checks is
+// true was broken.
+func playLostAnswers(t *testing.T, title string, seed uint64, tenants *Tenants, checks func(Rule) bool) {
+	Convey(title, t, func() {
+		d := startTenants(t, []string{"a", "b"}, seed, 3, DefaultDeparture(), runHere, tenants)
 		d.call(http.MethodPost, ServingPrefix+"00000000000000a1", servingJob())
 		var wg sync.WaitGroup
 		for _, fn := range []func(){
@@ -36,14 +63,18 @@
 		} {
 			wg.Go(fn)
 		}
+		if tenants != nil {
+			wg.Go(func() { d.changeTenants(rand.New(rand.NewPCG(seed, 32)), faultyTime) })
+			wg.Go(func() { d.intrude(rand.New(rand.NewPCG(seed, 33)), faultyTime) })
+		}
 		wg.Wait()
 		r := d.platform.Report()
-		t.Logf("seed %d: %d jobs, %d starts, %d tasks done, ends %v, %d vanished", seed, r.Accepted, r.Starts, r.Done,
-			r.Ended, r.Vanished)
+		t.Logf("seed %d: %d jobs, %d starts, %d tasks done, ends %v, %d vanished; tenants %t, %d manifests, %d answers 401", seed,
+			r.Accepted, r.Starts, r.Done, r.Ended, r.Vanished, tenants != nil, d.version, r.Unauthorized)
 		var broken []string
 		for _, v := range r.Violations {
 			t.Logf("%+v", v)
-			if v.Rule == RuleTwice || v.Rule == RuleLimit {
+			if checks(v.Rule) {
 				broken = append(broken, fmt.Sprintf("%+v", v))
 			}
 		}
@@ -93,11 +124,19 @@
 	}}}
 }
 
-// submitJobs sends jobs of two steps with short tasks. A job without an answer is not sent again.
+// submitJobs sends jobs of two steps with short tasks. A job without an answer is not sent again. If there are tenants, they
+// are drawn from a separate generator.
 func (d *deployment) submitJobs(rng *rand.Rand) {
+	keys := rand.New(rand.NewPCG(d.platform.cfg.Seed, 31))
 	for n, end := 0, time.Now().Add(callTime); time.Now().Before(end); n++ {
-		job := drawJob(rng, 16)
-		go send(http.MethodPost, d.platform.IngressAddress(), RouteHost, fmt.Sprintf("%s%016x", BatchPrefix, n), job)
+		job, key := drawJob(rng, 16), ""
+		if d.tenants != nil {
+			key = d.tenants.DrawKey(keys)
+			d.mu.Lock()
+			d.jobs = append(d.jobs, job)
+			d.mu.Unlock()
+		}
+		go sendWithKey(http.MethodPost, d.platform.IngressAddress(), RouteHost, fmt.Sprintf("%s%016x", BatchPrefix, n), key, job)
 		time.Sleep(time.Duration(rng.Int64N(int64(2 * callInterval))))
 	}
 }
--- a/internal/standin/platform/wire.go
+++ b/internal/standin/platform/wire.go
@@ -62,9 +62,18 @@
 	return size
 }
 
+// declaredSize returns what a task of the step counts against the quota of its tenant.
+func (s stepBody) declaredSize() fleet.Size {
+	return fleet.Size{Cores: s.CPU, Memory: s.MemMb, Accelerators: s.GPU}
+}
+
 // manifestBody is the part of a manifest that the stand-in needs.
 type manifestBody struct {
-	Routes []struct{ Host, PathPrefix, Service string }
+	Routes []struct {
+		Host, PathPrefix, Service string
+		Anonymous                 bool
+	}
+	Tenants []tenantBody
 }
 
 // capacityBody is the capacity of a worker in its registration.
