--- a/internal/host/entry/request.go
+++ b/internal/host/entry/request.go
@@ -147,10 +147,14 @@
 func (h *Host) logRequest(req Request, resp Response, tries int, start time.Time) {
 	took := h.clock.Now().Sub(start)
 	h.recorder.RecordRequest(string(req.Action), outcomeName(resp.Outcome), took)
+	h.recordAnswer(req, resp)
 	fields := logrus.Fields{
 		"action": string(req.Action), "job": req.ID, "outcome": outcomeName(resp.Outcome), "tries": tries,
 		"took_ms": took.Milliseconds(),
 	}
+	if req.Team != "" {
+		fields["team"] = req.Team
+	}
 	if resp.Reason != "" {
 		fields["reason"] = resp.Reason
 	}
@@ -159,7 +163,8 @@
 	}
 	entry := h.logger("callers").WithFields(fields)
 	if req.Action == ActionSubmit || req.Action == ActionCancel || resp.Outcome == 0 ||
-		resp.Outcome == dispatch.OutcomeRefused || resp.Outcome == dispatch.OutcomeRejected {
+		resp.Outcome == dispatch.OutcomeRefused || resp.Outcome == dispatch.OutcomeRejected ||
+		resp.Outcome == dispatch.OutcomeTaken {
 		entry.Info("Request")
 	} else {
 		entry.Debug("Request")
@@ -179,6 +184,8 @@
 		return "unknown queue"
 	case dispatch.OutcomeUnknownJob:
 		return "unknown job"
+	case dispatch.OutcomeTaken:
+		return "taken"
 	}
 	return "unknown"
 }
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -141,12 +141,14 @@
 	t.endOnce.Do(func() {
 		t.cancel()
 		t.onEnd()
+		t.host.outcomes.end(t)
 		t.log.WithField("reason", reason).Info("Term ended")
 	})
 }
 
 // begin fences the previous leader, restores the state and starts the loops of the term.
 func (t *term) begin() {
+	t.host.outcomes.begin(t)
 	start := t.host.clock.Now()
 	writer := t.newWriter(statePartition, ledger.WithRejectHook(t.rejectRecord))
 	renewals := t.newWriter(renewalPartition)
@@ -477,13 +479,19 @@
 		defer t.mu.Unlock()
 		return Response{Outcome: dispatch.OutcomeAccepted, Count: t.scheduler.QueuedJobs(req.Queue)}
 	case ActionShow:
+		r := dispatch.Reply{Outcome: dispatch.OutcomeUnknownJob}
 		t.mu.Lock()
-		r := t.scheduler.JobStatus(req.ID)
+		if t.scheduler.IsVisible(req.ID, req.Team) {
+			r = t.scheduler.JobStatus(req.ID)
+		}
 		t.mu.Unlock()
 		return t.currentResponse(ctx, now, r)
 	case ActionCancel:
+		r := dispatch.Reply{Outcome: dispatch.OutcomeUnknownJob}
 		t.mu.Lock()
-		r := t.scheduler.Cancel(now, req.ID)
+		if t.scheduler.IsVisible(req.ID, req.Team) {
+			r = t.scheduler.Cancel(now, req.ID)
+		}
 		t.mu.Unlock()
 		t.wakeLoops()
 		return t.currentResponse(ctx, now, r)
@@ -494,7 +502,7 @@
 		return refusedByStore()
 	}
 	r := t.scheduler.Submit(now, dispatch.Request{
-		ID: req.ID, Queue: req.Queue, Spec: req.Spec, WallTime: t.host.clock.Wall(),
+		ID: req.ID, Queue: req.Queue, Team: req.Team, Spec: req.Spec, WallTime: t.host.clock.Wall(),
 	})
 	t.mu.Unlock()
 	t.wakeLoops()
--- a/internal/zone/dispatch/decide.go
+++ b/internal/zone/dispatch/decide.go
@@ -21,6 +21,9 @@
 	s.confirmedAt = confirmedAt
 	s.expireLeases(now, confirmedAt)
 	s.refreshLeaseRecord(now)
+	s.uncountAccounted()
+	s.uncountStrays(now)
+	s.countStops()
 	s.judgeLapses(now)
 	s.sendStops(now)
 	s.sendBars(now)
@@ -38,6 +41,7 @@
 		s.updateShortDemand()
 		s.recordLearned(now)
 		s.reportWaits(now)
+		s.clearQuotaEpisodes(now)
 	}
 	s.sortReady(now)
 	if !s.halted {
@@ -75,10 +79,7 @@
 // rank returns the rank of a stage at the given time.
 func (s *Scheduler) rank(now time.Time, st *stage) rank {
 	j := st.job()
-	countedFrom := j.acceptedAt
-	if j.spec.OccurrenceCount > 0 {
-		countedFrom = j.acceptedAt.Add(j.spec.DueTime(st.occurrence.index).Sub(j.acceptedWall))
-	}
+	countedFrom := j.countedFrom(st.occurrence)
 	remaining := j.remainingTime[st.index]
 	r := rank{priority: j.priority, latestStartAt: countedFrom.Add(j.objective - remaining)}
 	switch {
@@ -95,6 +96,14 @@
 	return r
 }
 
+// countedFrom returns the time from which the objective of an occurrence counts.
+func (j *Job) countedFrom(o *occurrence) time.Time {
+	if j.spec.OccurrenceCount > 0 {
+		return j.acceptedAt.Add(j.spec.DueTime(o.index).Sub(j.acceptedWall))
+	}
+	return j.acceptedAt
+}
+
 // compare returns a negative number if r comes before o, a positive one if it comes after o, and 0 if they are equal.
 func (r rank) compare(o rank) int {
 	return cmp.Or(
@@ -159,36 +168,51 @@
 // startReady starts the waiting tasks that fit on a worker, the most urgent first.
 func (s *Scheduler) startReady(now time.Time) {
 	s.startTrials(now)
+	ready := slices.Clone(s.ready)
+	if s.hasTeams() {
+		s.startInPasses(now, ready)
+		return
+	}
 	var failed []failedPlacement
-	for _, st := range slices.Clone(s.ready) {
-		j := st.job()
-		// A job whose acceptance is not durable may be submitted again to a later leader, which would not know of its
-		// runs. Restored tasks may already run on workers that have not reported in this term.
-		if max(j.acceptedBatch, st.occurrence.batch) > s.journal.committed {
-			st.waitReason = waitUnconfirmed
-			continue
-		}
-		if j.restored && !s.allWorkersAccounted() && !s.hasStartableTask(st) {
-			st.waitReason = waitUnaccounted
-			continue
-		}
-		s.startOverdue(now, st)
-		s.prepareTrials(now, st)
-		placement := newFailedPlacement(st)
-		if slices.ContainsFunc(failed, func(f failedPlacement) bool { return f.implies(placement) }) {
-			st.waitReason = waitSmallerFailed
-			s.markNoRoom(st)
-			continue
-		}
-		var noWorker bool
-		if st.step().Gang {
-			noWorker = !s.startGang(now, st)
-		} else {
-			noWorker = !s.startStage(now, st)
-		}
-		if noWorker && st.runsAnywhere() {
-			failed = append(failed, placement)
-		}
+	for _, st := range ready {
+		s.startWaiting(now, st, &failed)
+	}
+}
+
+// startWaiting starts the waiting tasks of a stage that fit on a worker. failed holds the placements that have failed in this
+// decision.
+func (s *Scheduler) startWaiting(now time.Time, st *stage, failed *[]failedPlacement) {
+	j := st.job()
+	// A job whose acceptance is not durable may be submitted again to a later leader, which would not know of its
+	// runs. Restored tasks may already run on workers that have not reported in this term.
+	if max(j.acceptedBatch, st.occurrence.batch) > s.journal.committed {
+		st.waitReason = waitUnconfirmed
+		return
+	}
+	if j.restored && !s.allWorkersAccounted() && !s.hasStartableTask(st) {
+		st.waitReason = waitUnaccounted
+		return
+	}
+	s.startOverdue(now, st)
+	s.prepareTrials(now, st)
+	placement := newFailedPlacement(st)
+	if slices.ContainsFunc(*failed, func(f failedPlacement) bool { return f.implies(placement) }) {
+		st.waitReason = waitSmallerFailed
+		s.markNoRoom(st)
+		return
+	}
+	if s.limitsTeams() && !s.mayStart(now, st, st.startSize()) {
+		return
+	}
+	var noWorker bool
+	if st.step().Gang {
+		noWorker = !s.startGang(now, st)
+	} else {
+		noWorker = !s.startStage(now, st)
+	}
+	if noWorker && st.runsAnywhere() {
+		*failed = append(*failed, placement)
+		s.noteFull(st)
 	}
 }
 
@@ -221,6 +245,9 @@
 			st.waitReason = waitFreeSlots
 			continue
 		}
+		if !s.mayStart(now, st, 1) {
+			return true
+		}
 		w, noRoom := s.chooseWorker(now, t, &c)
 		if w == nil {
 			st.waitReason = waitNoWorker
@@ -260,10 +287,16 @@
 		s.prepareGangTrial(now, st, u)
 		return true
 	}
+	if !s.mayStart(now, st, len(st.tasks)) {
+		return true
+	}
 	plan := s.planGang(now, st)
 	if plan == nil {
 		return false
 	}
+	if g := st.gangWait; g != nil && g.remote {
+		s.recordRemoteGang(now, st.tasks[0], plan[0], g.decision.Reason)
+	}
 	for i, t := range st.tasks {
 		s.startRun(now, t, plan[i])
 	}
@@ -278,7 +311,10 @@
 		if !t.queued || t.lastEndedRun >= st.gangRunNumber {
 			continue
 		}
-		w := s.findWorker(now, t, nil)
+		if !s.mayStart(now, st, st.nextStart()) {
+			return true
+		}
+		w := s.findMember(now, t)
 		if w == nil {
 			return false
 		}
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"sassafraswind.example/sassafraswind/internal/port/fleet"
+	"sassafraswind.example/sassafraswind/internal/zone/locality"
 )
 
 // Limits holds the platform's bounds and the scheduler's own settings.
@@ -73,6 +74,8 @@
 	// Advised is set if the jobs may run only on workers for which an adviser has given a ticket. An adviser is a
 	// service of the platform that selects the workers for a stage.
 	Advised bool
+	// Class is the name under which metrics count the jobs, empty for that of the queue. Several queues may have the same.
+	Class string
 }
 
 // Catalog is the scheduler's part of the manifest, the operators' configuration (entry.Manifest).
@@ -80,6 +83,8 @@
 	Version uint64
 	// Queues holds the queues by name.
 	Queues map[string]Queue
+	// Teams holds the teams by name. Without teams, jobs belong to none and nothing is limited or shared by team.
+	Teams map[string]Team
 	// Guarded names the services whose workers refuse tasks for which they have no room.
 	Guarded map[string]bool
 	// Evacuated names the zones that get no new tasks. It is not read from the manifest; SetEvacuated sets it.
@@ -108,6 +113,14 @@
 	workers   map[string]*Worker
 	// byService lists the workers of each service, ordered by ID.
 	byService map[string][]*Worker
+	// rackIndex holds the racks of the services for which somebody has asked since their workers changed, see racksOf.
+	rackIndex map[string][]rack
+	// nearRule decides about waits for a near place. Tests compare locality.Decide with other rules.
+	nearRule func(time.Time, locality.Input) locality.Decision
+	// near holds what the present decision knows of the racks for which tasks wait.
+	near nearState
+	// nearChoice is the memory for that of the stage with a data rack that is being started, nil before the first.
+	nearChoice *nearChoice
 	// capacities lists the worker capacities of each service, without those that fit into another one of the list.
 	capacities map[string][]fleet.Size
 	// draining holds the workers that drain, moving the runs that were stopped because their workers leave, and maybe others
@@ -180,6 +193,26 @@
 	// handingOver is set once a planned end of the term is being prepared.
 	handingOver bool
 
+	// accounts holds what is counted for each team, keptTeams the recorded terms of the teams with open jobs.
+	// namedTeams is the number of accounts with isNamed.
+	accounts   map[string]*teamAccount
+	namedTeams int
+	keptTeams  map[string]teamRecord
+	// countedStrays holds the orders that count although their runs are over. They are looked at from strayExpiry on.
+	countedStrays map[strayKey]countedStray
+	strayExpiry   time.Time
+	// countedStops holds the runs of ended jobs that count. hasUnknownRuns is set while a worker may have unknown runs.
+	countedStops     []countedStop
+	hasUnknownRuns   bool
+	unaccountedTasks unaccountedTasks
+	// shares holds what teams share of each service. Their capacities were last added up at capacityAt. withinShares is set
+	// during the first pass of a decision, see startInPasses.
+	shares       map[string]*serviceShares
+	capacityAt   time.Time
+	withinShares bool
+	// beyondShares is the memory of the stages that are left to the second pass.
+	beyondShares []*stage
+
 	journal journal
 	events  []Event
 	// lastMaintenanceAt is when the periodic work of Decide was last done, see maintenanceInterval.
@@ -195,6 +228,8 @@
 	shortDemand map[string]float64
 	// longRunningWaiting names the services in which long-running tasks wait for room.
 	longRunningWaiting map[string]bool
+
+	outcomes Outcomes
 }
 
 // New returns a scheduler without jobs and workers. The token fences off the orders of earlier terms. The serial counts
@@ -206,10 +241,16 @@
 		placementsSince: 1,
 		runNumberBase:   max(0, serial-1) * runNumbersPerTerm,
 		keptQueues:      map[string]Queue{},
+		accounts:        map[string]*teamAccount{},
+		keptTeams:       map[string]teamRecord{},
+		shares:          map[string]*serviceShares{},
+		countedStrays:   map[strayKey]countedStray{},
 		jobs:            map[string]*Job{},
 		workers:         map[string]*Worker{},
 		draining:        map[*Worker]struct{}{},
 		byService:       map[string][]*Worker{},
+		rackIndex:       map[string][]rack{},
+		nearRule:        locality.Decide,
 		capacities:      map[string][]fleet.Size{},
 		silent:          map[*Worker]struct{}{},
 		recurring:       map[*Job]struct{}{},
@@ -237,7 +278,9 @@
 	if c.Version < s.catalog.Version {
 		return
 	}
+	s.noteRemovedTeams(c)
 	s.catalog = c
+	s.applyTeams()
 	for name := range s.keptQueues {
 		if q, ok := c.Queues[name]; ok {
 			s.keepQueue(q)
@@ -247,6 +290,7 @@
 	for _, j := range s.jobs {
 		s.applyQueue(j)
 	}
+	s.rebuildBacklogs()
 }
 
 // SetEvacuated replaces the set of zones that get no new tasks.
@@ -267,6 +311,7 @@
 	}
 	j.service, j.priority, j.maxAttempts, j.needsTicket = q.Service, q.Priority, max(1, q.Attempts), q.Advised
 	j.objective = time.Duration(q.Slack*float64(s.criticalPath(j))) + q.Target
+	j.use = s.useOf(j.use.account, j.service)
 }
 
 // The kinds of the most frequent events.
@@ -298,6 +343,9 @@
 	Run    int
 	Worker string
 	Reason string
+	// Place says for an EventStart whether a task runs near its data or remotely, and a colocated gang in one rack or not:
+	// PlaceNear or PlaceRemote. It is empty for other tasks and for repeated orders.
+	Place string
 	// Age is the age of the input on which the decision rests, 0 if it was current. It is never negative.
 	Age time.Duration
 	// ConfirmationAge is the time since the term was last confirmed, for EventWorkerEnded only. It is never negative.
--- a/internal/zone/dispatch/hold.go
+++ b/internal/zone/dispatch/hold.go
@@ -113,6 +113,9 @@
 	}
 	var failed []failedPlacement
 	for _, t := range s.tasksToHoldFor(now) {
+		if !s.mayHoldForTeam(t) {
+			continue
+		}
 		waitShare := maxWaitShare
 		if takeTurns {
 			if s.takeTurn(now, t, round) || now.Sub(t.awaySince) < turnsOnlyUntil {
@@ -189,10 +192,14 @@
 // expectedRemaining returns the time after which a run is expected to end. One that takes longer than estimated is
 // expected to overrun for as long again.
 func (r *run) expectedRemaining(now time.Time) time.Duration {
+	return r.remainingOf(now, r.task.step().Estimate)
+}
+
+// remainingOf is expectedRemaining for a run that is expected to take as long as given in all.
+func (r *run) remainingOf(now time.Time, estimate time.Duration) time.Duration {
 	if r.phase == phaseStopping {
 		return 0
 	}
-	estimate := r.task.step().Estimate
 	byTime := r.startedAt.Add(estimate).Sub(now).Abs()
 	return min(byTime, estimate*time.Duration(100-r.progress)/100)
 }
@@ -306,7 +313,8 @@
 func (s *Scheduler) startHeld(now time.Time) {
 	for _, h := range s.holds {
 		t := h.task
-		if !t.queued || t.job().isFinal() || now.Before(t.notBefore) || s.suspectOf(t) != nil {
+		if !t.queued || t.job().isFinal() || now.Before(t.notBefore) || s.suspectOf(t) != nil ||
+			!s.mayStart(now, t.stage, 1) {
 			continue
 		}
 		if _, ok := s.rate(now, t, h.worker, nil); ok && !h.worker.hasNextRun(t) {
@@ -320,7 +328,7 @@
 func (s *Scheduler) endHolds(now time.Time) {
 	s.holds = slices.DeleteFunc(s.holds, func(h *hold) bool {
 		t, w := h.task, h.worker
-		keep := t.queued && !t.job().isFinal() && s.mayHoldFor(t) && now.Before(h.until) &&
+		keep := t.queued && !t.job().isFinal() && s.mayHoldFor(t) && now.Before(h.until) && s.fitsTeam(t.stage, 1) &&
 			s.workers[w.ID] == w && s.isSuitable(now, t, w) && w.mayStart(now, t)
 		if !h.isTurn && !now.Before(h.until) {
 			w.holdAfter = now.Add(maxRoomWait)
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/work/workflow"
 )
 
@@ -24,8 +25,12 @@
 
 // Job is an accepted job, or one that was cancelled before it was submitted, see stateDenied.
 type Job struct {
-	id       string
-	queue    string
+	id    string
+	queue string
+	// team is the name of the team for which the job was submitted, empty for none.
+	team string
+	// use is what the team has in the service of the job, never nil.
+	use      *teamUse
 	service  string
 	priority int
 	// maxAttempts is the largest integer while the settings of the queue are not known.
@@ -55,12 +60,18 @@
 	acceptedBatch, finalBatch BatchID
 	// acceptedTerm is the fencing token of the term that accepted the job, 0 if it was not recorded.
 	acceptedTerm int64
+	// groups are the sums to which the job counts, the zero value until it first counts.
+	groups jobGroups
 	// dirty is set while the job has changes that were not put into a batch.
 	dirty bool
 	// stored is set once the specification was handed to the log.
 	stored bool
 	// crashesRecorded is set while the log may hold a record of the crashes blamed on the job's tasks.
 	crashesRecorded bool
+	// isOpen is set while the job is counted in teamAccount.openJobs.
+	isOpen bool
+	// finalSize is the largest size of a task of a job that had ended before this term.
+	finalSize fleet.Size
 }
 
 // occurrence is one execution of a job's steps.
@@ -73,6 +84,8 @@
 	// batch is the batch with the record that the occurrence has begun. No task of it starts before that is committed, since
 	// the next leader would take its runs and ends for unknown. It is 0 if there is a record already.
 	batch BatchID
+	// hasStarted is set once a start of a task has been ordered or is known of an earlier term.
+	hasStarted bool
 }
 
 // stage is a step of one occurrence.
@@ -96,6 +109,8 @@
 	// freeSlots is the free room for a waiting stage of long-running tasks.
 	freeSlots freeSlots
 	scan      scanState
+	// gangWait is the state of a gang that is slower away from one rack, nil until it is first to be started.
+	gangWait *gangWait
 	// overdueScanAt is when all workers were last looked at for the overdue tasks.
 	overdueScanAt time.Time
 	// waitReason is why the stage started no task in the last decision.
@@ -104,6 +119,15 @@
 	away awayCount
 	// yieldedAt is when room of the stage was last reclaimed, the zero time if it never was.
 	yieldedAt time.Time
+	// gangRuns counts the runs of a gang, gangReserved the members without a run that count against the quota of the team
+	// since others run.
+	gangRuns, gangReserved int
+	// heldBack is the number of waiting tasks that were counted as held back by the quota.
+	heldBack int
+	// backlog is the waiting work to which the waiting tasks belong, nil for long-running ones.
+	backlog *backlog
+	// isBeyondShare is set if tasks were left to the second pass of the last decision, see startInPasses.
+	isBeyondShare bool
 	// reclaimAt is when room may be reclaimed for the stage again.
 	reclaimAt time.Time
 }
@@ -146,12 +170,17 @@
 	yieldsUntil time.Time
 	// waitingSince is when the task last became waiting.
 	waitingSince time.Time
+	// nearWait is how long after waitingSince the task with a data rack takes places in that rack only. It is 0 if that is not
+	// decided and negative if it takes any place.
+	nearWait time.Duration
 	// awaySince is when the last run of the task ended, at the earliest, the zero time if none has been seen in this term.
 	awaySince time.Time
 	// startedBefore is set if an earlier term has recorded a start of the task.
 	startedBefore bool
 	// hold keeps room for the task, nil if none is kept.
 	hold *hold
+	// countsUnaccounted is set while the task counts as running without a known run, see countUnaccounted.
+	countsUnaccounted bool
 }
 
 // maxLostRuns bounds the runs of a task of which it is known why they were taken for ended.
@@ -184,7 +213,9 @@
 type Request struct {
 	ID    string
 	Queue string
-	Spec  workflow.Spec
+	// Team is the name of the team for which the job is submitted, empty for none.
+	Team string
+	Spec workflow.Spec
 	// WallTime is the time by the host's wall clock, used only to tell a later leader how old the job is.
 	WallTime time.Time
 }
@@ -215,10 +246,15 @@
 	OutcomeUnknownJob
 	// OutcomeRejected means that the job was not accepted and never can be.
 	OutcomeRejected
+	// OutcomeTaken means that the job was not accepted, since a job of another team has its ID.
+	OutcomeTaken
 )
 
-// Submit accepts or refuses a job. A job that is already known gets the same answer as the first time.
-func (s *Scheduler) Submit(now time.Time, r Request) Reply {
+// submit accepts or refuses a job. It does not count refusals.
+func (s *Scheduler) submit(now time.Time, r Request) Reply {
+	if !s.IsVisible(r.ID, r.Team) {
+		return Reply{Outcome: OutcomeTaken, Reason: "the id is taken"}
+	}
 	if j, ok := s.jobs[r.ID]; ok && j.isDenied() {
 		return s.refuseDenied(now, j)
 	} else if ok {
@@ -230,22 +266,25 @@
 	}
 	j := s.newJob(r.ID, r.Queue, r.Spec, now, r.WallTime)
 	j.acceptedTerm = s.token
+	s.setTeam(j, r.Team)
 	s.applyQueue(j)
 	if refusal, refused := s.admit(j); refused {
 		s.recordEvent(Event{Kind: "refuse", Job: r.ID, Reason: refusal.Reason})
 		return refusal
 	}
 	s.jobs[r.ID] = j
+	s.openJob(j)
 	s.openDueOccurrences(now, j)
 	s.keepQueue(q)
 	j.acceptedBatch = s.journal.markDirty(j)
+	s.countAccepted(j)
 	return Reply{Outcome: OutcomeAccepted, Batch: j.acceptedBatch}
 }
 
 // newJob returns a job without the settings of its queue, which applyQueue sets.
 func (s *Scheduler) newJob(id, queue string, spec workflow.Spec, acceptedAt, acceptedWall time.Time) *Job {
 	return &Job{
-		id: id, queue: queue, spec: spec, acceptedAt: acceptedAt, acceptedWall: acceptedWall,
+		id: id, queue: queue, spec: spec, use: s.useOf(s.accountOf(""), ""), acceptedAt: acceptedAt, acceptedWall: acceptedWall,
 		remainingTime: spec.RemainingPaths(), maxAttempts: math.MaxInt, openOccurrences: map[int]*occurrence{},
 	}
 }
@@ -293,10 +332,12 @@
 				waitingSince: now, queued: true,
 			}
 		}
+		st.backlog = st.backlogOf()
+		st.addWaiting(st.waiting)
 		o.stages = append(o.stages, st)
 	}
 	j.openOccurrences[index] = o
-	s.taskCount += o.taskCount()
+	s.countTasks(j, o.taskCount())
 	j.nextOccurrence = max(j.nextOccurrence, index+1)
 	for _, st := range o.stages {
 		s.addReady(st)
@@ -398,8 +439,10 @@
 // close sets the final state of the job and stops its runs.
 func (s *Scheduler) close(now time.Time, j *Job, state State) {
 	j.finalState, j.endedAt = state, now
+	s.closeJob(j)
 	j.finalBatch = s.journal.markDirty(j)
 	delete(s.recurring, j)
+	s.countClosed(now, j, state)
 	for _, o := range j.openOccurrences {
 		for _, st := range o.stages {
 			for _, t := range st.tasks {
@@ -449,6 +492,7 @@
 		return
 	}
 	s.acquit(t, "done")
+	s.uncountUnaccounted(t)
 	t.dequeue()
 	t.done = true
 	st.done++
@@ -478,9 +522,10 @@
 	if o.openStages > 0 {
 		return
 	}
+	s.countEnd(now, o, JobCompleted)
 	delete(o.job.openOccurrences, o.index)
-	s.taskCount -= o.taskCount()
 	j := o.job
+	s.countTasks(j, -o.taskCount())
 	if len(j.openOccurrences) == 0 && j.nextOccurrence >= j.spec.Occurrences() && !j.isFinal() {
 		s.close(now, j, StateCompleted)
 	}
@@ -491,6 +536,7 @@
 	if t.queued {
 		t.queued = false
 		t.stage.waiting--
+		t.stage.addWaiting(-1)
 	}
 }
 
@@ -499,8 +545,9 @@
 	if t.done || t.queued || len(t.runs) > 0 || t.job().isFinal() {
 		return
 	}
-	t.queued, t.waitingSince = true, now
+	t.queued, t.waitingSince, t.nearWait = true, now, 0
 	t.stage.waiting++
+	t.stage.addWaiting(1)
 	t.stage.scan = scanState{}
 	s.addReady(t.stage)
 }
@@ -508,6 +555,7 @@
 // expireJobs removes the finished jobs whose state need not be kept any longer.
 func (s *Scheduler) expireJobs(now time.Time) {
 	s.forgetQueues()
+	s.forgetTeams(now)
 	for _, j := range s.jobs {
 		if j.isFinal() && now.Sub(j.endedAt) > s.limits.JobRetention && s.journal.committed >= j.finalBatch {
 			s.removeJob(j)
--- a/internal/zone/dispatch/order.go
+++ b/internal/zone/dispatch/order.go
@@ -98,7 +98,7 @@
 		waitingSince: t.waitingSince,
 	}
 	t.lastRun = number
-	r.attach()
+	s.attach(r)
 	s.recordPlacement(t, w)
 	if t.placedBatch > s.journal.committed {
 		r.awaitsRecord = true
@@ -126,8 +126,11 @@
 	e := Event{
 		Kind: EventStart, Job: t.job().id, Task: t.name, Run: r.number, Worker: w.ID, Age: now.Sub(r.waitingSince),
 	}
+	s.countStart(now, st.occurrence)
 	if r.repeats > 0 {
 		e.Reason = "no answer to the last order"
+	} else {
+		e.Place = s.startPlace(r)
 	}
 	s.recordEvent(e)
 }
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"sassafraswind.example/sassafraswind/internal/port/fleet"
 	"sassafraswind.example/sassafraswind/internal/work/workflow"
 )
 
@@ -40,6 +41,10 @@
 	EndedWall int64
 	// Term is the fencing token of the term that accepted the job.
 	Term int64
+	// Team is the name of the job's team, empty for none.
+	Team string
+	// Size is the largest size of a task, once the job is final.
+	Size fleet.Size
 }
 
 // progressRecord is the progress of a job.
@@ -219,7 +224,12 @@
 // appendRecords appends the records of the job's present state to out.
 func (j *Job) appendRecords(out []Record) []Record {
 	if j.isFinal() {
-		rec := jobRecord{Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), FinalState: j.finalState}
+		rec := jobRecord{
+			Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), FinalState: j.finalState, Team: j.team,
+		}
+		if j.team != "" {
+			rec.Size = j.largestTask()
+		}
 		rec.EndedWall = j.acceptedWall.Add(j.endedAt.Sub(j.acceptedAt)).UnixMilli()
 		out = append(out, Record{Key: prefixJob + j.id, Value: encode(&rec)}, Record{Key: prefixProgress + j.id})
 		return j.appendPlacementRemovals(out)
@@ -242,7 +252,7 @@
 // specRecord returns the record of a job that has not ended.
 func (j *Job) specRecord() Record {
 	rec := jobRecord{
-		Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), Spec: &j.spec, Term: j.acceptedTerm,
+		Queue: j.queue, AcceptedWall: j.acceptedWall.UnixMilli(), Spec: &j.spec, Term: j.acceptedTerm, Team: j.team,
 	}
 	return Record{Key: prefixJob + j.id, Value: encode(&rec)}
 }
@@ -300,6 +310,11 @@
 				errs = append(errs, err)
 			}
 		}
+		if name, ok := cutPrefix(r.Key, prefixTeam); ok && len(r.Value) > 0 {
+			if err := s.restoreTeam(name, r.Value); err != nil {
+				errs = append(errs, err)
+			}
+		}
 		if id, ok := cutPrefix(r.Key, prefixProgress); ok && len(r.Value) > 0 {
 			var rec progressRecord
 			if err := msgpack.Unmarshal(r.Value, &rec); err != nil {
@@ -350,6 +365,7 @@
 	if err := s.restoreLeases(now, records, ordersUntil); err != nil {
 		errs = append(errs, err)
 	}
+	s.countRestored()
 	s.recordLeases(now)
 	return errs
 }
@@ -372,7 +388,8 @@
 		}
 	}
 	j := s.newJob(id, rec.Queue, spec, acceptedAt, acceptedWall)
-	j.stored, j.acceptedTerm = true, rec.Term
+	j.stored, j.acceptedTerm, j.finalSize = true, rec.Term, rec.Size
+	s.setTeam(j, rec.Team)
 	if rec.FinalState != "" {
 		j.finalState = rec.FinalState
 		j.endedAt = now.Add(-max(0, wall.Sub(time.UnixMilli(rec.EndedWall))))
@@ -385,6 +402,7 @@
 	s.jobs[id] = j
 	j.restored = true
 	s.applyQueue(j)
+	s.openJob(j)
 	if q, ok := s.catalog.Queues[j.queue]; ok {
 		s.keepQueue(q)
 	}
@@ -411,7 +429,7 @@
 			t := o.stages[f[0]].tasks[f[1]]
 			t.failedRuns = append(t.failedRuns, f[2])
 			t.lastRun = max(t.lastRun, f[2])
-			j.started = true
+			j.started, o.hasStarted = true, true
 		}
 	}
 	for i, done := range rec.Done {
@@ -420,7 +438,7 @@
 		}
 		for n, t := range o.stages[i].tasks {
 			if len(done) == 0 || (n/8 < len(done) && done[n/8]&(1<<(n%8)) != 0) {
-				j.started = true
+				j.started, o.hasStarted = true, true
 				s.finishTask(now, t)
 			}
 		}
--- a/internal/zone/dispatch/scale_test.go
+++ b/internal/zone/dispatch/scale_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -27,6 +28,8 @@
 	// log holds what the leaders have written, terms counts the leaders.
 	log   map[string][]byte
 	terms int
+	// rough draws the factors, from 0.4 to 2.5, by which tasks take longer than they would; nil stands for a factor of 1.
+	rough *rand.Rand
 	// starts counts the start orders, decisions the calls of Decide.
 	starts, decisions int
 }
@@ -42,6 +45,8 @@
 	answer   func()
 	// slowdown is the factor by which tasks take longer here; 0 counts as 1.
 	slowdown float64
+	// silent is set while the worker answers nothing and starts nothing.
+	silent bool
 	// stalledAt is when the tasks began to stand still, the zero time while they do not.
 	stalledAt time.Time
 }
@@ -261,11 +266,26 @@
 func (sim *loadSim) executeOrder(o Order) {
 	w := sim.workers[o.Worker]
 	k := runKey{o.Task, o.Run}
+	switch {
+	case w.silent && o.Kind == OrderStart:
+		sim.s.HandleStartAnswer(sim.now, o, AnswerMissing, 0)
+		return
+	case w.silent && o.Kind == OrderStop:
+		sim.s.HandleStopAnswer(sim.now, o, AnswerMissing, 0)
+		return
+	}
 	switch o.Kind {
 	case OrderStart:
 		sim.starts++
 		step := sim.s.findTask(o.Task).step()
 		took := float64(step.Estimate) * (0.5 + sim.rng.Float64()) * max(1, w.slowdown)
+		if sim.rough != nil {
+			took *= math.Exp2(sim.rough.Float64()*2.6 - 1.3)
+		}
+		isSpread := step.Gang && step.Colocated && sim.s.findTask(o.Task).stage.gangWait.remote
+		if isSpread || (step.DataRack != "" && sim.s.workers[o.Worker].Rack != step.DataRack) {
+			took *= sim.s.limits.RemoteFactor
+		}
 		r := loadSimRun{longRunning: step.LongRunning, startedAt: sim.now, endsAt: sim.now.Add(time.Duration(took))}
 		w.runs[k] = r
 		sim.s.HandleStartAnswer(sim.now, o, AnswerDone, sim.clock())
@@ -320,6 +340,12 @@
 			sim.sendRenewal(id)
 			return
 		}
+		if w.silent {
+			sim.s.HandleRenewalFailure(sim.now, id)
+			sim.decide()
+			sim.after(500*time.Millisecond, func() { sim.sendRenewal(id) })
+			return
+		}
 		for len(w.ended) > 0 && w.ended[0].Serial <= plan.Acknowledged {
 			w.ended = w.ended[1:]
 		}
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -48,7 +48,9 @@
 	task   *task
 	number int
 	worker *Worker
-	phase  runPhase
+	// use is what the run counts for, nil while it is not attached.
+	use   *teamUse
+	phase runPhase
 	// startedAt is when the start was decided, waitingSince when the task had become waiting before that.
 	startedAt, waitingSince time.Time
 	// startUntil is the time of the worker's clock after which it refuses the start. confirmedClock is the latest time
@@ -82,6 +84,8 @@
 	// speed. measuredProgress was the progress then.
 	measuredAt       time.Time
 	measuredProgress int
+	// savedAt is when the worker first listed the newest checkpoint of the run, the zero time if it listed none.
+	savedAt time.Time
 	// reading is the tail latency in milliseconds of a long-running task, or the cores that another task uses, in
 	// thousandths.
 	reading int
@@ -194,6 +198,8 @@
 	// leasesExpired is set when the leases of an unreachable worker have expired.
 	leasesExpired bool
 	leaseRecord   leaseRecordState
+	// forecast is the room that is expected to become free, nil until somebody waits for the worker's rack.
+	forecast *roomForecast
 
 	health health
 	speed  speedEstimate
@@ -323,6 +329,9 @@
 		// Both are relative to the cores. A share that changes with them says nothing about the load.
 		w.marginsValid, w.bestEffortUse = false, nil
 	}
+	if w.Rack != r.Rack {
+		delete(s.rackIndex, w.Service)
+	}
 	w.Registration = r
 	w.listed = true
 	s.markChanged(w)
@@ -363,6 +372,7 @@
 
 // indexWorker adds the worker to those of its service.
 func (s *Scheduler) indexWorker(w *Worker) {
+	delete(s.rackIndex, w.Service)
 	list := s.byService[w.Service]
 	i, _ := slices.BinarySearchFunc(list, w.ID, func(other *Worker, id string) int { return cmp.Compare(other.ID, id) })
 	s.byService[w.Service] = slices.Insert(list, i, w)
@@ -370,6 +380,7 @@
 
 // unindexWorker removes the worker from those of its service.
 func (s *Scheduler) unindexWorker(w *Worker) {
+	delete(s.rackIndex, w.Service)
 	s.byService[w.Service] = removeFirst(s.byService[w.Service], w)
 }
 
@@ -413,6 +424,7 @@
 // did not confirm doesn't interrupt the wait of a long-running task.
 func (s *Scheduler) releaseRun(now time.Time, r *run) {
 	s.detach(r)
+	s.countReleased(now, r)
 	if r.confirmed {
 		r.task.noteAway(r.lastSeenAt(now))
 	}
@@ -433,6 +445,7 @@
 			r.task.notBefore = laterOf(r.task.notBefore, until)
 		}
 	}
+	s.uncountRun(r)
 	s.markChanged(r.worker)
 	s.noteDetached(r)
 	if r.phase == phaseStopping {
