Entitle a team with nothing running to its next start

Cause: among many teams, or with large tasks or gangs, the entitlement of a team may be smaller than one task. All its work then fell into the second pass, behind the earlier work of a team with a flood, and no room was reclaimed or held for it.

Change: a team with nothing running in the service, and no room planned for it, is entitled to its next start whatever its size, also where the first pass skips teams and where room is reclaimed or a worker is held.

Run: TestSmallEntitlementAllowsOneStart fails without the change (16000 thousandths of 16000 stay with the flood) and passes with it, as do the tests of teams and quotas.

--- a/internal/zone/dispatch/team_share.go
+++ b/internal/zone/dispatch/team_share.go
@@ -57,7 +57,7 @@
 	for _, a := range s.accounts {
 		for _, u := range a.uses {
 			u.entitled = quota.Part(u.shares.capacity, u.entitlement())
-			u.isSpent = !u.isEntitledTo(u.smallest)
+			u.isSpent = !u.isEntitledTo(u.smallest, fleet.Size{})
 		}
 	}
 }
@@ -82,10 +82,14 @@
 	return quota.Entitlement(u.account.terms.Weight, u.shares.weights)
 }
 
-// isEntitledTo reports whether the team stays within its entitlement with more of the given size at work. Its dominant share is
-// within it if the use of each dimension is.
-func (u *teamUse) isEntitledTo(size fleet.Size) bool {
-	return u.used.Add(size).Fits(u.entitled)
+// isEntitledTo reports whether the team stays within its entitlement with more of the given size at work, beside what is planned
+// for it. Its dominant share is within it if the use of each dimension is. Among many teams the entitlement may be smaller than
+// one task or gang, so a team with nothing running or planned is entitled to its next start whatever its size.
+func (u *teamUse) isEntitledTo(size, planned fleet.Size) bool {
+	if u.running == 0 && planned == (fleet.Size{}) {
+		return true
+	}
+	return u.used.Add(planned).Add(size).Fits(u.entitled)
 }
 
 // startInPasses starts the waiting tasks that fit on a worker: those within the entitlement of their teams, then the others.
@@ -105,7 +109,7 @@
 		s.startWaiting(now, st, &failed)
 		if st.isBeyondShare {
 			beyond = append(beyond, st)
-			u.isSpent = !u.isEntitledTo(u.smallest)
+			u.isSpent = !u.isEntitledTo(u.smallest, fleet.Size{})
 		}
 	}
 	s.withinShares = false
@@ -125,7 +129,7 @@
 
 // exceedsShare reports whether the present pass leaves the tasks of a stage to the next one.
 func (s *Scheduler) exceedsShare(st *stage, tasks int) bool {
-	if !s.withinShares || tasks == 0 || st.job().use.isEntitledTo(quota.Times(st.step().Size, tasks)) {
+	if !s.withinShares || tasks == 0 || st.job().use.isEntitledTo(quota.Times(st.step().Size, tasks), fleet.Size{}) {
 		return false
 	}
 	st.isBeyondShare = true
@@ -135,17 +139,21 @@
 // mayReclaimFor reports whether room may be reclaimed for a task of the stage, beside that of the given size for others of its
 // team: what others run is not stopped for a team beyond its entitlement.
 func (s *Scheduler) mayReclaimFor(st *stage, planned fleet.Size) bool {
-	u, size := st.job().use, planned.Add(st.step().Size)
-	return u.account.isKnown && u.account.Fits(size) && (!s.hasTeams() || u.isEntitledTo(size))
+	return s.mayPlanFor(st.job().use, st.step().Size, planned)
 }
 
 // mayHoldForTeam reports whether a worker may be held for the task, beside those that are held for others of its team.
 func (s *Scheduler) mayHoldForTeam(t *task) bool {
-	u, size := t.job().use, t.step().Size
+	u, held := t.job().use, fleet.Size{}
 	for _, h := range s.holds {
 		if h.task.job().use == u {
-			size = size.Add(h.task.step().Size)
+			held = held.Add(h.task.step().Size)
 		}
 	}
-	return u.account.isKnown && u.account.Fits(size) && (!s.hasTeams() || u.isEntitledTo(size))
+	return s.mayPlanFor(u, t.step().Size, held)
+}
+
+// mayPlanFor reports whether room of the given size may be made for the team, beside what is planned for it already.
+func (s *Scheduler) mayPlanFor(u *teamUse, size, planned fleet.Size) bool {
+	return u.account.isKnown && u.account.Fits(planned.Add(size)) && (!s.hasTeams() || u.isEntitledTo(size, planned))
 }
--- a/internal/zone/dispatch/team_share_test.go
+++ b/internal/zone/dispatch/team_share_test.go
@@ -107,6 +107,47 @@
 	})
 }
 
+// TestSmallEntitlementAllowsOneStart guards against a team whose entitlement is smaller than one of its tasks or gangs, and which
+// therefore waits until a team with earlier work has none left.
+func TestSmallEntitlementAllowsOneStart(t *testing.T) {
+	teams := make([]Team, 0, 40)
+	for i := range 40 {
+		teams = append(teams, Team{Name: fmt.Sprintf("t%02d", i), Weight: 1})
+	}
+	gang := newStep(2, 1000, time.Second)
+	gang.Gang = true
+	for _, c := range []struct {
+		name string
+		step workflow.Step
+		ends int
+	}{{"tasks", newStep(3, 1000, time.Second), 1}, {"gangs", gang, 2}} {
+		Convey("One of 40 teams has filled a service of 16 cores, and the others have "+c.name, t, func() {
+			sc := newTeamScenario(2, teams...)
+			for range 80 {
+				sc.submitTo("urgent", "t00", newStep(10, 1000, time.Second))
+			}
+			So(sc.start(), ShouldEqual, 16)
+			for i := 1; i < 40; i++ {
+				sc.submit(teams[i].Name, c.step)
+			}
+			for range 5 {
+				sc.now = sc.now.Add(50 * time.Millisecond)
+				sc.answerAll()
+				sc.end("t00", c.ends)
+				So(sc.start(), ShouldEqual, c.ends)
+			}
+			So(sc.cores("t00"), ShouldEqual, 16_000-5*1000*c.ends)
+			for i := 1; i < 40; i++ {
+				So(sc.cores(teams[i].Name), ShouldBeLessThanOrEqualTo, 1000*c.ends)
+			}
+			u := sc.s.useOf(sc.s.accountOf("t39"), "svc")
+			u.used, u.running = fleet.Size{}, 0
+			So(sc.s.mayPlanFor(u, coreQuota(1000), fleet.Size{}), ShouldBeTrue)
+			So(sc.s.mayPlanFor(u, coreQuota(1000), coreQuota(1000)), ShouldBeFalse)
+		})
+	}
+}
+
 // newTeamBench returns a scheduler of 490 full workers with 50000 waiting tasks of 50 queues, and a function that ends some
 // runs, decides and returns the number of starts. With teams each queue's jobs belong to one, and quotaCores is the quota of each in thousandths.
 func newTeamBench(withTeams bool, quotaCores int64) (decide func() int) {
