Record the terms of a team that gets an open job after it has left

Cause: a job of a team that had left the catalog was accepted under the team's last known terms, but these were not recorded. The next leader didn't know the team and held the job for ever.

Change: the last terms of a known team with open jobs are recorded with the version of the catalog, also if the catalog doesn't have the team.

Run: TestWhatCountsAgainstQuota fails without the change in the new case and passes with it, as do the tests of teams and quotas.

--- a/internal/zone/dispatch/team_quota_test.go
+++ b/internal/zone/dispatch/team_quota_test.go
@@ -315,6 +315,18 @@
 			sc.s.SetCatalog(teamCatalog(2))
 			So(sc.submit("a", newStep(5, 1000, time.Second)).Outcome, ShouldEqual, OutcomeAccepted)
 			So(sc.start(), ShouldEqual, 4)
+			Convey("also under a leader that never knew the team", func() {
+				sc.takeOver(2, teamCatalog(2))
+				sc.answerAll()
+				So(sc.s.accountOf("a").isKnown, ShouldBeTrue)
+				So(sc.start(), ShouldEqual, 4)
+				Convey("and the record of the terms goes with the job", func() {
+					sc.s.Cancel(sc.now, jobID(1))
+					sc.now = sc.now.Add(2 * maintenanceInterval)
+					sc.decide()
+					So(sc.log[prefixTeam+"a"].Value, ShouldBeEmpty)
+				})
+			})
 		})
 	})
 }
--- a/internal/zone/dispatch/team_record.go
+++ b/internal/zone/dispatch/team_record.go
@@ -26,13 +26,19 @@
 	Version uint64
 }
 
-// keepTeam has the terms of a team with open jobs stored, if they are not yet and the catalog has them. A record that is there
-// already is kept up to date without open jobs as well, since it holds once the team has left the catalog.
+// keepTeam has the terms of a team with open jobs stored, if they are known and not stored yet. A record that is there already
+// is kept up to date without open jobs as well, since it holds once the team has left the catalog. A team that has left may get
+// an open job again, which a host with an older catalog has forwarded: its last terms are stored with the catalog's version.
 func (s *Scheduler) keepTeam(a *teamAccount) {
 	terms, ok := s.catalog.Teams[a.name]
 	kept, isKept := s.keptTeams[a.name]
-	if !ok || (a.openJobs == 0 && !isKept) {
+	switch {
+	case a.openJobs == 0 && !isKept:
 		return
+	case !ok && (isKept || a.name == "" || !a.isKnown):
+		return
+	case !ok:
+		terms = a.terms
 	}
 	if isKept && (kept.Version > s.catalog.Version || (kept.Weight == terms.Weight && kept.Quota == terms.Quota)) {
 		return
