Refuse jobs of unknown teams from hosts without a newer manifest

Cause: a job of a team that the leader didn't know was accepted in any case. If no manifest with the team followed, it waited until it was cancelled.

Change: a request carries the manifest version of the host that has identified the team. The leader refuses a job of an unknown team, with Retry-After 1 s, unless that version is above its own.

Run: TestWhatCountsAgainstQuota fails with the check taken out and passes with it; the tests of teams and denied jobs in dispatch, and of teams, manifests and keys in host/entry, pass.

--- a/internal/host/entry/access.go
+++ b/internal/host/entry/access.go
@@ -11,7 +11,7 @@
 
 // newRouting returns the routing of a manifest.
 func newRouting(m *Manifest) *Routing {
-	r := &Routing{Table: route.NewTable(m.Routes), MaxBody: m.MaxBody}
+	r := &Routing{Table: route.NewTable(m.Routes), MaxBody: m.MaxBody, Version: m.Catalog.Version}
 	if len(m.Catalog.Teams) > 0 {
 		r.Access = access.NewTable(m.Keys)
 	}
--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -205,6 +205,8 @@
 	Table *route.Table
 	// MaxBody is the largest body of a request in bytes, 0 if the manifest sets no limit.
 	MaxBody int64
+	// Version is that of the manifest.
+	Version uint64
 	// Access holds the keys of the teams, nil if the manifest has no teams.
 	Access *access.Table
 }
--- a/internal/host/entry/messages.go
+++ b/internal/host/entry/messages.go
@@ -35,6 +35,9 @@
 	// Team is the name of the caller's team. It is empty if the caller has none or, for the other actions than
 	// ActionSubmit, if it may see the jobs of all teams.
 	Team string `msgpack:"t,omitempty"`
+	// ManifestVersion is the version of the manifest in force at the host that has accepted the request, 0 if that host is of
+	// an earlier version.
+	ManifestVersion uint64 `msgpack:"v,omitempty"`
 	// TimeLeft is how much longer the caller waits for the answer.
 	TimeLeft time.Duration `msgpack:"l"`
 }
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -503,6 +503,7 @@
 	}
 	r := t.scheduler.Submit(now, dispatch.Request{
 		ID: req.ID, Queue: req.Queue, Team: req.Team, Spec: req.Spec, WallTime: t.host.clock.Wall(),
+		CatalogVersion: req.ManifestVersion,
 	})
 	t.mu.Unlock()
 	t.wakeLoops()
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -218,6 +218,8 @@
 	Spec workflow.Spec
 	// WallTime is the time by the host's wall clock, used only to tell a later leader how old the job is.
 	WallTime time.Time
+	// CatalogVersion is the version of the catalog by which the team was identified, 0 if it is unknown.
+	CatalogVersion uint64
 }
 
 // Reply is the answer to a request about a job.
@@ -264,6 +266,10 @@
 	if !ok {
 		return Reply{Outcome: OutcomeUnknownQueue}
 	}
+	if r.CatalogVersion <= s.catalog.Version && !s.knowsTeam(r.Team) {
+		s.recordEvent(Event{Kind: "refuse", Job: r.ID, Reason: unknownTeamReason})
+		return Reply{Outcome: OutcomeRefused, RetryAfter: unknownTeamRetryAfter, Reason: unknownTeamReason}
+	}
 	j := s.newJob(r.ID, r.Queue, r.Spec, now, r.WallTime)
 	j.acceptedTerm = s.token
 	s.setTeam(j, r.Team)
--- a/internal/zone/dispatch/team.go
+++ b/internal/zone/dispatch/team.go
@@ -80,6 +80,23 @@
 	return a
 }
 
+const (
+	// unknownTeamRetryAfter is the time after which the caller of a job of an unknown team should retry: by then the host that
+	// has identified the team mostly has the leader's catalog.
+	unknownTeamRetryAfter = time.Second
+	unknownTeamReason     = "the team is not known"
+)
+
+// knowsTeam reports whether the terms of the team are known. A job of another one would wait for ever if no catalog with the
+// team followed, so it is accepted only from a host with a newer catalog than this one.
+func (s *Scheduler) knowsTeam(name string) bool {
+	if a := s.accounts[name]; a != nil {
+		return a.isKnown
+	}
+	_, ok := s.catalog.Teams[name]
+	return ok || name == ""
+}
+
 // useOf returns what the team has in the service.
 func (s *Scheduler) useOf(a *teamAccount, service string) *teamUse {
 	u := a.uses[service]
