Replace a manifest without its teams by the full one of its version

Cause: a host without a manifest that got one from a leader of an earlier version served every route without keys. It then ignored the manifest of the same version in the operators' records, which has the teams.

Change: a manifest that includes the teams replaces one of the same version that a host of an earlier version has sent on without them.

Run: TestFullManifestReplacesOneWithoutTeams fails without the change and passes with it, as do the other tests of manifests in host/entry.

--- a/internal/host/entry/access.go
+++ b/internal/host/entry/access.go
@@ -18,6 +18,15 @@
 	return r
 }
 
+// supersedes reports whether a manifest is to replace the current one: it is newer, or of the same version while a host of an
+// earlier version has left the teams out of the current one. Without its teams, calls need no keys.
+func (m *Manifest) supersedes(current *Manifest) bool {
+	if current == nil || m.Catalog.Version > current.Catalog.Version {
+		return true
+	}
+	return m.Catalog.Version == current.Catalog.Version && m.IncludesTeams && !current.IncludesTeams
+}
+
 // lacksTeams reports whether a host of an earlier version has left out the teams of a manifest that would replace one with
 // teams. With it in force, calls would need no keys.
 func lacksTeams(current, m *Manifest) bool {
--- a/internal/host/entry/follow.go
+++ b/internal/host/entry/follow.go
@@ -89,11 +89,10 @@
 	}
 }
 
-// applyManifest makes a manifest the current one, unless the current one is as new or newer. The source is for the log
-// only.
+// applyManifest makes a manifest the current one if it supersedes that. The source is for the log only.
 func (h *Host) applyManifest(m *Manifest, source string) {
 	h.mu.Lock()
-	if h.manifest != nil && h.manifest.Catalog.Version >= m.Catalog.Version {
+	if !m.supersedes(h.manifest) {
 		h.mu.Unlock()
 		return
 	}
--- a/internal/host/entry/keys_test.go
+++ b/internal/host/entry/keys_test.go
@@ -120,6 +120,28 @@
 	})
 }
 
+// TestFullManifestReplacesOneWithoutTeams guards against a host that has its first manifest from a leader of the previous version,
+// without the teams, and serves all routes without keys until the next version.
+func TestFullManifestReplacesOneWithoutTeams(t *testing.T) {
+	Convey("A host has a manifest that lacks its teams", t, func() {
+		quiet := logrus.New()
+		quiet.SetOutput(io.Discard)
+		h := &Host{log: quiet}
+		lacking := versionManifest(2)
+		lacking.Catalog.Teams, lacking.Keys, lacking.IncludesTeams = nil, nil, false
+		h.applyManifest(lacking, "leader")
+		So(h.Routing().Access, ShouldBeNil)
+		h.applyManifest(versionManifest(1), "store")
+		So(h.Routing().Access, ShouldBeNil)
+		Convey("the full one of the same version replaces it, but not the other way round", func() {
+			h.applyManifest(versionManifest(2), "store")
+			So(h.Routing().Access.Len(), ShouldEqual, 1)
+			h.applyManifest(lacking, "leader")
+			So(h.Routing().Access.Len(), ShouldEqual, 1)
+		})
+	})
+}
+
 // versionDirectory is a Directory with a list of manifests, whose version N has a route with the prefix /vN/ and the key
 // kN of the team tN. A read waits for the next manifest.
 type versionDirectory struct {
