Let a team submit an ID that another team has cancelled

Cause: the cancellation of an unknown ID was kept without its team. Any team could have the job of another one refused by cancelling its ID first.

Change: the cancellation is kept, and recorded, with the caller's team. A submission of another team goes on as if nothing had been cancelled. A cancellation or a submission without a team may be anybody's, so it is still matched with all, and so is an ID that callers of several teams have cancelled.

--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -490,7 +490,7 @@
 		r := dispatch.Reply{Outcome: dispatch.OutcomeUnknownJob}
 		t.mu.Lock()
 		if t.scheduler.IsVisible(req.ID, req.Team) {
-			r = t.scheduler.Cancel(now, req.ID)
+			r = t.scheduler.Cancel(now, req.ID, req.Team)
 		}
 		t.mu.Unlock()
 		t.wakeLoops()
--- a/internal/zone/dispatch/bounds_test.go
+++ b/internal/zone/dispatch/bounds_test.go
@@ -169,7 +169,7 @@
 		So(r.Outcome, ShouldEqual, OutcomeRefused)
 		So(r.RetryAfter, ShouldBeGreaterThan, 0)
 		commitAll(s)
-		s.Cancel(simEpoch, jobID(1))
+		s.Cancel(simEpoch, jobID(1), "")
 		commitAll(s)
 		s.Decide(simEpoch.Add(testLimits().JobRetention+time.Minute), simEpoch.Add(testLimits().JobRetention+time.Minute))
 		So(submitSpec(s, 2, small).Outcome, ShouldEqual, OutcomeAccepted)
@@ -188,7 +188,7 @@
 		So(submitSpec(s, 1, workflow.Spec{Steps: []workflow.Step{step}}).Outcome, ShouldEqual, OutcomeAccepted)
 		commitAll(s)
 		So(startsOf(s, simEpoch), ShouldBeBetweenOrEqual, 1, maxRunsPerWorker)
-		s.Cancel(simEpoch, jobID(1))
+		s.Cancel(simEpoch, jobID(1), "")
 		for _, r := range commitAll(s) {
 			So(len(r.Key)+len(r.Value), ShouldBeLessThan, testMaxRecord)
 		}
--- a/internal/zone/dispatch/crash_test.go
+++ b/internal/zone/dispatch/crash_test.go
@@ -317,7 +317,7 @@
 			So(c.crashes(), ShouldEqual, 1)
 		})
 		Convey("and a cancelled job leaves no record", func() {
-			c.s.Cancel(c.now, jobID(1))
+			c.s.Cancel(c.now, jobID(1), "")
 			So(commitAll(c.s), ShouldContain, Record{Key: prefixCrashes + jobID(1)})
 		})
 	})
--- a/internal/zone/dispatch/denied.go
+++ b/internal/zone/dispatch/denied.go
@@ -20,14 +20,30 @@
 // isDenied reports whether the job was cancelled before it was submitted.
 func (j *Job) isDenied() bool { return j.finalState == stateDenied }
 
-// deny keeps the cancellation of a job that is not known. The answer may be given once the reply's batch is committed.
-func (s *Scheduler) deny(now time.Time, id string) Reply {
+// denies reports whether the job was cancelled before it was submitted, by a caller that may have been the submitting team's. A
+// team can't have the job of another one refused by cancelling its ID first.
+func (j *Job) denies(team string) bool {
+	return j.isDenied() && (j.team == "" || team == "" || j.team == team)
+}
+
+// widenDenial has the cancellation hold for all teams once callers of different ones have cancelled the ID: neither's job may
+// run.
+func (s *Scheduler) widenDenial(j *Job, team string) {
+	if j.team != "" && j.team != team {
+		s.setTeam(j, "")
+		j.finalBatch = s.journal.markDirty(j)
+	}
+}
+
+// deny keeps the cancellation of a job that is not known by a caller of the team. The answer may be given once the reply's batch is committed.
+func (s *Scheduler) deny(now time.Time, id, team string) Reply {
 	if s.denied >= maxDenied {
 		return Reply{
 			Outcome: OutcomeRefused, RetryAfter: overloadRetryAfter, Reason: "too many unknown jobs were cancelled",
 		}
 	}
 	j := s.newJob(id, "", workflow.Spec{}, now, now.Add(s.wallOffset))
+	s.setTeam(j, team)
 	s.jobs[id] = j
 	s.denied++
 	s.close(now, j, stateDenied)
--- a/internal/zone/dispatch/hold_test.go
+++ b/internal/zone/dispatch/hold_test.go
@@ -109,7 +109,7 @@
 			So(s.isEligible(sc.sim.now, sc.lost, h.worker), ShouldBeTrue)
 		})
 		Convey("it is free again once the task's job is cancelled", func() {
-			s.Cancel(sc.sim.now, jobID(1))
+			s.Cancel(sc.sim.now, jobID(1), "")
 			s.endHolds(sc.sim.now)
 			So(s.holds, ShouldBeEmpty)
 			So(h.worker.heldFor, ShouldBeNil)
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -257,10 +257,12 @@
 	if !s.IsVisible(r.ID, r.Team) {
 		return Reply{Outcome: OutcomeTaken, Reason: "the id is taken"}
 	}
-	if j, ok := s.jobs[r.ID]; ok && j.isDenied() {
-		return s.refuseDenied(now, j)
-	} else if ok {
-		return Reply{Outcome: OutcomeAccepted, Batch: j.acceptedBatch}
+	earlier, ok := s.jobs[r.ID]
+	switch {
+	case ok && earlier.denies(r.Team):
+		return s.refuseDenied(now, earlier)
+	case ok && !earlier.isDenied():
+		return Reply{Outcome: OutcomeAccepted, Batch: earlier.acceptedBatch}
 	}
 	q, ok := s.catalog.Queues[r.Queue]
 	if !ok {
@@ -278,6 +280,10 @@
 		s.recordEvent(Event{Kind: "refuse", Job: r.ID, Reason: refusal.Reason})
 		return refusal
 	}
+	if earlier != nil {
+		// The record of the job replaces that of the cancellation.
+		s.removeJob(earlier)
+	}
 	s.jobs[r.ID] = j
 	s.openJob(j)
 	s.openDueOccurrences(now, j)
@@ -426,13 +432,14 @@
 	return name[:end], parts[0], parts[1], parts[2], true
 }
 
-// Cancel ends a job. The answer may be given once the reply's batch is committed.
-func (s *Scheduler) Cancel(now time.Time, id string) Reply {
+// Cancel ends a job for a caller of the team, which may be empty. The answer may be given once the reply's batch is committed.
+func (s *Scheduler) Cancel(now time.Time, id, team string) Reply {
 	j, ok := s.jobs[id]
 	if !ok {
-		return s.deny(now, id)
+		return s.deny(now, id, team)
 	}
 	if j.isDenied() {
+		s.widenDenial(j, team)
 		return Reply{Outcome: OutcomeUnknownJob, Batch: j.finalBatch}
 	}
 	if !j.isFinal() {
--- a/internal/zone/dispatch/outcome_stats_test.go
+++ b/internal/zone/dispatch/outcome_stats_test.go
@@ -191,7 +191,7 @@
 			So(wasted(WasteStopped), ShouldEqual, 0)
 		})
 		Convey("that is cancelled wastes its work also with a checkpoint, and the job counts once", func() {
-			s.Cancel(now, jobID(1))
+			s.Cancel(now, jobID(1), "")
 			end(EndStopped, "c")
 			So(wasted(WasteCancelled), ShouldEqual, 20)
 			So(class.Ends[JobCancelled], ShouldResemble, [NumLateness]uint64{InTime: 1})
--- a/internal/zone/dispatch/placement_record_test.go
+++ b/internal/zone/dispatch/placement_record_test.go
@@ -80,7 +80,7 @@
 		})
 		Convey("its record is removed with its job", func() {
 			So(log[prefixPlacement+start.Task].Value, ShouldNotBeEmpty)
-			s.Cancel(now, jobID(1))
+			s.Cancel(now, jobID(1), "")
 			commitTo(s, log)
 			So(log[prefixPlacement+start.Task].Value, ShouldBeEmpty)
 		})
--- a/internal/zone/dispatch/resize_test.go
+++ b/internal/zone/dispatch/resize_test.go
@@ -222,7 +222,7 @@
 		// Also jobs whose acceptance no caller has seen: they keep their room as well.
 		for id, j := range sim.leader.s.jobs {
 			if j.spec.HasLongRunning() {
-				sim.leader.s.Cancel(sim.now, id)
+				sim.leader.s.Cancel(sim.now, id, "")
 			}
 		}
 		sim.run(30 * time.Second)
--- a/internal/zone/dispatch/restart_test.go
+++ b/internal/zone/dispatch/restart_test.go
@@ -270,7 +270,7 @@
 		})
 		Convey("and a worker that it hasn't reached has leases even if it has answered an order", func() {
 			answer(next, now, otherWorker(start))
-			next.Cancel(now, jobID(1))
+			next.Cancel(now, jobID(1), "")
 			commitTo(next, log)
 			stop := next.Decide(now, now)[0]
 			next.HandleStopAnswer(now, stop, AnswerDone, 12_000)
@@ -288,7 +288,7 @@
 	Convey("A job is cancelled before its worker has confirmed a start, and the next boot lists the run", t, func() {
 		s, start := newRestartScenario(testLimits())
 		now := simEpoch.Add(11 * time.Second)
-		s.Cancel(now, jobID(1))
+		s.Cancel(now, jobID(1), "")
 		commitAll(s)
 		s.Decide(now, now)
 		s.HandleReport(now, Report{Worker: start.Worker, Boot: 2, Clock: 100, Running: []RunReport{
--- a/internal/zone/dispatch/simulation_faults_test.go
+++ b/internal/zone/dispatch/simulation_faults_test.go
@@ -44,7 +44,7 @@
 		sim.after(time.Duration(sim.rng.IntN(6000))*time.Millisecond, func() { sim.submit(id, spec) })
 		if sim.rng.IntN(10) == 0 {
 			sim.after(time.Duration(6000+sim.rng.IntN(3000))*time.Millisecond, func() {
-				if r := sim.leader.s.Cancel(sim.now, id); r.Outcome == OutcomeAccepted {
+				if r := sim.leader.s.Cancel(sim.now, id, ""); r.Outcome == OutcomeAccepted {
 					sim.confirmCancel(sim.leader, id, r.Batch)
 				}
 			})
@@ -171,7 +171,7 @@
 	// Long-running jobs may leave no room for the others.
 	for id := range sim.accepted {
 		if j := sim.leader.s.jobs[id]; j != nil && j.spec.HasLongRunning() {
-			sim.leader.s.Cancel(sim.now, id)
+			sim.leader.s.Cancel(sim.now, id, "")
 		}
 	}
 	sim.run(25 * time.Second)
@@ -306,7 +306,7 @@
 				sim.after(at, func() {
 					sim.submit(id, workflow.Spec{Steps: []workflow.Step{newStep(2, 3000, 5*time.Second)}})
 				})
-				sim.after(at+700*time.Millisecond, func() { sim.leader.s.Cancel(sim.now, id) })
+				sim.after(at+700*time.Millisecond, func() { sim.leader.s.Cancel(sim.now, id, "") })
 			}
 			sim.run(12 * time.Second)
 			So(sim.violations, ShouldBeEmpty)
--- a/internal/zone/dispatch/stop_test.go
+++ b/internal/zone/dispatch/stop_test.go
@@ -111,7 +111,7 @@
 	Convey("An order to stop is sent once its record is durable", t, func() {
 		now := simEpoch
 		s, _ := newStopScenario(now)
-		s.Cancel(now, jobID(1))
+		s.Cancel(now, jobID(1), "")
 		So(s.Decide(now, now), ShouldBeEmpty)
 		commitAll(s)
 		orders := s.Decide(now, now)
@@ -188,7 +188,7 @@
 		}
 		submit(1)
 		s.HandleStartAnswer(now, s.Decide(now, now)[0], AnswerMissing, 0)
-		s.Cancel(now, jobID(1))
+		s.Cancel(now, jobID(1), "")
 		submit(2)
 		Convey("its room is free once the worker has answered the stop and could have listed the end", func() {
 			started := func() (started bool) {
--- a/internal/zone/dispatch/team.go
+++ b/internal/zone/dispatch/team.go
@@ -16,11 +16,11 @@
 	Quota fleet.Size
 }
 
-// IsVisible reports whether a caller of the team may see the job with the ID, which is so for an unknown one. An empty team
-// sees all jobs, and a job without a team is visible to all.
+// IsVisible reports whether a caller of the team may see the job with the ID, which is so for an unknown one, also if it was
+// cancelled. An empty team sees all jobs, and a job without a team is visible to all.
 func (s *Scheduler) IsVisible(id, team string) bool {
 	j, ok := s.jobs[id]
-	return !ok || team == "" || j.team == "" || j.team == team
+	return !ok || j.isDenied() || team == "" || j.team == "" || j.team == team
 }
 
 // anonymousWeight is the weight of all work without a team.
--- a/internal/zone/dispatch/team_backlog_test.go
+++ b/internal/zone/dispatch/team_backlog_test.go
@@ -79,7 +79,7 @@
 			})
 			Convey("and nothing is left of it once the jobs are cancelled", func() {
 				for id := range sc.s.jobs {
-					sc.s.Cancel(sc.now, id)
+					sc.s.Cancel(sc.now, id, "")
 				}
 				for _, b := range sc.s.useOf(sc.s.accountOf("t00"), "svc").backlogs {
 					So(*b, ShouldResemble, backlog{})
--- a/internal/zone/dispatch/team_quota_test.go
+++ b/internal/zone/dispatch/team_quota_test.go
@@ -186,7 +186,7 @@
 		Convey("it is reported once that nothing was held back for a while", func() {
 			for id, j := range sc.s.jobs {
 				if j.team == "t00" {
-					sc.s.Cancel(sc.now, id)
+					sc.s.Cancel(sc.now, id, "")
 				}
 			}
 			sc.now = sc.now.Add(quotaClearDelay)
@@ -252,7 +252,7 @@
 		Convey("a run that is being stopped counts until its end is listed", func() {
 			sc.submit("a", newStep(1, 4000, time.Second))
 			sc.start()
-			sc.s.Cancel(sc.now, jobID(1))
+			sc.s.Cancel(sc.now, jobID(1), "")
 			sc.submit("a", newStep(1, 1000, time.Second))
 			So(sc.start(), ShouldEqual, 0)
 			sc.end("a", 1)
@@ -264,7 +264,7 @@
 			sc.submit("a", step)
 			orders := sc.decide()
 			sc.s.HandleStartAnswer(sc.now, orders[0], AnswerMissing, 0)
-			sc.s.Cancel(sc.now, jobID(1))
+			sc.s.Cancel(sc.now, jobID(1), "")
 			sc.submit("a", newStep(1, 1000, time.Second))
 			start := sc.now
 			for sc.now = start; sc.now.Before(start.Add(maxCallDelay)); sc.now = sc.now.Add(500 * time.Millisecond) {
@@ -332,7 +332,7 @@
 				So(sc.s.accountOf("a").isKnown, ShouldBeTrue)
 				So(sc.start(), ShouldEqual, 4)
 				Convey("and the record of the terms goes with the job", func() {
-					sc.s.Cancel(sc.now, jobID(1))
+					sc.s.Cancel(sc.now, jobID(1), "")
 					sc.now = sc.now.Add(2 * maintenanceInterval)
 					sc.decide()
 					So(sc.log[prefixTeam+"a"].Value, ShouldBeEmpty)
@@ -395,7 +395,7 @@
 			})
 		})
 		Convey("and the job was cancelled before", func() {
-			sc.s.Cancel(sc.now, jobID(1))
+			sc.s.Cancel(sc.now, jobID(1), "")
 			commitTo(sc.s, sc.log)
 			sc.takeOver(2, teamCatalog(1, team))
 			sc.submit("a", newStep(4, 1000, time.Second))
@@ -417,7 +417,7 @@
 		})
 		Convey("the record of the terms goes once the team has left and has no open jobs", func() {
 			So(sc.log, ShouldContainKey, prefixTeam+"a")
-			sc.s.Cancel(sc.now, jobID(1))
+			sc.s.Cancel(sc.now, jobID(1), "")
 			sc.s.SetCatalog(teamCatalog(2))
 			sc.now = sc.now.Add(2 * maintenanceInterval)
 			sc.decide()
--- a/internal/zone/dispatch/team_share_test.go
+++ b/internal/zone/dispatch/team_share_test.go
@@ -81,7 +81,7 @@
 		Convey("what a team doesn't use goes to the others", func() {
 			for id, j := range sc.s.jobs {
 				if j.team == "a" {
-					sc.s.Cancel(sc.now, id)
+					sc.s.Cancel(sc.now, id, "")
 				}
 			}
 			commitTo(sc.s, sc.log)
