Restart runs regardless of what only may run, and count gang members once

Cause: the check whether a run that counts already may be ordered again, or moved, compared the whole use with the quota. After a change of leader that includes all open tasks of the team, so that no order was repeated and no run moved until all workers had reported. And a gang member whose order got no answer counted twice, for the order and for the place in the gang.

Change: the check compares the runs and the orders that may be carried out late. The place of a gang member is reserved when its order has ended.

--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -199,7 +199,7 @@
 	namedTeams int
 	keptTeams  map[string]teamRecord
 	// countedStrays holds the orders that count although their runs are over. They are looked at from strayExpiry on.
-	countedStrays map[strayKey]countedStray
+	countedStrays map[strayKey]*countedStray
 	strayExpiry   time.Time
 	// countedStops holds the runs of ended jobs that count. hasUnknownRuns is set while a worker may have unknown runs.
 	countedStops     []countedStop
@@ -244,7 +244,7 @@
 		accounts:        map[string]*teamAccount{},
 		keptTeams:       map[string]teamRecord{},
 		shares:          map[string]*serviceShares{},
-		countedStrays:   map[strayKey]countedStray{},
+		countedStrays:   map[strayKey]*countedStray{},
 		jobs:            map[string]*Job{},
 		workers:         map[string]*Worker{},
 		draining:        map[*Worker]struct{}{},
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -122,6 +122,8 @@
 	// gangRuns counts the runs of a gang, gangReserved the members without a run that count against the quota of the team
 	// since others run.
 	gangRuns, gangReserved int
+	// gangStrays counts the orders without an answer, to members that have no run since, that count in place of these.
+	gangStrays int
 	// heldBack is the number of waiting tasks that were counted as held back by the quota.
 	heldBack int
 	// backlog is the waiting work to which the waiting tasks belong, nil for long-running ones.
--- a/internal/zone/dispatch/team.go
+++ b/internal/zone/dispatch/team.go
@@ -35,6 +35,8 @@
 	// Account holds the quota, and in its use all that counts against it: the runs, the orders that may be carried out late,
 	// what may run on workers of an earlier term, and the members of gangs and trials that are about to start.
 	quota.Account
+	// certain is the part of the use that the runs and the orders that may be carried out late have.
+	certain fleet.Size
 	// uses holds what the team has in each service.
 	uses map[string]*teamUse
 	// openJobs counts the jobs that have not ended, openTasks the tasks in memory.
--- a/internal/zone/dispatch/team_quota.go
+++ b/internal/zone/dispatch/team_quota.go
@@ -60,8 +60,24 @@
 }
 
 // mayRestart reports whether the team's quota allows a run of the stage, which counts already, to be ordered again or to start
-// elsewhere once it is stopped. It doesn't after the quota has shrunk below what is running.
-func (s *Scheduler) mayRestart(st *stage) bool { return s.fitsTeam(st, 0) }
+// elsewhere once it is stopped. It doesn't after the quota has shrunk below what is running. What only may run on workers that
+// are unaccounted for is left out: after a change of leader that may be all open tasks of the team.
+func (s *Scheduler) mayRestart(st *stage) bool {
+	a := st.job().use.account
+	return a.isKnown && a.Quota().Admits(a.certain)
+}
+
+// addCertain adds a run, or an order that may be carried out late, to the use.
+func (a *teamAccount) addCertain(size fleet.Size) {
+	a.Add(size)
+	a.certain = a.certain.Add(size)
+}
+
+// removeCertain takes a run, or an order that may be carried out late, out of the use.
+func (a *teamAccount) removeCertain(size fleet.Size) {
+	a.Remove(size)
+	a.certain = a.certain.Sub(size)
+}
 
 // startSize returns the number of tasks of a waiting stage that have to start together at least, 0 if some of them may count
 // already because of a trial.
@@ -124,7 +140,7 @@
 	r.use = u
 	u.running++
 	u.used = u.used.Add(size)
-	u.account.Add(size)
+	u.account.addCertain(size)
 	if !t.step().Gang {
 		return
 	}
@@ -146,22 +162,39 @@
 	size := t.step().Size
 	u.running--
 	u.used = u.used.Sub(size)
-	u.account.Remove(size)
-	s.countStray(u.account, r)
+	u.account.removeCertain(size)
+	stray := s.countStray(u.account, r)
 	if t.step().Gang {
 		st.gangRuns--
 		switch {
 		case st.gangRuns == 0 || t.done || t.job().isFinal():
 			u.account.Remove(quota.Times(size, st.gangReserved))
 			st.gangReserved = 0
+		case stray != nil:
+			stray.gang = st
+			st.gangStrays++
 		default:
-			st.gangReserved++
-			u.account.Add(size)
+			st.reserveMember()
 		}
 	}
 	s.countUnaccounted(t)
 }
 
+// reserveMember has a member of a gang without a run count against the quota.
+func (st *stage) reserveMember() {
+	st.gangReserved++
+	st.job().use.account.Add(st.step().Size)
+}
+
+// endGangStray has the member whose order has ended count as one without a run, unless it was started again, or the gang is over.
+func (st *stage) endGangStray() {
+	st.gangStrays--
+	if st.gangRuns > 0 && st.done == 0 && !st.job().isFinal() &&
+		st.gangRuns+st.gangReserved+st.gangStrays < len(st.tasks) {
+		st.reserveMember()
+	}
+}
+
 // strayKey names a run on a worker.
 type strayKey struct {
 	worker string
@@ -173,21 +206,26 @@
 	account *teamAccount
 	worker  *Worker
 	size    fleet.Size
+	// gang is the stage of a gang that goes on without the run, nil for others. The order counts in place of its member.
+	gang *stage
 }
 
-// countStray counts the order to start a run that is over, if it may be carried out late. Work without a team has no quota.
-func (s *Scheduler) countStray(a *teamAccount, r *run) {
+// countStray counts the order to start a run that is over, if it may be carried out late, and returns it. Work without a team has
+// no quota.
+func (s *Scheduler) countStray(a *teamAccount, r *run) *countedStray {
 	k := strayKey{r.worker.ID, runKey{r.task.name, r.number}}
 	until, ok := r.worker.strays[k.run]
 	if !ok || a.name == "" {
-		return
+		return nil
 	}
 	s.uncountStray(k)
-	s.countedStrays[k] = countedStray{account: a, worker: r.worker, size: r.task.step().Size}
-	a.Add(r.task.step().Size)
+	c := &countedStray{account: a, worker: r.worker, size: r.task.step().Size}
+	s.countedStrays[k] = c
+	a.addCertain(c.size)
 	if s.strayExpiry.IsZero() || until.Before(s.strayExpiry) {
 		s.strayExpiry = until
 	}
+	return c
 }
 
 // uncountStray takes an order out of what counts for its team.
@@ -196,8 +234,11 @@
 		return
 	}
 	if c, ok := s.countedStrays[k]; ok {
-		c.account.Remove(c.size)
+		c.account.removeCertain(c.size)
 		delete(s.countedStrays, k)
+		if c.gang != nil {
+			c.gang.endGangStray()
+		}
 	}
 }
 
--- a/internal/zone/dispatch/team_quota_test.go
+++ b/internal/zone/dispatch/team_quota_test.go
@@ -249,6 +249,42 @@
 				So(again[0].Task, ShouldEqual, orders[0].Task)
 			})
 		})
+		Convey("a gang member whose order got no answer counts once, until the order ends and after that", func() {
+			gang := newStep(3, 1000, time.Second)
+			gang.Gang = true
+			sc.submit("a", gang)
+			orders := sc.decide()
+			So(orders, ShouldHaveLength, 3)
+			for _, o := range orders[1:] {
+				sc.s.HandleStartAnswer(sc.now, o, AnswerDone, 1000)
+			}
+			sc.s.HandleStartAnswer(sc.now, orders[0], AnswerMissing, 0)
+			lost := sc.s.findTask(orders[0].Task)
+			start := sc.now
+			for len(lost.runs) > 0 && sc.now.Before(start.Add(time.Minute)) {
+				sc.now = sc.now.Add(500 * time.Millisecond)
+				for i := range sc.workers {
+					id := fmt.Sprintf("w%03d", i)
+					var running []RunReport
+					for _, o := range orders[1:] {
+						if o.Worker == id {
+							running = append(running, RunReport{Task: o.Task, Number: o.Run, Progress: 50})
+						}
+					}
+					answer(sc.s, sc.now, id, running...)
+				}
+				commitTo(sc.s, sc.log)
+				So(sc.s.accountOf("a").Used().Cores, ShouldEqual, 3000)
+			}
+			So(lost.runs, ShouldBeEmpty)
+			So(len(sc.s.countedStrays), ShouldEqual, 1)
+			So(lost.stage.gangRuns, ShouldEqual, 2)
+			for k := range sc.s.countedStrays {
+				sc.s.uncountStray(k)
+			}
+			So(sc.s.accountOf("a").Used().Cores, ShouldEqual, 3000)
+			So(lost.stage.gangReserved, ShouldEqual, 1)
+		})
 		Convey("a run that is being stopped counts until its end is listed", func() {
 			sc.submit("a", newStep(1, 4000, time.Second))
 			sc.start()
@@ -376,6 +412,17 @@
 				So(sc.decide(), ShouldHaveLength, 1)
 			})
 		}
+		Convey("and tasks that only may run don't keep it from repeating orders and moving runs", func() {
+			sc.submit("a", newStep(8, 1000, time.Minute))
+			sc.takeOver(2, teamCatalog(1, team))
+			answer(sc.s, sc.now, "w000", on("w000")...)
+			commitTo(sc.s, sc.log)
+			So(sc.s.accountOf("a").Used().Cores, ShouldBeGreaterThan, 4000)
+			st := sc.s.findTask(orders[0].Task).stage
+			So(sc.s.mayRestart(st), ShouldBeTrue)
+			sc.s.SetCatalog(teamCatalog(2, Team{Name: "a", Weight: 1, Quota: coreQuota(1000)}))
+			So(sc.s.mayRestart(st), ShouldBeFalse)
+		})
 		Convey("and the starts have not arrived", func() {
 			sc.takeOver(2, teamCatalog(1, team))
 			sc.submit("a", newStep(4, 1000, time.Second))
