Take keys for unconfirmed while there is no manifest

Cause: the state of the keys is read before the manifest. A host without a manifest gave the state confirmed; if its first manifest came into force right after that, a key that only a newer manifest has was called unknown.

Change: the state without a manifest is unconfirmed.

Run: TestKeyStateWithoutManifest fails without the change and passes with it.

--- a/internal/host/entry/access.go
+++ b/internal/host/entry/access.go
@@ -37,7 +37,11 @@
 // in between is newer than what was confirmed.
 func (h *Host) KeyState() access.State {
 	r := h.routing.Load()
-	if r == nil || r.Access == nil {
+	switch {
+	case r == nil:
+		// The first manifest may come into force before the caller reads Routing.
+		return access.Unconfirmed
+	case r.Access == nil:
 		return access.Confirmed
 	}
 	h.mu.Lock()
--- a/internal/host/entry/keys_test.go
+++ b/internal/host/entry/keys_test.go
@@ -131,6 +131,7 @@
 		lacking.Catalog.Teams, lacking.Keys, lacking.IncludesTeams = nil, nil, false
 		h.applyManifest(lacking, "leader")
 		So(h.Routing().Access, ShouldBeNil)
+		So(h.KeyState(), ShouldEqual, access.Confirmed)
 		h.applyManifest(versionManifest(1), "store")
 		So(h.Routing().Access, ShouldBeNil)
 		Convey("the full one of the same version replaces it, but not the other way round", func() {
@@ -142,6 +143,14 @@
 	})
 }
 
+// TestKeyStateWithoutManifest guards against a key that is called unknown since the first manifest, which isn't confirmed yet, has
+// come into force between the reads of the state and of the keys.
+func TestKeyStateWithoutManifest(t *testing.T) {
+	Convey("The keys of a host without a manifest are unconfirmed", t, func() {
+		So((&Host{}).KeyState(), ShouldEqual, access.Unconfirmed)
+	})
+}
+
 // versionDirectory is a Directory with a list of manifests, whose version N has a route with the prefix /vN/ and the key
 // kN of the team tN. A read waits for the next manifest.
 type versionDirectory struct {
