Print a table of keys without its digests

Cause: fmt doesn't call the Format method of values in unexported fields, so %v of a table, or of a struct with one, printed the digests of all keys.

Change: a table is formatted as the number of its keys.

Run: TestDigestIsNotPrinted fails without the change in the new case and passes with it.

--- a/internal/request/access/access.go
+++ b/internal/request/access/access.go
@@ -41,6 +41,9 @@
 	return t
 }
 
+// Format implements fmt.Formatter. The fmt package does not call that of the digests, since they are in an unexported field.
+func (t *Table) Format(f fmt.State, _ rune) { _, _ = fmt.Fprintf(f, "[%d keys]", t.Len()) }
+
 // Len returns the number of keys.
 func (t *Table) Len() int {
 	if t == nil {
--- a/internal/request/access/access_test.go
+++ b/internal/request/access/access_test.go
@@ -60,9 +60,12 @@
 func TestDigestIsNotPrinted(t *testing.T) {
 	Convey("No format shows a digest", t, func() {
 		k := Key{NewDigest("k1"), "a"}
+		table := NewTable([]Key{k})
 		for _, format := range []string{"%v", "%+v", "%#v", "%x", "%s", "%d"} {
 			So(fmt.Sprintf(format, k.Digest), ShouldEqual, "[digest]")
 			So(fmt.Sprintf(format, k), ShouldContainSubstring, "[digest]")
+			So(fmt.Sprintf(format, table), ShouldEqual, "[1 keys]")
+			So(fmt.Sprintf(format, struct{ Access *Table }{table}), ShouldContainSubstring, "[1 keys]")
 		}
 	})
 }
