Add up the capacity of a service when it is first seen

Cause: the capacities of services are added up every 250 ms. Until then that of a new service was zero, and so were the entitlements of all teams there.

Change: the capacity is added up when a service gets its first job as well, and at the interval only for services with jobs.

Run: TestCapacityOfNewService fails without the change and passes with it, as do the tests of teams, quotas and backlogs.

--- a/internal/zone/dispatch/team_share.go
+++ b/internal/zone/dispatch/team_share.go
@@ -28,11 +28,12 @@
 // hasTeams reports whether any team has terms, so that services are shared by weight.
 func (s *Scheduler) hasTeams() bool { return len(s.catalog.Teams) > 0 || len(s.keptTeams) > 0 }
 
-// sharesOf returns what teams share of the service.
+// sharesOf returns what teams share of the service. The capacity of one that has not been seen is added up at once: without it,
+// nobody would be entitled to anything there until it is.
 func (s *Scheduler) sharesOf(service string) *serviceShares {
 	sh := s.shares[service]
 	if sh == nil {
-		sh = &serviceShares{}
+		sh = &serviceShares{capacity: s.usableCapacity(service)}
 		s.shares[service] = sh
 	}
 	return sh
@@ -62,19 +63,22 @@
 	}
 }
 
-// updateCapacities adds up the capacities of the usable workers of each service.
+// updateCapacities adds up the capacities of the usable workers of each service with jobs.
 func (s *Scheduler) updateCapacities() {
-	for _, sh := range s.shares {
-		sh.capacity = fleet.Size{}
+	for service, sh := range s.shares {
+		sh.capacity = s.usableCapacity(service)
 	}
-	for service, workers := range s.byService {
-		sh := s.sharesOf(service)
-		for _, w := range workers {
-			if w.isUsable() && !s.catalog.Evacuated[w.Zone] {
-				sh.capacity = sh.capacity.Add(w.Capacity)
-			}
+}
+
+// usableCapacity returns the sum of the capacities of the usable workers of a service.
+func (s *Scheduler) usableCapacity(service string) fleet.Size {
+	var sum fleet.Size
+	for _, w := range s.byService[service] {
+		if w.isUsable() && !s.catalog.Evacuated[w.Zone] {
+			sum = sum.Add(w.Capacity)
 		}
 	}
+	return sum
 }
 
 // entitlement returns the share of the service to which the team is entitled.
--- a/internal/zone/dispatch/team_share_test.go
+++ b/internal/zone/dispatch/team_share_test.go
@@ -148,6 +148,21 @@
 	}
 }
 
+// TestCapacityOfNewService guards against the first jobs of a service that are taken for beyond the shares of their teams, since the
+// capacity of the service has not been added up yet.
+func TestCapacityOfNewService(t *testing.T) {
+	Convey("The first workers and the first job of a service come right after a decision", t, func() {
+		sc := newTeamScenario(0, Team{Name: "a", Weight: 1})
+		sc.start()
+		sc.now = sc.now.Add(10 * time.Millisecond)
+		sc.workers = 2
+		sc.answerAll()
+		sc.submit("a", newStep(1, 1000, time.Second))
+		So(sc.start(), ShouldEqual, 1)
+		So(sc.s.useOf(sc.s.accountOf("a"), "svc").entitled.Cores, ShouldEqual, 16_000)
+	})
+}
+
 // newTeamBench returns a scheduler of 490 full workers with 50000 waiting tasks of 50 queues, and a function that ends some
 // runs, decides and returns the number of starts. With teams each queue's jobs belong to one, and quotaCores is the quota of each in thousandths.
 func newTeamBench(withTeams bool, quotaCores int64) (decide func() int) {
