Scan for an overdue task of a team at its quota at the usual interval

Cause: the time of the last scan of all workers was reset whenever the team's limits kept an overdue task back, so that a task held back by the quota was scanned for in each decision.

Change: it is reset only if the first pass leaves the task to the second one of the same decision.

Run: the new case of TestWhatCountsAgainstQuota fails without the change and passes with it.

--- a/internal/zone/dispatch/overdue.go
+++ b/internal/zone/dispatch/overdue.go
@@ -42,7 +42,10 @@
 			continue
 		}
 		if !s.mayStart(now, st, 1) {
-			st.overdueScanAt = time.Time{}
+			if s.withinShares && st.isBeyondShare {
+				// The next pass of this decision may start the task.
+				st.overdueScanAt = time.Time{}
+			}
 			return
 		}
 		w := s.findWorker(now, t, nil)
--- a/internal/zone/dispatch/team_quota_test.go
+++ b/internal/zone/dispatch/team_quota_test.go
@@ -226,6 +226,16 @@
 			}
 			So(starts, ShouldEqual, 1)
 		})
+		Convey("an overdue task that is held back doesn't have all workers looked at in each decision", func() {
+			step := newStep(5, 1000, time.Second)
+			step.LongRunning = true
+			sc.submit("a", step)
+			So(sc.start(), ShouldEqual, 4)
+			sc.now = sc.now.Add(5 * time.Second)
+			sc.answerAll()
+			So(sc.start(), ShouldEqual, 0)
+			So(sc.s.jobs[jobID(1)].openOccurrences[0].stages[0].overdueScanAt, ShouldEqual, sc.now)
+		})
 		Convey("a gang counts as a whole", func() {
 			gang := newStep(3, 1000, time.Second)
 			gang.Gang = true
