Record newer terms of teams without open jobs when a term begins

Cause: a leader with a newer catalog than the recorded terms recorded those of teams with open jobs only. Its successor, with a catalog without the team, went back to the old terms.

Change: the terms are compared with the catalog at the end of the restoration.

Run: the new case of TestWhatCountsAgainstQuota fails without the change and passes with it.

--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -367,6 +367,8 @@
 	}
 	s.countRestored()
 	s.recordLeases(now)
+	// The catalog may be newer than the recorded terms of teams without open jobs.
+	s.keepTeams()
 	return errs
 }
 
--- a/internal/zone/dispatch/team_quota_test.go
+++ b/internal/zone/dispatch/team_quota_test.go
@@ -368,6 +368,17 @@
 			sc.submit("a", newStep(5, 1000, time.Second))
 			So(sc.start(), ShouldEqual, 2)
 		})
+		Convey("which a leader records that has newer ones than the log, also without open jobs", func() {
+			sc.submit("a", newStep(1, 1000, time.Second))
+			sc.s.Cancel(sc.now, jobID(1), "")
+			commitTo(sc.s, sc.log)
+			sc.takeOver(2, teamCatalog(2, Team{Name: "a", Weight: 1, Quota: coreQuota(2000)}))
+			commitTo(sc.s, sc.log)
+			sc.takeOver(3, teamCatalog(3))
+			sc.answerAll()
+			sc.submit("a", newStep(5, 1000, time.Second))
+			So(sc.start(), ShouldEqual, 2)
+		})
 		Convey("a job that a host forwards after its team has left the manifest runs under the last terms", func() {
 			sc.s.SetCatalog(teamCatalog(2))
 			So(sc.submit("a", newStep(5, 1000, time.Second)).Outcome, ShouldEqual, OutcomeAccepted)
