Ignore further fields of the records of teams

Cause: the record of a team's terms was decoded as a struct, which fails once a later version adds a field. The terms would be lost while hosts are replaced.

Change: it is encoded and decoded by its elements, like that of a job. The bytes are the same as before.

Run: TestTeamRecordOfAnotherVersion fails without the change and passes with it.

--- a/internal/zone/dispatch/record_codec.go
+++ b/internal/zone/dispatch/record_codec.go
@@ -56,3 +56,13 @@
 func (r *jobRecord) DecodeMsgpack(dec *msgpack.Decoder) error {
 	return decodeFields(dec, &r.Queue, &r.AcceptedWall, &r.Spec, &r.FinalState, &r.EndedWall, &r.Term, &r.Team, &r.Size)
 }
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (r *teamRecord) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return encodeFields(enc, r.Weight, &r.Quota, r.Version)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (r *teamRecord) DecodeMsgpack(dec *msgpack.Decoder) error {
+	return decodeFields(dec, &r.Weight, &r.Quota, &r.Version)
+}
--- a/internal/zone/dispatch/record_codec_test.go
+++ b/internal/zone/dispatch/record_codec_test.go
@@ -43,3 +43,27 @@
 		So(got.Team, ShouldEqual, "a")
 	})
 }
+
+// formerTeamRecord is teamRecord with the encoding of structs, as the version before wrote it.
+type formerTeamRecord struct {
+	Weight  float64
+	Quota   fleet.Size
+	Version uint64
+}
+
+// Guards against terms of teams that are lost while hosts of two versions lead in turn.
+func TestTeamRecordOfAnotherVersion(t *testing.T) {
+	want := teamRecord{Weight: 1.5, Quota: fleet.Size{Cores: 500, Memory: 3}, Version: 7}
+	former := formerTeamRecord(want)
+	Convey("The record is that of the version before", t, func() {
+		So(encode(&want), ShouldResemble, encode(&former))
+		var rec teamRecord
+		So(msgpack.Unmarshal(encode(&former), &rec), ShouldBeNil)
+		So(rec, ShouldResemble, want)
+	})
+	Convey("Further elements of a later version are ignored", t, func() {
+		var rec teamRecord
+		So(msgpack.Unmarshal(encode([]any{1.5, fleet.Size{Cores: 500, Memory: 3}, 7, "x"}), &rec), ShouldBeNil)
+		So(rec, ShouldResemble, want)
+	})
+}
