--- a/internal/zone/dispatch/denied.go
+++ b/internal/zone/dispatch/denied.go
@@ -35,7 +35,8 @@
 	}
 }
 
-// deny keeps the cancellation of a job that is not known by a caller of the team. The answer may be given once the reply's batch is committed.
+// deny keeps the cancellation of a job that is not known by a caller of the team. The answer may be given
+// once the reply's batch is committed.
 func (s *Scheduler) deny(now time.Time, id, team string) Reply {
 	if s.denied >= maxDenied {
 		return Reply{
