Keep quota for a large task that small ones of its team starve

Cause: a large task or a gang of a team at its quota never started while the team had small tasks, each of which fits as soon as another one ends.

Change: a stage that the quota has held back for more than 2 s has the quota for its next start kept for it by the team's stages behind it, within each decision. One stage of a team does so, and none whose start would exceed the quota beside the long-running tasks of the team. Stages before it in rank are not held back, so a stage that is late still gives way to those that are not.

--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -126,6 +126,8 @@
 	gangStrays int
 	// heldBack is the number of waiting tasks that were counted as held back by the quota.
 	heldBack int
+	// quotaHeldSince is since when the quota has let no task of the stage start, the zero time if the last one could.
+	quotaHeldSince time.Time
 	// backlog is the waiting work to which the waiting tasks belong, nil for long-running ones.
 	backlog *backlog
 	// isBeyondShare is set if tasks were left to the second pass of the last decision, see startInPasses.
--- a/internal/zone/dispatch/team.go
+++ b/internal/zone/dispatch/team.go
@@ -37,6 +37,9 @@
 	quota.Account
 	// certain is the part of the use that the runs and the orders that may be carried out late have.
 	certain fleet.Size
+	// lasting is the part of the use that long-running tasks have.
+	lasting fleet.Size
+	quotaReservation
 	// uses holds what the team has in each service.
 	uses map[string]*teamUse
 	// openJobs counts the jobs that have not ended, openTasks the tasks in memory.
--- a/internal/zone/dispatch/team_quota.go
+++ b/internal/zone/dispatch/team_quota.go
@@ -27,6 +27,41 @@
 	quotaClearDelay   = 10 * time.Second
 )
 
+// quotaPatience is how long the quota may hold a stage back before stages of the team that rank behind it have to leave it the
+// quota for its next start. Otherwise a team's small tasks, each of which fits as soon as another one ends, starve its large tasks
+// and gangs.
+const quotaPatience = 2 * time.Second
+
+// quotaReservation is the part of a team's quota that is kept for the next start of a stage in one decision.
+type quotaReservation struct {
+	reservedBy   *stage
+	reservedSize fleet.Size
+	// reservedIn is the number of the decision, counted from 1.
+	reservedIn uint64
+}
+
+// reserveQuota keeps the quota for a start of the stage in the rest of the decision, if the stage has been held back for long and
+// the start is possible beside the long-running tasks of its team.
+func (s *Scheduler) reserveQuota(now time.Time, st *stage, size fleet.Size) {
+	a := st.job().use.account
+	if st.quotaHeldSince.IsZero() {
+		st.quotaHeldSince = now
+	}
+	if now.Sub(st.quotaHeldSince) > quotaPatience && a.reservedIn != s.decisions+1 &&
+		a.Quota().Admits(a.lasting.Add(size)) {
+		a.quotaReservation = quotaReservation{reservedBy: st, reservedSize: size, reservedIn: s.decisions + 1}
+	}
+}
+
+// reservedFrom returns the part of the quota of the stage's team that is kept for another stage in the present decision.
+func (s *Scheduler) reservedFrom(st *stage) fleet.Size {
+	a := st.job().use.account
+	if a.reservedIn != s.decisions+1 || a.reservedBy == st {
+		return fleet.Size{}
+	}
+	return a.reservedSize
+}
+
 // quotaEpisode is the time in which the quota of a team holds its work back again and again.
 type quotaEpisode struct {
 	isHeld     bool
@@ -37,14 +72,20 @@
 // stage for which it may not is not taken for one without room: nothing changes on a worker when the team gets below its
 // quota.
 func (s *Scheduler) mayStart(now time.Time, st *stage, tasks int) bool {
-	a := st.job().use.account
+	a, size := st.job().use.account, quota.Times(st.step().Size, tasks)
 	switch {
 	case !a.isKnown:
 		st.waitReason = waitUnknownTeam
-	case !a.Fits(quota.Times(st.step().Size, tasks)):
+	case tasks > 0 && !a.Fits(s.reservedFrom(st).Add(size)), !a.Fits(size):
 		st.waitReason = waitQuota
 		s.noteHeldBack(now, st)
+		if tasks > 0 {
+			s.reserveQuota(now, st, size)
+		}
 	default:
+		if tasks > 0 {
+			st.quotaHeldSince = time.Time{}
+		}
 		return !s.exceedsShare(st, tasks)
 	}
 	return false
@@ -141,6 +182,9 @@
 	u.running++
 	u.used = u.used.Add(size)
 	u.account.addCertain(size)
+	if t.step().LongRunning {
+		u.account.lasting = u.account.lasting.Add(size)
+	}
 	if !t.step().Gang {
 		return
 	}
@@ -163,6 +207,9 @@
 	u.running--
 	u.used = u.used.Sub(size)
 	u.account.removeCertain(size)
+	if t.step().LongRunning {
+		u.account.lasting = u.account.lasting.Sub(size)
+	}
 	stray := s.countStray(u.account, r)
 	if t.step().Gang {
 		st.gangRuns--
--- a/internal/zone/dispatch/team_quota_test.go
+++ b/internal/zone/dispatch/team_quota_test.go
@@ -399,6 +399,77 @@
 	})
 }
 
+// TestSmallTasksLeaveQuotaToLargeOnes guards against a large task, or a gang, that never starts since small tasks of its team take
+// each part of the quota that becomes free, and against small tasks that wait for one which can't start beside long-running tasks.
+func TestSmallTasksLeaveQuotaToLargeOnes(t *testing.T) {
+	gang := newStep(4, 1000, 4*time.Second)
+	gang.Gang = true
+	for _, c := range []struct {
+		name  string
+		large workflow.Step
+	}{{"task", newStep(1, 4000, 4*time.Second)}, {"gang", gang}} {
+		Convey("A team has used its quota of four cores, and small tasks and a large "+c.name+" wait", t, func() {
+			sc := newTeamScenario(2, Team{Name: "a", Weight: 1, Quota: coreQuota(4000)})
+			// flow ends one small task and submits another, until none starts or the time is over, which it returns. New small
+			// tasks rank behind the large one from 3 s on.
+			flow := func() time.Duration {
+				start := sc.now
+				for sc.now.Before(start.Add(3 * quotaPatience)) {
+					sc.now = sc.now.Add(100 * time.Millisecond)
+					sc.answerAll()
+					sc.end("a", 1)
+					sc.submit("a", newStep(1, 1000, time.Second))
+					if sc.start() == 0 {
+						break
+					}
+				}
+				return sc.now.Sub(start)
+			}
+			Convey("which starts once it has waited for some time", func() {
+				sc.submit("a", newStep(4, 1000, time.Second))
+				So(sc.start(), ShouldEqual, 4)
+				sc.submit("a", c.large)
+				So(flow(), ShouldBeBetween, quotaPatience, 2*quotaPatience)
+				sc.end("a", 3)
+				sc.start()
+				So(sc.s.jobs[jobID(2)].openOccurrences[0].stages[0].waiting, ShouldEqual, 0)
+				So(sc.s.accountOf("a").Used().Cores, ShouldEqual, 4000)
+			})
+			Convey("which can't start beside a long-running task: the small ones go on", func() {
+				serve := newStep(1, 1000, time.Second)
+				serve.LongRunning = true
+				sc.submit("a", serve)
+				So(sc.start(), ShouldEqual, 1)
+				sc.submit("a", newStep(3, 1000, time.Second))
+				So(sc.start(), ShouldEqual, 3)
+				sc.submit("a", c.large)
+				start := sc.now
+				for sc.now.Before(start.Add(2 * quotaPatience)) {
+					sc.now = sc.now.Add(100 * time.Millisecond)
+					sc.answerAll()
+					sc.submit("a", newStep(1, 1000, time.Second))
+					ended := false
+					for _, w := range sc.s.WorkerIDs() {
+						for _, r := range sc.s.runsOf(sc.s.workers[w]) {
+							if ended || r.task.step().LongRunning {
+								continue
+							}
+							ended = true
+							sc.serials[w]++
+							sc.s.HandleReport(sc.now, Report{
+								Worker: w, Boot: 1, Clock: 1000 + sc.now.Sub(simEpoch).Milliseconds(), Running: sc.others(r),
+								Ended: []EndReport{{Serial: sc.serials[w], Task: r.task.name, Number: r.number, Reason: EndDone}},
+							})
+						}
+					}
+					commitTo(sc.s, sc.log)
+					So(sc.start(), ShouldEqual, 1)
+				}
+			})
+		})
+	}
+}
+
 // TestQuotaHoldsAfterChangeOfLeader guards against a team that gets its quota a second time from a new leader, which doesn't
 // know yet what the earlier one has started, or has a manifest without the team or with other terms.
 func TestQuotaHoldsAfterChangeOfLeader(t *testing.T) {
--- a/internal/zone/dispatch/team_share_test.go
+++ b/internal/zone/dispatch/team_share_test.go
@@ -148,8 +148,8 @@
 	}
 }
 
-// TestCapacityOfNewService guards against the first jobs of a service that are taken for beyond the shares of their teams, since the
-// capacity of the service has not been added up yet.
+// TestCapacityOfNewService guards against the first jobs of a service that are taken for beyond the shares of their teams, since
+// the capacity of the service has not been added up yet.
 func TestCapacityOfNewService(t *testing.T) {
 	Convey("The first workers and the first job of a service come right after a decision", t, func() {
 		sc := newTeamScenario(0, Team{Name: "a", Weight: 1})
