Submit the simulation's jobs with the newest manifest's version

The leader refuses jobs of unknown teams from hosts without a newer manifest, so that a simulation without versions no longer had jobs accepted by a leader that learns of their team later.

--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -760,6 +760,7 @@
 		l := sim.leader
 		r := l.s.Submit(sim.now, Request{
 			ID: id, Queue: queueName, Team: sim.teamOf(id), Spec: spec, WallTime: sim.now.Add(l.skew),
+			CatalogVersion: sim.catalog.Version,
 		})
 		sim.after(300*time.Millisecond, func() {
 			if l == sim.leader && r.Outcome == OutcomeAccepted && l.s.CommittedBatch() >= r.Batch {
