--- a/internal/host/entry/access.go
+++ b/internal/host/entry/access.go
@@ -11,13 +11,22 @@
 
 // newRouting returns the routing of a manifest.
 func newRouting(m *Manifest) *Routing {
-	r := &Routing{Table: route.NewTable(m.Routes), MaxBody: m.MaxBody}
+	r := &Routing{Table: route.NewTable(m.Routes), MaxBody: m.MaxBody, Version: m.Catalog.Version}
 	if len(m.Catalog.Teams) > 0 {
 		r.Access = access.NewTable(m.Keys)
 	}
 	return r
 }
 
+// supersedes reports whether a manifest is to replace the current one: it is newer, or of the same version while a host of an
+// earlier version has left the teams out of the current one. Without its teams, calls need no keys.
+func (m *Manifest) supersedes(current *Manifest) bool {
+	if current == nil || m.Catalog.Version > current.Catalog.Version {
+		return true
+	}
+	return m.Catalog.Version == current.Catalog.Version && m.IncludesTeams && !current.IncludesTeams
+}
+
 // lacksTeams reports whether a host of an earlier version has left out the teams of a manifest that would replace one with
 // teams. With it in force, calls would need no keys.
 func lacksTeams(current, m *Manifest) bool {
@@ -28,7 +37,11 @@
 // in between is newer than what was confirmed.
 func (h *Host) KeyState() access.State {
 	r := h.routing.Load()
-	if r == nil || r.Access == nil {
+	switch {
+	case r == nil:
+		// The first manifest may come into force before the caller reads Routing.
+		return access.Unconfirmed
+	case r.Access == nil:
 		return access.Confirmed
 	}
 	h.mu.Lock()
