Count all bytes of peers' messages

Three kinds of input on connections of peers were not counted: reads below messageBytes on an idle connection, reads while a call was carried out, and the buffer that drpc's reader keeps after the answer.

Small reads now add up until they begin a message. More than 4 KiB that arrive during a call end the connection; once the answer is being written they count as the next message. A connection holds the cost of its largest message until it closes, and gives way while it is idle. The client does not pool connections after a message above 16 KiB.

--- a/internal/host/edge/conn.go
+++ b/internal/host/edge/conn.go
@@ -23,6 +23,9 @@
 	// messageBytes is the least input on an idle connection of peers that begins a message. What ends a call is shorter and
 	// may come after its answer.
 	messageBytes = 64
+	// callSlack is how much may arrive on a connection of peers while its call is carried out. A call has one message, so
+	// that only its end follows.
+	callSlack = 4 << 10
 )
 
 // errGone is the error of reading from a connection that has been closed or whose request was refused.
@@ -38,6 +41,9 @@
 	state *limit.Conn
 	// messages is set for connections of peers, which don't carry HTTP.
 	messages bool
+	// uncounted is what has arrived on a connection of peers since the last message was answered, or early while a call is in
+	// progress, without having begun a message.
+	uncounted int
 	// inHeader is set until the header of the request in progress has arrived.
 	inHeader bool
 	// asked is the read deadline that the server has set, and phaseEnd that of the phase. Either may be zero.
@@ -119,6 +125,8 @@
 		status, reason = http.StatusServiceUnavailable, ReasonBytes
 	case n > 0 && c.state.Phase() != limit.PhaseComplete:
 		status, reason = c.arrived(n, limits)
+	case n > 0 && c.messages:
+		status, reason = c.arrivedDuringCall(n)
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.inHeader && c.state.Phase() == limit.PhaseIncomplete && !c.late:
 		// A body that is late is reported by whoever reads it. The server reads more than once before it gives up. Ordinary
 		// clients open connections that they don't use.
@@ -148,8 +156,11 @@
 func (c *conn) arrived(n int, limits Limits) (int, Reason) {
 	now := time.Now()
 	if c.state.Phase() == limit.PhaseIdle {
-		if c.messages && n < messageBytes {
-			return 0, ""
+		if c.messages {
+			if c.uncounted += n; c.uncounted < messageBytes {
+				return 0, ""
+			}
+			n, c.uncounted = c.uncounted, 0
 		}
 		if !c.messages {
 			c.setPhaseEnd(now.Add(limits.HeaderTimeout))
@@ -172,6 +183,23 @@
 	return 0, ""
 }
 
+// arrivedDuringCall counts n bytes that arrive on a connection of peers before its call has been answered. Once the answer is
+// being written, they may belong to the next call. The lock is held.
+func (c *conn) arrivedDuringCall(n int) (int, Reason) {
+	now := time.Now()
+	c.uncounted += n
+	if c.answerEnd.IsZero() && c.uncounted > callSlack {
+		return http.StatusServiceUnavailable, ReasonBytes
+	}
+	c.state.Arrived(now, n)
+	victims, ok := c.l.share.Reserve(now, c.state, c.state.Received(), false)
+	if !ok {
+		return http.StatusServiceUnavailable, ReasonBytes
+	}
+	c.l.interrupt(victims)
+	return 0, ""
+}
+
 // goneError returns the error of reading from a connection that is no longer served. The HTTP server doesn't answer after
 // errors of this type.
 func (c *conn) goneError() error {
@@ -239,7 +267,7 @@
 // setComplete says that the request in progress has arrived as a whole. The lock is held.
 func (c *conn) setComplete() {
 	c.state.SetComplete()
-	c.inHeader, c.answerEnd = false, time.Time{}
+	c.inHeader, c.answerEnd, c.uncounted = false, time.Time{}, 0
 	c.setPhaseEnd(time.Time{})
 }
 
--- a/internal/host/edge/message.go
+++ b/internal/host/edge/message.go
@@ -34,9 +34,15 @@
 	return true
 }
 
-// MessageAnswered says that the message has been answered.
+// MessageAnswered says that the message has been answered. The buffer of the server's reader keeps the size of the largest
+// message until the connection closes, so that what the message holds stays reserved.
 func (c *conn) MessageAnswered() {
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
-	c.finish(time.Now())
+	now, early := time.Now(), c.uncounted
+	c.l.share.FinishMessage(now, c.state)
+	c.inHeader, c.answerEnd, c.uncounted = true, time.Time{}, 0
+	if early >= messageBytes {
+		c.state.Arrived(now, early)
+	}
 }
--- a/internal/host/peer/peer.go
+++ b/internal/host/peer/peer.go
@@ -26,6 +26,9 @@
 	poolIdleTimeout = 20 * time.Second
 	// maxIdlePerPeer is the largest number of idle connections that are kept for one peer.
 	maxIdlePerPeer = 32
+	// maxPooledBytes is the largest message after which a connection goes back to the pool. After a larger one, the peer
+	// keeps the room of the message as long as the connection is open.
+	maxPooledBytes = 16 << 10
 	// serverIdleTimeout is the time after which a connection whose client sent nothing is closed.
 	serverIdleTimeout = 60 * time.Second
 )
@@ -214,9 +217,9 @@
 }
 
 // invoke makes one call on a pooled or a new connection. A connection goes back to the pool only if its call succeeded
-// and the call's context has not ended: drpc closes the connection of a call whose context ends, possibly after Invoke
+// with a message within maxPooledBytes and the call's context has not ended: drpc closes the connection of a call whose context ends, possibly after Invoke
 // has returned, and until then the next call on it would wait and get the error of that context.
-func (c *Client) invoke(ctx context.Context, addr, method string, enc drpc.Encoding, req, rep drpc.Message) error {
+func (c *Client) invoke(ctx context.Context, addr, method string, enc *countingCodec, req, rep drpc.Message) error {
 	conn, ok := c.pool.Take(addr)
 	if !ok {
 		var err error
@@ -232,6 +235,10 @@
 		}
 		return errors.Wrapf(err, "peer: %s to %s", method, addr)
 	}
+	if enc.sent > maxPooledBytes {
+		_ = conn.Close()
+		return nil
+	}
 	c.pool.Put(addr, conn)
 	return nil
 }
--- a/internal/request/limit/share.go
+++ b/internal/request/limit/share.go
@@ -61,6 +61,9 @@
 // SetWaiting says whether the server waits for input on the connection.
 func (c *Conn) SetWaiting(waiting bool) { c.waiting = waiting }
 
+// Waiting reports whether the server waits for input on the connection.
+func (c *Conn) Waiting() bool { return c.waiting }
+
 // GaveWay reports whether the request in progress has given way to another one.
 func (c *Conn) GaveWay() bool { return c.released }
 
@@ -218,12 +221,13 @@
 	return victims, true
 }
 
-// candidates returns the connections whose requests can give way to that of c, in the order in which they do.
+// candidates returns the connections that can give way to the request of c, in the order in which they do: those whose
+// request is incomplete, and idle ones that still hold bytes.
 func (s *Share) candidates(now time.Time, c *Conn) []*Conn {
 	var found []*Conn
 	rate := c.rate(now)
 	for o := range s.conns {
-		if o == c || o.phase != PhaseIncomplete || !o.waiting || o.held == 0 {
+		if o == c || o.phase == PhaseComplete || !o.waiting || o.held == 0 {
 			continue
 		}
 		if o.stalled(now) || !o.whole && o.rate(now) < rate {
@@ -262,6 +266,15 @@
 	c.phase, c.since = PhaseIdle, now
 }
 
+// FinishMessage says that the request in progress has been answered, while the connection goes on to hold what it holds. It
+// gives way like a request, once it is idle.
+func (s *Share) FinishMessage(now time.Time, c *Conn) {
+	held := c.held
+	s.Finish(now, c)
+	c.held = held
+	s.held += held
+}
+
 // Close removes a connection. It has no effect on one that is not in the share any more.
 func (s *Share) Close(c *Conn) {
 	if c.closed {
