Bound the requests that a host forwards to the leader

A host of 160 MB takes 975 connections of callers, each of which could take one of the leader's 487 connections of other hosts. Pings then found none.

A host now forwards at most 100 requests to one host at a time. A further request is tried again for up to 1.6 s and then refused with 503 and Retry-After, saying that it has not run.

--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -193,6 +193,8 @@
 	stopping                          bool
 	// inflight is the number of callers' requests in progress.
 	inflight int
+	// forwarding is the number of requests in progress at other hosts, by address.
+	forwarding map[string]int
 	// watchWake wakes watchLeader.
 	watchWake chan struct{}
 
@@ -241,6 +243,7 @@
 	h := &Host{
 		cfg: cfg, instance: uuid.NewString(), directory: d, workers: w, clock: c,
 		log: log, recorder: nopRecorder{}, evacuatedZones: map[string]bool{}, members: map[string]member{},
+		forwarding:    map[string]int{},
 		leaderChanged: make(chan struct{}), watchWake: make(chan struct{}, 1),
 	}
 	h.store = observedStore{store, h}
--- a/internal/host/entry/request.go
+++ b/internal/host/entry/request.go
@@ -21,10 +21,17 @@
 	leaderWaitTimeout = 1600 * time.Millisecond
 	// requestRetryInterval is the pause before the next attempt.
 	requestRetryInterval = 60 * time.Millisecond
+	// maxForwarded bounds the requests in progress that this host forwards to the leader, each of which takes a connection
+	// there. A leader of 160 MB has room for 487 connections of other hosts, which four hosts with this bound don't fill, so
+	// that pings get through.
+	maxForwarded = 100
 	// noLeaderRetryAfter is the time after which callers should retry while there is no leader.
 	noLeaderRetryAfter = time.Second
 )
 
+// reasonLeaderBusy is the reason for the refusal of a request that was not sent because of maxForwarded.
+const reasonLeaderBusy = "too many requests to the leader, this one has not run"
+
 // HandleRequest carries out a caller's request, on this host if it leads or else on the leader. A request that a leader
 // may have carried out is sent again until there is an answer or the context ends; the job's ID makes repeating it
 // safe.
@@ -51,7 +58,10 @@
 		waited := h.clock.Now().Sub(start)
 		h.mu.Unlock()
 		if ctx.Err() != nil || (!requestMayHaveRun && waited > leaderWaitTimeout) {
-			resp = unansweredResponse(req, requestMayHaveRun)
+			busy := resp.Reason == reasonLeaderBusy
+			if resp = unansweredResponse(req, requestMayHaveRun); busy && resp.Outcome == dispatch.OutcomeRefused {
+				resp.Reason = reasonLeaderBusy
+			}
 			h.logRequest(req, resp, try, start)
 			return resp
 		}
@@ -74,6 +84,26 @@
 	return Response{Outcome: dispatch.OutcomeRefused, RetryAfter: noLeaderRetryAfter, Reason: "no leader"}
 }
 
+// beginForwarding counts a request that is sent to a host. It returns false if too many are in progress there.
+func (h *Host) beginForwarding(address string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.forwarding[address] >= maxForwarded {
+		return false
+	}
+	h.forwarding[address]++
+	return true
+}
+
+// endForwarding says that a request to a host has ended.
+func (h *Host) endForwarding(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.forwarding[address]--; h.forwarding[address] == 0 {
+		delete(h.forwarding, address)
+	}
+}
+
 // tryRequest makes one attempt. If the response has no outcome, mayHaveRun reports whether the request may have been
 // carried out nevertheless.
 func (h *Host) tryRequest(ctx context.Context, req Request) (resp Response, mayHaveRun bool) {
@@ -88,6 +118,10 @@
 	if !claim.Known() || claim.Address == h.cfg.PeerAddress {
 		return Response{NotLeader: true}, false
 	}
+	if !h.beginForwarding(claim.Address) {
+		return Response{Reason: reasonLeaderBusy}, false
+	}
+	defer h.endForwarding(claim.Address)
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(leaderCallTimeout)
