Don't close connections during the HTTP server's background read

The server starts its background read inside the last read of a body, before the body marks the request as complete. The connection counted as waiting then, and could be closed at the bound although its request had arrived.

A read of one byte outside a header is not marked as waiting.

TestBackgroundRead fails without the change. go test -race -count=1 ./internal/host/edge: ok.

--- a/internal/host/edge/conn.go
+++ b/internal/host/edge/conn.go
@@ -110,7 +110,7 @@
 		c.l.mu.Unlock()
 		return 0, c.goneError()
 	}
-	c.state.SetWaiting(true)
+	c.state.SetWaiting(!c.isBackgroundRead(p))
 	c.l.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	limits := c.l.limits()
@@ -148,6 +148,10 @@
 	return 0, c.goneError()
 }
 
+// isBackgroundRead reports whether a read is the one by which the HTTP server notices that the client has gone. It starts when
+// the server has read a body to its end, before the body says so, and is the only read of one byte. The lock is held.
+func (c *conn) isBackgroundRead(p []byte) bool { return !c.messages && !c.inHeader && len(p) == 1 }
+
 // hasGivenWay reports whether nothing more is read of the request in progress since it has given way. What is left of a body
 // that was refused when it began is read and dropped: a client that still sends would not see the answer. The lock is held.
 func (c *conn) hasGivenWay() bool { return c.state.GaveWay() && (c.inHeader || c.interrupted) }
