--- a/internal/command/cli/loadreport.go
+++ b/internal/command/cli/loadreport.go
@@ -223,8 +223,8 @@
 		"running":       func(t *teamLoad) *float64 { return &t.Running },
 		"waiting":       func(t *teamLoad) *float64 { return &t.Waiting },
 		"cores":         func(t *teamLoad) *float64 { return &t.Cores },
-		"limited_total": func(t *teamLoad) *float64 { return &t.Limited },
-		"held_total":    func(t *teamLoad) *float64 { return &t.Held },
+		"limited": func(t *teamLoad) *float64 { return &t.Limited },
+		"held":    func(t *teamLoad) *float64 { return &t.Held },
 	} {
 		f.each("team_"+name, func(labels map[string]string, v float64, _ *dto.Metric) {
 			*field(groupOf(s.teams, labels["team"])) += v
--- a/internal/host/telemetry/outcomes.go
+++ b/internal/host/telemetry/outcomes.go
@@ -23,8 +23,8 @@
 		cores:   teamMetric("cores", "Cores of the team's runs."),
 		memory:  teamMetric("memory_mb", "Memory of the team's runs in MiB."),
 		gpus:    teamMetric("accelerators", "Accelerators of the team's runs."),
-		limited: teamMetric("limited_total", "Jobs refused because of the team's limits since the term began."),
-		held:    teamMetric("held_total", "Starts that the team's quota held back since the term began."),
+		limited: teamMetric("limited", "Jobs refused because of the team's limits since the term began."),
+		held:    teamMetric("held", "Starts that the team's quota held back since the term began."),
 	}
 	return errors.Wrap(m.registry.Register(c), "telemetry: outcomes")
 }
@@ -169,7 +169,7 @@
 		send(c.cores, prometheus.GaugeValue, float64(t.Used.Cores)/1000)
 		send(c.memory, prometheus.GaugeValue, float64(t.Used.Memory))
 		send(c.gpus, prometheus.GaugeValue, float64(t.Used.Accelerators))
-		send(c.limited, prometheus.CounterValue, float64(t.Refused))
-		send(c.held, prometheus.CounterValue, float64(t.Held))
+		send(c.limited, prometheus.GaugeValue, float64(t.Refused))
+		send(c.held, prometheus.GaugeValue, float64(t.Held))
 	}
 }
--- a/internal/zone/dispatch/locality_gang.go
+++ b/internal/zone/dispatch/locality_gang.go
@@ -119,7 +119,7 @@
 // findMember returns the best worker for a member of a gang whose other members run already, if possible in their rack.
 func (s *Scheduler) findMember(now time.Time, t *task) *Worker {
 	st := t.stage
-	if !st.step().Colocated {
+	if !st.step().Colocated || s.remoteCost(st.step()) <= 0 {
 		return s.findWorker(now, t, nil)
 	}
 	if st.gangWait == nil {
