--- a/internal/command/cli/loadreport.go
+++ b/internal/command/cli/loadreport.go
@@ -220,9 +220,9 @@
 // addStates adds what the teams have at present.
 func (s *loadSums) addStates(f families) {
 	for name, field := range map[string]func(*teamLoad) *float64{
-		"running":       func(t *teamLoad) *float64 { return &t.Running },
-		"waiting":       func(t *teamLoad) *float64 { return &t.Waiting },
-		"cores":         func(t *teamLoad) *float64 { return &t.Cores },
+		"running": func(t *teamLoad) *float64 { return &t.Running },
+		"waiting": func(t *teamLoad) *float64 { return &t.Waiting },
+		"cores":   func(t *teamLoad) *float64 { return &t.Cores },
 		"limited": func(t *teamLoad) *float64 { return &t.Limited },
 		"held":    func(t *teamLoad) *float64 { return &t.Held },
 	} {
--- a/internal/host/telemetry/outcomes.go
+++ b/internal/host/telemetry/outcomes.go
@@ -161,15 +161,15 @@
 	}
 	for _, name := range names {
 		t := sums[name]
-		send := func(d *prometheus.Desc, kind prometheus.ValueType, v float64) {
-			out <- prometheus.MustNewConstMetric(d, kind, v, name)
+		send := func(d *prometheus.Desc, v float64) {
+			out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, name)
 		}
-		send(c.running, prometheus.GaugeValue, float64(t.Running))
-		send(c.waiting, prometheus.GaugeValue, float64(t.Waiting))
-		send(c.cores, prometheus.GaugeValue, float64(t.Used.Cores)/1000)
-		send(c.memory, prometheus.GaugeValue, float64(t.Used.Memory))
-		send(c.gpus, prometheus.GaugeValue, float64(t.Used.Accelerators))
-		send(c.limited, prometheus.GaugeValue, float64(t.Refused))
-		send(c.held, prometheus.GaugeValue, float64(t.Held))
+		send(c.running, float64(t.Running))
+		send(c.waiting, float64(t.Waiting))
+		send(c.cores, float64(t.Used.Cores)/1000)
+		send(c.memory, float64(t.Used.Memory))
+		send(c.gpus, float64(t.Used.Accelerators))
+		send(c.limited, float64(t.Refused))
+		send(c.held, float64(t.Held))
 	}
 }
