--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -179,9 +179,11 @@
 	manifestHidden bool
 	// ignoredVersion is the version of the last manifest that was ignored since it lacked its teams.
 	ignoredVersion uint64
-	// confirmation tracks when manifest was last known to be the newest. keyState is the last result of KeyState.
-	confirmation access.Confirmation
-	keyState     access.State
+	// confirmation tracks when manifest was last known to be the newest. loggedKeyState is the result of KeyState that was
+	// last logged, at keyStateLoggedAt.
+	confirmation     access.Confirmation
+	loggedKeyState   access.State
+	keyStateLoggedAt time.Time
 	// leaderStamp is the newest stamp of the leader with the newest known claim, 0 if there is none.
 	leaderStamp int64
 	// members holds the other known hosts by name.
@@ -193,6 +195,8 @@
 	stopping                          bool
 	// inflight is the number of callers' requests in progress.
 	inflight int
+	// forwarding is the number of requests in progress at other hosts, by address.
+	forwarding map[string]int
 	// watchWake wakes watchLeader.
 	watchWake chan struct{}
 
@@ -205,6 +209,8 @@
 	Table *route.Table
 	// MaxBody is the largest body of a request in bytes, 0 if the manifest sets no limit.
 	MaxBody int64
+	// Version is that of the manifest.
+	Version uint64
 	// Access holds the keys of the teams, nil if the manifest has no teams.
 	Access *access.Table
 }
@@ -241,6 +247,7 @@
 	h := &Host{
 		cfg: cfg, instance: uuid.NewString(), directory: d, workers: w, clock: c,
 		log: log, recorder: nopRecorder{}, evacuatedZones: map[string]bool{}, members: map[string]member{},
+		forwarding:    map[string]int{},
 		leaderChanged: make(chan struct{}), watchWake: make(chan struct{}, 1),
 	}
 	h.store = observedStore{store, h}
--- a/internal/host/entry/keys_test.go
+++ b/internal/host/entry/keys_test.go
@@ -44,7 +44,7 @@
 			{Tasks: 1, Size: fleet.Size{Cores: 8000}, Estimate: time.Second, MaxUnavailable: -1},
 		}}
 		send := func(h *Host, a Action, team string) dispatch.Outcome {
-			return sendRequest(h, Request{Action: a, Queue: "q", ID: id, Team: team, Spec: spec}).Outcome
+			return sendRequest(h, Request{Action: a, Queue: "q", ID: id, Team: team, ManifestVersion: 9, Spec: spec}).Outcome
 		}
 		check := func(h *Host) {
 			So(send(h, ActionSubmit, "team-1"), ShouldEqual, dispatch.OutcomeAccepted)
@@ -120,6 +120,37 @@
 	})
 }
 
+// TestFullManifestReplacesOneWithoutTeams guards against a host that has its first manifest from a leader of the previous version,
+// without the teams, and serves all routes without keys until the next version.
+func TestFullManifestReplacesOneWithoutTeams(t *testing.T) {
+	Convey("A host has a manifest that lacks its teams", t, func() {
+		quiet := logrus.New()
+		quiet.SetOutput(io.Discard)
+		h := &Host{log: quiet}
+		lacking := versionManifest(2)
+		lacking.Catalog.Teams, lacking.Keys, lacking.IncludesTeams = nil, nil, false
+		h.applyManifest(lacking, "leader")
+		So(h.Routing().Access, ShouldBeNil)
+		So(h.KeyState(), ShouldEqual, access.Confirmed)
+		h.applyManifest(versionManifest(1), "store")
+		So(h.Routing().Access, ShouldBeNil)
+		Convey("the full one of the same version replaces it, but not the other way round", func() {
+			h.applyManifest(versionManifest(2), "store")
+			So(h.Routing().Access.Len(), ShouldEqual, 1)
+			h.applyManifest(lacking, "leader")
+			So(h.Routing().Access.Len(), ShouldEqual, 1)
+		})
+	})
+}
+
+// TestKeyStateWithoutManifest guards against a key that is called unknown since the first manifest, which isn't confirmed yet, has
+// come into force between the reads of the state and of the keys.
+func TestKeyStateWithoutManifest(t *testing.T) {
+	Convey("The keys of a host without a manifest are unconfirmed", t, func() {
+		So((&Host{}).KeyState(), ShouldEqual, access.Unconfirmed)
+	})
+}
+
 // versionDirectory is a Directory with a list of manifests, whose version N has a route with the prefix /vN/ and the key
 // kN of the team tN. A read waits for the next manifest.
 type versionDirectory struct {
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -490,7 +490,7 @@
 		r := dispatch.Reply{Outcome: dispatch.OutcomeUnknownJob}
 		t.mu.Lock()
 		if t.scheduler.IsVisible(req.ID, req.Team) {
-			r = t.scheduler.Cancel(now, req.ID)
+			r = t.scheduler.Cancel(now, req.ID, req.Team)
 		}
 		t.mu.Unlock()
 		t.wakeLoops()
@@ -503,6 +503,7 @@
 	}
 	r := t.scheduler.Submit(now, dispatch.Request{
 		ID: req.ID, Queue: req.Queue, Team: req.Team, Spec: req.Spec, WallTime: t.host.clock.Wall(),
+		CatalogVersion: req.ManifestVersion,
 	})
 	t.mu.Unlock()
 	t.wakeLoops()
--- a/internal/request/access/access_test.go
+++ b/internal/request/access/access_test.go
@@ -60,9 +60,12 @@
 func TestDigestIsNotPrinted(t *testing.T) {
 	Convey("No format shows a digest", t, func() {
 		k := Key{NewDigest("k1"), "a"}
+		table := NewTable([]Key{k})
 		for _, format := range []string{"%v", "%+v", "%#v", "%x", "%s", "%d"} {
 			So(fmt.Sprintf(format, k.Digest), ShouldEqual, "[digest]")
 			So(fmt.Sprintf(format, k), ShouldContainSubstring, "[digest]")
+			So(fmt.Sprintf(format, table), ShouldEqual, "[1 keys]")
+			So(fmt.Sprintf(format, struct{ Access *Table }{table}), ShouldContainSubstring, "[1 keys]")
 		}
 	})
 }
@@ -109,3 +112,18 @@
 		})
 	})
 }
+
+// BenchmarkJudge measures what the key of a call costs at a host with 10,000 keys.
+func BenchmarkJudge(b *testing.B) {
+	keys := make([]Key, 10000)
+	for i := range keys {
+		keys[i] = Key{NewDigest(fmt.Sprintf("gkcuyj8pjbvk9m%06d", i)), "team"}
+	}
+	table := NewTable(keys)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, v := table.Judge("Token gkcuyj8pjbvk9m007777", false, Confirmed); v != Granted {
+			b.Fatal(v)
+		}
+	}
+}
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -122,8 +122,12 @@
 	// gangRuns counts the runs of a gang, gangReserved the members without a run that count against the quota of the team
 	// since others run.
 	gangRuns, gangReserved int
+	// gangStrays counts the orders without an answer, to members that have no run since, that count in place of these.
+	gangStrays int
 	// heldBack is the number of waiting tasks that were counted as held back by the quota.
 	heldBack int
+	// quotaHeldSince is since when the quota has let no task of the stage start, the zero time if the last one could.
+	quotaHeldSince time.Time
 	// backlog is the waiting work to which the waiting tasks belong, nil for long-running ones.
 	backlog *backlog
 	// isBeyondShare is set if tasks were left to the second pass of the last decision, see startInPasses.
@@ -218,6 +222,8 @@
 	Spec workflow.Spec
 	// WallTime is the time by the host's wall clock, used only to tell a later leader how old the job is.
 	WallTime time.Time
+	// CatalogVersion is the version of the catalog by which the team was identified, 0 if it is unknown.
+	CatalogVersion uint64
 }
 
 // Reply is the answer to a request about a job.
@@ -255,15 +261,21 @@
 	if !s.IsVisible(r.ID, r.Team) {
 		return Reply{Outcome: OutcomeTaken, Reason: "the id is taken"}
 	}
-	if j, ok := s.jobs[r.ID]; ok && j.isDenied() {
-		return s.refuseDenied(now, j)
-	} else if ok {
-		return Reply{Outcome: OutcomeAccepted, Batch: j.acceptedBatch}
+	earlier, ok := s.jobs[r.ID]
+	switch {
+	case ok && earlier.denies(r.Team):
+		return s.refuseDenied(now, earlier)
+	case ok && !earlier.isDenied():
+		return Reply{Outcome: OutcomeAccepted, Batch: earlier.acceptedBatch}
 	}
 	q, ok := s.catalog.Queues[r.Queue]
 	if !ok {
 		return Reply{Outcome: OutcomeUnknownQueue}
 	}
+	if r.CatalogVersion <= s.catalog.Version && !s.knowsTeam(r.Team) {
+		s.recordEvent(Event{Kind: "refuse", Job: r.ID, Reason: unknownTeamReason})
+		return Reply{Outcome: OutcomeRefused, RetryAfter: unknownTeamRetryAfter, Reason: unknownTeamReason}
+	}
 	j := s.newJob(r.ID, r.Queue, r.Spec, now, r.WallTime)
 	j.acceptedTerm = s.token
 	s.setTeam(j, r.Team)
@@ -272,6 +284,10 @@
 		s.recordEvent(Event{Kind: "refuse", Job: r.ID, Reason: refusal.Reason})
 		return refusal
 	}
+	if earlier != nil {
+		// The record of the job replaces that of the cancellation.
+		s.removeJob(earlier)
+	}
 	s.jobs[r.ID] = j
 	s.openJob(j)
 	s.openDueOccurrences(now, j)
@@ -420,13 +436,14 @@
 	return name[:end], parts[0], parts[1], parts[2], true
 }
 
-// Cancel ends a job. The answer may be given once the reply's batch is committed.
-func (s *Scheduler) Cancel(now time.Time, id string) Reply {
+// Cancel ends a job for a caller of the team, which may be empty. The answer may be given once the reply's batch is committed.
+func (s *Scheduler) Cancel(now time.Time, id, team string) Reply {
 	j, ok := s.jobs[id]
 	if !ok {
-		return s.deny(now, id)
+		return s.deny(now, id, team)
 	}
 	if j.isDenied() {
+		s.widenDenial(j, team)
 		return Reply{Outcome: OutcomeUnknownJob, Batch: j.finalBatch}
 	}
 	if !j.isFinal() {
--- a/internal/zone/dispatch/team.go
+++ b/internal/zone/dispatch/team.go
@@ -16,11 +16,11 @@
 	Quota fleet.Size
 }
 
-// IsVisible reports whether a caller of the team may see the job with the ID, which is so for an unknown one. An empty team
-// sees all jobs, and a job without a team is visible to all.
+// IsVisible reports whether a caller of the team may see the job with the ID, which is so for an unknown one, also if it was
+// cancelled. An empty team sees all jobs, and a job without a team is visible to all.
 func (s *Scheduler) IsVisible(id, team string) bool {
 	j, ok := s.jobs[id]
-	return !ok || team == "" || j.team == "" || j.team == team
+	return !ok || j.isDenied() || team == "" || j.team == "" || j.team == team
 }
 
 // anonymousWeight is the weight of all work without a team.
@@ -35,6 +35,11 @@
 	// Account holds the quota, and in its use all that counts against it: the runs, the orders that may be carried out late,
 	// what may run on workers of an earlier term, and the members of gangs and trials that are about to start.
 	quota.Account
+	// certain is the part of the use that the runs and the orders that may be carried out late have.
+	certain fleet.Size
+	// lasting is the part of the use that long-running tasks have.
+	lasting fleet.Size
+	quotaReservation
 	// uses holds what the team has in each service.
 	uses map[string]*teamUse
 	// openJobs counts the jobs that have not ended, openTasks the tasks in memory.
@@ -80,6 +85,23 @@
 	return a
 }
 
+const (
+	// unknownTeamRetryAfter is the time after which the caller of a job of an unknown team should retry: by then the host that
+	// has identified the team mostly has the leader's catalog.
+	unknownTeamRetryAfter = time.Second
+	unknownTeamReason     = "the team is not known"
+)
+
+// knowsTeam reports whether the terms of the team are known. A job of another one would wait for ever if no catalog with the
+// team followed, so it is accepted only from a host with a newer catalog than this one.
+func (s *Scheduler) knowsTeam(name string) bool {
+	if a := s.accounts[name]; a != nil {
+		return a.isKnown
+	}
+	_, ok := s.catalog.Teams[name]
+	return ok || name == ""
+}
+
 // useOf returns what the team has in the service.
 func (s *Scheduler) useOf(a *teamAccount, service string) *teamUse {
 	u := a.uses[service]
--- a/internal/zone/dispatch/team_quota_test.go
+++ b/internal/zone/dispatch/team_quota_test.go
@@ -186,7 +186,7 @@
 		Convey("it is reported once that nothing was held back for a while", func() {
 			for id, j := range sc.s.jobs {
 				if j.team == "t00" {
-					sc.s.Cancel(sc.now, id)
+					sc.s.Cancel(sc.now, id, "")
 				}
 			}
 			sc.now = sc.now.Add(quotaClearDelay)
@@ -226,6 +226,16 @@
 			}
 			So(starts, ShouldEqual, 1)
 		})
+		Convey("an overdue task that is held back doesn't have all workers looked at in each decision", func() {
+			step := newStep(5, 1000, time.Second)
+			step.LongRunning = true
+			sc.submit("a", step)
+			So(sc.start(), ShouldEqual, 4)
+			sc.now = sc.now.Add(5 * time.Second)
+			sc.answerAll()
+			So(sc.start(), ShouldEqual, 0)
+			So(sc.s.jobs[jobID(1)].openOccurrences[0].stages[0].overdueScanAt, ShouldEqual, sc.now)
+		})
 		Convey("a gang counts as a whole", func() {
 			gang := newStep(3, 1000, time.Second)
 			gang.Gang = true
@@ -249,10 +259,46 @@
 				So(again[0].Task, ShouldEqual, orders[0].Task)
 			})
 		})
+		Convey("a gang member whose order got no answer counts once, until the order ends and after that", func() {
+			gang := newStep(3, 1000, time.Second)
+			gang.Gang = true
+			sc.submit("a", gang)
+			orders := sc.decide()
+			So(orders, ShouldHaveLength, 3)
+			for _, o := range orders[1:] {
+				sc.s.HandleStartAnswer(sc.now, o, AnswerDone, 1000)
+			}
+			sc.s.HandleStartAnswer(sc.now, orders[0], AnswerMissing, 0)
+			lost := sc.s.findTask(orders[0].Task)
+			start := sc.now
+			for len(lost.runs) > 0 && sc.now.Before(start.Add(time.Minute)) {
+				sc.now = sc.now.Add(500 * time.Millisecond)
+				for i := range sc.workers {
+					id := fmt.Sprintf("w%03d", i)
+					var running []RunReport
+					for _, o := range orders[1:] {
+						if o.Worker == id {
+							running = append(running, RunReport{Task: o.Task, Number: o.Run, Progress: 50})
+						}
+					}
+					answer(sc.s, sc.now, id, running...)
+				}
+				commitTo(sc.s, sc.log)
+				So(sc.s.accountOf("a").Used().Cores, ShouldEqual, 3000)
+			}
+			So(lost.runs, ShouldBeEmpty)
+			So(len(sc.s.countedStrays), ShouldEqual, 1)
+			So(lost.stage.gangRuns, ShouldEqual, 2)
+			for k := range sc.s.countedStrays {
+				sc.s.uncountStray(k)
+			}
+			So(sc.s.accountOf("a").Used().Cores, ShouldEqual, 3000)
+			So(lost.stage.gangReserved, ShouldEqual, 1)
+		})
 		Convey("a run that is being stopped counts until its end is listed", func() {
 			sc.submit("a", newStep(1, 4000, time.Second))
 			sc.start()
-			sc.s.Cancel(sc.now, jobID(1))
+			sc.s.Cancel(sc.now, jobID(1), "")
 			sc.submit("a", newStep(1, 1000, time.Second))
 			So(sc.start(), ShouldEqual, 0)
 			sc.end("a", 1)
@@ -264,7 +310,7 @@
 			sc.submit("a", step)
 			orders := sc.decide()
 			sc.s.HandleStartAnswer(sc.now, orders[0], AnswerMissing, 0)
-			sc.s.Cancel(sc.now, jobID(1))
+			sc.s.Cancel(sc.now, jobID(1), "")
 			sc.submit("a", newStep(1, 1000, time.Second))
 			start := sc.now
 			for sc.now = start; sc.now.Before(start.Add(maxCallDelay)); sc.now = sc.now.Add(500 * time.Millisecond) {
@@ -296,8 +342,19 @@
 			gang.Gang = true
 			So(sc.submit("a", gang).Outcome, ShouldEqual, OutcomeRefused)
 		})
-		Convey("a job of a team that is not known is accepted, and waits until it is", func() {
-			So(sc.submit("b", newStep(1, 1000, time.Second)).Outcome, ShouldEqual, OutcomeAccepted)
+		Convey("a job of a team that is not known is refused, unless its host has a newer manifest", func() {
+			reply := sc.submit("b", newStep(1, 1000, time.Second))
+			So(reply.Outcome, ShouldEqual, OutcomeRefused)
+			So(reply.RetryAfter, ShouldEqual, time.Second)
+			So(sc.s.accounts, ShouldNotContainKey, "b")
+			request := Request{
+				ID: jobID(9), Queue: queueName, Team: "b", CatalogVersion: 1, WallTime: sc.now,
+				Spec: workflow.Spec{Steps: []workflow.Step{newStep(1, 1000, time.Second)}},
+			}
+			So(sc.s.Submit(sc.now, request).Outcome, ShouldEqual, OutcomeRefused)
+			request.CatalogVersion = 2
+			So(sc.s.Submit(sc.now, request).Outcome, ShouldEqual, OutcomeAccepted)
+			commitTo(sc.s, sc.log)
 			So(sc.start(), ShouldEqual, 0)
 			sc.s.SetCatalog(teamCatalog(2, Team{Name: "b", Weight: 1}))
 			So(sc.start(), ShouldEqual, 1)
@@ -311,14 +368,108 @@
 			sc.submit("a", newStep(5, 1000, time.Second))
 			So(sc.start(), ShouldEqual, 2)
 		})
+		Convey("which a leader records that has newer ones than the log, also without open jobs", func() {
+			sc.submit("a", newStep(1, 1000, time.Second))
+			sc.s.Cancel(sc.now, jobID(1), "")
+			commitTo(sc.s, sc.log)
+			sc.takeOver(2, teamCatalog(2, Team{Name: "a", Weight: 1, Quota: coreQuota(2000)}))
+			commitTo(sc.s, sc.log)
+			sc.takeOver(3, teamCatalog(3))
+			sc.answerAll()
+			sc.submit("a", newStep(5, 1000, time.Second))
+			So(sc.start(), ShouldEqual, 2)
+		})
 		Convey("a job that a host forwards after its team has left the manifest runs under the last terms", func() {
 			sc.s.SetCatalog(teamCatalog(2))
 			So(sc.submit("a", newStep(5, 1000, time.Second)).Outcome, ShouldEqual, OutcomeAccepted)
 			So(sc.start(), ShouldEqual, 4)
+			Convey("also under a leader that never knew the team", func() {
+				sc.takeOver(2, teamCatalog(2))
+				sc.answerAll()
+				So(sc.s.accountOf("a").isKnown, ShouldBeTrue)
+				So(sc.start(), ShouldEqual, 4)
+				Convey("and the record of the terms goes with the job", func() {
+					sc.s.Cancel(sc.now, jobID(1), "")
+					sc.now = sc.now.Add(2 * maintenanceInterval)
+					sc.decide()
+					So(sc.log[prefixTeam+"a"].Value, ShouldBeEmpty)
+				})
+			})
 		})
 	})
 }
 
+// TestSmallTasksLeaveQuotaToLargeOnes guards against a large task, or a gang, that never starts since small tasks of its team take
+// each part of the quota that becomes free, and against small tasks that wait for one which can't start beside long-running tasks.
+func TestSmallTasksLeaveQuotaToLargeOnes(t *testing.T) {
+	gang := newStep(4, 1000, 4*time.Second)
+	gang.Gang = true
+	for _, c := range []struct {
+		name  string
+		large workflow.Step
+	}{{"task", newStep(1, 4000, 4*time.Second)}, {"gang", gang}} {
+		Convey("A team has used its quota of four cores, and small tasks and a large "+c.name+" wait", t, func() {
+			sc := newTeamScenario(2, Team{Name: "a", Weight: 1, Quota: coreQuota(4000)})
+			// flow ends one small task and submits another, until none starts or the time is over, which it returns. New small
+			// tasks rank behind the large one from 3 s on.
+			flow := func() time.Duration {
+				start := sc.now
+				for sc.now.Before(start.Add(3 * quotaPatience)) {
+					sc.now = sc.now.Add(100 * time.Millisecond)
+					sc.answerAll()
+					sc.end("a", 1)
+					sc.submit("a", newStep(1, 1000, time.Second))
+					if sc.start() == 0 {
+						break
+					}
+				}
+				return sc.now.Sub(start)
+			}
+			Convey("which starts once it has waited for some time", func() {
+				sc.submit("a", newStep(4, 1000, time.Second))
+				So(sc.start(), ShouldEqual, 4)
+				sc.submit("a", c.large)
+				So(flow(), ShouldBeBetween, quotaPatience, 2*quotaPatience)
+				sc.end("a", 3)
+				sc.start()
+				So(sc.s.jobs[jobID(2)].openOccurrences[0].stages[0].waiting, ShouldEqual, 0)
+				So(sc.s.accountOf("a").Used().Cores, ShouldEqual, 4000)
+			})
+			Convey("which can't start beside a long-running task: the small ones go on", func() {
+				serve := newStep(1, 1000, time.Second)
+				serve.LongRunning = true
+				sc.submit("a", serve)
+				So(sc.start(), ShouldEqual, 1)
+				sc.submit("a", newStep(3, 1000, time.Second))
+				So(sc.start(), ShouldEqual, 3)
+				sc.submit("a", c.large)
+				start := sc.now
+				for sc.now.Before(start.Add(2 * quotaPatience)) {
+					sc.now = sc.now.Add(100 * time.Millisecond)
+					sc.answerAll()
+					sc.submit("a", newStep(1, 1000, time.Second))
+					ended := false
+					for _, w := range sc.s.WorkerIDs() {
+						for _, r := range sc.s.runsOf(sc.s.workers[w]) {
+							if ended || r.task.step().LongRunning {
+								continue
+							}
+							ended = true
+							sc.serials[w]++
+							sc.s.HandleReport(sc.now, Report{
+								Worker: w, Boot: 1, Clock: 1000 + sc.now.Sub(simEpoch).Milliseconds(), Running: sc.others(r),
+								Ended: []EndReport{{Serial: sc.serials[w], Task: r.task.name, Number: r.number, Reason: EndDone}},
+							})
+						}
+					}
+					commitTo(sc.s, sc.log)
+					So(sc.start(), ShouldEqual, 1)
+				}
+			})
+		})
+	}
+}
+
 // TestQuotaHoldsAfterChangeOfLeader guards against a team that gets its quota a second time from a new leader, which doesn't
 // know yet what the earlier one has started, or has a manifest without the team or with other terms.
 func TestQuotaHoldsAfterChangeOfLeader(t *testing.T) {
@@ -353,6 +504,17 @@
 				So(sc.decide(), ShouldHaveLength, 1)
 			})
 		}
+		Convey("and tasks that only may run don't keep it from repeating orders and moving runs", func() {
+			sc.submit("a", newStep(8, 1000, time.Minute))
+			sc.takeOver(2, teamCatalog(1, team))
+			answer(sc.s, sc.now, "w000", on("w000")...)
+			commitTo(sc.s, sc.log)
+			So(sc.s.accountOf("a").Used().Cores, ShouldBeGreaterThan, 4000)
+			st := sc.s.findTask(orders[0].Task).stage
+			So(sc.s.mayRestart(st), ShouldBeTrue)
+			sc.s.SetCatalog(teamCatalog(2, Team{Name: "a", Weight: 1, Quota: coreQuota(1000)}))
+			So(sc.s.mayRestart(st), ShouldBeFalse)
+		})
 		Convey("and the starts have not arrived", func() {
 			sc.takeOver(2, teamCatalog(1, team))
 			sc.submit("a", newStep(4, 1000, time.Second))
@@ -372,7 +534,7 @@
 			})
 		})
 		Convey("and the job was cancelled before", func() {
-			sc.s.Cancel(sc.now, jobID(1))
+			sc.s.Cancel(sc.now, jobID(1), "")
 			commitTo(sc.s, sc.log)
 			sc.takeOver(2, teamCatalog(1, team))
 			sc.submit("a", newStep(4, 1000, time.Second))
@@ -394,7 +556,7 @@
 		})
 		Convey("the record of the terms goes once the team has left and has no open jobs", func() {
 			So(sc.log, ShouldContainKey, prefixTeam+"a")
-			sc.s.Cancel(sc.now, jobID(1))
+			sc.s.Cancel(sc.now, jobID(1), "")
 			sc.s.SetCatalog(teamCatalog(2))
 			sc.now = sc.now.Add(2 * maintenanceInterval)
 			sc.decide()
--- a/internal/zone/dispatch/team_share_test.go
+++ b/internal/zone/dispatch/team_share_test.go
@@ -81,7 +81,7 @@
 		Convey("what a team doesn't use goes to the others", func() {
 			for id, j := range sc.s.jobs {
 				if j.team == "a" {
-					sc.s.Cancel(sc.now, id)
+					sc.s.Cancel(sc.now, id, "")
 				}
 			}
 			commitTo(sc.s, sc.log)
@@ -107,6 +107,62 @@
 	})
 }
 
+// TestSmallEntitlementAllowsOneStart guards against a team whose entitlement is smaller than one of its tasks or gangs, and which
+// therefore waits until a team with earlier work has none left.
+func TestSmallEntitlementAllowsOneStart(t *testing.T) {
+	teams := make([]Team, 0, 40)
+	for i := range 40 {
+		teams = append(teams, Team{Name: fmt.Sprintf("t%02d", i), Weight: 1})
+	}
+	gang := newStep(2, 1000, time.Second)
+	gang.Gang = true
+	for _, c := range []struct {
+		name string
+		step workflow.Step
+		ends int
+	}{{"tasks", newStep(3, 1000, time.Second), 1}, {"gangs", gang, 2}} {
+		Convey("One of 40 teams has filled a service of 16 cores, and the others have "+c.name, t, func() {
+			sc := newTeamScenario(2, teams...)
+			for range 80 {
+				sc.submitTo("urgent", "t00", newStep(10, 1000, time.Second))
+			}
+			So(sc.start(), ShouldEqual, 16)
+			for i := 1; i < 40; i++ {
+				sc.submit(teams[i].Name, c.step)
+			}
+			for range 5 {
+				sc.now = sc.now.Add(50 * time.Millisecond)
+				sc.answerAll()
+				sc.end("t00", c.ends)
+				So(sc.start(), ShouldEqual, c.ends)
+			}
+			So(sc.cores("t00"), ShouldEqual, 16_000-5*1000*c.ends)
+			for i := 1; i < 40; i++ {
+				So(sc.cores(teams[i].Name), ShouldBeLessThanOrEqualTo, 1000*c.ends)
+			}
+			u := sc.s.useOf(sc.s.accountOf("t39"), "svc")
+			u.used, u.running = fleet.Size{}, 0
+			So(sc.s.mayPlanFor(u, coreQuota(1000), fleet.Size{}), ShouldBeTrue)
+			So(sc.s.mayPlanFor(u, coreQuota(1000), coreQuota(1000)), ShouldBeFalse)
+		})
+	}
+}
+
+// TestCapacityOfNewService guards against the first jobs of a service that are taken for beyond the shares of their teams, since
+// the capacity of the service has not been added up yet.
+func TestCapacityOfNewService(t *testing.T) {
+	Convey("The first workers and the first job of a service come right after a decision", t, func() {
+		sc := newTeamScenario(0, Team{Name: "a", Weight: 1})
+		sc.start()
+		sc.now = sc.now.Add(10 * time.Millisecond)
+		sc.workers = 2
+		sc.answerAll()
+		sc.submit("a", newStep(1, 1000, time.Second))
+		So(sc.start(), ShouldEqual, 1)
+		So(sc.s.useOf(sc.s.accountOf("a"), "svc").entitled.Cores, ShouldEqual, 16_000)
+	})
+}
+
 // newTeamBench returns a scheduler of 490 full workers with 50000 waiting tasks of 50 queues, and a function that ends some
 // runs, decides and returns the number of starts. With teams each queue's jobs belong to one, and quotaCores is the quota of each in thousandths.
 func newTeamBench(withTeams bool, quotaCores int64) (decide func() int) {
