Count the fields of a header against the share of its server

What callers saw: clients that send headers of legal size with thousands of short fields, and bodies that stop short of their end, take a host beyond its memory limit.

Cause: a share counts three bytes for each byte of a request. A field of four bytes takes some 150 bytes in the map of the parsed header, and that stays as long as the body is awaited.

Change: a request now states what it needs as bytes, header fields and decoded form. A connection counts the lines of a header as they arrive, 256 bytes each. The first 4 KiB of a request, three bytes for each, stay free, so that ordinary headers hold nothing. No request is refused for its fields alone: a single one may always have what it needs.

--- a/internal/host/edge/conn.go
+++ b/internal/host/edge/conn.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -31,6 +32,12 @@
 // errGone is the error of reading from a connection that has been closed or whose request was refused.
 var errGone = errors.New("edge: the connection is no longer served")
 
+// lineEnd ends a line of a header, and headerEnd the header.
+var (
+	lineEnd   = []byte("\n")
+	headerEnd = []byte("\r\n\r\n")
+)
+
 // interruptTime is a read deadline in the past.
 var interruptTime = time.Unix(1, 0)
 
@@ -46,6 +53,8 @@
 	uncounted int
 	// inHeader is set until the header of the request in progress has arrived.
 	inHeader bool
+	// fields is the number of lines that have arrived of the header.
+	fields int
 	// asked is the read deadline that the server has set, and phaseEnd that of the phase. Either may be zero.
 	asked, phaseEnd time.Time
 	// late is set once a header has not arrived in time.
@@ -124,7 +133,7 @@
 	case c.hasGivenWay():
 		status, reason = http.StatusServiceUnavailable, ReasonBytes
 	case n > 0 && c.state.Phase() != limit.PhaseComplete:
-		status, reason = c.arrived(n, limits)
+		status, reason = c.arrived(p[:n], limits)
 	case n > 0 && c.messages:
 		status, reason = c.arrivedDuringCall(n)
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.inHeader && c.state.Phase() == limit.PhaseIncomplete && !c.late:
@@ -156,9 +165,9 @@
 // that was refused when it began is read and dropped: a client that still sends would not see the answer. The lock is held.
 func (c *conn) hasGivenWay() bool { return c.state.GaveWay() && (c.inHeader || c.interrupted) }
 
-// arrived counts n bytes of a request. If the request is refused, it returns the status and the reason. The lock is held.
-func (c *conn) arrived(n int, limits Limits) (int, Reason) {
-	now := time.Now()
+// arrived counts input of a request. If the request is refused, it returns the status and the reason. The lock is held.
+func (c *conn) arrived(input []byte, limits Limits) (int, Reason) {
+	now, n := time.Now(), len(input)
 	if c.state.Phase() == limit.PhaseIdle {
 		if c.messages {
 			if c.uncounted += n; c.uncounted < messageBytes {
@@ -179,7 +188,10 @@
 		c.l.share.Release(c.state)
 		return http.StatusRequestHeaderFieldsTooLarge, ReasonHeaderSize
 	}
-	victims, ok := c.l.share.Reserve(now, c.state, c.state.Received(), false)
+	if !c.messages {
+		c.fields += countLines(input)
+	}
+	victims, ok := c.l.share.Reserve(now, c.state, limit.Need{Bytes: c.state.Received(), Fields: c.fields}, false)
 	if !ok {
 		return http.StatusServiceUnavailable, ReasonBytes
 	}
@@ -187,6 +199,14 @@
 	return 0, ""
 }
 
+// countLines returns the number of lines of a header's input, without the beginning of a body that was read along with it.
+func countLines(input []byte) int {
+	if end := bytes.Index(input, headerEnd); end >= 0 {
+		input = input[:end]
+	}
+	return bytes.Count(input, lineEnd)
+}
+
 // arrivedDuringCall counts n bytes that arrive on a connection of peers before its call has been answered. Once the answer is
 // being written, they may belong to the next call. The lock is held.
 func (c *conn) arrivedDuringCall(n int) (int, Reason) {
@@ -196,7 +216,7 @@
 		return http.StatusServiceUnavailable, ReasonBytes
 	}
 	c.state.Arrived(now, n)
-	victims, ok := c.l.share.Reserve(now, c.state, c.state.Received(), false)
+	victims, ok := c.l.share.Reserve(now, c.state, limit.Need{Bytes: c.state.Received()}, false)
 	if !ok {
 		return http.StatusServiceUnavailable, ReasonBytes
 	}
@@ -278,5 +298,5 @@
 // finish says that the request in progress has been answered. The lock is held.
 func (c *conn) finish(now time.Time) {
 	c.l.share.Finish(now, c.state)
-	c.inHeader, c.answerEnd = true, time.Time{}
+	c.inHeader, c.fields, c.answerEnd = true, 0, time.Time{}
 }
--- a/internal/host/edge/http.go
+++ b/internal/host/edge/http.go
@@ -95,10 +95,10 @@
 type body struct {
 	io.ReadCloser
 	c *conn
-	// header is what had arrived of the request before the body was read, and length the length of the body, -1 if it is
-	// unknown or above the limit.
-	header, length int64
-	maxBytes       int64
+	// header is what the request needed before the body was read.
+	header limit.Need
+	// length is the length of the body, -1 if it is unknown or above the limit.
+	length, maxBytes int64
 	// n is what has been read, room what may be read with what is reserved.
 	n, room int64
 	// done is set once all has been read.
@@ -113,7 +113,7 @@
 	}
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
-	b.header = c.state.Received()
+	b.header = limit.Need{Bytes: c.state.Received(), Fields: c.fields}
 	c.state.SetIncomplete()
 	c.setPhaseEnd(time.Now().Add(limits.BodyTimeout))
 	return b
@@ -143,19 +143,33 @@
 	}
 	// What comes after the largest body is not kept.
 	room = max(room, b.n+1)
-	l := b.c.l
-	l.mu.Lock()
-	victims, ok := l.share.Reserve(time.Now(), b.c.state, b.header+room, b.length >= 0 || room > b.maxBytes)
-	l.interrupt(victims)
-	l.mu.Unlock()
-	if !ok {
-		l.edge.report(l.server, ReasonBytes)
+	if !b.c.reserve(b.need(room, 0), b.length >= 0 || room > b.maxBytes) {
 		return limit.NewOverload()
 	}
 	b.room = room
 	return nil
 }
 
+// need returns what the request needs with n bytes of its body and the memory that their decoded form takes.
+func (b *body) need(n, decoded int64) limit.Need {
+	need := b.header
+	need.Bytes += n
+	need.Decoded = decoded
+	return need
+}
+
+// reserve has the connection hold what the request in progress needs. It returns false if that request has to give way.
+func (c *conn) reserve(need limit.Need, whole bool) bool {
+	c.l.mu.Lock()
+	victims, ok := c.l.share.Reserve(time.Now(), c.state, need, whole)
+	c.l.interrupt(victims)
+	c.l.mu.Unlock()
+	if !ok {
+		c.l.edge.report(c.l.server, ReasonBytes)
+	}
+	return ok
+}
+
 // arrived counts what was read. It returns an error if the request has given way meanwhile, even if the body has arrived as
 // a whole, since the answer to it might be lost.
 func (b *body) arrived(n int, err error) (int, error) {
--- a/internal/request/limit/share.go
+++ b/internal/request/limit/share.go
@@ -13,6 +13,9 @@
 	// costPerByte is the memory that a byte of a request takes: the buffer into which it is read, what that leaves behind as
 	// it grows, and the decoded form.
 	costPerByte = 3
+	// costPerField is the memory that a field of a header takes apart from its bytes: its part of a map, two strings, and what
+	// the map leaves behind as it grows.
+	costPerField = 256
 	// stallTime is the time without input after which a request is stalled, and the least age that counts in its rate.
 	stallTime = time.Second
 )
@@ -41,6 +44,8 @@
 	received int64
 	// held is the number of bytes that the connection holds of its share. It is 0 if released is set.
 	held int64
+	// buffered is the part of held that is not for decoded forms.
+	buffered int64
 	// whole is set if the request holds all that it can need.
 	whole bool
 	// waiting is set while the server waits for input. What the server has read but not looked at may complete the request,
@@ -181,19 +186,37 @@
 	return a.since.Compare(b.since)
 }
 
-// Reserve has a connection hold what n bytes of its request cost, and whole says that the request needs no more. It returns
-// the connections whose requests give way for that, and false if it is the request itself that has to.
+// Need is what a request takes of a share.
+type Need struct {
+	// Bytes is how much of the request has arrived or is read next.
+	Bytes int64
+	// Fields is the number of fields of its header.
+	Fields int
+	// Decoded is the memory in bytes that its decoded form takes beyond what is counted for its bytes.
+	Decoded int64
+}
+
+// cost returns the memory in bytes that the request takes beyond PrepaidBytes of it.
+func (n Need) cost() int64 {
+	return max(0, costPerByte*(n.Bytes-PrepaidBytes)+costPerField*int64(n.Fields)+n.Decoded)
+}
+
+// Reserve has a connection hold what its request needs, and whole says that the request needs no more. It returns the
+// connections whose requests give way for that, and false if it is the request itself that has to.
 //
 // At the bound, stalled requests give way first, then those that arrive at a lower rate than this one, slowest first. A
 // request that holds all that it needs gives way only if it is stalled. No request gives way in vain: if there are not
 // enough that can, this one does. A single request may always hold what it needs.
-func (s *Share) Reserve(now time.Time, c *Conn, n int64, whole bool) ([]*Conn, bool) {
+func (s *Share) Reserve(now time.Time, c *Conn, need Need, whole bool) ([]*Conn, bool) {
 	if c.released || c.closed {
 		return nil, false
 	}
 	c.whole = c.whole || whole
-	held := costPerByte * max(0, n-PrepaidBytes)
+	held := need.cost()
+	need.Decoded = 0
+	buffered := max(c.buffered, need.cost())
 	if held <= c.held {
+		c.buffered = buffered
 		return nil, true
 	}
 	others := s.held - c.held
@@ -217,7 +240,7 @@
 		}
 	}
 	s.held += held - c.held
-	c.held = held
+	c.held, c.buffered = held, buffered
 	return victims, true
 }
 
@@ -248,31 +271,33 @@
 
 // Release has the request in progress on a connection give way. It holds nothing any more.
 func (s *Share) Release(c *Conn) {
-	s.held -= c.held
-	c.held, c.released = 0, true
+	s.hold(c, 0)
+	c.released = true
+}
+
+// hold has the connection hold n bytes, all of them in buffers.
+func (s *Share) hold(c *Conn, n int64) {
+	s.held += n - c.held
+	c.held, c.buffered = n, n
 }
 
 // Handled says that the server has no more use for what has arrived of the request in progress. Its answer may not have been
 // sent yet.
-func (s *Share) Handled(c *Conn) {
-	s.held -= c.held
-	c.held = 0
-}
+func (s *Share) Handled(c *Conn) { s.hold(c, 0) }
 
 // Finish says that the request in progress has been answered.
 func (s *Share) Finish(now time.Time, c *Conn) {
-	s.held -= c.held
-	c.held, c.received, c.whole, c.released = 0, 0, false, false
+	s.hold(c, 0)
+	c.received, c.whole, c.released = 0, false, false
 	c.phase, c.since = PhaseIdle, now
 }
 
-// FinishMessage says that the request in progress has been answered, while the connection goes on to hold what it holds. It
+// FinishMessage says that the request in progress has been answered, while the connection goes on to hold its buffers. It
 // gives way like a request, once it is idle.
 func (s *Share) FinishMessage(now time.Time, c *Conn) {
-	held := c.held
+	buffered := c.buffered
 	s.Finish(now, c)
-	c.held = held
-	s.held += held
+	s.hold(c, buffered)
 }
 
 // Close removes a connection. It has no effect on one that is not in the share any more.
@@ -280,7 +305,7 @@
 	if c.closed {
 		return
 	}
-	s.held -= c.held
-	c.held, c.closed = 0, true
+	s.hold(c, 0)
+	c.closed = true
 	delete(s.conns, c)
 }
--- a/internal/request/limit/share_test.go
+++ b/internal/request/limit/share_test.go
@@ -72,7 +72,7 @@
 		before[o] = *o
 	}
 	held := m.Held()
-	victims, ok := m.Reserve(m.now, c, n, whole)
+	victims, ok := m.Reserve(m.now, c, Need{Bytes: n}, whole)
 	if !ok && !before[c].released && held-before[c].held+costPerByte*n <= m.size.Bytes {
 		t.Fatal("a request was refused although there was room")
 	}
@@ -150,7 +150,7 @@
 	}
 	c.SetWaiting(true)
 	c.Arrived(epoch, received)
-	if _, ok := s.Reserve(epoch, c, int64(received), whole); !ok {
+	if _, ok := s.Reserve(epoch, c, Need{Bytes: int64(received)}, whole); !ok {
 		t.Fatal("no room for a request")
 	}
 	return c
@@ -161,7 +161,7 @@
 	s := NewShare(Size{Conns: 4, Bytes: 1000})
 	s.request(t, 0, 200_000, true)
 	small := s.request(t, 0, PrepaidBytes, true)
-	if _, ok := s.Reserve(epoch, small, PrepaidBytes+1, true); ok {
+	if _, ok := s.Reserve(epoch, small, Need{Bytes: PrepaidBytes + 1}, true); ok {
 		t.Fatal("a second request holds bytes beyond the bound")
 	}
 }
@@ -178,7 +178,7 @@
 	fresh := func(now time.Time) (bool, int) {
 		c, _ := s.Admit(now)
 		c.Arrived(now, PrepaidBytes)
-		victims, ok := s.Reserve(now, c, body, true)
+		victims, ok := s.Reserve(now, c, Need{Bytes: body}, true)
 		return ok, len(victims)
 	}
 	if ok, _ := fresh(epoch.Add(stallTime / 2)); ok {
@@ -240,3 +240,27 @@
 		}
 	}
 }
+
+// TestNeed guards against short fields and decoded forms that take memory without being counted, and against those of a message
+// that are counted after its answer, while its buffer is not.
+func TestNeed(t *testing.T) {
+	now := epoch
+	s := NewShare(Size{Conns: 2, Bytes: 1 << 20})
+	c, _ := s.Admit(now)
+	reserve := func(need Need, held int64) {
+		t.Helper()
+		if _, ok := s.Reserve(now, c, need, false); !ok || s.Held() != held {
+			t.Fatalf("%+v: the share holds %d bytes, want %d", need, s.Held(), held)
+		}
+	}
+	prepaid := int64(costPerByte * PrepaidBytes)
+	reserve(Need{Bytes: 1000, Fields: 20}, 0)
+	reserve(Need{Bytes: PrepaidBytes, Fields: 1000}, 1000*costPerField)
+	s.Finish(now, c)
+	reserve(Need{Bytes: PrepaidBytes + 1000}, 1000*costPerByte)
+	reserve(Need{Decoded: 100_000}, 100_000-prepaid)
+	s.FinishMessage(now, c)
+	if s.Held() != 1000*costPerByte {
+		t.Fatalf("the connection holds %d bytes after the answer, want those of its buffer", s.Held())
+	}
+}
--- a/internal/standin/untrusted/crowd_test.go
+++ b/internal/standin/untrusted/crowd_test.go
@@ -228,11 +228,19 @@
 // checkCrowd starts a host and a crowd of n clients, each of which connects, calls behave and stays. The test fails if the
 // host ends, takes more memory or descriptors than its settings say, or doesn't answer an ordinary request afterwards.
 func checkCrowd(t *testing.T, n int, behave func(c *client) error) {
-	checkCrowdAt(t, n, func(h *testHost) string { return h.callers }, behave)
+	checkCrowdAt(t, n, callersAddress, behave)
 }
 
+// callersAddress returns the address for callers.
+func callersAddress(h *testHost) string { return h.callers }
+
 // checkCrowdAt is checkCrowd with a crowd at another address of the host.
 func checkCrowdAt(t *testing.T, n int, address func(h *testHost) string, behave func(c *client) error) {
+	checkCrowdOf(t, n, descriptors, address, behave)
+}
+
+// checkCrowdOf is checkCrowdAt with another number of descriptors in the settings of the host.
+func checkCrowdOf(t *testing.T, n, descriptors int, address func(h *testHost) string, behave func(c *client) error) {
 	n = envNumber(t, "UNTRUSTED_CLIENTS", n)
 	h := startHost(t, envNumber(t, "UNTRUSTED_MEMORY", memoryMiB), envNumber(t, "UNTRUSTED_FDS", descriptors))
 	idle := h.peakMemory()
