--- /dev/null
+++ b/internal/standin/untrusted/submissions_test.go
@@ -0,0 +1,63 @@
+//go:build linux
+
+package untrusted
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// decodedClients is the size of the crowds whose requests arrive as a whole and take much more memory once they are decoded.
+const decodedClients = 100
+
+// TestManySmallSteps guards against clients that fill the memory with bodies of legal size whose short elements take a hundred
+// times their length once they are decoded.
+func TestManySmallSteps(t *testing.T) {
+	body := listBody(`{"Spec":"","Steps":[`, `{}`, `]}`)
+	checkCrowd(t, decodedClients, func(c *client) error { return c.submit("b1", body) })
+}
+
+// TestManyNumbersForSteps guards against the same with elements of the wrong type.
+func TestManyNumbersForSteps(t *testing.T) {
+	body := listBody(`{"Spec":"","Steps":[`, `0`, `]}`)
+	checkCrowd(t, decodedClients, func(c *client) error { return c.submit("b2", body) })
+}
+
+// TestLongDependencyLists guards against clients that fill the memory with long lists of numbers, which jobs keep.
+func TestLongDependencyLists(t *testing.T) {
+	body := listBody(`{"Spec":"","Steps":[{"Count":1},{"Count":1,"DependsOn":[`, `0`, `]}]}`)
+	checkCrowd(t, clients, func(c *client) error { return c.submit(fmt.Sprintf("c%03d", c.n), body) })
+}
+
+// listBody returns a body of bodyBytes bytes with a list of equal elements.
+func listBody(begin, element, end string) string {
+	n := (bodyBytes - len(begin) - len(end) - len(element)) / (len(element) + 1)
+	return begin + strings.Repeat(element+",", n) + element + end
+}
+
+// jobID returns a well-formed ID that begins with the digits.
+func jobID(digits string) string { return digits + strings.Repeat("0", 16-len(digits)) }
+
+// submit submits a job whose ID begins with the digits, and reads the answer.
+func (c *client) submit(digits, body string) error {
+	return c.exchange(fmt.Sprintf("POST /batch/%s HTTP/1.1\r\nHost: jobs.example\r\nDeadline-Ms: 30000\r\nContent-Length: %d\r\n\r\n%s",
+		jobID(digits), len(body), body))
+}
+
+// exchange sends a request and reads the answer.
+func (c *client) exchange(request string) error {
+	if err := c.sendAll(request); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
