Check the structure of peers' messages before they are decoded

What was seen: one message of 30 bytes at the address for other hosts ends the process, if it announces a list of 2^32 steps. Messages of 500 kB with empty elements, or of 1 MiB of nested lists, take a host to several times its memory.

Cause: the package msgpack takes the memory for all elements of a list as soon as it has read the length (its limit for that is never in force, since it compares a flag with 1), and it recurses once for each level of what it skips.

Change: the codec of peers walks through a message first. It refuses one that announces more values than its bytes can hold, or that has over 32 levels, and adds up what its lists and maps take once they are decoded. The server reserves that in its share before it decodes; without room the connection is closed and the message not carried out, as before for its bytes. The list of a job's steps refuses more than workflow.MaxSteps elements.

--- a/internal/host/edge/message.go
+++ b/internal/host/edge/message.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"time"
+
+	"sassafraswind.example/sassafraswind/internal/request/limit"
 )
 
 // MessageListener is a Listener for a server of messages that don't follow HTTP. The server tells its connections when a
@@ -34,6 +36,23 @@
 	return true
 }
 
+// ReserveDecoded reserves memory in bytes for the decoded form of the message that has arrived, beyond what is counted for its
+// bytes. It returns false if there is no room; the message must not be decoded then, and the connection is closed, since its
+// reader keeps the buffer.
+func (c *conn) ReserveDecoded(memory int64) bool {
+	c.l.mu.Lock()
+	received := c.state.Received()
+	c.l.mu.Unlock()
+	if c.reserve(limit.Need{Bytes: received, Decoded: memory}, true) {
+		return true
+	}
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.interrupted = true
+	c.applyReadDeadline()
+	return false
+}
+
 // MessageAnswered says that the message has been answered. The buffer of the server's reader keeps the size of the largest
 // message until the connection closes, so that what the message holds stays reserved.
 func (c *conn) MessageAnswered() {
--- a/internal/host/node/job.go
+++ b/internal/host/node/job.go
@@ -240,7 +240,7 @@
 	switch m.Action {
 	case peer.JobSubmit:
 		var a job.Accept
-		if err := msgpack.Unmarshal(m.Record, &a); err != nil {
+		if err := peer.Decode(m.Record, &a); err != nil {
 			return peer.JobReply{}, errors.Wrap(err, "node: decode accept of peer")
 		}
 		return peer.JobReply{Reply: n.acceptInOwnZone(ctx, a)}, nil
--- a/internal/host/peer/peer.go
+++ b/internal/host/peer/peer.go
@@ -54,7 +54,16 @@
 func (codec) Marshal(msg drpc.Message) ([]byte, error) { return msgpack.Marshal(msg) }
 
 // Unmarshal implements drpc.Encoding.
-func (codec) Unmarshal(buf []byte, msg drpc.Message) error { return msgpack.Unmarshal(buf, msg) }
+func (codec) Unmarshal(buf []byte, msg drpc.Message) error { return Decode(buf, msg) }
+
+// Decode decodes a message, or a part of one that the sender has encoded by itself. It returns an error before it takes memory
+// for more than the data can hold.
+func Decode(data []byte, v any) error {
+	if _, err := decodedMemory(data); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(data, v)
+}
 
 // Handler serves one call of a method on a stream.
 type Handler func(stream drpc.Stream) error
@@ -63,25 +72,69 @@
 type countedConn interface {
 	// MessageArrived says that a message has arrived as a whole. It returns false if the message must not be carried out.
 	MessageArrived() bool
+	// ReserveDecoded reserves memory in bytes for the decoded form of the message. It returns false if there is none, and the
+	// message must not be decoded.
+	ReserveDecoded(memory int64) bool
 	// MessageAnswered says that the message has been answered.
 	MessageAnswered()
 }
 
+// errRefused is the error of a message that was refused for what connections and messages hold together.
+var errRefused = errors.New("peer: the message was refused and not carried out")
+
+// countedCodec is the codec of one message that arrives on a countedConn.
+type countedCodec struct {
+	codec
+	conn countedConn
+	// arrived is set once the message has been counted as arrived, so that its answer ends it.
+	arrived bool
+}
+
+// Unmarshal implements drpc.Encoding.
+func (c *countedCodec) Unmarshal(buf []byte, msg drpc.Message) error {
+	if c.arrived = c.conn.MessageArrived(); !c.arrived {
+		return errRefused
+	}
+	memory, err := decodedMemory(buf)
+	if err != nil {
+		return err
+	}
+	if !c.conn.ReserveDecoded(memory) {
+		return errRefused
+	}
+	return msgpack.Unmarshal(buf, msg)
+}
+
+// answered says that the message has been answered, if it has arrived.
+func (c *countedCodec) answered() {
+	if c.arrived {
+		c.conn.MessageAnswered()
+	}
+}
+
+// receive decodes the message of a call. The returned function must be called once the call has been answered.
+func receive(stream drpc.Stream, msg drpc.Message) (answered func(), err error) {
+	tr, _ := drpcctx.Transport(stream.Context())
+	conn, ok := tr.(countedConn)
+	if !ok {
+		return func() {}, stream.MsgRecv(msg, codec{})
+	}
+	c := &countedCodec{conn: conn}
+	err = stream.MsgRecv(msg, c)
+	return c.answered, err
+}
+
+// Handler
+
 // UnaryHandler returns the handler of a unary method that fn implements.
 func UnaryHandler[Req, Rep any](fn func(context.Context, Req) (Rep, error)) Handler {
 	return func(stream drpc.Stream) error {
 		var req Req
-		if err := stream.MsgRecv(&req, codec{}); err != nil {
+		answered, err := receive(stream, &req)
+		defer answered()
+		if err != nil {
 			return errors.Wrap(err, "peer: receive")
 		}
-		if tr, ok := drpcctx.Transport(stream.Context()); ok {
-			if c, ok := tr.(countedConn); ok {
-				if !c.MessageArrived() {
-					return errors.New("peer: the message was refused and not carried out")
-				}
-				defer c.MessageAnswered()
-			}
-		}
 		rep, err := fn(stream.Context(), req)
 		if err != nil {
 			return err
--- a/internal/standin/untrusted/peers_test.go
+++ b/internal/standin/untrusted/peers_test.go
@@ -3,9 +3,14 @@
 package untrusted
 
 import (
+	"context"
 	"encoding/binary"
+	"math"
 	"strings"
 	"testing"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
 )
 
 // peerMessageBytes is the size of a large message to a peer, below the limit of 4 MiB.
@@ -26,3 +31,53 @@
 func TestSilentPeers(t *testing.T) {
 	checkCrowdAt(t, silentClients, peersAddress, func(*client) error { return nil })
 }
+
+// TestPeerMessagesOfEmptyElements guards against clients at the address for other hosts that fill the memory with messages whose
+// short elements take two hundred times their length once they are decoded.
+func TestPeerMessagesOfEmptyElements(t *testing.T) {
+	const n = 500_000
+	message := submission(n, strings.Repeat("\xc0", n))
+	checkCrowdAt(t, decodedClients, peersAddress, func(c *client) error { return c.call(message) })
+}
+
+// TestPeerMessagesWithFalseLengths guards against clients at the address for other hosts that end the process with a short
+// message which announces a list that is larger than the memory.
+func TestPeerMessagesWithFalseLengths(t *testing.T) {
+	message := submission(math.MaxUint32, "")
+	checkCrowdAt(t, decodedClients, peersAddress, func(c *client) error { return c.call(message) })
+}
+
+// TestPeerMessagesDeeplyNested guards against clients at the address for other hosts that fill the memory, or end the process,
+// with messages whose nesting has no end.
+func TestPeerMessagesDeeplyNested(t *testing.T) {
+	message := append([]byte{0x81, 0xa1, 'z'}, strings.Repeat("\x91", peerMessageBytes)...)
+	checkCrowdAt(t, decodedClients, peersAddress, func(c *client) error { return c.call(message) })
+}
+
+// submission returns the message that forwards a job to the leader. It announces n steps and holds the given ones.
+func submission(n uint32, steps string) []byte {
+	message := append([]byte{0x83, 0xa1, 'a', 0xa6}, "submit"...)
+	message = append(message, 0xa1, 'l', 0xce, 0x3b, 0x9a, 0xca, 0x00)
+	message = append(message, 0xa1, 's', 0x81, 0xa1, 's', 0xdd)
+	return append(binary.BigEndian.AppendUint32(message, n), steps...)
+}
+
+// rawEncoding is the drpc.Encoding of messages that are encoded already.
+type rawEncoding struct{}
+
+// Marshal implements drpc.Encoding.
+func (rawEncoding) Marshal(msg drpc.Message) ([]byte, error) { return *msg.(*[]byte), nil }
+
+// Unmarshal implements drpc.Encoding.
+func (rawEncoding) Unmarshal(buf []byte, msg drpc.Message) error {
+	*msg.(*[]byte) = buf
+	return nil
+}
+
+// call sends an encoded message to the method that forwards requests to the leader, and waits for the answer.
+func (c *client) call(message []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTime)
+	defer cancel()
+	var reply []byte
+	return drpcconn.New(c.Conn).Invoke(ctx, "/sassafraswind.entry/Ask", rawEncoding{}, &message, &reply)
+}
--- a/internal/work/workflow/workflow.go
+++ b/internal/work/workflow/workflow.go
@@ -88,7 +88,7 @@
 type Spec struct {
 	// Payload is a text that is passed to each task unchanged.
 	Payload string `msgpack:"t"`
-	Steps   []Step `msgpack:"s"`
+	Steps   Steps  `msgpack:"s"`
 	// FirstDue and Interval give the due times of a recurring job that has OccurrenceCount occurrences.
 	// OccurrenceCount is 0 for other jobs.
 	FirstDue        time.Time     `msgpack:"f,omitempty"`
