Count the specifications of jobs against the memory for open tasks

What was seen: a hundred clients that each submit 25 jobs of one task with a payload of 60 kB take the leader beyond its memory limit, also if they cancel each job at once. All jobs were accepted.

Cause: the memory for jobs is bounded by the number of their tasks, 1 KiB each. A caller chooses the size of a specification regardless of that, up to 262,144 bytes. The payload of a job that has ended was kept for the time in which its state can be read (120 s).

Change: a specification counts like the tasks that would take its memory, one for each full KiB. It counts as long as the job is kept, for the next leader too, and against the part of a team. A job beyond that is refused as for its tasks: 503 with Retry-After. The payload of a job that has ended is dropped: no task of it starts any more, and the log doesn't hold it either.

--- a/internal/zone/dispatch/bounds.go
+++ b/internal/zone/dispatch/bounds.go
@@ -93,8 +93,9 @@
 	case !s.fitsLimits(f):
 		return reject("%s of %d tasks and up to %d bytes of progress, at most %d and %d are allowed",
 			occurrences, f.tasks, f.progress, maxOpenTasks, s.limits.MaxRecord-recordBytes)
-	case s.limits.MaxTasks > 0 && f.tasks > s.limits.MaxTasks:
-		return reject("%s of %d tasks, at most %d are allowed", occurrences, f.tasks, s.limits.MaxTasks)
+	case s.limits.MaxTasks > 0 && f.tasks+s.specTasksOf(j) > s.limits.MaxTasks:
+		return reject("%s of %d tasks and a specification of up to %d bytes, at most %d tasks are allowed",
+			occurrences, f.tasks, size, s.limits.MaxTasks)
 	}
 	return Reply{}, false
 }
@@ -106,7 +107,7 @@
 
 // refuseOverload refuses a job for which there is no memory at present. It returns false if there is.
 func (s *Scheduler) refuseOverload(j *Job) (Reply, bool) {
-	if s.limits.MaxTasks == 0 || s.taskCount+j.occurrenceFootprint().tasks <= s.limits.MaxTasks {
+	if s.limits.MaxTasks == 0 || s.taskCount+s.admissionTasks(j) <= s.limits.MaxTasks {
 		return Reply{}, false
 	}
 	return Reply{Outcome: OutcomeRefused, RetryAfter: overloadRetryAfter, Reason: "too many tasks are open"}, true
@@ -122,9 +123,9 @@
 	return n
 }
 
-// taskCount returns the number of the job's tasks in memory.
+// taskCount returns the number of the job's tasks in memory, with those for which its specification counts.
 func (j *Job) taskCount() int {
-	n := 0
+	n := j.specTasks
 	for _, o := range j.openOccurrences {
 		n += o.taskCount()
 	}
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -39,6 +39,8 @@
 	// objective is the time after its acceptance within which the job should be done.
 	objective time.Duration
 	spec      workflow.Spec
+	// specTasks is the number of tasks for which spec counts in Scheduler.taskCount.
+	specTasks int
 	// acceptedAt is when the job was accepted, acceptedWall the same time by the host's wall clock.
 	acceptedAt   time.Time
 	acceptedWall time.Time
@@ -290,6 +292,7 @@
 	}
 	s.jobs[r.ID] = j
 	s.openJob(j)
+	s.countSpec(j)
 	s.openDueOccurrences(now, j)
 	s.keepQueue(q)
 	j.acceptedBatch = s.journal.markDirty(j)
@@ -457,6 +460,7 @@
 func (s *Scheduler) close(now time.Time, j *Job, state State) {
 	j.finalState, j.endedAt = state, now
 	s.closeJob(j)
+	s.dropPayload(j)
 	j.finalBatch = s.journal.markDirty(j)
 	delete(s.recurring, j)
 	s.countClosed(now, j, state)
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -405,6 +405,7 @@
 	j.restored = true
 	s.applyQueue(j)
 	s.openJob(j)
+	s.countSpec(j)
 	if q, ok := s.catalog.Queues[j.queue]; ok {
 		s.keepQueue(q)
 	}
--- a/internal/zone/dispatch/team_backlog.go
+++ b/internal/zone/dispatch/team_backlog.go
@@ -129,7 +129,7 @@
 
 // refuseTeamTasks refuses a job whose team would have more open tasks than its part of the memory.
 func (s *Scheduler) refuseTeamTasks(j *Job) (Reply, bool) {
-	a, tasks := j.use.account, j.occurrenceFootprint().tasks
+	a, tasks := j.use.account, s.admissionTasks(j)
 	if s.fitsTeamTasks(a, tasks) {
 		return Reply{}, false
 	}
