Reserve the memory of an operator's change before it is parsed

Cause, found by reading, not seen in a run of a host: a change of 1 MiB may hold half a million numbers, and a value of the syntax tree takes at least 80 bytes for each of them, and up to 400 with what its lists leave behind as they grow. The share of the operators' server counted three bytes for each byte of the text.

Change: ParseMemory says what the lists, objects and values of a text take at most, and the operators' server reserves that before it parses. A text with over 131,072 commas and colons is refused before it is parsed, like one with over 20,000 lists and objects; classes in 1 MiB have fewer. Without room the answer is 503 with Retry-After and nothing was changed.

--- a/internal/host/operator/change.go
+++ b/internal/host/operator/change.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"sassafraswind.example/sassafraswind/internal/host/edge"
 	"sassafraswind.example/sassafraswind/internal/request/limit"
 	"sassafraswind.example/sassafraswind/internal/request/outcome"
 	"sassafraswind.example/sassafraswind/internal/stream/record"
@@ -68,6 +69,9 @@
 // handleChange handles POST /v1/changes.
 func (s *server) handleChange(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.maxBodyBytes))
+	if err == nil {
+		err = edge.ReserveDecoded(r.Body, config.ParseMemory(data))
+	}
 	var tooLarge *http.MaxBytesError
 	var overload *limit.Overload
 	switch {
--- a/internal/work/config/parse.go
+++ b/internal/work/config/parse.go
@@ -19,6 +19,13 @@
 	// for which the parser uses about 900 bytes of stack; 1 MiB of brackets would exceed the stack limit and end the
 	// process.
 	maxBrackets = 20_000
+	// maxSeparators bounds the number of commas and colons in a text, and so that of its values. The classes that fit into
+	// 1 MiB have fewer.
+	maxSeparators = 1 << 17
+	// bracketMemory and separatorMemory are the memory in bytes that an opening bracket takes, with its stack, and a value
+	// after a separator, with what the lists of the syntax tree leave behind as they grow.
+	bracketMemory   = 1024
+	separatorMemory = 512
 	// maxMistakes is the largest number of mistakes that are reported.
 	maxMistakes = 100
 )
@@ -170,13 +177,38 @@
 	return p
 }
 
-// ParseTree parses JSON with comments into a syntax tree and bounds its nesting. It returns the mistake of a text that
-// is not valid JSON or has too many lists and objects.
+// countSyntax returns the number of opening brackets of lists and objects in a text, and that of commas and colons. It counts
+// those in strings and comments too.
+func countSyntax(data []byte) (brackets, separators int) {
+	for _, b := range data {
+		switch b {
+		case '[', '{':
+			brackets++
+		case ',', ':':
+			separators++
+		}
+	}
+	return brackets, separators
+}
+
+// ParseMemory returns the memory in bytes that parsing a text takes at most, beyond a few times its size.
+func ParseMemory(data []byte) int64 {
+	brackets, separators := countSyntax(data)
+	return bracketMemory*int64(min(brackets, maxBrackets)) + separatorMemory*int64(min(separators, maxSeparators))
+}
+
+// ParseTree parses JSON with comments into a syntax tree and bounds its nesting and its values. It returns the mistake of a
+// text that is not valid JSON, or has too many lists and objects or too many values.
 func ParseTree(data []byte) (hujson.Value, *LineError) {
-	if bytes.Count(data, []byte("["))+bytes.Count(data, []byte("{")) > maxBrackets {
+	switch brackets, separators := countSyntax(data); {
+	case brackets > maxBrackets:
 		return hujson.Value{}, &LineError{
 			1, FieldError{Reason: fmt.Sprintf("must have at most %d lists and objects", maxBrackets)},
 		}
+	case separators > maxSeparators:
+		return hujson.Value{}, &LineError{
+			1, FieldError{Reason: fmt.Sprintf("must have at most %d commas and colons", maxSeparators)},
+		}
 	}
 	// The syntax tree refers to its input, so it gets a copy.
 	root, err := hujson.Parse(bytes.Clone(data))
