Bound what a host keeps of other hosts' pings

What was seen: a hundred clients at the address for other hosts, each with 15 pings that name a host of 100 kB, take a host to 320 MiB of 128, and the leader loses its term twice.

Cause: a host keeps who has pinged it under the name in the ping, without a bound on names or on their number. A leader records the names of those that pinged it of late with its renewals, and the store refuses a record that is too large for good, so that the leader can't renew.

Change: names, addresses and instances in pings and announcements have at most 256 bytes, IDs of forwarded jobs too, queues and teams 4,096. At most 2,048 other hosts are kept; those that are silent make way for new ones. A host beyond that is answered as before, so that it doesn't take the leader for gone. The record of active members holds as many names as fit into half of a record of the log.

The bound on IDs was found by reading: a cancel of an unknown job is kept under its ID.

--- a/internal/host/entry/reporters.go
+++ b/internal/host/entry/reporters.go
@@ -52,7 +52,7 @@
 		}
 	}
 	slices.Sort(names)
-	return names
+	return fitMembersRecord(names, h.cfg.Limits.MaxRecord)
 }
 
 // reporters holds the hosts on whose reports a leader may go on in an outage: those that each record lists which may be the
--- a/internal/host/entry/request.go
+++ b/internal/host/entry/request.go
@@ -160,6 +160,9 @@
 
 // handlePeerRequest carries out a request that another host has forwarded.
 func (h *Host) handlePeerRequest(ctx context.Context, req Request) (Response, error) {
+	if err := req.validate(); err != nil {
+		return Response{}, err
+	}
 	h.mu.Lock()
 	t := h.term
 	h.mu.Unlock()
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -402,6 +402,9 @@
 
 // handlePeerAnnouncement processes an announcement.
 func (h *Host) handlePeerAnnouncement(_ context.Context, a Announcement) (Empty, error) {
+	if err := a.validate(); err != nil {
+		return Empty{}, err
+	}
 	a.Claim.Offset = a.Offset
 	if a.SteppedDown {
 		h.recordLeaderEnd(a.Claim, "it has given up the leadership")
@@ -414,6 +417,9 @@
 
 // handlePeerPing answers a ping and records the status of its sender.
 func (h *Host) handlePeerPing(_ context.Context, p Ping) (PingResponse, error) {
+	if err := p.validate(); err != nil {
+		return PingResponse{}, err
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
@@ -424,7 +430,7 @@
 	if p.Stamp > 0 {
 		m.sentAfter = time.Unix(0, p.Stamp)
 	}
-	h.members[p.Name] = m
+	h.keepMember(now, m)
 	r := PingResponse{Instance: h.instance, IsLeader: h.term != nil || h.claiming, Stamp: now.UnixNano()}
 	if h.term != nil {
 		h.term.recordFollower(now, p.Name)
--- a/internal/standin/untrusted/peers_test.go
+++ b/internal/standin/untrusted/peers_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"math"
 	"strings"
 	"testing"
@@ -22,11 +23,14 @@
 // TestPeerMessagesStoppingShort guards against clients at the address for other hosts that fill the memory with messages that
 // stop short of their end.
 func TestPeerMessagesStoppingShort(t *testing.T) {
-	// A frame begins with a byte of flags, the IDs of the stream and of the message, and the length.
-	frame := string(binary.AppendUvarint([]byte{1 << 1, 1, 1}, peerMessageBytes)) + strings.Repeat("a", peerMessageBytes-missingBytes)
+	frame := messageFrame(peerMessageBytes) + strings.Repeat("a", peerMessageBytes-missingBytes)
 	checkCrowdAt(t, clients, peersAddress, func(c *client) error { return c.sendAll(frame) })
 }
 
+// messageFrame returns the beginning of a frame with n bytes: a byte of flags, the IDs of the stream and of the message, and the
+// length.
+func messageFrame(n uint64) string { return string(binary.AppendUvarint([]byte{1 << 1, 1, 1}, n)) }
+
 // TestSilentPeers guards against clients that use up the descriptors at the address for other hosts.
 func TestSilentPeers(t *testing.T) {
 	checkCrowdAt(t, silentClients, peersAddress, func(*client) error { return nil })
@@ -37,21 +41,39 @@
 func TestPeerMessagesOfEmptyElements(t *testing.T) {
 	const n = 500_000
 	message := submission(n, strings.Repeat("\xc0", n))
-	checkCrowdAt(t, decodedClients, peersAddress, func(c *client) error { return c.call(message) })
+	checkCrowdAt(t, decodedClients, peersAddress, func(c *client) error { return c.call(methodRequest, message) })
 }
 
 // TestPeerMessagesWithFalseLengths guards against clients at the address for other hosts that end the process with a short
 // message which announces a list that is larger than the memory.
 func TestPeerMessagesWithFalseLengths(t *testing.T) {
 	message := submission(math.MaxUint32, "")
-	checkCrowdAt(t, decodedClients, peersAddress, func(c *client) error { return c.call(message) })
+	checkCrowdAt(t, decodedClients, peersAddress, func(c *client) error { return c.call(methodRequest, message) })
 }
 
 // TestPeerMessagesDeeplyNested guards against clients at the address for other hosts that fill the memory, or end the process,
 // with messages whose nesting has no end.
 func TestPeerMessagesDeeplyNested(t *testing.T) {
 	message := append([]byte{0x81, 0xa1, 'z'}, strings.Repeat("\x91", peerMessageBytes)...)
-	checkCrowdAt(t, decodedClients, peersAddress, func(c *client) error { return c.call(message) })
+	checkCrowdAt(t, decodedClients, peersAddress, func(c *client) error { return c.call(methodRequest, message) })
+}
+
+// TestPeerPingsWithLongNames guards against clients at the address for other hosts that fill the memory with names of hosts in
+// their pings, which a host keeps.
+func TestPeerPingsWithLongNames(t *testing.T) {
+	const nameBytes, pings = 100_000, 15
+	name := strings.Repeat("n", nameBytes)
+	checkCrowdAt(t, decodedClients, peersAddress, func(c *client) error {
+		for i := range pings {
+			message := binary.BigEndian.AppendUint32([]byte{0x81, 0xa1, 'n', 0xdb}, nameBytes+6)
+			// A ping may be refused, and ends its connection then.
+			_ = c.call(methodPing, fmt.Appendf(message, "%04d%02d%s", c.n, i, name))
+			if err := c.connect(); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
 }
 
 // submission returns the message that forwards a job to the leader. It announces n steps and holds the given ones.
@@ -74,10 +96,16 @@
 	return nil
 }
 
-// call sends an encoded message to the method that forwards requests to the leader, and waits for the answer.
-func (c *client) call(message []byte) error {
+// The methods that forward requests to the leader and that check whether it lives.
+const (
+	methodRequest = "/sassafraswind.entry/Ask"
+	methodPing    = "/sassafraswind.entry/Beat"
+)
+
+// call sends an encoded message to a method and waits for the answer.
+func (c *client) call(method string, message []byte) error {
 	ctx, cancel := context.WithTimeout(context.Background(), writeTime)
 	defer cancel()
 	var reply []byte
-	return drpcconn.New(c.Conn).Invoke(ctx, "/sassafraswind.entry/Ask", rawEncoding{}, &message, &reply)
+	return drpcconn.New(c.Conn).Invoke(ctx, method, rawEncoding{}, &message, &reply)
 }
