Say that a message refused for its decoded form has not run

Cause: a leader that had no room for the decoded form of a forwarded request closed the connection, so that the host that forwarded it had to take it for possibly carried out, asked again until its caller's deadline passed, and then answered 504.

Change: the refusal has a code of its own in the answer to the call, and the connection stays open and goes on to hold its buffer.

Evidence: TestCrowdOfConnections sends a message without room for its decoded form, and its sender knows that it was refused. Found by reading; no crowd has shown the 504.

--- a/internal/host/edge/message.go
+++ b/internal/host/edge/message.go
@@ -37,20 +37,12 @@
 }
 
 // ReserveDecoded reserves memory in bytes for the decoded form of the message that has arrived, beyond what is counted for its
-// bytes. It returns false if there is no room; the message must not be decoded then, and the connection is closed, since its
-// reader keeps the buffer.
+// bytes. It returns false if there is no room; the message must not be decoded then.
 func (c *conn) ReserveDecoded(memory int64) bool {
 	c.l.mu.Lock()
 	received := c.state.Received()
 	c.l.mu.Unlock()
-	if c.reserve(limit.Need{Bytes: received, Decoded: memory}, true) {
-		return true
-	}
-	c.l.mu.Lock()
-	defer c.l.mu.Unlock()
-	c.interrupted = true
-	c.applyReadDeadline()
-	return false
+	return c.reserve(limit.Need{Bytes: received, Decoded: memory}, true)
 }
 
 // MessageAnswered says that the message has been answered. The buffer of the server's reader keeps the size of the largest
--- a/internal/host/entry/request.go
+++ b/internal/host/entry/request.go
@@ -136,6 +136,9 @@
 			h.suspectLeader(claim, "connection refused", h.elector.RecordRefusal)
 			h.wakeWatch()
 		}
+		if errors.Is(err, peer.ErrRefused) {
+			return Response{Reason: reasonLeaderBusy}, false
+		}
 		return Response{}, !errors.Is(err, peer.ErrNotSent)
 	}
 	if resp.NotLeader {
--- a/internal/host/peer/limits_test.go
+++ b/internal/host/peer/limits_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus/hooks/test"
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -40,6 +41,11 @@
 				<-release
 				return s, nil
 			}),
+			"/hold": UnaryHandler(func(_ context.Context, s string) (string, error) {
+				<-release
+				return s, nil
+			}),
+			"/list": UnaryHandler(func(context.Context, []int) (string, error) { return "", nil }),
 		}, func(error) {})
 		defer stop()
 		c, closeClient := NewClient()
@@ -88,6 +94,18 @@
 			So(call("/echo", "y"), ShouldBeNil)
 			finish()
 		})
+		Convey("a message that takes too much memory once it is decoded is refused, and its sender knows that it has not run", func() {
+			hold := strings.Repeat("h", 80_000)
+			// The decoded form of the list takes more than what is left beside another message.
+			other, closeOther := NewClient()
+			defer closeOther()
+			wg.Go(func() { _, _ = Invoke[string, string](shortContext(t), other, l.Addr().String(), "/hold", hold) })
+			await(func() bool { return e.States()[0].Bytes > 200_000 })
+			_, err := Invoke[[]int, string](shortContext(t), c, l.Addr().String(), "/list", make([]int, 4000))
+			So(errors.Is(err, ErrRefused), ShouldBeTrue)
+			So(call("/echo", "y"), ShouldBeNil)
+			finish()
+		})
 		Convey("a message above the limit is not carried out", func() {
 			So(call("/echo", strings.Repeat("z", maxMessageBytes+1)), ShouldNotBeNil)
 			So(call("/echo", "y"), ShouldBeNil)
@@ -96,6 +114,13 @@
 	})
 }
 
+// shortContext returns a context for one call.
+func shortContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
 // await waits until a condition holds.
 func await(fn func() bool) {
 	for range 500 {
--- a/internal/host/peer/peer.go
+++ b/internal/host/peer/peer.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcctx"
+	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
@@ -79,8 +80,12 @@
 	MessageAnswered()
 }
 
-// errRefused is the error of a message that was refused for what connections and messages hold together.
-var errRefused = errors.New("peer: the message was refused and not carried out")
+// ErrRefused marks the error of a call that the peer has refused for what connections and messages hold together there, so that
+// it has not carried it out.
+var ErrRefused = errors.New("peer: the message was refused and not carried out")
+
+// codeRefused stands for ErrRefused in the answer to a call.
+const codeRefused = 1
 
 // countedCodec is the codec of one message that arrives on a countedConn.
 type countedCodec struct {
@@ -93,14 +98,14 @@
 // Unmarshal implements drpc.Encoding.
 func (c *countedCodec) Unmarshal(buf []byte, msg drpc.Message) error {
 	if c.arrived = c.conn.MessageArrived(); !c.arrived {
-		return errRefused
+		return ErrRefused
 	}
 	memory, err := decodedMemory(buf)
 	if err != nil {
 		return err
 	}
 	if !c.conn.ReserveDecoded(memory) {
-		return errRefused
+		return drpcerr.WithCode(ErrRefused, codeRefused)
 	}
 	return msgpack.Unmarshal(buf, msg)
 }
@@ -286,6 +291,9 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			c.closeIdle(addr)
 		}
+		if drpcerr.Code(err) == codeRefused {
+			err = errors.Mark(err, ErrRefused)
+		}
 		return errors.Wrapf(err, "peer: %s to %s", method, addr)
 	}
 	if enc.sent > maxPooledBytes {
--- a/internal/request/limit/share.go
+++ b/internal/request/limit/share.go
@@ -204,6 +204,8 @@
 // Reserve has a connection hold what its request needs, and whole says that the request needs no more. It returns the
 // connections whose requests give way for that, and false if it is the request itself that has to.
 //
+// A request that is refused for its decoded form goes on to hold what it holds, until it is answered.
+//
 // At the bound, stalled requests give way first, then those that arrive at a lower rate than this one, slowest first. A
 // request that holds all that it needs gives way only if it is stalled. No request gives way in vain: if there are not
 // enough that can, this one does. A single request may always hold what it needs.
@@ -212,7 +214,7 @@
 		return nil, false
 	}
 	c.whole = c.whole || whole
-	held := need.cost()
+	held, hasArrived := need.cost(), need.Decoded > 0
 	need.Decoded = 0
 	buffered := max(c.buffered, need.cost())
 	if held <= c.held {
@@ -232,7 +234,9 @@
 			excess -= o.held
 		}
 		if excess > 0 {
-			s.Release(c)
+			if !hasArrived {
+				s.Release(c)
+			}
 			return nil, false
 		}
 		for _, v := range victims {
