Count submissions whose body was refused among the answers by class

Cause: submissions that are refused before they become a request (malformed, too large, too late, without room for the body) were counted by the edge for the whole server only. Operators could not tell whose callers a crowd keeps out.

--- a/internal/host/entry/recorder.go
+++ b/internal/host/entry/recorder.go
@@ -67,6 +67,12 @@
 	h.recorder.RecordAnswer(h.classOf(req.Queue), string(req.Action), outcomeName(resp.Outcome), reason)
 }
 
+// RecordUnread counts a submission to a queue that was refused before it became a Request, since its body could not be read or
+// decoded.
+func (h *Host) RecordUnread(queue, reason string) {
+	h.recorder.RecordAnswer(h.classOf(queue), string(ActionSubmit), outcomeName(dispatch.OutcomeRefused), reason)
+}
+
 // classOf returns the class of the requests to a queue by the manifest in force. Queues that it doesn't list count together,
 // since callers may name any.
 func (h *Host) classOf(queue string) string {
