Divide no more descriptors than the process may open

Cause: the shares of connections follow from the number of descriptors in the settings. A process that may open fewer, by the limit of the operating system, would have them all taken by callers, so that it could reach neither the store nor workers.

--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	sizes := limit.SizesFor(s.cfg.Limits.MemoryBytes, s.cfg.Limits.MaxDescriptors)
+	sizes := limit.SizesFor(s.cfg.Limits.MemoryBytes, edge.Descriptors(s.cfg.Limits.MaxDescriptors))
 	limits := func(maxBody int64) func() edge.Limits {
 		l := edge.DefaultLimits()
 		l.HeaderTimeout, l.MaxBodyBytes = headerTimeout, maxBody
