--- a/internal/standin/untrusted/crowd_test.go
+++ b/internal/standin/untrusted/crowd_test.go
@@ -243,30 +243,59 @@
 func checkCrowdOf(t *testing.T, n, descriptors int, address func(h *testHost) string, behave func(c *client) error) {
 	n = envNumber(t, "UNTRUSTED_CLIENTS", n)
 	h := startHost(t, envNumber(t, "UNTRUSTED_MEMORY", memoryMiB), envNumber(t, "UNTRUSTED_FDS", descriptors))
-	idle := h.peakMemory()
-	stopWatching := h.watchDescriptors()
+	checkCrowds(h, crowd{n: n, address: address, behave: behave})
+}
+
+// crowd is a number of clients that behave alike.
+type crowd struct {
+	n       int
+	address func(h *testHost) string
+	behave  func(c *client) error
+}
+
+// gather connects the clients of the crowd to a host. It returns once all of them have sent what they have to send, or the
+// host has refused it. The returned function disconnects them.
+func (cr crowd) gather(h *testHost) (leave func()) {
 	release := make(chan struct{})
 	var sending, connected sync.WaitGroup
-	sending.Add(n)
-	for i := range n {
-		connected.Go(func() { runClient(&client{address: address(h), n: i}, behave, sending.Done, release) })
+	sending.Add(cr.n)
+	for i := range cr.n {
+		connected.Go(func() { runClient(&client{address: cr.address(h), n: i}, cr.behave, sending.Done, release) })
 	}
 	sending.Wait()
+	return func() {
+		close(release)
+		connected.Wait()
+	}
+}
+
+// checkCrowds has the crowds come to the host at the same time. The test fails as described at checkCrowd.
+func checkCrowds(h *testHost, crowds ...crowd) {
+	h.t.Helper()
+	idle := h.peakMemory()
+	stopWatching := h.watchDescriptors()
+	leave := make([]func(), len(crowds))
+	var gathering sync.WaitGroup
+	for i, cr := range crowds {
+		gathering.Go(func() { leave[i] = cr.gather(h) })
+	}
+	gathering.Wait()
 	time.Sleep(time.Second)
 	h.await("the host, with the crowd connected,", h.ordinaryRequest)
-	close(release)
-	connected.Wait()
+	for _, fn := range leave {
+		fn()
+	}
 	h.await("the host, after the crowd,", h.ordinaryRequest)
 	stopWatching()
 	h.checkProcesses()
 	peak := h.peakMemory()
-	t.Logf("%d clients: memory %d MiB (idle %d) of %d, descriptors %d of %d",
-		n, peak>>20, idle>>20, h.memory>>20, h.maxDescriptors, h.descriptors)
+	h.t.Logf("%d crowds: memory %d MiB (idle %d) of %d, descriptors %d of %d",
+		len(crowds), peak>>20, idle>>20, h.memory>>20, h.maxDescriptors, h.descriptors)
 	if peak > h.memory {
-		t.Errorf("the host took %d MiB of memory, its limit is %d", peak>>20, h.memory>>20)
+		h.t.Errorf("the host took %d MiB of memory, its limit is %d", peak>>20, h.memory>>20)
 	}
 	if h.maxDescriptors > h.descriptors {
-		t.Errorf("the host had %d descriptors open, its limit is %d", h.maxDescriptors, h.descriptors)
+		h.t.Errorf("the host had %d descriptors open, its limit is %d", h.maxDescriptors, h.descriptors)
 	}
 }
 
--- a/internal/standin/untrusted/host_test.go
+++ b/internal/standin/untrusted/host_test.go
@@ -31,6 +31,8 @@
 	readyPort   = 101
 	peersPort   = 103
 	workerPort  = 500
+	// hostPorts is the number of ports of each host.
+	hostPorts = 10
 	// portsInUse is the number of ports that the stand-in and one host take.
 	portsInUse = 600
 	// firstPort and lastPort bound the ports that are tried. They are below the ports of outgoing connections.
@@ -78,41 +80,80 @@
 	t *testing.T
 	// callers is the address for callers, and peers that for other hosts.
 	callers, peers string
+	// settings is the path of the settings file.
+	settings string
 	// memory is the memory limit in bytes and descriptors the number of descriptors, both of the settings file.
 	memory, descriptors int
-	host, platform      *program
+	platform            *program
 
 	mu sync.Mutex
+	// host is the present process of the host.
+	host *program
 	// maxDescriptors is the highest number of open descriptors that was seen.
 	maxDescriptors int
+	// maxMemory is the largest resident size that checkMemory has seen, of all processes of the host.
+	maxMemory int
 }
 
 // startHost starts a platform and one entry host with the given limits and waits until the host answers.
 func startHost(t *testing.T, memoryMiB, descriptors int) *testHost {
+	return startHosts(t, 1, memoryMiB, descriptors)[0]
+}
+
+// startHosts starts a platform and n entry hosts with the given limits and waits until all of them answer.
+func startHosts(t *testing.T, n, memoryMiB, descriptors int) []*testHost {
 	if err := programs(); err != nil {
 		t.Fatal(err)
 	}
 	dir, base := t.TempDir(), freePorts(t)
-	h := &testHost{t: t, callers: address(base + callersPort), peers: address(base + peersPort), memory: memoryMiB << 20, descriptors: descriptors}
-	h.platform = start(t, filepath.Join(dir, "platform.log"), filepath.Join(programDir, "standin"), "platform", "--dir", dir,
-		"--port", strconv.Itoa(base), "--zones", "zone-a", "--workers", "2", "--hosts", "1", "--limit", strconv.Itoa(memoryMiB))
-	h.await("the platform", func() error {
+	platform := start(t, filepath.Join(dir, "platform.log"), filepath.Join(programDir, "standin"), "platform", "--dir", dir,
+		"--port", strconv.Itoa(base), "--zones", "zone-a", "--workers", "2", "--hosts", strconv.Itoa(n), "--limit", strconv.Itoa(memoryMiB))
+	hosts := make([]*testHost, n)
+	for i := range hosts {
+		first := base + i*hostPorts
+		hosts[i] = &testHost{
+			t: t, callers: address(first + callersPort), peers: address(first + peersPort), memory: memoryMiB << 20,
+			descriptors: descriptors, settings: filepath.Join(dir, fmt.Sprintf("entry-%d.conf", i+1)), platform: platform,
+		}
+	}
+	hosts[0].await("the platform", func() error {
 		return send(http.MethodPost, "http://"+address(base+controlPort)+"/manifest", manifest, http.StatusNoContent)
 	})
-	settings := filepath.Join(dir, "entry-1.conf")
-	file, err := os.OpenFile(settings, os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		t.Fatal(err)
+	for _, h := range hosts {
+		h.setDescriptors()
+		h.start()
 	}
-	if _, err := fmt.Fprintf(file, "Limits.MaxFds=%d\n", descriptors); err != nil {
-		t.Fatal(err)
+	for _, h := range hosts {
+		h.await("the host", h.ordinaryRequest)
 	}
-	if err := file.Close(); err != nil {
-		t.Fatal(err)
+	return hosts
+}
+
+// setDescriptors adds the number of descriptors to the settings file.
+func (h *testHost) setDescriptors() {
+	file, err := os.OpenFile(h.settings, os.O_APPEND|os.O_WRONLY, 0o600)
+	if err == nil {
+		_, err = fmt.Fprintf(file, "Limits.MaxFds=%d\n", h.descriptors)
+		err = errors.CombineErrors(err, file.Close())
+	}
+	if err != nil {
+		h.t.Fatal(err)
 	}
-	h.host = start(t, filepath.Join(dir, "entry-1.log"), filepath.Join(programDir, "sassafraswind"), "join", "--settings", settings)
-	h.await("the host", h.ordinaryRequest)
-	return h
+}
+
+// start starts the process of the host.
+func (h *testHost) start() {
+	p := start(h.t, h.settings+".log", filepath.Join(programDir, "sassafraswind"), "join", "--settings", h.settings)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.host = p
+}
+
+// process returns the present process of the host.
+func (h *testHost) process() *program {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.host
 }
 
 // ordinaryRequest asks for the number of pending jobs on a connection of its own.
@@ -136,7 +177,7 @@
 // checkProcesses fails the test if a process has ended.
 func (h *testHost) checkProcesses() {
 	h.t.Helper()
-	for _, p := range []*program{h.platform, h.host} {
+	for _, p := range []*program{h.platform, h.process()} {
 		if p == nil {
 			continue
 		}
@@ -155,7 +196,7 @@
 		defer close(done)
 		for {
 			// The process may have ended.
-			open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", h.host.cmd.Process.Pid))
+			open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", h.process().cmd.Process.Pid))
 			h.mu.Lock()
 			h.maxDescriptors = max(h.maxDescriptors, len(open))
 			h.mu.Unlock()
@@ -175,7 +216,7 @@
 // peakMemory returns the largest resident size of the host so far, in bytes.
 func (h *testHost) peakMemory() int {
 	h.t.Helper()
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.host.cmd.Process.Pid))
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.process().cmd.Process.Pid))
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -198,7 +239,8 @@
 // start starts a program, which is stopped at the end of the test. Its output is printed if the test fails.
 func start(t *testing.T, logPath, path string, args ...string) *program {
 	t.Helper()
-	out, err := os.Create(logPath)
+	// A program that is started again goes on with the file.
+	out, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/untrusted/jobs_test.go
+++ b/internal/standin/untrusted/jobs_test.go
@@ -18,7 +18,7 @@
 func TestLargeJobs(t *testing.T) {
 	checkCrowd(t, decodedClients, func(c *client) error {
 		for i := range jobsPerClient {
-			if err := c.submit(fmt.Sprintf("d%02d%03d", i, c.n), largeJob); err != nil {
+			if _, err := c.submit(fmt.Sprintf("d%02d%03d", i, c.n), largeJob); err != nil {
 				return err
 			}
 		}
@@ -31,10 +31,10 @@
 	checkCrowd(t, decodedClients, func(c *client) error {
 		for i := range jobsPerClient {
 			id := fmt.Sprintf("e%02d%03d", i, c.n)
-			if err := c.submit(id, largeJob); err != nil {
+			if _, err := c.submit(id, largeJob); err != nil {
 				return err
 			}
-			if err := c.exchange("DELETE /batch/" + jobID(id) + " HTTP/1.1\r\nHost: jobs.example\r\n\r\n"); err != nil {
+			if _, err := c.exchange("DELETE /batch/" + jobID(id) + " HTTP/1.1\r\nHost: jobs.example\r\n\r\n"); err != nil {
 				return err
 			}
 		}
