Count jobs against the memory for open tasks until they are forgotten

Cause, found by reading: a job that has ended is kept for 120 s, since its state can be asked for, and was not counted any more once its tasks had gone. Callers of jobs without work can have a leader keep hundreds of thousands of them.

Change: a job counts like the tasks that would take the memory of the job itself (512 bytes) and of its specification, at least one for Limits.TaskMemory of 1 KiB, until it is forgotten. So do restored jobs that have ended.

Evidence: TestLargeSpecificationsFillMemory counts jobs that are done. It has not been shown with a crowd: the stand-in's workers don't end tasks that fast.

--- a/internal/zone/dispatch/bounds.go
+++ b/internal/zone/dispatch/bounds.go
@@ -123,7 +123,7 @@
 	return n
 }
 
-// taskCount returns the number of the job's tasks in memory, with those for which its specification counts.
+// taskCount returns the number of the job's tasks in memory, with those for which the job itself counts.
 func (j *Job) taskCount() int {
 	n := j.specTasks
 	for _, o := range j.openOccurrences {
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -37,8 +37,8 @@
 	MaxRecord int
 	// MaxTasks is the largest number of open tasks of all jobs for which the host has memory; 0 means no limit.
 	MaxTasks int
-	// TaskMemory is the memory in bytes that MaxTasks allows for each task. A specification counts like the tasks that take
-	// its memory; 0 means that specifications are not counted.
+	// TaskMemory is the memory in bytes that MaxTasks allows for each task. A job with its specification counts like the tasks
+	// that take the same memory; 0 means that only tasks are counted.
 	TaskMemory int
 }
 
@@ -111,7 +111,7 @@
 	denied int
 	// wallOffset is the host's wall clock minus the time of the boot clock, when the state was restored.
 	wallOffset time.Duration
-	// taskCount is the number of tasks of all jobs in memory, with those for which their specifications count.
+	// taskCount is the number of tasks of all jobs in memory, with those for which the jobs themselves count.
 	taskCount int
 	workers   map[string]*Worker
 	// byService lists the workers of each service, ordered by ID.
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -39,7 +39,7 @@
 	// objective is the time after its acceptance within which the job should be done.
 	objective time.Duration
 	spec      workflow.Spec
-	// specTasks is the number of tasks for which spec counts in Scheduler.taskCount.
+	// specTasks is the number of tasks for which the job counts in Scheduler.taskCount, beside its own tasks.
 	specTasks int
 	// acceptedAt is when the job was accepted, acceptedWall the same time by the host's wall clock.
 	acceptedAt   time.Time
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -396,6 +396,7 @@
 		j.finalState = rec.FinalState
 		j.endedAt = now.Add(-max(0, wall.Sub(time.UnixMilli(rec.EndedWall))))
 		s.jobs[id] = j
+		s.countSpec(j)
 		if j.isDenied() {
 			s.denied++
 		}
--- a/internal/zone/dispatch/spec_memory.go
+++ b/internal/zone/dispatch/spec_memory.go
@@ -1,15 +1,19 @@
 package dispatch
 
-// Callers choose the size of a specification regardless of its number of tasks. The load that this answers: thousands of jobs
-// of a single task, each with a payload and names of many kilobytes. Their specifications count against Limits.MaxTasks like
-// the tasks that would take the same memory, as long as the jobs are kept.
+// Callers choose the size of a specification regardless of its number of tasks, and jobs are kept for a while after they have
+// ended. The loads that this answers: thousands of jobs of a single task, each with a payload and names of many kilobytes, and
+// jobs that end as fast as they are submitted. Jobs count against Limits.MaxTasks like the tasks that would take the same
+// memory, as long as they are kept.
 
-// specTasksOf returns the number of tasks that take the memory of the job's specification, 0 for a small one.
+// jobBytes is the memory in bytes that a job takes beside its specification and its tasks.
+const jobBytes = 512
+
+// specTasksOf returns the number of tasks that take the memory of the job with its specification, without its tasks.
 func (s *Scheduler) specTasksOf(j *Job) int {
 	if s.limits.TaskMemory == 0 {
 		return 0
 	}
-	return j.specBytes() / s.limits.TaskMemory
+	return (jobBytes + j.specBytes()) / s.limits.TaskMemory
 }
 
 // countSpec counts the specification of the job as it is now.
--- a/internal/zone/dispatch/spec_memory_test.go
+++ b/internal/zone/dispatch/spec_memory_test.go
@@ -50,12 +50,16 @@
 			b, _ := s.TakeBatch()
 			next := newScheduler()
 			So(next.Restore(now, now, b.Records, now), ShouldBeEmpty)
-			So(next.taskCount, ShouldEqual, s.taskCount-s.jobs[jobID(0)].taskCount())
+			// The log doesn't hold the tasks of the job that was cancelled.
+			So(next.taskCount, ShouldEqual, s.taskCount-1)
 		})
-		Convey("nothing is counted any more once all jobs have gone", func() {
-			for i := range accepted {
-				s.Cancel(now, jobID(i), "")
+		Convey("jobs that are done are counted until they are forgotten", func() {
+			for _, j := range s.jobs {
+				for _, t := range j.openOccurrences[0].stages[0].tasks {
+					s.finishTask(now, t)
+				}
 			}
+			So(s.taskCount, ShouldEqual, accepted)
 			b, _ := s.TakeBatch()
 			s.MarkCommitted(b)
 			s.expireJobs(now.Add(2 * limits.JobRetention))
