Give serve a soft memory limit, and test its servers under crowds

What was seen: serve takes 188 to 193 MiB of 128 under crowds at its three addresses: 600 callers whose bodies stop short, 100 operators whose changes hold 130,000 numbers, 200 peers with messages of empty elements and of false lengths.

And serve had no soft memory limit, so that its heap grew to twice what was in use.

Change: serve sets the soft limit of join, 0.7 of the memory in its settings.

--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,6 +50,7 @@
 		return err
 	}
 	defer closeMetrics()
+	debug.SetMemoryLimit(limit.SoftMemory(cfg.Limits.MemoryBytes))
 	logs, closeLog := logservice.NewClient(cfg.Platform.Log)
 	defer closeLog()
 	hosts, closeHosts := hostlist.NewClient(cfg.Platform.Hosts)
--- a/internal/request/limit/size.go
+++ b/internal/request/limit/size.go
@@ -33,6 +33,13 @@
 	peerDescriptorDivisor   = 8
 )
 
+// softMemoryShare is the share of the memory limit above which the garbage collector works harder. The rest is for the program's
+// text, the runtime and peaks between two collections.
+const softMemoryShare = 0.7
+
+// SoftMemory returns the soft limit of the garbage collector for a process with a memory limit in bytes.
+func SoftMemory(memory int64) int64 { return int64(softMemoryShare * float64(memory)) }
+
 // SizesFor returns the bounds for a process with a memory limit in bytes and a number of descriptors. A quarter of the
 // descriptors is for callers and an eighth for peers. Most of the rest is for the connections that the process opens
 // itself: a leader has up to four to each worker.
--- a/internal/standin/untrusted/host_test.go
+++ b/internal/standin/untrusted/host_test.go
@@ -80,6 +80,10 @@
 	t *testing.T
 	// callers is the address for callers, and peers that for other hosts.
 	callers, peers string
+	// operators is the address for operators, empty for hosts that run join.
+	operators string
+	// ordinaryRequest sends a request as ordinary clients do, on a connection of its own.
+	ordinaryRequest func() error
 	// settings is the path of the settings file.
 	settings string
 	// memory is the memory limit in bytes and descriptors the number of descriptors, both of the settings file.
@@ -115,6 +119,7 @@
 			t: t, callers: address(first + callersPort), peers: address(first + peersPort), memory: memoryMiB << 20,
 			descriptors: descriptors, settings: filepath.Join(dir, fmt.Sprintf("entry-%d.conf", i+1)), platform: platform,
 		}
+		hosts[i].ordinaryRequest = hosts[i].countJobs
 	}
 	hosts[0].await("the platform", func() error {
 		return send(http.MethodPost, "http://"+address(base+controlPort)+"/manifest", manifest, http.StatusNoContent)
@@ -156,8 +161,8 @@
 	return h.host
 }
 
-// ordinaryRequest asks for the number of pending jobs on a connection of its own.
-func (h *testHost) ordinaryRequest() error {
+// countJobs asks for the number of pending jobs on a connection of its own.
+func (h *testHost) countJobs() error {
 	return send(http.MethodGet, "http://"+h.callers+"/batch/", "", http.StatusOK)
 }
 
