--- a/internal/host/edge/http.go
+++ b/internal/host/edge/http.go
@@ -158,10 +158,10 @@
 	return need
 }
 
-// ReserveDecoded reserves room for the decoded form of a request's body before a handler takes the memory. The memory is in
-// bytes, beyond what is counted for the bytes of the body, and a later call replaces what an earlier one has reserved. It
-// returns an error of the type *limit.Overload if there is no room; the handler must not carry out the request then. The
-// body is the one with which the handler was called; other bodies are not counted.
+// ReserveDecoded reserves memory for the decoded form of a request's body, to be called before it is decoded. The memory is the
+// sum so far, in bytes, beyond what is counted for the bytes of the body. It returns an error of the type *limit.Overload if
+// there is no room; the handler must not carry out the request then. The body is the one with which the handler was called;
+// other bodies are not counted.
 func ReserveDecoded(requestBody io.Reader, memory int64) error {
 	b, ok := requestBody.(*body)
 	if ok && !b.c.reserve(b.need(b.n, memory), true) {
--- a/internal/host/peer/peer.go
+++ b/internal/host/peer/peer.go
@@ -129,8 +129,6 @@
 	return c.answered, err
 }
 
-// Handler
-
 // UnaryHandler returns the handler of a unary method that fn implements.
 func UnaryHandler[Req, Rep any](fn func(context.Context, Req) (Rep, error)) Handler {
 	return func(stream drpc.Stream) error {
--- a/internal/standin/untrusted/soak_test.go
+++ b/internal/standin/untrusted/soak_test.go
@@ -8,13 +8,15 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 )
 
 const (
-	// soakHosts is the number of entry hosts, and soakRounds how often crowds come and go.
+	// soakHosts is the number of entry hosts, and soakRounds how often crowds come and go. The environment variable
+	// UNTRUSTED_HOSTS sets another number of hosts.
 	soakHosts  = 4
 	soakRounds = 3
 	// maxSoakClients is the size of the largest crowd at one host.
@@ -56,11 +58,14 @@
 	return func(c *client) error { return c.call(methodRequest, message) }
 }
 
+// soakJobs counts the jobs that were submitted, each of which has an ID of its own.
+var soakJobs atomic.Uint32
+
 // fillWithJobs returns the behavior of clients that submit equal jobs until one is refused.
 func fillWithJobs(body string) func(c *client) error {
 	return func(c *client) error {
-		for i := range jobsPerClient {
-			status, err := c.submit(fmt.Sprintf("%04x%08x", i, rand.Uint32()), body)
+		for range jobsPerClient {
+			status, err := c.submit(fmt.Sprintf("%08x", soakJobs.Add(1)), body)
 			if err != nil || status != http.StatusOK {
 				return err
 			}
@@ -75,15 +80,15 @@
 func TestMixedCrowds(t *testing.T) {
 	seed := envNumber(t, "UNTRUSTED_SEED", 1)
 	rng := rand.New(rand.NewPCG(uint64(seed), 0))
-	hosts := startHosts(t, soakHosts, envNumber(t, "UNTRUSTED_MEMORY", memoryMiB), manyDescriptors)
+	hosts := startHosts(t, envNumber(t, "UNTRUSTED_HOSTS", soakHosts), envNumber(t, "UNTRUSTED_MEMORY", memoryMiB), manyDescriptors)
 	for _, h := range hosts {
 		defer h.watchDescriptors()()
 	}
 	for round := range soakRounds {
 		var crowds, signals sync.WaitGroup
 		quiet := make(chan struct{})
-		for range 1 + rng.IntN(soakHosts) {
-			kind, n, h := soakKinds[rng.IntN(len(soakKinds))], 1+rng.IntN(maxSoakClients), hosts[rng.IntN(soakHosts)]
+		for range 1 + rng.IntN(len(hosts)) {
+			kind, n, h := soakKinds[rng.IntN(len(soakKinds))], 1+rng.IntN(maxSoakClients), hosts[rng.IntN(len(hosts))]
 			t.Logf("round %d: %d clients with %s at %s", round, n, kind.name, h.callers)
 			crowds.Go(func() {
 				leave := crowd{n: n, address: kind.address, behave: kind.behave}.gather(h)
@@ -91,7 +96,7 @@
 				leave()
 			})
 		}
-		perm := rng.Perm(soakHosts)
+		perm := rng.Perm(len(hosts))
 		for i := range rng.IntN(maxSignals + 1) {
 			h := hosts[perm[i]]
 			s := []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM, syscall.SIGSTOP}[rng.IntN(3)]
