--- a/internal/zone/dispatch/bounds.go
+++ b/internal/zone/dispatch/bounds.go
@@ -93,7 +93,7 @@
 	case !s.fitsLimits(f):
 		return reject("%s of %d tasks and up to %d bytes of progress, at most %d and %d are allowed",
 			occurrences, f.tasks, f.progress, maxOpenTasks, s.limits.MaxRecord-recordBytes)
-	case s.limits.MaxTasks > 0 && f.tasks+s.specTasksOf(j) > s.limits.MaxTasks:
+	case s.limits.MaxTasks > 0 && f.tasks+s.overheadTasksOf(j) > s.limits.MaxTasks:
 		return reject("%s of %d tasks and a specification of up to %d bytes, at most %d tasks are allowed",
 			occurrences, f.tasks, size, s.limits.MaxTasks)
 	}
@@ -125,7 +125,7 @@
 
 // taskCount returns the number of the job's tasks in memory, with those for which the job itself counts.
 func (j *Job) taskCount() int {
-	n := j.specTasks
+	n := j.overheadTasks
 	for _, o := range j.openOccurrences {
 		n += o.taskCount()
 	}
--- a/internal/zone/dispatch/job.go
+++ b/internal/zone/dispatch/job.go
@@ -39,8 +39,8 @@
 	// objective is the time after its acceptance within which the job should be done.
 	objective time.Duration
 	spec      workflow.Spec
-	// specTasks is the number of tasks for which the job counts in Scheduler.taskCount, beside its own tasks.
-	specTasks int
+	// overheadTasks is the number of tasks for which the job counts in Scheduler.taskCount, beside its own tasks.
+	overheadTasks int
 	// acceptedAt is when the job was accepted, acceptedWall the same time by the host's wall clock.
 	acceptedAt   time.Time
 	acceptedWall time.Time
@@ -292,7 +292,7 @@
 	}
 	s.jobs[r.ID] = j
 	s.openJob(j)
-	s.countSpec(j)
+	s.countOverhead(j)
 	s.openDueOccurrences(now, j)
 	s.keepQueue(q)
 	j.acceptedBatch = s.journal.markDirty(j)
--- a/internal/zone/dispatch/spec_memory.go
+++ b/internal/zone/dispatch/job_memory.go
@@ -8,28 +8,28 @@
 // jobBytes is the memory in bytes that a job takes beside its specification and its tasks.
 const jobBytes = 512
 
-// specTasksOf returns the number of tasks that take the memory of the job with its specification, without its tasks.
-func (s *Scheduler) specTasksOf(j *Job) int {
+// overheadTasksOf returns the number of tasks that take the memory of the job with its specification, without its tasks.
+func (s *Scheduler) overheadTasksOf(j *Job) int {
 	if s.limits.TaskMemory == 0 {
 		return 0
 	}
 	return (jobBytes + j.specBytes()) / s.limits.TaskMemory
 }
 
-// countSpec counts the specification of the job as it is now.
-func (s *Scheduler) countSpec(j *Job) {
-	before := j.specTasks
-	j.specTasks = s.specTasksOf(j)
-	s.countTasks(j, j.specTasks-before)
+// countOverhead counts what the job takes now, beside its tasks.
+func (s *Scheduler) countOverhead(j *Job) {
+	before := j.overheadTasks
+	j.overheadTasks = s.overheadTasksOf(j)
+	s.countTasks(j, j.overheadTasks-before)
 }
 
 // dropPayload frees the payload of a job that has ended, of which no task starts any more.
 func (s *Scheduler) dropPayload(j *Job) {
 	j.spec.Payload = ""
-	s.countSpec(j)
+	s.countOverhead(j)
 }
 
 // admissionTasks returns the number of open tasks that the job adds when it is accepted.
 func (s *Scheduler) admissionTasks(j *Job) int {
-	return j.occurrenceFootprint().tasks + s.specTasksOf(j)
+	return j.occurrenceFootprint().tasks + s.overheadTasksOf(j)
 }
--- a/internal/zone/dispatch/record.go
+++ b/internal/zone/dispatch/record.go
@@ -396,7 +396,7 @@
 		j.finalState = rec.FinalState
 		j.endedAt = now.Add(-max(0, wall.Sub(time.UnixMilli(rec.EndedWall))))
 		s.jobs[id] = j
-		s.countSpec(j)
+		s.countOverhead(j)
 		if j.isDenied() {
 			s.denied++
 		}
@@ -406,7 +406,7 @@
 	j.restored = true
 	s.applyQueue(j)
 	s.openJob(j)
-	s.countSpec(j)
+	s.countOverhead(j)
 	if q, ok := s.catalog.Queues[j.queue]; ok {
 		s.keepQueue(q)
 	}
--- a/internal/zone/dispatch/team.go
+++ b/internal/zone/dispatch/team.go
@@ -114,10 +114,10 @@
 
 // setTeam sets the team of a new job.
 func (s *Scheduler) setTeam(j *Job, name string) {
-	s.countTasks(j, -j.specTasks)
+	s.countTasks(j, -j.overheadTasks)
 	j.team = name
 	j.use = s.useOf(s.accountOf(name), j.service)
-	s.countTasks(j, j.specTasks)
+	s.countTasks(j, j.overheadTasks)
 }
 
 // openJob counts the job as open.
