Count malformed messages of other hosts

Cause, found when the change was read again: a message that is refused for its structure or its names, and a host that is not kept, showed in no metric and in no log line, so that operators could not see who fills the address for other hosts.

Change: such messages count as refusals with the reason malformed, in the metric and in the bounded log line of the edge. A host beyond the 2,048 that are kept is logged, at most once in 10 s. TestCrowdOfConnections counts two.

--- a/internal/host/edge/edge.go
+++ b/internal/host/edge/edge.go
@@ -35,6 +35,8 @@
 	// ReasonBodyTime means that the body didn't arrive in time, ReasonAnswerTime that the answer was not read in time.
 	ReasonBodyTime   Reason = "body_time"
 	ReasonAnswerTime Reason = "answer_time"
+	// ReasonMalformed means that a message at the address for other hosts was one that no host sends.
+	ReasonMalformed Reason = "malformed"
 )
 
 // Recorder counts what was closed and refused.
--- a/internal/host/edge/message.go
+++ b/internal/host/edge/message.go
@@ -45,6 +45,9 @@
 	return c.reserve(limit.Need{Bytes: received, Decoded: memory}, true)
 }
 
+// RecordMalformed counts a message that no host sends, and logs it like a refusal.
+func (c *conn) RecordMalformed() { c.l.edge.report(c.l.server, ReasonMalformed) }
+
 // MessageAnswered says that the message has been answered. The buffer of the server's reader keeps the size of the largest
 // message until the connection closes, so that what the message holds stays reserved.
 func (c *conn) MessageAnswered() {
--- a/internal/host/entry/bounds.go
+++ b/internal/host/entry/bounds.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"sassafraswind.example/sassafraswind/internal/host/peer"
 	"sassafraswind.example/sassafraswind/internal/zone/leadership"
 )
 
@@ -18,10 +19,12 @@
 	maxQueueBytes = 4096
 	// maxMembers is the largest number of other hosts that are kept.
 	maxMembers = 2048
+	// membersFullLogInterval is the shortest time between two log lines about hosts that are not kept.
+	membersFullLogInterval = 10 * time.Second
 )
 
 // errTooLong is the error of a message with a name that no host sends.
-var errTooLong = errors.New("entry: a name in the message is too long")
+var errTooLong = errors.Mark(errors.New("entry: a name in the message is too long"), peer.ErrMalformed)
 
 // validate returns an error for a ping that no host sends.
 func (p *Ping) validate() error { return checkLengths(maxNameBytes, p.Name, p.Address, p.Instance) }
@@ -56,6 +59,10 @@
 			}
 		}
 		if len(h.members) >= maxMembers {
+			if now.Sub(h.membersFullLoggedAt) >= membersFullLogInterval {
+				h.membersFullLoggedAt = now
+				h.logger("peers").WithField("host", m.Name).Warn("Too many hosts have pinged this one; further ones are not kept")
+			}
 			return
 		}
 	}
--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -188,6 +188,8 @@
 	leaderStamp int64
 	// members holds the other known hosts by name.
 	members map[string]member
+	// membersFullLoggedAt is when it was last logged that there are too many of them.
+	membersFullLoggedAt time.Time
 	// storeLatency is the time of a call to the store, measured when this host last read all claims.
 	storeLatency time.Duration
 	// storeAnsweredAt is the time of the store's last answer, leaderAnsweredAt that of the leader's last answer.
--- a/internal/host/peer/limits_test.go
+++ b/internal/host/peer/limits_test.go
@@ -7,28 +7,35 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus/hooks/test"
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"sassafraswind.example/sassafraswind/internal/host/edge"
 	"sassafraswind.example/sassafraswind/internal/request/limit"
 )
 
-// nopRecorder implements edge.Recorder.
-type nopRecorder struct{}
+// countingRecorder implements edge.Recorder. It counts malformed messages.
+type countingRecorder struct{ malformed atomic.Int32 }
 
-func (nopRecorder) RecordRefusal(string, string) {}
+func (r *countingRecorder) RecordRefusal(_, reason string) {
+	if reason == string(edge.ReasonMalformed) {
+		r.malformed.Add(1)
+	}
+}
 
 // TestCrowdOfConnections guards against clients at the address of the peers that take connections or memory without bound,
 // cut a call in progress, or keep other hosts out.
 func TestCrowdOfConnections(t *testing.T) {
 	Convey("With a server that has room for four connections and 300 kB, and a call in progress", t, func() {
 		log, _ := test.NewNullLogger()
-		e, closeEdge := edge.New(log, nopRecorder{})
+		recorder := &countingRecorder{}
+		e, closeEdge := edge.New(log, recorder)
 		defer closeEdge()
 		size := limit.Size{Conns: 4, Bytes: 300_000}
 		l, err := e.Listen(t.Context(), "peers", "127.0.0.1:0", size, edge.DefaultLimits)
@@ -106,6 +113,16 @@
 			So(call("/echo", "y"), ShouldBeNil)
 			finish()
 		})
+		Convey("a message that no host sends is refused and counted", func() {
+			// A list that is longer than the message, and a number in place of a list.
+			for _, data := range []string{"\xdd\xff\xff\xff\xff", "\x2a"} {
+				_, err := Invoke[msgpack.RawMessage, string](shortContext(t), c, l.Addr().String(), "/list", msgpack.RawMessage(data))
+				So(err, ShouldNotBeNil)
+			}
+			await(func() bool { return recorder.malformed.Load() == 2 })
+			So(call("/echo", "y"), ShouldBeNil)
+			finish()
+		})
 		Convey("a message above the limit is not carried out", func() {
 			So(call("/echo", strings.Repeat("z", maxMessageBytes+1)), ShouldNotBeNil)
 			So(call("/echo", "y"), ShouldBeNil)
--- a/internal/host/peer/peer.go
+++ b/internal/host/peer/peer.go
@@ -76,6 +76,8 @@
 	// ReserveDecoded reserves memory in bytes for the decoded form of the message. It returns false if there is none, and the
 	// message must not be decoded.
 	ReserveDecoded(memory int64) bool
+	// RecordMalformed counts a message that no host sends.
+	RecordMalformed()
 	// MessageAnswered says that the message has been answered.
 	MessageAnswered()
 }
@@ -107,22 +109,26 @@
 	if !c.conn.ReserveDecoded(memory) {
 		return drpcerr.WithCode(ErrRefused, codeRefused)
 	}
-	return msgpack.Unmarshal(buf, msg)
+	return errors.Mark(msgpack.Unmarshal(buf, msg), ErrMalformed)
 }
 
-// answered says that the message has been answered, if it has arrived.
-func (c *countedCodec) answered() {
+// answered says that the message has been answered, if it has arrived, with the error of its call.
+func (c *countedCodec) answered(err error) {
+	if errors.Is(err, ErrMalformed) {
+		c.conn.RecordMalformed()
+	}
 	if c.arrived {
 		c.conn.MessageAnswered()
 	}
 }
 
-// receive decodes the message of a call. The returned function must be called once the call has been answered.
-func receive(stream drpc.Stream, msg drpc.Message) (answered func(), err error) {
+// receive decodes the message of a call. The returned function must be called with the error of the call once it has been
+// answered.
+func receive(stream drpc.Stream, msg drpc.Message) (answered func(error), err error) {
 	tr, _ := drpcctx.Transport(stream.Context())
 	conn, ok := tr.(countedConn)
 	if !ok {
-		return func() {}, stream.MsgRecv(msg, codec{})
+		return func(error) {}, stream.MsgRecv(msg, codec{})
 	}
 	c := &countedCodec{conn: conn}
 	err = stream.MsgRecv(msg, c)
@@ -131,10 +137,10 @@
 
 // UnaryHandler returns the handler of a unary method that fn implements.
 func UnaryHandler[Req, Rep any](fn func(context.Context, Req) (Rep, error)) Handler {
-	return func(stream drpc.Stream) error {
+	return func(stream drpc.Stream) (err error) {
 		var req Req
 		answered, err := receive(stream, &req)
-		defer answered()
+		defer func() { answered(err) }()
 		if err != nil {
 			return errors.Wrap(err, "peer: receive")
 		}
--- a/internal/host/peer/structure.go
+++ b/internal/host/peer/structure.go
@@ -17,8 +17,8 @@
 	entryMemory   = 128
 )
 
-// errStructure marks the error of a message whose structure must not be decoded.
-var errStructure = errors.New("peer: malformed message")
+// ErrMalformed marks the error of a message that no host sends. It was not carried out.
+var ErrMalformed = errors.New("peer: malformed message")
 
 // decodedMemory returns the memory in bytes that the lists and maps of an encoded message take once they are decoded. It
 // returns an error if the message is cut off or too deep, or announces more elements than it can hold: the package msgpack takes
@@ -43,10 +43,10 @@
 			continue
 		}
 		if v.children > len(data) {
-			return 0, errors.Mark(errors.Newf("peer: a list of %d values in %d bytes", v.children, len(data)), errStructure)
+			return 0, errors.Mark(errors.Newf("peer: a list of %d values in %d bytes", v.children, len(data)), ErrMalformed)
 		}
 		if len(open) == maxDepth {
-			return 0, errors.Mark(errors.Newf("peer: a message of over %d levels", maxDepth), errStructure)
+			return 0, errors.Mark(errors.Newf("peer: a message of over %d levels", maxDepth), ErrMalformed)
 		}
 		open = append(open, v.children)
 		memory += v.memory
@@ -81,7 +81,7 @@
 // readValue reads the beginning of the first value.
 func readValue(data []byte) (value, error) {
 	if len(data) == 0 {
-		return value{}, errors.Mark(errors.New("peer: a message that is cut off"), errStructure)
+		return value{}, errors.Mark(errors.New("peer: a message that is cut off"), ErrMalformed)
 	}
 	c := data[0]
 	v := value{size: 1}
@@ -101,10 +101,10 @@
 			return value{}, err
 		}
 	default:
-		return value{}, errors.Mark(errors.Newf("peer: unknown code %#x", c), errStructure)
+		return value{}, errors.Mark(errors.Newf("peer: unknown code %#x", c), ErrMalformed)
 	}
 	if v.size > len(data) {
-		return value{}, errors.Mark(errors.New("peer: a message that is cut off"), errStructure)
+		return value{}, errors.Mark(errors.New("peer: a message that is cut off"), ErrMalformed)
 	}
 	return v, nil
 }
@@ -113,7 +113,7 @@
 func readLength(c byte, data []byte) (value, error) {
 	size := lengthSizes[c]
 	if size > len(data) {
-		return value{}, errors.Mark(errors.New("peer: a message that is cut off"), errStructure)
+		return value{}, errors.Mark(errors.New("peer: a message that is cut off"), ErrMalformed)
 	}
 	var padded [8]byte
 	copy(padded[len(padded)-size:], data[:size])
