Have TestConnections wait until its requests are carried out

No request that was carried out lost its answer.

Change: the test begins once both requests are carried out. What it checks is unchanged and now holds for what its title says, clients that wait for their answers.

--- a/internal/host/edge/edge_test.go
+++ b/internal/host/edge/edge_test.go
@@ -263,14 +263,18 @@
 func TestConnections(t *testing.T) {
 	Convey("With a server that has room for four connections, two of which wait for their answers", t, func() {
 		release := make(chan struct{})
+		var carriedOut atomic.Int32
 		s := newTestServer(t, limit.Size{Conns: 4, Bytes: 1 << 20}, func(w http.ResponseWriter, r *http.Request) {
 			readBody(w, r)
 			if r.URL.Path == "/wait" {
+				carriedOut.Add(1)
 				<-release
 			}
 		})
 		wait := "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
 		waiting := []net.Conn{s.connect(wait), s.connect(strings.Replace(post(4), "/", "/wait", 1) + "abcd")}
+		// Until the server has read them, they are connections with unfinished requests like those of a flood.
+		await(func() bool { return int(carriedOut.Load()) == len(waiting) })
 		Convey("a flood of silent and unfinished ones leaves them alone, and an ordinary request is served", func() {
 			for i := range 50 {
 				s.connect([]string{"", "GET", post(10), post(10) + "a"}[i%4])
