--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -9,6 +9,8 @@
 // cases are the cases by name. A case returns an error if it could not run.
 var cases = map[string]func(w *world, trouble bool) error{
 	"ack":  playAck,
+	"late": playLate,
+	"last": playLast,
 	"gang": playGang,
 	"kind": playKind,
 	"dark": playDark,
@@ -301,3 +303,145 @@
 	w.state(id)
 	return nil
 }
+
+// delayStarts has the workers leave every second order to start a run unanswered and carry it out later. One that comes due
+// while its worker is down reaches the next boot as that begins to serve.
+func delayStarts(w *world, by time.Duration) {
+	for _, wk := range w.workers {
+		starts := 0
+		wk.setIntercept(func(_ *boot, path string, body []byte, _ http.ResponseWriter, _ *http.Request) bool {
+			if path != "/run-start" {
+				return false
+			}
+			w.mu.Lock()
+			starts++
+			leave := starts%2 == 1
+			w.mu.Unlock()
+			if !leave {
+				return false
+			}
+			body = append([]byte(nil), body...)
+			w.rec.add("worker %s leaves a call unanswered, which it carries out %v later: %s %s", wk.id, by, path, body)
+			time.AfterFunc(by, func() {
+				for {
+					wk.mu.Lock()
+					b, down := wk.boot, wk.boot.down
+					wk.mu.Unlock()
+					if !down {
+						w.rec.add("worker %s boot %d carries out a call that was due after %v: %s", wk.id, b.born, by, body)
+						b.carryOut(path, body)
+						return
+					}
+					time.Sleep(time.Millisecond)
+				}
+			})
+			hang()
+			return true
+		})
+	}
+}
+
+// submitShort hands in submissions of many short tasks.
+func submitShort(w *world, n int) ([]string, error) {
+	ids := []string{}
+	for i := range n {
+		s := submission{Spec: "batch"}
+		for k := range 6 {
+			s.Steps = append(s.Steps, step{Count: 150, CPU: 1000, MemMb: 500, EstimatedMs: 150 + 53*k + 7*i})
+		}
+		ids = append(ids, fmt.Sprintf("00000000000000f%d", i))
+		if err := w.submit(ids[i], s); err != nil {
+			return nil, err
+		}
+	}
+	return ids, nil
+}
+
+// playLate checks TWICE: orders to start tasks that are done reach the next boot of their worker.
+func playLate(w *world, trouble bool) error {
+	k := kind{"std", 8000, 64000}
+	if err := begin(w, 3, 8, k); err != nil {
+		return err
+	}
+	ids, err := submitShort(w, 6)
+	if err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		// For 5.5 s, every second order to start a run gets no answer, and is carried out 6 s later.
+		delayStarts(w, 6*time.Second)
+		time.Sleep(5500 * time.Millisecond)
+		for _, wk := range w.workers {
+			wk.setIntercept(nil)
+		}
+		// One worker is down for 3 s.
+		time.Sleep(time.Second)
+		wk := w.workers[0]
+		wk.crash()
+		time.Sleep(3 * time.Second)
+		if err := wk.start(k); err != nil {
+			return err
+		}
+	}
+	time.Sleep(6 * time.Second)
+	for _, id := range ids {
+		w.state(id)
+	}
+	return nil
+}
+
+// playLast checks TWICE: orders of a leader's last second, which got no answer, reach the next boot of their worker.
+func playLast(w *world, trouble bool) error {
+	k := kind{"std", 16000, 64000}
+	if err := begin(w, 3, 9, k); err != nil {
+		return err
+	}
+	const id = "00000000000000a7"
+	var victim *worker
+	var orders [][]byte
+	if trouble {
+		// The first worker that gets an order leaves all of them unanswered, 8 of 60.
+		for _, wk := range w.workers {
+			wk.setIntercept(func(_ *boot, path string, body []byte, _ http.ResponseWriter, _ *http.Request) bool {
+				w.mu.Lock()
+				if path == "/run-start" && victim == nil {
+					victim = wk
+				}
+				leave := path == "/run-start" && victim == wk
+				if leave {
+					orders = append(orders, append([]byte(nil), body...))
+				}
+				w.mu.Unlock()
+				if leave {
+					w.rec.add("worker %s leaves a call unanswered: %s %s", wk.id, path, body)
+					hang()
+				}
+				return false
+			})
+		}
+	}
+	if err := w.submit(id, submission{Spec: "long", Steps: []step{{Count: 60, CPU: 2000, MemMb: 1000, EstimatedMs: 20000}}}); err != nil {
+		return err
+	}
+	time.Sleep(300 * time.Millisecond)
+	if trouble {
+		w.leader().kill(w)
+		for _, wk := range w.workers {
+			wk.setIntercept(nil)
+		}
+		time.Sleep(7 * time.Second)
+		victim.crash()
+		time.Sleep(2 * time.Second)
+		if err := victim.start(k); err != nil {
+			return err
+		}
+		for _, body := range orders {
+			w.rec.add("worker %s carries out a call that it left unanswered 9 s ago: %s", victim.id, body)
+			victim.boot.carryOut("/run-start", body)
+		}
+	}
+	time.Sleep(8 * time.Second)
+	w.state(id)
+	return nil
+}
