Let the review's stand-in end its hosts when its output is cut off

Cause: three hosts were left running by a play whose output went to head: the stand-in ended by SIGPIPE. Change: it ignores SIGPIPE.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -53,6 +53,8 @@
 		return 2
 	}
 	defer w.close()
+	// A reader of the output that has gone must not end this process before it has ended the hosts.
+	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	result := make(chan error, 1)
