Judge only the claimed rule in each script of the third review

Cause: a script exited with 1 for any rule that the stand-in checks, not only for that of its claim.

--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -18,6 +18,11 @@
 	"spec": playSpec,
 }
 
+// rules are the rules that the cases judge.
+var rules = map[string]string{
+	"ack": "TWICE", "late": "TWICE", "last": "TWICE", "gang": "LOST", "kind": "LIMIT", "dark": "LOST", "evac": "EVAC", "spec": "LOST",
+}
+
 // begin starts the given numbers of hosts and workers and waits until the hosts are ready.
 func begin(w *world, hosts, workers int, k kind) error {
 	for range workers {
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -53,6 +53,7 @@
 		return 2
 	}
 	defer w.close()
+	w.rule = rules[name]
 	// A reader of the output that has gone must not end this process before it has ended the hosts.
 	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, 1)
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -50,6 +50,8 @@
 	// tasks is what workers have seen of each task.
 	tasks  map[string]*taskSeen
 	broken []string
+	// rule is the rule that the case judges. Others are recorded only.
+	rule string
 	// gangs is what is known of each run of a gang.
 	gangs map[string]*gang
 	// onStart is called with each start of a run, while the worker is locked.
@@ -356,6 +358,10 @@
 // violate notes a broken rule.
 func (w *world) violate(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
+	if !strings.HasPrefix(text, w.rule+":") {
+		w.rec.add("seen, not judged by this case: %s", text)
+		return
+	}
 	w.broken = append(w.broken, text)
 	w.rec.add("BROKEN: %s", text)
 }
