Count the loss of several workers in one start of a gang once

A gang has one suspicion, and each lost worker counted as a crash of its own against it: the leader's log on has "crashes 2" to "crashes 5" for run 1 within one decision, then "job failed: crashed its workers".

The members of a gang share a run number, so the losses of one run count as one crash now, also where an earlier leader has recorded them. A counted crash always stops the gang, so that the next start has another number: before, a member that strikes late could go on under the same one, and its gang was never given up.

--- a/internal/zone/dispatch/crash.go
+++ b/internal/zone/dispatch/crash.go
@@ -55,7 +55,7 @@
 type suspicion struct {
 	task *task
 	// crashes holds the runs under which a worker crashed, pending those that are on trial or of which it is not known
-	// yet whether the worker has crashed. A run occurs once in crashes for each boot.
+	// yet whether the worker has crashed. A run occurs once in crashes for each boot, see count.
 	crashes, pending []loss
 	// trial is the present start apart from others, nil if there is none.
 	trial *trial
@@ -64,37 +64,46 @@
 	waitsSince, retryAt time.Time
 }
 
+// count returns the number of crashes blamed on the task. The members of a gang start together under one run number, so
+// the loss of several workers in one run of the gang counts once: a rack that loses its power takes them all.
+func (u *suspicion) count() int { return u.countOf(func(loss) bool { return true }) }
+
 // alone returns the number of crashes of which the task was the only suspect.
-func (u *suspicion) alone() int {
-	n := 0
-	for _, x := range u.crashes {
-		if x.Alone {
-			n++
+func (u *suspicion) alone() int { return u.countOf(func(x loss) bool { return x.Alone }) }
+
+// late returns the number of crashes that were late on each lost worker.
+func (u *suspicion) late() int { return u.count() - u.countOf(func(x loss) bool { return !x.Late }) }
+
+// countOf returns the number of crashes with a loss for which match returns true.
+func (u *suspicion) countOf(match func(loss) bool) int {
+	if !u.task.step().Gang {
+		n := 0
+		for _, x := range u.crashes {
+			if match(x) {
+				n++
+			}
 		}
+		return n
 	}
-	return n
-}
-
-// late returns the number of late crashes.
-func (u *suspicion) late() int {
-	n := 0
+	runs := map[int]struct{}{}
 	for _, x := range u.crashes {
-		if x.Late {
-			n++
+		if match(x) {
+			runs[x.Run] = struct{}{}
 		}
 	}
-	return n
+	return len(runs)
 }
 
 // isSuspect reports whether the task starts on trial.
 func (u *suspicion) isSuspect() bool {
 	late := u.late()
-	return late >= minLateCrashes || len(u.crashes) > late
+	return late >= minLateCrashes || u.count() > late
 }
 
 // isProven reports whether the task is to be given up.
 func (u *suspicion) isProven() bool {
-	return len(u.crashes) >= maxCrashes || (len(u.crashes) >= minCrashes && u.alone() >= minCrashesAlone)
+	n := u.count()
+	return n >= maxCrashes || (n >= minCrashes && u.alone() >= minCrashesAlone)
 }
 
 // addPending adds a loss of which it is not known yet whether the worker has crashed.
@@ -290,7 +299,7 @@
 		return false
 	}
 	u := s.suspicionOf(fresh[0].task)
-	return (u != nil && len(u.crashes) > 1) ||
+	return (u != nil && u.count() > 1) ||
 		!slices.ContainsFunc(late, func(r *run) bool {
 			other := s.suspicionOf(r.task)
 			return other != nil && len(other.crashes) > 0
@@ -370,22 +379,23 @@
 		return
 	}
 	u.crashes = append(u.crashes, x)
+	if t.step().Gang {
+		// The next start gets a run number of its own, so that a crash under it counts.
+		s.stopGang(t.stage)
+	}
 	if !u.isSuspect() {
 		return
 	}
 	s.recordEvent(Event{
 		Kind: "suspect", Job: t.job().id, Task: t.name, Run: x.Run, Worker: x.Worker,
-		Reason: "crashes " + strconv.Itoa(len(u.crashes)) + ", alone " + strconv.Itoa(u.alone()),
+		Reason: "crashes " + strconv.Itoa(u.count()) + ", alone " + strconv.Itoa(u.alone()) + ", workers " +
+			strconv.Itoa(len(u.crashes)),
 	})
 	if u.isProven() {
 		s.recordEvent(Event{
 			Kind: "job failed", Job: t.job().id, Task: t.name, Run: x.Run, Worker: x.Worker, Reason: "crashed its workers",
 		})
 		s.close(now, t.job(), StateFailed)
-		return
-	}
-	if t.step().Gang {
-		s.stopGang(t.stage)
 	}
 }
 
--- a/internal/zone/dispatch/repeat.go
+++ b/internal/zone/dispatch/repeat.go
@@ -80,7 +80,7 @@
 // when its worker crashed.
 func (s *Scheduler) mayCrashAgain(t *task) bool {
 	u := s.suspectOf(t)
-	return u != nil && len(u.crashes) > 1
+	return u != nil && u.count() > 1
 }
 
 // rejectsTask reports whether the worker is not going to take the task, whatever room it has.
--- a/internal/zone/dispatch/trial.go
+++ b/internal/zone/dispatch/trial.go
@@ -135,7 +135,7 @@
 
 // mayShare reports whether the suspect may be on trial on the same worker as another one.
 func (u *suspicion) mayShare() bool {
-	return u.task.step().LongRunning && len(u.crashes) <= 1 && u.alone() == 0
+	return u.task.step().LongRunning && u.count() <= 1 && u.alone() == 0
 }
 
 // admitsSuspect reports whether another suspect may be on trial beside those on the worker. If the worker doesn't answer,
