Pass the leader's term the whole configuration with each change

After a read that finds its offset expired, the zones come with the manifest that is in force.

The manifest and the evacuated zones are one immutable value with a revision now, which one function replaces and passes to the term as a whole. The term ignores an older revision, so that changes which arrive at once, or while the state is restored, can't bring older zones back; that part was found by reading. The leader logs what it applies.

--- a/internal/host/entry/access.go
+++ b/internal/host/entry/access.go
@@ -107,8 +107,8 @@
 
 // confirmManifest adds to the answer to a ping since when this host's manifest is known to be the newest. h.mu must be held.
 func (h *Host) confirmManifest(now time.Time, r *PingResponse) {
-	if h.manifest != nil && h.confirmation.State(now, access.Revocation{}) == access.Confirmed {
-		r.ManifestVersion = h.manifest.Catalog.Version
+	if h.configuration.manifest != nil && h.confirmation.State(now, access.Revocation{}) == access.Confirmed {
+		r.ManifestVersion = h.configuration.manifest.Catalog.Version
 		r.ManifestAge = now.Sub(h.confirmation.ConfirmedAt())
 	}
 }
@@ -118,7 +118,7 @@
 func (h *Host) recordManifestAnswer(sentAt time.Time, r PingResponse) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if r.ManifestVersion > 0 && h.manifest != nil && h.manifest.Catalog.Version >= r.ManifestVersion {
+	if r.ManifestVersion > 0 && h.configuration.manifest != nil && h.configuration.manifest.Catalog.Version >= r.ManifestVersion {
 		h.confirmation.RecordLeader(sentAt.Add(-max(0, r.ManifestAge)))
 	}
 }
--- a/internal/host/entry/edge.go
+++ b/internal/host/entry/edge.go
@@ -6,7 +6,7 @@
 // set, and for all while no manifest is known.
 func (h *Host) EdgeLimits() edge.Limits {
 	h.mu.Lock()
-	m := h.manifest
+	m := h.configuration.manifest
 	h.mu.Unlock()
 	l := edge.DefaultLimits()
 	if m == nil {
--- a/internal/host/entry/edge_test.go
+++ b/internal/host/entry/edge_test.go
@@ -15,9 +15,9 @@
 	Convey("The defaults hold until a manifest sets other limits", t, func() {
 		h := &Host{}
 		So(h.EdgeLimits(), ShouldResemble, edge.DefaultLimits())
-		h.manifest = &Manifest{}
+		h.configuration.manifest = &Manifest{}
 		So(h.EdgeLimits(), ShouldResemble, edge.DefaultLimits())
-		h.manifest = &Manifest{MaxBody: 1, MaxHeader: 2, HeaderTimeout: time.Second, IdleTimeout: 2 * time.Second}
+		h.configuration.manifest = &Manifest{MaxBody: 1, MaxHeader: 2, HeaderTimeout: time.Second, IdleTimeout: 2 * time.Second}
 		want := edge.DefaultLimits()
 		want.MaxBodyBytes, want.MaxHeaderBytes, want.HeaderTimeout, want.IdleTimeout = 1, 2, time.Second, 2*time.Second
 		So(h.EdgeLimits(), ShouldResemble, want)
--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -170,9 +170,8 @@
 	claiming bool
 	// leaderChanged is closed and replaced whenever the leader changes.
 	leaderChanged chan struct{}
-	// manifest and evacuatedZones are the newest configuration; operatorRecordsRead is set after the first read.
-	manifest            *Manifest
-	evacuatedZones      map[string]bool
+	// configuration is the newest one; operatorRecordsRead is set after the first read. Only updateConfiguration replaces it.
+	configuration       configuration
 	operatorRecordsRead bool
 	// manifestHidden is the last OperatorChanges.ManifestHidden, until a manifest is read. The leader is asked for its
 	// manifest meanwhile.
@@ -248,7 +247,7 @@
 ) (*Host, func(ctx context.Context)) {
 	h := &Host{
 		cfg: cfg, instance: uuid.NewString(), directory: d, workers: w, clock: c,
-		log: log, recorder: nopRecorder{}, evacuatedZones: map[string]bool{}, members: map[string]member{},
+		log: log, recorder: nopRecorder{}, members: map[string]member{},
 		forwarding:    map[string]int{},
 		leaderChanged: make(chan struct{}), watchWake: make(chan struct{}, 1),
 	}
@@ -375,7 +374,7 @@
 func (h *Host) Ready() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.stopping || h.manifest == nil {
+	if h.stopping || h.configuration.manifest == nil {
 		return false
 	}
 	return h.term != nil || h.clock.Now().Sub(h.leaderAnsweredAt) < readyLeaderAnswerAge
--- a/internal/host/entry/follow.go
+++ b/internal/host/entry/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -62,66 +61,6 @@
 	}
 }
 
-// applyOperatorChanges applies the changes that operators have made.
-func (h *Host) applyOperatorChanges(changes OperatorChanges) {
-	h.mu.Lock()
-	zones := h.evacuatedZones
-	if changes.Complete || len(changes.EvacuatedZones) > 0 {
-		zones = map[string]bool{}
-		if !changes.Complete {
-			maps.Copy(zones, h.evacuatedZones)
-		}
-		maps.Copy(zones, changes.EvacuatedZones)
-	}
-	changed := !maps.Equal(zones, h.evacuatedZones)
-	h.evacuatedZones = zones
-	h.operatorRecordsRead = true
-	h.storeAnsweredAt = h.clock.Now()
-	t := h.term
-	h.mu.Unlock()
-	if changed {
-		h.logger("operators").WithField("zones", zones).Info("Evacuated zones changed")
-	}
-	if changes.Manifest != nil {
-		h.applyManifest(changes.Manifest, "store")
-	} else if changed && t != nil {
-		t.applyConfiguration()
-	}
-}
-
-// applyManifest makes a manifest the current one if it supersedes that. The source is for the log only.
-func (h *Host) applyManifest(m *Manifest, source string) {
-	h.mu.Lock()
-	if !m.supersedes(h.manifest) {
-		h.mu.Unlock()
-		return
-	}
-	if lacksTeams(h.manifest, m) {
-		isNew := h.ignoredVersion != m.Catalog.Version
-		h.ignoredVersion = m.Catalog.Version
-		h.mu.Unlock()
-		if !isNew {
-			return
-		}
-		h.logger("operators").WithFields(logrus.Fields{
-			"version": m.Catalog.Version, "source": source,
-		}).Warn("Ignored a manifest without its teams, from a host of an earlier version")
-		return
-	}
-	h.manifest = m
-	r := newRouting(m)
-	h.routing.Store(r)
-	t := h.term
-	h.mu.Unlock()
-	h.logger("operators").WithFields(logrus.Fields{
-		"version": m.Catalog.Version, "routes": len(m.Routes), "teams": len(m.Catalog.Teams), "keys": r.Access.Len(),
-		"source": source,
-	}).Info("Manifest in force")
-	if t != nil {
-		t.applyConfiguration()
-	}
-}
-
 // claimKey is the key of the claims in the log.
 const claimKey = "leader"
 
--- a/internal/host/entry/outcomes_test.go
+++ b/internal/host/entry/outcomes_test.go
@@ -32,7 +32,7 @@
 		h := &Host{recorder: r}
 		submit := Request{Action: ActionSubmit, Queue: "h/p/"}
 		h.recordAnswer(submit, unansweredResponse(submit, false))
-		h.manifest = &Manifest{Catalog: dispatch.Catalog{Queues: map[string]dispatch.Queue{
+		h.configuration.manifest = &Manifest{Catalog: dispatch.Catalog{Queues: map[string]dispatch.Queue{
 			"h/p/": {Name: "h/p/", Class: "pricing"}, "h/q/": {Name: "h/q/"},
 		}}}
 		h.recordAnswer(submit, refusedByStore())
--- a/internal/host/entry/preference.go
+++ b/internal/host/entry/preference.go
@@ -46,13 +46,13 @@
 func (t *term) strongerHost(now time.Time) (member, bool) {
 	t.host.mu.Lock()
 	defer t.host.mu.Unlock()
-	if t.host.manifest == nil {
+	if t.host.configuration.manifest == nil {
 		return member{}, false
 	}
 	for _, m := range t.host.members {
 		since := now.Sub(m.pingedAt)
 		if isWeak(t.host.cfg.Power, m.Power) && !m.pingedAt.IsZero() && since < maxCandidatePingAge &&
-			m.storeAge+since < maxStatusAge && m.manifestVersion == t.host.manifest.Catalog.Version {
+			m.storeAge+since < maxStatusAge && m.manifestVersion == t.host.configuration.manifest.Catalog.Version {
 			return m, true
 		}
 	}
--- a/internal/host/entry/recorder.go
+++ b/internal/host/entry/recorder.go
@@ -78,10 +78,10 @@
 func (h *Host) classOf(queue string) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.manifest == nil {
+	if h.configuration.manifest == nil {
 		return dispatch.OtherGroup
 	}
-	q, ok := h.manifest.Catalog.Queues[queue]
+	q, ok := h.configuration.manifest.Catalog.Queues[queue]
 	if !ok {
 		return dispatch.OtherGroup
 	}
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -67,9 +67,11 @@
 	// previousOrdersUntil is the latest time at which the previous leader may send an order. begin sets it.
 	previousOrdersUntil time.Time
 
-	// mu guards scheduler, batchCommitted, leaseLoops and renewals.
+	// mu guards scheduler, configurationRevision, batchCommitted, leaseLoops and renewals.
 	mu        sync.Mutex
 	scheduler *dispatch.Scheduler
+	// configurationRevision is the revision of the scheduler's configuration, 0 before the first.
+	configurationRevision uint64
 	// batchCommitted is closed and replaced whenever a batch has become durable.
 	batchCommitted chan struct{}
 	// leaseLoops holds the IDs of the workers that have a lease loop.
@@ -339,11 +341,11 @@
 // restore rebuilds the scheduler's state from the records of earlier terms.
 func (t *term) restore(start time.Time, records []dispatch.Record, workerChanges WorkerChanges) {
 	t.host.mu.Lock()
-	manifest, zones := t.host.manifest, t.host.evacuatedZones
+	c := t.host.configuration
 	t.host.mu.Unlock()
 	now := t.host.clock.Now()
 	t.mu.Lock()
-	t.setConfiguration(manifest, zones)
+	t.setConfiguration(c)
 	recordErrs := t.scheduler.Restore(now, t.host.clock.Wall(), records, t.previousOrdersUntil)
 	t.applyWorkerChanges(now, workerChanges)
 	summary := t.scheduler.Summary()
@@ -358,24 +360,30 @@
 	}).Info("Term began")
 }
 
-// setConfiguration passes a manifest and the evacuated zones to the scheduler. t.mu must be held.
-func (t *term) setConfiguration(m *Manifest, zones map[string]bool) {
-	if m == nil {
-		return
+// setConfiguration passes a configuration to the scheduler. It returns false if there is no manifest yet, or the scheduler has
+// this configuration or a later one. t.mu must be held.
+func (t *term) setConfiguration(c configuration) bool {
+	if c.manifest == nil || c.revision <= t.configurationRevision {
+		return false
 	}
-	t.scheduler.SetCatalog(m.Catalog)
-	t.scheduler.SetEvacuated(zones)
+	t.configurationRevision = c.revision
+	t.scheduler.SetCatalog(c.manifest.Catalog)
+	t.scheduler.SetEvacuated(c.evacuated)
+	return true
 }
 
-// applyConfiguration passes the host's newest configuration to the scheduler.
-func (t *term) applyConfiguration() {
-	t.host.mu.Lock()
-	manifest, zones := t.host.manifest, t.host.evacuatedZones
-	t.host.mu.Unlock()
+// applyConfiguration has the next decision made under the configuration.
+func (t *term) applyConfiguration(c configuration) {
 	t.mu.Lock()
-	t.setConfiguration(manifest, zones)
+	isNew := t.setConfiguration(c)
 	t.mu.Unlock()
+	if !isNew {
+		return
+	}
 	signal(t.wakeDecisions)
+	t.log.WithFields(logrus.Fields{
+		"revision": c.revision, "version": c.manifest.Catalog.Version, "zones": c.evacuated,
+	}).Info("Configuration applied")
 }
 
 // signal sends to a channel of capacity 1 unless a signal is already pending.
--- a/internal/host/entry/watch.go
+++ b/internal/host/entry/watch.go
@@ -37,7 +37,7 @@
 		h.elector.SetClaimDelay(h.claimDelay())
 		action, until := h.elector.NextAction(now)
 		claim := h.elector.Claim()
-		ready := h.manifest != nil && h.operatorRecordsRead
+		ready := h.configuration.manifest != nil && h.operatorRecordsRead
 		h.mu.Unlock()
 		if !registered && claim.Known() {
 			registered = h.register(ctx) == nil
@@ -90,8 +90,8 @@
 		StoreAge: now.Sub(h.storeAnsweredAt), Power: h.cfg.Power,
 		OperatorRecordsUnreadable: h.operatorRecordsUnreadable.Load() || h.manifestHidden, Stamp: h.leaderStamp,
 	}
-	if h.manifest != nil {
-		p.ManifestVersion = h.manifest.Catalog.Version
+	if h.configuration.manifest != nil {
+		p.ManifestVersion = h.configuration.manifest.Catalog.Version
 	}
 	h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
@@ -439,8 +439,8 @@
 		h.confirmManifest(now, &r)
 	}
 	// A host that can read the manifest from the store does not need it from here as well, over a busy link.
-	if p.OperatorRecordsUnreadable && h.manifest != nil && h.manifest.Catalog.Version > p.ManifestVersion {
-		r.Manifest = h.manifest
+	if p.OperatorRecordsUnreadable && h.configuration.manifest != nil && h.configuration.manifest.Catalog.Version > p.ManifestVersion {
+		r.Manifest = h.configuration.manifest
 	}
 	return r, nil
 }
