Release the tasks of a worker that is gone when its leases end

The platform states when there is no next boot: an entry that is still missing about two seconds after the store is back "is to be treated as gone". A worker counts as gone once its entry has been missing for three seconds of uninterrupted reads of the list, without any answer of it. The boot that is known carries out the order within its validity, and its leases bound the run, so that the task is free once these have expired. An order for a former boot, which the present one may take at any time, is excepted; the record of an unanswered start says so for the next leader.

--- a/internal/host/entry/orders.go
+++ b/internal/host/entry/orders.go
@@ -161,8 +161,11 @@
 func (t *term) followWorkers(from int64) {
 	failing := false
 	for sleep(t.ctx, workerListInterval) {
-		changes, err := t.readWorkers(from)
+		list, err := t.readWorkers(from)
 		if err != nil {
+			t.mu.Lock()
+			t.scheduler.RecordListFailure()
+			t.mu.Unlock()
 			if !failing && t.ctx.Err() == nil {
 				failing = true
 				t.log.WithError(err).Warn("Can't read the list of workers; keeping the last one that was read")
@@ -173,17 +176,28 @@
 			failing = false
 			t.log.Info("The list of workers can be read again")
 		}
-		from = changes.NextOffset
-		t.logInvalidEntries(changes)
-		if len(changes.Listed) == 0 && len(changes.Removed) == 0 && !changes.Complete {
-			continue
-		}
-		now := t.host.clock.Now()
+		from = list.NextOffset
+		t.logInvalidEntries(list.WorkerChanges)
 		t.mu.Lock()
-		t.applyWorkerChanges(now, changes)
+		t.applyWorkerList(t.host.clock.Now(), list)
 		t.mu.Unlock()
-		signal(t.wakeDecisions)
+		if list.hasChanges() {
+			signal(t.wakeDecisions)
+		}
+	}
+}
+
+// hasChanges reports whether the read may have shown anything new.
+func (l *workerListRead) hasChanges() bool {
+	return len(l.Listed) > 0 || len(l.Removed) > 0 || l.Complete
+}
+
+// applyWorkerList passes what a read of the list of workers has shown to the scheduler. t.mu must be held.
+func (t *term) applyWorkerList(now time.Time, list workerListRead) {
+	if list.hasChanges() {
+		t.applyWorkerChanges(now, list.WorkerChanges)
 	}
+	t.scheduler.RecordListRead(list.askedAt, list.answeredAt)
 }
 
 // applyWorkerChanges passes the changes to the scheduler and starts the lease loops of new workers. t.mu must be held.
--- a/internal/host/entry/term.go
+++ b/internal/host/entry/term.go
@@ -157,7 +157,7 @@
 	// With a slow store, each call takes a considerable part of a second, so independent calls are made concurrently.
 	// The state may be read only after earlier writers are fenced.
 	var records []dispatch.Record
-	var workerChanges WorkerChanges
+	var workerList workerListRead
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		if t.openWriter(renewals) {
@@ -166,7 +166,7 @@
 			t.run(func() { t.renewClaim(renewals) })
 		}
 	})
-	wg.Go(func() { workerChanges = retry(t, func() (WorkerChanges, error) { return t.readWorkers(-1) }) })
+	wg.Go(func() { workerList = retry(t, func() (workerListRead, error) { return t.readWorkers(-1) }) })
 	if t.openWriter(writer) {
 		records = retry(t, t.readState)
 	}
@@ -174,11 +174,11 @@
 	if t.ctx.Err() != nil {
 		return
 	}
-	t.restore(start, records, workerChanges)
+	t.restore(start, records, workerList)
 	t.run(t.confirmPredecessorEnd)
 	t.run(func() { t.writeBatches(writer) })
 	t.run(t.decisionLoop)
-	t.run(func() { t.followWorkers(workerChanges.NextOffset) })
+	t.run(func() { t.followWorkers(workerList.NextOffset) })
 	t.run(func() {
 		if err := t.host.readMembers(t.ctx); err != nil {
 			t.log.WithError(err).Debug("Can't read the list of hosts")
@@ -331,15 +331,23 @@
 	return records, nil
 }
 
+// workerListRead is what a read of the list of workers has shown, with the times at which it was sent and answered.
+type workerListRead struct {
+	WorkerChanges
+	askedAt, answeredAt time.Time
+}
+
 // readWorkers reads the changes of the list of workers from an offset on.
-func (t *term) readWorkers(from int64) (WorkerChanges, error) {
+func (t *term) readWorkers(from int64) (workerListRead, error) {
 	ctx, cancel := context.WithTimeout(t.ctx, workerListTimeout)
 	defer cancel()
-	return t.host.directory.WorkerChanges(ctx, from)
+	askedAt := t.host.clock.Now()
+	changes, err := t.host.directory.WorkerChanges(ctx, from)
+	return workerListRead{changes, askedAt, t.host.clock.Now()}, err
 }
 
 // restore rebuilds the scheduler's state from the records of earlier terms.
-func (t *term) restore(start time.Time, records []dispatch.Record, workerChanges WorkerChanges) {
+func (t *term) restore(start time.Time, records []dispatch.Record, workerList workerListRead) {
 	t.host.mu.Lock()
 	c := t.host.configuration
 	t.host.mu.Unlock()
@@ -347,10 +355,10 @@
 	t.mu.Lock()
 	t.setConfiguration(c)
 	recordErrs := t.scheduler.Restore(now, t.host.clock.Wall(), records, t.previousOrdersUntil)
-	t.applyWorkerChanges(now, workerChanges)
+	t.applyWorkerList(now, workerList)
 	summary := t.scheduler.Summary()
 	t.mu.Unlock()
-	t.logInvalidEntries(workerChanges)
+	t.logInvalidEntries(workerList.WorkerChanges)
 	for _, recordErr := range recordErrs {
 		t.log.WithError(recordErr).Error("Ignored an invalid record of the state")
 	}
--- a/internal/zone/dispatch/dispatch.go
+++ b/internal/zone/dispatch/dispatch.go
@@ -132,6 +132,8 @@
 	moving   []*run
 	// silent holds the workers whose last lease renewal failed, and maybe others.
 	silent map[*Worker]struct{}
+	// listReads are the latest reads of the platform's list of workers.
+	listReads listReads
 	// ready lists the stages that have waiting tasks and no open dependencies.
 	ready []*stage
 	// recurring holds the recurring jobs that have occurrences to come.
--- a/internal/zone/dispatch/record_codec.go
+++ b/internal/zone/dispatch/record_codec.go
@@ -57,6 +57,21 @@
 	return decodeFields(dec, &r.Queue, &r.AcceptedWall, &r.Spec, &r.FinalState, &r.EndedWall, &r.Term, &r.Team, &r.Size)
 }
 
+// EncodeMsgpack implements msgpack.CustomEncoder. The record of a start for the present boot is that of the versions without
+// OutlivedBoot.
+func (r *unansweredRecord) EncodeMsgpack(enc *msgpack.Encoder) error {
+	fields := []any{r.Worker, r.Run, r.Left}
+	if r.OutlivedBoot {
+		fields = append(fields, r.OutlivedBoot)
+	}
+	return encodeFields(enc, fields...)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (r *unansweredRecord) DecodeMsgpack(dec *msgpack.Decoder) error {
+	return decodeFields(dec, &r.Worker, &r.Run, &r.Left, &r.OutlivedBoot)
+}
+
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (r *teamRecord) EncodeMsgpack(enc *msgpack.Encoder) error {
 	return encodeFields(enc, r.Weight, &r.Quota, r.Version)
--- a/internal/zone/dispatch/record_codec_test.go
+++ b/internal/zone/dispatch/record_codec_test.go
@@ -44,6 +44,24 @@
 	})
 }
 
+// Guards against unanswered starts that are lost while hosts of two versions lead in turn, and then run beside a second start.
+func TestUnansweredRecordOfAnotherVersion(t *testing.T) {
+	type formerRecord struct {
+		Worker string
+		Run    int
+		Left   int64
+	}
+	Convey("The record of a start for the present boot is that of the version before", t, func() {
+		rec := unansweredRecord{Worker: "w", Run: 3, Left: 9000}
+		former := formerRecord{"w", 3, 9000}
+		So(encode(&rec), ShouldResemble, encode(&former))
+		rec.OutlivedBoot = true
+		var got unansweredRecord
+		So(msgpack.Unmarshal(encode(&rec), &got), ShouldBeNil)
+		So(got, ShouldResemble, rec)
+	})
+}
+
 // formerTeamRecord is teamRecord with the encoding of structs, as the version before wrote it.
 type formerTeamRecord struct {
 	Weight  float64
--- a/internal/zone/dispatch/repeat_record.go
+++ b/internal/zone/dispatch/repeat_record.go
@@ -21,6 +21,8 @@
 	Run    int
 	// Left is the time in milliseconds after which the start isn't carried out any more, counted from the record's creation.
 	Left int64
+	// OutlivedBoot is set if the start may have been ordered for a former boot of the worker.
+	OutlivedBoot bool
 }
 
 // recordUnanswered has the unanswered start of a run written.
@@ -29,7 +31,10 @@
 		return
 	}
 	r.unansweredRecorded = true
-	rec := unansweredRecord{Worker: r.worker.ID, Run: r.number, Left: ceilMillis(r.starts.until().Sub(now))}
+	rec := unansweredRecord{
+		Worker: r.worker.ID, Run: r.number, Left: ceilMillis(r.starts.until().Sub(now)),
+		OutlivedBoot: r.outlivedBoot,
+	}
 	s.journal.records = append(s.journal.records, Record{Key: prefixUnanswered + r.task.name, Value: encode(&rec)})
 }
 
@@ -62,7 +67,7 @@
 		}
 		restored := &run{
 			task: t, number: rec.Run, worker: w, phase: phaseUnanswered, startedAt: now, waitingSince: t.waitingSince,
-			pace: 100, targetPace: 100, unansweredRecorded: true,
+			pace: 100, targetPace: 100, unansweredRecorded: true, outlivedBoot: rec.OutlivedBoot,
 			starts: inFlight{earlier: now.Add(time.Duration(rec.Left) * time.Millisecond)},
 		}
 		t.lastRun = max(t.lastRun, rec.Run)
--- a/internal/zone/dispatch/restart.go
+++ b/internal/zone/dispatch/restart.go
@@ -18,6 +18,9 @@
 		switch {
 		case !r.awaitsRecord && !r.confirmed && now.Before(r.starts.until()):
 			r.resetStart()
+			if r.unansweredRecorded {
+				s.recordUnanswered(now, r)
+			}
 			kept = append(kept, r)
 		case r.ownsTask() && now.Before(r.starts.until()) && r.phase == phaseRunning && !r.task.step().Gang:
 			kept = append(kept, s.renewRun(now, r))
@@ -54,6 +57,7 @@
 	if r.phase != phaseStopping {
 		r.phase = phaseUnanswered
 	}
+	r.outlivedBoot = true
 	r.barred, r.stopAnswered, r.startUntil, r.confirmedClock, r.unlistedClock = false, false, 0, 0, 0
 }
 
@@ -64,6 +68,7 @@
 	r := &run{
 		task: lost.task, number: lost.number, worker: lost.worker, phase: phaseUnanswered, startedAt: lost.startedAt,
 		pace: 100, targetPace: 100, waitingSince: lost.task.waitingSince, starts: lost.starts, repeats: lost.repeats,
+		outlivedBoot: true,
 	}
 	delete(r.worker.strays, runKey{r.task.name, r.number})
 	s.attach(r)
--- a/internal/zone/dispatch/simulation_faults_test.go
+++ b/internal/zone/dispatch/simulation_faults_test.go
@@ -106,6 +106,8 @@
 	recurring bool
 	// racks is set if steps have their data in racks.
 	racks bool
+	// losses is set if leaders read the list of workers, and some workers are lost for good or cut off for a while.
+	losses bool
 }
 
 // smallRecord is the size in bytes of a record that holds the progress of a few occurrences and the specification of any job.
@@ -163,6 +165,9 @@
 			sim.after(at, func() { sim.restart(sw) })
 		}
 	}
+	if opts.losses {
+		sim.drawLosses(t)
+	}
 	sim.drawDepartures(t)
 	sim.run(16 * time.Second)
 	sim.lossRate, sim.delayRate, sim.storeDown, sim.failRate = 0, 0, false, 0
--- a/internal/zone/dispatch/simulation_test.go
+++ b/internal/zone/dispatch/simulation_test.go
@@ -43,7 +43,10 @@
 	maxSkew time.Duration
 	// outlives is set if calls that a worker carries out late outlive its restart.
 	outlives bool
-	// storeDown is set while nothing can be written to the log.
+	// readsList is set if the leaders read the platform's list of workers periodically. The entry of a worker that is down or cut
+	// off stays there for simUnlistDelay.
+	readsList bool
+	// storeDown is set while nothing can be written to the log, nor read from the list.
 	storeDown bool
 	// lossRate is the share of answers that are lost, delayRate the share of orders that arrive late.
 	lossRate, delayRate float64
@@ -117,6 +120,9 @@
 	leavesAt time.Time
 	// unlisted is set while the worker is not in the list although it is not down.
 	unlisted bool
+	// cut is set while the worker is cut off from all others and goes on. silentSince is since when it is down or cut off.
+	cut         bool
+	silentSince time.Time
 	// keepsCalls is set if calls that were in flight when the worker last restarted reach its next boot.
 	keepsCalls bool
 	// left is set once the worker accepts no connections any more, keepsOpen while it still serves those that were open. Its
@@ -140,9 +146,11 @@
 	connected map[string]bool
 	renewedOn map[string]int64
 	// listed holds the capacities of the workers as the leader last read them.
-	listed  map[string]fleet.Size
-	writing bool
-	stopped bool
+	listed map[string]fleet.Size
+	// listReadAt is when the leader last read the list of workers.
+	listReadAt time.Time
+	writing    bool
+	stopped    bool
 	// skew is added to the simulated time in the host's time of day.
 	skew time.Duration
 	// deposedAt is when a later leader began its term, the zero time before.
@@ -272,7 +280,7 @@
 // listWorkers gives the leader the platform's list of workers.
 func (sim *simulation) listWorkers(l *simLeader) {
 	for _, sw := range sim.workers {
-		if sw.down || sw.unlisted {
+		if sim.isMissing(sw) {
 			l.s.DropWorker(sim.now, sw.id)
 			continue
 		}
@@ -284,6 +292,37 @@
 	}
 }
 
+// isMissing reports whether the worker has no entry in the platform's list.
+func (sim *simulation) isMissing(sw *simWorker) bool {
+	if sim.readsList && (sw.down || sw.cut) {
+		return sim.now.Sub(sw.silentSince) >= simUnlistDelay
+	}
+	return sw.down || sw.unlisted
+}
+
+// readList has the leader read the list of workers, if that is due.
+func (sim *simulation) readList(l *simLeader) {
+	if !sim.readsList || sim.now.Sub(l.listReadAt) < 500*time.Millisecond {
+		return
+	}
+	l.listReadAt = sim.now
+	if sim.storeDown {
+		l.s.RecordListFailure()
+		return
+	}
+	sim.listWorkers(l)
+	l.s.RecordListRead(sim.now, sim.now)
+}
+
+// cutOff cuts a worker off from all others for a while. It goes on, also with the calls that it has taken before.
+func (sim *simulation) cutOff(sw *simWorker, d time.Duration) {
+	if sw.down || sw.cut {
+		return
+	}
+	sw.cut, sw.silentSince = true, sim.now
+	sim.after(d, func() { sw.cut = false })
+}
+
 // worker returns the worker with the ID.
 func (sim *simulation) worker(id string) *simWorker {
 	return sim.workers[slices.IndexFunc(sim.workers, func(s *simWorker) bool { return s.id == id })]
@@ -387,6 +426,7 @@
 		return
 	}
 	current := l == sim.leader
+	sim.readList(l)
 	for _, o := range l.s.Decide(sim.now, l.confirmedAt(sim.now)) {
 		sim.sendOrder(l, o)
 	}
@@ -449,7 +489,7 @@
 			sim.after(sim.latency(), func() { sim.deliverAnswer(l, o, a, 0) })
 			return
 		}
-		if sw.down || !sw.takesCallsFor(boot) {
+		if sw.down || sw.cut || !sw.takesCallsFor(boot) {
 			// The connection ended with the worker's process.
 			sim.after(900*time.Millisecond, func() { sim.deliverAnswer(l, o, AnswerMissing, 0) })
 			return
@@ -467,7 +507,7 @@
 // the worker does so only if outlives is set.
 func (sim *simulation) executeLate(sw *simWorker, accepts func() bool, execute func()) {
 	sim.after(sim.latency(), func() {
-		if sw.down || !accepts() {
+		if sw.down || sw.cut || !accepts() {
 			return
 		}
 		acceptedBy := sw.boot
@@ -633,8 +673,8 @@
 			sim.refuseRenewal(l, id)
 			return
 		}
-		if sw.down || sw.boot != boot || sim.rng.Float64() < sim.lossRate {
-			if !sw.down && sw.boot == boot {
+		if sw.down || sw.cut || sw.boot != boot || sim.rng.Float64() < sim.lossRate {
+			if !sw.down && !sw.cut && sw.boot == boot {
 				sim.executeRenewal(sw, plan)
 			}
 			l.connected[id] = false
@@ -697,6 +737,9 @@
 		return
 	}
 	sw.down, sw.keepsCalls = true, false
+	if !sw.cut {
+		sw.silentSince = sim.now
+	}
 	sim.loseState(sw)
 	if sw.left {
 		sim.after(simUnlistDelay, sim.relist)
--- a/internal/zone/dispatch/stray.go
+++ b/internal/zone/dispatch/stray.go
@@ -18,19 +18,28 @@
 
 // isStray reports whether the run may be at work on a boot of its worker that has not been seen.
 func (s *Scheduler) isStray(r *run) bool {
-	return r.ownsTask() && r.starts.until().After(r.worker.answeredAt) && s.confirmedAt.Before(s.strayLeasesEnd(r))
+	return r.ownsTask() && r.starts.until().After(r.worker.answeredAt) && !s.isOutOfReach(r) &&
+		s.confirmedAt.Before(s.strayLeasesEnd(r))
 }
 
 // loseStrays ends the runs of a worker whose leases have expired, except for those that an unseen boot may have.
 func (s *Scheduler) loseStrays(now time.Time, w *Worker) {
 	for _, r := range s.runsOf(w) {
 		if !s.isStray(r) {
-			s.loseRun(now, r, reasonLeaseLapsed)
+			s.loseRun(now, r, s.strayEndReason(r))
 		}
 	}
 	s.forgetWorker(now, w)
 }
 
+// strayEndReason returns the reason for which a run is lost that was kept for an unseen boot of its worker.
+func (s *Scheduler) strayEndReason(r *run) string {
+	if s.isOutOfReach(r) {
+		return reasonWorkerGone
+	}
+	return reasonLeaseLapsed
+}
+
 // addStray notes that an order to start a run that has ended, or was given up, may be carried out by the next boot.
 func (w *Worker) addStray(k runKey, until time.Time) {
 	if w.strays == nil {
--- a/internal/zone/dispatch/worker.go
+++ b/internal/zone/dispatch/worker.go
@@ -74,6 +74,8 @@
 	// starts are the orders to start the run, repeats the number of those after the first.
 	starts  inFlight
 	repeats int
+	// outlivedBoot is set if one of these orders may have been made for a former boot of the worker.
+	outlivedBoot bool
 	// unansweredRecorded is set while the log may hold a record of an unanswered start of the run.
 	unansweredRecorded bool
 	// progress is the share of the work that is done, in percent.
@@ -121,8 +123,10 @@
 	// recordBatch is the batch with the record that tasks may run on this worker. No task starts before it is
 	// committed.
 	recordBatch BatchID
-	// listed is set while the worker is in the platform's list.
-	listed bool
+	// listed is set while the worker is in the platform's list. unlistedAt is when it was last seen to be missing there, the
+	// zero time if it has never been listed in this term.
+	listed     bool
+	unlistedAt time.Time
 	// runs holds the runs that occupy the worker, among them those that are being stopped.
 	runs map[runKey]*run
 	// unknownRuns holds runs of tasks that are not known, with the time of the worker's clock when they were last
@@ -344,7 +348,9 @@
 	if w == nil {
 		return
 	}
-	w.listed = false
+	if w.listed {
+		w.listed, w.unlistedAt = false, now
+	}
 	s.recordEvent(Event{Kind: "worker unlisted", Worker: id, Age: w.sinceAnswer(now)})
 	s.forgetWorker(now, w)
 }
@@ -441,7 +447,7 @@
 	s.deleteUnanswered(r)
 	if until := r.starts.until(); !until.IsZero() {
 		r.worker.addStray(runKey{r.task.name, r.number}, until)
-		if !r.task.step().Speculative {
+		if !r.task.step().Speculative && !s.isOutOfReach(r) {
 			r.task.notBefore = laterOf(r.task.notBefore, until)
 		}
 	}
