Restore unanswered starts on workers whose leases have lapsed

A task could run twice at once: its start on a worker got no answer, the worker's leases lapsed, and the next leader started the task elsewhere although a next boot of the worker may carry out the order. The record of the worker goes when its leases lapse, and the next leader dropped each unanswered start without one.

The run is restored on a worker that counts as ended, and ends as it would have under the leader before. Found with a scene of the tests, not seen with real processes: TestStartOnEndedWorkerIsRestored fails in three scenes without the change (the task starts 0.3 s after the change of leader instead of waiting for the order) and passes with it.

--- a/internal/zone/dispatch/gone_test.go
+++ b/internal/zone/dispatch/gone_test.go
@@ -158,6 +158,35 @@
 	})
 }
 
+// TestStartOnEndedWorkerIsRestored guards against a task that the next leader starts while a next boot of its worker may carry out an
+// order to start it, because the worker's leases had lapsed in the term before.
+func TestStartOnEndedWorkerIsRestored(t *testing.T) {
+	Convey("A worker's leases lapse while the list can't be read, and an order to start a task there has no answer", t, func() {
+		c := newGoneScenario(3300 * time.Millisecond)
+		c.readFails = true
+		c.advance(5*time.Second, nil)
+		So(c.s.workers["w"].leasesExpired, ShouldBeTrue)
+		c.s = c.nextLeader()
+		c.listSpare(c.s)
+		Convey("and the next leader waits for the order", func() {
+			So(c.restartedAfter(), ShouldBeGreaterThan, maxCallDelay)
+		})
+		Convey("and the next leader can read the list: it waits until the worker is gone", func() {
+			c.readFails = false
+			So(c.restartedAfter(), ShouldBeBetween, 8300*time.Millisecond+goneDelay, maxCallDelay)
+		})
+		Convey("and the worker is back under the next leader, which repeats the order there", func() {
+			c.readFails = false
+			c.s.SetWorker(c.now, Registration{ID: "w", Boot: 2, Service: "svc", Address: "w", Capacity: fleet.Size{Cores: 8000, Memory: 8000}})
+			c.s.HandleReport(c.now, Report{Worker: "w", Boot: 2, Clock: 1000})
+			c.commit()
+			orders := c.s.Decide(c.now, c.now)
+			So(orders, ShouldHaveLength, 1)
+			So([]any{orders[0].Worker, orders[0].Run}, ShouldResemble, []any{"w", c.order.Run})
+		})
+	})
+}
+
 // TestStartForFormerBootIsRecorded guards against a next leader that takes an order for a former boot of a worker, which the present
 // one may carry out at any time, for one whose validity the present one knows.
 func TestStartForFormerBootIsRecorded(t *testing.T) {
--- a/internal/zone/dispatch/repeat_record.go
+++ b/internal/zone/dispatch/repeat_record.go
@@ -60,11 +60,15 @@
 			errs = append(errs, errors.Wrapf(err, "dispatch: decode unanswered start of task %s", name))
 			continue
 		}
-		t, w := s.findTask(name), s.workers[rec.Worker]
-		if t == nil || w == nil || t.done || t.job().isFinal() || len(t.runs) > 0 {
+		t := s.findTask(name)
+		if t == nil || t.done || t.job().isFinal() || len(t.runs) > 0 {
 			s.journal.records = append(s.journal.records, Record{Key: r.Key})
 			continue
 		}
+		w := s.workers[rec.Worker]
+		if w == nil {
+			w = s.addEndedWorker(rec.Worker, t.job().service)
+		}
 		restored := &run{
 			task: t, number: rec.Run, worker: w, phase: phaseUnanswered, startedAt: now, waitingSince: t.waitingSince,
 			pace: 100, targetPace: 100, unansweredRecorded: true, outlivedBoot: rec.OutlivedBoot,
@@ -76,6 +80,15 @@
 	return errs
 }
 
+// addEndedWorker adds a worker of which an earlier term has recorded that nothing runs there any more. Its next boot may carry out an
+// order without an answer.
+func (s *Scheduler) addEndedWorker(id, service string) *Worker {
+	w := &Worker{Registration: Registration{ID: id, Service: service}, runs: map[runKey]*run{}, leasesExpired: true}
+	s.workers[id] = w
+	s.indexWorker(w)
+	return w
+}
+
 // giveWay has unconfirmed runs of the task end that an earlier term has left, since a worker lists a later one.
 func (s *Scheduler) giveWay(t *task, number int) {
 	for _, r := range slices.Clone(t.runs) {
