Note a read of the operators' records once it is in force

A host may claim the leadership once it has read the operators' records. It counted as having read them a moment before the evacuated zones were in force there. Found by reading; tests of internal/host/entry pass.

--- a/internal/host/entry/configuration.go
+++ b/internal/host/entry/configuration.go
@@ -17,7 +17,7 @@
 	evacuated map[string]bool
 }
 
-// withZones returns the configuration with the changed zones, with only those if the changes are complete.
+// withZones returns the configuration with the changed zones, and with no others if the changes are complete.
 func (c configuration) withZones(changes map[string]bool, complete bool) configuration {
 	zones := map[string]bool{}
 	if !complete {
@@ -49,16 +49,16 @@
 
 // applyOperatorChanges applies the changes that operators have made, as read from the store.
 func (h *Host) applyOperatorChanges(changes OperatorChanges) {
-	h.mu.Lock()
-	h.operatorRecordsRead = true
-	h.storeAnsweredAt = h.clock.Now()
-	h.mu.Unlock()
 	h.updateConfiguration(changes.Manifest, "store", func(c configuration) configuration {
 		if !changes.Complete && len(changes.EvacuatedZones) == 0 {
 			return c
 		}
 		return c.withZones(changes.EvacuatedZones, changes.Complete)
 	})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.operatorRecordsRead = true
+	h.storeAnsweredAt = h.clock.Now()
 }
 
 // applyManifest makes a manifest the current one if it supersedes that. The source is for the log only.
